Serve a request from end to end, thin, as separate processes

Cause: nothing existed. Platform stand-in, one target, one daemon and a caller run as processes of their own; the preset comes from the table.

Not yet: admission, peers, claims, planned stop; the demo exercises no failure.

--- /dev/null
+++ b/packages/config/src/document_test.ts
@@ -0,0 +1,49 @@
+import { expect, test } from "vitest";
+import { readDocument } from "./document.ts";
+import { FindingsError, formatFinding } from "./finding.ts";
+import { settingsFormat } from "./settings.ts";
+
+function findingsOf(text: string): readonly string[] {
+  try {
+    readDocument(text, settingsFormat);
+  } catch (err) {
+    if (err instanceof FindingsError) {
+      return err.findings.map((finding) => formatFinding("a.json", finding));
+    }
+    throw err;
+  }
+  return [];
+}
+
+// Someone mistypes several fields of a settings file at once. Were only the
+// first reported, each restart of the daemon would reveal one more.
+test("every finding of a settings file is reported with its place", () => {
+  const text = `{
+  "vm": "Entry 1",
+  "region": "zilina",
+  "zone": "zilina-1",
+  "listen": {
+    "caller": { "host": "127.0.0.1", "port": 8080 },
+    "operator": { "host": "127.0.0.1", "port": 8080 },
+    "peer": { "host": "127.0.0.1", "port": 70000 }
+  },
+  "platfrom": {},
+  "secrets": { "operatorTokensFile": "o", "peerTokenFile": "p" }
+}`;
+  expect(findingsOf(text)).toMatchInlineSnapshot(`
+    [
+      "a.json:2:9: /vm: must be a name of lower case letters, digits and hyphens",
+      "a.json:8:44: /listen/peer/port: Too big: expected number to be <=65535",
+      "a.json:1:1: /platform: Invalid input: expected object, received undefined",
+      "a.json:10:15: /platfrom: unknown field",
+    ]
+  `);
+});
+
+test("text that is not JSON is refused with the place of the fault", () => {
+  expect(findingsOf("{\n  oops\n}")).toMatchInlineSnapshot(`
+    [
+      "a.json:2:3: (document): not JSON: InvalidSymbol",
+    ]
+  `);
+});
--- /dev/null
+++ b/packages/config/src/mod.ts
@@ -0,0 +1,31 @@
+/**
+ * The formats that operators write: settings and presets, their checks, and
+ * the findings that a check reports.
+ *
+ * @module
+ */
+
+export {
+  type Finding,
+  FindingsError,
+  formatFinding,
+  type PathStep,
+  toPointer,
+} from "./finding.ts";
+export {
+  type Complaint,
+  type Format,
+  readDocument,
+  readValue,
+} from "./document.ts";
+export { type Settings, settingsFormat } from "./settings.ts";
+export {
+  type Preset,
+  type PresetClass,
+  presetFormat,
+  type PresetLink,
+  type PresetRegion,
+  type PresetRoute,
+  type PresetService,
+} from "./preset.ts";
+export type { Configuration, DrainSubject } from "./configuration.ts";
--- /dev/null
+++ b/packages/coordination/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Coordination parts for services that share the platform's table. The parts
+ * know nothing of the daemon; each is a pure core and a small task around it.
+ *
+ * @module
+ */
+
+export * from "./table.ts";
+export { MemoryTable } from "./memory_table.ts";
--- /dev/null
+++ b/packages/daemon/bin/poplarthreadd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,1 @@
+export { type Daemon, startDaemon } from "./daemon.ts";
--- /dev/null
+++ b/packages/ids/src/mod.ts
@@ -0,0 +1,39 @@
+/**
+ * Branded ids: plain strings at run time, distinct types for the compiler, so
+ * that a zone can never be passed where a region is meant.
+ *
+ * @module
+ */
+
+declare const brand: unique symbol;
+
+/** A string that only a function of the owning module may produce. */
+export type Brand<Name extends string> = string & { readonly [brand]: Name };
+
+/** A VM of the system, as named in its settings and in the platform's VM list. */
+export type VmId = Brand<"VmId">;
+/** One life of the daemon on a VM. A restart is a new instance. */
+export type InstanceId = Brand<"InstanceId">;
+/** A region, for example `zilina`. */
+export type RegionId = Brand<"RegionId">;
+/** An availability zone, for example `zilina-1`. */
+export type ZoneId = Brand<"ZoneId">;
+/** A service that targets offer, for example `portal`. */
+export type ServiceId = Brand<"ServiceId">;
+/** One target: an upstream address of a service. */
+export type TargetId = Brand<"TargetId">;
+/** A caller, as far as the system can tell callers apart. */
+export type CallerId = Brand<"CallerId">;
+/** A named preset. */
+export type PresetId = Brand<"PresetId">;
+/** One request of a caller, unique in all VMs. */
+export type RequestId = Brand<"RequestId">;
+/** An idempotency key, as a caller sends it. */
+export type IdempotencyKey = Brand<"IdempotencyKey">;
+/** One operation of an operator; a retry carries the same id. */
+export type OperationId = Brand<"OperationId">;
+
+/** Names `value` as an id of the expected kind. The caller vouches for it. */
+export function id<Id extends string>(value: string): Id {
+  return value as Id;
+}
--- /dev/null
+++ b/packages/standins/src/http_json.ts
@@ -0,0 +1,32 @@
+/**
+ * Small helpers for stand-ins that speak JSON over HTTP.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Buffer } from "node:buffer";
+
+/** Reads a whole body as JSON; an empty body reads as null. */
+export async function readJson(req: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) {
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString("utf8");
+  return text === "" ? null : JSON.parse(text);
+}
+
+/** Answers with a JSON body. */
+export function sendJson(
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  res.end(text);
+}
