--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,31 @@
+/**
+ * The load and experiment tool: `npm run bench -- EXPERIMENT [options]`.
+ *
+ * @module
+ */
+
+import process from "node:process";
+
+/** What every experiment's module offers. */
+interface Experiment {
+  run(args: readonly string[]): Promise<void>;
+}
+
+/** Loaded on demand, so that one experiment's start-up cost is not another's. */
+const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {
+  path: () => import("./path/main.ts"),
+  decisions: () => import("./decisions/main.ts"),
+  coordination: () => import("./coordination/main.ts"),
+  slopes: () => import("./slopes/main.ts"),
+};
+
+const [name = "", ...args] = process.argv.slice(2);
+const load = EXPERIMENTS[name];
+if (load === undefined) {
+  console.error(
+    `usage: npm run bench -- ${Object.keys(EXPERIMENTS).join("|")} [options]`,
+  );
+  process.exitCode = 2;
+} else {
+  await (await load()).run(args);
+}
--- /dev/null
+++ b/packages/model/src/mod.ts
@@ -0,0 +1,2 @@
+/** @module */
+export {};
