--- /dev/null
+++ b/packages/daemon/src/errors.ts
@@ -0,0 +1,25 @@
+/**
+ * The daemon's own errors.
+ *
+ * @module
+ */
+
+/** A task failed more often than its supervisor allows. */
+export class RestartLimitError extends Error {
+  override readonly name = "RestartLimitError";
+}
+
+/** A peer said something that this version of the protocol does not allow. */
+export class PeerProtocolError extends Error {
+  override readonly name = "PeerProtocolError";
+}
+
+/** An attempt was given up before any byte of it was sent. */
+export class NotSentError extends Error {
+  override readonly name = "NotSentError";
+}
+
+/** The message of anything that was thrown. */
+export function messageOf(err: unknown): string {
+  return err instanceof Error ? err.message : String(err);
+}
