Fix the operator listener's HTTP API and the step a change takes

Types and client stand in a package of their own, since the daemon serves them while the command and the demo call them. A change is a pure step from one configuration to the next, so that its refusals can be tested without a table.

--- a/packages/config/src/mod.ts
+++ b/packages/config/src/mod.ts
@@ -29,3 +29,11 @@
   type PresetService,
 } from "./preset.ts";
 export type { Configuration, DrainSubject } from "./configuration.ts";
+export {
+  applyChange,
+  type Change,
+  type ChangeBase,
+  type ChangeResult,
+  presetOf,
+  type PresetVersion,
+} from "./change.ts";
--- /dev/null
+++ b/packages/operator-api/src/client.ts
@@ -0,0 +1,150 @@
+/**
+ * A client of the operator listener.
+ *
+ * @module
+ */
+
+import type {
+  Configuration,
+  Preset,
+  PresetVersion,
+} from "@poplarthread/config";
+import type { PresetId, ZoneId } from "@poplarthread/ids";
+import { Pool } from "undici";
+import type {
+  AuditEntry,
+  ChangeAnswer,
+  ChangeRequest,
+  CheckAnswer,
+  ErrorAnswer,
+  ExplainRequest,
+  Explanation,
+  LookupAnswer,
+  PresetSummary,
+  Status,
+} from "./types.ts";
+
+/** The VM answered with an error, or could not be asked (`status` 0). */
+export class OperatorApiError extends Error {
+  override readonly name = "OperatorApiError";
+  readonly status: number;
+  readonly answer: ErrorAnswer | undefined;
+
+  constructor(message: string, status: number, answer?: ErrorAnswer) {
+    super(message);
+    this.status = status;
+    this.answer = answer;
+  }
+}
+
+/** Which VM to ask, and as whom. */
+export interface OperatorClientOptions {
+  /** `http://host:port` of a VM's operator listener. */
+  readonly url: string;
+  readonly token: string;
+  readonly timeoutMs: number;
+}
+
+/** Asks one VM; every failure is an {@link OperatorApiError}. */
+export class OperatorClient {
+  readonly #pool: Pool;
+  readonly #options: OperatorClientOptions;
+
+  constructor(options: OperatorClientOptions) {
+    this.#pool = new Pool(options.url, { connections: 2 });
+    this.#options = options;
+  }
+
+  async status(): Promise<Status> {
+    return await this.#call("/v1/status") as Status;
+  }
+
+  async configuration(): Promise<Configuration> {
+    return await this.#call("/v1/configuration") as Configuration;
+  }
+
+  async presets(): Promise<readonly PresetSummary[]> {
+    return await this.#call("/v1/presets") as PresetSummary[];
+  }
+
+  /** One version of a preset; the latest where none is named. */
+  async preset(preset: PresetId, version?: number): Promise<PresetVersion> {
+    const query = version === undefined ? "" : `?version=${version}`;
+    return await this.#call(`/v1/presets/${preset}${query}`) as PresetVersion;
+  }
+
+  async history(preset: PresetId): Promise<readonly AuditEntry[]> {
+    return await this.#call(`/v1/presets/${preset}/history`) as AuditEntry[];
+  }
+
+  async check(preset: Preset): Promise<CheckAnswer> {
+    return await this.#call("/v1/check", preset) as CheckAnswer;
+  }
+
+  async change(change: ChangeRequest): Promise<ChangeAnswer> {
+    return await this.#call("/v1/changes", change) as ChangeAnswer;
+  }
+
+  /** The newest entries, or those before a revision. */
+  async audit(
+    options: { limit: number; before?: number },
+  ): Promise<readonly AuditEntry[]> {
+    const before = options.before === undefined
+      ? ""
+      : `&before=${options.before}`;
+    return await this.#call(
+      `/v1/audit?limit=${options.limit}${before}`,
+    ) as AuditEntry[];
+  }
+
+  async lookup(zone?: ZoneId): Promise<LookupAnswer> {
+    const query = zone === undefined ? "" : `?zone=${zone}`;
+    return await this.#call(`/v1/lookup${query}`) as LookupAnswer;
+  }
+
+  async explain(request: ExplainRequest): Promise<Explanation> {
+    return await this.#call("/v1/explain", request) as Explanation;
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #call(path: string, body?: unknown): Promise<unknown> {
+    const res = await this.#send(path, body);
+    if (res.status >= 200 && res.status < 300) {
+      return res.body;
+    }
+    const answer = res.body as ErrorAnswer;
+    throw new OperatorApiError(
+      `Cannot call ${path}: ${answer.message}`,
+      res.status,
+      answer,
+    );
+  }
+
+  async #send(
+    path: string,
+    body: unknown,
+  ): Promise<{ status: number; body: unknown }> {
+    try {
+      const res = await this.#pool.request({
+        path,
+        method: body === undefined ? "GET" : "POST",
+        headers: {
+          authorization: `Bearer ${this.#options.token}`,
+          "content-type": "application/json",
+        },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(this.#options.timeoutMs),
+      });
+      return { status: res.statusCode, body: await res.body.json() };
+    } catch (err) {
+      const { url } = this.#options;
+      throw new OperatorApiError(
+        `Cannot reach the VM at ${url}: ${(err as Error).message}`,
+        0,
+      );
+    }
+  }
+}
