--- a/packages/config/src/mod.ts
+++ b/packages/config/src/mod.ts
@@ -26,6 +26,7 @@
   type PresetLink,
   type PresetRegion,
   type PresetRoute,
+  presetSchema,
   type PresetService,
 } from "./preset.ts";
 export type { Configuration, DrainSubject } from "./configuration.ts";
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -89,7 +89,8 @@
     .describe("Cap for a region whose caches are cold for the moved traffic"),
 });
 
-const schema = z.strictObject({
+/** Schema of a preset, without the checks that look across its fields. */
+export const presetSchema = z.strictObject({
   id: branded<PresetId>(),
   about: z.string().max(500).describe("For whom and when this preset is meant"),
   regions: z.array(regionSchema).min(1),
@@ -116,7 +117,7 @@
 });
 
 /** A preset, checked and with every default filled in. */
-export type Preset = z.output<typeof schema>;
+export type Preset = z.output<typeof presetSchema>;
 /** A region and its availability zones. */
 export type PresetRegion = Preset["regions"][number];
 /** A service and the capacity it has in each region. */
@@ -131,6 +132,6 @@
 /** The preset format. */
 export const presetFormat: Format<Preset> = {
   subject: "the preset",
-  schema,
+  schema: presetSchema,
   crossCheck: checkPreset,
 };
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,24 +1,13 @@
+/**
+ * The daemon, for programs that run it inside a process of their own.
+ *
+ * @module
+ */
+
 export { type Daemon, startDaemon } from "./daemon.ts";
 export type {
-  AuditEntry,
-  AuditRange,
-  ChangeOutcome,
-  ChangeRequest,
-  ExplainRequest,
-  Explanation,
-  HeldBackStatus,
-  LookupAnswer,
-  LookupVm,
   OperatorBackend,
   OperatorChange,
-  OutageStatus,
-  PlanStatus,
-  PresetSummary,
-  PresetVersion,
   ProbeAnswer,
   ProbeHandlers,
-  Status,
-  TargetStatus,
-  TaskStatus,
-  VmStatus,
 } from "./operator_backend.ts";
--- /dev/null
+++ b/packages/daemon/src/operator/body.ts
@@ -0,0 +1,34 @@
+/**
+ * Bodies of operators' requests: bounded, and checked before anything uses
+ * them.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import { Buffer } from "node:buffer";
+import { HttpError } from "./http_error.ts";
+
+/** A preset of 450 sites stays far below; anything larger is no request of ours. */
+export const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Reads a whole body as JSON; throws {@link HttpError} when it is too large or no JSON. */
+export async function readBody(req: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req) {
+    size += chunk.length;
+    if (size > MAX_BODY_BYTES) {
+      throw new HttpError(
+        413,
+        `the body is larger than ${MAX_BODY_BYTES} bytes`,
+      );
+    }
+    chunks.push(chunk);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+  } catch {
+    throw new HttpError(400, "the body is not JSON");
+  }
+}
--- /dev/null
+++ b/packages/operator-api/src/formats.ts
@@ -0,0 +1,59 @@
+/**
+ * Formats of the bodies that operators send, so that a malformed one is
+ * refused with findings.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import {
+  type DrainSubject,
+  type Format,
+  presetSchema,
+} from "@poplarthread/config";
+import type { OperationId, PresetId } from "@poplarthread/ids";
+import type { ChangeRequest, ExplainRequest } from "./types.ts";
+
+const MAX_WHY_LENGTH = 500;
+
+const presetId = z.string().transform((value) => value as PresetId);
+const subject: z.ZodType<DrainSubject> = z.strictObject({
+  kind: z.enum(["target", "vm", "zone"]),
+  id: z.string().min(1).max(63),
+});
+
+const change = z.discriminatedUnion("kind", [
+  z.strictObject({ kind: z.literal("edit"), preset: presetSchema }),
+  z.strictObject({ kind: z.literal("switch"), preset: presetId }),
+  z.strictObject({ kind: z.literal("drain"), subject }),
+  z.strictObject({ kind: z.literal("undrain"), subject }),
+]);
+
+const changeRequest = z.strictObject({
+  operation: z.string().min(8).max(64).transform((value) =>
+    value as OperationId
+  ),
+  seenRevision: z.int().min(0),
+  why: z.string().min(1, "say why, for the audit trail").max(MAX_WHY_LENGTH),
+  change,
+});
+
+/** Body of `POST /v1/changes`. The preset's own cross checks run separately. */
+export const changeRequestFormat: Format<ChangeRequest> = {
+  subject: "the change",
+  schema: changeRequest,
+  crossCheck: () => [],
+};
+
+const explainRequest = z.strictObject({
+  method: z.string().min(1).max(10),
+  path: z.string().startsWith("/").max(2_048),
+  caller: z.string().max(200).default(""),
+});
+
+/** Body of `POST /v1/explain`. */
+export const explainRequestFormat: Format<ExplainRequest> = {
+  subject: "the request to explain",
+  schema: explainRequest,
+  crossCheck: () => [],
+};
--- a/packages/operator-api/src/mod.ts
+++ b/packages/operator-api/src/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./types.ts";
+export { changeRequestFormat, explainRequestFormat } from "./formats.ts";
 export {
   OperatorApiError,
   OperatorClient,
--- a/packages/operator-api/src/types.ts
+++ b/packages/operator-api/src/types.ts
@@ -20,12 +20,7 @@
  * @module
  */
 
-import type {
-  Change,
-  Configuration,
-  DrainSubject,
-  Finding,
-} from "@poplarthread/config";
+import type { Change, Configuration, Finding } from "@poplarthread/config";
 import type {
   InstanceId,
   OperationId,
@@ -37,36 +32,80 @@
   ZoneId,
 } from "@poplarthread/ids";
 
-/** A VM of the system, as the asked VM knows it. */
+/** Something that cannot be reached now. Ages are durations, never times of day. */
+export interface OutageStatus {
+  /** What is out of reach, for example `table` or `vm-list`. */
+  readonly subject: string;
+  /** How long it has been out of reach, in milliseconds. */
+  readonly forMs: number;
+  /** The last error, without secrets. */
+  readonly reason: string;
+}
+
+/** One VM of the system, as this VM sees it. */
 export interface VmStatus {
   readonly vm: VmId;
   readonly region: RegionId;
   readonly zone: ZoneId;
-  /** Undefined until the VM was heard of by more than the platform's list. */
-  readonly instance: InstanceId | undefined;
-  readonly state: "live" | "suspect" | "leaving" | "dead";
-  /** Highest revision that this VM is known to run; 0 when unknown. */
-  readonly revision: number;
+  readonly state: "live" | "suspect" | "leaving" | "dead" | "drained";
+  /** Revision that the VM last confirmed; absent where it never did. */
+  readonly revision?: number;
+  /** Age of what is known, in milliseconds. */
+  readonly ageMs: number;
 }
 
-/** A target, and whether it gets new work. */
+/** One target and whether it gets new work. */
 export interface TargetStatus {
   readonly target: TargetId;
   readonly service: ServiceId;
+  readonly region: RegionId;
   readonly zone: ZoneId;
+  readonly address: string;
   readonly state: "in" | "out";
-  /** Why, for people. */
-  readonly reason: string;
+  /** Why it is in or out, in words. */
+  readonly why: string;
+  /** Requests of this VM that it works on now. */
+  readonly inFlight: number;
+  /** Slots of it that this VM may use now. */
+  readonly slots: number;
+}
+
+/** The plan that this VM follows. */
+export interface PlanStatus {
+  /** Grows with each plan; 0 where there is none yet. */
+  readonly number: number;
+  /** Who wrote it; absent where there is none yet. */
+  readonly planner?: VmId;
+  /** Whether this VM holds the planner's lease. */
+  readonly planning: boolean;
+  /** Slots that the plan lets this VM use, by service and region. */
+  readonly allotments: readonly {
+    readonly service: ServiceId;
+    readonly region: RegionId;
+    readonly slots: number;
+  }[];
+}
+
+/** A request that is not run because it coincided with deaths of targets. */
+export interface HeldBackStatus {
+  /** Digest of the request; says nothing of its content. */
+  readonly fingerprint: string;
+  readonly deaths: number;
+  /** Until it may run again, in milliseconds. */
+  readonly forMs: number;
 }
 
-/** One task of the supervisor tree. */
+/** One supervised task. */
 export interface TaskStatus {
+  /** Path in the supervisor tree, for example `daemon/peers/listener`. */
   readonly task: string;
-  readonly state: "running" | "backing-off" | "failed" | "stopped";
+  readonly state: "running" | "waiting" | "failed" | "stopped";
   readonly restarts: number;
+  /** The last failure, without secrets; absent where there was none. */
+  readonly lastError?: string;
 }
 
-/** What one VM knows of the whole system. */
+/** The daemon as a whole, as of now. */
 export interface Status {
   readonly vm: VmId;
   readonly instance: InstanceId;
@@ -74,25 +113,21 @@
   readonly zone: ZoneId;
   readonly ready: boolean;
   readonly leaving: boolean;
-  /** Revision in force on this VM; 0 before the first. */
+  /** Revision in force here; 0 where there is none yet. */
   readonly revision: number;
-  readonly preset: PresetId | undefined;
-  readonly presetVersion: number;
-  readonly drains: readonly DrainSubject[];
+  /** Preset in force here; absent where there is none yet. */
+  readonly preset?: { readonly id: PresetId; readonly version: number };
   readonly vms: readonly VmStatus[];
+  readonly plan: PlanStatus;
   readonly targets: readonly TargetStatus[];
-  /** The plan by lines for people; empty without one. */
-  readonly plan: readonly string[];
-  /** What is out of reach, for people; empty on a good day. */
-  readonly outages: readonly string[];
-  /** Number of requests held back because they coincided with target deaths. */
-  readonly heldBack: number;
+  readonly outages: readonly OutageStatus[];
+  readonly heldBack: readonly HeldBackStatus[];
   readonly tasks: readonly TaskStatus[];
 }
 
-/** One preset and its place. */
+/** One preset in a list. */
 export interface PresetSummary {
-  readonly preset: PresetId;
+  readonly id: PresetId;
   readonly version: number;
   readonly about: string;
   readonly inForce: boolean;
@@ -111,6 +146,13 @@
   readonly after: Configuration;
 }
 
+/** Which audit entries to read, newest first. */
+export interface AuditRange {
+  /** Only entries with a lower revision; all where absent. */
+  readonly before?: number;
+  readonly limit: number;
+}
+
 /** A change, as the operator's command sends it. */
 export interface ChangeRequest {
   /** A retry carries the same id and gets the first outcome. */
@@ -153,36 +195,46 @@
   readonly findings: readonly Finding[];
 }
 
-/** The look-up's answer, as callers get it. */
+/** One entry VM in a look-up's answer, best first. */
+export interface LookupVm {
+  readonly vm: VmId;
+  readonly region: RegionId;
+  readonly zone: ZoneId;
+  /** Address for callers, `host:port`. */
+  readonly caller: string;
+}
+
+/** A look-up's answer. */
 export interface LookupAnswer {
+  readonly vms: readonly LookupVm[];
+  /** How long a caller may cache it, in milliseconds. */
   readonly lifetimeMs: number;
-  readonly revision: number;
-  /** Best first. */
-  readonly vms: readonly {
-    readonly vm: VmId;
-    readonly region: RegionId;
-    readonly zone: ZoneId;
-    /** `host:port` of the callers' listener. */
-    readonly address: string;
-  }[];
 }
 
-/** A request to explain; nothing is sent anywhere. */
+/** A request to explain; it is not sent. */
 export interface ExplainRequest {
   readonly method: string;
   readonly path: string;
-  readonly caller?: string;
+  /** Name of the caller. */
+  readonly caller: string;
 }
 
 /** Where a request would go now, and why. */
-export interface Explanation {
-  readonly route: string | undefined;
-  readonly service: ServiceId | undefined;
-  readonly class: string | undefined;
-  readonly target: TargetId | undefined;
-  /** The decisions in order, for people. */
-  readonly reasons: readonly string[];
-}
+export type Explanation =
+  | { readonly kind: "no-route"; readonly why: string }
+  | {
+    readonly kind: "route";
+    readonly route: string;
+    readonly service: ServiceId;
+    readonly class: string;
+    readonly repeat: "idempotent" | "at-most-once";
+    readonly deadlineMs: number;
+    /** Absent where it would wait or be refused. */
+    readonly target?: TargetId;
+    readonly region?: RegionId;
+    /** Why this target, or why none. */
+    readonly why: string;
+  };
 
 /** Body of an answer with an error status. */
 export interface ErrorAnswer {
