Add the public face of configuration, lease and held-back requests

The configuration is accepted by one transaction on the in-force row, the operation row and the audit row; a lost answer is resolved by the operation row. The lease keeps its holder and its beat in two rows, so that the version of the first one is the fencing token and renewals do not disturb guarded writes. One row for both was ruled out: each renewal would refuse the holder's own writes in flight. Not tested yet.

--- /dev/null
+++ b/packages/coordination/src/configuration/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Versioned configuration: one value in force, changed by one conditional
+ * transaction, followed by every VM.
+ *
+ * @module
+ */
+
+export type { AuditEntry, Change, ChangeOrigin, InForce } from "./in_force.ts";
+export type { AcceptOutcome } from "./acceptance.ts";
+export {
+  type AuditPage,
+  ConfigurationStore,
+  type ConfigurationStoreOptions,
+} from "./store.ts";
+export type { FollowerEffect } from "./follower_core.ts";
+export { ConfigurationFollower, type FollowerOptions } from "./follower.ts";
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -7,3 +7,7 @@
 
 export * from "./table.ts";
 export { MemoryTable } from "./memory_table.ts";
+
+export * from "./configuration/mod.ts";
+export * from "./lease/mod.ts";
+export * from "./held_back/mod.ts";
