Name the public face of membership, slot escrow and dissemination

The daemon wires against these types while the cores are written. The bodies are the simplest that work: a listed VM is a member, a plan's shares are held, nothing is sent yet.

Slots go to owners one by one by rendezvous hash, so that an owner that comes or goes moves only its own.

--- /dev/null
+++ b/packages/coordination/src/dissemination/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Dissemination: a change reaches every VM down a tree of pushes, and whoever
+ * the tree misses finds out from the revision on the next heartbeat.
+ *
+ * @module
+ */
+
+export type {
+  Change,
+  DisseminationEffect,
+  DisseminationMessage,
+  Tree,
+} from "./messages.ts";
+export { rankedIn, READERS_PER_ZONE, readersOf } from "./ranks.ts";
+export type { Ranked } from "./ranks.ts";
+export { Dissemination, type DisseminationOptions } from "./dissemination.ts";
--- /dev/null
+++ b/packages/coordination/src/escrow/shares.ts
@@ -0,0 +1,51 @@
+/**
+ * How many slots of a pool each owner has: rendezvous hash, slot by slot, so
+ * that an owner that comes or goes moves only its own slots.
+ *
+ * @module
+ */
+
+import type { InstanceId } from "@poplarthread/ids";
+import type { Sender } from "../membership/messages.ts";
+import type { Pool } from "./messages.ts";
+
+/** Slots of `pool` by owner; they add up to the total when there is any owner. */
+export function sharesOf(
+  pool: Pool,
+  owners: readonly Sender[],
+): ReadonlyMap<InstanceId, number> {
+  const shares = new Map<InstanceId, number>();
+  for (let slot = 0; slot < pool.total; slot++) {
+    const owner = ownerOf(`${pool.pool}#${slot}`, owners);
+    if (owner !== undefined) {
+      shares.set(owner.instance, (shares.get(owner.instance) ?? 0) + 1);
+    }
+  }
+  return shares;
+}
+
+function ownerOf(slot: string, owners: readonly Sender[]): Sender | undefined {
+  let best: Sender | undefined;
+  let bestScore = -1;
+  for (const owner of owners) {
+    const score = hash32(`${slot}@${owner.vm}`);
+    const wins = score > bestScore ||
+      (score === bestScore && owner.vm < best!.vm);
+    if (wins) {
+      best = owner;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/** FNV-1a with a final mix: even enough for ranking, the same on every VM. */
+export function hash32(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let at = 0; at < text.length; at++) {
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -7,3 +7,7 @@
 
 export * from "./table.ts";
 export { MemoryTable } from "./memory_table.ts";
+
+export * from "./membership/mod.ts";
+export * from "./escrow/mod.ts";
+export * from "./dissemination/mod.ts";
