--- a/packages/config/src/mod.ts
+++ b/packages/config/src/mod.ts
@@ -26,6 +26,15 @@
   type PresetLink,
   type PresetRegion,
   type PresetRoute,
+  presetSchema,
   type PresetService,
 } from "./preset.ts";
 export type { Configuration, DrainSubject } from "./configuration.ts";
+export {
+  applyChange,
+  type Change,
+  type ChangeBase,
+  type ChangeResult,
+  presetOf,
+  type PresetVersion,
+} from "./change.ts";
