--- a/packages/daemon/src/supervisor.ts
+++ b/packages/daemon/src/supervisor.ts
@@ -7,7 +7,7 @@
  */
 
 import { messageOf, RestartLimitError } from "./errors.ts";
-import type { TaskStatus } from "./operator_backend.ts";
+import type { TaskStatus } from "@poplarthread/operator-api";
 import { type Message, type Parent, Task, type TaskState } from "./task.ts";
 
 /** How a supervisor restarts its tasks. */
