--- a/packages/daemon/src/http/attempt.ts
+++ b/packages/daemon/src/http/attempt.ts
@@ -23,6 +23,8 @@
 
 /** Who gets an attempt's answer. */
 export interface AttemptOwner {
+  /** Right before the first byte is sent. False: it must not be sent. */
+  attemptMaySend(attempt: Attempt): boolean;
   /** The header of the answer. False: nobody wants it, break the attempt off. */
   attemptAnswers(
     attempt: Attempt,
@@ -75,6 +77,11 @@
     return this.#ended;
   }
 
+  /** Whether the target says that it refused before running. */
+  get refusedNotRun(): boolean {
+    return this.#refused;
+  }
+
   /** Whether the target says that it is leaving. */
   get targetLeaving(): boolean {
     return this.#head?.leaving ?? false;
@@ -108,6 +115,10 @@
       // for a connection pool to say, so the attempt ends instead.
       throw new NotSentError("Not wanted any more");
     }
+    if (!this.#owner.attemptMaySend(this)) {
+      this.#cancelled = true;
+      throw new NotSentError("Not allowed any more");
+    }
     this.#sent = true;
     this.#abort = abort;
   }
--- a/packages/daemon/src/http/refusal.ts
+++ b/packages/daemon/src/http/refusal.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import type { RequestId } from "@poplarthread/ids";
-import { OUTCOME_HEADER, REQUEST_ID_HEADER } from "./names.ts";
+import { OUTCOME_HEADER, REQUEST_ID_HEADER, SENDING_HEADER } from "./names.ts";
 
 /** Why a request got no target's answer. */
 export type RefusalReason =
@@ -24,10 +24,12 @@
   | "attempts-failed"
   | "deadline"
   | "held-back"
-  | "claim-unavailable"
-  | "claim-mismatch"
-  | "claim-in-progress"
-  | "claim-outcome-unknown"
+  | "claim-refused"
+  | "key-reused"
+  | "still-running"
+  | "ran-before"
+  | "outcome-unknown"
+  | "leaving"
   | "internal";
 
 /** Status codes by reason. */
@@ -45,20 +47,30 @@
   "attempts-failed": 502,
   "deadline": 504,
   "held-back": 503,
-  "claim-unavailable": 503,
-  "claim-mismatch": 422,
-  "claim-in-progress": 409,
-  "claim-outcome-unknown": 502,
+  "claim-refused": 503,
+  "key-reused": 422,
+  "still-running": 409,
+  "ran-before": 409,
+  "outcome-unknown": 502,
+  "leaving": 503,
   "internal": 500,
 };
 
+/**
+ * What is known of the request. `not-run` and `ran` are said only where they
+ * are true of every sending of it; a keyed request may have been sent before,
+ * by way of another VM.
+ */
+export type RequestOutcome = "not-run" | "ran" | "unknown";
+
 /** A final answer of the daemon's own. */
 export interface Refusal {
   readonly reason: RefusalReason;
   /** For people. */
   readonly message: string;
-  /** True only where no target can have run the request. */
-  readonly notRun: boolean;
+  readonly outcome: RequestOutcome;
+  /** This sending reached no target, whatever became of earlier ones. */
+  readonly sendingNotRun?: boolean;
   /** When to come back, in milliseconds; absent where that would not help. */
   readonly retryAfterMs?: number;
   /** Ends the caller's connection, since the rest of its body is not read. */
@@ -71,11 +83,11 @@
   refusal: Refusal,
   request?: RequestId,
 ): void {
-  const outcome = refusal.notRun ? "not-run" : "unknown";
   const body = Buffer.from(JSON.stringify({
     reason: refusal.reason,
     message: refusal.message,
-    outcome,
+    outcome: refusal.outcome,
+    sending: refusal.sendingNotRun ? "not-run" : undefined,
     retryAfterMs: refusal.retryAfterMs,
     request,
   }));
@@ -85,8 +97,11 @@
     "content-length",
     String(body.length),
     OUTCOME_HEADER,
-    outcome,
+    refusal.outcome,
   ];
+  if (refusal.sendingNotRun) {
+    lines.push(SENDING_HEADER, "not-run");
+  }
   if (refusal.retryAfterMs !== undefined) {
     const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000));
     lines.push("retry-after", String(seconds));
--- a/packages/daemon/src/http/request_body.ts
+++ b/packages/daemon/src/http/request_body.ts
@@ -35,7 +35,7 @@
   #ready = false;
   #stream: Readable | undefined;
   #whole: Buffer | null = null;
-  #taken = false;
+  #flowing = false;
   /** When the last bytes came, in milliseconds of the monotonic clock. */
   lastByteAt: number;
   /** Whether the caller has sent all of it. */
@@ -76,17 +76,22 @@
     return this.#stream === undefined;
   }
 
-  /** Whether an attempt may still take it: a stream only once. */
+  /** Whether an attempt may take it: a stream only until one attempt has sent of it. */
   get available(): boolean {
-    return this.#stream === undefined || !this.#taken;
+    return this.#stream === undefined ||
+      (!this.#flowing && !this.#stream.destroyed);
   }
 
   /** The body for one attempt. */
-  take(): Buffer | Readable | null {
-    this.#taken = true;
+  get forAttempt(): Buffer | Readable | null {
     return this.#stream ?? this.#whole;
   }
 
+  /** An attempt begins to send it. */
+  markFlowing(): void {
+    this.#flowing = true;
+  }
+
   /** The whole body, for digests; undefined where it is streamed. */
   get whole(): Buffer | undefined {
     return this.#stream === undefined
