Accept operators' changes through the versioned configuration

A retry after a lost answer can't work its change out again, since its first try moved the revision on; it is recognised by the operation's row and the audit entry of that revision. Ruled out: comparing digests of the computed value, which differ on the newer base and would call the retry another change.

--- a/packages/config/src/change.ts
+++ b/packages/config/src/change.ts
@@ -20,10 +20,21 @@
   /** Puts it back. */
   | { readonly kind: "undrain"; readonly subject: DrainSubject };
 
+/** A change in short, as the audit trail keeps it. */
+export type ChangeSummary =
+  | {
+    readonly kind: "edit" | "switch";
+    readonly preset: PresetId;
+    readonly version: number;
+  }
+  | { readonly kind: "drain" | "undrain"; readonly subject: DrainSubject };
+
 /** One stored version of a preset. */
 export interface PresetVersion {
   /** From 1, one more with each edit. */
   readonly version: number;
+  /** Revision whose change wrote it. */
+  readonly revision: number;
   readonly preset: Preset;
 }
 
@@ -42,6 +53,7 @@
     readonly inForce: Configuration;
     /** The preset version that must be stored with it. */
     readonly stored: PresetVersion | undefined;
+    readonly summary: ChangeSummary;
   }
   /** The change makes no sense from here; nothing is written. */
   | { readonly kind: "refused"; readonly reason: string };
@@ -77,24 +89,23 @@
   { inForce, latest }: ChangeBase,
   preset: Preset,
 ): ChangeResult {
-  const stored = { version: (latest?.version ?? 0) + 1, preset };
-  if (inForce === undefined) {
-    // The first preset ever written is in force at once: there must be exactly one.
-    const first = {
-      revision: 1,
+  const version = (latest?.version ?? 0) + 1;
+  const revision = (inForce?.revision ?? 0) + 1;
+  // The first preset ever written is in force at once: there must be exactly one.
+  const takesForce = inForce === undefined || inForce.preset.id === preset.id;
+  const next = takesForce
+    ? {
+      revision,
       preset,
-      presetVersion: stored.version,
-      drains: [],
-    };
-    return { kind: "changed", inForce: first, stored };
-  }
-  const next = preset.id === inForce.preset.id
-    ? { ...inForce, preset, presetVersion: stored.version }
-    : inForce;
+      presetVersion: version,
+      drains: inForce?.drains ?? [],
+    }
+    : { ...inForce, revision };
   return {
     kind: "changed",
-    inForce: { ...next, revision: inForce.revision + 1 },
-    stored,
+    inForce: next,
+    stored: { version, revision, preset },
+    summary: { kind: "edit", preset: preset.id, version },
   };
 }
 
@@ -120,6 +131,7 @@
       drains: inForce?.drains ?? [],
     },
     stored: undefined,
+    summary: { kind: "switch", preset, version: latest.version },
   };
 }
 
@@ -136,31 +148,35 @@
       reason: `${subject.kind} "${subject.id}" is drained already`,
     };
   }
-  return withDrains(inForce, [...inForce.drains, subject]);
+  const drains = [...inForce.drains, subject];
+  return {
+    kind: "changed",
+    inForce: { ...inForce, revision: inForce.revision + 1, drains },
+    stored: undefined,
+    summary: { kind: "drain", subject },
+  };
 }
 
 function applyUndrain(
   { inForce }: ChangeBase,
   subject: DrainSubject,
 ): ChangeResult {
-  const kept = inForce?.drains.filter((drain) => !isSame(drain, subject)) ?? [];
-  if (inForce === undefined || kept.length === inForce.drains.length) {
+  const drains = inForce?.drains.filter((drain) => !isSame(drain, subject));
+  if (inForce === undefined || drains?.length === inForce.drains.length) {
     return {
       kind: "refused",
       reason: `${subject.kind} "${subject.id}" is not drained`,
     };
   }
-  return withDrains(inForce, kept);
-}
-
-function withDrains(
-  inForce: Configuration,
-  drains: readonly DrainSubject[],
-): ChangeResult {
   return {
     kind: "changed",
-    inForce: { ...inForce, revision: inForce.revision + 1, drains },
+    inForce: {
+      ...inForce,
+      revision: inForce.revision + 1,
+      drains: drains ?? [],
+    },
     stored: undefined,
+    summary: { kind: "undrain", subject },
   };
 }
 
--- a/packages/config/src/mod.ts
+++ b/packages/config/src/mod.ts
@@ -35,6 +35,7 @@
   type Change,
   type ChangeBase,
   type ChangeResult,
+  type ChangeSummary,
   presetOf,
   type PresetVersion,
 } from "./change.ts";
--- a/packages/coordination/src/configuration/mod.ts
+++ b/packages/coordination/src/configuration/mod.ts
@@ -5,7 +5,16 @@
  * @module
  */
 
-export type { AuditEntry, Change, ChangeOrigin, InForce } from "./in_force.ts";
+export {
+  type AuditEntry,
+  auditKey,
+  type Change,
+  type ChangeOrigin,
+  IN_FORCE_KEY,
+  type InForce,
+  operationKey,
+  type OperationRow,
+} from "./in_force.ts";
 export type { AcceptOutcome } from "./acceptance.ts";
 export {
   type AuditPage,
--- a/packages/operator-api/src/types.ts
+++ b/packages/operator-api/src/types.ts
@@ -20,7 +20,12 @@
  * @module
  */
 
-import type { Change, Configuration, Finding } from "@poplarthread/config";
+import type {
+  Change,
+  ChangeSummary,
+  Configuration,
+  Finding,
+} from "@poplarthread/config";
 import type {
   InstanceId,
   OperationId,
@@ -141,8 +146,9 @@
   readonly why: string;
   /** Wall-clock time of the accepting VM, ISO 8601; for people only. */
   readonly at: string;
-  readonly change: Change;
-  readonly before: Configuration | undefined;
+  readonly change: ChangeSummary;
+  /** Absent before the very first change. */
+  readonly before?: Configuration;
   readonly after: Configuration;
 }
 
@@ -169,7 +175,7 @@
   /** Another change was accepted first: nothing was written. */
   | {
     readonly kind: "conflict";
-    readonly won: AuditEntry | undefined;
+    readonly won?: AuditEntry;
     readonly revision: number;
   }
   | {
