Add the public face of request claims

A keyed request is claimed by one conditional write that shares its transaction with others. The claim is never taken over by time: only the holder's own word that it never dispatched frees it. Taking it over after a lapse was ruled out, since a paused holder could still dispatch. Not tested yet.

--- /dev/null
+++ b/packages/coordination/src/claims/mod.ts
@@ -0,0 +1,22 @@
+/**
+ * Request claims: keyed requests that run at most once.
+ *
+ * @module
+ */
+
+export type {
+  ClaimRefusal,
+  HolderAnswer,
+  NotRunProof,
+  RunOutcome,
+} from "./attempt.ts";
+export type { AttemptId, ClaimId, StoredAnswer } from "./claim_row.ts";
+export {
+  type ClaimGrant,
+  type ClaimHolders,
+  type ClaimOutcome,
+  type HolderQuestion,
+  type KeyedRequest,
+  RequestClaims,
+  type RequestClaimsOptions,
+} from "./claims.ts";
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -11,3 +11,4 @@
 export * from "./configuration/mod.ts";
 export * from "./lease/mod.ts";
 export * from "./held_back/mod.ts";
+export * from "./claims/mod.ts";
