Make the stand-ins separate parts with switches and counts of their own

Targets and callers count both sides of a request, so that what was said and what ran can be compared.

--- a/packages/standins/src/http_json.ts
+++ b/packages/standins/src/http_json.ts
@@ -7,14 +7,19 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Buffer } from "node:buffer";
 
-/** Reads a whole body as JSON; an empty body reads as null. */
-export async function readJson(req: IncomingMessage): Promise<unknown> {
+/** Reads a whole body. */
+export async function readBytes(req: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of req) {
     chunks.push(chunk);
   }
-  const text = Buffer.concat(chunks).toString("utf8");
-  return text === "" ? null : JSON.parse(text);
+  return Buffer.concat(chunks);
+}
+
+/** Reads a whole body as JSON; an empty body reads as null. */
+export async function readJson(req: IncomingMessage): Promise<unknown> {
+  const bytes = await readBytes(req);
+  return bytes.length === 0 ? null : JSON.parse(bytes.toString("utf8"));
 }
 
 /** Answers with a JSON body. */
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -12,5 +12,8 @@
   PRESETS,
   shippedPreset,
 } from "./presets.ts";
-export { createPlatform, type Faults, type TableFault } from "./platform.ts";
-export { createTarget, type TargetOptions } from "./target.ts";
+export { createPlatform } from "./platform/platform.ts";
+export type { Faults, PlatformCounts } from "./platform/faults.ts";
+export type { TargetOptions, TargetSwitches } from "./target/switches.ts";
+export { Caller, type CallerOptions } from "./caller/caller.ts";
+export { MIXES, type RequestKind } from "./caller/request_kind.ts";
