--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -25,6 +25,7 @@
   sendRefusal,
 } from "./refusal.ts";
 import { type BodyListener, RequestBody } from "./request_body.ts";
+import { NotSentError } from "../errors.ts";
 import type { RequestHead } from "./request_head.ts";
 import type { CompiledRoute } from "./routes.ts";
 
@@ -215,9 +216,16 @@
       now: performance.now(),
     });
     this.#attempts.push(attempt);
+    if (!this.#mayDispatch()) {
+      attempt.cancel();
+      this.refuse("attempts-failed", {
+        message: "it must not be sent a second time",
+      });
+      return;
+    }
     const pool = this.#services.targets.get(target);
-    if (pool === undefined || !this.#mayDispatch()) {
-      this.attemptEnded(attempt, "failed-before-sent");
+    if (pool === undefined) {
+      attempt.onError(new NotSentError("The target is not known any more"));
       return;
     }
     const left = Math.max(1, Math.ceil(this.expiresAt - attempt.startedAt));
@@ -242,6 +250,10 @@
 
   /** A decision: no more attempts. */
   steeringRefuses(reason: RefuseReason, retryAfterMs: number): void {
+    if (this.#phase === "answering") {
+      // The decisions were restarted; an answer on its way is none of theirs.
+      return;
+    }
     this.#arrived = false;
     this.refuse(reason, { message: REFUSE_MESSAGES[reason], retryAfterMs });
   }
--- a/packages/daemon/src/http/request_body.ts
+++ b/packages/daemon/src/http/request_body.ts
@@ -36,6 +36,7 @@
   #stream: Readable | undefined;
   #whole: Buffer | null = null;
   #flowing = false;
+  #dropped = false;
   /** When the last bytes came, in milliseconds of the monotonic clock. */
   lastByteAt: number;
   /** Whether the caller has sent all of it. */
@@ -101,12 +102,16 @@
 
   /** Breaks a stream off, so that no target takes a part for the whole. */
   destroy(): void {
+    this.#dropped = true;
     this.#stream?.destroy();
     this.#chunks = [];
   }
 
   #take(chunk: Buffer): void {
     this.lastByteAt = performance.now();
+    if (this.#dropped) {
+      return;
+    }
     this.#received += chunk.length;
     if (this.#received > this.#limitBytes) {
       this.#req.pause();
@@ -128,6 +133,9 @@
 
   #end(): void {
     this.complete = true;
+    if (this.#dropped) {
+      return;
+    }
     if (this.#stream !== undefined) {
       this.#stream.push(null);
       return;
--- /dev/null
+++ b/packages/daemon/src/peers/messages.ts
@@ -0,0 +1,109 @@
+/**
+ * What VMs tell each other. One method of JSON-RPC for each kind; parameters
+ * are plain JSON that carries durations, never a time of day.
+ *
+ * @module
+ */
+
+import type {
+  DisseminationMessage,
+  HeldBackMessage,
+  HolderAnswer,
+  HolderQuestion,
+  MembershipMessage,
+} from "@poplarthread/coordination";
+import type {
+  InstanceId,
+  RegionId,
+  ServiceId,
+  TargetId,
+  VmId,
+} from "@poplarthread/ids";
+
+/** Version of this protocol; both ends must speak the same. */
+export const PROTOCOL_VERSION = 1;
+
+/** One life of a daemon on a VM. */
+export interface PeerId {
+  readonly vm: VmId;
+  readonly instance: InstanceId;
+}
+
+/** Slots that VMs lend each other. */
+export type SlotMessage =
+  /** Asks for slots; 0 withdraws. Replaces the last question on service and region. */
+  | {
+    readonly kind: "ask";
+    readonly service: ServiceId;
+    readonly region: RegionId;
+    readonly slots: number;
+    readonly rank: number;
+    readonly waitedMs: number;
+    /** Counts the questions of this VM. */
+    readonly question: number;
+  }
+  /**
+   * Slots for `durationMs` from the grant. It was granted `askAgeMs` after the
+   * question of that number was heard, so that the borrower can place the grant
+   * on its own clock however late this arrives.
+   */
+  | {
+    readonly kind: "lend";
+    readonly loan: string;
+    readonly target: TargetId;
+    readonly slots: number;
+    readonly durationMs: number;
+    readonly question: number;
+    readonly askAgeMs: number;
+  }
+  | { readonly kind: "give-back"; readonly loan: string };
+
+/** What a VM sees of a target from its own attempts. */
+export interface BeliefMessage {
+  readonly target: TargetId;
+  readonly failing: boolean;
+  readonly ageMs: number;
+}
+
+/** What the planner has to know of each VM. */
+export interface PlannerReport {
+  /** Highest sequence of a plan that the VM applied. */
+  readonly sequence: number;
+  readonly demand: readonly {
+    readonly service: ServiceId;
+    readonly slots: number;
+  }[];
+}
+
+/** A message without an answer. */
+export type PeerNotice =
+  | { readonly method: "membership"; readonly params: MembershipMessage }
+  | { readonly method: "configuration"; readonly params: DisseminationMessage }
+  | { readonly method: "plan"; readonly params: DisseminationMessage }
+  | { readonly method: "slots"; readonly params: SlotMessage }
+  | { readonly method: "belief"; readonly params: BeliefMessage }
+  | { readonly method: "planner-report"; readonly params: PlannerReport }
+  | { readonly method: "held-back"; readonly params: HeldBackMessage };
+
+/** Names of the notices. */
+export const NOTICES: readonly PeerNotice["method"][] = [
+  "membership",
+  "configuration",
+  "plan",
+  "slots",
+  "belief",
+  "planner-report",
+  "held-back",
+];
+
+/** A question about a claim: the one call that has an answer. */
+export interface ClaimCall {
+  readonly question: HolderQuestion;
+  readonly waitMs: number;
+}
+
+/** What the daemon does with messages of its peers. */
+export interface PeerHandler {
+  notice(from: PeerId, notice: PeerNotice): void;
+  claim(from: PeerId, call: ClaimCall): Promise<HolderAnswer>;
+}
