Generate the reference of settings and presets from their schemas

Missing fields are named as such, and findings come in the order of the file: the library's own words said "expected string, received undefined" and its own order put nested fields before their neighbours.

--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -197,7 +197,9 @@
     "w",
   );
   expect(code).toBe(3);
-  expect(text).toMatchInlineSnapshot(`"not accepted: petra came first with "switch to maintenance v2" (works tonight); revision 9 is in force, look at it and try again"`);
+  expect(text).toMatchInlineSnapshot(
+    `"not accepted: petra came first with "switch to maintenance v2" (works tonight); revision 9 is in force, look at it and try again"`,
+  );
 });
 
 test("a file with findings is refused with their places, and nobody is asked", async () => {
@@ -206,18 +208,18 @@
   const { code, text } = await poplarthread("preset", "check", file);
   expect(code).toBe(2);
   expect(text.replaceAll(dir, "DIR")).toMatchInlineSnapshot(`
-    "! DIR/preset.json:2:9: /id: must be a name of lower case letters, digits and hyphens
-    ! DIR/preset.json:1:1: /about: Invalid input: expected string, received undefined
-    ! DIR/preset.json:1:1: /regions: Invalid input: expected array, received undefined
-    ! DIR/preset.json:1:1: /services: Invalid input: expected array, received undefined
-    ! DIR/preset.json:1:1: /classes: Invalid input: expected array, received undefined
-    ! DIR/preset.json:1:1: /routes: Invalid input: expected array, received undefined
-    ! DIR/preset.json:1:1: /links: Invalid input: expected array, received undefined
-    ! DIR/preset.json:1:1: /demand: Invalid input: expected array, received undefined
-    ! DIR/preset.json:1:1: /shift: Invalid input: expected object, received undefined
-    ! DIR/preset.json:1:1: /callerShare: Invalid input: expected number, received undefined
-    ! DIR/preset.json:1:1: /retryShare: Invalid input: expected number, received undefined
-    ! DIR/preset.json:1:1: /lookup: Invalid input: expected object, received undefined
+    "! DIR/preset.json:1:1: /about: missing; expected string
+    ! DIR/preset.json:1:1: /regions: missing; expected array
+    ! DIR/preset.json:1:1: /services: missing; expected array
+    ! DIR/preset.json:1:1: /classes: missing; expected array
+    ! DIR/preset.json:1:1: /routes: missing; expected array
+    ! DIR/preset.json:1:1: /links: missing; expected array
+    ! DIR/preset.json:1:1: /demand: missing; expected array
+    ! DIR/preset.json:1:1: /shift: missing; expected object
+    ! DIR/preset.json:1:1: /callerShare: missing; expected number
+    ! DIR/preset.json:1:1: /retryShare: missing; expected number
+    ! DIR/preset.json:1:1: /lookup: missing; expected object
+    ! DIR/preset.json:2:9: /id: must be a name of lower case letters, digits and hyphens
     ! DIR/preset.json:3:14: /regiosn: unknown field
     ! Cannot accept the preset: 13 findings"
   `);
--- a/packages/config/src/document.ts
+++ b/packages/config/src/document.ts
@@ -50,10 +50,11 @@
   format: Format<T>,
   locator: Locator = new Locator("", undefined),
 ): T {
-  const parsed = format.schema.safeParse(value);
+  const parsed = format.schema.safeParse(value, { reportInput: true });
   if (!parsed.success) {
     const findings = schemaComplaints(parsed.error)
-      .map(({ path, message }) => locator.at(path, message));
+      .map(({ path, message }) => locator.at(path, message))
+      .toSorted(inFileOrder);
     throw new FindingsError(format.subject, findings);
   }
   const complaints = format.crossCheck(parsed.data);
@@ -78,6 +79,19 @@
         message: "unknown field",
       }));
     }
-    return [{ path, message: issue.message }];
+    return [{ path, message: messageOf(issue) }];
   });
 }
+
+/** The library's own words, but for the most frequent mistake, which they hide. */
+function messageOf(issue: ZodError["issues"][number]): string {
+  if (issue.code === "invalid_type" && issue.input === undefined) {
+    return `missing; expected ${issue.expected}`;
+  }
+  return issue.message;
+}
+
+/** In the order of the file, as one reads it while mending. */
+function inFileOrder(a: Finding, b: Finding): number {
+  return (a.line ?? 0) - (b.line ?? 0) || (a.column ?? 0) - (b.column ?? 0);
+}
--- a/packages/config/src/document_test.ts
+++ b/packages/config/src/document_test.ts
@@ -32,9 +32,9 @@
 }`;
   expect(findingsOf(text)).toMatchInlineSnapshot(`
     [
+      "a.json:1:1: /platform: missing; expected object",
       "a.json:2:9: /vm: must be a name of lower case letters, digits and hyphens",
       "a.json:8:44: /listen/peer/port: Too big: expected number to be <=65535",
-      "a.json:1:1: /platform: Invalid input: expected object, received undefined",
       "a.json:10:15: /platfrom: unknown field",
     ]
   `);
--- /dev/null
+++ b/packages/config/src/reference.ts
@@ -0,0 +1,104 @@
+/**
+ * The reference pages of the formats, generated from their schemas so that
+ * they can't fall behind.
+ *
+ * @module
+ */
+
+import { z, type ZodType } from "zod";
+
+/** The part of JSON Schema that the formats use. */
+interface SchemaNode {
+  readonly type?: string;
+  readonly description?: string;
+  readonly default?: unknown;
+  readonly enum?: readonly unknown[];
+  readonly pattern?: string;
+  readonly format?: string;
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly maxLength?: number;
+  readonly minItems?: number;
+  readonly properties?: Readonly<Record<string, SchemaNode>>;
+  readonly required?: readonly string[];
+  readonly items?: SchemaNode;
+  readonly additionalProperties?: SchemaNode | boolean;
+}
+
+/** One value that a document may hold. */
+interface Entry {
+  readonly pointer: string;
+  readonly node: SchemaNode;
+  readonly required: boolean;
+}
+
+/** Renders a page: a title and a table of every value the schema allows. */
+export function renderReference(title: string, schema: ZodType): string {
+  const root = z.toJSONSchema(schema, { io: "input" }) as SchemaNode;
+  const lines = entriesOf(root, "").map(renderEntry);
+  return [
+    `# ${title}`,
+    "",
+    "Generated from the schema. `*` stands for each place in a list, `NAME` for",
+    "each name in an object. Unknown fields are refused.",
+    "",
+    "| value | type | allowed | default | meaning |",
+    "| --- | --- | --- | --- | --- |",
+    ...lines,
+    "",
+  ].join("\n");
+}
+
+function entriesOf(node: SchemaNode, pointer: string): readonly Entry[] {
+  const required = new Set(node.required ?? []);
+  const children = Object.entries(node.properties ?? {}).flatMap(
+    ([name, child]) => {
+      const at = `${pointer}/${name}`;
+      const entry = { pointer: at, node: child, required: required.has(name) };
+      return [entry, ...entriesOf(child, at)];
+    },
+  );
+  if (node.items !== undefined) {
+    children.push(...elementsOf(node.items, `${pointer}/*`));
+  }
+  if (typeof node.additionalProperties === "object") {
+    children.push(...elementsOf(node.additionalProperties, `${pointer}/NAME`));
+  }
+  return children;
+}
+
+/** Elements that are objects are described by their fields, others by a line of their own. */
+function elementsOf(node: SchemaNode, pointer: string): readonly Entry[] {
+  return node.type === "object"
+    ? entriesOf(node, pointer)
+    : [{ pointer, node, required: true }];
+}
+
+function renderEntry({ pointer, node, required }: Entry): string {
+  const byDefault = node.default === undefined
+    ? (required ? "required" : "optional")
+    : `\`${JSON.stringify(node.default)}\``;
+  const cells = [
+    `\`${pointer}\``,
+    node.type ?? "any",
+    allowedBy(node),
+    byDefault,
+    node.description ?? "",
+  ];
+  return `| ${cells.map((cell) => cell.replaceAll("|", "\\|")).join(" | ")} |`;
+}
+
+function allowedBy(node: SchemaNode): string {
+  const { minimum, maximum } = node;
+  const rules = [
+    node.enum?.map((value) => `\`${value}\``).join(", "),
+    node.pattern === undefined ? undefined : `\`${node.pattern}\``,
+    node.format,
+    minimum === undefined ? undefined : `${minimum} to ${maximum}`,
+    node.maxLength === undefined
+      ? undefined
+      : `at most ${node.maxLength} characters`,
+    node.minItems === undefined ? undefined : `at least ${node.minItems}`,
+  ];
+  return rules.filter((rule) => rule !== undefined).join("; ");
+}
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { isIP } from "node:net";
 import { z } from "zod";
 import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import { branded } from "./branded.ts";
@@ -14,7 +15,9 @@
 const milliseconds = z.int().min(1).max(3_600_000);
 
 const listener = z.strictObject({
-  host: z.string().describe("IP number to bind, and to connect from"),
+  host: z.string()
+    .refine((host) => isIP(host) !== 0, "must be an IP number")
+    .describe("IP number to bind, and to connect from"),
   port: port.describe("TCP port; 0 lets the system choose one"),
 });
 
