--- a/packages/standins/src/caller/caller.ts
+++ b/packages/standins/src/caller/caller.ts
@@ -44,6 +44,8 @@
   readonly attempts: readonly AttemptResult[];
 }
 
+/** Ends the names of attempts that must run once though they have no key. */
+export const UNKEYED_SUFFIX = "/once";
 /** One-way delay between callers and their nearest entry VM. */
 const CALLER_DELAY_MS = 1;
 const CONNECT_TIMEOUT_MS = 2_000;
@@ -160,7 +162,8 @@
     address: string,
     options: SendOptions,
   ): Promise<AttemptResult> {
-    const name = `${this.#options.name}/${this.#nextNumber()}`;
+    const suffix = req.kind.repeat === "unkeyed" ? UNKEYED_SUFFIX : "";
+    const name = `${this.#options.name}/${this.#nextNumber()}${suffix}`;
     const result = await attempt(this.#pool(address), req, {
       attempt: name,
       caller: options.caller ?? this.#options.name,
--- a/packages/standins/src/cluster/ledger.ts
+++ b/packages/standins/src/cluster/ledger.ts
@@ -5,12 +5,13 @@
  * @module
  */
 
+import { UNKEYED_SUFFIX } from "../caller/caller.ts";
 import type { ResultsReport } from "../caller/results.ts";
 import type { RunsReport } from "../target/runs.ts";
 
 /** What must be zero. */
 export interface Ledger {
-  /** Idempotency keys that ran more than once. */
+  /** Requests that may run once and ran more often, with a key or without. */
   readonly ranTwice: number;
   /** Attempts that were refused as not run, yet ran. */
   readonly falseNotRun: number;
@@ -32,7 +33,8 @@
   const notRun = results.flatMap((report) => report.notRunAttempts);
   const served = results.flatMap((report) => report.servedKeys);
   return {
-    ranTwice: [...keys.values()].filter((count) => count > 1).length,
+    ranTwice: [...keys, ...unkeyedOrders(attempts)]
+      .filter(([, count]) => count > 1).length,
     falseNotRun: notRun.filter((attempt) => attempts.has(attempt)).length,
     partialAnswers: sum(results.map((report) => report.partialAnswers)),
     wrongAnswers: sum(results.map((report) => report.wrongAnswers)),
@@ -40,6 +42,13 @@
   };
 }
 
+/** An order without a key has no name but its only attempt's. */
+function unkeyedOrders(
+  attempts: ReadonlyMap<string, number>,
+): readonly [string, number][] {
+  return [...attempts].filter(([name]) => name.endsWith(UNKEYED_SUFFIX));
+}
+
 /** Adds counts by name. */
 export function sumCounts(
   parts: readonly Readonly<Record<string, number>>[],
