--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -7,7 +7,6 @@
 
 import type {
   DisseminationMessage,
-  HeldBackMessage,
   HolderAnswer,
   HolderQuestion,
   MembershipMessage,
@@ -58,13 +57,6 @@
   }
   | { readonly kind: "give-back"; readonly loan: string };
 
-/** What a VM sees of a target from its own attempts. */
-export interface BeliefMessage {
-  readonly target: TargetId;
-  readonly failing: boolean;
-  readonly ageMs: number;
-}
-
 /** What the planner has to know of each VM. */
 export interface PlannerReport {
   /** Highest sequence of a plan that the VM applied. */
@@ -81,9 +73,7 @@
   | { readonly method: "configuration"; readonly params: DisseminationMessage }
   | { readonly method: "plan"; readonly params: DisseminationMessage }
   | { readonly method: "slots"; readonly params: SlotMessage }
-  | { readonly method: "belief"; readonly params: BeliefMessage }
-  | { readonly method: "planner-report"; readonly params: PlannerReport }
-  | { readonly method: "held-back"; readonly params: HeldBackMessage };
+  | { readonly method: "planner-report"; readonly params: PlannerReport };
 
 /** Names of the notices. */
 export const NOTICES: readonly PeerNotice["method"][] = [
@@ -91,9 +81,7 @@
   "configuration",
   "plan",
   "slots",
-  "belief",
   "planner-report",
-  "held-back",
 ];
 
 /** A question about a claim: the one call that has an answer. */
--- /dev/null
+++ b/packages/daemon/src/plan_task.ts
@@ -0,0 +1,304 @@
+/**
+ * The plan: follows the one in force, and makes the next one while this VM
+ * holds the planner's lease.
+ *
+ * @module
+ */
+
+import {
+  Dissemination,
+  type DisseminationEffect,
+  type DisseminationMessage,
+  Lease,
+  type Ranked,
+  type Table,
+  TableError,
+} from "@poplarthread/coordination";
+import {
+  type MeasuredDemand,
+  nextPlan,
+  type Plan,
+  type Policy,
+  type TargetEntry,
+  type VmEntry,
+} from "@poplarthread/decisions";
+import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
+import type { Log } from "./log.ts";
+import type { PeerId, PlannerReport } from "./peers/messages.ts";
+import { Task } from "./task.ts";
+
+/** The plan as the table keeps it. */
+export interface StoredPlan {
+  readonly plan: Plan;
+  readonly planner: VmId;
+  /** Fencing token of the lease under which it was written. */
+  readonly token: number;
+}
+
+/** What the planner looks at, beside what VMs report to it. */
+export interface PlanInputs {
+  readonly policy: Policy;
+  readonly revision: number;
+  readonly vms: readonly VmEntry[];
+  readonly targets: readonly TargetEntry[];
+}
+
+/** What the task is told. */
+export type PlanMessage =
+  | { readonly kind: "tick" }
+  | { readonly kind: "peer"; readonly message: DisseminationMessage }
+  | { readonly kind: "members"; readonly members: readonly Ranked[] }
+  | {
+    readonly kind: "report";
+    readonly from: VmId;
+    readonly report: PlannerReport;
+  };
+
+/** Construction of the task. */
+export interface PlanTaskOptions {
+  readonly self: PeerId & { readonly zone: ZoneId; readonly region: RegionId };
+  readonly table: Table;
+  /** Undefined while nothing is in force here, or the fleet is not known. */
+  readonly inputs: () => PlanInputs | undefined;
+  /** What this VM itself would report to the planner. */
+  readonly ownReport: () => PlannerReport;
+  readonly report: (to: VmId, report: PlannerReport) => void;
+  readonly send: (to: VmId, message: DisseminationMessage) => void;
+  readonly onPlan: (plan: Plan) => void;
+  readonly log: Log;
+}
+
+const PLAN_KEY = "plan/current";
+const TICK_MS = 100;
+/** VMs report, and the planner plans, this often: five times within a plan's time to live. */
+const STEP_MS = 2_000;
+/** Two renewals may be lost; a planner's death costs at most this and a little. */
+const LEASE_MS = 6_000;
+/** VMs that contend for the lease; the others would only read the table for nothing. */
+const CONTENDERS = 3;
+
+interface Reported {
+  readonly report: PlannerReport;
+  readonly at: number;
+}
+
+/** Owns the lease and the plan's tree of pushes. */
+export class PlanTask extends Task<PlanMessage> {
+  readonly #options: PlanTaskOptions;
+  readonly #reports = new Map<VmId, Reported>();
+  #lease: Lease | undefined;
+  #tree: Dissemination;
+  #stored: StoredPlan | undefined;
+  /** When this VM wrote or first read the plan. */
+  #storedAt = 0;
+  #steppedAt = -Infinity;
+  #stepping = false;
+  #contending = true;
+
+  constructor(options: PlanTaskOptions) {
+    super("plan");
+    this.#options = options;
+    this.#tree = new Dissemination({ self: options.self });
+  }
+
+  get plan(): Plan | undefined {
+    return this.#stored?.plan;
+  }
+
+  get planner(): VmId | undefined {
+    return this.#stored?.planner;
+  }
+
+  /** Whether this VM plans now, as far as it knows. */
+  get planning(): boolean {
+    return this.#lease?.token !== undefined;
+  }
+
+  protected override open(): void {
+    this.#stepping = false;
+    this.#lease = new Lease(this.#options.table, {
+      name: "planner",
+      instance: this.#options.self.instance,
+      durationMs: LEASE_MS,
+    });
+    if (this.#contending) {
+      this.#lease.start();
+    }
+    this.every(TICK_MS, { kind: "tick" });
+    this.#step();
+  }
+
+  protected override receive(message: PlanMessage): void {
+    const now = performance.now();
+    switch (message.kind) {
+      case "tick":
+        this.#perform(this.#tree.tick(now));
+        if (now - this.#steppedAt >= STEP_MS) {
+          this.#step();
+        }
+        return;
+      case "peer":
+        this.#perform(this.#tree.receive(message.message, now));
+        return;
+      case "members":
+        this.#tree.setMembers(message.members);
+        this.#contend(message.members);
+        return;
+      case "report":
+        this.#reports.set(message.from, { report: message.report, at: now });
+        return;
+    }
+  }
+
+  /** Hands the lease over, so that the next planner need not wait for it to lapse. */
+  protected override async close(): Promise<void> {
+    const lease = this.#lease;
+    this.#lease = undefined;
+    await lease?.stop();
+  }
+
+  /** The first VMs by name contend; all see the same ones, without electing them. */
+  #contend(members: readonly Ranked[]): void {
+    const first = members
+      .filter((member) => member.state === "joined")
+      .map(({ vm }) => vm)
+      .sort()
+      .slice(0, CONTENDERS);
+    const contending = first.length === 0 ||
+      first.includes(this.#options.self.vm);
+    if (contending && !this.#contending) {
+      this.#lease?.start();
+    }
+    this.#contending = contending;
+  }
+
+  #step(): void {
+    this.#steppedAt = performance.now();
+    const { planner } = this;
+    if (planner !== undefined && planner !== this.#options.self.vm) {
+      this.#options.report(planner, this.#options.ownReport());
+    }
+    if (this.#stepping) {
+      return;
+    }
+    this.#stepping = true;
+    const work = this.planning ? this.#makePlan() : this.#readPlan();
+    this.spawn(
+      work.catch((err) => {
+        if (!(err instanceof TableError)) {
+          throw err;
+        }
+      }).finally(() => {
+        this.#stepping = false;
+      }),
+    );
+  }
+
+  async #readPlan(): Promise<void> {
+    if (this.#stored !== undefined && !this.#tree.isReader()) {
+      return;
+    }
+    const [row] = await this.#options.table.read([PLAN_KEY]);
+    const stored = row!.value as unknown as StoredPlan | null;
+    if (stored !== null) {
+      this.#originate(stored);
+    }
+  }
+
+  async #makePlan(): Promise<void> {
+    const inputs = this.#options.inputs();
+    if (inputs === undefined) {
+      return;
+    }
+    // The plan before comes from the table, not from memory: another planner
+    // may have written since this VM held the lease the last time.
+    await this.#readPlan();
+    const token = this.#lease?.token;
+    if (token === undefined) {
+      return;
+    }
+    const now = performance.now();
+    const previous = this.#stored?.plan;
+    const plan = nextPlan({
+      ...inputs,
+      demand: this.#demand(now),
+      confirmations: this.#confirmations(now),
+      ...(previous === undefined ? {} : { previous }),
+      previousAgeMs: now - this.#storedAt,
+    });
+    const stored: StoredPlan = {
+      plan,
+      planner: this.#options.self.vm,
+      token,
+    };
+    const result = await this.#lease!.transact([
+      { key: PLAN_KEY, value: JSON.parse(JSON.stringify(stored)) },
+    ]);
+    if (result.kind === "committed") {
+      this.#originate(stored);
+      return;
+    }
+    this.#options.log.warn("plan not written", { reason: result.kind });
+  }
+
+  #allReports(now: number): ReadonlyMap<VmId, Reported> {
+    const own = { report: this.#options.ownReport(), at: now };
+    return new Map([...this.#reports, [this.#options.self.vm, own]]);
+  }
+
+  #demand(now: number): readonly MeasuredDemand[] {
+    return [...this.#allReports(now)].flatMap(([vm, { report, at }]) =>
+      report.demand.map(({ service, slots }) => ({
+        vm,
+        service,
+        slots,
+        ageMs: now - at,
+      }))
+    );
+  }
+
+  #confirmations(now: number) {
+    return [...this.#allReports(now)].map(([vm, { report, at }]) => ({
+      vm,
+      sequence: report.sequence,
+      ageMs: now - at,
+    }));
+  }
+
+  #originate(stored: StoredPlan): void {
+    this.#adopt(stored);
+    const change = {
+      from: 0,
+      revision: stored.plan.sequence,
+      digest: String(stored.token),
+      body: JSON.stringify(stored),
+    };
+    this.#perform(this.#tree.originate(change, performance.now()));
+  }
+
+  #perform(effects: readonly DisseminationEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case "send":
+          this.#options.send(effect.to, effect.message);
+          break;
+        case "apply":
+          this.#adopt(JSON.parse(effect.change.body) as StoredPlan);
+          break;
+        case "load-snapshot":
+          this.#steppedAt = -Infinity;
+          break;
+      }
+    }
+  }
+
+  /** Only ever a higher sequence: an old plan must not come back by a slow path. */
+  #adopt(stored: StoredPlan): void {
+    if (stored.plan.sequence <= (this.#stored?.plan.sequence ?? 0)) {
+      return;
+    }
+    this.#stored = stored;
+    this.#storedAt = performance.now();
+    this.#options.onPlan(stored.plan);
+  }
+}
--- a/packages/daemon/src/platform_client.ts
+++ b/packages/daemon/src/platform_client.ts
@@ -14,6 +14,7 @@
   type Transaction,
   type TransactionResult,
 } from "@poplarthread/coordination";
+import type { Outages } from "./outages.ts";
 import type {
   RegionId,
   ServiceId,
@@ -55,16 +56,37 @@
 export interface PlatformOptions {
   readonly url: string;
   readonly timeoutMs: number;
+  /** Address to connect from; without it the system chooses. */
+  readonly localAddress?: string;
+  readonly outages: Outages;
 }
 
+/** Errors that come before anything of a call was sent. */
+const NOT_SENT: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+/** Connections to the platform: group commits, polls and operators side by side. */
+const CONNECTIONS = 8;
+
 /** Calls the platform; every failure is a {@link TableError}. */
 export class PlatformClient implements Table {
   readonly #pool: Pool;
   readonly #timeoutMs: number;
+  readonly #outages: Outages;
 
   constructor(options: PlatformOptions) {
-    this.#pool = new Pool(options.url, { connections: 8 });
+    this.#pool = new Pool(options.url, {
+      connections: CONNECTIONS,
+      connectTimeout: options.timeoutMs,
+      ...(options.localAddress === undefined
+        ? {}
+        : { localAddress: options.localAddress }),
+    });
     this.#timeoutMs = options.timeoutMs;
+    this.#outages = options.outages;
   }
 
   async read(keys: readonly string[]): Promise<readonly Row[]> {
@@ -95,6 +117,7 @@
   }
 
   async #call(path: string, body: unknown): Promise<unknown> {
+    const subject = path === "/vms" ? "vm-list" : "table";
     try {
       const res = await this.#pool.request({
         path,
@@ -109,15 +132,24 @@
           "unknown",
         );
       }
-      return await res.body.json();
+      const answer = await res.body.json();
+      this.#outages.succeeded(subject);
+      return answer;
     } catch (err) {
-      if (err instanceof TableError) {
-        throw err;
-      }
-      throw new TableError(
-        `Cannot call ${path}: ${(err as Error).message}`,
-        "unknown",
-      );
+      const failure = toTableError(path, err as Error & { code?: string });
+      this.#outages.failed(subject, failure.message);
+      throw failure;
     }
   }
 }
+
+function toTableError(
+  path: string,
+  err: Error & { code?: string },
+): TableError {
+  if (err instanceof TableError) {
+    return err;
+  }
+  const effect = NOT_SENT.has(err.code ?? "") ? "none" : "unknown";
+  return new TableError(`Cannot call ${path}: ${err.message}`, effect);
+}
