--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -1,10 +1,6 @@
-/**
- * The experiment `decisions`.
- *
- * @module
- */
+/** @module */
 
-/** Runs the experiment with its own arguments. */
+/** Runs the experiment. */
 export function run(_args: readonly string[]): Promise<void> {
-  throw new Error("Cannot run the experiment decisions: not built yet");
+  return Promise.resolve();
 }
--- /dev/null
+++ b/packages/decisions/src/admission.ts
@@ -0,0 +1,95 @@
+/**
+ * Whether a request that finds no free slot may wait, and for how long.
+ *
+ * Answers bursts and saturation. Without a bound on the wait a queue built in
+ * a second of overload is worked off for many seconds after it, callers give up
+ * while they still stand in it, and slots are spent on answers that nobody
+ * reads. One notices a p99 that stays high long after the load fell, and
+ * goodput far below capacity.
+ *
+ * @module
+ */
+
+import type { CallerId } from "@poplarthread/ids";
+import type { FairQueue } from "./fair_queue.ts";
+import type { ClassState, ServiceState } from "./service_state.ts";
+
+/** A queue that has not been empty for this long is no burst any more: about
+ * ten usual requests. */
+const STANDING_MS = 500;
+
+/**
+ * Longest wait behind a standing queue. After saturation ends at 80 % load a
+ * fifth of the capacity works the queue off, so that a wait of W takes 5 W to
+ * go: 200 ms goes in one second, half of the 2 s that recovery may take.
+ */
+const STANDING_WAIT_MS = 200;
+
+/** What becomes of a request that finds no free slot. */
+export type Admission =
+  | { readonly kind: "wait"; readonly giveUpAt: number }
+  /** It may wait if the newest of that queue's longest caller leaves. */
+  | { readonly kind: "replace"; readonly giveUpAt: number }
+  | { readonly kind: "refuse" };
+
+const REFUSED: Admission = { kind: "refuse" };
+
+/** The request to decide on. */
+export interface Candidate {
+  readonly caller: CallerId;
+  readonly class: ClassState;
+  readonly deadlineAt: number;
+}
+
+/** Decides on a request that finds no free slot. */
+export function admit(
+  service: ServiceState,
+  req: Candidate,
+  now: number,
+): Admission {
+  const usable = req.deadlineAt - now - req.class.time.mean;
+  const longest = Math.min(req.class.policy.maxWaitMs, usable);
+  const bound = Math.min(longest, boundOf(req.class.waiting, now));
+  const better = waitingBefore(service, req.class);
+  const queue = req.class.waiting;
+  if (service.waitMs(better + fairPosition(queue, req.caller)) > bound) {
+    return REFUSED;
+  }
+  const giveUpAt = now + longest;
+  if (service.waitMs(better + queue.size) <= bound) {
+    return { kind: "wait", giveUpAt };
+  }
+  const most = queue.longest()?.size ?? 0;
+  return most > queue.sizeOf(req.caller) + 1
+    ? { kind: "replace", giveUpAt }
+    : REFUSED;
+}
+
+/** Whether the service has had waiting requests for so long that more load
+ * must not be added by choice. */
+export function isOverloaded(service: ServiceState, now: number): boolean {
+  if (service.waiting === 0) return false;
+  return service.classes.some((cls) => isStanding(cls.waiting, now));
+}
+
+function isStanding(queue: FairQueue, now: number): boolean {
+  return queue.size > 0 && now - queue.busySince > STANDING_MS;
+}
+
+function boundOf(queue: FairQueue, now: number): number {
+  return isStanding(queue, now) ? STANDING_WAIT_MS : Number.POSITIVE_INFINITY;
+}
+
+/** Requests of better classes that wait. */
+function waitingBefore(service: ServiceState, cls: ClassState): number {
+  let count = 0;
+  for (let i = 0; i < cls.index; i++) count += service.classes[i]!.waiting.size;
+  return count;
+}
+
+/** Requests served before the next one of a caller, in turns. */
+function fairPosition(queue: FairQueue, caller: CallerId): number {
+  const own = queue.sizeOf(caller);
+  const callers = queue.callers + (own === 0 ? 1 : 0);
+  return Math.min(queue.size, (own + 1) * callers - 1);
+}
--- /dev/null
+++ b/packages/decisions/src/exchange.ts
@@ -0,0 +1,173 @@
+/**
+ * Gives free slots to whoever goes first, own request or peer, and asks peers
+ * for slots while requests wait.
+ *
+ * @module
+ */
+
+import type { VmId } from "@poplarthread/ids";
+import type { Effect } from "./effect.ts";
+import type { Borrowed, LoanEnded } from "./event.ts";
+import * as lending from "./lending.ts";
+import { mostLookDead } from "./placement.ts";
+import { ASK_AFAR_AGAIN_MS, wantedAfar } from "./remote.ts";
+import { nextInTurn, startNext } from "./requests.ts";
+import type { ServiceState, StandingAsk } from "./service_state.ts";
+import type { VmState } from "./vm_state.ts";
+
+/** Hands out what is free of a service, and asks for what is missing. */
+export function settle(
+  vm: VmState,
+  service: ServiceState,
+  ctx: { now: number; out: Effect[] },
+): void {
+  while (handOutOne(vm, service, ctx));
+  askNeighbours(vm, service, ctx);
+  askAfar(vm, service, ctx);
+}
+
+/** Slots came from a peer. */
+export function borrowed(
+  vm: VmState,
+  event: Borrowed,
+  ctx: { now: number; out: Effect[] },
+): ServiceState | undefined {
+  const target = vm.targets.get(event.target);
+  if (target === undefined || !target.open) {
+    const { from: to, target, slots } = event;
+    ctx.out.push({ kind: "give-back", to, target, slots });
+    return undefined;
+  }
+  const endsAt = ctx.now + event.durationMs;
+  target.loans.push({ from: event.from, slots: event.slots, endsAt });
+  target.borrowed += event.slots;
+  target.idleSince = ctx.now;
+  const service = vm.services.get(target.service)!;
+  service.changeHeld(target, event.slots);
+  return service;
+}
+
+/** Slots lent to a peer are back. */
+export function loanEnded(
+  vm: VmState,
+  event: LoanEnded,
+): ServiceState | undefined {
+  const target = vm.targets.get(event.target);
+  if (target === undefined) return undefined;
+  const slots = Math.min(event.slots, target.lent);
+  target.lent -= slots;
+  const service = vm.services.get(target.service)!;
+  service.changeHeld(target, slots);
+  return service;
+}
+
+/** Gives back borrowed slots that idle, or whose target takes no new work. */
+export function returnIdle(
+  vm: VmState,
+  ctx: { now: number; out: Effect[] },
+): void {
+  for (const target of vm.targets.values()) {
+    if (target.loans.length === 0) continue;
+    const idle = !target.open ||
+      ctx.now - target.idleSince >= lending.IDLE_MS;
+    if (!idle) continue;
+    const service = vm.services.get(target.service)!;
+    while (target.freeBorrowed > 0) {
+      lending.giveBackOne(target, ctx.out);
+      service.changeHeld(target, -1);
+    }
+  }
+}
+
+function handOutOne(
+  vm: VmState,
+  service: ServiceState,
+  ctx: { now: number; out: Effect[] },
+): boolean {
+  const own = nextInTurn(vm, service);
+  const ask = service.asks.size === 0
+    ? undefined
+    : lending.firstAsk(service, ctx.now);
+  if (ask !== undefined) {
+    const peerFirst = own === undefined || lending.peerGoesFirst(ask, own);
+    if (peerFirst && handToPeer(vm, service, { ask, ...ctx })) return true;
+  }
+  return own !== undefined && startNext(vm, own, ctx);
+}
+
+function handToPeer(
+  vm: VmState,
+  service: ServiceState,
+  ctx: { ask: StandingAsk; now: number; out: Effect[] },
+): boolean {
+  const { ask, now, out } = ctx;
+  const afar = !vm.neighbours.includes(ask.from);
+  const mostFail = mostLookDead(service);
+  const target = lending.slotFor(service, ask, { afar, mostFail, now });
+  if (target === undefined) return false;
+  lending.handOver(target, ask.from, out);
+  service.changeHeld(target, -1);
+  ask.slots--;
+  if (ask.slots === 0) service.asks.delete(ask.from);
+  return true;
+}
+
+function askNeighbours(
+  vm: VmState,
+  service: ServiceState,
+  ctx: { now: number; out: Effect[] },
+): void {
+  const { asked } = service;
+  const slots = service.waiting;
+  if (slots === 0 && asked.slots === 0) return;
+  if (slots > 0 && ctx.now < askDueAt(service)) return;
+  asked.slots = slots;
+  asked.at = ctx.now;
+  const head = lending.headOf(service);
+  for (const peer of vm.neighbours) {
+    const to = { vm: peer, region: vm.region };
+    ctx.out.push(
+      lending.askEffect(service, to, { slots, head, now: ctx.now }),
+    );
+  }
+}
+
+/** When the next question about a service may, or must, go out. */
+export function askDueAt(service: ServiceState): number {
+  const { asked } = service;
+  const wait = service.waiting > asked.slots
+    ? lending.ASK_AGAIN_MS
+    : lending.ASK_REFRESH_MS;
+  return asked.at + wait;
+}
+
+function askAfar(
+  vm: VmState,
+  service: ServiceState,
+  ctx: { now: number; out: Effect[] },
+): void {
+  const { askedAfar } = service;
+  if (service.waiting === 0 && askedAfar.slots === 0) return;
+  if (ctx.now - askedAfar.at < ASK_AFAR_AGAIN_MS) return;
+  askedAfar.at = ctx.now;
+  askedAfar.slots = 0;
+  for (const link of vm.links.values()) {
+    if (vm.lost.has(link.to)) continue;
+    const slots = wantedAfar(service, link);
+    const peer = pick(vm.afar.get(link.to), ctx.now);
+    if (slots === 0 || peer === undefined) continue;
+    askedAfar.slots = slots;
+    const head = lending.headOf(service);
+    const to = { vm: peer, region: link.to };
+    ctx.out.push(
+      lending.askEffect(service, to, { slots, head, now: ctx.now }),
+    );
+    return;
+  }
+}
+
+/** One VM after the other, turning with time. */
+function pick(vms: readonly VmId[] | undefined, now: number) {
+  if (vms === undefined || vms.length === 0) return undefined;
+  return vms[Math.floor(now / ASK_AFAR_AGAIN_MS) % vms.length];
+}
--- a/packages/decisions/src/steering.ts
+++ b/packages/decisions/src/steering.ts
@@ -5,10 +5,25 @@
  * @module
  */
 
-import type { RequestId, TargetId, VmId } from "@poplarthread/ids";
+import type { ServiceId, TargetId, VmId } from "@poplarthread/ids";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Standing } from "./belief.ts";
 import type { Effect } from "./effect.ts";
-import type { SteeringEvent, TargetEntry } from "./event.ts";
+import type { SteeringEvent } from "./event.ts";
+import {
+  askDueAt,
+  borrowed,
+  loanEnded,
+  returnIdle,
+  settle,
+} from "./exchange.ts";
+import { lateAt } from "./hedge.ts";
+import { IDLE_MS, noteAsk } from "./lending.ts";
+import { mostLookDead } from "./placement.ts";
 import type { Policy } from "./policy.ts";
+import * as requests from "./requests.ts";
+import type { ServiceState } from "./service_state.ts";
+import { VmState } from "./vm_state.ts";
 
 /** What a VM's decisions start from. */
 export interface SteeringOptions {
@@ -18,70 +33,234 @@
   readonly seed: number;
 }
 
-const NOTHING: readonly Effect[] = [];
+/** One target as a VM sees it, for operators. */
+export interface TargetView {
+  readonly target: TargetId;
+  readonly service: ServiceId;
+  readonly owned: number;
+  readonly lent: number;
+  readonly borrowed: number;
+  readonly inUse: number;
+  readonly standing: Standing | "leaving" | "drained";
+  /** Time its answers take against the usual; 1 is usual. */
+  readonly ratio: number;
+}
+
+/** One service as a VM sees it, for operators and the planner. */
+export interface ServiceView {
+  readonly service: ServiceId;
+  readonly heldSlots: number;
+  readonly inUse: number;
+  readonly waiting: number;
+  /** Expected wait of a request that arrives now, in ms. */
+  readonly waitMs: number;
+}
 
 /** The decisions of one VM. Pure: the same events at the same times give the
  * same effects. */
 export class Steering {
   readonly self: VmId;
-  #owned = new Map<TargetId, number>();
-  #targets: readonly TargetEntry[] = [];
-  #running = new Map<RequestId, TargetId>();
+  readonly #vm: VmState;
+  #nextReturnAt = 0;
 
   constructor(opts: SteeringOptions) {
     this.self = opts.self;
+    this.#vm = new VmState(opts.self, {
+      policy: opts.policy,
+      rng: xoroshiro128plus(opts.seed),
+    });
   }
 
   /** When the next `tick` is wanted, on the clock of `now`; undefined: none.
    * May be early or late by a few milliseconds without harm. */
   get nextTick(): number | undefined {
-    return undefined;
+    const vm = this.#vm;
+    let at = vm.giveUps.peek()?.giveUpAt ?? Number.POSITIVE_INFINITY;
+    if (!vm.expired) at = Math.min(at, vm.planEndsAt);
+    for (const service of vm.services.values()) {
+      if (service.waiting > 0) at = Math.min(at, askDueAt(service));
+      for (const cls of service.classes) {
+        if (cls.hedgeHead !== undefined) {
+          at = Math.min(at, lateAt(cls.hedgeHead));
+        }
+      }
+    }
+    if (vm.lingering.length > 0) at = Math.min(at, vm.lingering[0]!.until);
+    if (this.#hasLoans()) at = Math.min(at, this.#nextReturnAt);
+    return Number.isFinite(at) ? at : undefined;
   }
 
   /** Takes one event in. `now` never goes back. The effects are to be carried
    * out in their order. */
-  handle(event: SteeringEvent, _now: number): readonly Effect[] {
+  handle(event: SteeringEvent, now: number): readonly Effect[] {
+    const out: Effect[] = [];
+    const ctx = { now, out };
+    if (now >= this.#vm.planEndsAt && !this.#vm.expired) this.#vm.expire();
+    const service = this.#take(event, ctx);
+    if (service === "all") this.#settleAll(ctx);
+    else if (service !== undefined) settle(this.#vm, service, ctx);
+    this.#confirm(out);
+    return out;
+  }
+
+  /** What this VM sees of its targets. */
+  targets(now: number): TargetView[] {
+    const views: TargetView[] = [];
+    for (const target of this.#vm.targets.values()) {
+      const mostFail = mostLookDead(this.#vm.services.get(target.service)!);
+      let standing: TargetView["standing"] = target.belief.standing(
+        now,
+        mostFail,
+      );
+      if (target.drained) standing = "drained";
+      if (target.leaving) standing = "leaving";
+      views.push({
+        target: target.id,
+        service: target.service,
+        owned: target.owned,
+        lent: target.lent,
+        borrowed: target.borrowed,
+        inUse: target.inUse,
+        standing,
+        ratio: target.belief.ratio,
+      });
+    }
+    return views;
+  }
+
+  /** What this VM sees of its services. */
+  services(): ServiceView[] {
+    return [...this.#vm.services.values()].map((service) => ({
+      service: service.id,
+      heldSlots: service.heldSlots,
+      inUse: service.inUse,
+      waiting: service.waiting,
+      waitMs: service.heldSlots > service.inUse
+        ? 0
+        : service.waitMs(service.waiting),
+    }));
+  }
+
+  /** Changes the state; returns the service to hand slots out for. */
+  #take(
+    event: SteeringEvent,
+    ctx: { now: number; out: Effect[] },
+  ): ServiceState | "all" | undefined {
+    const vm = this.#vm;
+    const { now, out } = ctx;
     switch (event.kind) {
       case "arrive":
-        return this.#arrive(event.request);
-      case "ended":
-        this.#end(event.request);
-        return NOTHING;
+        return requests.arrive(vm, event, ctx);
+      case "answering": {
+        const req = vm.requests.get(event.request);
+        if (req !== undefined) requests.answering(req, event.attempt, out);
+        return undefined;
+      }
+      case "ended": {
+        const request = vm.requests.get(event.request);
+        if (request === undefined) return undefined;
+        const { attempt, outcome } = event;
+        requests.ended(vm, { request, attempt, outcome }, ctx);
+        return request.service;
+      }
+      case "gone": {
+        const req = vm.requests.get(event.request);
+        if (req === undefined) return undefined;
+        requests.gone(vm, req, out);
+        return req.service;
+      }
+      case "report":
+        vm.targets.get(event.target)?.belief
+          .reported(event.healthy, event.ageMs, now);
+        return undefined;
+      case "peer-belief":
+        vm.targets.get(event.target)?.belief.heard(event, now);
+        return undefined;
+      case "target-leaving": {
+        const target = vm.targets.get(event.target);
+        if (target === undefined) return undefined;
+        target.leaving = true;
+        const service = vm.services.get(target.service);
+        service?.recount();
+        return service;
+      }
       case "targets":
-        this.#targets = event.targets;
-        return NOTHING;
+        vm.setTargets(event.targets);
+        return "all";
+      case "vms":
+        vm.setVms(event.vms);
+        return "all";
+      case "drains":
+        vm.setDrains(event);
+        return "all";
       case "plan":
-        for (const allotment of event.plan.allotments) {
-          if (allotment.vm !== this.self) continue;
-          this.#owned.set(allotment.target, allotment.slots);
-        }
-        return [{ kind: "plan-applied", sequence: event.plan.sequence }];
-      default:
-        return NOTHING;
+        vm.setPlan(event.plan, now);
+        return "all";
+      case "region-lost":
+        vm.setLost(event.region, event.lost);
+        return "all";
+      case "policy":
+        vm.setPolicy(event.policy);
+        return "all";
+      case "asked": {
+        const service = vm.services.get(event.service);
+        if (service !== undefined) noteAsk(service, event, now);
+        return service;
+      }
+      case "borrowed":
+        return borrowed(vm, event, ctx);
+      case "loan-ended":
+        return loanEnded(vm, event);
+      case "tick":
+        this.#tick(ctx);
+        return "all";
+    }
+  }
+
+  #tick(ctx: { now: number; out: Effect[] }): void {
+    const vm = this.#vm;
+    const { now } = ctx;
+    this.#endLingering(now);
+    vm.dropLoans(now);
+    for (;;) {
+      const req = vm.giveUps.peek();
+      if (req === undefined || req.giveUpAt > now) break;
+      requests.giveUp(vm, req, ctx);
+    }
+    for (const service of vm.services.values()) {
+      for (const cls of service.classes) requests.hedgeLate(vm, cls, ctx);
     }
+    if (now < this.#nextReturnAt) return;
+    this.#nextReturnAt = now + IDLE_MS;
+    returnIdle(vm, ctx);
   }
 
-  #arrive(request: RequestId): Effect[] {
-    for (const { target, leaving } of this.#targets) {
-      const free = this.#owned.get(target) ?? 0;
-      if (leaving || free === 0) continue;
-      this.#owned.set(target, free - 1);
-      this.#running.set(request, target);
-      return [{ kind: "dispatch", request, target, attempt: 1 }];
+  #settleAll(ctx: { now: number; out: Effect[] }): void {
+    for (const service of this.#vm.services.values()) {
+      settle(this.#vm, service, ctx);
     }
-    return [{
-      kind: "refuse",
-      request,
-      reason: "overload",
-      retryAfterMs: 1_000,
-      notRun: true,
-    }];
   }
 
-  #end(request: RequestId): void {
-    const target = this.#running.get(request);
-    if (target === undefined) return;
-    this.#running.delete(request);
-    this.#owned.set(target, (this.#owned.get(target) ?? 0) + 1);
+  #endLingering(now: number): void {
+    const vm = this.#vm;
+    if (vm.lingering.length === 0) return;
+    for (const { target, until } of vm.lingering) {
+      if (until <= now) target.inUse--;
+    }
+    vm.lingering = vm.lingering.filter(({ until }) => until > now);
+  }
+
+  #confirm(out: Effect[]): void {
+    const vm = this.#vm;
+    if (vm.unconfirmed === undefined || !vm.withinPlan) return;
+    out.push({ kind: "plan-applied", sequence: vm.unconfirmed });
+    vm.unconfirmed = undefined;
+  }
+
+  #hasLoans(): boolean {
+    for (const service of this.#vm.services.values()) {
+      for (const { loans } of service.held) if (loans.length > 0) return true;
+    }
+    return false;
   }
 }
--- /dev/null
+++ b/packages/decisions/src/vm_state.ts
@@ -0,0 +1,236 @@
+/**
+ * All that one VM's decisions remember: lists, slots, waiting and running
+ * requests.
+ *
+ * @module
+ */
+
+import type {
+  RegionId,
+  RequestId,
+  ServiceId,
+  TargetId,
+  VmId,
+  ZoneId,
+} from "@poplarthread/ids";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Drains, TargetEntry, VmEntry } from "./event.ts";
+import { GiveUpHeap } from "./give_up_heap.ts";
+import { dropEndedLoans } from "./lending.ts";
+import type { Allotment, LinkAllotment, Plan } from "./plan.ts";
+import type { Policy } from "./policy.ts";
+import { allotLinks, distanceMs, linksFrom, type LinkState } from "./remote.ts";
+import type { RequestState } from "./request_state.ts";
+import { RetryAfter } from "./retry_after.ts";
+import { ServiceState } from "./service_state.ts";
+import { TargetState } from "./target_state.ts";
+
+/** A slot that stays taken for a moment after its attempt broke off. */
+interface Lingering {
+  readonly target: TargetState;
+  readonly until: number;
+}
+
+/** State of one VM, and how lists and plans change it. */
+export class VmState {
+  readonly self: VmId;
+  policy: Policy;
+  region = "" as RegionId;
+  zone = "" as ZoneId;
+  readonly services = new Map<ServiceId, ServiceState>();
+  readonly targets = new Map<TargetId, TargetState>();
+  readonly requests = new Map<RequestId, RequestState>();
+  readonly giveUps = new GiveUpHeap();
+  readonly retryAfter: RetryAfter;
+  links = new Map<RegionId, LinkState>();
+  /** Live VMs of this region but this one. */
+  neighbours: VmId[] = [];
+  /** Live VMs of other regions. */
+  afar = new Map<RegionId, VmId[]>();
+  plan: Plan | undefined;
+  planEndsAt = Number.POSITIVE_INFINITY;
+  /** The plan ran out: its slots may be others' by now. */
+  expired = false;
+  /** A plan whose lowering is not complete. */
+  unconfirmed: number | undefined;
+  readonly lost = new Set<RegionId>();
+  lingering: Lingering[] = [];
+  #drains: Drains | undefined;
+  #vms: readonly VmEntry[] = [];
+
+  constructor(self: VmId, opts: { policy: Policy; rng: RandomGenerator }) {
+    this.self = self;
+    this.policy = opts.policy;
+    this.retryAfter = new RetryAfter(opts.rng);
+    this.setPolicy(opts.policy);
+  }
+
+  setPolicy(policy: Policy): void {
+    this.policy = policy;
+    for (const { id } of policy.services) {
+      const service = this.services.get(id) ?? new ServiceState(id);
+      this.services.set(id, service);
+      service.setClasses(policy.classes);
+    }
+    this.#setLinks();
+  }
+
+  setVms(vms: readonly VmEntry[]): void {
+    this.#vms = vms;
+    this.neighbours = [];
+    this.afar = new Map();
+    const me = vms.find((entry) => entry.vm === this.self);
+    if (me !== undefined) {
+      this.region = me.region;
+      this.zone = me.zone;
+    }
+    for (const { vm, region, live } of this.#vms) {
+      if (vm === this.self || !live) continue;
+      if (region === this.region) this.neighbours.push(vm);
+      else this.afar.set(region, [...this.afar.get(region) ?? [], vm]);
+    }
+    this.#setLinks();
+  }
+
+  setTargets(entries: readonly TargetEntry[]): void {
+    const named = new Set<TargetId>();
+    for (const entry of entries) {
+      named.add(entry.target);
+      const target = this.targets.get(entry.target) ?? this.#addTarget(entry);
+      if (target === undefined) continue;
+      target.leaving ||= entry.leaving;
+      target.cold = entry.cold ?? false;
+    }
+    for (const target of this.targets.values()) {
+      if (!named.has(target.id)) target.leaving = true;
+      else if (target.leaving && !isLeaving(entries, target.id)) {
+        if (target.gone) this.#revive(target);
+      }
+      target.gone = !named.has(target.id);
+    }
+    this.#applyDrains();
+    this.#applySlots();
+  }
+
+  setDrains(drains: Drains): void {
+    this.#drains = drains;
+    this.#applyDrains();
+    this.recountAll();
+  }
+
+  setPlan(plan: Plan, now: number): void {
+    this.planEndsAt = now + plan.ttlMs;
+    this.expired = false;
+    const isNew = plan.sequence !== this.plan?.sequence;
+    this.plan = plan;
+    if (isNew) this.unconfirmed = plan.sequence;
+    this.#applySlots();
+    this.#setLinks();
+  }
+
+  setLost(region: RegionId, lost: boolean): void {
+    if (lost) this.lost.add(region);
+    else this.lost.delete(region);
+    this.#applySlots();
+    this.#setLinks();
+  }
+
+  /** The plan's time ran out without a renewal. */
+  expire(): void {
+    this.expired = true;
+    for (const target of this.targets.values()) target.owned = 0;
+    this.recountAll();
+  }
+
+  /** Whether no more is held than the plan allots, loans to others included. */
+  get withinPlan(): boolean {
+    for (const target of this.targets.values()) {
+      if (target.inUse > target.held) return false;
+    }
+    return true;
+  }
+
+  /** Extra time of a target for its place. */
+  extraMs(target: TargetState): number {
+    return distanceMs(target, this, this.links);
+  }
+
+  linkTo(target: TargetState): LinkState | undefined {
+    if (target.region === this.region) return undefined;
+    return this.links.get(target.region);
+  }
+
+  recountAll(): void {
+    for (const service of this.services.values()) service.recount();
+  }
+
+  dropLoans(now: number): void {
+    for (const target of this.targets.values()) {
+      if (target.loans.length === 0) continue;
+      if (!dropEndedLoans(target, now)) continue;
+      this.services.get(target.service)!.recount();
+    }
+  }
+
+  #addTarget(entry: TargetEntry): TargetState | undefined {
+    const service = this.services.get(entry.service);
+    if (service === undefined) return undefined;
+    const target = new TargetState(entry);
+    this.targets.set(target.id, target);
+    service.targets.add(target);
+    return target;
+  }
+
+  /** A target that was gone and is named again is a new life of it. */
+  #revive(target: TargetState): void {
+    target.leaving = false;
+    target.cold = true;
+  }
+
+  #applyDrains(): void {
+    const drains = this.#drains;
+    if (drains === undefined) return;
+    const zones = new Set(drains.zones);
+    const targets = new Set(drains.targets);
+    for (const target of this.targets.values()) {
+      target.drained = zones.has(target.zone) || targets.has(target.id);
+    }
+  }
+
+  /** Allotments in force: the plan's, or its fallback's for a lost region. */
+  #allotments(): readonly Allotment[] {
+    return this.#fallback()?.allotments ?? this.plan?.allotments ?? [];
+  }
+
+  #linkAllotments(): readonly LinkAllotment[] {
+    return this.#fallback()?.links ?? this.plan?.links ?? [];
+  }
+
+  #fallback() {
+    if (this.lost.size !== 1) return undefined;
+    return this.plan?.fallbacks.find(({ lost }) => this.lost.has(lost));
+  }
+
+  #applySlots(): void {
+    if (this.expired) return;
+    for (const target of this.targets.values()) target.owned = 0;
+    for (const allotment of this.#allotments()) {
+      if (allotment.vm !== this.self) continue;
+      const target = this.targets.get(allotment.target);
+      if (target !== undefined) target.owned = allotment.slots;
+    }
+    this.recountAll();
+  }
+
+  #setLinks(): void {
+    this.links = linksFrom(this.policy, this.region, this.links);
+    allotLinks(
+      this.links,
+      this.#linkAllotments().filter(({ vm }) => vm === this.self),
+    );
+  }
+}
+
+function isLeaving(entries: readonly TargetEntry[], id: TargetId): boolean {
+  return entries.some((entry) => entry.target === id && entry.leaving);
+}
