--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -8,19 +8,13 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import type { Preset } from "@poplarthread/config";
 import { OperatorClient } from "@poplarthread/operator-api";
 import type { ReadyLine } from "../admin.ts";
 import { Caller } from "../caller/caller.ts";
 import { addressAt } from "../delays.ts";
 import type { Faults, PlatformCounts } from "../platform/faults.ts";
-import {
-  type DeploymentName,
-  type PresetName,
-  PRESETS,
-  shippedPreset,
-} from "../presets.ts";
+import { type DeploymentName, PRESETS, shippedPreset } from "../presets.ts";
 import type { Cut } from "../relay/relay.ts";
 import type { RunsReport } from "../target/runs.ts";
 import type { TargetCounts, TargetSwitches } from "../target/switches.ts";
@@ -34,6 +28,7 @@
 } from "./layout.ts";
 import { findPorts, type Ports } from "./ports.ts";
 import { Processes, type Started } from "./processes.ts";
+import { daemonScript, standInScript } from "./scripts.ts";
 
 /** What to start. */
 export interface ClusterOptions {
@@ -123,7 +118,7 @@
     writeFileSync(file, JSON.stringify(this.#settings(vm), undefined, 2));
     const started = await this.#processes.start({
       name: id,
-      script: scriptOf("../../daemon/bin/poplarthreadd.js"),
+      script: daemonScript(),
       args: ["--settings", file],
       log: join(this.dir, `${id}.log`),
     });
@@ -294,7 +289,7 @@
   async #startStandIn(script: string, options: unknown): Promise<string> {
     const { line } = await this.#processes.start({
       name: script,
-      script: scriptOf(`../dist/${script}`),
+      script: standInScript(script),
       args: [JSON.stringify(options)],
     });
     return (JSON.parse(line) as ReadyLine).admin;
@@ -365,11 +360,3 @@
     { key: `preset/${preset.id}/1`, value },
   ];
 }
-
-/** Names of the presets that an operator may switch a cluster to. */
-export type { PresetName };
-
-/** Scripts run from the build, also where this module runs from its source. */
-function scriptOf(path: string): string {
-  return fileURLToPath(new URL(`../${path}`, import.meta.url));
-}
--- a/packages/standins/src/cluster/processes.ts
+++ b/packages/standins/src/cluster/processes.ts
@@ -22,11 +22,16 @@
   readonly args: readonly string[];
   /** File that takes standard error; without it, it goes to this process's own. */
   readonly log?: string;
+  /** Options of Node.js itself. */
+  readonly nodeOptions?: readonly string[];
+  /** Longest wait for the first line; {@link READY_TIMEOUT_MS} without it. */
+  readonly readyTimeoutMs?: number;
 }
 
 /** A process that has said it is ready. */
 export interface Started {
   readonly name: string;
+  readonly pid: number;
   /** Its first line on standard output. */
   readonly line: string;
   readonly exited: Promise<Exit>;
@@ -57,7 +62,12 @@
       ? "inherit"
       : openSync(options.log, "a");
     // Stand-ins end when their standard input does, so the pipe stays open.
-    const child = spawn(process.execPath, [options.script, ...options.args], {
+    const args = [
+      ...options.nodeOptions ?? [],
+      options.script,
+      ...options.args,
+    ];
+    const child = spawn(process.execPath, args, {
       stdio: ["pipe", "pipe", log],
     });
     if (typeof log === "number") {
@@ -70,9 +80,10 @@
         resolve({ code, signal });
       });
     });
-    const line = await firstLine(options.name, { child, exited });
+    const line = await firstLine(options, { child, exited });
     return {
       name: options.name,
+      pid: child.pid!,
       line,
       exited,
       signal: (signal) => child.kill(signal),
@@ -95,7 +106,7 @@
 }
 
 async function firstLine(
-  name: string,
+  { name, readyTimeoutMs = READY_TIMEOUT_MS }: ProcessOptions,
   { child, exited }: { child: ChildProcess; exited: Promise<Exit> },
 ): Promise<string> {
   let text = "";
@@ -113,7 +124,7 @@
   const timeout = new Promise<never>((_, reject) => {
     timer = setTimeout(() => {
       reject(new StartError(`Cannot start ${name}: not ready in time`));
-    }, READY_TIMEOUT_MS);
+    }, readyTimeoutMs);
   });
   const failed = exited.then(({ code, signal }) => {
     throw new StartError(`Cannot start ${name}: ended with ${code ?? signal}`);
