Seed a cluster as an operator would: through the operator listener

Rows written into the table by hand went stale as soon as their format changed. The first edit is in force at once, so nothing else is needed.

--- a/packages/bench/src/path/system.ts
+++ b/packages/bench/src/path/system.ts
@@ -15,9 +15,12 @@
   LOOKUP_PATH,
   type Ports,
   Processes,
+  putFirstInForce,
   standInScript,
   type Started,
 } from "@poplarthread/standins";
+import { type Preset, presetFormat, readValue } from "@poplarthread/config";
+import { OperatorClient } from "@poplarthread/operator-api";
 import { request } from "undici";
 import type { LoadResult, LoadRole } from "./roles.ts";
 
@@ -26,6 +29,7 @@
 const BASELINE_HOST = "127.1.1.51";
 /** More than the load has at once, so that no request of it waits or is refused. */
 const SLOTS = 2_000;
+const OPERATOR_TOKEN = "token-of-the-bench";
 
 /** A server under load. */
 export interface Server {
@@ -83,14 +87,21 @@
       name: "platform",
       script: standInScript("platform/platform_main.js"),
       args: [JSON.stringify({ host: "127.0.0.1", port: platform })],
-    });
-    await this.#seed();
-    const started = await this.#processes.start({
+    }).firstLine;
+    await this.#list();
+    const started = this.#processes.start({
       name: "daemon",
       script: daemonScript(),
       args: ["--settings", this.#writeSettings()],
       nodeOptions,
     });
+    const operator = new OperatorClient({
+      url: `http://${HOST}:${this.#ports.operator}`,
+      token: OPERATOR_TOKEN,
+      timeoutMs: 5_000,
+    });
+    await putFirstInForce(operator, preset);
+    await operator.close();
     this.#daemon = started;
     const server = { url: `http://${HOST}:${caller}`, pid: started.pid };
     await waitUntilServed(server);
@@ -105,12 +116,13 @@
 
   /** Runs one phase of load in a process of its own. */
   async load(role: LoadRole): Promise<LoadResult> {
-    const { line, exited } = await this.#processes.start({
+    const { firstLine, exited } = this.#processes.start({
       name: "load",
       script: scriptOf("load_main.js"),
       args: [JSON.stringify(role)],
       readyTimeoutMs: (role.seconds + 60) * 1_000,
     });
+    const line = await firstLine;
     await exited;
     return JSON.parse(line) as LoadResult;
   }
@@ -120,25 +132,18 @@
     host: string,
     role: { port: number; behind?: string; answer?: string },
   ): Promise<Server> {
-    const { pid } = await this.#processes.start({
+    const { pid, firstLine } = this.#processes.start({
       name: script,
       script: scriptOf(script),
       args: [JSON.stringify({ host, ...role })],
     });
+    await firstLine;
     return { url: `http://${host}:${role.port}`, pid };
   }
 
-  async #seed(): Promise<void> {
+  /** Puts the target and the VM into the platform's list. */
+  async #list(): Promise<void> {
     const url = `http://127.0.0.1:${this.#ports.platform}`;
-    const inForce = { revision: 1, preset, presetVersion: 1, drains: [] };
-    await call(`${url}/table/transact`, "POST", {
-      conditions: [],
-      writes: [
-        { key: "config/in-force", value: inForce },
-        { key: "preset/bench", value: { version: 1, preset } },
-        { key: "preset/bench/1", value: { version: 1, preset } },
-      ],
-    });
     const place = { region: "one", zone: "one-1", state: "live" };
     await call(`${url}/vms/t1`, "PUT", {
       id: "t1",
@@ -160,7 +165,7 @@
     const { platform, caller, operator, peer } = this.#ports;
     const operators = join(this.#dir, "operators.json");
     const token = join(this.#dir, "peer.token");
-    writeFileSync(operators, JSON.stringify({ bench: "bench-token" }));
+    writeFileSync(operators, JSON.stringify({ bench: OPERATOR_TOKEN }));
     writeFileSync(token, "bench-peer-token\n");
     const file = join(this.#dir, "settings.json");
     const settings = {
@@ -181,7 +186,7 @@
 }
 
 /** One service without limits that the load could meet. */
-const preset = {
+const preset: Preset = readValue({
   id: "bench",
   about: "One target that carries everything",
   regions: [{ id: "one", zones: ["one-1"] }],
@@ -208,7 +213,7 @@
   callerShare: 1,
   retryShare: 0.1,
   lookup: { lifetimeMs: 5_000, regions: 2 },
-};
+}, presetFormat);
 
 const WARM_UP_TIMEOUT_MS = 20_000;
 const WARM_UP_REQUESTS = 200;
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -26,9 +26,11 @@
   type Layout,
   layOut,
 } from "./layout.ts";
+import { makeChange, putFirstInForce } from "./operate.ts";
 import { findPorts, type Ports } from "./ports.ts";
 import { Processes, type Started } from "./processes.ts";
 import { daemonScript, standInScript } from "./scripts.ts";
+import { waitFor } from "./wait.ts";
 
 /** What to start. */
 export interface ClusterOptions {
@@ -92,8 +94,10 @@
     const cluster = new Cluster({ layout, ports, processes, dir });
     try {
       await cluster.#startStandIns(options.deployment);
-      await cluster.#seed(options.deployment, preset);
-      await Promise.all(layout.vms.map((vm) => cluster.startVm(vm.id)));
+      await cluster.#fillList();
+      layout.vms.forEach((vm) => cluster.#spawn(vm));
+      await cluster.#putInForce(options.deployment, preset);
+      await Promise.all(layout.vms.map((vm) => cluster.#waitUntilReady(vm.id)));
     } catch (err) {
       await cluster.stop({ keepLogs: true });
       throw err;
@@ -110,19 +114,31 @@
     }
   }
 
-  /** Starts the daemon of a VM, also again after its end; settles when it is ready. */
+  /** Starts the daemon of a VM again after its end; settles when it is ready. */
   async startVm(id: string): Promise<void> {
-    const vm = this.vm(id);
     await this.list(id, "live");
-    const file = join(this.dir, `${id}.json`);
+    this.#spawn(this.vm(id));
+    await this.#waitUntilReady(id);
+  }
+
+  #spawn(vm: LaidVm): void {
+    const file = join(this.dir, `${vm.id}.json`);
     writeFileSync(file, JSON.stringify(this.#settings(vm), undefined, 2));
-    const started = await this.#processes.start({
-      name: id,
+    const started = this.#processes.start({
+      name: vm.id,
       script: daemonScript(),
       args: ["--settings", file],
-      log: join(this.dir, `${id}.log`),
+      log: join(this.dir, `${vm.id}.log`),
+    });
+    this.#vms.set(vm.id, started);
+  }
+
+  async #waitUntilReady(id: string): Promise<void> {
+    const operator = this.operator(id);
+    await waitFor(`${id} to be ready`, async () => {
+      const status = await operator.status().catch(() => undefined);
+      return status?.ready === true;
     });
-    this.#vms.set(id, started);
   }
 
   vm(id: string): LaidVm {
@@ -287,28 +303,30 @@
   }
 
   async #startStandIn(script: string, options: unknown): Promise<string> {
-    const { line } = await this.#processes.start({
+    const { firstLine } = this.#processes.start({
       name: script,
       script: standInScript(script),
       args: [JSON.stringify(options)],
     });
-    return (JSON.parse(line) as ReadyLine).admin;
+    return (JSON.parse(await firstLine) as ReadyLine).admin;
   }
 
-  /** The rows and lists that a deployment has before its first daemon starts. */
-  async #seed(deployment: DeploymentName, preset: Preset): Promise<void> {
-    const stored = PRESETS.map((name) =>
-      name === preset.id ? preset : shippedPreset(deployment, name)
-    );
-    const inForce = { revision: 1, preset, presetVersion: 1, drains: [] };
-    const writes = [
-      { key: "config/in-force", value: inForce },
-      ...stored.flatMap((one) => presetRows(one)),
-    ];
-    await call(`${this.platformUrl}/table/transact`, "POST", {
-      conditions: [],
-      writes,
-    });
+  /** The first preset, and the others to switch to, as an operator makes them. */
+  async #putInForce(deployment: DeploymentName, preset: Preset): Promise<void> {
+    const operator = this.operator(this.layout.vms[0]!.id);
+    await putFirstInForce(operator, preset);
+    const others = PRESETS.filter((name) => name !== preset.id)
+      .map((name) => shippedPreset(deployment, name));
+    for (const other of others) {
+      await makeChange(operator, {
+        change: { kind: "edit", preset: other },
+        why: "as shipped",
+      });
+    }
+  }
+
+  /** What the platform lists and the daemons read before the first of them starts. */
+  async #fillList(): Promise<void> {
     await Promise.all(
       this.layout.targets.map((target) =>
         call(`${this.platformUrl}/vms/${target.options.id}`, "PUT", {
@@ -323,6 +341,7 @@
       ),
     );
     await Promise.all(this.layout.vms.map(({ id }) => this.list(id, "live")));
+    writeFileSync(join(this.dir, "anna.token"), `${OPERATOR_TOKENS.anna}\n`);
     writeFileSync(
       join(this.dir, "operators.json"),
       JSON.stringify(OPERATOR_TOKENS),
@@ -349,14 +368,3 @@
     };
   }
 }
-
-/** Rows of the first version of a preset. */
-function presetRows(
-  preset: Preset,
-): readonly { key: string; value: unknown }[] {
-  const value = { version: 1, preset };
-  return [
-    { key: `preset/${preset.id}`, value },
-    { key: `preset/${preset.id}/1`, value },
-  ];
-}
--- a/packages/standins/src/cluster/processes.ts
+++ b/packages/standins/src/cluster/processes.ts
@@ -28,12 +28,12 @@
   readonly readyTimeoutMs?: number;
 }
 
-/** A process that has said it is ready. */
+/** A process that was started. */
 export interface Started {
   readonly name: string;
   readonly pid: number;
-  /** Its first line on standard output. */
-  readonly line: string;
+  /** Settles with its first line on standard output; rejects where none comes in time. */
+  readonly firstLine: Promise<string>;
   readonly exited: Promise<Exit>;
   /** Sends a signal; does nothing to a process that has ended. */
   signal(signal: NodeJS.Signals): void;
@@ -56,8 +56,8 @@
     process.once("exit", this.#onExit);
   }
 
-  /** Starts a process; settles when it has printed its first line. */
-  async start(options: ProcessOptions): Promise<Started> {
+  /** Starts a process. */
+  start(options: ProcessOptions): Started {
     const log = options.log === undefined
       ? "inherit"
       : openSync(options.log, "a");
@@ -80,11 +80,13 @@
         resolve({ code, signal });
       });
     });
-    const line = await firstLine(options, { child, exited });
+    const line = firstLine(options, { child, exited });
+    // Whoever wants the line waits for it; nobody else should hear of its failure.
+    line.catch(() => undefined);
     return {
       name: options.name,
       pid: child.pid!,
-      line,
+      firstLine: line,
       exited,
       signal: (signal) => child.kill(signal),
     };
--- a/packages/standins/src/demo/demo.ts
+++ b/packages/standins/src/demo/demo.ts
@@ -12,6 +12,7 @@
 import { increment, type ResultsReport } from "../caller/results.ts";
 import { call } from "../cluster/call.ts";
 import { Cluster } from "../cluster/cluster.ts";
+import type { Wanted } from "../cluster/operate.ts";
 import { reconcile, sum, sumCounts } from "../cluster/ledger.ts";
 import { type DeploymentName, shippedPreset } from "../presets.ts";
 import { type Accepted, change } from "./operate.ts";
@@ -75,13 +76,6 @@
     return this.#cluster;
   }
 
-  /** Whether daemons serve operators; without, there is nothing to play. */
-  async hasOperators(): Promise<boolean> {
-    const status = await this.#cluster.operator(this.#vms[0]!).status()
-      .catch(() => undefined);
-    return status !== undefined;
-  }
-
   /** Plays all events and reports. */
   async run(): Promise<Report> {
     await sleep(SETTLE_MS);
@@ -138,11 +132,11 @@
 
   async #change(
     via: number,
-    options: Pick<Parameters<typeof change>[2], "change" | "why">,
+    wanted: Wanted,
   ): Promise<void> {
     const vm = this.#vms[via % this.#vms.length]!;
     const accepted = await change(this.#cluster, vm, {
-      ...options,
+      wanted,
       vms: this.#vms,
     });
     this.#changes.push(accepted);
@@ -150,7 +144,7 @@
       ? ""
       : `, not on ${accepted.unconfirmed.join(", ")}`;
     this.#say(
-      `${options.change.kind} accepted by ${vm}: revision ${accepted.revision} ` +
+      `${wanted.change.kind} accepted by ${vm}: revision ${accepted.revision} ` +
         `in force after ${accepted.seconds.toFixed(2)} s${late}`,
     );
   }
--- a/packages/standins/src/demo/demo_main.ts
+++ b/packages/standins/src/demo/demo_main.ts
@@ -8,7 +8,7 @@
 import process from "node:process";
 import meow from "meow";
 import { type DeploymentName, DEPLOYMENTS } from "../presets.ts";
-import { OPERATOR_TOKENS } from "../cluster/cluster.ts";
+import { NoOperatorsError } from "../cluster/operate.ts";
 import { Demo } from "./demo.ts";
 
 const cli = meow(
@@ -35,7 +35,10 @@
 
 /** Plays the events, or keeps the deployment up. */
 async function main(): Promise<void> {
-  const demo = await Demo.start(cli.flags.deployment as DeploymentName);
+  const demo = await start(cli.flags.deployment as DeploymentName);
+  if (demo === undefined) {
+    return;
+  }
   let isGood = false;
   try {
     if (cli.flags.keep) {
@@ -44,11 +47,6 @@
       isGood = true;
       return;
     }
-    if (!await demo.hasOperators()) {
-      isGood = true;
-      console.log(JSON.stringify({ partial: "daemons have no operators yet" }));
-      return;
-    }
     const report = await demo.run();
     isGood = report.broken.length + report.notExercised.length === 0;
     console.log(JSON.stringify(report));
@@ -61,6 +59,19 @@
   }
 }
 
+/** Until daemons serve operators there is nothing to play; it is said, and counts as partial. */
+async function start(deployment: DeploymentName): Promise<Demo | undefined> {
+  try {
+    return await Demo.start(deployment);
+  } catch (err) {
+    if (err instanceof NoOperatorsError) {
+      console.log(JSON.stringify({ partial: err.message }));
+      return undefined;
+    }
+    throw err;
+  }
+}
+
 function printAddresses(demo: Demo): void {
   const { cluster } = demo;
   console.log(`\nplatform ${cluster.platformUrl}`);
@@ -70,12 +81,12 @@
         `operators ${cluster.operatorUrl(id)}`,
     );
   }
-  const url = cluster.operatorUrl(cluster.layout.vms[0]!.id);
+  const urls = cluster.layout.vms.map(({ id }) => cluster.operatorUrl(id));
   console.log(`
 In another terminal:
 
-  export POPLARTHREAD_URL=${url}
-  export POPLARTHREAD_TOKEN=${OPERATOR_TOKENS.anna}
+  export POPLARTHREAD_VMS=${urls.join(",")}
+  export POPLARTHREAD_TOKEN_FILE=${cluster.dir}/anna.token
   npx poplarthread status
 
 Ctrl-C ends everything.`);
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -25,6 +25,7 @@
   type ClusterOptions,
   OPERATOR_TOKENS,
 } from "./cluster/cluster.ts";
+export { makeChange, putFirstInForce, submit } from "./cluster/operate.ts";
 export { findPorts, type Ports } from "./cluster/ports.ts";
 export {
   type Exit,
