--- a/packages/daemon/src/configuration_task.ts
+++ b/packages/daemon/src/configuration_task.ts
@@ -13,24 +13,15 @@
   type DisseminationMessage,
   type FollowerEffect,
   type InForce,
-  type Json,
   type Ranked,
 } from "@poplarthread/coordination";
-import type { Change, Configuration } from "@poplarthread/config";
+import type { Configuration } from "@poplarthread/config";
 import type { VmId, ZoneId } from "@poplarthread/ids";
+import { configurationOf, type InForceJson } from "./in_force_value.ts";
 import type { Log } from "./log.ts";
 import type { PeerId } from "./peers/messages.ts";
 import { Task } from "./task.ts";
 
-/** What an operator's change puts in force, with the change itself for the audit trail. */
-export interface AcceptedConfiguration {
-  readonly configuration: Configuration;
-  readonly change: Change;
-}
-
-/** The same as the table keeps it. */
-export type StoredConfiguration = AcceptedConfiguration & Json;
-
 /** What the task is told. */
 export type ConfigurationMessage =
   | { readonly kind: "tick" }
@@ -44,7 +35,7 @@
 /** Construction of the task. */
 export interface ConfigurationTaskOptions {
   readonly self: PeerId & { readonly zone: ZoneId };
-  readonly store: ConfigurationStore<StoredConfiguration>;
+  readonly store: ConfigurationStore<InForceJson>;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
   readonly onAdopted: (configuration: Configuration) => void;
   readonly onReader: (reader: boolean) => void;
@@ -60,8 +51,9 @@
 /** Owns the follower and the tree of pushes. */
 export class ConfigurationTask extends Task<ConfigurationMessage> {
   readonly #options: ConfigurationTaskOptions;
-  #follower: ConfigurationFollower<StoredConfiguration>;
+  #follower: ConfigurationFollower<InForceJson>;
   #tree: Dissemination;
+  #inForce: Configuration | undefined;
   #reader = false;
   #polledAt = -Infinity;
   #polling = false;
@@ -75,7 +67,7 @@
 
   /** What is in force here. */
   get inForce(): Configuration | undefined {
-    return this.#follower.inForce?.value.configuration;
+    return this.#inForce;
   }
 
   /** Time since what is in force here was known to be the latest, in milliseconds. */
@@ -124,7 +116,7 @@
     this.#reader = false;
   }
 
-  #newFollower(): ConfigurationFollower<StoredConfiguration> {
+  #newFollower(): ConfigurationFollower<InForceJson> {
     return new ConfigurationFollower(this.#options.store, {
       onEffect: (effect) => this.#followed(effect),
     });
@@ -157,7 +149,7 @@
     );
   }
 
-  #followed(effect: FollowerEffect<StoredConfiguration>): void {
+  #followed(effect: FollowerEffect<InForceJson>): void {
     const { log } = this.#options;
     switch (effect.kind) {
       case "adopt":
@@ -179,9 +171,10 @@
     }
   }
 
-  #adopt(inForce: InForce<StoredConfiguration>): void {
-    const { revision, operationId, value } = inForce;
-    this.#options.onAdopted(value.configuration);
+  #adopt(inForce: InForce<InForceJson>): void {
+    const { revision, operationId } = inForce;
+    this.#inForce = configurationOf(inForce);
+    this.#options.onAdopted(this.#inForce);
     if (revision <= this.#tree.revision) {
       return;
     }
@@ -211,7 +204,7 @@
   }
 
   #apply(body: string): void {
-    const inForce = JSON.parse(body) as InForce<StoredConfiguration>;
+    const inForce = JSON.parse(body) as InForce<InForceJson>;
     this.#follower.hearPeer(inForce, PUSH_AGE_MS);
   }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,103 +1,780 @@
 /**
- * The daemon, thin: reads what is in force, answers look-ups and passes
- * requests to targets.
+ * The one module that constructs a daemon: it makes the tasks, says who hears
+ * what, and puts them under supervision.
  *
  * @module
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import { pipeline } from "node:stream/promises";
-import { Pool } from "undici";
+import { randomBytes } from "node:crypto";
 import type { Configuration, Settings } from "@poplarthread/config";
+import {
+  ConfigurationStore,
+  type Fact,
+  type HeldBackMessage,
+  type MembershipEffect,
+  RequestClaims,
+} from "@poplarthread/coordination";
+import type { Plan, TargetEntry, VmEntry } from "@poplarthread/decisions";
+import type { InstanceId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
+import { Backend } from "./backend.ts";
+import { ConfigurationAdmin } from "./configuration_admin.ts";
+import { ConfigurationTask } from "./configuration_task.ts";
+import { CrashWatch } from "./crash_watch.ts";
+import { Demand } from "./demand.ts";
+import { messageOf } from "./errors.ts";
+import { FleetTask, type FleetView } from "./fleet.ts";
+import { CallerListener, type RoutingView } from "./http/caller_listener.ts";
+import { DeadlineWheel } from "./http/deadline_wheel.ts";
+import type { ExchangeServices } from "./http/exchange.ts";
+import { TableClaims } from "./http/keyed_claims.ts";
+import { RouteTable } from "./http/routes.ts";
+import { TargetPools } from "./http/target_pools.ts";
+import type { InForceJson } from "./in_force_value.ts";
+import { createLog, type Log } from "./log.ts";
+import { Lookups } from "./lookups.ts";
+import { MembershipTask } from "./membership_task.ts";
+import { Metrics } from "./metrics.ts";
+import { OperatorTokens } from "./operator/mod.ts";
+import { createProbes, OperatorTask } from "./operator_task.ts";
+import { Outages } from "./outages.ts";
+import type { PeerId, PeerNotice } from "./peers/messages.ts";
+import { PeerNetwork } from "./peers/peer_network.ts";
+import { type PlanInputs, PlanTask } from "./plan_task.ts";
+import { stopAsPlanned } from "./planned_stop.ts";
 import { type ListedVm, PlatformClient } from "./platform_client.ts";
+import { Revisions } from "./revisions.ts";
+import { SlotLoans } from "./slot_loans.ts";
+import { type PeerEffect, SteeringTask } from "./steering_task.ts";
+import { Supervisor } from "./supervisor.ts";
+import { TargetPoller, type TargetReport } from "./target_poller.ts";
+import type { Supervised } from "./task.ts";
+import { VmListTask } from "./vm_list_task.ts";
 
-const LOOKUP_PATH = "/.well-known/poplarthread/lookup";
-const POLL_MS = 1_000;
+/** What is read from the files that the settings name. */
+export interface Secrets {
+  /** Text of the operators' tokens file. */
+  readonly operatorTokens: string;
+  readonly peerToken: string;
+}
 
 /** A running daemon. */
 export interface Daemon {
-  /** Stops listening and polling. */
+  readonly instance: InstanceId;
+  /** Ports of the listeners, also where the settings leave the choice to the system. */
+  readonly ports: {
+    readonly caller: number;
+    readonly operator: number;
+    readonly peer: number;
+  };
+  /** Settles when a configuration is in force and the fleet is known. */
+  readonly ready: Promise<void>;
+  /** Settles with the reason when the daemon cannot go on. */
+  readonly failed: Promise<unknown>;
+  /** The planned stop; settles when nothing is left. */
   stop(): Promise<void>;
+  /** Ends at once and cuts what is in flight. For tests. */
+  kill(): Promise<void>;
 }
 
-/** Starts the daemon; settles when it has a configuration and listens. */
-export async function startDaemon(settings: Settings): Promise<Daemon> {
-  const platform = new PlatformClient(settings.platform);
-  const pools = new Map<string, Pool>();
-  let configuration: Configuration | undefined;
-  let vms: readonly ListedVm[] = [];
+/** How long a fact is known: targets are polled each second, so that it is renewed in time. */
+const LEAVING_FACT_MS = 20_000;
+const BELIEF_FACT_MS = 3_000;
+/** How often the fact of a target that still says it leaves is renewed. */
+const RENEW_FACT_MS = 5_000;
 
-  async function poll(): Promise<void> {
-    const [row] = await platform.read(["config/in-force"]);
-    const read = row!.value as unknown as Configuration | null;
-    if (read !== null && read.revision > (configuration?.revision ?? 0)) {
-      configuration = read;
+/** Starts a daemon; settles when its listeners are up. */
+export async function startDaemon(
+  settings: Settings,
+  secrets: Secrets,
+): Promise<Daemon> {
+  const wiring = new Wiring(settings, secrets);
+  await wiring.start();
+  return wiring;
+}
+
+class Wiring implements Daemon {
+  readonly instance: InstanceId;
+  readonly ready: Promise<void>;
+  readonly failed: Promise<unknown>;
+  readonly #settings: Settings;
+  readonly #self: PeerId;
+  readonly #log: Log;
+  readonly #metrics = new Metrics();
+  readonly #outages: Outages;
+  readonly #platform: PlatformClient;
+  readonly #wheel = new DeadlineWheel(performance.now());
+  readonly #lookups = new Lookups();
+  readonly #revisions = new Revisions();
+  readonly #demand = new Demand();
+  readonly #pools: TargetPools;
+  readonly #claims: RequestClaims;
+  readonly #fleet: FleetTask;
+  readonly #steering: SteeringTask;
+  readonly #crashes: CrashWatch;
+  readonly #poller: TargetPoller;
+  readonly #callers: CallerListener;
+  readonly #peers: PeerNetwork;
+  readonly #membership: MembershipTask;
+  readonly #loans: SlotLoans;
+  readonly #configuration: ConfigurationTask;
+  readonly #vmList: VmListTask;
+  readonly #plan: PlanTask;
+  readonly #operator: OperatorTask;
+  readonly #root: Supervisor;
+  readonly #leavingSaid = new Map<TargetId, number>();
+  #routing: RoutingView | undefined;
+  #leaving = false;
+  #confirmedPlan = 0;
+  #facts = 0;
+  #becomeReady: () => void = () => undefined;
+  #fail: (err: unknown) => void = () => undefined;
+
+  constructor(settings: Settings, secrets: Secrets) {
+    const { vm, region, zone, listen } = settings;
+    this.#settings = settings;
+    const life = randomBytes(6).toString("hex");
+    this.instance = `${vm}.${life}` as InstanceId;
+    this.#self = { vm, instance: this.instance };
+    this.ready = new Promise((resolve) => this.#becomeReady = resolve);
+    this.failed = new Promise((resolve) => this.#fail = resolve);
+    this.#log = createLog({
+      level: settings.log.level,
+      vm,
+      instance: this.instance,
+    });
+    this.#outages = new Outages(this.#metrics, this.#log);
+    const localAddress = listen.caller.host;
+    this.#platform = new PlatformClient({
+      ...settings.platform,
+      outages: this.#outages,
+    });
+    this.#pools = new TargetPools({ localAddress });
+    this.#claims = new RequestClaims({
+      table: this.#platform,
+      instance: this.instance,
+      holders: {
+        ask: ({ instance, claim, attempt }, waitMs) =>
+          this.#askHolder({ instance, claim, attempt }, waitMs),
+      },
+    });
+    const seed = randomBytes(4).readInt32LE();
+    const self = { ...this.#self, region, zone };
+    this.#fleet = new FleetTask({
+      self: vm,
+      onView: (view) => this.#onView(view),
+    });
+    this.#steering = new SteeringTask({
+      self: vm,
+      seed,
+      onPeerEffect: (effect) => this.#onPeerEffect(effect),
+      onStarted: () => this.#tellSteering(),
+    });
+    this.#crashes = new CrashWatch({
+      publish: (message) => this.#publishHeldBack(message),
+      onEnded: (attempt, end) => {
+        this.#metrics.attempts.inc({ end });
+        if (attempt.targetLeaving) {
+          this.#targetLeaves(attempt.target);
+        }
+      },
+    });
+    this.#poller = new TargetPoller({
+      poolOf: (target) => this.#pools.get(target),
+      onReport: (report) => this.#onReport(report),
+    });
+    this.#callers = new CallerListener({
+      settings,
+      idPrefix: `${vm}-${life}`,
+      lookups: this.#lookups,
+      metrics: this.#metrics,
+      services: this.#exchangeServices(),
+      routing: () => this.#routing,
+      onTick: (now) => this.#steering.tick(now),
+    });
+    this.#peers = new PeerNetwork({
+      self: this.#self,
+      token: secrets.peerToken,
+      host: listen.peer.host,
+      port: listen.peer.port,
+      handler: {
+        notice: (from, notice) => this.#onNotice(from, notice),
+        claim: (_from, { question, waitMs }) =>
+          this.#claims.answerPeer(question, waitMs),
+      },
+      metrics: this.#metrics,
+      log: this.#log,
+    });
+    this.#membership = new MembershipTask({
+      self,
+      address: `${listen.peer.host}:${listen.peer.port}`,
+      seed,
+      send: (to, address, params) =>
+        this.#peers.send({
+          kind: "send",
+          to,
+          address,
+          notice: { method: "membership", params },
+        }),
+      onEffect: (effect) => this.#onMembership(effect),
+    });
+    this.#loans = new SlotLoans({
+      instance: this.instance,
+      send: (to, params) => this.#tell(to, { method: "slots", params }),
+      steer: (event) => this.#steering.send(event),
+    });
+    this.#configuration = new ConfigurationTask({
+      self,
+      store: new ConfigurationStore<InForceJson>(this.#platform),
+      send: (to, params) => this.#tell(to, { method: "configuration", params }),
+      onAdopted: (configuration) => this.#onAdopted(configuration),
+      onReader: (reader) => this.#vmList.send({ kind: "reader", reader }),
+      log: this.#log,
+    });
+    this.#vmList = new VmListTask({
+      platform: this.#platform,
+      onList: (vms) => this.#onList(vms),
+    });
+    this.#plan = new PlanTask({
+      self,
+      table: this.#platform,
+      inputs: () => this.#planInputs(),
+      ownReport: () => ({
+        sequence: this.#confirmedPlan,
+        demand: this.#demand.means(performance.now()),
+      }),
+      report: (to, params) =>
+        this.#tell(to, { method: "planner-report", params }),
+      send: (to, params) => this.#tell(to, { method: "plan", params }),
+      onPlan: (plan) => this.#onPlan(plan),
+      log: this.#log,
+    });
+    this.#operator = this.#operatorTask(secrets);
+    this.#root = this.#supervise();
+  }
+
+  get ports(): Daemon["ports"] {
+    return {
+      caller: this.#callers.port,
+      operator: this.#operator.port,
+      peer: this.#peers.port,
+    };
+  }
+
+  async start(): Promise<void> {
+    await this.#root.start({
+      failed: (_task: Supervised, err: unknown) => this.#fail(err),
+    });
+    // Membership knew itself before those who ask about members were up.
+    this.#tellMembers();
+  }
+
+  async stop(): Promise<void> {
+    await stopAsPlanned({
+      announce: () => this.#announce(),
+      lifetimeMs: () => this.#inForce?.preset.lookup.lifetimeMs ?? 0,
+      longestDeadlineMs: () =>
+        Math.max(
+          0,
+          ...this.#inForce?.preset.routes.map((one) => one.deadlineMs) ?? [],
+        ),
+      endKeptConnections: () => this.#callers.send({ kind: "end-kept" }),
+      stopAccepting: () => this.#callers.send({ kind: "drain" }),
+      requestsOver: () => this.#callers.empty(),
+      pendingOutcomes: () => this.#claims.pending,
+      release: async () => {
+        this.#loans.send({ kind: "return-all" });
+        await this.kill();
+      },
+    }, this.#log);
+  }
+
+  async kill(): Promise<void> {
+    await this.#root.stop();
+    await this.#pools.close();
+    await this.#platform.close();
+  }
+
+  get #inForce(): Configuration | undefined {
+    return this.#configuration.inForce;
+  }
+
+  #supervise(): Supervisor {
+    const listener = {
+      taskFailed: (task: string, err: unknown) =>
+        this.#log.error("task failed", { task, reason: messageOf(err) }),
+      taskRestarted: (task: string) => {
+        this.#metrics.restarts.inc({ task });
+        this.#log.info("task restarted", { task });
+      },
+    };
+    const group = (name: string, tasks: readonly Supervised[]) => {
+      const supervisor = new Supervisor(name, { listener });
+      tasks.forEach((task) => supervisor.add(task));
+      return supervisor;
+    };
+    // In the order of use: what comes later needs what came before.
+    return group("daemon", [
+      group("state", [this.#fleet, this.#steering, this.#crashes]),
+      group("peers", [this.#peers, this.#membership, this.#loans]),
+      group("platform", [this.#configuration, this.#vmList, this.#plan]),
+      group("serving", [this.#poller, this.#callers]),
+      group("operators", [this.#operator]),
+    ]);
+  }
+
+  #operatorTask(secrets: Secrets): OperatorTask {
+    const { settings, metrics } = {
+      settings: this.#settings,
+      metrics: this.#metrics,
+    };
+    const backend = new Backend({
+      settings,
+      instance: this.instance,
+      admin: new ConfigurationAdmin(this.#platform),
+      configuration: this.#configuration,
+      fleet: this.#fleet,
+      steering: this.#steering,
+      plan: this.#plan,
+      crashes: this.#crashes,
+      outages: this.#outages,
+      lookups: this.#lookups,
+      revisions: this.#revisions,
+      supervisor: () => this.#root,
+      routing: () => this.#routing,
+      isReady: () => this.#notReady() === undefined,
+      isLeaving: () => this.#leaving,
+    });
+    const probes = createProbes({
+      metrics,
+      beforeScrape: () => this.#updateGauges(),
+      notReady: () => this.#notReady(),
+    });
+    return new OperatorTask({
+      backend,
+      probes,
+      listener: {
+        ...settings.listen.operator,
+        tokens: new OperatorTokens(secrets.operatorTokens),
+        onUnauthenticated: () =>
+          metrics.refusedInput.inc({
+            listener: "operator",
+            reason: "unauthenticated",
+          }),
+      },
+    });
+  }
+
+  #exchangeServices(): ExchangeServices {
+    const { limits } = this.#settings;
+    return {
+      limits,
+      wheel: this.#wheel,
+      targets: this.#pools,
+      claims: new TableClaims(this.#claims),
+      watch: this.#crashes,
+      steer: (event, exchange) => {
+        if (event.kind === "arrive") {
+          this.#demand.began(event.service, performance.now());
+        }
+        this.#steering.steer(event, exchange);
+      },
+      ended: (exchange, end) => {
+        const now = performance.now();
+        const { route } = exchange.route;
+        if (exchange.wasSteered) {
+          this.#demand.ended(route.service, now);
+        }
+        this.#callers.exchangeEnded();
+        const ms = now - exchange.startedAt;
+        this.#metrics.requestEnded(route.class, end, ms / 1_000);
+        if (this.#log.debugs || end === "broken") {
+          this.#log[end === "broken" ? "warn" : "debug"]("request ended", {
+            request: exchange.id,
+            revision: exchange.revision,
+            route: route.id,
+            end,
+            durationMs: Math.round(ms),
+          });
+        }
+      },
+      settled: (exchange) => this.#steering.settled(exchange),
+    };
+  }
+
+  #notReady(): string | undefined {
+    if (this.#leaving) {
+      return "leaving";
     }
-    vms = await platform.listVms();
+    if (this.#inForce === undefined) {
+      return "no configuration is in force here";
+    }
+    return this.#fleet.hasList ? undefined : "the list of VMs is not known";
   }
 
-  function lookUp(res: ServerResponse): void {
-    const entries = vms.filter((vm) =>
-      vm.role === "entry" && vm.state === "live"
-    );
-    const lifetimeMs = configuration!.preset.lookup.lifetimeMs;
-    res.writeHead(200, {
-      "content-type": "application/json",
-      "cache-control": `max-age=${Math.floor(lifetimeMs / 1000)}`,
+  #checkReady(): void {
+    if (this.#notReady() === undefined) {
+      this.#becomeReady();
+    }
+  }
+
+  #onList(vms: readonly ListedVm[]): void {
+    this.#fleet.send({ kind: "listed", vms });
+    const entries = vms.filter((one) => one.role === "entry");
+    this.#membership.send({ kind: "listed", entries });
+    this.#checkReady();
+  }
+
+  #onAdopted(configuration: Configuration): void {
+    const { revision, preset } = configuration;
+    this.#routing = { revision, routes: new RouteTable(preset) };
+    this.#metrics.revision.set(revision);
+    this.#log.info("configuration in force", { revision });
+    this.#steering.send({ kind: "start", policy: preset });
+    this.#fleet.send({ kind: "configuration", configuration });
+    this.#membership.send({ kind: "revision", revision });
+    this.#revisions.heard(this.#self.vm, revision, performance.now());
+    this.#onView(this.#fleet.view);
+    this.#tellDrains(configuration);
+    this.#checkReady();
+  }
+
+  #onView(view: FleetView): void {
+    const inForce = this.#inForce;
+    if (inForce === undefined) {
+      return;
+    }
+    const { region, zone } = this.#settings;
+    this.#lookups.set({
+      preset: inForce.preset,
+      self: { region, zone },
+      vms: view.vms
+        .filter(({ belief }) => belief === "live" || belief === "suspect")
+        .map(({ id, region, zone, caller }) => ({
+          vm: id,
+          region,
+          zone,
+          caller,
+        })),
     });
-    res.end(JSON.stringify({ vms: entries, lifetimeMs }));
+    this.#setPools(view, inForce);
+    this.#poller.send({
+      kind: "targets",
+      targets: view.targets
+        .filter((one) => one.region === region)
+        .map(({ id }) => id),
+    });
+    this.#steering.send({ kind: "vms", vms: toVmEntries(view) });
+    this.#steering.send({ kind: "targets", targets: toTargetEntries(view) });
+    this.#tellLostRegions(view);
   }
 
-  async function proxy(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const targets = vms.filter((vm) =>
-      vm.role === "target" && vm.state === "live"
+  /** Each live VM takes an equal share of the connections that a target accepts. */
+  #setPools(view: FleetView, { preset }: Configuration): void {
+    const alive = view.vms.filter(({ belief }) => belief !== "dead").length;
+    const most = new Map<ServiceId, number>(
+      preset.services.map(({ id, connectionsPerTarget }) => [
+        id,
+        Math.max(1, Math.floor(connectionsPerTarget / Math.max(1, alive))),
+      ]),
     );
-    const target = targets[Math.floor(Math.random() * targets.length)];
-    if (target === undefined || target.role !== "target") {
-      res.writeHead(503, { "retry-after": "1", "poplarthread-not-run": "1" })
-        .end();
-      return;
+    this.#pools.setTargets(
+      view.targets.flatMap(({ id, address, service }) => {
+        const connections = most.get(service);
+        return connections === undefined ? [] : [{ id, address, connections }];
+      }),
+    );
+  }
+
+  /** A region is lost when all its VMs are dead by their heartbeats. */
+  #tellLostRegions(view: FleetView): void {
+    const regions = new Map<string, FleetView["vms"]>();
+    for (const vm of view.vms) {
+      regions.set(vm.region, [...regions.get(vm.region) ?? [], vm]);
+    }
+    for (const vms of regions.values()) {
+      const lost = vms.every(({ belief }) => belief === "dead");
+      const { region } = vms[0]!;
+      this.#steering.send({ kind: "region-lost", region, lost });
+    }
+  }
+
+  #tellDrains({ drains }: Configuration): void {
+    const idsOf = (kind: string) =>
+      drains.filter((one) => one.kind === kind).map((one) => one.id);
+    this.#steering.send({
+      kind: "drains",
+      targets: idsOf("target") as TargetId[],
+      zones: idsOf("zone") as [],
+      vms: idsOf("vm") as VmId[],
+    });
+  }
+
+  /** Decisions that have just started learn everything that is known. */
+  #tellSteering(): void {
+    this.#onView(this.#fleet.view);
+    if (this.#inForce !== undefined) {
+      this.#tellDrains(this.#inForce);
+    }
+    if (this.#plan.plan !== undefined) {
+      this.#onPlan(this.#plan.plan);
+    }
+  }
+
+  #onPlan(plan: Plan): void {
+    this.#metrics.planSequence.set(plan.sequence);
+    this.#steering.send({ kind: "plan", plan });
+  }
+
+  #planInputs(): PlanInputs | undefined {
+    const inForce = this.#inForce;
+    if (inForce === undefined || !this.#fleet.hasList) {
+      return undefined;
     }
-    let pool = pools.get(target.address);
-    if (pool === undefined) {
-      pool = new Pool(`http://${target.address}`);
-      pools.set(target.address, pool);
+    const { view } = this.#fleet;
+    return {
+      policy: inForce.preset,
+      revision: inForce.revision,
+      vms: toVmEntries(view),
+      targets: toTargetEntries(view),
+    };
+  }
+
+  #onPeerEffect(effect: PeerEffect): void {
+    switch (effect.kind) {
+      case "ask":
+      case "lend":
+      case "give-back":
+        this.#loans.send({ kind: "effect", effect });
+        return;
+      case "plan-applied":
+        this.#confirmedPlan = effect.sequence;
+        return;
+      case "belief-changed":
+        this.#publish(`belief/${effect.target}/${this.#self.vm}`, {
+          value: { failing: effect.failing },
+          lifetimeMs: BELIEF_FACT_MS,
+        });
+        return;
     }
-    const answer = await pool.request({
-      path: req.url!,
-      method: req.method as "GET",
-      body: req.method === "GET" ? null : req,
+  }
+
+  #onReport(report: TargetReport): void {
+    const { target, state, inFlight, ageMs } = report;
+    if (state === "draining") {
+      this.#targetLeaves(target);
+    }
+    this.#fleet.send({ kind: "target-cold", target, cold: state === "cold" });
+    this.#steering.send({
+      kind: "report",
+      target,
+      healthy: state === "ok" || state === "cold",
+      ageMs,
+      ...(inFlight === undefined ? {} : { inFlight }),
     });
-    res.writeHead(answer.statusCode, { "content-type": "application/json" });
-    await pipeline(answer.body, res);
   }
 
-  const server: Server = createServer((req, res) => {
-    if (req.url === LOOKUP_PATH) {
-      lookUp(res);
+  #targetLeaves(target: TargetId): void {
+    const now = performance.now();
+    const saidAt = this.#leavingSaid.get(target) ?? -Infinity;
+    if (now - saidAt < RENEW_FACT_MS) {
       return;
     }
-    proxy(req, res).catch(() => res.destroy());
-  });
-
-  await poll();
-  const timer = setInterval(() => poll().catch(() => undefined), POLL_MS);
-  const { host, port } = settings.listen.caller;
-  await new Promise<void>((resolve) => server.listen(port, host, resolve));
-  return {
-    async stop(): Promise<void> {
-      clearInterval(timer);
-      server.close();
-      await platform.close();
-      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
-    },
-  };
+    this.#leavingSaid.set(target, now);
+    this.#heardLeaving(target);
+    this.#publish(`leaving/target/${target}`, {
+      value: target,
+      lifetimeMs: LEAVING_FACT_MS,
+    });
+  }
+
+  #heardLeaving(target: TargetId): void {
+    this.#fleet.send({ kind: "target-leaving", target });
+    this.#steering.send({ kind: "target-leaving", target });
+  }
+
+  #publishHeldBack(message: HeldBackMessage): void {
+    this.#publish(`held-back/${message.fingerprint}/${this.#self.vm}`, {
+      value: message as unknown as Fact["value"],
+      lifetimeMs: message.remainingMs,
+    });
+  }
+
+  /** Versions grow with time, also over restarts of the daemon. */
+  #publish(
+    key: string,
+    { value, lifetimeMs }: Pick<Fact, "value" | "lifetimeMs">,
+  ): void {
+    this.#facts = Math.max(this.#facts + 1, Date.now());
+    const fact = { key, version: this.#facts, value, lifetimeMs, urgent: true };
+    this.#membership.send({ kind: "publish", fact });
+  }
+
+  #onFact({ key, value, lifetimeMs }: Fact): void {
+    const [kind, ...rest] = key.split("/");
+    switch (kind) {
+      case "leaving":
+        this.#heardLeaving(rest[1] as TargetId);
+        return;
+      case "belief": {
+        const [target, from] = rest as [TargetId, VmId];
+        if (from !== this.#self.vm) {
+          const { failing } = value as { failing: boolean };
+          const ageMs = Math.max(0, BELIEF_FACT_MS - lifetimeMs);
+          this.#steering.send({
+            kind: "peer-belief",
+            from,
+            target,
+            failing,
+            ageMs,
+          });
+        }
+        return;
+      }
+      case "held-back":
+        this.#crashes.send({
+          kind: "peer",
+          message: value as unknown as HeldBackMessage,
+        });
+        return;
+    }
+  }
+
+  #onMembership(effect: Exclude<MembershipEffect, { kind: "send" }>): void {
+    switch (effect.kind) {
+      case "changed":
+        this.#fleet.send({ kind: "member", member: effect.member });
+        if (effect.member.state === "dead") {
+          this.#peers.send({ kind: "drop", vm: effect.member.vm });
+        }
+        this.#tellMembers();
+        return;
+      case "forgotten":
+        this.#fleet.send({ kind: "forgotten", vm: effect.member.vm });
+        this.#revisions.forget(effect.member.vm);
+        this.#tellMembers();
+        return;
+      case "fact":
+        this.#onFact(effect.fact);
+        return;
+      case "fact-expired":
+        if (effect.key.startsWith("leaving/target/")) {
+          const target = effect.key.split("/")[2] as TargetId;
+          this.#fleet.send({ kind: "target-staying", target });
+        }
+        return;
+      case "ahead":
+        this.#configuration.send({
+          kind: "ahead",
+          vm: effect.vm,
+          revision: effect.revision,
+        });
+        return;
+      case "superseded":
+        this.#fail(new Error("Another instance has taken this VM's name over"));
+        return;
+    }
+  }
+
+  #tellMembers(): void {
+    const { members } = this.#membership;
+    this.#configuration.send({ kind: "members", members });
+    this.#plan.send({ kind: "members", members });
+  }
+
+  #onNotice(from: PeerId, notice: PeerNotice): void {
+    switch (notice.method) {
+      case "membership": {
+        const message = notice.params;
+        if ("revision" in message) {
+          const now = performance.now();
+          this.#revisions.heard(message.from.vm, message.revision, now);
+        }
+        this.#membership.send({ kind: "peer", message });
+        return;
+      }
+      case "configuration":
+        this.#configuration.send({ kind: "peer", message: notice.params });
+        return;
+      case "plan":
+        this.#plan.send({ kind: "peer", message: notice.params });
+        return;
+      case "slots":
+        this.#loans.send({ kind: "peer", from, message: notice.params });
+        return;
+      case "planner-report":
+        this.#plan.send({
+          kind: "report",
+          from: from.vm,
+          report: notice.params,
+        });
+        return;
+    }
+  }
+
+  #tell(to: VmId, notice: PeerNotice): void {
+    const address = this.#fleet.peerAddress(to);
+    if (address !== undefined) {
+      this.#peers.send({ kind: "send", to, address, notice });
+    }
+  }
+
+  #askHolder(
+    question: Parameters<RequestClaims["answerPeer"]>[0],
+    waitMs: number,
+  ): ReturnType<RequestClaims["answerPeer"]> {
+    // An instance is named after its VM; a later life there says that it is dead.
+    const vm = question.instance.split(".")[0] as VmId;
+    const address = this.#fleet.peerAddress(vm);
+    return address === undefined
+      ? Promise.resolve({ kind: "unreachable" })
+      : this.#peers.askHolder({ vm, address }, { question, waitMs });
+  }
+
+  #announce(): void {
+    this.#leaving = true;
+    this.#fleet.send({ kind: "self-leaving" });
+    this.#membership.send({ kind: "leave" });
+    const own = this.#fleet.view.vms.find(({ id }) => id === this.#self.vm);
+    if (own !== undefined) {
+      const { belief: _, ...entry } = own;
+      this.#platform.announce({ ...entry, state: "leaving" })
+        .catch((err) =>
+          this.#log.warn("platform not told of the stop", {
+            reason: messageOf(err),
+          })
+        );
+    }
+  }
+
+  #updateGauges(): void {
+    const { metrics } = { metrics: this.#metrics };
+    metrics.inFlight.set(this.#callers.inFlight);
+    metrics.heldBack.set(this.#crashes.size);
+    const { ageMs } = this.#configuration;
+    metrics.configurationAge.set(Number.isFinite(ageMs) ? ageMs / 1_000 : -1);
+    metrics.members.reset();
+    for (const { belief } of this.#fleet.view.vms) {
+      metrics.members.inc({ state: belief });
+    }
+  }
+}
+
+function toVmEntries(view: FleetView): readonly VmEntry[] {
+  return view.vms.map(({ id, region, zone, belief }) => ({
+    vm: id,
+    region,
+    zone,
+    live: belief !== "dead" && belief !== "leaving",
+  }));
+}
+
+function toTargetEntries(view: FleetView): readonly TargetEntry[] {
+  return view.targets.map(({ id, service, region, zone, leaving, cold }) => ({
+    target: id,
+    service,
+    region,
+    zone,
+    leaving,
+    cold,
+  }));
 }
--- /dev/null
+++ b/packages/daemon/src/explanation.ts
@@ -0,0 +1,102 @@
+/**
+ * Where a request would go now, and why, without sending it.
+ *
+ * @module
+ */
+
+import type { Steering, TargetView } from "@poplarthread/decisions";
+import type { RegionId, ZoneId } from "@poplarthread/ids";
+import type { ExplainRequest, Explanation } from "@poplarthread/operator-api";
+import type { FleetTarget } from "./fleet.ts";
+import type { RouteTable } from "./http/routes.ts";
+
+/** What an explanation looks at. */
+export interface ExplanationInput {
+  readonly routes: RouteTable | undefined;
+  readonly steering: Steering | undefined;
+  readonly targets: readonly FleetTarget[];
+  readonly home: { readonly region: RegionId; readonly zone: ZoneId };
+}
+
+/** Explains one request. */
+export function explain(
+  request: ExplainRequest,
+  input: ExplanationInput,
+): Explanation {
+  const { routes, steering } = input;
+  if (routes === undefined || steering === undefined) {
+    return { kind: "no-route", why: "no configuration is in force here yet" };
+  }
+  const match = routes.find(request.method, request.path);
+  if (match.kind !== "found") {
+    const why = match.kind === "ambiguous"
+      ? match.reason
+      : "no route takes this method and path";
+    return { kind: "no-route", why };
+  }
+  const { route, prefix } = match.route;
+  const base = {
+    kind: "route",
+    route: route.id,
+    service: route.service,
+    class: route.class,
+    repeat: route.repeat,
+    deadlineMs: route.deadlineMs,
+  } as const;
+  const longest = `path prefix "${prefix}/" is the longest that fits`;
+  const now = performance.now();
+  const usable = steering.targets(now).filter((one) =>
+    one.service === route.service && isIn(one)
+  );
+  if (usable.length === 0) {
+    return { ...base, why: `${longest}; no target of the service is in use` };
+  }
+  const free = usable.filter((one) => freeSlots(one) > 0);
+  if (free.length === 0) {
+    const waitMs = steering.services()
+      .find((one) => one.service === route.service)?.waitMs ?? 0;
+    return {
+      ...base,
+      why: `${longest}; all ${usable.length} targets are full as far as this ` +
+        `VM may use them; expected wait ${Math.round(waitMs)} ms`,
+    };
+  }
+  return { ...base, ...choose(free, input, longest) };
+}
+
+function choose(
+  free: readonly TargetView[],
+  input: ExplanationInput,
+  longest: string,
+) {
+  const places = new Map(input.targets.map((one) => [one.id, one]));
+  const { region, zone } = input.home;
+  const best = free.toSorted((a, b) => {
+    const one = places.get(a.target);
+    const other = places.get(b.target);
+    return Number(other?.region === region) - Number(one?.region === region) ||
+      Number(other?.zone === zone) - Number(one?.zone === zone) ||
+      a.ratio - b.ratio ||
+      freeSlots(b) - freeSlots(a);
+  })[0]!;
+  const place = places.get(best.target);
+  const where = place?.region === region
+    ? "in this region"
+    : "in another region";
+  return {
+    target: best.target,
+    ...(place === undefined ? {} : { region: place.region }),
+    why: `${longest}; ${free.length} targets have a free slot, this one is ` +
+      `${where}, ${best.standing}, with answers at ${best.ratio.toFixed(1)} ` +
+      `times the usual; another of them may be taken by the time of sending`,
+  };
+}
+
+function freeSlots(view: TargetView): number {
+  return view.owned + view.borrowed - view.lent - view.inUse;
+}
+
+function isIn(view: TargetView): boolean {
+  return view.standing !== "leaving" && view.standing !== "drained" &&
+    view.standing !== "failing";
+}
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -59,6 +59,7 @@
   readonly #options: FleetOptions;
   #listed: readonly ListedVm[] = [];
   #hasList = false;
+  #listedAt = 0;
   readonly #members = new Map<VmId, Member>();
   readonly #leavingTargets = new Set<TargetId>();
   readonly #coldTargets = new Set<TargetId>();
@@ -77,6 +78,11 @@
     return this.#view;
   }
 
+  /** When the platform's list was last read, on the monotonic clock. */
+  get listedAt(): number {
+    return this.#listedAt;
+  }
+
   /** Whether the platform's list was ever seen. */
   get hasList(): boolean {
     return this.#hasList;
@@ -108,6 +114,7 @@
     switch (message.kind) {
       case "listed":
         this.#listed = message.vms;
+        this.#listedAt = performance.now();
         this.#hasList = true;
         break;
       case "member":
--- a/packages/daemon/src/http/caller_listener.ts
+++ b/packages/daemon/src/http/caller_listener.ts
@@ -49,6 +49,8 @@
   | { readonly kind: "tick" }
   /** Looks for callers that have stopped sending. */
   | { readonly kind: "sweep" }
+  /** Each answer ends its connection from now on. */
+  | { readonly kind: "end-kept" }
   /** Takes no new connections; answers what it has and closes. */
   | { readonly kind: "drain" };
 
@@ -140,6 +142,9 @@
       case "sweep":
         this.#sweep(performance.now());
         return;
+      case "end-kept":
+        this.#draining = true;
+        return;
       case "drain":
         this.#draining = true;
         this.#server?.close();
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -109,11 +109,13 @@
   #phase: Phase = "reading";
   #body: RequestBody | undefined;
   #claim: KeyedClaim | undefined;
+  #claimDispatched = false;
   #winner: Attempt | undefined;
   #copy: AnswerCopy | undefined;
   /** A target may have run the request. */
   #mayHaveRun = false;
   #arrived = false;
+  #wasSteered = false;
   #draining = false;
   /** Bytes of the answer that are still to come; -1 where unknown. */
   #left = -1;
@@ -139,6 +141,11 @@
       this.route.route.repeat === "at-most-once";
   }
 
+  /** Whether the decisions were asked about it. */
+  get wasSteered(): boolean {
+    return this.#wasSteered;
+  }
+
   /** The whole body; undefined where it is streamed. */
   get wholeBody(): Buffer | null | undefined {
     return this.#body === undefined ? null : this.#body.whole;
@@ -311,9 +318,10 @@
     if (!this.#mayDispatch()) {
       return false;
     }
-    if (this.#claim !== undefined && !this.#claim.mayDispatch()) {
+    if (!this.#claimDispatched && this.#claim?.mayDispatch() === false) {
       return false;
     }
+    this.#claimDispatched = true;
     this.#mayHaveRun = true;
     this.#body?.markFlowing();
     return true;
@@ -410,6 +418,7 @@
   #arrive(): void {
     this.#phase = "steered";
     this.#arrived = true;
+    this.#wasSteered = true;
     const { route } = this.route;
     this.#steer({
       kind: "arrive",
@@ -472,7 +481,8 @@
 
   /**
    * Whether one more attempt may be sent. An at-most-once request never is
-   * after any byte of it was sent, whatever the decisions say.
+   * once a target may have run it, whatever the decisions say: only a target's
+   * own word that it refused before running takes that back.
    */
   #mayDispatch(): boolean {
     if (this.#phase !== "steered") {
@@ -481,8 +491,7 @@
     if (this.#body !== undefined && !this.#body.available) {
       return false;
     }
-    return this.route.route.repeat === "idempotent" ||
-      !this.#attempts.some((one) => one.sent);
+    return this.route.route.repeat === "idempotent" || !this.#mayHaveRun;
   }
 
   #winnerEnded(end: AttemptEnd): void {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -11,9 +11,12 @@
   FindingsError,
   formatFinding,
   readDocument,
+  type Settings,
   settingsFormat,
 } from "@poplarthread/config";
-import { startDaemon } from "./daemon.ts";
+import { type Secrets, startDaemon } from "./daemon.ts";
+import { messageOf } from "./errors.ts";
+import { OperatorTokens, TokensError } from "./operator/mod.ts";
 
 const cli = meow(
   `
@@ -33,28 +36,69 @@
   },
 );
 
+/** Shortest token that peers may share. */
+const MIN_PEER_TOKEN = 8;
+/** Something that settings name cannot be read. */
+const EXIT_BAD_INPUT = 2;
+/** The daemon could not go on. */
+const EXIT_FAILED = 1;
+
 /** Reads the settings and runs the daemon until a signal stops it. */
 async function main(): Promise<void> {
   const file = cli.flags.settings;
   try {
     const settings = readDocument(readFileSync(file, "utf8"), settingsFormat);
+    const secrets = readSecrets(settings);
     if (cli.flags.check) {
       return;
     }
-    const daemon = await startDaemon(settings);
-    console.log("ready");
-    process.once("SIGTERM", () => {
-      daemon.stop().then(() => process.exit(0));
-    });
+    await run(settings, secrets);
   } catch (err) {
-    if (!(err instanceof FindingsError)) {
-      throw err;
-    }
-    for (const finding of err.findings) {
-      console.error(formatFinding(file, finding));
+    if (err instanceof FindingsError) {
+      for (const finding of err.findings) {
+        console.error(formatFinding(file, finding));
+      }
+    } else {
+      console.error(`${file}: ${messageOf(err)}`);
     }
-    process.exitCode = 2;
+    process.exit(EXIT_BAD_INPUT);
+  }
+}
+
+function readSecrets({ secrets }: Settings): Secrets {
+  const operatorTokens = readFileSync(secrets.operatorTokensFile, "utf8");
+  // Checked here already, so that `--check` finds a bad file as well.
+  new OperatorTokens(operatorTokens);
+  const peerToken = readFileSync(secrets.peerTokenFile, "utf8").trim();
+  if (peerToken.length < MIN_PEER_TOKEN) {
+    throw new TokensError(
+      `Cannot use the peers' token: shorter than ${MIN_PEER_TOKEN} characters`,
+    );
+  }
+  return { operatorTokens, peerToken };
+}
+
+async function run(settings: Settings, secrets: Secrets): Promise<void> {
+  const daemon = await startDaemon(settings, secrets);
+  let stopping = false;
+  for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.on(signal, () => {
+      if (!stopping) {
+        stopping = true;
+        daemon.stop().then(() => process.exit(0));
+      }
+    });
   }
+  daemon.failed.then((err) => {
+    console.error(JSON.stringify({
+      level: "error",
+      message: "daemon cannot go on",
+      reason: messageOf(err),
+    }));
+    process.exit(EXIT_FAILED);
+  });
+  await daemon.ready;
+  console.log("ready");
 }
 
 await main();
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -182,7 +182,7 @@
       return;
     }
     this.#stepping = true;
-    const work = this.planning ? this.#makePlan() : this.#readPlan();
+    const work = this.planning ? this.#makePlan() : this.#followPlan();
     this.spawn(
       work.catch((err) => {
         if (!(err instanceof TableError)) {
@@ -194,10 +194,14 @@
     );
   }
 
-  async #readPlan(): Promise<void> {
-    if (this.#stored !== undefined && !this.#tree.isReader()) {
-      return;
+  /** Readers look into the table; the others hear from them. */
+  async #followPlan(): Promise<void> {
+    if (this.#stored === undefined || this.#tree.isReader()) {
+      await this.#readPlan();
     }
+  }
+
+  async #readPlan(): Promise<void> {
     const [row] = await this.#options.table.read([PLAN_KEY]);
     const stored = row!.value as unknown as StoredPlan | null;
     if (stored !== null) {
--- a/packages/daemon/src/platform_client.ts
+++ b/packages/daemon/src/platform_client.ts
@@ -112,6 +112,22 @@
     return (answer as { vms: ListedVm[] }).vms;
   }
 
+  /** Tells the list what has become of this VM. */
+  async announce(entry: ListedEntry): Promise<void> {
+    const path = `/vms/${entry.id}`;
+    try {
+      const res = await this.#pool.request({
+        path,
+        method: "PUT",
+        body: JSON.stringify(entry),
+        signal: AbortSignal.timeout(this.#timeoutMs),
+      });
+      await res.body.dump();
+    } catch (err) {
+      throw toTableError(path, err as Error);
+    }
+  }
+
   async close(): Promise<void> {
     await this.#pool.destroy();
   }
--- a/packages/daemon/src/slot_loans.ts
+++ b/packages/daemon/src/slot_loans.ts
@@ -28,6 +28,8 @@
     readonly from: PeerId;
     readonly message: SlotMessage;
   }
+  /** This VM stops: what it borrowed goes back at once. */
+  | { readonly kind: "return-all" }
   | { readonly kind: "tick" };
 
 /** Construction of the task. */
@@ -92,6 +94,12 @@
       case "peer":
         this.#hear(message.from, message.message, now);
         return;
+      case "return-all":
+        for (const [loan, { from }] of this.#taken) {
+          this.#options.send(from, { kind: "give-back", loan });
+        }
+        this.#taken.clear();
+        return;
       case "tick":
         this.#expire(now);
         return;
--- a/packages/daemon/src/supervisor.ts
+++ b/packages/daemon/src/supervisor.ts
@@ -8,7 +8,7 @@
 
 import { messageOf, RestartLimitError } from "./errors.ts";
 import type { TaskStatus } from "@poplarthread/operator-api";
-import { type Message, type Parent, Task, type TaskState } from "./task.ts";
+import { type Parent, type Supervised, Task, type TaskState } from "./task.ts";
 
 /** How a supervisor restarts its tasks. */
 export interface RestartPolicy {
@@ -38,7 +38,7 @@
 }
 
 interface Child {
-  readonly task: Task<never>;
+  readonly task: Supervised;
   state: TaskState;
   restarts: number;
   lastError: string | undefined;
@@ -68,9 +68,9 @@
   }
 
   /** Adds a task; it starts with the supervisor, after those added before. */
-  add<M extends Message>(task: Task<M>): void {
+  add(task: Supervised): void {
     this.#children.push({
-      task: task as unknown as Task<never>,
+      task,
       state: "stopped",
       restarts: 0,
       lastError: undefined,
@@ -90,9 +90,8 @@
           ? {}
           : { lastError: child.lastError }),
       };
-      const below = child.task as unknown;
-      return below instanceof Supervisor
-        ? [status, ...below.statuses(path)]
+      return child.task instanceof Supervisor
+        ? [status, ...child.task.statuses(path)]
         : [status];
     });
   }
--- a/packages/daemon/src/supervisor_test.ts
+++ b/packages/daemon/src/supervisor_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { type RestartPolicy, Supervisor } from "./supervisor.ts";
-import { Task } from "./task.ts";
+import { type Supervised, Task } from "./task.ts";
 
 type PhoneMessage = { readonly kind: "ring" } | { readonly kind: "break" };
 
@@ -45,7 +45,9 @@
   supervisor.add(phone);
   supervisor.add(other);
   const failures: unknown[] = [];
-  const parent = { failed: (_: Task, err: unknown) => failures.push(err) };
+  const parent = {
+    failed: (_: Supervised, err: unknown) => failures.push(err),
+  };
   return { supervisor, phone, other, failures, parent, log };
 }
 
--- a/packages/daemon/src/task.ts
+++ b/packages/daemon/src/task.ts
@@ -5,10 +5,19 @@
  * @module
  */
 
+/** A task as its supervisor sees it, whatever messages it takes. */
+export interface Supervised {
+  readonly name: string;
+  /** Settles when the task serves. */
+  start(parent: Parent): Promise<void>;
+  /** Ends the task and everything it owns. */
+  stop(): Promise<void>;
+}
+
 /** What a task tells its supervisor. */
 export interface Parent {
   /** The task cannot go on; called at most once for each start. */
-  failed(task: Task, err: unknown): void;
+  failed(task: Supervised, err: unknown): void;
 }
 
 /** Every message is one of a union told apart by `kind`. */
@@ -24,7 +33,7 @@
  * were sent; a message sent while another is handled waits for its end. What
  * `receive` throws fails the task, never the sender.
  */
-export abstract class Task<M extends Message = Message> {
+export abstract class Task<M extends Message = Message> implements Supervised {
   readonly name: string;
   #parent: Parent | undefined;
   #running = false;
