daemon: let "not run" speak of one sending, and say what is not known of earlier ones

With the table away a keyed request was refused with outcome unknown, so that callers could not tell an outage from a lost booking. The refusal is true of this sending; whether an earlier one ran is said beside it.

--- a/packages/daemon/src/http/caller_listener.ts
+++ b/packages/daemon/src/http/caller_listener.ts
@@ -234,15 +234,16 @@
       });
       return;
     }
+    const outcome = "not-run";
     // Without a route nobody can tell what an earlier sending of a key came to.
-    const outcome = head.key === undefined ? "not-run" : "unknown";
+    const earlierUnknown = head.key !== undefined;
     const view = routing();
     if (view === undefined) {
       this.#refuse(res, {
         reason: "not-ready",
         message: "no configuration is in force here yet",
         outcome,
-        sendingNotRun: true,
+        earlierUnknown,
         retryAfterMs: RETRY_NOT_READY_MS,
         closes: true,
       });
@@ -257,7 +258,7 @@
           ? match.reason
           : "no route takes this method and path",
         outcome,
-        sendingNotRun: true,
+        earlierUnknown,
         closes: head.chunked || head.contentLength > 0,
       });
       return;
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -270,6 +270,7 @@
     reason: RefusalReason,
     details: Pick<Refusal, "message" | "retryAfterMs" | "closes"> & {
       outcome?: RequestOutcome;
+      earlierUnknown?: boolean;
     },
   ): void {
     if (this.#phase === "done") {
@@ -280,11 +281,10 @@
       return;
     }
     if (this.#phase !== "detached") {
-      const sendingNotRun = !this.#mayHaveRun;
       sendRefusal(this.#res, {
         reason,
-        outcome: this.#outcome(),
-        sendingNotRun,
+        outcome: this.#mayHaveRun ? "unknown" : "not-run",
+        earlierUnknown: this.keyed && this.#claim === undefined,
         closes: this.receiving,
         ...details,
       }, this.id);
@@ -402,15 +402,6 @@
     this.#settleIfOver();
   }
 
-  /** What may be said of the request as a whole. */
-  #outcome(): RequestOutcome {
-    if (this.#mayHaveRun) {
-      return "unknown";
-    }
-    // Without the claim, nothing is known of earlier sendings of the key.
-    return this.keyed && this.#claim === undefined ? "unknown" : "not-run";
-  }
-
   #steer(event: SteeringEvent): void {
     this.#services.steer(event, this);
   }
--- a/packages/daemon/src/http/keyed_claims.ts
+++ b/packages/daemon/src/http/keyed_claims.ts
@@ -38,6 +38,7 @@
     readonly reason: RefusalReason;
     readonly message: string;
     readonly outcome: RequestOutcome;
+    readonly earlierUnknown: boolean;
     readonly retryAfterMs?: number;
   };
 
@@ -125,6 +126,7 @@
         message:
           `it ran before, with status ${refusal.status}; its answer was too large to keep`,
         outcome: "ran",
+        earlierUnknown: false,
       };
     case "key-reused":
       return {
@@ -132,6 +134,7 @@
         reason: "key-reused",
         message: "the idempotency key was used for another request",
         outcome: "not-run",
+        earlierUnknown: false,
       };
     case "unknown":
       return {
@@ -139,6 +142,7 @@
         reason: "outcome-unknown",
         message: "an earlier sending of it may have run",
         outcome: "unknown",
+        earlierUnknown: true,
         ...later,
       };
     case "running":
@@ -147,6 +151,7 @@
         reason: "still-running",
         message: "an earlier sending of it still runs",
         outcome: "unknown",
+        earlierUnknown: true,
         ...later,
       };
     case "not-run":
@@ -154,7 +159,8 @@
         kind: "refused",
         reason: "claim-refused",
         message: "the table that keeps such requests single is out of reach",
-        outcome: refusal.proof === "key" ? "not-run" : "unknown",
+        outcome: "not-run",
+        earlierUnknown: refusal.proof === "this-sending",
         ...later,
       };
   }
--- a/packages/daemon/src/http/names.ts
+++ b/packages/daemon/src/http/names.ts
@@ -13,10 +13,10 @@
 export const REQUEST_ID_HEADER = "poplarthread-request-id";
 /** Entry VMs that the request has passed. */
 export const HOPS_HEADER = "poplarthread-hops";
-/** On a refusal: `not-run` or `ran` only where that is true, `unknown` otherwise. */
+/** On a refusal: what became of this sending; `not-run` or `ran` only where that is true. */
 export const OUTCOME_HEADER = "poplarthread-outcome";
-/** On a refusal: `not-run` where this sending did not run, whatever earlier ones did. */
-export const SENDING_HEADER = "poplarthread-sending";
+/** On a refusal: `unknown` where an earlier sending of the same key may have run. */
+export const EARLIER_HEADER = "poplarthread-earlier";
 /** On an answer that was kept from an earlier sending of a keyed request. */
 export const REPLAYED_HEADER = "poplarthread-replayed";
 /** From a target that refused before running. */
--- a/packages/daemon/src/http/refusal.ts
+++ b/packages/daemon/src/http/refusal.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import type { RequestId } from "@poplarthread/ids";
-import { OUTCOME_HEADER, REQUEST_ID_HEADER, SENDING_HEADER } from "./names.ts";
+import { EARLIER_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER } from "./names.ts";
 
 /** Why a request got no target's answer. */
 export type RefusalReason =
@@ -57,9 +57,9 @@
 };
 
 /**
- * What is known of the request. `not-run` and `ran` are said only where they
- * are true of every sending of it; a keyed request may have been sent before,
- * by way of another VM.
+ * What became of this sending of the request. `not-run`: it reached no target,
+ * or the target said that it refused before running, and it never will run.
+ * `ran`: an earlier sending of the key ran, to its end.
  */
 export type RequestOutcome = "not-run" | "ran" | "unknown";
 
@@ -69,8 +69,8 @@
   /** For people. */
   readonly message: string;
   readonly outcome: RequestOutcome;
-  /** This sending reached no target, whatever became of earlier ones. */
-  readonly sendingNotRun?: boolean;
+  /** The request is keyed, and earlier sendings of the key could not be asked about. */
+  readonly earlierUnknown?: boolean;
   /** When to come back, in milliseconds; absent where that would not help. */
   readonly retryAfterMs?: number;
   /** Ends the caller's connection, since the rest of its body is not read. */
@@ -87,7 +87,7 @@
     reason: refusal.reason,
     message: refusal.message,
     outcome: refusal.outcome,
-    sending: refusal.sendingNotRun ? "not-run" : undefined,
+    earlier: refusal.earlierUnknown ? "unknown" : undefined,
     retryAfterMs: refusal.retryAfterMs,
     request,
   }));
@@ -99,8 +99,8 @@
     OUTCOME_HEADER,
     refusal.outcome,
   ];
-  if (refusal.sendingNotRun) {
-    lines.push(SENDING_HEADER, "not-run");
+  if (refusal.earlierUnknown) {
+    lines.push(EARLIER_HEADER, "unknown");
   }
   if (refusal.retryAfterMs !== undefined) {
     const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000));
