Hold, lend and move slots without ever holding one twice

Owners are fixed by a plan, instance by instance: a restarted VM owns nothing until a plan names it, so there is nothing to remember and nothing to forget wrongly. A lender lowers its count before the grant leaves it; a borrower counts from when it asked. A move lowers first; the raise waits for every earlier owner, or for one silent owner's term.

Answers count from their own question.

A late repeat of a grant is ignored: the lender may have taken the loan back and given it anew with fewer slots since.

--- a/packages/coordination/src/escrow/escrow.ts
+++ b/packages/coordination/src/escrow/escrow.ts
@@ -6,6 +6,15 @@
 
 import type { InstanceId } from "@poplarthread/ids";
 import type { Sender } from "../membership/messages.ts";
+import {
+  heldOf,
+  loansOf,
+  ownOf,
+  takeGrant,
+  takeRefusal,
+  tendLoans,
+} from "./borrowing.ts";
+import { answerBorrow, takeBackExpired, takeReturn } from "./lending.ts";
 import type {
   EscrowEffect,
   EscrowMessage,
@@ -13,11 +22,38 @@
   PoolId,
   SlotUse,
 } from "./messages.ts";
-import { sharesOf } from "./shares.ts";
+import {
+  adoptPlan,
+  announceLowered,
+  answerRenewal,
+  extendTerm,
+  renewTerm,
+  settle,
+  takeLowered,
+  takeRenewal,
+} from "./ownership.ts";
+import { DEFAULT_RULES, type EscrowRules } from "./rules.ts";
+import {
+  type Context,
+  entriesOf,
+  type EscrowState,
+  type EscrowTimes,
+  initialState,
+} from "./state.ts";
 
-/** Who this VM is. */
+/** Durations for requests with deadlines up to 30 s. */
+export const DEFAULT_TIMES: EscrowTimes = {
+  termMs: 60_000,
+  loanMs: 10_000,
+  retryMs: 300,
+};
+
+/** Who this VM is, and how long things last. */
 export interface EscrowOptions {
   readonly self: Sender;
+  readonly times?: EscrowTimes;
+  /** Only a model that breaks a rule sets this. */
+  readonly rules?: EscrowRules;
 }
 
 /** What a request asks of a slot. */
@@ -26,69 +62,199 @@
   readonly durationMs: number;
 }
 
-/** Holds this VM's slots. Call {@link tick} every 100 ms or so. */
+/**
+ * Holds this VM's slots. Call {@link tick} every 100 ms or so. Each method that
+ * changes something returns what to send and what changed.
+ */
 export class Escrow {
-  readonly #self: Sender;
-  readonly #used = new Map<PoolId, number>();
-  readonly #shares = new Map<PoolId, number>();
+  readonly #options: Required<EscrowOptions>;
+  readonly #state: EscrowState;
+
+  /** `state` continues a copied core; a daemon that starts passes none and so forgets safely. */
+  constructor(options: EscrowOptions, state: EscrowState = initialState()) {
+    this.#options = { times: DEFAULT_TIMES, rules: DEFAULT_RULES, ...options };
+    this.#state = state;
+  }
+
+  /** The plan that this VM goes by. */
+  get plan(): EscrowPlan | undefined {
+    return this.#state.plan;
+  }
 
-  constructor(options: EscrowOptions) {
-    this.#self = options.self;
+  /** Whether every earlier owner is known to hold no more than its share of this plan. */
+  get settled(): boolean {
+    return this.#state.raised;
   }
 
   /** Takes in a plan; an older or equal epoch is ignored. */
-  adopt(plan: EscrowPlan, _now: number): readonly EscrowEffect[] {
-    const effects: EscrowEffect[] = [];
-    for (const pool of plan.pools) {
-      const held = sharesOf(pool, plan.owners).get(this.#self.instance) ?? 0;
-      this.#shares.set(pool.pool, held);
-      effects.push({ kind: "changed", pool: pool.pool, held });
-    }
-    return effects;
+  adopt(plan: EscrowPlan, now: number): readonly EscrowEffect[] {
+    return this.#step(now, (ctx) => adoptPlan(ctx, plan));
+  }
+
+  /**
+   * The table was read and `epoch` was the newest there. `askedAt` is when the
+   * read was sent, on this VM's clock: a plan written since then is not seen.
+   */
+  confirmCurrent(
+    epoch: number,
+    { askedAt, now }: { askedAt: number; now: number },
+  ): readonly EscrowEffect[] {
+    return this.#step(now, (ctx) => {
+      if (epoch === ctx.state.plan?.epoch) {
+        extendTerm(ctx, askedAt);
+      }
+    });
   }
 
   /** Takes in a message of a peer. */
-  receive(_message: EscrowMessage, _now: number): readonly EscrowEffect[] {
-    return [];
+  receive(message: EscrowMessage, now: number): readonly EscrowEffect[] {
+    return this.#step(now, (ctx) => receive(ctx, message));
   }
 
   /** Lets time pass. */
-  tick(_now: number): readonly EscrowEffect[] {
-    return [];
+  tick(now: number): readonly EscrowEffect[] {
+    return this.#step(now, (ctx) => {
+      renewTerm(ctx);
+      announceLowered(ctx);
+      tendLoans(ctx);
+    });
   }
 
   /** Asks for loans until this VM holds `slots` of a pool; 0 ends the wish. */
-  want(_pool: PoolId, _slots: number, _now: number): readonly EscrowEffect[] {
-    return [];
+  want(pool: PoolId, slots: number, now: number): readonly EscrowEffect[] {
+    return this.#step(now, (ctx) => {
+      const entry = ctx.state.pools[pool];
+      if (entry !== undefined) {
+        entry.wanted = slots;
+        tendLoans(ctx);
+      }
+    });
   }
 
-  /** The platform says that an instance is gone: it holds nothing any more. */
-  gone(_instance: InstanceId, _now: number): readonly EscrowEffect[] {
-    return [];
+  /**
+   * The platform says that an instance is gone, and was for longer than any
+   * request's deadline: it holds nothing any more.
+   */
+  gone(instance: InstanceId, now: number): readonly EscrowEffect[] {
+    return this.#step(now, ({ state }) => {
+      if (!state.gone.includes(instance)) {
+        state.gone.push(instance);
+      }
+    });
   }
 
   /** Slots of a pool that this VM may use, in use or not. */
-  held(pool: PoolId, _now: number): number {
-    return this.#shares.get(pool) ?? 0;
+  held(pool: PoolId, now: number): number {
+    return heldOf(this.#context(now), pool);
   }
 
   /** Slots of a pool that are free for a request of `need`. */
-  free(pool: PoolId, _need: SlotNeed, now: number): number {
-    return this.held(pool, now) - (this.#used.get(pool) ?? 0);
+  free(pool: PoolId, need: SlotNeed, now: number): number {
+    const ctx = this.#context(now);
+    const endsAt = now + need.durationMs;
+    const loans = loansOf(ctx, pool)
+      .filter(([, loan]) => endsAt < loan.stopsAt)
+      .reduce((sum, [, loan]) => sum + loan.slots - loan.used, 0);
+    return loans + freeOwn(ctx, pool, endsAt);
   }
 
-  /** Takes a slot for one request; undefined when none is free for that long. */
+  /**
+   * Takes a slot for one request; undefined when none is free for that long. A
+   * request never outlives the right to its slot: it would still run on the
+   * target while the slot is someone else's.
+   */
   acquire(pool: PoolId, need: SlotNeed, now: number): SlotUse | undefined {
-    if (this.free(pool, need, now) <= 0) {
-      return undefined;
+    const ctx = this.#context(now);
+    const endsAt = now + need.durationMs;
+    if (freeOwn(ctx, pool, endsAt) > 0) {
+      ctx.state.pools[pool]!.used += 1;
+      return { pool, loan: undefined };
+    }
+    for (const [id, loan] of loansOf(ctx, pool)) {
+      if (loan.used < loan.slots && endsAt < loan.stopsAt) {
+        loan.used += 1;
+        return { pool, loan: id };
+      }
     }
-    this.#used.set(pool, (this.#used.get(pool) ?? 0) + 1);
-    return { pool, loan: undefined };
+    return undefined;
   }
 
   /** Gives a slot back. */
-  release(use: SlotUse, _now: number): readonly EscrowEffect[] {
-    this.#used.set(use.pool, this.#used.get(use.pool)! - 1);
-    return [];
+  release(use: SlotUse, now: number): readonly EscrowEffect[] {
+    return this.#step(now, ({ state }) => {
+      if (use.loan === undefined) {
+        state.pools[use.pool]!.used -= 1;
+        return;
+      }
+      const loan = state.borrowed[use.loan];
+      if (loan !== undefined) {
+        loan.used -= 1;
+      }
+    });
+  }
+
+  #context(now: number): Context {
+    return { ...this.#options, state: this.#state, now, effects: [] };
+  }
+
+  #step(now: number, body: (ctx: Context) => void): readonly EscrowEffect[] {
+    const ctx = this.#context(now);
+    const before = heldByPool(ctx);
+    takeBackExpired(ctx);
+    body(ctx);
+    settle(ctx);
+    for (const [pool, held] of heldByPool(ctx)) {
+      if (held !== (before.get(pool) ?? 0)) {
+        ctx.effects.push({ kind: "changed", pool, held });
+      }
+    }
+    return ctx.effects;
+  }
+}
+
+function heldByPool(ctx: Context): ReadonlyMap<PoolId, number> {
+  const pools = entriesOf(ctx.state.pools);
+  return new Map(pools.map(([pool]) => [pool, heldOf(ctx, pool)]));
+}
+
+function freeOwn(ctx: Context, pool: PoolId, endsAt: number): number {
+  if (endsAt >= ctx.state.validUntil) {
+    return 0;
+  }
+  return Math.max(0, ownOf(ctx, pool) - ctx.state.pools[pool]!.used);
+}
+
+function receive(ctx: Context, message: EscrowMessage): void {
+  switch (message.kind) {
+    case "borrow":
+      return answerBorrow(ctx, message);
+    case "grant":
+      return takeGrant(ctx, message);
+    case "refuse":
+      return takeRefusal(ctx, message);
+    case "return":
+      return takeReturn(ctx, message.loan);
+    case "renew":
+      return answerRenewal(ctx, message);
+    case "renewed":
+      return takeRenewal(ctx, message);
+    case "outdated":
+      if (message.epoch > (ctx.state.plan?.epoch ?? 0)) {
+        ctx.effects.push({
+          kind: "outdated",
+          vm: message.from.vm,
+          epoch: message.epoch,
+        });
+      }
+      return;
+    case "lowered":
+      return takeLowered(ctx, message);
+    case "lowered-seen":
+      if (message.epoch === ctx.state.plan?.epoch) {
+        ctx.state.heardLowered.push(message.from.instance);
+      }
+      return;
+    default:
+      message satisfies never;
   }
 }
--- a/packages/coordination/src/escrow/messages.ts
+++ b/packages/coordination/src/escrow/messages.ts
@@ -51,6 +51,8 @@
     readonly kind: "grant";
     readonly from: Sender;
     readonly loan: LoanId;
+    /** At most as many as were asked for. */
+    readonly slots: number;
     readonly attempt: number;
     readonly durationMs: number;
   }
--- a/packages/coordination/src/escrow/mod.ts
+++ b/packages/coordination/src/escrow/mod.ts
@@ -14,5 +14,18 @@
   PoolId,
   SlotUse,
 } from "./messages.ts";
-export { sharesOf } from "./shares.ts";
-export { Escrow, type EscrowOptions, type SlotNeed } from "./escrow.ts";
+export { nextPlan } from "./plan.ts";
+export { DEFAULT_RULES, type EscrowRules, silentOwners } from "./rules.ts";
+export { hash32, sharesOf } from "./shares.ts";
+export {
+  type Context as EscrowContext,
+  type EscrowState,
+  type EscrowTimes,
+  initialState as initialEscrowState,
+} from "./state.ts";
+export {
+  DEFAULT_TIMES as DEFAULT_ESCROW_TIMES,
+  Escrow,
+  type EscrowOptions,
+  type SlotNeed,
+} from "./escrow.ts";
