--- a/packages/coordination/src/dissemination/mod.ts
+++ b/packages/coordination/src/dissemination/mod.ts
@@ -6,7 +6,7 @@
  */
 
 export type {
-  Change,
+  Change as DisseminatedChange,
   DisseminationEffect,
   DisseminationMessage,
   Tree,
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -8,6 +8,10 @@
 export * from "./table.ts";
 export { MemoryTable } from "./memory_table.ts";
 
+export * from "./configuration/mod.ts";
+export * from "./lease/mod.ts";
+export * from "./held_back/mod.ts";
+export * from "./claims/mod.ts";
 export * from "./membership/mod.ts";
 export * from "./escrow/mod.ts";
 export * from "./dissemination/mod.ts";
