--- a/packages/bench/src/decisions/scheme_steering.ts
+++ b/packages/bench/src/decisions/scheme_steering.ts
@@ -142,7 +142,7 @@
       revision: 1,
       vms: this.#vms,
       targets: this.#targets,
-      demand: [],
+      demand: this.#demand(),
       confirmations: this.#confirmations(),
       previous: this.plan,
       previousAgeMs: this.#now - this.#planAt,
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -37,7 +37,8 @@
     readonly region: RegionId;
     readonly slots: number;
     readonly rank: number;
-    readonly waitedMs: number;
+    readonly rankWaitMs: number;
+    readonly waitMs: number;
     /** Counts the questions of this VM. */
     readonly question: number;
   }
--- a/packages/daemon/src/slot_loans.ts
+++ b/packages/daemon/src/slot_loans.ts
@@ -123,7 +123,7 @@
   }
 
   #ask(effect: Ask, now: number): void {
-    const { to, service, region, slots, rank, waitedMs } = effect;
+    const { to, service, region, slots, rank, rankWaitMs, waitMs } = effect;
     this.#questions += 1;
     const question = this.#questions;
     this.#asked.set(question, now);
@@ -137,7 +137,8 @@
       region,
       slots,
       rank,
-      waitedMs,
+      rankWaitMs,
+      waitMs,
       question,
     });
   }
@@ -199,7 +200,8 @@
   #hear(from: PeerId, message: SlotMessage, now: number): void {
     switch (message.kind) {
       case "ask": {
-        const { service, region, slots, rank, waitedMs, question } = message;
+        const { service, region, slots, rank, rankWaitMs, waitMs, question } =
+          message;
         const key = `${from.vm} ${service} ${region}`;
         this.#heard.set(key, { number: question, heardAt: now });
         this.#options.steer({
@@ -209,7 +211,8 @@
           region,
           slots,
           rank,
-          waitedMs,
+          rankWaitMs,
+          waitMs,
         });
         return;
       }
