--- a/packages/bench/src/decisions/scheme_steering.ts
+++ b/packages/bench/src/decisions/scheme_steering.ts
@@ -118,6 +118,10 @@
     this.#tellAll(event);
   }
 
+  _nodes() {
+    return [...this.#nodes.values()].map((n) => n.steering);
+  }
+
   get #now(): number {
     return this.#world.loop.now;
   }
