Model the versioned configuration; say not-accepted only of a first sending

The model showed a fault: an operator's VM dies with the transaction on its way, the operator asks again under the same operation id, the second call expires after its read and says not-accepted, and then the first transaction lands. Trace: take-effect op0, answer op0, take-effect op0, ask-again op0, expire op0. Only the operator's side knows whether anything was sent before, so ChangeOrigin.firstSending says it, and without it the answer is unknown.

The condition on the operation's row is gone: the model found no state that differs without it, since every change moves the in-force row on.

--- a/packages/coordination/src/configuration/acceptance.ts
+++ b/packages/coordination/src/configuration/acceptance.ts
@@ -2,8 +2,7 @@
  * The decision core of accepting one change: which call to the table comes
  * next, and what the answers mean.
  *
- * All conditions of the transaction are on rows whose version only grows. That
- * is why sending the very same transaction again after a lost answer is safe:
+ * The transaction's condition is on a row whose version only grows. That is why sending the very same transaction again after a lost answer is safe:
  * it commits, or finds the operation's own row, or finds that the revision
  * moved on and then it can never commit any more.
  *
@@ -60,7 +59,7 @@
   readonly origin: ChangeOrigin;
   readonly changeDigest: string;
   readonly at: string;
-  /** Whether a transaction was sent whose answer never came. */
+  /** Whether a transaction of this operation may have been sent whose answer never came. */
   readonly mayBeWritten: boolean;
   readonly step: AcceptStep<Value>;
 }
@@ -79,7 +78,10 @@
   origin: ChangeOrigin,
   options: AcceptanceOptions,
 ): Acceptance<Value> {
-  const state = { change, origin, ...options, mayBeWritten: false };
+  // An earlier sending under this id may still be on its way to the table. Only
+  // the very first one may ever say that nothing was, nor will be, written.
+  const mayBeWritten = origin.firstSending !== true;
+  const state = { change, origin, ...options, mayBeWritten };
   return { ...state, step: readStep(origin) };
 }
 
@@ -170,14 +172,13 @@
   }
   return {
     kind: "transact",
-    transaction: acceptTransaction(state, inForceRow, operationRow),
+    transaction: acceptTransaction(state, inForceRow),
   };
 }
 
 function acceptTransaction<Value extends Json>(
   state: Acceptance<Value>,
   inForceRow: Row,
-  operationRow: Row,
 ): Transaction {
   const { change, origin } = state;
   const revision = nextRevision(state);
@@ -201,13 +202,12 @@
     changeDigest: state.changeDigest,
   };
   return {
-    conditions: [
-      { key: IN_FORCE_KEY, version: inForceRow.version },
-      { key: operationRow.key, version: ABSENT },
-    ],
+    // Each accepted change moves this row on, so the one condition keeps out
+    // other changes and an earlier sending of this one alike.
+    conditions: [{ key: IN_FORCE_KEY, version: inForceRow.version }],
     writes: [
       { key: IN_FORCE_KEY, value: inForce as unknown as Json },
-      { key: operationRow.key, value: operation as unknown as Json },
+      { key: operationKey(operationId), value: operation as unknown as Json },
       { key: auditKey(revision), value: entry as unknown as Json },
       ...change.rows ?? [],
     ],
--- a/packages/coordination/src/configuration/in_force.ts
+++ b/packages/coordination/src/configuration/in_force.ts
@@ -37,6 +37,11 @@
   readonly seenRevision: number;
   /** A retry of the same change carries the same id. */
   readonly operationId: OperationId;
+  /**
+   * True only if nothing was ever sent under this operation id before. Without
+   * it an outage is answered "unknown", never "not-accepted".
+   */
+  readonly firstSending?: boolean;
   readonly who: string;
   readonly why: string;
 }
--- /dev/null
+++ b/packages/model/src/configuration_model.ts
@@ -0,0 +1,351 @@
+/**
+ * The model of the versioned configuration: operators race over the table, each
+ * through a VM that may die and be asked again, while VMs follow.
+ *
+ * @module
+ */
+
+import type {
+  acceptance,
+  followerCore,
+} from "@poplarthread/coordination/cores";
+import type { InForce } from "@poplarthread/coordination";
+import { id, type OperationId } from "@poplarthread/ids";
+import type { Model } from "./explore.ts";
+import { rowAt } from "./table_model.ts";
+import {
+  applyTableEvent,
+  type Delivery,
+  isTableEvent,
+  newWorld,
+  orphan,
+  send,
+  type TableEvent,
+  tableEvents,
+  type TableWorld,
+} from "./table_world.ts";
+
+/** The cores under test: the production ones, or mutants of them. */
+export type AcceptanceCore = typeof acceptance;
+/** The follower's core under test. */
+export type FollowerCore = typeof followerCore;
+
+/** What bounds the model. */
+export interface ConfigurationBounds {
+  readonly operators: number;
+  /** Times that an operator asks again under the same operation id, after a crash or an outcome. */
+  readonly retries: number;
+  readonly losses: number;
+  readonly followers: number;
+  /** Polls of all followers together. */
+  readonly polls: number;
+}
+
+type Value = string;
+type Outcome = acceptance.AcceptOutcome<Value>;
+
+interface Operator {
+  readonly operationId: OperationId;
+  readonly core: acceptance.Acceptance<Value>;
+  readonly told: Outcome | null;
+  readonly retries: number;
+}
+
+interface Follower {
+  readonly core: followerCore.FollowerState<Value>;
+  /** The highest revision that it ever ran. */
+  readonly highest: number;
+}
+
+/** A state of the model. */
+export interface ConfigurationState {
+  readonly world: TableWorld;
+  readonly operators: readonly Operator[];
+  readonly followers: readonly Follower[];
+  readonly polls: number;
+  /** Every value that a follower ever ran may be pushed, any number of times and late. */
+  readonly pushed: readonly InForce<Value>[];
+}
+
+/** A step of the model. */
+export type ConfigurationEvent =
+  | TableEvent
+  | { readonly type: "expire"; readonly operator: number }
+  | { readonly type: "ask-again"; readonly operator: number }
+  | { readonly type: "poll"; readonly follower: number }
+  | {
+    readonly type: "push";
+    readonly follower: number;
+    readonly revision: number;
+    readonly operationId: OperationId;
+  };
+
+/** Fixed: the model is not about times. */
+const AT = "at";
+
+/** Builds the model around the cores. */
+export function configurationModel(
+  bounds: ConfigurationBounds,
+  core: AcceptanceCore,
+  follower: FollowerCore,
+): Model<ConfigurationState, ConfigurationEvent> {
+  function start(
+    operationId: OperationId,
+    seenRevision: number,
+    firstSending: boolean,
+  ) {
+    return core.startAcceptance<Value>(
+      { value: `value of ${operationId}` },
+      { seenRevision, operationId, firstSending, who: operationId, why: "" },
+      { changeDigest: operationId, at: AT },
+    );
+  }
+
+  function withCall(
+    state: ConfigurationState,
+    index: number,
+  ): ConfigurationState {
+    const { step } = state.operators[index]!.core;
+    return step.kind === "done" ? state : {
+      ...state,
+      world: send(state.world, `operator-${index}`, step),
+    };
+  }
+
+  function withOperator(
+    state: ConfigurationState,
+    index: number,
+    operator: Operator,
+  ): ConfigurationState {
+    const operators = state.operators.with(index, operator);
+    return withCall({ ...state, operators }, index);
+  }
+
+  function advance(
+    state: ConfigurationState,
+    index: number,
+    event: acceptance.AcceptEvent,
+  ): ConfigurationState {
+    const operator = state.operators[index]!;
+    const after = core.advanceAcceptance(operator.core, event);
+    const told = after.step.kind === "done" ? after.step.outcome : null;
+    return withOperator(state, index, { ...operator, core: after, told });
+  }
+
+  function follow(
+    state: ConfigurationState,
+    index: number,
+    event: followerCore.FollowerEvent<Value>,
+  ): ConfigurationState {
+    const before = state.followers[index]!;
+    const result = follower.advanceFollower(before.core, event, 0);
+    const revision = result.state.inForce?.revision ?? 0;
+    const highest = Math.max(before.highest, revision);
+    const followers = state.followers.with(index, {
+      core: result.state,
+      highest,
+    });
+    const adopted = result.effects
+      .filter((effect) => effect.kind === "adopt")
+      .map((effect) => effect.inForce)
+      .filter((value) =>
+        !state.pushed.some((known) =>
+          known.revision === value.revision &&
+          known.operationId === value.operationId
+        )
+      );
+    return { ...state, followers, pushed: [...state.pushed, ...adopted] };
+  }
+
+  function deliver(
+    state: ConfigurationState,
+    { process, outcome }: Delivery,
+  ): ConfigurationState {
+    const [kind, number] = process.split("-") as [string, string];
+    const index = Number(number);
+    if (kind === "operator") {
+      return advance(state, index, outcome);
+    }
+    if (outcome.kind !== "rows") {
+      return state;
+    }
+    const value = outcome.rows[0]!.value as unknown as InForce<Value> | null;
+    const inForce = value ?? undefined;
+    return follow(state, index, { kind: "table", inForce, startedAt: 0 });
+  }
+
+  function askAgain(
+    state: ConfigurationState,
+    index: number,
+  ): ConfigurationState {
+    const operator = state.operators[index]!;
+    const world = orphan(state.world, `operator-${index}`);
+    return withOperator({ ...state, world }, index, {
+      ...operator,
+      core: start(operator.operationId, revisionIn(state), false),
+      told: null,
+      retries: operator.retries - 1,
+    });
+  }
+
+  function next(
+    state: ConfigurationState,
+    event: ConfigurationEvent,
+  ): ConfigurationState {
+    if (isTableEvent(event)) {
+      const { world, delivery } = applyTableEvent(state.world, event);
+      const after = { ...state, world };
+      return delivery === undefined ? after : deliver(after, delivery);
+    }
+    switch (event.type) {
+      case "expire":
+        return advance(state, event.operator, { kind: "expired" });
+      case "ask-again":
+        return askAgain(state, event.operator);
+      case "poll": {
+        const call = { kind: "read", keys: ["config/in-force"] } as const;
+        const world = send(state.world, `follower-${event.follower}`, call);
+        return { ...state, world, polls: state.polls - 1 };
+      }
+      case "push": {
+        const inForce = state.pushed.find((value) =>
+          value.revision === event.revision &&
+          value.operationId === event.operationId
+        )!;
+        const push = { kind: "peer", inForce, ageMs: 0 } as const;
+        return follow(state, event.follower, push);
+      }
+    }
+  }
+
+  const ids = Array.from(
+    { length: bounds.operators },
+    (_, index) => id<OperationId>(`op${index}`),
+  );
+  const operators = ids.map((operationId): Operator => ({
+    operationId,
+    core: start(operationId, 0, true),
+    told: null,
+    retries: bounds.retries,
+  }));
+  const initial = operators.reduce<ConfigurationState>(
+    (state, _, index) => withCall(state, index),
+    {
+      world: newWorld(bounds.losses),
+      operators,
+      followers: Array.from({ length: bounds.followers }, () => ({
+        // JSON has no -Infinity; the age plays no part here.
+        core: { ...follower.newFollower<Value>(), currentAt: 0 },
+        highest: 0,
+      })),
+      polls: bounds.polls,
+      pushed: [],
+    },
+  );
+
+  return {
+    name: "configuration",
+    bounds: { ...bounds },
+    initial,
+    events: eventsOf,
+    next,
+    properties: PROPERTIES,
+  };
+}
+
+function revisionIn(state: ConfigurationState): number {
+  const value = rowAt(state.world.rows, "config/in-force").value;
+  return (value as unknown as InForce<Value> | null)?.revision ?? 0;
+}
+
+function eventsOf(state: ConfigurationState): readonly ConfigurationEvent[] {
+  const events: ConfigurationEvent[] = [...tableEvents(state.world)];
+  state.operators.forEach((operator, index) => {
+    const isDone = operator.core.step.kind === "done";
+    // The task expires between two calls only: before the next one is sent.
+    const call = state.world.calls[`operator-${index}`];
+    if (!isDone && call?.answer === undefined && call?.call.kind === "read") {
+      events.push({ type: "expire", operator: index });
+    }
+    if (operator.retries > 0) {
+      events.push({ type: "ask-again", operator: index });
+    }
+  });
+  state.followers.forEach((follower, index) => {
+    const polls = `follower-${index}` in state.world.calls;
+    if (state.polls > 0 && !polls) {
+      events.push({ type: "poll", follower: index });
+    }
+    for (const { revision, operationId } of state.pushed) {
+      if (follower.core.inForce?.operationId !== operationId) {
+        events.push({ type: "push", follower: index, revision, operationId });
+      }
+    }
+  });
+  return events;
+}
+
+function auditOf(
+  state: ConfigurationState,
+  revision: number,
+): { readonly operationId: OperationId } | null {
+  const key = `audit/${String(revision).padStart(12, "0")}`;
+  return rowAt(state.world.rows, key).value as unknown as {
+    operationId: OperationId;
+  };
+}
+
+function acceptedTimes(
+  state: ConfigurationState,
+  operationId: OperationId,
+): number {
+  const rows = Object.entries(state.world.rows);
+  return rows.filter(([key, row]) =>
+    key.startsWith("audit/") &&
+    (row.value as unknown as { operationId: OperationId }).operationId ===
+      operationId
+  ).length;
+}
+
+const PROPERTIES: Model<ConfigurationState, ConfigurationEvent>["properties"] =
+  {
+    "each revision has the audit row of the change that made it": (state) => {
+      const { rows } = state.world;
+      const inForce = rowAt(rows, "config/in-force");
+      const revision = revisionIn(state);
+      const operationId =
+        (inForce.value as { operationId?: OperationId } | null)
+          ?.operationId;
+      // One write of the row for each revision: none was made twice.
+      return inForce.version === revision &&
+        auditOf(state, revision)?.operationId === operationId;
+    },
+    "an operation is accepted once at most": (state) =>
+      state.operators.every(({ operationId }) =>
+        acceptedTimes(state, operationId) <= 1
+      ),
+    "who is told accepted was accepted, as that revision": (state) =>
+      state.operators.every(({ told, operationId }) =>
+        told?.kind !== "accepted" ||
+        auditOf(state, told.revision)?.operationId === operationId
+      ),
+    "who is told not accepted or superseded never is": (state) =>
+      state.operators.every(({ told, operationId }) =>
+        (told?.kind !== "not-accepted" && told?.kind !== "superseded") ||
+        acceptedTimes(state, operationId) === 0
+      ),
+    "the loser is told who won": (state) =>
+      state.operators.every(({ told }) =>
+        told?.kind !== "superseded" || told.winner !== undefined
+      ),
+    "no follower goes back": (state) =>
+      state.followers.every(({ core, highest }) =>
+        (core.inForce?.revision ?? 0) === highest
+      ),
+    "a follower runs only what was accepted": (state) =>
+      state.followers.every(({ core }) =>
+        core.inForce === undefined ||
+        auditOf(state, core.inForce.revision)?.operationId ===
+          core.inForce.operationId
+      ),
+  };
--- /dev/null
+++ b/packages/model/src/core_path.ts
@@ -0,0 +1,13 @@
+/**
+ * Where the cores' sources are, for mutation.
+ *
+ * @module
+ */
+
+import { fileURLToPath } from "node:url";
+
+/** Path of a source file of the coordination package, for example `lease/lease_core.ts`. */
+export function corePath(file: string): string {
+  const sources = new URL("../../coordination/src/", import.meta.url);
+  return fileURLToPath(new URL(file, sources));
+}
--- a/packages/model/src/explore.ts
+++ b/packages/model/src/explore.ts
@@ -10,6 +10,7 @@
 
 import { fromTransition } from "xstate";
 import { getAdjacencyMap } from "xstate/graph";
+import { Interner } from "./interner.ts";
 
 /** A step of a model, named so that a trace can be read. */
 export interface ModelEvent {
@@ -46,7 +47,7 @@
 }
 
 /** More than any model here needs; one that outgrows it fails instead of running for hours. */
-const MAX_TRANSITIONS = 3_000_000;
+const MAX_STATES = 2_000_000;
 
 /** Where a state was first reached from. */
 interface Origin<Event> {
@@ -56,29 +57,25 @@
 
 /**
  * Explores every state of the model, breadth first, and stops at the first
- * violation. Throws when the model outgrows the limit.
+ * violation of the properties named by `only`. Throws when the model outgrows
+ * the limit.
  */
 export function explore<State extends object, Event extends ModelEvent>(
   model: Model<State, Event>,
+  only: readonly string[] = Object.keys(model.properties),
 ): Exploration<State, Event> {
-  const keys = new WeakMap<object, string>();
-  const origins = new Map<string, Origin<Event>>();
-  const properties = Object.entries(model.properties);
+  const interner = new Interner();
+  const properties = only.map((name) => propertyOf(model, name));
+  const root = interner.nameOf(model.initial);
+  const origins = new Map<string, Origin<Event> | undefined>();
+  origins.set(root, undefined);
+  let latest = model.initial;
+  let transitions = 0;
   let violation: Violation<State, Event> | undefined;
 
-  function keyOf(state: State): string {
-    const known = keys.get(state);
-    if (known !== undefined) {
-      return known;
-    }
-    const key = JSON.stringify(state);
-    keys.set(state, key);
-    return key;
-  }
-
-  function traceTo(state: State): Event[] {
+  function traceTo(name: string): Event[] {
     const trace: Event[] = [];
-    let origin = origins.get(keyOf(state));
+    let origin = origins.get(name);
     while (origin !== undefined) {
       trace.unshift(origin.event);
       origin = origins.get(origin.from);
@@ -87,49 +84,56 @@
   }
 
   function check(state: State): void {
-    const broken = properties.find(([, holds]) => !holds(state));
+    const broken = properties.find(({ holds }) => !holds(state));
     if (broken !== undefined) {
-      violation = { property: broken[0], trace: traceTo(state), state };
+      const trace = traceTo(interner.nameOf(state));
+      violation = { property: broken.name, trace, state };
     }
   }
 
-  function nextEvents(state: State): readonly Event[] {
+  /** Whether the event leads to a state that was not reached before. */
+  function isNew(from: State, event: Event): boolean {
+    transitions += 1;
+    latest = model.next(from, event);
+    const name = interner.nameOf(latest);
+    if (origins.has(name)) {
+      return false;
+    }
+    origins.set(name, { event, from: interner.nameOf(from) });
     if (violation === undefined) {
-      check(state);
+      check(latest);
     }
-    return violation === undefined ? model.events(state) : [];
+    return true;
   }
 
+  check(model.initial);
+  // The filter goes over each transition once and lets through those that reach
+  // a new state; the library's queue holds every transition that it is given,
+  // and most of its time went into shifting those that led nowhere new.
   const logic = fromTransition(
-    (state: State, event: Event) => model.next(state, event),
+    (_state: State, _event: Event) => latest,
     model.initial,
   );
-  const map = getAdjacencyMap(logic, {
-    limit: MAX_TRANSITIONS,
-    events: (snapshot) => nextEvents(snapshot.context),
-    serializeEvent: JSON.stringify,
-    serializeState: (snapshot, event, before) => {
-      const key = keyOf(snapshot.context);
-      if (event !== undefined && before !== undefined && !origins.has(key)) {
-        const from = keyOf(before.context);
-        if (key !== keyOf(model.initial)) {
-          origins.set(key, { event, from });
-        }
-      }
-      return key;
-    },
+  getAdjacencyMap(logic, {
+    limit: MAX_STATES,
+    events: ({ context }) =>
+      violation === undefined ? model.events(context) : [],
+    filterEvents: ({ context }, event) => isNew(context, event),
+    serializeEvent: (event) => interner.nameOf(event),
+    serializeState: ({ context }) => interner.nameOf(context),
   });
-  const found = Object.values(map);
-  const transitions = found.reduce(
-    (sum, { transitions }) => sum + Object.keys(transitions).length,
-    0,
-  );
   const { name, bounds } = model;
-  return {
-    model: name,
-    bounds,
-    states: found.length,
-    transitions,
-    violation,
-  };
+  const states = origins.size;
+  return { model: name, bounds, states, transitions, violation };
+}
+
+function propertyOf<State extends object, Event extends ModelEvent>(
+  model: Model<State, Event>,
+  name: string,
+): { readonly name: string; readonly holds: (state: State) => boolean } {
+  const holds = model.properties[name];
+  if (holds === undefined) {
+    throw new Error(`Cannot check ${model.name}: no property "${name}"`);
+  }
+  return { name, holds };
 }
