--- a/packages/decisions/src/exchange.ts
+++ b/packages/decisions/src/exchange.ts
@@ -108,13 +108,29 @@
   const afar = !vm.neighbours.includes(ask.from);
   const mostFail = mostLookDead(service);
   const target = lending.slotFor(service, ask, { afar, mostFail, now });
-  if (target === undefined) return false;
-  lending.handOver(target, ask.from, out);
+  if (target !== undefined) lending.handOver(target, ask.from, out);
+  else if (afar || !returnForPeer(service, out)) return false;
+  else {
+    lending.granted(service, ask);
+    return true;
+  }
   service.changeHeld(target, -1);
   lending.granted(service, ask);
   return true;
 }
 
+/** A borrowed slot can't be lent on. Given back, its owner lends it to the peer
+ * that waits; kept, it idled beside waiting peers until it was due (two thirds
+ * of a slot a region in bench: sales of Kinolenta). */
+function returnForPeer(service: ServiceState, out: Effect[]): boolean {
+  if (service.waiting > 0) return false;
+  const target = lending.idleBorrowed(service);
+  if (target === undefined) return false;
+  lending.giveBackOne(target, out);
+  service.changeHeld(target, -1);
+  return true;
+}
+
 function askNeighbours(
   vm: VmState,
   service: ServiceState,
@@ -153,7 +169,7 @@
   askedAfar.slots = 0;
   for (const link of vm.links.values()) {
     if (vm.lost.has(link.to)) continue;
-    const slots = wantedAfar(service, link);
+    const slots = wantedAfar(service, link, ctx.now);
     const peer = pick(vm.afar.get(link.to), ctx.now);
     if (slots === 0 || peer === undefined) continue;
     askedAfar.slots = slots;
--- a/packages/decisions/src/lending.ts
+++ b/packages/decisions/src/lending.ts
@@ -147,14 +147,9 @@
   return target.loans.some((loan) => loan.from === to && loan.slots > 0);
 }
 
-/** A free borrowed slot whose lender, or anyone, could use it now. */
-export function idleBorrowed(
-  service: ServiceState,
-  ready: (target: TargetState) => boolean,
-): TargetState | undefined {
-  return service.held.find((target) =>
-    target.freeBorrowed > 0 && ready(target)
-  );
+/** A target with a free borrowed slot. */
+export function idleBorrowed(service: ServiceState): TargetState | undefined {
+  return service.held.find((target) => target.freeBorrowed > 0);
 }
 
 /** Hands one slot over: lends an owned one, gives a borrowed one back. */
