--- /dev/null
+++ b/packages/bench/src/decisions/plots.ts
@@ -0,0 +1,111 @@
+/**
+ * Plots of a report, as SVG by vega.
+ *
+ * @module
+ */
+
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import * as vega from "vega";
+import type { Point } from "./pattern.ts";
+
+/** Above this a point says only "far too slow", and would flatten the rest. */
+const MOST_MS = 1_500;
+
+/** Writes one SVG for each plot; returns the file names. */
+export async function writePlots(
+  points: readonly Point[],
+  opts: { dir: string; prefix: string },
+): Promise<string[]> {
+  await mkdir(opts.dir, { recursive: true });
+  const files: string[] = [];
+  for (const plot of new Set(points.map(({ plot }) => plot))) {
+    const own = points.filter((point) => point.plot === plot);
+    const view = new vega.View(vega.parse(specOf(plot, own)), {
+      renderer: "none",
+    });
+    const name = `${opts.prefix}-${fileName(plot)}.svg`;
+    await writeFile(join(opts.dir, name), await view.toSVG());
+    view.finalize();
+    files.push(name);
+  }
+  return files;
+}
+
+function fileName(plot: string): string {
+  return plot.toLowerCase().replace(/\(.*/, "").replace(/[^a-z0-9]+/g, "-")
+    .replace(/-$/, "");
+}
+
+function specOf(plot: string, points: readonly Point[]): vega.Spec {
+  const isLoad = plot.startsWith("p99 by load");
+  return {
+    $schema: "https://vega.github.io/schema/vega/v5.json",
+    width: 560,
+    height: 300,
+    padding: 8,
+    background: "white",
+    title: { text: plot },
+    data: [{
+      name: "points",
+      values: points.map(({ series, x, y }) => ({
+        series,
+        x,
+        y: Math.min(MOST_MS, y),
+      })),
+    }],
+    scales: [
+      {
+        name: "x",
+        type: "linear",
+        range: "width",
+        domain: { data: "points", field: "x" },
+        zero: false,
+      },
+      {
+        name: "y",
+        type: "linear",
+        range: "height",
+        domain: { data: "points", field: "y" },
+        zero: true,
+        nice: true,
+      },
+      {
+        name: "color",
+        type: "ordinal",
+        range: "category",
+        domain: { data: "points", field: "series" },
+      },
+    ],
+    axes: [
+      {
+        orient: "bottom",
+        scale: "x",
+        title: isLoad ? "load, share of all slots" : "seconds",
+      },
+      {
+        orient: "left",
+        scale: "y",
+        title: `p99 in ms, cut at ${MOST_MS}`,
+        grid: true,
+      },
+    ],
+    legends: [{ stroke: "color", orient: "right" }],
+    marks: [{
+      type: "group",
+      from: { facet: { name: "series", data: "points", groupby: "series" } },
+      marks: [{
+        type: "line",
+        from: { data: "series" },
+        encode: {
+          enter: {
+            x: { scale: "x", field: "x" },
+            y: { scale: "y", field: "y" },
+            stroke: { scale: "color", field: "series" },
+            strokeWidth: { value: 2 },
+          },
+        },
+      }],
+    }],
+  };
+}
--- a/packages/bench/src/decisions/world.ts
+++ b/packages/bench/src/decisions/world.ts
@@ -35,6 +35,8 @@
   callerMs: number;
   tries: number;
   ended: boolean;
+  /** Target of its last attempt. */
+  target: TargetId | undefined;
 }
 
 /** How a request ends for its caller. */
@@ -96,6 +98,8 @@
   vms: readonly VmEntry[];
   readonly deployment: Deployment;
   scheme: Scheme | undefined;
+  /** Tags a request at its end, in place of its caller's tag. */
+  tagOf: ((req: BenchRequest) => string | undefined) | undefined;
   /** Requests first sent within these times are counted. */
   countFrom = 0;
   countTo = Number.POSITIVE_INFINITY;
@@ -161,6 +165,7 @@
     const target = this.targets.get(ctx.target)!;
     const wayMs = delayMs(this.deployment, vm, target.entry);
     this.metrics.attempts++;
+    req.target = ctx.target;
     let cancelled = false;
     const job: Job = {
       workMs: req.workMs,
@@ -221,7 +226,8 @@
       window.served++;
       window.latencies.push(took);
     } else window.refused++;
-    for (const tally of this.metrics.tallies(req.kind.class, req.tag)) {
+    const tag = this.tagOf?.(req) ?? req.tag;
+    for (const tally of this.metrics.tallies(req.kind.class, tag)) {
       if (isServed) tally.record(took);
       else if (answer.kind === "unknown") tally.unknown++;
       else tally.refused++;
@@ -270,6 +276,7 @@
       callerMs: CALLER_MS,
       tries: 0,
       ended: false,
+      target: undefined,
     };
     if (this.#isCounted(req.sentAt)) {
       this.metrics.window(req.sentAt).offered++;
