--- a/packages/bench/src/decisions/scheme_steering.ts
+++ b/packages/bench/src/decisions/scheme_steering.ts
@@ -47,6 +47,8 @@
 export interface SteeringVariant {
   /** Changes a plan before it is handed out. */
   readonly plan?: (plan: Plan) => Plan;
+  /** False: peers' questions are not passed on. */
+  readonly lending?: boolean;
 }
 
 /** Our scheme. */
@@ -118,10 +120,6 @@
     this.#tellAll(event);
   }
 
-  _nodes() {
-    return [...this.#nodes.values()].map((n) => n.steering);
-  }
-
   get #now(): number {
     return this.#world.loop.now;
   }
@@ -161,8 +159,8 @@
     for (const { entry, steering } of this.#nodes.values()) {
       if (this.#world.isLost(entry.region)) continue;
       for (const view of steering.services()) {
-        const slots = view.inUse + view.waiting;
-        demand.push({ vm: entry.vm, service: view.service, slots, ageMs: 0 });
+        const { service, demand: slots } = view;
+        demand.push({ vm: entry.vm, service, slots, ageMs: 0 });
       }
     }
     return demand;
@@ -209,6 +207,7 @@
         this.#refuse(node, effect);
         return;
       case "ask":
+        if (this.#variant.lending === false) return;
         this.#message(node, effect.to, {
           ...effect,
           kind: "asked",
