--- a/packages/standins/src/caller/attempt.ts
+++ b/packages/standins/src/caller/attempt.ts
@@ -38,6 +38,8 @@
     readonly kind: "refused";
     readonly outcome: "not-run" | "unknown" | "unsaid";
     readonly status: number;
+    /** Why, in the daemon's own word; the status alone where the body has none. */
+    readonly reason: string;
     /** When to come back; undefined where the refusal does not say. */
     readonly retryAfterMs: number | undefined;
   }
@@ -89,7 +91,7 @@
     const body = Buffer.from(await res.body.arrayBuffer());
     return res.statusCode === 200
       ? verify(req, body)
-      : readRefusal(res.statusCode, res.headers);
+      : readRefusal(res.statusCode, res.headers, body);
   } catch (err) {
     return readError(err as Error & { code?: string });
   }
@@ -113,17 +115,29 @@
 function readRefusal(
   status: number,
   headers: Record<string, string | string[] | undefined>,
+  body: Buffer,
 ): AttemptResult {
   const said = headers["poplarthread-outcome"];
   const after = Number(headers["retry-after"]);
   return {
     kind: "refused",
     status,
+    reason: reasonOf(body) ?? String(status),
     outcome: said === "not-run" || said === "unknown" ? said : "unsaid",
     retryAfterMs: Number.isFinite(after) ? after * 1_000 : undefined,
   };
 }
 
+function reasonOf(body: Buffer): string | undefined {
+  try {
+    const { reason } = JSON.parse(body.toString("utf8")) as { reason?: string };
+    return reason;
+  } catch {
+    // Targets answer in their own words, which need not be JSON.
+    return undefined;
+  }
+}
+
 function readError(err: Error & { code?: string }): AttemptResult {
   const code = err.code ?? err.message;
   return NOT_SENT.has(code)
--- a/packages/standins/src/caller/caller.ts
+++ b/packages/standins/src/caller/caller.ts
@@ -190,7 +190,7 @@
         results.wrongAnswers += result.fault === "wrong" ? 1 : 0;
         return;
       case "refused":
-        increment(results.statuses, `${result.status} ${result.outcome}`);
+        increment(results.statuses, `${result.reason} ${result.outcome}`);
         if (result.outcome === "not-run") {
           results.notRunAttempts.push(name);
         }
--- a/packages/standins/src/caller/results.ts
+++ b/packages/standins/src/caller/results.ts
@@ -25,7 +25,7 @@
   readonly outcomes: Readonly<Partial<Record<Outcome, number>>>;
   /** Requests served, by kind. */
   readonly servedByKind: Readonly<Record<string, number>>;
-  /** Answers by status, attempts counted singly. */
+  /** Answers by status, refusals by reason and outcome; attempts counted singly. */
   readonly statuses: Readonly<Record<string, number>>;
   /** Whole for the protocol, yet shorter than the answer is. */
   readonly partialAnswers: number;
--- a/packages/standins/src/cluster/operate.ts
+++ b/packages/standins/src/cluster/operate.ts
@@ -22,14 +22,6 @@
 /** An operator asks again this often, with the same operation id. */
 const MAX_TRIES = 10;
 
-/** Longest start of a daemon. */
-const START_TIMEOUT_MS = 10_000;
-
-/** A daemon does not serve operators. */
-export class NoOperatorsError extends Error {
-  override readonly name = "NoOperatorsError";
-}
-
 /** A change was not accepted. */
 export class ChangeError extends Error {
   override readonly name = "ChangeError";
@@ -83,8 +75,6 @@
   await waitFor("the operator listener", async () => {
     const status = await operator.status().catch(() => undefined);
     return status !== undefined;
-  }, START_TIMEOUT_MS).catch(() => {
-    throw new NoOperatorsError("Cannot reach the operator listener");
   });
   await makeChange(operator, {
     change: { kind: "edit", preset },
--- a/packages/standins/src/demo/demo_main.ts
+++ b/packages/standins/src/demo/demo_main.ts
@@ -8,7 +8,6 @@
 import process from "node:process";
 import meow from "meow";
 import { type DeploymentName, DEPLOYMENTS } from "../presets.ts";
-import { NoOperatorsError } from "../cluster/operate.ts";
 import { Demo } from "./demo.ts";
 
 const cli = meow(
@@ -35,10 +34,7 @@
 
 /** Plays the events, or keeps the deployment up. */
 async function main(): Promise<void> {
-  const demo = await start(cli.flags.deployment as DeploymentName);
-  if (demo === undefined) {
-    return;
-  }
+  const demo = await Demo.start(cli.flags.deployment as DeploymentName);
   let isGood = false;
   try {
     if (cli.flags.keep) {
@@ -59,19 +55,6 @@
   }
 }
 
-/** Until daemons serve operators there is nothing to play; it is said, and counts as partial. */
-async function start(deployment: DeploymentName): Promise<Demo | undefined> {
-  try {
-    return await Demo.start(deployment);
-  } catch (err) {
-    if (err instanceof NoOperatorsError) {
-      console.log(JSON.stringify({ partial: err.message }));
-      return undefined;
-    }
-    throw err;
-  }
-}
-
 function printAddresses(demo: Demo): void {
   const { cluster } = demo;
   console.log(`\nplatform ${cluster.platformUrl}`);
