--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -99,7 +99,9 @@
 /** Requests of better classes that wait. */
 function waitingBefore(service: ServiceState, cls: ClassState): number {
   let count = 0;
-  for (let i = 0; i < cls.index; i++) count += service.classes[i]!.waiting.size;
+  for (let i = 0; i < cls.index; i++) {
+    count += service.fairlyWaiting(service.classes[i]!);
+  }
   return count;
 }
 
--- a/packages/decisions/src/exchange.ts
+++ b/packages/decisions/src/exchange.ts
@@ -22,6 +22,8 @@
   ctx: { now: number; out: Effect[] },
 ): void {
   service.measure(ctx.now);
+  const share = vm.policy.callerShare * service.heldSlots;
+  service.callerLimit = Math.max(1, Math.ceil(share));
   while (handOutOne(vm, service, ctx));
   askNeighbours(vm, service, ctx);
   askAfar(vm, service, ctx);
@@ -87,7 +89,7 @@
   service: ServiceState,
   ctx: { now: number; out: Effect[] },
 ): boolean {
-  const own = nextInTurn(vm, service);
+  const own = nextInTurn(service);
   const ask = service.asks.size === 0
     ? undefined
     : lending.firstAsk(service, ctx.now);
@@ -165,11 +167,12 @@
   const { askedAfar } = service;
   if (service.waiting === 0 && askedAfar.slots === 0) return;
   if (ctx.now - askedAfar.at < ASK_AFAR_AGAIN_MS) return;
+  if (!lending.allAsk(service, vm.neighbours, ctx.now)) return;
   askedAfar.at = ctx.now;
   askedAfar.slots = 0;
   for (const link of vm.links.values()) {
     if (vm.lost.has(link.to)) continue;
-    const slots = wantedAfar(service, link, ctx.now);
+    const slots = wantedAfar(service, link);
     const peer = pick(vm.afar.get(link.to), ctx.now);
     if (slots === 0 || peer === undefined) continue;
     askedAfar.slots = slots;
--- a/packages/decisions/src/lending.ts
+++ b/packages/decisions/src/lending.ts
@@ -54,6 +54,9 @@
  * lent there is away for a round trip even when it is wanted back. */
 const KEEP_FROM_AFAR = 0.25;
 
+/** Every rank is at most this. */
+const LAST_RANK = Number.POSITIVE_INFINITY;
+
 /** Notes a peer's question, in place of its earlier one. */
 export function noteAsk(
   service: ServiceState,
@@ -75,6 +78,21 @@
   });
 }
 
+/** Whether every neighbour asks for slots itself: only then is the region short.
+ * Asked afar in one VM's bad moment, slots of other regions were away for a
+ * round trip each while a neighbour's came sooner: a tenth of the slots went
+ * into way at 0.8 load, and p99 doubled (bench: sales of Kinolenta). */
+export function allAsk(
+  service: ServiceState,
+  neighbours: readonly VmId[],
+  now: number,
+): boolean {
+  return neighbours.every((vm) => {
+    const ask = service.asks.get(vm);
+    return ask !== undefined && ask.expiresAt > now;
+  });
+}
+
 /** The question that goes first: best class, then longest wait of it. */
 export function firstAsk(
   service: ServiceState,
@@ -98,16 +116,19 @@
 
 /** Whether a peer's question goes before this VM's own waiting requests: it
  * waits for much longer with its best class, or with all of them while none of
- * a better class waits here. */
+ * a better class waits here. A caller that holds its share already goes after
+ * every peer: without this one caller's VM drew in the slots of the whole
+ * region, and the callers of other VMs waited as long as that one. */
 export function peerGoesFirst(
   service: ServiceState,
   ask: StandingAsk,
   own: RequestState,
 ): boolean {
+  if (service.isOverShare(own.caller)) return true;
   const ownRankWait = service.workMs(service.waitingTo(ask.rank));
   if (isMuchLonger(ask.rankWaitMs, ownRankWait)) return true;
   if (own.class.policy.rank < ask.rank) return false;
-  return isMuchLonger(ask.waitMs, service.workMs(service.waiting));
+  return isMuchLonger(ask.waitMs, service.workMs(service.waitingTo(LAST_RANK)));
 }
 
 function isMuchLonger(theirs: number, own: number): boolean {
@@ -231,7 +252,7 @@
     slots,
     rank,
     rankWaitMs: service.workMs(service.waitingTo(rank)),
-    waitMs: service.workMs(service.waiting),
+    waitMs: service.workMs(service.waitingTo(LAST_RANK)),
   };
 }
 
--- a/packages/decisions/src/remote.ts
+++ b/packages/decisions/src/remote.ts
@@ -90,28 +90,11 @@
   return link.roundTripMs;
 }
 
-/** Waiting requests that would be served sooner from afar over this link. None
- * while a wait shorter than the round trip was seen in the last second: then
- * the region is not short, this VM just had a bad moment, and a neighbour's
- * slot comes sooner. Asking in such moments filled a tenth of the slots with
- * way at 0.8 load, and p99 was twice as high (bench: sales of Kinolenta). */
-export function wantedAfar(
-  service: ServiceState,
-  link: LinkState,
-  now: number,
-): number {
+/** Waiting requests that would be served sooner from afar over this link. */
+export function wantedAfar(service: ServiceState, link: LinkState): number {
   const room = link.limit - link.inUse;
-  if (room <= 0 || shortestWait(service, now) < link.roundTripMs) return 0;
+  if (room <= 0) return 0;
   const inTime = link.roundTripMs / service.waitMs(0);
   const late = service.waiting - Math.floor(inTime);
   return Math.max(0, Math.min(room, late));
 }
-
-/** Shortest recent wait of the last class that waits. */
-function shortestWait(service: ServiceState, now: number): number {
-  let shortest = 0;
-  for (const { waiting } of service.classes) {
-    if (waiting.size > 0) shortest = waiting.shortestWait(now);
-  }
-  return shortest;
-}
--- a/packages/decisions/src/requests.ts
+++ b/packages/decisions/src/requests.ts
@@ -79,14 +79,24 @@
   return true;
 }
 
-/** The waiting request whose turn it is, if its class may take a slot. */
-export function nextInTurn(vm: VmState, service: ServiceState) {
+/**
+ * The waiting request whose turn it is, if its class may take a slot: of the
+ * best class, but a caller that holds its share goes after all others, of
+ * whatever class. Otherwise a caller with requests of a good class could keep
+ * everyone else's requests of the next class from ever being served.
+ */
+export function nextInTurn(
+  service: ServiceState,
+): RequestState | undefined {
+  let overShare: RequestState | undefined;
   for (const cls of service.classes) {
     if (cls.waiting.size === 0) continue;
-    if (!mayTakeSlot(service, cls)) return undefined;
-    return nextCaller(vm, service, cls);
+    if (!mayTakeSlot(service, cls)) break;
+    const head = nextCaller(service, cls);
+    if (!service.isOverShare(head.caller)) return head;
+    overShare ??= head;
   }
-  return undefined;
+  return overShare;
 }
 
 /** Ends a wait whose time has come. */
@@ -188,17 +198,16 @@
   return true;
 }
 
-function nextCaller(vm: VmState, service: ServiceState, cls: ClassState) {
+/** The head of the first caller that is below its share, if one is near. */
+function nextCaller(service: ServiceState, cls: ClassState): RequestState {
   const queue = cls.waiting;
-  const share = vm.policy.callerShare * service.heldSlots;
-  const most = Math.max(1, Math.ceil(share));
   const limit = Math.min(queue.callers, MOST_PASSED_OVER);
   for (let i = 1; i < limit; i++) {
     const head = queue.peek()!;
-    if ((service.inUseBy.get(head.caller) ?? 0) < most) return head;
+    if (!service.isOverShare(head.caller)) return head;
     queue.rotate();
   }
-  return queue.peek();
+  return queue.peek()!;
 }
 
 function enqueue(
--- a/packages/decisions/src/service_state.ts
+++ b/packages/decisions/src/service_state.ts
@@ -132,11 +132,29 @@
     this.#demandAt = now;
   }
 
-  /** Waiting requests of this rank or a better one. */
+  /** Slots that one caller may hold while others wait. */
+  callerLimit = Number.POSITIVE_INFINITY;
+
+  /** Whether a caller holds its share. */
+  isOverShare(caller: CallerId): boolean {
+    if (this.inUse === 0) return false;
+    return (this.inUseBy.get(caller) ?? 0) >= this.callerLimit;
+  }
+
+  /** Waiting requests of a class but those of its longest caller, if that one
+   * holds its share of slots already. */
+  fairlyWaiting(cls: ClassState): number {
+    const { size } = cls.waiting;
+    if (size === 0) return 0;
+    const longest = cls.waiting.longest()!;
+    return this.isOverShare(longest.caller) ? size - longest.size : size;
+  }
+
+  /** Fairly waiting requests of this rank or a better one. */
   waitingTo(rank: number): number {
     let count = 0;
     for (const cls of this.classes) {
-      if (cls.policy.rank <= rank) count += cls.waiting.size;
+      if (cls.policy.rank <= rank) count += this.fairlyWaiting(cls);
     }
     return count;
   }
