Renew terms of a plan between its holders, and give slots on by proof

Cause: a plan lived for 10 s unless the table renewed it, so an outage of the table stopped every VM; and the planner gave a silent VM's slots on after 20 s, whoever still vouched for that VM. Ruled out: renewal by a majority, which stops a region that is cut off with its own targets, and whose members may not have heard of the newer plan when they agree.

Holders of one plan now vouch for each other. The planner waits for one silent VM only once all other holders have confirmed, and for two or more only the platform's word that they are gone.

--- a/packages/bench/src/decisions/scheme_alternatives.ts
+++ b/packages/bench/src/decisions/scheme_alternatives.ts
@@ -108,6 +108,7 @@
       targets,
       demand: [],
       confirmations: [],
+      stopped: new Set(),
       previousAgeMs: 0,
     });
     for (const work of world.deployment.work) {
--- a/packages/bench/src/decisions/scheme_steering.ts
+++ b/packages/bench/src/decisions/scheme_steering.ts
@@ -142,6 +142,7 @@
       targets: this.#targets,
       demand: this.#demand(),
       confirmations: this.#confirmations(),
+      stopped: new Set(),
       previous: this.plan,
       previousAgeMs: this.#now - this.#planAt,
     });
--- a/packages/coordination/src/cores.ts
+++ b/packages/coordination/src/cores.ts
@@ -11,3 +11,4 @@
 export * as leaseCore from "./lease/lease_core.ts";
 export * as attemptCore from "./claims/attempt.ts";
 export * as claimRow from "./claims/claim_row.ts";
+export * as termCore from "./plan_term/term.ts";
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -228,6 +228,7 @@
       demand: this.#demand(now),
       confirmations: this.#confirmations(now),
       ...(previous === undefined ? {} : { previous }),
+      stopped: new Set(),
       previousAgeMs: now - this.#storedAt,
     });
     const stored: StoredPlan = {
--- a/packages/daemon/src/testing.ts
+++ b/packages/daemon/src/testing.ts
@@ -154,6 +154,7 @@
     targets: entries,
     demand: [],
     confirmations: [],
+    stopped: new Set(),
     previousAgeMs: 0,
   });
   const steering: SteeringTask = new SteeringTask({
--- a/packages/decisions/src/event.ts
+++ b/packages/decisions/src/event.ts
@@ -147,6 +147,8 @@
 export interface PlanReceived {
   readonly kind: "plan";
   readonly plan: Plan;
+  /** For how long it may be used, in ms; its time to live where absent. */
+  readonly validMs?: number;
 }
 
 /** A region is lost, or back: decided from membership, not by one report. */
--- a/packages/decisions/src/plan.ts
+++ b/packages/decisions/src/plan.ts
@@ -54,8 +54,8 @@
   readonly sequence: number;
   /** Revision of the configuration that it was made for. */
   readonly revision: number;
-  /** A VM that has not heard a plan renewed for this long stops using what
-   * lies in other regions, and lends nothing, in milliseconds. */
+  /** How long the plan may be used after it was last known to be the newest, in
+   * milliseconds. A VM that has not heard so for that long uses none of it. */
   readonly ttlMs: number;
   readonly allotments: readonly Allotment[];
   readonly links: readonly LinkAllotment[];
--- a/packages/decisions/src/plan_transition.ts
+++ b/packages/decisions/src/plan_transition.ts
@@ -5,7 +5,7 @@
  * plan raised one VM in the same step that lowers another, both would use the
  * slot until the second has heard of it: the target has one request too many,
  * and one notices it shedding. So a slot is lowered first, and given on only
- * after the VM that lost it confirmed, or after its plan has run out.
+ * after the VM that lost it confirmed, or after it has surely stopped.
  *
  * @module
  */
@@ -21,20 +21,16 @@
   readonly mayHold: number;
   /** Sequence of the plan that lowered it last. */
   readonly loweredIn: number;
-  /** How long ago that was, in ms. */
-  readonly loweredAgoMs: number;
 }
 
 /** What the step needs to know. */
 export interface Step {
   /** Sequence of the plan being made. */
   readonly sequence: number;
-  /** Time since the previous plan, in ms. */
-  readonly sinceMs: number;
-  /** Time after which a lowered VM that stays silent has stopped by itself. */
-  readonly expiresMs: number;
   /** Highest sequence that each VM confirmed. */
   readonly confirmed: ReadonlyMap<VmId, number>;
+  /** VMs that hold nothing any more, whatever they confirmed: see `silence.ts`. */
+  readonly stopped: ReadonlySet<VmId>;
 }
 
 /** Next holdings of one shared thing of `total` slots. The sum of `mayHold`
@@ -57,7 +53,7 @@
   }
   for (const [vm, slots] of wanted) {
     if (lowered.some((holding) => holding.vm === vm)) continue;
-    const none = { vm, slots: 0, mayHold: 0, loweredIn: 0, loweredAgoMs: 0 };
+    const none = { vm, slots: 0, mayHold: 0, loweredIn: 0 };
     const raised = raise(none, slots, spare);
     spare -= raised.mayHold;
     if (raised.mayHold > 0) next.push(raised);
@@ -65,15 +61,12 @@
   return next;
 }
 
-/** A lowering that was confirmed, or has run out, is complete. */
+/** A lowering is complete once it was confirmed, or its VM has stopped. */
 function settle(old: Holding, step: Step): Holding {
-  if (old.mayHold === old.slots) return old;
-  const agoMs = old.loweredAgoMs + step.sinceMs;
   const confirmed = (step.confirmed.get(old.vm) ?? 0) >= old.loweredIn;
-  if (confirmed || agoMs >= step.expiresMs) {
-    return { ...old, mayHold: old.slots, loweredAgoMs: 0 };
-  }
-  return { ...old, loweredAgoMs: agoMs };
+  return confirmed || step.stopped.has(old.vm)
+    ? { ...old, mayHold: old.slots }
+    : old;
 }
 
 function lower(old: Holding, wanted: number, step: Step): Holding {
@@ -82,7 +75,6 @@
     ...old,
     slots: wanted,
     loweredIn: step.sequence,
-    loweredAgoMs: 0,
   };
 }
 
--- a/packages/decisions/src/planner.ts
+++ b/packages/decisions/src/planner.ts
@@ -42,6 +42,8 @@
   readonly targets: readonly TargetEntry[];
   readonly demand: readonly MeasuredDemand[];
   readonly confirmations: readonly Confirmation[];
+  /** VMs that hold nothing any more: see `watchSilence`. */
+  readonly stopped: ReadonlySet<VmId>;
   /** The plan in force. None at the very first. */
   readonly previous?: Plan;
   /** Time since the planner wrote or first read the previous plan, in ms. */
@@ -53,10 +55,6 @@
  * for long. */
 export const PLAN_TTL_MS = 10_000;
 
-/** Time after which a silent VM has stopped: its plan's time to live, and once
- * more for a renewal passed on by a peer. */
-export const SILENT_MS = 2 * PLAN_TTL_MS;
-
 /** Demand older than this is no measurement any more: five missed reports. */
 const DEMAND_EXPIRES_MS = 5_000;
 
@@ -65,11 +63,10 @@
   const sequence = (input.previous?.sequence ?? 0) + 1;
   const step: Step = {
     sequence,
-    sinceMs: input.previousAgeMs,
-    expiresMs: SILENT_MS,
     confirmed: new Map(
       input.confirmations.map(({ vm, sequence }) => [vm, sequence]),
     ),
+    stopped: input.stopped,
   };
   const allotments = input.policy.services.flatMap((service) =>
     input.policy.regions.flatMap(({ id }) =>
--- a/packages/decisions/src/steering.ts
+++ b/packages/decisions/src/steering.ts
@@ -198,7 +198,7 @@
         vm.setDrains(event);
         return "all";
       case "plan":
-        vm.setPlan(event.plan, now);
+        vm.setPlan(event.plan, now, event.validMs);
         return "all";
       case "region-lost":
         vm.setLost(event.region, event.lost);
--- a/packages/decisions/src/vm_state.ts
+++ b/packages/decisions/src/vm_state.ts
@@ -118,13 +118,14 @@
     this.recountAll();
   }
 
-  setPlan(plan: Plan, now: number): void {
-    this.planEndsAt = now + plan.ttlMs;
+  setPlan(plan: Plan, now: number, validMs = plan.ttlMs): void {
+    this.planEndsAt = now + validMs;
     this.expired = false;
     const isNew = plan.sequence !== this.plan?.sequence;
     this.plan = plan;
     if (isNew) this.unconfirmed = plan.sequence;
-    this.#applySlots();
+    if (validMs <= 0) this.expire();
+    else this.#applySlots();
     this.#setLinks();
   }
 
--- a/packages/model/src/core_path.ts
+++ b/packages/model/src/core_path.ts
@@ -11,3 +11,9 @@
   const sources = new URL("../../coordination/src/", import.meta.url);
   return fileURLToPath(new URL(file, sources));
 }
+
+/** Path of a source file of the decisions package, for example `silence.ts`. */
+export function decisionPath(file: string): string {
+  const sources = new URL("../../decisions/src/", import.meta.url);
+  return fileURLToPath(new URL(file, sources));
+}
