Model the lease; count a watched beat from its answer, let go before releasing

The model showed two faults, both with clocks that run alike. - A contender counted the silence of the holder from when it asked. Its read hung for the whole lease, took effect just after a renewal, and it took the lease over at once. Trace: vm0 acquires, vm1 reads, three ticks, vm0 renews, vm1's read takes effect and is answered, vm1 acquires. It now counts from when the answer came. - A holder that released believed in its lease until the release was answered, while the next one had it already. It now lets go before it sends the release. Writes were fenced in both cases; two VMs would have worked at once for nothing.

Where the lease meets the configuration, a plan can carry a condition on the revision that it was made for; without it the model finds a plan for an old revision that replaces a newer one's.

--- a/packages/coordination/src/configuration/in_force.ts
+++ b/packages/coordination/src/configuration/in_force.ts
@@ -5,7 +5,7 @@
  */
 
 import type { OperationId } from "@poplarthread/ids";
-import type { Json, Row, Write } from "../table.ts";
+import type { Condition, Json, Row, Write } from "../table.ts";
 
 /** Key of the one row that says what is in force. */
 export const IN_FORCE_KEY = "config/in-force";
@@ -84,3 +84,12 @@
     ? undefined
     : row.value as unknown as InForce<Value>;
 }
+
+/**
+ * Holds while this is in force: the row is written once for each revision and
+ * never deleted, so its version is the revision. A plan that is written with
+ * it can never be one for a configuration that was replaced.
+ */
+export function stillInForce(inForce: InForce<Json>): Condition {
+  return { key: IN_FORCE_KEY, version: inForce.revision };
+}
--- a/packages/coordination/src/lease/lease.ts
+++ b/packages/coordination/src/lease/lease.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+  type Condition,
   type Table,
   TableError,
   type TransactionResult,
@@ -14,13 +15,13 @@
 import {
   advanceLease,
   fence,
+  fencedTransaction,
   heldToken,
   type LeaseContender,
   type LeaseState,
   type LeaseStep,
   newLease,
   nextLeaseStep,
-  releaseStep,
   stopLease,
 } from "./lease_core.ts";
 
@@ -66,27 +67,33 @@
     this.#running = false;
     clearTimeout(this.#timer);
     await this.#step;
-    const release = releaseStep(this.#state);
+    const { state, release } = stopLease(this.#state);
+    this.#state = state;
     if (release !== undefined) {
       await this.#perform(release);
     }
-    this.#state = stopLease(this.#state);
   }
 
   /**
    * Writes only if this VM still holds the lease, by the table's judgement: a
-   * holder that was paused past its lease is refused. Throws TableError; with
-   * effect `unknown` the write may have been applied.
+   * holder that was paused past its lease is refused. Further conditions may
+   * be added. Throws TableError; with effect `unknown` the write may have been
+   * applied.
    */
-  async transact(writes: readonly Write[]): Promise<FencedResult> {
+  async transact(
+    writes: readonly Write[],
+    conditions: readonly Condition[] = [],
+  ): Promise<FencedResult> {
     const token = this.token;
     if (token === undefined) {
       return { kind: "not-held" };
     }
     const { name } = this.#state.contender;
-    const conditions = [fence(name, token)];
-    const result = await this.#table.transact({ conditions, writes });
-    return result.kind === "conflict" ? { kind: "fenced-off" } : result;
+    const write = { token, writes, conditions };
+    const result = await this.#table.transact(fencedTransaction(name, write));
+    const isFencedOff = result.kind === "conflict" &&
+      result.rows.some(({ key }) => key === fence(name, token).key);
+    return isFencedOff ? { kind: "fenced-off" } : result;
   }
 
   #beat(): void {
@@ -118,11 +125,9 @@
       if (step.kind === "read") {
         const [lease, beat] = await this.#table.read(step.keys);
         const rows = { lease: lease!, beat: beat! };
-        this.#state = advanceLease(this.#state, {
-          kind: "rows",
-          rows,
-          startedAt,
-        });
+        const answeredAt = performance.now();
+        const event = { kind: "rows", rows, answeredAt } as const;
+        this.#state = advanceLease(this.#state, event);
         return;
       }
       const result = await this.#table.transact(step.transaction);
--- a/packages/coordination/src/lease/lease_core.ts
+++ b/packages/coordination/src/lease/lease_core.ts
@@ -23,6 +23,7 @@
   type TableEffect,
   type Transaction,
   type TransactionResult,
+  type Write,
 } from "../table.ts";
 
 /**
@@ -88,17 +89,23 @@
     readonly transaction: Transaction;
   };
 
-/** How a step ended; `startedAt` is the time before it was sent. */
+/** How a step ended. */
 export type LeaseEvent =
   | {
     readonly kind: "rows";
     readonly rows: LeaseRows;
-    readonly startedAt: number;
+    /**
+     * When the answer came. The rows may have looked like this only then: a
+     * contender that counted from when it asked would count a slow answer as
+     * silence of the holder, and take over a lease that was just renewed.
+     */
+    readonly answeredAt: number;
   }
   | {
     readonly kind: "result";
     readonly step: Extract<LeaseStep, { kind: "transact" }>;
     readonly result: TransactionResult;
+    /** Before it was sent: a holder's duration counts from there. */
     readonly startedAt: number;
   }
   | { readonly kind: "failed"; readonly effect: TableEffect };
@@ -130,6 +137,22 @@
   return { key: leaseKey(name), version: token };
 }
 
+/** A write that only the holder of that token can make, if `conditions` hold too. */
+export interface FencedWrite {
+  readonly token: number;
+  readonly writes: readonly Write[];
+  /** For example that the configuration it was made for is still in force. */
+  readonly conditions?: readonly Condition[];
+}
+
+/** The transaction of a write under the lease's fence. */
+export function fencedTransaction(
+  name: string,
+  { token, writes, conditions = [] }: FencedWrite,
+): Transaction {
+  return { conditions: [fence(name, token), ...conditions], writes };
+}
+
 /** What to send now. */
 export function nextLeaseStep(
   state: LeaseState,
@@ -152,26 +175,19 @@
   }
 }
 
-/** What a planned stop sends: hands the lease over at once if it is held. */
-export function releaseStep(state: LeaseState): LeaseStep | undefined {
+/**
+ * A planned stop: the state after it, and what hands the lease over at once if
+ * it is held. The contender lets go before the release is sent, since the next
+ * holder may start before the answer to it comes.
+ */
+export function stopLease(
+  state: LeaseState,
+): { readonly state: LeaseState; readonly release: LeaseStep | undefined } {
   const { contender, belief } = state;
-  if (belief.kind !== "held") {
-    return undefined;
-  }
-  const released: LeaseRow = { holder: null };
-  const key = leaseKey(contender.name);
-  return {
-    kind: "transact",
-    purpose: "release",
-    token: belief.token,
-    beat: belief.beat,
-    transaction: {
-      conditions: [fence(contender.name, belief.token)],
-      // The row stays: a deleted row would count its versions from 1 again, and
-      // a token that was used before would pass the fence.
-      writes: [{ key, value: released as unknown as Json }],
-    },
-  };
+  const stopped = { ...state, belief: { kind: "stopped" } as const };
+  return belief.kind === "held"
+    ? { state: stopped, release: releaseStep(contender, belief) }
+    : { state: stopped, release: undefined };
 }
 
 /** The state after `event`. */
@@ -191,11 +207,6 @@
   }
 }
 
-/** The state after a planned stop. */
-export function stopLease(state: LeaseState): LeaseState {
-  return { ...state, belief: { kind: "stopped" } };
-}
-
 function readStep(contender: LeaseContender): LeaseStep {
   const { name } = contender;
   return { kind: "read", keys: [leaseKey(name), beatKey(name)] };
@@ -222,6 +233,26 @@
   return now - belief.since >= contender.durationMs * CLOCK_MARGIN;
 }
 
+function releaseStep(
+  contender: LeaseContender,
+  belief: Extract<LeaseBelief, { kind: "held" }>,
+): LeaseStep {
+  const released: LeaseRow = { holder: null };
+  const key = leaseKey(contender.name);
+  return {
+    kind: "transact",
+    purpose: "release",
+    token: belief.token,
+    beat: belief.beat,
+    transaction: {
+      conditions: [fence(contender.name, belief.token)],
+      // The row stays: a deleted row would count its versions from 1 again, and
+      // a token that was used before would pass the fence.
+      writes: [{ key, value: released as unknown as Json }],
+    },
+  };
+}
+
 function acquireStep(contender: LeaseContender, rows: LeaseRows): LeaseStep {
   const { name, instance } = contender;
   const lease: LeaseRow = { holder: instance };
@@ -268,14 +299,14 @@
   event: Extract<LeaseEvent, { kind: "rows" }>,
 ): LeaseBelief {
   const { belief } = state;
-  const { rows, startedAt } = event;
+  const { rows, answeredAt } = event;
   if (belief.kind === "stopped") {
     return belief;
   }
   const unchanged = belief.kind === "watching" &&
     belief.rows.lease.version === rows.lease.version &&
     belief.rows.beat.version === rows.beat.version;
-  return unchanged ? belief : { kind: "watching", rows, since: startedAt };
+  return unchanged ? belief : { kind: "watching", rows, since: answeredAt };
 }
 
 function afterTransact(
@@ -287,7 +318,7 @@
   if (belief.kind === "stopped") {
     return belief;
   }
-  if (result.kind === "conflict" || step.purpose === "release") {
+  if (result.kind === "conflict") {
     return { kind: "unseen" };
   }
   return {
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -5,9 +5,26 @@
  */
 
 import process from "node:process";
-import { acceptance, followerCore } from "@poplarthread/coordination/cores";
+import {
+  acceptance,
+  followerCore,
+  inForce,
+  leaseCore,
+} from "@poplarthread/coordination/cores";
 import { configurationModel } from "./configuration_model.ts";
 import { type Exploration, explore } from "./explore.ts";
+import { type LeaseBounds, leaseModel } from "./lease_model.ts";
+
+const LEASE: LeaseBounds = {
+  contenders: 2,
+  calls: 4,
+  ticks: 0,
+  losses: 0,
+  crashes: 0,
+  stops: 0,
+  plans: 0,
+  revisions: 0,
+};
 
 /** Each exploration, started one after the other, so that one's memory is freed before the next. */
 const RUNS: readonly (() => Exploration<unknown, unknown>)[] = [
@@ -29,6 +46,24 @@
       acceptance,
       followerCore,
     )),
+  () =>
+    explore(leaseModel(
+      { ...LEASE, calls: 5, ticks: 3, losses: 1, plans: 1 },
+      leaseCore,
+      inForce,
+    )),
+  () =>
+    explore(leaseModel(
+      { ...LEASE, ticks: 3, crashes: 1, plans: 1 },
+      leaseCore,
+      inForce,
+    )),
+  () =>
+    explore(leaseModel(
+      { ...LEASE, stops: 1, plans: 2, revisions: 1 },
+      leaseCore,
+      inForce,
+    )),
 ];
 
 const models = RUNS.map((run) => run());
