Model request claims

One key sent twice through two VMs that crash, over a table that loses answers. A trace showed that this case is allowed: vm0 takes sending 0, dispatches it, sending 1 comes, the target refuses sending 0 before running it, sending 1 reads the abandoned claim, and its own claim is refused. The key had not run, so a dispatch that the target refused does not count any more.

--- /dev/null
+++ b/packages/model/src/claims_model.ts
@@ -0,0 +1,382 @@
+/**
+ * The model of request claims: one key, sent several times through instances
+ * that may crash and come back, over a table that loses answers, with questions
+ * to the holder that may be answered late or not at all.
+ *
+ * @module
+ */
+
+import type { attemptCore, claimRow } from "@poplarthread/coordination/cores";
+import { id, type InstanceId } from "@poplarthread/ids";
+import type { Model } from "./explore.ts";
+import {
+  applyTableEvent,
+  type Delivery,
+  isTableEvent,
+  newWorld,
+  orphan,
+  send,
+  type TableEvent,
+  tableEvents,
+  type TableWorld,
+} from "./table_world.ts";
+
+/** The core under test: the production one, or a mutant of it. */
+export type AttemptCore = typeof attemptCore;
+
+/** What bounds the model. */
+export interface ClaimsBounds {
+  /** Times that the request is sent, each to any VM. */
+  readonly sendings: number;
+  /** Whether the last sending has another body. */
+  readonly otherBody: 0 | 1;
+  readonly vms: number;
+  readonly losses: number;
+  /** Crashes with a restart as a new instance, all together. */
+  readonly crashes: number;
+  /** Deadlines that pass or callers that leave, all together. */
+  readonly expiries: number;
+}
+
+type HolderAnswer = attemptCore.HolderAnswer;
+
+interface Sending {
+  /** Index of its VM; its instance died with it if `isLost`. */
+  readonly vm: number;
+  readonly isLost: boolean;
+  readonly attempt: attemptCore.Attempt;
+  /** The question to the holder on its way, with the answer once it was given. */
+  readonly question: { readonly answer: HolderAnswer | null } | null;
+  readonly refusal: attemptCore.ClaimRefusal | null;
+  /** Sendings that were dispatched before this one came. */
+  readonly ranBefore: readonly number[];
+  readonly wasSent: boolean;
+}
+
+/** A state of the model. */
+export interface ClaimsState {
+  readonly world: TableWorld;
+  /** Life of each VM; each is a new instance. */
+  readonly lives: readonly number[];
+  readonly sendings: readonly Sending[];
+  readonly left: Pick<ClaimsBounds, "crashes" | "expiries">;
+  /** Sendings that ran at a target, in order; those that the target refused are taken out. */
+  readonly ran: readonly number[];
+}
+
+/** A step of the model. */
+export type ClaimsEvent =
+  | TableEvent
+  | { readonly type: "arrive"; readonly vm: number }
+  | { readonly type: "holder-answers"; readonly sending: number }
+  | { readonly type: "holder-answer-comes"; readonly sending: number }
+  | { readonly type: "holder-out-of-reach"; readonly sending: number }
+  | { readonly type: "dispatch"; readonly sending: number }
+  | {
+    readonly type: "end";
+    readonly sending: number;
+    readonly how: attemptCore.RunOutcome["kind"];
+  }
+  | { readonly type: "expire"; readonly sending: number }
+  | { readonly type: "crash"; readonly vm: number };
+
+/** Builds the model around the core. */
+export function claimsModel(
+  bounds: ClaimsBounds,
+  core: AttemptCore,
+): Model<ClaimsState, ClaimsEvent> {
+  function put(
+    state: ClaimsState,
+    index: number,
+    changes: Partial<Sending>,
+  ): ClaimsState {
+    const sending = { ...state.sendings[index]!, ...changes };
+    return { ...state, sendings: state.sendings.with(index, sending) };
+  }
+
+  function take(
+    state: ClaimsState,
+    index: number,
+    { attempt, effects }: attemptCore.AttemptResult,
+  ): ClaimsState {
+    const after = put(state, index, { attempt });
+    return effects.reduce(
+      (state, effect) => perform(state, index, effect),
+      after,
+    );
+  }
+
+  function perform(
+    state: ClaimsState,
+    index: number,
+    effect: attemptCore.AttemptEffect,
+  ): ClaimsState {
+    const key = core.attemptKey(state.sendings[index]!.attempt);
+    switch (effect.kind) {
+      case "write": {
+        const value = effect.row as unknown as null;
+        const transaction = {
+          conditions: [{ key, version: effect.over }],
+          writes: [{ key, value }],
+        };
+        const call = { kind: "transact", transaction } as const;
+        return { ...state, world: send(state.world, String(index), call) };
+      }
+      case "read": {
+        const call = { kind: "read", keys: [key] } as const;
+        return { ...state, world: send(state.world, String(index), call) };
+      }
+      case "ask":
+        return put(state, index, { question: { answer: null } });
+      case "send": {
+        const after = put(state, index, { wasSent: true });
+        return { ...after, ran: [...state.ran, index] };
+      }
+      case "refuse":
+        return put(state, index, { refusal: effect.refusal });
+      case "granted":
+        return state;
+    }
+  }
+
+  function advance(
+    state: ClaimsState,
+    index: number,
+    event: attemptCore.AttemptEvent,
+  ): ClaimsState {
+    const { attempt } = state.sendings[index]!;
+    return take(state, index, core.advanceAttempt(attempt, event));
+  }
+
+  function arrive(state: ClaimsState, vm: number): ClaimsState {
+    const index = state.sendings.length;
+    const isOther = bounds.otherBody === 1 && index === bounds.sendings - 1;
+    const started = core.startAttempt({
+      id: `attempt-${index}` as claimRow.AttemptId,
+      claim: "claim" as claimRow.ClaimId,
+      instance: instanceOf(vm, state.lives[vm]!),
+      bodyDigest: isOther ? "other" : "body",
+      claimedAt: 0,
+    });
+    const sending: Sending = {
+      vm,
+      isLost: false,
+      attempt: started.attempt,
+      question: null,
+      refusal: null,
+      ranBefore: state.ran,
+      wasSent: false,
+    };
+    const after = { ...state, sendings: [...state.sendings, sending] };
+    return take(after, index, started);
+  }
+
+  function holderAnswer(state: ClaimsState, index: number): HolderAnswer {
+    const { phase } = state.sendings[index]!.attempt;
+    const row = (phase as { row: claimRow.ClaimRow }).row;
+    const holder = state.sendings.find(({ attempt }) =>
+      attempt.id === row.attempt
+    )!;
+    return holder.isLost
+      ? { kind: "dead" }
+      : core.answerForHolder(holder.attempt);
+  }
+
+  function crash(state: ClaimsState, vm: number): ClaimsState {
+    const world = state.sendings.reduce(
+      (world, sending, index) =>
+        sending.vm === vm ? orphan(world, String(index)) : world,
+      state.world,
+    );
+    const sendings = state.sendings.map((sending) =>
+      sending.vm === vm ? { ...sending, isLost: true, question: null } : sending
+    );
+    const lives = state.lives.with(vm, state.lives[vm]! + 1);
+    const left = { ...state.left, crashes: state.left.crashes - 1 };
+    return { ...state, world, sendings, lives, left };
+  }
+
+  function end(
+    state: ClaimsState,
+    index: number,
+    how: attemptCore.RunOutcome["kind"],
+  ): ClaimsState {
+    const after = advance(state, index, {
+      kind: "ended",
+      outcome: outcomeOf(how, index),
+    });
+    return how === "not-run"
+      ? { ...after, ran: state.ran.filter((ran) => ran !== index) }
+      : after;
+  }
+
+  function deliver(
+    state: ClaimsState,
+    { process, outcome }: Delivery,
+  ): ClaimsState {
+    return advance(state, Number(process), eventOf(outcome));
+  }
+
+  function next(state: ClaimsState, event: ClaimsEvent): ClaimsState {
+    if (isTableEvent(event)) {
+      const { world, delivery } = applyTableEvent(state.world, event);
+      const after = { ...state, world };
+      return delivery === undefined ? after : deliver(after, delivery);
+    }
+    switch (event.type) {
+      case "arrive":
+        return arrive(state, event.vm);
+      case "holder-answers": {
+        const answer = holderAnswer(state, event.sending);
+        return put(state, event.sending, { question: { answer } });
+      }
+      case "holder-answer-comes": {
+        const answer = state.sendings[event.sending]!.question!.answer!;
+        const asked = put(state, event.sending, { question: null });
+        return advance(asked, event.sending, { kind: "holder", answer });
+      }
+      case "holder-out-of-reach": {
+        const asked = put(state, event.sending, { question: null });
+        const answer = { kind: "unreachable" } as const;
+        return advance(asked, event.sending, { kind: "holder", answer });
+      }
+      case "dispatch":
+        return advance(state, event.sending, { kind: "dispatch" });
+      case "end":
+        return end(state, event.sending, event.how);
+      case "expire": {
+        const expiries = state.left.expiries - 1;
+        const left = { ...state.left, expiries };
+        return advance({ ...state, left }, event.sending, { kind: "expired" });
+      }
+      case "crash":
+        return crash(state, event.vm);
+    }
+  }
+
+  function eventsOf(state: ClaimsState): readonly ClaimsEvent[] {
+    const events: ClaimsEvent[] = [...tableEvents(state.world)];
+    for (let vm = 0; vm < bounds.vms; vm++) {
+      // Which VM a first sending comes to makes no difference.
+      const isOpen = vm === 0 || state.sendings.length > 0;
+      if (isOpen && state.sendings.length < bounds.sendings) {
+        events.push({ type: "arrive", vm });
+      }
+      const isUsed = state.sendings.some((sending) =>
+        sending.vm === vm && !sending.isLost
+      );
+      if (state.left.crashes > 0 && isUsed) {
+        events.push({ type: "crash", vm });
+      }
+    }
+    state.sendings.forEach((sending, index) => {
+      events.push(...sendingEvents(state, sending, index));
+    });
+    return events;
+  }
+
+  const { crashes, expiries } = bounds;
+  return {
+    name: "claims",
+    bounds: { ...bounds },
+    initial: {
+      world: newWorld(bounds.losses),
+      lives: Array.from({ length: bounds.vms }, () => 0),
+      sendings: [],
+      left: { crashes, expiries },
+      ran: [],
+    },
+    events: eventsOf,
+    next,
+    properties: PROPERTIES,
+  };
+}
+
+function instanceOf(vm: number, life: number): InstanceId {
+  return id<InstanceId>(`vm${vm}-${life}`);
+}
+
+function outcomeOf(
+  how: attemptCore.RunOutcome["kind"],
+  sending: number,
+): attemptCore.RunOutcome {
+  switch (how) {
+    case "answered": {
+      // The status tells whose answer it is.
+      const answer = { status: sending, headers: [], bodyBase64: "" };
+      return { kind: how, answer };
+    }
+    case "answered-unkept":
+      return { kind: how, status: sending };
+    case "unknown":
+    case "not-run":
+      return { kind: how };
+  }
+}
+
+function eventOf(outcome: Delivery["outcome"]): attemptCore.AttemptEvent {
+  switch (outcome.kind) {
+    case "rows":
+      return { kind: "row", row: outcome.rows[0]! };
+    case "result":
+      return outcome.result.kind === "committed"
+        ? { kind: "committed" }
+        : { kind: "conflict", row: outcome.result.rows[0]! };
+    case "failed":
+      return outcome;
+  }
+}
+
+function sendingEvents(
+  state: ClaimsState,
+  { isLost, attempt, question }: Sending,
+  sending: number,
+): readonly ClaimsEvent[] {
+  const { kind } = attempt.phase;
+  if (isLost || kind === "closed") {
+    return [];
+  }
+  const events: ClaimsEvent[] = [];
+  if (question !== null) {
+    events.push(
+      question.answer === null
+        ? { type: "holder-answers", sending }
+        : { type: "holder-answer-comes", sending },
+      { type: "holder-out-of-reach", sending },
+    );
+  }
+  if (kind === "claimed") {
+    events.push({ type: "dispatch", sending });
+  }
+  if (kind === "dispatched") {
+    for (const how of ["answered", "unknown", "not-run"] as const) {
+      events.push({ type: "end", sending, how });
+    }
+  }
+  if (state.left.expiries > 0 && kind !== "recording") {
+    events.push({ type: "expire", sending });
+  }
+  return events;
+}
+
+const PROPERTIES: Model<ClaimsState, ClaimsEvent>["properties"] = {
+  "a request runs once at most": ({ ran }) => ran.length <= 1,
+  "a refused sending is never sent": ({ sendings }) =>
+    sendings.every(({ refusal, wasSent }) => refusal === null || !wasSent),
+  // A sending that a target refused before running it is not in `ran` any more.
+  "not run is said of a key only if it had not run": ({ sendings, ran }) =>
+    sendings.every(({ refusal, ranBefore }) =>
+      refusal?.kind !== "not-run" || refusal.proof !== "key" ||
+      !ranBefore.some((sending) => ran.includes(sending))
+    ),
+  "a repeat gets the answer of the run": ({ sendings, ran }) =>
+    sendings.every(({ refusal }) =>
+      refusal?.kind !== "answered" || ran[0] === refusal.answer.status
+    ),
+  "another body under the same key never joins": ({ sendings }) =>
+    sendings.every(({ refusal, attempt }) =>
+      refusal?.kind !== "answered" ||
+      sendings[refusal.answer.status]?.attempt.bodyDigest ===
+        attempt.bodyDigest
+    ),
+};
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -7,10 +7,12 @@
 import process from "node:process";
 import {
   acceptance,
+  attemptCore,
   followerCore,
   inForce,
   leaseCore,
 } from "@poplarthread/coordination/cores";
+import { type ClaimsBounds, claimsModel } from "./claims_model.ts";
 import { configurationModel } from "./configuration_model.ts";
 import { type Exploration, explore } from "./explore.ts";
 import { type LeaseBounds, leaseModel } from "./lease_model.ts";
@@ -26,6 +28,15 @@
   revisions: 0,
 };
 
+const CLAIMS: ClaimsBounds = {
+  sendings: 2,
+  otherBody: 0,
+  vms: 2,
+  losses: 0,
+  crashes: 0,
+  expiries: 0,
+};
+
 /** Each exploration, started one after the other, so that one's memory is freed before the next. */
 const RUNS: readonly (() => Exploration<unknown, unknown>)[] = [
   () =>
@@ -64,6 +75,12 @@
       leaseCore,
       inForce,
     )),
+  () =>
+    explore(claimsModel({ ...CLAIMS, losses: 1, expiries: 1 }, attemptCore)),
+  () => explore(claimsModel({ ...CLAIMS, losses: 1, crashes: 1 }, attemptCore)),
+  () => explore(claimsModel({ ...CLAIMS, losses: 2 }, attemptCore)),
+  () =>
+    explore(claimsModel({ ...CLAIMS, losses: 1, otherBody: 1 }, attemptCore)),
 ];
 
 const models = RUNS.map((run) => run());
