--- /dev/null
+++ b/packages/coordination/src/claims/claims_test.ts
@@ -0,0 +1,264 @@
+import { id, type IdempotencyKey, type InstanceId } from "@poplarthread/ids";
+import fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { MemoryTable } from "../memory_table.ts";
+import {
+  type Row,
+  type Table,
+  TableError,
+  type Transaction,
+  type TransactionResult,
+} from "../table.ts";
+import { Batcher, batchTransaction, type WriteResult } from "./batch.ts";
+import { type ClaimOutcome, RequestClaims } from "./claims.ts";
+import { claimId, claimKey } from "./claim_row.ts";
+import { CLAIM_LIFETIME_MS, ClaimSweep } from "./sweep.ts";
+
+type Fault = "none" | "refuse" | "lose-before" | "lose-after";
+
+/** A table whose calls meet one fault after the other, then none. */
+class FaultyTable implements Table {
+  readonly memory = new MemoryTable();
+  faults: Fault[] = [];
+
+  read(keys: readonly string[]): Promise<readonly Row[]> {
+    return this.#call(() => this.memory.read(keys));
+  }
+
+  scan(prefix: string, options: { limit: number }): Promise<readonly Row[]> {
+    return this.#call(() => this.memory.scan(prefix, options));
+  }
+
+  transact(transaction: Transaction): Promise<TransactionResult> {
+    return this.#call(() => this.memory.transact(transaction));
+  }
+
+  async #call<Answer>(apply: () => Promise<Answer>): Promise<Answer> {
+    const fault = this.faults.shift() ?? "none";
+    if (fault === "none") {
+      return await apply();
+    }
+    if (fault === "lose-after") {
+      await apply();
+    }
+    const effect = fault === "refuse" ? "none" : "unknown";
+    throw new TableError("Cannot call the table: fault", effect);
+  }
+}
+
+/** VMs that ask each other directly; an instance that is not listed is dead. */
+function fleet(table: Table, names: readonly string[]) {
+  const vms = new Map<string, RequestClaims>();
+  for (const name of names) {
+    const instance = id<InstanceId>(name);
+    const holders = {
+      ask: async (question: { instance: InstanceId }, waitMs: number) =>
+        await vms.get(question.instance)?.answerPeer(
+          question as never,
+          waitMs,
+        ) ?? { kind: "dead" } as const,
+    };
+    vms.set(name, new RequestClaims({ table, instance, holders }));
+  }
+  return vms;
+}
+
+const KEY = id<IdempotencyKey>("objection-1");
+const REQUEST = {
+  scope: "caller",
+  key: KEY,
+  bodyDigest: "body",
+  timeLeftMs: 5_000,
+};
+const ANSWER = { status: 201, headers: [], bodyBase64: "T0s=" };
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+/** Lets the clock run until the outcome is there. */
+async function settle<Value>(promise: Promise<Value>): Promise<Value> {
+  let isSettled = false;
+  void promise.then(() => isSettled = true);
+  for (let i = 0; i < 1_000 && !isSettled; i++) {
+    await vi.advanceTimersByTimeAsync(50);
+  }
+  return await promise;
+}
+
+function grantOf(outcome: ClaimOutcome) {
+  if (outcome.kind !== "granted") {
+    throw new Error(`Cannot run: ${outcome.refusal.kind}`);
+  }
+  return outcome.grant;
+}
+
+describe("RequestClaims", () => {
+  // The answer to an objection is lost on its way, and the caller sends it
+  // again to another VM. Without the claim a clerk would have two objections.
+  it("gives a repeat the first one's answer, also while it runs", async () => {
+    const vms = fleet(new MemoryTable(), ["a", "b", "c"]);
+    const grant = grantOf(await settle(vms.get("a")!.claim(REQUEST)));
+    expect(grant.dispatch()).toBe(true);
+    const early = vms.get("b")!.claim(REQUEST);
+    await vi.advanceTimersByTimeAsync(500);
+    grant.end({ kind: "answered", answer: ANSWER });
+    const late = vms.get("c")!.claim(REQUEST);
+    for (const outcome of [await settle(early), await settle(late)]) {
+      expect(outcome).toMatchObject({
+        refusal: { kind: "answered", answer: ANSWER },
+      });
+    }
+    expect(grant.dispatch()).toBe(false);
+  });
+
+  // The VM dies after it sent a booking. Whether the booking ran is not known,
+  // and running it again could charge the bank twice.
+  it("says unknown when the holder is dead, and does not run it", async () => {
+    const vms = fleet(new MemoryTable(), ["a", "b"]);
+    await settle(vms.get("a")!.claim(REQUEST));
+    vms.delete("a");
+    expect(await settle(vms.get("b")!.claim(REQUEST))).toEqual({
+      kind: "refused",
+      refusal: { kind: "unknown" },
+      retryAfterMs: 5_000,
+    });
+  });
+
+  // The table is gone. A caller must hear so at once, not after a timeout for
+  // each of its requests, and a first sending must not be called lost.
+  it("refuses at once in an outage and recovers by itself", async () => {
+    const table = new FaultyTable();
+    const a = fleet(table, ["a"]).get("a")!;
+    table.faults = ["refuse"];
+    const first = await settle(a.claim(REQUEST));
+    const refusal = { kind: "not-run", proof: "this-sending" };
+    expect(first).toEqual({ kind: "refused", refusal, retryAfterMs: 2_000 });
+    const asked = performance.now();
+    await a.claim(REQUEST);
+    expect(performance.now()).toBe(asked);
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect((await settle(a.claim(REQUEST))).kind).toBe("granted");
+  });
+
+  it("tells another body under the same key", async () => {
+    const vms = fleet(new MemoryTable(), ["a", "b"]);
+    await settle(vms.get("a")!.claim(REQUEST));
+    const other = { ...REQUEST, bodyDigest: "other" };
+    expect(await settle(vms.get("b")!.claim(other))).toMatchObject({
+      refusal: { kind: "key-reused" },
+    });
+  });
+
+  // Callers send the same requests through several VMs at once while the table
+  // loses answers, before and after the write. Whatever the order, a request
+  // that ran twice is a doubled objection.
+  it("runs each key once at most under any faults and order", async () => {
+    const sending = fc.record({
+      vm: fc.constantFrom("a", "b", "c"),
+      key: fc.constantFrom("k1", "k2"),
+      runMs: fc.integer({ min: 0, max: 300 }),
+      pauseMs: fc.constantFrom(0, 10, 200),
+    });
+    const fault = fc.constantFrom<Fault>(
+      "none",
+      "refuse",
+      "lose-before",
+      "lose-after",
+    );
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(sending, { maxLength: 8 }),
+        fc.array(fault, { maxLength: 10 }),
+        fc.scheduler(),
+        async (sendings, faults, scheduler) => {
+          const table = new FaultyTable();
+          table.faults = faults;
+          const racing: Table = {
+            read: (keys) => table.read(keys),
+            scan: (prefix, options) => table.scan(prefix, options),
+            transact: async (transaction) => {
+              await scheduler.schedule(Promise.resolve("takes effect"));
+              const answer = table.transact(transaction);
+              await scheduler.schedule(Promise.allSettled([answer]));
+              return await answer;
+            },
+          };
+          const vms = fleet(racing, ["a", "b", "c"]);
+          const runs = new Map<string, number>();
+          const work = sendings.map(async (req, index) => {
+            await delay(index * req.pauseMs);
+            const key = id<IdempotencyKey>(req.key);
+            const outcome = await vms.get(req.vm)!.claim({ ...REQUEST, key });
+            if (outcome.kind === "granted" && outcome.grant.dispatch()) {
+              runs.set(key, (runs.get(key) ?? 0) + 1);
+              await delay(req.runMs);
+              outcome.grant.end({ kind: "answered", answer: ANSWER });
+            }
+          });
+          const all = Promise.all(work);
+          for (let i = 0; i < 200; i++) {
+            await vi.advanceTimersByTimeAsync(40);
+            if (scheduler.count() > 0) {
+              await scheduler.waitOne();
+            }
+          }
+          await settle(all);
+          expect(Math.max(0, ...runs.values())).toBeLessThanOrEqual(1);
+        },
+      ),
+      { seed: 4, numRuns: 60 },
+    );
+  });
+});
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+describe("Batcher", () => {
+  it("settles each write once, as the table has it", async () => {
+    const write = fc.record({ key: fc.constantFrom("a", "b", "c", "d") });
+    await fc.assert(
+      fc.asyncProperty(fc.array(write, { maxLength: 12 }), async (writes) => {
+        const table = new MemoryTable();
+        const batcher = new Batcher({ maxRows: 3 });
+        const results: WriteResult[][] = writes.map(() => []);
+        writes.forEach(({ key }, value) =>
+          batcher.add({
+            write: { key, over: 0, value },
+            settle: (result) => results[value]!.push(result),
+          })
+        );
+        for (let now = 0; batcher.length > 0; now += 40) {
+          const batch = batcher.take(now)!;
+          const result = await table.transact(batchTransaction(batch));
+          result.kind === "committed"
+            ? batcher.committed(batch)
+            : batcher.conflicted(batch, result.rows);
+        }
+        for (const [value, [result, ...more]] of results.entries()) {
+          const [row] = await table.read([writes[value]!.key]);
+          expect(more).toEqual([]);
+          expect(result!.kind === "committed").toBe(row!.value === value);
+        }
+      }),
+      { seed: 5, numRuns: 200 },
+    );
+  });
+});
+
+describe("ClaimSweep", () => {
+  it("deletes a claim after a day, not before", async () => {
+    const table = new MemoryTable();
+    const a = fleet(table, ["a"]).get("a")!;
+    await settle(a.claim(REQUEST));
+    const sweep = new ClaimSweep(table, { isMine: () => true });
+    const key = claimKey(claimId(REQUEST.scope, KEY));
+    await vi.advanceTimersByTimeAsync(CLAIM_LIFETIME_MS - 60_000);
+    await sweep.sweepPage();
+    expect((await table.read([key]))[0]!.version).toBe(1);
+    await vi.advanceTimersByTimeAsync(120_000);
+    await sweep.sweepPage();
+    expect((await table.read([key]))[0]!.version).toBe(0);
+  });
+});
--- a/packages/coordination/src/claims/mod.ts
+++ b/packages/coordination/src/claims/mod.ts
@@ -20,3 +20,4 @@
   RequestClaims,
   type RequestClaimsOptions,
 } from "./claims.ts";
+export { ClaimSweep, type ClaimSweepOptions } from "./sweep.ts";
