--- a/packages/coordination/src/claims/claims_test.ts
+++ b/packages/coordination/src/claims/claims_test.ts
@@ -2,50 +2,13 @@
 import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { MemoryTable } from "../memory_table.ts";
-import {
-  type Row,
-  type Table,
-  TableError,
-  type Transaction,
-  type TransactionResult,
-} from "../table.ts";
+import type { Table } from "../table.ts";
+import { type Fault, FaultyTable } from "../testing/faulty_table.ts";
 import { Batcher, batchTransaction, type WriteResult } from "./batch.ts";
 import { type ClaimOutcome, RequestClaims } from "./claims.ts";
 import { claimId, claimKey } from "./claim_row.ts";
 import { CLAIM_LIFETIME_MS, ClaimSweep } from "./sweep.ts";
 
-type Fault = "none" | "refuse" | "lose-before" | "lose-after";
-
-/** A table whose calls meet one fault after the other, then none. */
-class FaultyTable implements Table {
-  readonly memory = new MemoryTable();
-  faults: Fault[] = [];
-
-  read(keys: readonly string[]): Promise<readonly Row[]> {
-    return this.#call(() => this.memory.read(keys));
-  }
-
-  scan(prefix: string, options: { limit: number }): Promise<readonly Row[]> {
-    return this.#call(() => this.memory.scan(prefix, options));
-  }
-
-  transact(transaction: Transaction): Promise<TransactionResult> {
-    return this.#call(() => this.memory.transact(transaction));
-  }
-
-  async #call<Answer>(apply: () => Promise<Answer>): Promise<Answer> {
-    const fault = this.faults.shift() ?? "none";
-    if (fault === "none") {
-      return await apply();
-    }
-    if (fault === "lose-after") {
-      await apply();
-    }
-    const effect = fault === "refuse" ? "none" : "unknown";
-    throw new TableError("Cannot call the table: fault", effect);
-  }
-}
-
 /** VMs that ask each other directly; an instance that is not listed is dead. */
 function fleet(table: Table, names: readonly string[]) {
   const vms = new Map<string, RequestClaims>();
@@ -172,7 +135,7 @@
         fc.scheduler(),
         async (sendings, faults, scheduler) => {
           const table = new FaultyTable();
-          table.faults = faults;
+          table.faults = [...faults];
           const racing: Table = {
             read: (keys) => table.read(keys),
             scan: (prefix, options) => table.scan(prefix, options),
