--- /dev/null
+++ b/packages/bench/src/coordination/configuration_bench.ts
@@ -0,0 +1,151 @@
+/**
+ * How long an accepted change takes until every polling VM runs it, and how
+ * long a lease and the configuration take to recover after an outage.
+ *
+ * @module
+ */
+
+import {
+  ConfigurationFollower,
+  ConfigurationStore,
+  Lease,
+} from "@poplarthread/coordination";
+import { id, type InstanceId, type OperationId } from "@poplarthread/ids";
+import { LimitedTable, LIMITS } from "./limited_table.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+
+const VMS = 12;
+const CHANGES = 200;
+/** A change every 1.7 s falls on all phases of the 333 ms polls. */
+const CHANGE_EVERY_MS = 1_700;
+const LEASE_MS = 3_000;
+
+/** What was measured. Times in ms. */
+export interface InForceFigures {
+  readonly name: string;
+  readonly changes: number;
+  readonly inForceEverywhereP50Ms: number;
+  readonly inForceEverywhereMaxMs: number;
+  readonly readsPerSecond: number;
+}
+
+/** Time from the start of an acceptance until the last of 12 polling VMs runs it. */
+export async function measureInForce(): Promise<InForceFigures> {
+  const clock = new VirtualClock();
+  clock.install();
+  try {
+    return await runInForce(clock);
+  } finally {
+    clock.restore();
+  }
+}
+
+async function runInForce(clock: VirtualClock): Promise<InForceFigures> {
+  const table = new LimitedTable(LIMITS);
+  const store = new ConfigurationStore<string>(table);
+  const startedAt: number[] = [];
+  const everywhereAt = new Map<number, number>();
+  for (let n = 0; n < VMS; n++) {
+    const follower = new ConfigurationFollower<string>(store, {
+      onEffect: (effect) => {
+        if (effect.kind === "adopt") {
+          everywhereAt.set(effect.inForce.revision, performance.now());
+        }
+      },
+    });
+    setTimeout(() => follower.startPolling(), n * 28);
+  }
+  for (let n = 0; n < CHANGES; n++) {
+    setTimeout(() => {
+      startedAt[n + 1] = performance.now();
+      void store.accept({ value: `value ${n}` }, {
+        seenRevision: n,
+        operationId: id<OperationId>(`op-${n}`),
+        firstSending: true,
+        who: "bench",
+        why: "",
+      });
+    }, n * CHANGE_EVERY_MS);
+  }
+  const until = CHANGES * CHANGE_EVERY_MS + 1_000;
+  await clock.runUntil(until);
+  const times = [...everywhereAt]
+    .map(([revision, at]) => at - startedAt[revision]!)
+    .sort((a, b) => a - b);
+  return {
+    name: "time to in force, 12 VMs that poll",
+    changes: times.length,
+    inForceEverywhereP50Ms: Math.round(times[times.length >> 1]!),
+    inForceEverywhereMaxMs: Math.round(times[times.length - 1]!),
+    readsPerSecond: Math.round(table.reads / (until / 1_000)),
+  };
+}
+
+/** What was measured after an outage. Times in ms. */
+export interface RecoveryFigures {
+  readonly name: string;
+  readonly outageMs: number;
+  readonly configurationKnownCurrentAfterMs: number;
+  readonly leaseHeldAgainAfterMs: number;
+}
+
+/** Time from the table's return until one VM holds the lease and the configuration is known to be current. */
+export async function measureRecovery(
+  outageMs: number,
+): Promise<RecoveryFigures> {
+  const clock = new VirtualClock();
+  clock.install();
+  try {
+    return await runRecovery(clock, outageMs);
+  } finally {
+    clock.restore();
+  }
+}
+
+async function runRecovery(
+  clock: VirtualClock,
+  outageMs: number,
+): Promise<RecoveryFigures> {
+  const table = new LimitedTable(LIMITS);
+  const store = new ConfigurationStore<string>(table);
+  const follower = new ConfigurationFollower<string>(store, {
+    onEffect: () => {},
+  });
+  follower.startPolling();
+  const leases = Array.from({ length: VMS }, (_, n) => {
+    const instance = id<InstanceId>(`vm-${n}`);
+    const contender = { name: "planner", instance, durationMs: LEASE_MS };
+    const lease = new Lease(table, contender);
+    setTimeout(() => lease.start(), n * 83);
+    return lease;
+  });
+  void store.accept({ value: "value" }, {
+    seenRevision: 0,
+    operationId: id<OperationId>("op"),
+    who: "bench",
+    why: "",
+  });
+  await clock.runUntil(10_000);
+  table.isDown = true;
+  await clock.runUntil(10_000 + outageMs);
+  table.isDown = false;
+  const returnedAt = performance.now();
+  let currentAfter: number | undefined;
+  let heldAfter: number | undefined;
+  while (currentAfter === undefined || heldAfter === undefined) {
+    await clock.runUntil(performance.now() + 10);
+    const passed = performance.now() - returnedAt;
+    if (follower.ageMs < passed) {
+      currentAfter ??= passed;
+    }
+    if (leases.some(({ token }) => token !== undefined)) {
+      heldAfter ??= passed;
+    }
+  }
+  return {
+    name: "recovery after an outage, 12 VMs",
+    outageMs,
+    configurationKnownCurrentAfterMs: currentAfter,
+    leaseHeldAgainAfterMs: heldAfter,
+  };
+}
--- a/packages/coordination/src/claims/mod.ts
+++ b/packages/coordination/src/claims/mod.ts
@@ -10,6 +10,7 @@
   NotRunProof,
   RunOutcome,
 } from "./attempt.ts";
+export type { BatchOptions } from "./batch.ts";
 export type { AttemptId, ClaimId, StoredAnswer } from "./claim_row.ts";
 export {
   type ClaimGrant,
