--- a/packages/coordination/src/claims/group_commit.ts
+++ b/packages/coordination/src/claims/group_commit.ts
@@ -24,6 +24,13 @@
  */
 export const OUTAGE_PROBE_MS = 500;
 
+/**
+ * A read back that takes longer is given up. Its caller waited for the lost
+ * transaction already; a table that answers does so within some round trips,
+ * and 200 ms are two of the longest, between regions.
+ */
+const READ_BACK_MS = 200;
+
 /** A row that nobody writes. */
 const PROBE_KEY = `${CLAIM_PREFIX}probe`;
 
@@ -61,8 +68,18 @@
     });
   }
 
-  /** Reads one row back; undefined when the table could not be asked. */
+  /** Reads one row back; undefined when the table does not answer soon. */
   async readBack(key: string): Promise<Row | undefined> {
+    let timer: ReturnType<typeof setTimeout> | undefined;
+    const tooLate = new Promise<undefined>((resolve) => {
+      timer = setTimeout(() => resolve(undefined), READ_BACK_MS);
+    });
+    const row = await Promise.race([this.#readOne(key), tooLate]);
+    clearTimeout(timer);
+    return row;
+  }
+
+  async #readOne(key: string): Promise<Row | undefined> {
     try {
       const [row] = await this.#table.read([key]);
       return row;
