--- a/packages/coordination/src/claims/claims.ts
+++ b/packages/coordination/src/claims/claims.ts
@@ -90,7 +90,10 @@
 
 /** The right to run one request once. Every grant must be ended. */
 export interface ClaimGrant {
-  /** Call directly before the first byte goes to a target. False: do not send. */
+  /**
+   * Call directly before the first byte goes to a target. False: do not send;
+   * the caller's time is over, or the grant was used.
+   */
   dispatch(): boolean;
   /**
    * How it ended. Before `dispatch` only `not-run` is true; after it, `not-run`
@@ -104,6 +107,8 @@
   readonly refuse: (refusal: ClaimRefusal) => void;
   readonly grant: (grant: ClaimGrant) => void;
   readonly waitMs: number;
+  /** When the caller gives up, by the monotonic clock. */
+  readonly deadline: number;
   /** Peers that wait for the outcome. */
   readonly waiters: (() => void)[];
 }
@@ -157,6 +162,7 @@
         refuse: (refusal) => decide(refused(refusal)),
         grant: (grant) => decide({ kind: "granted", grant }),
         waitMs: Math.min(req.timeLeftMs, MAX_HOLDER_WAIT_MS),
+        deadline: performance.now() + req.timeLeftMs,
         waiters: [],
       };
       this.#tracked.set(started.attempt.id, tracked);
@@ -223,6 +229,12 @@
   #grantOf(tracked: Tracked): ClaimGrant {
     return {
       dispatch: () => {
+        // A process that was paused for long could otherwise run a request
+        // whose claim has expired and was taken by another sending since.
+        if (performance.now() >= tracked.deadline) {
+          this.#advance(tracked, { kind: "expired" });
+          return false;
+        }
         const before = tracked.attempt.phase.kind;
         this.#advance(tracked, { kind: "dispatch" });
         return before === "claimed";
--- a/packages/coordination/src/claims/claims_test.ts
+++ b/packages/coordination/src/claims/claims_test.ts
@@ -103,6 +103,16 @@
     expect((await settle(a.claim(REQUEST))).kind).toBe("granted");
   });
 
+  // A VM is paused between its claim and the dispatch, long enough for its
+  // caller to give up and send again. Both would run.
+  it("does not dispatch after the caller's time is over", async () => {
+    const vms = fleet(new MemoryTable(), ["a", "b"]);
+    const grant = grantOf(await settle(vms.get("a")!.claim(REQUEST)));
+    await vi.advanceTimersByTimeAsync(REQUEST.timeLeftMs);
+    expect(grant.dispatch()).toBe(false);
+    expect((await settle(vms.get("b")!.claim(REQUEST))).kind).toBe("granted");
+  });
+
   it("tells another body under the same key", async () => {
     const vms = fleet(new MemoryTable(), ["a", "b"]);
     await settle(vms.get("a")!.claim(REQUEST));
@@ -130,8 +140,8 @@
     );
     await fc.assert(
       fc.asyncProperty(
-        fc.array(sending, { maxLength: 8 }),
-        fc.array(fault, { maxLength: 10 }),
+        fc.array(sending, { maxLength: 8, size: "max" }),
+        fc.array(fault, { maxLength: 10, size: "max" }),
         fc.scheduler(),
         async (sendings, faults, scheduler) => {
           const table = new FaultyTable();
@@ -182,29 +192,32 @@
   it("settles each write once, as the table has it", async () => {
     const write = fc.record({ key: fc.constantFrom("a", "b", "c", "d") });
     await fc.assert(
-      fc.asyncProperty(fc.array(write, { maxLength: 12 }), async (writes) => {
-        const table = new MemoryTable();
-        const batcher = new Batcher({ maxRows: 3 });
-        const results: WriteResult[][] = writes.map(() => []);
-        writes.forEach(({ key }, value) =>
-          batcher.add({
-            write: { key, over: 0, value },
-            settle: (result) => results[value]!.push(result),
-          })
-        );
-        for (let now = 0; batcher.length > 0; now += 40) {
-          const batch = batcher.take(now)!;
-          const result = await table.transact(batchTransaction(batch));
-          result.kind === "committed"
-            ? batcher.committed(batch)
-            : batcher.conflicted(batch, result.rows);
-        }
-        for (const [value, [result, ...more]] of results.entries()) {
-          const [row] = await table.read([writes[value]!.key]);
-          expect(more).toEqual([]);
-          expect(result!.kind === "committed").toBe(row!.value === value);
-        }
-      }),
+      fc.asyncProperty(
+        fc.array(write, { maxLength: 12, size: "max" }),
+        async (writes) => {
+          const table = new MemoryTable();
+          const batcher = new Batcher({ maxRows: 3 });
+          const results: WriteResult[][] = writes.map(() => []);
+          writes.forEach(({ key }, value) =>
+            batcher.add({
+              write: { key, over: 0, value },
+              settle: (result) => results[value]!.push(result),
+            })
+          );
+          for (let now = 0; batcher.length > 0; now += 40) {
+            const batch = batcher.take(now)!;
+            const result = await table.transact(batchTransaction(batch));
+            result.kind === "committed"
+              ? batcher.committed(batch)
+              : batcher.conflicted(batch, result.rows);
+          }
+          for (const [value, [result, ...more]] of results.entries()) {
+            const [row] = await table.read([writes[value]!.key]);
+            expect(more).toEqual([]);
+            expect(result!.kind === "committed").toBe(row!.value === value);
+          }
+        },
+      ),
       { seed: 5, numRuns: 200 },
     );
   });
--- a/packages/coordination/src/claims/mod.ts
+++ b/packages/coordination/src/claims/mod.ts
@@ -22,3 +22,10 @@
   type RequestClaimsOptions,
 } from "./claims.ts";
 export { ClaimSweep, type ClaimSweepOptions } from "./sweep.ts";
+export {
+  type Ticket,
+  TicketOffice,
+  type TicketOfficeOptions,
+  type TicketOutcome,
+  type TicketSending,
+} from "./tickets.ts";
--- a/packages/coordination/src/configuration/configuration_test.ts
+++ b/packages/coordination/src/configuration/configuration_test.ts
@@ -62,7 +62,7 @@
     );
     await fc.assert(
       fc.asyncProperty(
-        fc.array(fault, { maxLength: 8 }),
+        fc.array(fault, { maxLength: 8, size: "max" }),
         fc.integer({ min: 1, max: 4 }),
         fc.scheduler(),
         async (faults, operators, scheduler) => {
--- a/packages/coordination/src/configuration/mod.ts
+++ b/packages/coordination/src/configuration/mod.ts
@@ -14,6 +14,7 @@
   type InForce,
   operationKey,
   type OperationRow,
+  stillInForce,
 } from "./in_force.ts";
 export type { AcceptOutcome } from "./acceptance.ts";
 export {
