--- a/packages/coordination/src/claims/mod.ts
+++ b/packages/coordination/src/claims/mod.ts
@@ -10,6 +10,7 @@
   NotRunProof,
   RunOutcome,
 } from "./attempt.ts";
+export type { BatchOptions } from "./batch.ts";
 export type { AttemptId, ClaimId, StoredAnswer } from "./claim_row.ts";
 export {
   type ClaimGrant,
@@ -20,3 +21,11 @@
   RequestClaims,
   type RequestClaimsOptions,
 } from "./claims.ts";
+export { ClaimSweep, type ClaimSweepOptions } from "./sweep.ts";
+export {
+  type Ticket,
+  TicketOffice,
+  type TicketOfficeOptions,
+  type TicketOutcome,
+  type TicketSending,
+} from "./tickets.ts";
