--- a/packages/coordination/src/dissemination/ranks.ts
+++ b/packages/coordination/src/dissemination/ranks.ts
@@ -7,7 +7,7 @@
 
 import type { VmId, ZoneId } from "@poplarthread/ids";
 import type { Member } from "../membership/messages.ts";
-import { hash32 } from "../escrow/shares.ts";
+import { hash32 } from "../hash.ts";
 
 /** Readers of the table in each zone: two may die at once and one still reads. */
 export const READERS_PER_ZONE = 3;
--- a/packages/coordination/src/escrow/mod.ts
+++ b/packages/coordination/src/escrow/mod.ts
@@ -16,7 +16,7 @@
 } from "./messages.ts";
 export { nextPlan } from "./plan.ts";
 export { DEFAULT_RULES, type EscrowRules, silentOwners } from "./rules.ts";
-export { hash32, sharesOf } from "./shares.ts";
+export { sharesOf } from "./shares.ts";
 export {
   type Context as EscrowContext,
   type EscrowState,
--- a/packages/coordination/src/escrow/shares.ts
+++ b/packages/coordination/src/escrow/shares.ts
@@ -7,6 +7,7 @@
 
 import type { InstanceId } from "@poplarthread/ids";
 import type { Sender } from "../membership/messages.ts";
+import { hash32 } from "../hash.ts";
 import type { Pool } from "./messages.ts";
 
 /** Slots of `pool` by owner; they add up to the total when there is any owner. */
@@ -38,14 +39,3 @@
   }
   return best;
 }
-
-/** FNV-1a with a final mix: even enough for ranking, the same on every VM. */
-export function hash32(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let at = 0; at < text.length; at++) {
-    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
