--- a/packages/standins/src/cluster/processes.ts
+++ b/packages/standins/src/cluster/processes.ts
@@ -22,13 +22,18 @@
   readonly args: readonly string[];
   /** File that takes standard error; without it, it goes to this process's own. */
   readonly log?: string;
+  /** Options of Node.js itself. */
+  readonly nodeOptions?: readonly string[];
+  /** Longest wait for the first line; {@link READY_TIMEOUT_MS} without it. */
+  readonly readyTimeoutMs?: number;
 }
 
-/** A process that has said it is ready. */
+/** A process that was started. */
 export interface Started {
   readonly name: string;
-  /** Its first line on standard output. */
-  readonly line: string;
+  readonly pid: number;
+  /** Settles with its first line on standard output; rejects where none comes in time. */
+  readonly firstLine: Promise<string>;
   readonly exited: Promise<Exit>;
   /** Sends a signal; does nothing to a process that has ended. */
   signal(signal: NodeJS.Signals): void;
@@ -51,13 +56,18 @@
     process.once("exit", this.#onExit);
   }
 
-  /** Starts a process; settles when it has printed its first line. */
-  async start(options: ProcessOptions): Promise<Started> {
+  /** Starts a process. */
+  start(options: ProcessOptions): Started {
     const log = options.log === undefined
       ? "inherit"
       : openSync(options.log, "a");
     // Stand-ins end when their standard input does, so the pipe stays open.
-    const child = spawn(process.execPath, [options.script, ...options.args], {
+    const args = [
+      ...options.nodeOptions ?? [],
+      options.script,
+      ...options.args,
+    ];
+    const child = spawn(process.execPath, args, {
       stdio: ["pipe", "pipe", log],
     });
     if (typeof log === "number") {
@@ -70,10 +80,13 @@
         resolve({ code, signal });
       });
     });
-    const line = await firstLine(options.name, { child, exited });
+    const line = firstLine(options, { child, exited });
+    // Whoever wants the line waits for it; nobody else should hear of its failure.
+    line.catch(() => undefined);
     return {
       name: options.name,
-      line,
+      pid: child.pid!,
+      firstLine: line,
       exited,
       signal: (signal) => child.kill(signal),
     };
@@ -95,7 +108,7 @@
 }
 
 async function firstLine(
-  name: string,
+  { name, readyTimeoutMs = READY_TIMEOUT_MS }: ProcessOptions,
   { child, exited }: { child: ChildProcess; exited: Promise<Exit> },
 ): Promise<string> {
   let text = "";
@@ -113,7 +126,7 @@
   const timeout = new Promise<never>((_, reject) => {
     timer = setTimeout(() => {
       reject(new StartError(`Cannot start ${name}: not ready in time`));
-    }, READY_TIMEOUT_MS);
+    }, readyTimeoutMs);
   });
   const failed = exited.then(({ code, signal }) => {
     throw new StartError(`Cannot start ${name}: ended with ${code ?? signal}`);
