Carry changes down a tree of pushes that each VM computes by itself

Zones form one tree and the members of each zone another below the zone's first. Whoever learns first, by whatever way, pushes to its children, and upwards too where it did not learn from above; so a repeat need never be passed on.

Ruled out: one tree for each origin. Heads would pass on a change once for each of the readers that saw it in the same poll.

--- /dev/null
+++ b/packages/coordination/src/dissemination/dissemination_test.ts
@@ -0,0 +1,128 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { expect, test } from "vitest";
+import { id, type InstanceId, type VmId, type ZoneId } from "@poplarthread/ids";
+import type { MemberState } from "../membership/messages.ts";
+import { VirtualNet } from "../virtual/mod.ts";
+import { Dissemination } from "./dissemination.ts";
+import type { Change, DisseminationMessage } from "./messages.ts";
+import { readersOf } from "./ranks.ts";
+
+const MEMBERS = Array.from({ length: 60 }, (_, n) => ({
+  vm: id<VmId>(`e${n}`),
+  zone: id<ZoneId>(`z${n % 6}`),
+  state: "joined" as MemberState,
+}));
+
+class Fleet {
+  readonly cores = new Map<string, Dissemination>();
+  readonly applied = new Map<string, number[]>();
+  sent = 0;
+  readonly net = new VirtualNet<DisseminationMessage>({
+    random: xoroshiro128plus(11),
+    tickMs: 100,
+    delay: () => 20,
+    onSend: () => this.sent += 1,
+    onEffect: (vm, effect) => {
+      if (effect.kind === "apply") {
+        const { change } = effect as unknown as { change: Change };
+        this.applied.set(vm, [...this.applied.get(vm) ?? [], change.revision]);
+      }
+    },
+  });
+
+  constructor() {
+    for (const { vm, zone } of MEMBERS) {
+      const instance = id<InstanceId>(`${vm}-1`);
+      const core = new Dissemination({ self: { vm, instance, zone } });
+      core.setMembers(MEMBERS);
+      this.cores.set(vm, core);
+      this.net.add(vm, core);
+    }
+  }
+
+  originate(vm: string, revision: number): void {
+    const core = this.cores.get(vm)!;
+    this.net.apply(vm, core.originate(changeTo(revision), this.net.now));
+  }
+
+  /** Members that have `revision`. */
+  reached(revision: number): number {
+    return [...this.cores.values()]
+      .filter((core) => core.revision >= revision).length;
+  }
+}
+
+function changeTo(revision: number, body = "body"): Change {
+  return { from: revision - 1, revision, digest: "d", body };
+}
+
+test("a change from any origin reaches all, once each, with few messages", () => {
+  const fleet = new Fleet();
+  for (const [at, origin] of ["e0", "e17", "e59"].entries()) {
+    const before = fleet.sent;
+    fleet.originate(origin, at + 1);
+    fleet.net.run(1_000);
+    expect(fleet.reached(at + 1)).toBe(60);
+    // One push and one confirmation each, and two on the way up.
+    expect(fleet.sent - before).toBeLessThanOrEqual(2 * 60 + 4);
+  }
+  for (const revisions of fleet.applied.values()) {
+    expect(revisions).toEqual([1, 2, 3]);
+  }
+});
+
+test("readers are a few live members of the zone", () => {
+  const zone = id<ZoneId>("z2");
+  const [first, ...rest] = readersOf(zone, MEMBERS);
+  const withoutFirst = MEMBERS.map((member) =>
+    member.vm === first ? { ...member, state: "leaving" as const } : member
+  );
+  expect(rest).toHaveLength(2);
+  expect(readersOf(zone, withoutFirst).slice(0, 2)).toEqual(rest);
+});
+
+// VMs that have to pass a change on have died and nobody knows it yet. All
+// those behind them would run the configuration before until they are found.
+test("a change reaches everyone behind members that have just died", () => {
+  const fleet = new Fleet();
+  const dead = ["e1", "e2", "e3", "e6", "e12"];
+  dead.forEach((vm) => fleet.net.kill(vm));
+  fleet.originate("e0", 1);
+  fleet.net.run(3_000);
+  expect(fleet.reached(1)).toBe(60 - dead.length);
+});
+
+// A VM was cut off while three changes were made. It must not apply the third
+// on top of the state before the first.
+test("a member that missed changes pulls them and applies all in order", () => {
+  const fleet = new Fleet();
+  fleet.net.pause("e40");
+  [1, 2, 3].forEach((revision) => {
+    fleet.originate("e0", revision);
+    fleet.net.run(1_000);
+  });
+  fleet.net.kill("e40");
+  const late = new Dissemination({
+    self: {
+      vm: id<VmId>("e40"),
+      instance: id<InstanceId>("e40-2"),
+      zone: id<ZoneId>("z4"),
+    },
+  });
+  fleet.net.add("e40", late);
+  fleet.net.apply("e40", late.ahead(id<VmId>("e7"), 3, fleet.net.now));
+  fleet.net.run(1_000);
+  expect(fleet.applied.get("e40")).toEqual([1, 2, 3]);
+});
+
+// Another reader still sees the row before: going back would undo an accepted
+// change on part of the fleet.
+test("nobody goes back", () => {
+  const fleet = new Fleet();
+  fleet.originate("e0", 1);
+  fleet.originate("e0", 2);
+  fleet.net.run(1_000);
+  fleet.originate("e30", 1);
+  fleet.net.run(1_000);
+  expect(fleet.reached(2)).toBe(60);
+});
--- a/packages/coordination/src/dissemination/messages.ts
+++ b/packages/coordination/src/dissemination/messages.ts
@@ -19,26 +19,17 @@
   readonly body: string;
 }
 
-/** Which tree a push came down. */
-export type Tree =
-  /** Between zones; the receiver goes on in its own zone as well. */
-  | { readonly kind: "zones"; readonly origin: string }
-  /** Inside the receiver's zone. */
-  | { readonly kind: "zone" };
-
 /** A message between two VMs about one document. */
 export type DisseminationMessage =
   | {
     readonly kind: "push";
     readonly from: Sender;
-    readonly tree: Tree;
     readonly change: Change;
   }
   /** A change too large to push unasked; the receiver pulls it if it lacks it. */
   | {
     readonly kind: "offer";
     readonly from: Sender;
-    readonly tree: Tree;
     readonly revision: number;
   }
   | {
--- a/packages/coordination/src/dissemination/mod.ts
+++ b/packages/coordination/src/dissemination/mod.ts
@@ -9,7 +9,6 @@
   Change as DisseminatedChange,
   DisseminationEffect,
   DisseminationMessage,
-  Tree,
 } from "./messages.ts";
 export { rankedIn, READERS_PER_ZONE, readersOf } from "./ranks.ts";
 export type { Ranked } from "./ranks.ts";
--- a/packages/coordination/src/dissemination/ranks.ts
+++ b/packages/coordination/src/dissemination/ranks.ts
@@ -15,15 +15,24 @@
 /** What ranking needs to know of a member. */
 export type Ranked = Pick<Member, "vm" | "zone" | "state">;
 
-/** The live members of a zone in the order of their rank. */
+/**
+ * The members of a zone that are not dead, in the order of their rank. Those
+ * that leave or are in doubt come last, where nobody depends on them.
+ */
 export function rankedIn(
   zone: ZoneId,
   members: readonly Ranked[],
 ): readonly VmId[] {
   return members
-    .filter((member) => member.zone === zone && member.state === "joined")
-    .map(({ vm }) => ({ vm, rank: hash32(`${zone}/${vm}`) }))
-    .sort((a, b) => a.rank - b.rank || (a.vm < b.vm ? -1 : 1))
+    .filter((member) => member.zone === zone && member.state !== "dead")
+    .map(({ vm, state }) => ({
+      vm,
+      doubt: state === "joined" ? 0 : 1,
+      rank: hash32(`${zone}/${vm}`),
+    }))
+    .sort((a, b) =>
+      a.doubt - b.doubt || a.rank - b.rank || (a.vm < b.vm ? -1 : 1)
+    )
     .map(({ vm }) => vm);
 }
 
@@ -32,5 +41,6 @@
   zone: ZoneId,
   members: readonly Ranked[],
 ): readonly VmId[] {
-  return rankedIn(zone, members).slice(0, READERS_PER_ZONE);
+  const joined = members.filter(({ state }) => state === "joined");
+  return rankedIn(zone, joined).slice(0, READERS_PER_ZONE);
 }
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -46,8 +46,8 @@
 export interface MembershipOptions {
   readonly self: Sender & MemberPlace;
   readonly random: RandomGenerator;
-  /** Time of the start, on the clock that `now` is read from. */
-  readonly now: number;
+  /** Time of the start, on the clock that `now` is read from; by default 0, as of a process's own clock. */
+  readonly now?: number;
 }
 
 /**
@@ -71,7 +71,7 @@
   #tickedAt: number;
   #comparedAt = -Infinity;
 
-  constructor({ self, random, now }: MembershipOptions) {
+  constructor({ self, random, now = 0 }: MembershipOptions) {
     const { vm, instance } = self;
     this.#from = { vm, instance };
     this.#tickedAt = now;
