--- /dev/null
+++ b/packages/coordination/src/blocks/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The table of client blocks: look-up by longest prefix, deltas, and snapshots
+ * for whoever boots.
+ *
+ * @module
+ */
+
+export {
+  type Block,
+  type BlockColumns,
+  BlockTable,
+  NO_SITE,
+  type Redirects,
+} from "./block_table.ts";
+export { applyDelta, type BlockDelta, BlocksError } from "./delta.ts";
+export { BlockCodec } from "./codec.ts";
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -147,7 +147,7 @@
           ...this.#runErrand(message, now),
         ];
       case "news":
-        return this.#learnAll(message.news, now);
+        return this.#learnAll(message.news, { tell: true, now });
       case "compare":
         return this.#answerCompare(message, now);
       case "entries":
@@ -329,7 +329,7 @@
     { from, revision, digest, news }: Heartbeat,
     now: number,
   ): readonly MembershipEffect[] {
-    const effects = [...this.#learnAll(news, now)];
+    const effects = [...this.#learnAll(news, { tell: true, now })];
     const sender = this.member(from.vm);
     if (sender === undefined) {
       return effects;
@@ -367,7 +367,7 @@
     message: MembershipMessage & { kind: "entries" },
     now: number,
   ): readonly MembershipEffect[] {
-    const effects = this.#learnAll(message.news, now);
+    const effects = this.#learnAll(message.news, { tell: false, now });
     const { from, reply, buckets: differing } = message;
     return reply
       ? [
@@ -406,14 +406,18 @@
     ];
   }
 
+  /**
+   * Takes news in. What a comparison of views brought is not told on: whoever
+   * has just started would go on telling everyone all that they know for hours.
+   */
   #learnAll(
     news: readonly News[],
-    now: number,
+    { tell, now }: { tell: boolean; now: number },
   ): readonly MembershipEffect[] {
     return news.flatMap((item) => {
       switch (item.kind) {
         case "member":
-          return this.#opinions.learn(item.member, now);
+          return this.#opinions.learn(item.member, { tell, now });
         case "fact":
           return this.#learnFact(item.fact, now);
         default:
--- a/packages/coordination/src/membership/opinions.ts
+++ b/packages/coordination/src/membership/opinions.ts
@@ -50,8 +50,11 @@
     return this.view.get(this.#selfVm)!.member;
   }
 
-  /** Takes in what another member said. */
-  learn(member: Member, now: number): readonly MembershipEffect[] {
+  /** Takes in what another member said, and tells it on. */
+  learn(
+    member: Member,
+    { tell, now }: { tell: boolean; now: number },
+  ): readonly MembershipEffect[] {
     if (member.vm === this.#selfVm) {
       return this.#learnOfSelf(member, now);
     }
@@ -64,7 +67,7 @@
     if (known !== undefined && !supersedes(member, known)) {
       return [];
     }
-    return this.#set(member, now);
+    return this.#set(member, now, { tell });
   }
 
   /** Sets the state of a member, on this member's own evidence. */
@@ -198,10 +201,14 @@
     return [{ kind: "superseded", by }];
   }
 
-  #set(member: Member, now: number): readonly MembershipEffect[] {
+  #set(
+    member: Member,
+    now: number,
+    { tell } = { tell: true },
+  ): readonly MembershipEffect[] {
     const before = this.view.get(member.vm)?.member;
     this.view.set(member, now);
-    if (member.incarnation !== UNHEARD) {
+    if (tell && member.incarnation !== UNHEARD) {
       const urgent = member.state === "leaving" || member.state === "dead";
       this.#news.add(`member ${member.vm}`, { urgent });
     }
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -15,3 +15,4 @@
 export * from "./membership/mod.ts";
 export * from "./escrow/mod.ts";
 export * from "./dissemination/mod.ts";
+export * from "./blocks/mod.ts";
