Model slot escrow: loans, moves and restarts in all orders

The explorer runs the production core; six mutations of its rules and a VM that goes on after a restart are each caught. A restarted VM's clock starts anew: that is what makes remembering wrong, and the model plays it.

Ruled out: ticks as steps of their own.

--- a/packages/bench/src/slopes/dissemination.ts
+++ b/packages/bench/src/slopes/dissemination.ts
@@ -12,6 +12,7 @@
   type DisseminatedChange,
   Dissemination,
   type DisseminationMessage,
+  readersOf,
 } from "@poplarthread/coordination";
 import { VirtualNet } from "@poplarthread/coordination/virtual";
 import { type Fit, fitLine, rounded } from "./fit.ts";
@@ -79,8 +80,7 @@
   const total = [...fleet.sentBytes.values()].reduce((a, b) => a + b, 0);
   const busiest = Math.max(...fleet.sentBytes.values());
   const { messages } = fleet;
-  const readers = [...fleet.cores.values()]
-    .filter((core) => core.isReader()).length;
+  const readers = fleet.readers.length;
   const withDead: number[] = [];
   fleet.killSome();
   for (let revision = CHANGES + 1; revision <= 2 * CHANGES; revision++) {
@@ -102,6 +102,7 @@
 class Fleet {
   readonly cores = new Map<string, Dissemination>();
   readonly sentBytes = new Map<string, number>();
+  readonly readers: readonly string[];
   messages = 0;
   readonly #net: VirtualNet<DisseminationMessage>;
   readonly #size: number;
@@ -125,6 +126,8 @@
       this.cores.set(self.vm, core);
       this.#net.add(self.vm, core);
     }
+    const zones = new Set(members.map(({ zone }) => zone));
+    this.readers = [...zones].flatMap((zone) => readersOf(zone, members));
     this.#net.run(200);
   }
 
@@ -136,8 +139,9 @@
       digest: "0123456789abcdef",
       body: "x".repeat(CHANGE_CHARACTERS),
     };
-    const readers = [...this.cores].filter(([, core]) => core.isReader());
-    const [vm, core] = readers[revision % readers.length]!;
+    const alive = this.readers.filter((vm) => this.cores.has(vm));
+    const vm = alive[revision % alive.length]!;
+    const core = this.cores.get(vm)!;
     const start = this.#net.now;
     this.#applied = 0;
     this.#net.apply(vm, core.originate(change, start));
--- a/packages/coordination/src/escrow/escrow.ts
+++ b/packages/coordination/src/escrow/escrow.ts
@@ -108,7 +108,8 @@
 
   /** Takes in a message of a peer. */
   receive(message: EscrowMessage, now: number): readonly EscrowEffect[] {
-    return this.#step(now, (ctx) => receive(ctx, message));
+    const pools = touchedBy(message, this.#state);
+    return this.#step(now, (ctx) => receive(ctx, message), pools);
   }
 
   /** Lets time pass. */
@@ -197,13 +198,18 @@
     return { ...this.#options, state: this.#state, now, effects: [] };
   }
 
-  #step(now: number, body: (ctx: Context) => void): readonly EscrowEffect[] {
+  /** Runs a step; `pools` bounds those whose slots it may change. */
+  #step(
+    now: number,
+    body: (ctx: Context) => void,
+    pools?: readonly PoolId[],
+  ): readonly EscrowEffect[] {
     const ctx = this.#context(now);
-    const before = heldByPool(ctx);
+    const before = heldByPool(ctx, pools);
     takeBackExpired(ctx);
     body(ctx);
     settle(ctx);
-    for (const [pool, held] of heldByPool(ctx)) {
+    for (const [pool, held] of heldByPool(ctx, pools)) {
       if (held !== (before.get(pool) ?? 0)) {
         ctx.effects.push({ kind: "changed", pool, held });
       }
@@ -212,9 +218,31 @@
   }
 }
 
-function heldByPool(ctx: Context): ReadonlyMap<PoolId, number> {
-  const pools = entriesOf(ctx.state.pools);
-  return new Map(pools.map(([pool]) => [pool, heldOf(ctx, pool)]));
+function heldByPool(
+  ctx: Context,
+  pools: readonly PoolId[] = entriesOf(ctx.state.pools).map(([pool]) => pool),
+): ReadonlyMap<PoolId, number> {
+  return new Map(pools.map((pool) => [pool, heldOf(ctx, pool)]));
+}
+
+/** The pools that a message may change, or undefined for all. Most messages are about one loan. */
+function touchedBy(
+  message: EscrowMessage,
+  state: EscrowState,
+): readonly PoolId[] | undefined {
+  switch (message.kind) {
+    case "borrow":
+      return [message.pool];
+    case "grant":
+    case "refuse":
+    case "return": {
+      const { loan } = message;
+      const pool = state.borrowed[loan]?.pool ?? state.lent[loan]?.pool;
+      return pool === undefined ? [] : [pool];
+    }
+    default:
+      return undefined;
+  }
 }
 
 function freeOwn(ctx: Context, pool: PoolId, endsAt: number): number {
--- a/packages/coordination/src/escrow/ownership.ts
+++ b/packages/coordination/src/escrow/ownership.ts
@@ -13,6 +13,7 @@
   type Context,
   entriesOf,
   lastAskedAt,
+  NEVER,
   noteAsk,
   type PoolState,
 } from "./state.ts";
@@ -29,7 +30,7 @@
   state.plan = plan;
   state.confirmed = [];
   state.heardLowered = [];
-  state.loweredSentAt = -Infinity;
+  state.loweredSentAt = NEVER;
   // Answers about the epoch before must not count for this one.
   state.renewals.sentAt = {};
   state.oneSilentSince = -1;
@@ -49,7 +50,7 @@
 /** Lowers what can be lowered, and raises when every earlier owner has lowered. */
 export function settle(ctx: Context): void {
   const { state, rules, self } = ctx;
-  if (state.plan === undefined) {
+  if (state.plan === undefined || state.raised) {
     return;
   }
   for (const [id, pool] of entriesOf(state.pools)) {
@@ -60,7 +61,7 @@
     state.confirmed.push(self.instance);
   }
   watchSilence(ctx);
-  if (!state.raised && isLowered(ctx) && rules.mayRaise(ctx)) {
+  if (isLowered(ctx) && rules.mayRaise(ctx)) {
     state.raised = true;
     for (const pool of Object.values(state.pools) as PoolState[]) {
       pool.share = pool.target;
--- a/packages/coordination/src/escrow/state.ts
+++ b/packages/coordination/src/escrow/state.ts
@@ -60,7 +60,7 @@
 
 /** When the question was last asked. */
 export function lastAskedAt(log: AskLog): number {
-  return log.sentAt[log.attempt] ?? -Infinity;
+  return log.sentAt[log.attempt] ?? NEVER;
 }
 
 /** A loan that this VM asked for or has. */
@@ -102,6 +102,9 @@
   loans: number;
 }
 
+/** Before any time: finite, so that the state is plain JSON. */
+export const NEVER = -1e15;
+
 /** State of a core that has just started. */
 export function initialState(): EscrowState {
   return {
@@ -111,12 +114,12 @@
     borrowed: {},
     closed: {},
     spare: {},
-    validUntil: -Infinity,
+    validUntil: NEVER,
     renewals: newAskLog(),
     confirmed: [],
     gone: [],
     heardLowered: [],
-    loweredSentAt: -Infinity,
+    loweredSentAt: NEVER,
     oneSilentSince: -1,
     raised: false,
     loans: 0,
--- /dev/null
+++ b/packages/model/src/escrow_model_test.ts
@@ -0,0 +1,98 @@
+import { DEFAULT_RULES, type EscrowRules } from "@poplarthread/coordination";
+import { describe, expect, it } from "vitest";
+import { corePath } from "./core_path.ts";
+import { type EscrowBounds, escrowModel } from "./escrow_model.ts";
+import { explore } from "./explore.ts";
+import { loadMutant } from "./mutant.ts";
+
+/** No verdict hangs on time; a busy host only takes longer to explore. */
+const EXPLORING_MS = 60_000;
+
+const LOANS: EscrowBounds = {
+  vms: 2,
+  slots: 2,
+  steps: 3,
+  inFlight: 1,
+  repeats: 1,
+  restarts: 0,
+  wishes: 2,
+  stay: 0,
+};
+const MOVES: EscrowBounds = { ...LOANS, repeats: 0, wishes: 0, stay: 1 };
+const RESTARTS: EscrowBounds = {
+  ...LOANS,
+  steps: 4,
+  repeats: 0,
+  restarts: 1,
+  wishes: 1,
+};
+
+const SAFE = { rules: DEFAULT_RULES, remembers: false };
+
+describe("slot escrow", { timeout: EXPLORING_MS }, () => {
+  // Messages about a loan come late, twice or never while one VM freezes or
+  // restarts. With one slot on two VMs a target is sent more than it can run.
+  it.each([
+    ["lending", LOANS],
+    ["moving to another owner", MOVES],
+    ["restarting", RESTARTS],
+  ])("holds no slot twice in all orders of %s", (_, bounds) => {
+    const found = explore(escrowModel(bounds, SAFE));
+    expect(found.violation).toBeUndefined();
+    expect(found.states).toBeGreaterThan(500);
+  });
+
+  it.each([
+    [
+      "lends without lowering its own count",
+      LOANS,
+      "lent += loan.pool === pool ? loan.slots : 0;",
+      "lent += 0 * loan.slots;",
+    ],
+    [
+      "uses a loan past its end",
+      LOANS,
+      "return askedAt + durationMs * (1 - 2 * CLOCK_DRIFT);",
+      "return askedAt + 2 * durationMs;",
+    ],
+    [
+      "takes a loan back early",
+      LOANS,
+      "return now + durationMs + TAKE_BACK_MARGIN_MS;",
+      "return now + durationMs / 2;",
+    ],
+    [
+      "raises before the lowering is confirmed",
+      MOVES,
+      "if (silent === 0) {",
+      "if (silent >= 0) {",
+    ],
+    [
+      "does not wait for a silent owner's term",
+      MOVES,
+      "now >= state.oneSilentSince + times.termMs + TAKE_BACK_MARGIN_MS",
+      "now >= state.oneSilentSince",
+    ],
+    [
+      "vouches for an epoch that it has left",
+      MOVES,
+      "return state.plan?.epoch === epoch &&",
+      "return epoch > 0 &&",
+    ],
+  ])("catches a core that %s", async (_, bounds, find, replace) => {
+    const path = corePath("escrow/rules.ts");
+    const mutant = await loadMutant<{ DEFAULT_RULES: EscrowRules }>(path, {
+      find,
+      replace,
+    });
+    const variant = { rules: mutant.DEFAULT_RULES, remembers: false };
+    const { violation } = explore(escrowModel(bounds, variant));
+    expect(violation?.property).toBe("slots held never exceed the total");
+  });
+
+  it("catches a VM that goes on with its loans after a restart", () => {
+    const variant = { rules: DEFAULT_RULES, remembers: true };
+    const { violation } = explore(escrowModel(RESTARTS, variant));
+    expect(violation?.property).toBe("slots held never exceed the total");
+  });
+});
