--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -16,3 +16,4 @@
 export * from "./escrow/mod.ts";
 export * from "./dissemination/mod.ts";
 export * from "./plan_term/mod.ts";
+export * from "./blocks/mod.ts";
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -13,9 +13,12 @@
   leaseCore,
 } from "@poplarthread/coordination/cores";
 import { type ClaimsBounds, claimsModel } from "./claims_model.ts";
+import { DEFAULT_RULES } from "@poplarthread/coordination";
 import { configurationModel } from "./configuration_model.ts";
+import { type EscrowBounds, escrowModel } from "./escrow_model.ts";
 import { type Exploration, explore } from "./explore.ts";
 import { type LeaseBounds, leaseModel } from "./lease_model.ts";
+import { type PlanTermBounds, planTermModel } from "./plan_term_model.ts";
 
 const LEASE: LeaseBounds = {
   contenders: 2,
@@ -37,6 +40,47 @@
   expiries: 0,
 };
 
+/** Loans; moves to another owner; a restart amid loans. */
+const ESCROW: readonly EscrowBounds[] = [
+  {
+    vms: 2,
+    slots: 2,
+    steps: 3,
+    inFlight: 2,
+    repeats: 1,
+    restarts: 0,
+    wishes: 2,
+    stay: 0,
+  },
+  {
+    vms: 2,
+    slots: 2,
+    steps: 3,
+    inFlight: 2,
+    repeats: 0,
+    restarts: 0,
+    wishes: 0,
+    stay: 1,
+  },
+  {
+    vms: 2,
+    slots: 2,
+    steps: 4,
+    inFlight: 1,
+    repeats: 0,
+    restarts: 1,
+    wishes: 2,
+    stay: 0,
+  },
+];
+
+/** A VM that is cut off; one that restarts beside it; one that reads the table late. */
+const PLAN_TERMS: readonly PlanTermBounds[] = [
+  { steps: 3, questions: 2, reads: 0, restarts: 0 },
+  { steps: 3, questions: 1, reads: 0, restarts: 1 },
+  { steps: 3, questions: 1, reads: 1, restarts: 0 },
+];
+
 /** Each exploration, started one after the other, so that one's memory is freed before the next. */
 const RUNS: readonly (() => Exploration<unknown, unknown>)[] = [
   () =>
@@ -81,6 +125,10 @@
   () => explore(claimsModel({ ...CLAIMS, losses: 2 }, attemptCore)),
   () =>
     explore(claimsModel({ ...CLAIMS, losses: 1, otherBody: 1 }, attemptCore)),
+  ...PLAN_TERMS.map((bounds) => () => explore(planTermModel(bounds))),
+  ...ESCROW.map((bounds) => () =>
+    explore(escrowModel(bounds, { rules: DEFAULT_RULES, remembers: false }))
+  ),
 ];
 
 const models = RUNS.map((run) => run());
