--- a/packages/bench/src/decisions/patterns_fault.ts
+++ b/packages/bench/src/decisions/patterns_fault.ts
@@ -157,34 +157,43 @@
   return found;
 }
 
+const RECOVERIES = [
+  ["polite", "steering"],
+  ["storm", "steering"],
+  ["storm", "central"],
+] as const;
+
 /** Saturation to twice the capacity and back, with callers that return. */
 export function recovery(ctx: PatternContext): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
   const [from, to] = [10_000, 15_000];
   const load = (now: number): number => now >= from && now < to ? 2 : 0.8;
   for (const work of ctx.deployment.work) {
-    for (const manners of ["polite", "storm"] as const) {
+    for (const [manners, scheme] of RECOVERIES) {
       const result = run({
         ...specOf(ctx, work),
         seconds: 25,
-        scheme: "steering",
+        scheme,
         load,
         manners,
       });
       const pattern = `saturation and back, ${manners} callers`;
-      const name = { service: work.service, scheme: "steering", load: "2 x" };
+      const name = { service: work.service, scheme, load: "2 x" };
       found.rows.push(rowOf({ pattern, ...name }, result));
-      found.bars.push({
-        name: `${work.service}: ${pattern}, seconds until p99 is ordinary`,
-        value: recoverySeconds(result, { from, to }),
-        bound: 2,
-        sense: "at most",
-      });
+      const isOurs = scheme === "steering";
+      if (isOurs) {
+        found.bars.push({
+          name: `${work.service}: ${pattern}, seconds until p99 is ordinary`,
+          value: recoverySeconds(result, { from, to }),
+          bound: 2,
+          sense: "at most",
+        });
+      }
       result.metrics.windows.forEach(({ latencies }, i) => {
         if (latencies.length === 0) return;
         found.points.push({
           plot: `p99 through saturation, ${work.service}`,
-          series: manners,
+          series: `${scheme}, ${manners}`,
           x: i * WINDOW_MS / 1_000,
           y: quantileOf(latencies, 99),
         });
--- a/packages/decisions/src/exchange.ts
+++ b/packages/decisions/src/exchange.ts
@@ -15,6 +15,10 @@
 import type { ServiceState, StandingAsk } from "./service_state.ts";
 import type { VmState } from "./vm_state.ts";
 
+/** Slots that any caller may hold: with fewer, two requests that came together
+ * by chance would count as too many. */
+const LEAST_CALLER_LIMIT = 3;
+
 /** Hands out what is free of a service, and asks for what is missing. */
 export function settle(
   vm: VmState,
@@ -23,7 +27,7 @@
 ): void {
   service.measure(ctx.now);
   const share = vm.policy.callerShare * service.heldSlots;
-  service.callerLimit = Math.max(1, Math.ceil(share));
+  service.callerLimit = Math.max(LEAST_CALLER_LIMIT, Math.ceil(share));
   while (handOutOne(vm, service, ctx));
   askNeighbours(vm, service, ctx);
   askAfar(vm, service, ctx);
--- a/packages/decisions/src/lending.ts
+++ b/packages/decisions/src/lending.ts
@@ -54,6 +54,10 @@
  * lent there is away for a round trip even when it is wanted back. */
 const KEEP_FROM_AFAR = 0.25;
 
+/** The least kept: a VM of few slots has most of them free now and then, also
+ * at 0.95 load, when its region has none to spare. */
+const LEAST_KEPT_FROM_AFAR = 2;
+
 /** Every rank is at most this. */
 const LAST_RANK = Number.POSITIVE_INFINITY;
 
@@ -259,5 +263,6 @@
 function hasPlenty(service: ServiceState): boolean {
   if (service.waiting > 0) return false;
   const free = service.heldSlots - service.inUse;
-  return free > Math.ceil(service.heldSlots * KEEP_FROM_AFAR);
+  const kept = Math.ceil(service.heldSlots * KEEP_FROM_AFAR);
+  return free > Math.max(LEAST_KEPT_FROM_AFAR, kept);
 }
--- a/packages/decisions/src/requests.ts
+++ b/packages/decisions/src/requests.ts
@@ -69,7 +69,7 @@
   const { service } = req;
   const target = place(service, req, {
     distances: vm,
-    ahead: Math.max(0, service.waiting - 1),
+    ahead: Math.max(0, waitingWith(req) - 1),
     now: ctx.now,
   });
   if (target === undefined) return false;
@@ -79,6 +79,15 @@
   return true;
 }
 
+/** Requests that share a request's wait: not those of a caller over its share,
+ * whose backlog is no reason to send others' requests far away. */
+function waitingWith(req: RequestState): number {
+  const { service } = req;
+  return service.isOverShare(req.caller)
+    ? service.waiting
+    : service.waitingTo(Number.POSITIVE_INFINITY);
+}
+
 /**
  * The waiting request whose turn it is, if its class may take a slot: of the
  * best class, but a caller that holds its share goes after all others, of
