--- a/packages/decisions/src/plan_slots.ts
+++ b/packages/decisions/src/plan_slots.ts
@@ -21,6 +21,12 @@
  * (8 slots: ±3). */
 const HYSTERESIS = 0.3;
 
+/** Most of a region's slots that one plan moves between VMs. A moved slot idles
+ * until its VM confirmed and the next plan is out, 1.5 s: with a third of the
+ * slots moved at once the drain of a zone ended in refusals at 40 % load (bench:
+ * planned drain). */
+const MOST_MOVED = 0.1;
+
 /** What the distribution is made from. */
 export interface SlotDemand {
   readonly service: ServiceId;
@@ -76,7 +82,60 @@
   const least = LEAST_WEIGHT * Math.max(1, sum) / Math.max(1, weights.size);
   for (const [vm, weight] of weights) weights.set(vm, Math.max(least, weight));
   const ideal = largestRemainder(weights, input.total);
-  return isNear(held, ideal, input.total) ? held : ideal;
+  return towards(held, ideal, input.total);
+}
+
+/** Counts nearer to the ideal ones: slots that nobody owns are handed out, and a
+ * few are moved where a VM is far off. */
+function towards(
+  held: ReadonlyMap<VmId, number>,
+  ideal: ReadonlyMap<VmId, number>,
+  total: number,
+): Map<VmId, number> {
+  const counts = new Map<VmId, number>();
+  let unowned = total;
+  for (const vm of ideal.keys()) {
+    const slots = held.get(vm) ?? 0;
+    counts.set(vm, slots);
+    unowned -= slots;
+  }
+  const most = Math.max(1, Math.floor(MOST_MOVED * total));
+  for (let i = 0; i < most && unowned <= 0; i++) {
+    const [from, over] = furthest(counts, ideal, 1);
+    const isFar = over > Math.max(1, HYSTERESIS * (ideal.get(from!) ?? 0));
+    if (from === undefined || (unowned === 0 && !isFar)) break;
+    counts.set(from, counts.get(from)! - 1);
+    unowned++;
+    if (unowned > 0) unowned -= addOne(counts, ideal);
+  }
+  while (unowned > 0 && counts.size > 0) unowned -= addOne(counts, ideal);
+  return counts;
+}
+
+function addOne(
+  counts: Map<VmId, number>,
+  ideal: ReadonlyMap<VmId, number>,
+): number {
+  const [to] = furthest(counts, ideal, -1);
+  counts.set(to!, counts.get(to!)! + 1);
+  return 1;
+}
+
+/** The VM that is furthest above its ideal count (sign 1) or below it (-1). */
+function furthest(
+  counts: ReadonlyMap<VmId, number>,
+  ideal: ReadonlyMap<VmId, number>,
+  sign: 1 | -1,
+): [VmId | undefined, number] {
+  let best: VmId | undefined;
+  let most = Number.NEGATIVE_INFINITY;
+  for (const [vm, slots] of counts) {
+    const off = sign * (slots - ideal.get(vm)!);
+    if (off <= most) continue;
+    best = vm;
+    most = off;
+  }
+  return [best, most];
 }
 
 function heldNow(input: SlotDemand): Map<VmId, number> {
@@ -90,20 +149,6 @@
   return held;
 }
 
-function isNear(
-  held: ReadonlyMap<VmId, number>,
-  ideal: ReadonlyMap<VmId, number>,
-  total: number,
-): boolean {
-  let sum = 0;
-  for (const [vm, slots] of ideal) {
-    const now = held.get(vm) ?? 0;
-    sum += now;
-    if (Math.abs(now - slots) > Math.max(1, HYSTERESIS * slots)) return false;
-  }
-  return sum === total;
-}
-
 /** Shares `total` out by weight; the largest fractions get what is left. */
 export function largestRemainder<Key>(
   weights: ReadonlyMap<Key, number>,
