--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -39,6 +39,10 @@
   recovery: faults.recovery,
 };
 
+/** Schemes in every comparison, and those that only a full run adds. */
+const USUAL = ["steering", "central", "two-choices", "round-robin", "random"];
+const ALTERNATIVES = ["hash-lending", "no-lending", "forwarding", "probing"];
+
 const HELP = `
   Usage
     npm run bench -- decisions [options]
@@ -81,8 +85,13 @@
     if (deployment === undefined) {
       throw new RangeError(`Cannot run the bench: no deployment ${name}`);
     }
-    const ctx = { deployment, seed: flags.seed, quick: flags.quick };
-    const found = runPatterns(ctx, flags.pattern);
+    const found = runPatterns({
+      deployment,
+      work: deployment.work,
+      schemes: flags.quick ? USUAL : [...USUAL, ...ALTERNATIVES],
+      seed: flags.seed,
+      quick: flags.quick,
+    }, flags.pattern);
     console.log(`\n## ${name}, seed ${flags.seed}\n`);
     if (flags.rows) console.log(`${rowTable(found.rows)}\n`);
     console.log(barTable(found.bars));
--- a/packages/bench/src/decisions/pattern.ts
+++ b/packages/bench/src/decisions/pattern.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Deployment } from "./deployment.ts";
+import type { Deployment, ServiceWork } from "./deployment.ts";
 import type { Metrics } from "./metrics.ts";
 
 /** One line of figures. */
@@ -50,8 +50,12 @@
 /** How a pattern is to be run. */
 export interface PatternContext {
   readonly deployment: Deployment;
+  /** Services to run; each runs alone. */
+  readonly work: readonly ServiceWork[];
+  /** Schemes to compare; ours and the central queue at least. */
+  readonly schemes: readonly string[];
   readonly seed: number;
-  /** Shorter runs, fewer schemes. */
+  /** Shorter runs, fewer levels of load. */
   readonly quick: boolean;
 }
 
--- a/packages/bench/src/decisions/patterns_fault.ts
+++ b/packages/bench/src/decisions/patterns_fault.ts
@@ -81,7 +81,7 @@
 export function regionLoss(ctx: PatternContext): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
   const lost = ctx.deployment.policy.regions[2]!.id;
-  for (const work of ctx.deployment.work) {
+  for (const work of ctx.work) {
     for (const load of [0.5, 0.8]) {
       const results = ["steering", "central"].map((scheme) => {
         const result = run({
@@ -116,7 +116,7 @@
 export function plannedDrain(ctx: PatternContext): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
   const zone = ctx.deployment.policy.regions[0]!.zones[0]!;
-  for (const work of ctx.deployment.work) {
+  for (const work of ctx.work) {
     const drain = { refusedFrom: 0, emptyAt: 0 };
     const result = run({
       ...specOf(ctx, work),
@@ -168,7 +168,7 @@
   const found: Findings = { rows: [], bars: [], points: [] };
   const [from, to] = [10_000, 15_000];
   const load = (now: number): number => now >= from && now < to ? 2 : 0.8;
-  for (const work of ctx.deployment.work) {
+  for (const work of ctx.work) {
     for (const [manners, scheme] of RECOVERIES) {
       const result = run({
         ...specOf(ctx, work),
@@ -234,11 +234,14 @@
   },
 ): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
-  for (const work of ctx.deployment.work) {
+  const runs = ctx.work.flatMap((work) =>
+    [0.6, 0.8].map((load) => ({ work, load }))
+  );
+  for (const { work, load } of runs) {
     const spec: RunSpec = {
       ...specOf(ctx, work),
       scheme: "steering",
-      load: () => 0.8,
+      load: () => load,
       warmUpSeconds: FAULT_MS / 1_000,
     };
     const tagOthers = (world: World): void => {
@@ -256,19 +259,20 @@
     });
     const { pattern } = opts;
     const name = { pattern, service: work.service, scheme: "steering" };
-    found.rows.push(rowOf({ ...name, load: "0.80" }, ill));
+    found.rows.push(rowOf({ ...name, load: load.toFixed(2) }, ill));
     const p99 = (result: RunResult): number =>
       (opts.others ? result.metrics.byTag.get("other")! : result.metrics.all)
         .quantile(99);
     found.bars.push({
-      name: `${work.service}: ${pattern}, p99 ${
+      name: `${work.service}: ${pattern} at ${load} load, p99 ${
         opts.others ? "of others' work " : ""
       }against without it`,
       value: p99(ill) / p99(well),
       bound: opts.bound,
       sense: "at most",
     }, {
-      name: `${work.service}: ${pattern}, goodput against without it`,
+      name: `${work.service}: ${pattern} at ${load} load, goodput ` +
+        "against without it",
       value: ill.metrics.all.goodput / well.metrics.all.goodput,
       bound: 0.99,
       sense: "at least",
--- a/packages/bench/src/decisions/patterns_load.ts
+++ b/packages/bench/src/decisions/patterns_load.ts
@@ -23,14 +23,6 @@
   type RunSpec,
 } from "./runs.ts";
 
-/** Schemes in every comparison, and those that only the note compares. */
-const USUAL = ["steering", "central", "two-choices", "round-robin", "random"];
-const ALTERNATIVES = [
-  "hash-lending",
-  "no-lending",
-  "forwarding",
-  "probing",
-];
 /** A run's p99 at this share of load stands for an unhurried day. */
 const CALM = 0.5;
 /** Headroom ends where p99 passes this many times the calm day's. */
@@ -39,13 +31,12 @@
 /** Steady load at several levels, with headroom. */
 export function steady(ctx: PatternContext): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
-  for (const work of ctx.deployment.work) {
-    const schemes = ctx.quick ? USUAL : [...USUAL, ...ALTERNATIVES];
+  for (const work of ctx.work) {
     const loads = ctx.quick
       ? [CALM, 0.8, 0.95]
       : [CALM, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95, 1];
     const p99 = new Map<string, number>();
-    for (const scheme of schemes) {
+    for (const scheme of ctx.schemes) {
       for (const load of loads) {
         const result = steadyRun(ctx, work, { scheme, load });
         const row = rowOf({
@@ -68,9 +59,9 @@
 /** Twice what can be served: goodput, and the first class. */
 export function saturation(ctx: PatternContext): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
-  for (const work of ctx.deployment.work) {
+  for (const work of ctx.work) {
     const results = new Map<string, RunResult>();
-    for (const scheme of USUAL) {
+    for (const scheme of ctx.schemes) {
       const result = steadyRun(ctx, work, { scheme, load: 2 });
       results.set(scheme, result);
       const name = { service: work.service, scheme, load: "2.00" };
@@ -105,7 +96,7 @@
 /** One caller adds as much as all others together, or floods. */
 export function fewCallers(ctx: PatternContext): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
-  const work = ctx.deployment.work[0]!;
+  const work = ctx.work[0]!;
   const alone = withCallers(ctx, work, { load: 0.4, hotShare: 0 });
   const p99Alone = alone.metrics.byTag.get("other")!.quantile(99);
   push(found, ctx, { work, load: "0.40", result: alone });
@@ -188,9 +179,9 @@
   },
 ): Findings {
   const found: Findings = { rows: [], bars: [], points: [] };
-  for (const work of ctx.deployment.work) {
+  for (const work of ctx.work) {
     const results = new Map<string, RunResult>();
-    for (const scheme of USUAL) {
+    for (const scheme of ctx.schemes) {
       const spec = specOf(ctx, work);
       const result = run({
         ...spec,
--- a/packages/decisions/src/requests.ts
+++ b/packages/decisions/src/requests.ts
@@ -130,7 +130,13 @@
   req.running = req.running.filter((other) => other !== attempt);
   hedge.unwatch(req);
   freeSlot(vm, req, { attempt, outcome: event.outcome, now: ctx.now });
+  const { belief, id: target } = attempt.target;
+  const before = belief.failing;
   learn(vm, req, { attempt, outcome: event.outcome, now: ctx.now });
+  const { failing } = belief;
+  if (failing !== before) {
+    ctx.out.push({ kind: "belief-changed", target, failing });
+  }
   afterAttempt(vm, req, { attempt, outcome: event.outcome, ...ctx });
   if (req.running.length === 0 && req.settled) vm.requests.delete(req.request);
 }
