--- a/packages/decisions/src/steering_test.ts
+++ b/packages/decisions/src/steering_test.ts
@@ -113,16 +113,18 @@
   test("the first class goes first, then callers in turn", () => {
     const vm = filled();
     const waiting = [
+      arrival("a-1", { caller: "a" }),
+      arrival("a-2", { caller: "a" }),
+      arrival("b-1", { caller: "b" }),
       arrival("busy-6", { caller: "busy" }),
-      arrival("busy-7", { caller: "busy" }),
-      arrival("other", { caller: "other" }),
       arrival("objection", { class: "objections", repeat: "at-most-once" }),
     ];
     for (const event of waiting) expect(vm.handle(event, 1)).toEqual([]);
-    const order = [0, 1, 2, 3].flatMap((i) =>
+    const order = [0, 1, 2, 3, 4].flatMap((i) =>
       started(vm.handle(ended(`busy-${i}`, "answered"), 50 + i))
     );
-    expect(order).toEqual(["objection", "other", "busy-6", "busy-7"]);
+    // The busy caller's turn came while it still held its share of the slots.
+    expect(order).toEqual(["objection", "a-1", "b-1", "a-2", "busy-6"]);
   });
 
   // A page's wait may last a second. Its caller would otherwise look at an
@@ -197,6 +199,23 @@
     expect(used).toEqual(["t2", "t2", "t2"]);
   });
 
+  // A slot is lent for a second, and the request may take five. After the second
+  // the lender uses its slot again, and two requests run on it.
+  test("a borrowed slot is not used by what may outlast the loan", () => {
+    const [vm] = fleet(["vm-1", "vm-2"]) as [Steering, Steering];
+    for (let i = 0; i < 3; i++) vm.handle(arrival(`own-${i}`), 0);
+    vm.handle(arrival("next"), 0);
+    const loan = (durationMs: number): SteeringEvent => ({
+      kind: "borrowed",
+      from: id<VmId>("vm-2"),
+      target: targets[0]!.target,
+      slots: 1,
+      durationMs,
+    });
+    expect(started(vm.handle(loan(1_000), 1))).toEqual([]);
+    expect(started(vm.handle(loan(20_000), 2))).toEqual(["next"]);
+  });
+
   // The plan is not renewed: this VM may be cut off, and its slots given to
   // another. Work sent on would push a target over what it carries.
   test("slots of a plan that ran out are not used", () => {
