--- /dev/null
+++ b/packages/decisions/src/attempts.ts
@@ -0,0 +1,234 @@
+/**
+ * The life of an attempt: hedged, ended, learned from, and perhaps followed by
+ * another.
+ *
+ * Answers attempts that fail. A request that may have run is sent again only if
+ * it is idempotent; one that surely has not run may always be. Either costs a
+ * token of the retry budget, and in an overload nothing that may have run is
+ * run again: it would take a slot from a request that was never served.
+ *
+ * @module
+ */
+
+import { isOverloaded } from "./admission.ts";
+import type { Effect } from "./effect.ts";
+import type { AttemptOutcome } from "./event.ts";
+import * as hedge from "./hedge.ts";
+import { place } from "./placement.ts";
+import type { Attempt, RequestState } from "./request_state.ts";
+import { enqueueAgain, finish, start, unqueue } from "./requests.ts";
+import type { ClassState } from "./service_state.ts";
+import type { VmState } from "./vm_state.ts";
+
+/** Attempts of one request. With the retry budget for all requests together,
+ * this keeps a single request that breaks its targets from breaking many. */
+const MOST_ATTEMPTS = 3;
+
+/** How long a slot stays taken after its attempt broke off, beyond the way to
+ * the target: within it the target learns that the connection is closed. A
+ * request sent sooner could run beside the one that is being cancelled. */
+const LINGER_MS = 5;
+
+/** An attempt ended. */
+export function ended(
+  vm: VmState,
+  event: { request: RequestState; attempt: number; outcome: AttemptOutcome },
+  ctx: { now: number; out: Effect[] },
+): void {
+  const req = event.request;
+  const attempt = req.running.find(({ number }) => number === event.attempt);
+  if (attempt === undefined) return;
+  req.running = req.running.filter((other) => other !== attempt);
+  hedge.unwatch(req);
+  freeSlot(vm, req, { attempt, outcome: event.outcome, now: ctx.now });
+  const { belief, id: target } = attempt.target;
+  const before = belief.failing;
+  learn(vm, req, { attempt, outcome: event.outcome, now: ctx.now });
+  const { failing } = belief;
+  if (failing !== before) {
+    ctx.out.push({ kind: "belief-changed", target, failing });
+  }
+  afterAttempt(vm, req, { attempt, outcome: event.outcome, ...ctx });
+  if (req.running.length === 0 && req.settled) vm.requests.delete(req.request);
+}
+
+/** The first byte of an answer came: no other attempt may answer. */
+export function answering(
+  req: RequestState,
+  attempt: number,
+  out: Effect[],
+): void {
+  req.settled = true;
+  hedge.unwatch(req);
+  cancelOthers(req, attempt, out);
+}
+
+/** The caller went away: nothing more is started for it. */
+export function gone(vm: VmState, req: RequestState, out: Effect[]): void {
+  req.settled = true;
+  hedge.unwatch(req);
+  if (req.queue !== undefined) unqueue(req);
+  cancelOthers(req, 0, out);
+  if (req.running.length === 0) vm.requests.delete(req.request);
+}
+
+/** Sends late requests of a class to a second target while that is cheap. */
+export function hedgeLate(
+  vm: VmState,
+  cls: ClassState,
+  ctx: { now: number; out: Effect[] },
+): void {
+  for (;;) {
+    const req = hedge.lateRequest(cls, ctx.now);
+    if (req === undefined) return;
+    hedge.unwatch(req);
+    if (req.settled || req.service.waiting > 0) continue;
+    if (req.attempts >= MOST_ATTEMPTS) continue;
+    req.avoid = req.running[0]?.target;
+    const target = place(req.service, req, {
+      distances: vm,
+      ahead: 0,
+      now: ctx.now,
+    });
+    if (target === undefined || target === req.avoid) continue;
+    if (!req.service.budget.spend()) continue;
+    start(vm, req, { target, kind: "hedge", ...ctx });
+  }
+}
+
+function freeSlot(
+  vm: VmState,
+  req: RequestState,
+  end: { attempt: Attempt; outcome: AttemptOutcome; now: number },
+): void {
+  const { target } = end.attempt;
+  const { service } = req;
+  const link = vm.linkTo(target);
+  service.inUse--;
+  req.class.inUse--;
+  if (link !== undefined) link.inUse--;
+  const inUse = (service.inUseBy.get(req.caller) ?? 1) - 1;
+  if (inUse === 0) service.inUseBy.delete(req.caller);
+  else service.inUseBy.set(req.caller, inUse);
+  target.idleSince = end.now;
+  if (end.outcome !== "cancelled" && end.outcome !== "failed-after-sent") {
+    target.inUse--;
+    return;
+  }
+  const oneWay = (link?.roundTripMs ?? 0) / 2;
+  vm.lingering.push({ target, until: end.now + oneWay + LINGER_MS });
+}
+
+/** What the attempt says about its target and about usual times. */
+function learn(
+  vm: VmState,
+  req: RequestState,
+  end: { attempt: Attempt; outcome: AttemptOutcome; now: number },
+): void {
+  const { attempt, now } = end;
+  const { belief } = attempt.target;
+  switch (end.outcome) {
+    case "answered": {
+      const way = vm.linkTo(attempt.target)?.roundTripMs ?? 0;
+      const took = Math.max(0.1, now - attempt.startedAt - way);
+      belief.answered(took / req.class.time.mean, now);
+      req.class.time.add(took);
+      req.service.time.add(took);
+      vm.retryAfter.answered(now);
+      return;
+    }
+    case "answered-error":
+    case "failed-before-sent":
+    case "failed-after-sent":
+      belief.failed(now);
+      return;
+    case "refused-not-run":
+      belief.refused(now);
+      return;
+    case "leaving":
+      attempt.target.leaving = true;
+      req.service.recount();
+      return;
+    case "cancelled": {
+      // Its time so far is a lower bound of what it would have taken.
+      const soFar = (now - attempt.startedAt) / req.class.time.mean;
+      if (soFar > belief.ratio) belief.tookAtLeast(soFar);
+      return;
+    }
+  }
+}
+
+function afterAttempt(
+  vm: VmState,
+  req: RequestState,
+  end: {
+    attempt: Attempt;
+    outcome: AttemptOutcome;
+    now: number;
+    out: Effect[];
+  },
+): void {
+  switch (end.outcome) {
+    case "answered":
+    case "answered-error":
+      req.settled = true;
+      cancelOthers(req, end.attempt.number, end.out);
+      return;
+    case "cancelled":
+      if (!req.settled && req.running.length === 0) {
+        req.mayHaveRun = true;
+        finish(vm, req, { reason: "attempts-failed", ...end });
+      }
+      return;
+    case "failed-after-sent":
+      req.mayHaveRun = true;
+      tryAgain(vm, req, { free: false, ...end });
+      return;
+    case "failed-before-sent":
+    case "refused-not-run":
+      tryAgain(vm, req, { free: false, ...end });
+      return;
+    case "leaving":
+      tryAgain(vm, req, { free: true, ...end });
+      return;
+  }
+}
+
+/** Queues a request again, if it may be sent again; else ends it. A target
+ * that is leaving costs no token: a drain must not eat the budget. */
+function tryAgain(
+  vm: VmState,
+  req: RequestState,
+  end: { attempt: Attempt; free: boolean; now: number; out: Effect[] },
+): void {
+  if (req.settled || req.running.length > 0) return;
+  if (mayTryAgain(req, end)) {
+    req.avoid = end.attempt.target;
+    enqueueAgain(vm, req, end.now);
+    return;
+  }
+  finish(vm, req, { reason: "attempts-failed", now: end.now, out: end.out });
+}
+
+function mayTryAgain(
+  req: RequestState,
+  end: { free: boolean; now: number },
+): boolean {
+  if (req.mayHaveRun && req.repeat === "at-most-once") return false;
+  if (req.deadlineAt - end.now <= req.class.time.mean) return false;
+  if (end.free) return true;
+  if (req.attempts >= MOST_ATTEMPTS) return false;
+  if (req.mayHaveRun && isOverloaded(req.service, end.now)) return false;
+  return req.service.budget.spend();
+}
+
+function cancelOthers(
+  req: RequestState,
+  winner: number,
+  out: Effect[],
+): void {
+  for (const { number } of req.running) {
+    if (number === winner) continue;
+    out.push({ kind: "cancel", request: req.request, attempt: number });
+  }
+}
--- a/packages/decisions/src/steering.ts
+++ b/packages/decisions/src/steering.ts
@@ -7,6 +7,7 @@
 
 import type { ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import * as attempts from "./attempts.ts";
 import type { Standing } from "./belief.ts";
 import type { Effect } from "./effect.ts";
 import type { SteeringEvent } from "./event.ts";
@@ -157,20 +158,20 @@
         return requests.arrive(vm, event, ctx);
       case "answering": {
         const req = vm.requests.get(event.request);
-        if (req !== undefined) requests.answering(req, event.attempt, out);
+        if (req !== undefined) attempts.answering(req, event.attempt, out);
         return undefined;
       }
       case "ended": {
         const request = vm.requests.get(event.request);
         if (request === undefined) return undefined;
         const { attempt, outcome } = event;
-        requests.ended(vm, { request, attempt, outcome }, ctx);
+        attempts.ended(vm, { request, attempt, outcome }, ctx);
         return request.service;
       }
       case "gone": {
         const req = vm.requests.get(event.request);
         if (req === undefined) return undefined;
-        requests.gone(vm, req, out);
+        attempts.gone(vm, req, out);
         return req.service;
       }
       case "report":
@@ -232,7 +233,7 @@
       requests.giveUp(vm, req, ctx);
     }
     for (const service of vm.services.values()) {
-      for (const cls of service.classes) requests.hedgeLate(vm, cls, ctx);
+      for (const cls of service.classes) attempts.hedgeLate(vm, cls, ctx);
     }
     if (now < this.#nextReturnAt) return;
     this.#nextReturnAt = now + IDLE_MS;
