daemon: a VM that starts while the table is away asks its peers

It asks four peers, near ones first, for the configuration and the plan; the highest revision wins. Until now such a VM waited for the table.

--- a/packages/daemon/src/configuration_task.ts
+++ b/packages/daemon/src/configuration_task.ts
@@ -19,7 +19,7 @@
 import type { VmId, ZoneId } from "@poplarthread/ids";
 import { configurationOf, type InForceJson } from "./in_force_value.ts";
 import type { Log } from "./log.ts";
-import type { PeerId } from "./peers/messages.ts";
+import type { Known, PeerId } from "./peers/messages.ts";
 import { Task } from "./task.ts";
 
 /** What the task is told. */
@@ -37,6 +37,8 @@
   readonly self: PeerId & { readonly zone: ZoneId };
   readonly store: ConfigurationStore<InForceJson>;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
+  /** Asks some peers what is in force; those that answer know something. */
+  readonly askPeers: () => Promise<readonly Known[]>;
   readonly onAdopted: (configuration: Configuration) => void;
   readonly onReader: (reader: boolean) => void;
   readonly log: Log;
@@ -45,6 +47,8 @@
 const TICK_MS = 100;
 /** A VM that is no reader looks at the table this often, in case pushes fail. */
 const FALLBACK_POLL_MS = 5_000;
+/** A VM without a configuration asks its peers this often. */
+const ASK_PEERS_MS = 500;
 /** How old a push may be, at most, when it arrives: the time for all to have it. */
 const PUSH_AGE_MS = 5_000;
 
@@ -56,6 +60,7 @@
   #inForce: Configuration | undefined;
   #reader = false;
   #polledAt = -Infinity;
+  #askedAt = -Infinity;
   #polling = false;
 
   constructor(options: ConfigurationTaskOptions) {
@@ -70,6 +75,16 @@
     return this.#inForce;
   }
 
+  /** What this VM tells a peer that has just started. */
+  get known(): Pick<Known, "inForce" | "ageMs"> {
+    const { inForce, ageMs } = this.#follower;
+    return {
+      ...(inForce === undefined ? {} : { inForce }),
+      // JSON knows no Infinity: an hour is too old for anything.
+      ageMs: Math.min(ageMs, 3_600_000),
+    };
+  }
+
   /** Time since what is in force here was known to be the latest, in milliseconds. */
   get ageMs(): number {
     return this.#follower.ageMs;
@@ -93,6 +108,12 @@
         if (now - this.#polledAt >= FALLBACK_POLL_MS) {
           this.#poll();
         }
+        if (
+          this.#inForce === undefined && now - this.#askedAt >= ASK_PEERS_MS
+        ) {
+          this.#askedAt = now;
+          this.spawn(this.#askPeers());
+        }
         return;
       case "peer":
         this.#perform(this.#tree.receive(message.message, now));
@@ -116,6 +137,15 @@
     this.#reader = false;
   }
 
+  /** The highest revision among the peers wins, since a follower never goes back. */
+  async #askPeers(): Promise<void> {
+    for (const { inForce, ageMs } of await this.#options.askPeers()) {
+      if (inForce !== undefined) {
+        this.#follower.hearPeer(inForce, ageMs);
+      }
+    }
+  }
+
   #newFollower(): ConfigurationFollower<InForceJson> {
     return new ConfigurationFollower(this.#options.store, {
       onEffect: (effect) => this.#followed(effect),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,7 +37,7 @@
 import { OperatorTokens } from "./operator/mod.ts";
 import { createProbes, OperatorTask } from "./operator_task.ts";
 import { Outages } from "./outages.ts";
-import type { PeerId, PeerNotice } from "./peers/messages.ts";
+import type { Known, PeerId, PeerNotice } from "./peers/messages.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
 import { type PlanInputs, PlanTask } from "./plan_task.ts";
 import { stopAsPlanned } from "./planned_stop.ts";
@@ -76,6 +76,8 @@
   kill(): Promise<void>;
 }
 
+/** Peers that a VM without a configuration asks: one of them knows the newest, or hears of it soon. */
+const PEERS_ASKED = 4;
 /** How long a fact is known: targets are polled each second, so that it is renewed in time. */
 const LEAVING_FACT_MS = 20_000;
 const BELIEF_FACT_MS = 3_000;
@@ -200,6 +202,7 @@
         notice: (from, notice) => this.#onNotice(from, notice),
         claim: (_from, { question, waitMs }) =>
           this.#claims.answerPeer(question, waitMs),
+        known: () => ({ ...this.#configuration.known, ...this.#plan.known }),
       },
       metrics: this.#metrics,
       log: this.#log,
@@ -226,6 +229,7 @@
       self,
       store: new ConfigurationStore<InForceJson>(this.#platform),
       send: (to, params) => this.#tell(to, { method: "configuration", params }),
+      askPeers: () => this.#askPeers(),
       onAdopted: (configuration) => this.#onAdopted(configuration),
       onReader: (reader) => this.#vmList.send({ kind: "reader", reader }),
       log: this.#log,
@@ -730,6 +734,29 @@
       : this.#peers.askHolder({ vm, address }, { question, waitMs });
   }
 
+  /** Asks a few peers, near ones first, as a start-up storm must not meet all of them. */
+  async #askPeers(): Promise<readonly Known[]> {
+    const { zone, region } = this.#settings;
+    const near = (vm: FleetView["vms"][number]) =>
+      Number(vm.zone === zone) + Number(vm.region === region);
+    const peers = this.#fleet.view.vms
+      .filter((vm) => vm.id !== this.#self.vm && vm.belief !== "dead")
+      .toSorted((a, b) => near(b) - near(a))
+      .slice(0, PEERS_ASKED);
+    const answers = await Promise.all(
+      peers.map(({ id, peer }) =>
+        this.#peers.askKnown({ vm: id, address: peer })
+      ),
+    );
+    const known = answers.filter((answer) => answer !== undefined);
+    for (const { plan, planAgeMs = Infinity } of known) {
+      if (plan !== undefined) {
+        this.#plan.send({ kind: "known", stored: plan, ageMs: planAgeMs });
+      }
+    }
+    return known;
+  }
+
   #announce(): void {
     this.#leaving = true;
     this.#fleet.send({ kind: "self-leaving" });
--- a/packages/daemon/src/http/keyed_claims.ts
+++ b/packages/daemon/src/http/keyed_claims.ts
@@ -11,6 +11,7 @@
   ClaimRefusal,
   RequestClaims,
   RunOutcome,
+  StoredAnswer,
 } from "@poplarthread/coordination";
 import type { CallerId, IdempotencyKey } from "@poplarthread/ids";
 import { REPLAYED_HEADER } from "./names.ts";
@@ -106,6 +107,18 @@
   }
 }
 
+function replay(answer: StoredAnswer): ClaimAnswer {
+  const body = Buffer.from(answer.bodyBase64, "base64");
+  const kept = answer.headers.filter(([name]) => name !== "content-length");
+  const length = ["content-length", String(body.length)];
+  return {
+    kind: "replay",
+    status: answer.status,
+    lines: [...kept.flat(), ...length, REPLAYED_HEADER, "1"],
+    body,
+  };
+}
+
 function fromRefusal(
   refusal: ClaimRefusal,
   retryAfterMs: number | undefined,
@@ -113,12 +126,7 @@
   const later = retryAfterMs === undefined ? {} : { retryAfterMs };
   switch (refusal.kind) {
     case "answered":
-      return {
-        kind: "replay",
-        status: refusal.answer.status,
-        lines: [...refusal.answer.headers.flat(), REPLAYED_HEADER, "1"],
-        body: Buffer.from(refusal.answer.bodyBase64, "base64"),
-      };
+      return replay(refusal.answer);
     case "answered-unkept":
       return {
         kind: "refused",
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -9,6 +9,7 @@
   DisseminationMessage,
   HolderAnswer,
   HolderQuestion,
+  InForce,
   MembershipMessage,
 } from "@poplarthread/coordination";
 import type {
@@ -18,6 +19,8 @@
   TargetId,
   VmId,
 } from "@poplarthread/ids";
+import type { Plan } from "@poplarthread/decisions";
+import type { InForceJson } from "../in_force_value.ts";
 
 /** Version of this protocol; both ends must speak the same. */
 export const PROTOCOL_VERSION = 1;
@@ -85,7 +88,26 @@
   "planner-report",
 ];
 
-/** A question about a claim: the one call that has an answer. */
+/** What a VM that has just started asks its peers for while the table is away. */
+export interface Known {
+  /** Absent where the peer knows none either. */
+  readonly inForce?: InForce<InForceJson>;
+  /** Age of the peer's knowledge that this is the latest, in milliseconds. */
+  readonly ageMs: number;
+  /** The plan that the peer follows; absent where it has none. */
+  readonly plan?: StoredPlan;
+  readonly planAgeMs?: number;
+}
+
+/** The plan as the table keeps it. */
+export interface StoredPlan {
+  readonly plan: Plan;
+  readonly planner: VmId;
+  /** Fencing token of the lease under which it was written. */
+  readonly token: number;
+}
+
+/** A question about a claim. */
 export interface ClaimCall {
   readonly question: HolderQuestion;
   readonly waitMs: number;
@@ -95,4 +117,5 @@
 export interface PeerHandler {
   notice(from: PeerId, notice: PeerNotice): void;
   claim(from: PeerId, call: ClaimCall): Promise<HolderAnswer>;
+  known(): Known;
 }
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -24,12 +24,19 @@
 } from "./handshake.ts";
 import {
   type ClaimCall,
+  type Known,
   NOTICES,
   type PeerHandler,
   type PeerId,
   type PeerNotice,
 } from "./messages.ts";
 
+/** A peer and where it listens, `host:port`. */
+export interface PeerAddress {
+  readonly vm: VmId;
+  readonly address: string;
+}
+
 /** Construction of the network. */
 export interface PeerNetworkOptions {
   readonly self: PeerId;
@@ -97,19 +104,22 @@
   }
 
   /** Asks the holder of a claim; never rejects. */
-  async askHolder(
-    peer: { vm: VmId; address: string },
-    call: ClaimCall,
-  ): Promise<HolderAnswer> {
-    try {
-      const channel = await this.#open(peer.vm, peer.address);
-      this.#count("sent", "claim");
-      return await channel.rpc
-        .timeout(call.waitMs + HANDSHAKE_MS)
-        .request("claim", call, undefined) as HolderAnswer;
-    } catch {
-      return { kind: "unreachable" };
-    }
+  async askHolder(peer: PeerAddress, call: ClaimCall): Promise<HolderAnswer> {
+    const timeoutMs = call.waitMs + HANDSHAKE_MS;
+    const answer = await this.#call(peer, { method: "claim", call, timeoutMs });
+    return (answer ?? { kind: "unreachable" }) as HolderAnswer;
+  }
+
+  /** Asks what a peer knows to be in force; undefined where it does not answer. */
+  async askKnown(
+    peer: PeerAddress,
+  ): Promise<Known | undefined> {
+    const answer = await this.#call(peer, {
+      method: "known",
+      call: {},
+      timeoutMs: HANDSHAKE_MS,
+    });
+    return answer as Known | undefined;
   }
 
   protected override async open(): Promise<void> {
@@ -153,6 +163,24 @@
     }
   }
 
+  async #call(
+    { vm, address }: PeerAddress,
+    { method, call, timeoutMs }: {
+      method: string;
+      call: object;
+      timeoutMs: number;
+    },
+  ): Promise<unknown> {
+    try {
+      const channel = await this.#open(vm, address);
+      this.#count("sent", method);
+      return await channel.rpc.timeout(timeoutMs)
+        .request(method, call, undefined);
+    } catch {
+      return undefined;
+    }
+  }
+
   #send(vm: VmId, address: string, notice: PeerNotice): void {
     const link = this.#link(vm, address);
     const now = performance.now();
@@ -348,6 +376,10 @@
       this.#count("received", "claim");
       return handler.claim(peer, params as ClaimCall);
     });
+    channel.rpc.addMethod("known", () => {
+      this.#count("received", "known");
+      return handler.known();
+    });
   }
 
   #listener(closed: (err: Error | undefined) => void): ChannelListener {
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -24,17 +24,14 @@
 } from "@poplarthread/decisions";
 import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { Log } from "./log.ts";
-import type { PeerId, PlannerReport } from "./peers/messages.ts";
+import type {
+  Known,
+  PeerId,
+  PlannerReport,
+  StoredPlan,
+} from "./peers/messages.ts";
 import { Task } from "./task.ts";
 
-/** The plan as the table keeps it. */
-export interface StoredPlan {
-  readonly plan: Plan;
-  readonly planner: VmId;
-  /** Fencing token of the lease under which it was written. */
-  readonly token: number;
-}
-
 /** What the planner looks at, beside what VMs report to it. */
 export interface PlanInputs {
   readonly policy: Policy;
@@ -48,6 +45,12 @@
   | { readonly kind: "tick" }
   | { readonly kind: "peer"; readonly message: DisseminationMessage }
   | { readonly kind: "members"; readonly members: readonly Ranked[] }
+  /** What a peer follows, told to a VM that has just started. */
+  | {
+    readonly kind: "known";
+    readonly stored: StoredPlan;
+    readonly ageMs: number;
+  }
   | {
     readonly kind: "report";
     readonly from: VmId;
@@ -105,6 +108,14 @@
     return this.#stored?.plan;
   }
 
+  /** What this VM tells a peer that has just started. */
+  get known(): Pick<Known, "plan" | "planAgeMs"> {
+    return this.#stored === undefined ? {} : {
+      plan: this.#stored,
+      planAgeMs: performance.now() - this.#storedAt,
+    };
+  }
+
   get planner(): VmId | undefined {
     return this.#stored?.planner;
   }
@@ -144,6 +155,9 @@
         this.#tree.setMembers(message.members);
         this.#contend(message.members);
         return;
+      case "known":
+        this.#learn(message.stored, message.ageMs);
+        return;
       case "report":
         this.#reports.set(message.from, { report: message.report, at: now });
         return;
@@ -296,6 +310,12 @@
     }
   }
 
+  /** A plan that is old already holds for what is left of its time to live only. */
+  #learn(stored: StoredPlan, ageMs: number): void {
+    const ttlMs = Math.max(1, stored.plan.ttlMs - ageMs);
+    this.#adopt({ ...stored, plan: { ...stored.plan, ttlMs } });
+  }
+
   /** Only ever a higher sequence: an old plan must not come back by a slow path. */
   #adopt(stored: StoredPlan): void {
     if (stored.plan.sequence <= (this.#stored?.plan.sequence ?? 0)) {
