daemon: keep the plan in force through a long table outage

A plan lives for 10 s. Nobody renewed it while the table was away, so that each VM would have stopped using its slots 10 s into an outage. Now a plan is renewed by the table's word or, without it, by most VMs of the plan knowing no newer one; a planner needs the reports of most VMs too. One peer's word was ruled out: two VMs cut off together would renew each other while their slots are handed out.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -202,6 +202,7 @@
         notice: (from, notice) => this.#onNotice(from, notice),
         claim: (_from, { question, waitMs }) =>
           this.#claims.answerPeer(question, waitMs),
+        newestPlan: () => this.#plan.plan?.sequence ?? 0,
         known: () => ({ ...this.#configuration.known, ...this.#plan.known }),
       },
       metrics: this.#metrics,
@@ -249,6 +250,8 @@
       report: (to, params) =>
         this.#tell(to, { method: "planner-report", params }),
       send: (to, params) => this.#tell(to, { method: "plan", params }),
+      listed: () => this.#fleet.view.vms.map(({ id }) => id),
+      askNewest: (vm, timeoutMs) => this.#askNewestPlan(vm, timeoutMs),
       onPlan: (plan) => this.#onPlan(plan),
       log: this.#log,
     });
@@ -539,10 +542,23 @@
       policy: inForce.preset,
       revision: inForce.revision,
       vms: toVmEntries(view),
-      targets: toTargetEntries(view),
+      targets: this.#targetsToPlan(view, inForce),
     };
   }
 
+  /** The planner takes what is drained for leaving. */
+  #targetsToPlan(
+    view: FleetView,
+    { drains }: Configuration,
+  ): readonly TargetEntry[] {
+    const drained = new Set(drains.map(({ kind, id }) => `${kind} ${id}`));
+    return toTargetEntries(view).map((entry) => ({
+      ...entry,
+      leaving: entry.leaving || drained.has(`target ${entry.target}`) ||
+        drained.has(`zone ${entry.zone}`),
+    }));
+  }
+
   #onPeerEffect(effect: PeerEffect): void {
     switch (effect.kind) {
       case "ask":
@@ -734,6 +750,16 @@
       : this.#peers.askHolder({ vm, address }, { question, waitMs });
   }
 
+  #askNewestPlan(
+    vm: VmId,
+    timeoutMs: number,
+  ): Promise<number | undefined> {
+    const address = this.#fleet.peerAddress(vm);
+    return address === undefined
+      ? Promise.resolve(undefined)
+      : this.#peers.askNewestPlan({ vm, address }, timeoutMs);
+  }
+
   /** Asks a few peers, near ones first, as a start-up storm must not meet all of them. */
   async #askPeers(): Promise<readonly Known[]> {
     const { zone, region } = this.#settings;
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -118,4 +118,6 @@
   notice(from: PeerId, notice: PeerNotice): void;
   claim(from: PeerId, call: ClaimCall): Promise<HolderAnswer>;
   known(): Known;
+  /** Sequence of the newest plan that this VM knows; 0 where it knows none. */
+  newestPlan(): number;
 }
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -66,6 +66,13 @@
   /** What this VM itself would report to the planner. */
   readonly ownReport: () => PlannerReport;
   readonly report: (to: VmId, report: PlannerReport) => void;
+  /** VMs that the platform lists; only they count towards a majority. */
+  readonly listed: () => readonly VmId[];
+  /** Asks a VM for the newest sequence it knows, waiting this long at most. */
+  readonly askNewest: (
+    vm: VmId,
+    timeoutMs: number,
+  ) => Promise<number | undefined>;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
   readonly onPlan: (plan: Plan) => void;
   readonly log: Log;
@@ -73,6 +80,12 @@
 
 const PLAN_KEY = "plan/current";
 const TICK_MS = 100;
+/** A VM that follows no plan yet looks for one this often, as it serves nothing without. */
+const FIRST_STEP_MS = 250;
+/** Reports older than this say nothing of a VM any more: two missed ones. */
+const FRESH_MS = 5_000;
+/** Longest wait for a peer's word on the newest plan; round trips are 110 ms at most. */
+const ASK_MS = 1_000;
 /** VMs report, and the planner plans, this often: five times within a plan's time to live. */
 const STEP_MS = 2_000;
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
@@ -94,6 +107,8 @@
   #stored: StoredPlan | undefined;
   /** When this VM wrote or first read the plan. */
   #storedAt = 0;
+  /** When the plan was last known to be the newest. */
+  #renewedAt = -Infinity;
   #steppedAt = -Infinity;
   #stepping = false;
   #contending = true;
@@ -144,7 +159,7 @@
     switch (message.kind) {
       case "tick":
         this.#perform(this.#tree.tick(now));
-        if (now - this.#steppedAt >= STEP_MS) {
+        if (now - this.#steppedAt >= this.#periodMs()) {
           this.#step();
         }
         return;
@@ -186,6 +201,10 @@
     this.#contending = contending;
   }
 
+  #periodMs(): number {
+    return this.#stored === undefined ? FIRST_STEP_MS : STEP_MS;
+  }
+
   #step(): void {
     this.#steppedAt = performance.now();
     const { planner } = this;
@@ -196,33 +215,93 @@
       return;
     }
     this.#stepping = true;
-    const work = this.planning ? this.#makePlan() : this.#followPlan();
     this.spawn(
-      work.catch((err) => {
-        if (!(err instanceof TableError)) {
-          throw err;
-        }
-      }).finally(() => {
+      this.#stepOnce().finally(() => {
         this.#stepping = false;
       }),
     );
   }
 
-  /** Readers look into the table; the others hear from them. */
+  async #stepOnce(): Promise<void> {
+    try {
+      if (this.planning) {
+        await this.#makePlan();
+      } else {
+        await this.#followPlan();
+      }
+    } catch (err) {
+      if (!(err instanceof TableError)) {
+        throw err;
+      }
+      await this.#renewByPeers();
+    }
+  }
+
+  /** Readers look into the table; the others do so when they hear nothing. */
   async #followPlan(): Promise<void> {
-    if (this.#stored === undefined || this.#tree.isReader()) {
+    const ageMs = performance.now() - this.#renewedAt;
+    const stale = ageMs > (this.#stored?.plan.ttlMs ?? 0) / 3;
+    if (stale || this.#tree.isReader()) {
       await this.#readPlan();
     }
   }
 
   async #readPlan(): Promise<void> {
+    const startedAt = performance.now();
     const [row] = await this.#options.table.read([PLAN_KEY]);
     const stored = row!.value as unknown as StoredPlan | null;
-    if (stored !== null) {
+    if (stored === null) {
+      return;
+    }
+    if (stored.plan.sequence === this.#stored?.plan.sequence) {
+      this.#renew(startedAt);
+    } else {
       this.#originate(stored);
     }
   }
 
+  /**
+   * While the table is away, the plan stays in force for a VM as long as most
+   * VMs of the plan know no newer one. One peer's word would not do: two VMs
+   * cut off from all others, and from the table, would renew each other's plan
+   * for ever while a planner on the other side hands their slots out. A planner
+   * needs the reports of most VMs as well, and two majorities share a VM.
+   */
+  async #renewByPeers(): Promise<void> {
+    const sequence = this.#stored?.plan.sequence;
+    if (sequence === undefined) {
+      return;
+    }
+    const askedAt = performance.now();
+    const all = this.#electorate();
+    const others = all.filter((vm) => vm !== this.#options.self.vm);
+    const answers = await Promise.all(
+      others.map((vm) => this.#options.askNewest(vm, ASK_MS)),
+    );
+    const agreeing = answers.filter((answer) => answer === sequence).length;
+    const self = all.length - others.length;
+    if (isMajority(agreeing + self, all.length)) {
+      this.#renew(askedAt);
+    }
+  }
+
+  /** VMs of the plan that the platform still lists. */
+  #electorate(): readonly VmId[] {
+    const listed = new Set(this.#options.listed());
+    const planned = new Set(
+      this.#stored?.plan.allotments.map(({ vm }) => vm) ?? [],
+    );
+    return [...planned].filter((vm) => listed.has(vm));
+  }
+
+  /** The plan was the newest at `at`: its time to live starts again from there. */
+  #renew(at: number): void {
+    const { plan } = this.#stored!;
+    const ageMs = performance.now() - at;
+    this.#renewedAt = at;
+    this.#options.onPlan({ ...plan, ttlMs: Math.max(1, plan.ttlMs - ageMs) });
+  }
+
   async #makePlan(): Promise<void> {
     const inputs = this.#options.inputs();
     if (inputs === undefined) {
@@ -236,6 +315,10 @@
       return;
     }
     const now = performance.now();
+    if (!this.#hearsMost(now)) {
+      this.#options.log.warn("no new plan: too few VMs report", {});
+      return;
+    }
     const previous = this.#stored?.plan;
     const plan = nextPlan({
       ...inputs,
@@ -259,6 +342,17 @@
     this.#options.log.warn("plan not written", { reason: result.kind });
   }
 
+  /** See {@link PlanTask.#renewByPeers}: without most VMs, none of their slots may move. */
+  #hearsMost(now: number): boolean {
+    const electorate = this.#electorate();
+    const heard = electorate.filter((vm) => {
+      const at = this.#reports.get(vm)?.at ?? -Infinity;
+      return vm === this.#options.self.vm || now - at < FRESH_MS;
+    });
+    return electorate.length === 0 ||
+      isMajority(heard.length, electorate.length);
+  }
+
   #allReports(now: number): ReadonlyMap<VmId, Reported> {
     const own = { report: this.#options.ownReport(), at: now };
     return new Map([...this.#reports, [this.#options.self.vm, own]]);
@@ -323,6 +417,11 @@
     }
     this.#stored = stored;
     this.#storedAt = performance.now();
+    this.#renewedAt = this.#storedAt;
     this.#options.onPlan(stored.plan);
   }
 }
+
+function isMajority(count: number, all: number): boolean {
+  return count * 2 > all;
+}
