--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -607,6 +607,19 @@
     });
   }
 
+  /** Nobody says any more that the target leaves: its drain was called off. */
+  #targetStays(target: TargetId): void {
+    this.#fleet.send({ kind: "target-staying", target });
+    // The decisions take a leaving target back only after it was gone.
+    const { view } = this.#fleet;
+    const targets = view.targets.filter(({ id }) => id !== target);
+    this.#steering.send({
+      kind: "targets",
+      targets: toTargetEntries({ ...view, targets }),
+    });
+    this.#steering.send({ kind: "targets", targets: toTargetEntries(view) });
+  }
+
   #heardLeaving(target: TargetId): void {
     this.#fleet.send({ kind: "target-leaving", target });
     this.#steering.send({ kind: "target-leaving", target });
@@ -678,8 +691,7 @@
         return;
       case "fact-expired":
         if (effect.key.startsWith("leaving/target/")) {
-          const target = effect.key.split("/")[2] as TargetId;
-          this.#fleet.send({ kind: "target-staying", target });
+          this.#targetStays(effect.key.split("/")[2] as TargetId);
         }
         return;
       case "ahead":
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -127,12 +127,18 @@
         this.#setDrains(message.configuration);
         break;
       case "target-leaving":
+        if (this.#leavingTargets.has(message.target)) {
+          return;
+        }
         this.#leavingTargets.add(message.target);
         break;
       case "target-staying":
         this.#leavingTargets.delete(message.target);
         break;
       case "target-cold":
+        if (message.cold === this.#coldTargets.has(message.target)) {
+          return;
+        }
         if (message.cold) {
           this.#coldTargets.add(message.target);
         } else {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -45,14 +45,28 @@
 
 /** Reads the settings and runs the daemon until a signal stops it. */
 async function main(): Promise<void> {
-  const file = cli.flags.settings;
+  const input = readInput(cli.flags.settings);
+  if (input === undefined) {
+    process.exitCode = EXIT_BAD_INPUT;
+    return;
+  }
+  if (cli.flags.check) {
+    return;
+  }
+  try {
+    await run(input.settings, input.secrets);
+  } catch (err) {
+    exitFailed(err);
+  }
+}
+
+/** Undefined where something is wrong; all findings are printed by then. */
+function readInput(
+  file: string,
+): { settings: Settings; secrets: Secrets } | undefined {
   try {
     const settings = readDocument(readFileSync(file, "utf8"), settingsFormat);
-    const secrets = readSecrets(settings);
-    if (cli.flags.check) {
-      return;
-    }
-    await run(settings, secrets);
+    return { settings, secrets: readSecrets(settings) };
   } catch (err) {
     if (err instanceof FindingsError) {
       for (const finding of err.findings) {
@@ -61,10 +75,19 @@
     } else {
       console.error(`${file}: ${messageOf(err)}`);
     }
-    process.exit(EXIT_BAD_INPUT);
+    return undefined;
   }
 }
 
+function exitFailed(err: unknown): void {
+  console.error(JSON.stringify({
+    level: "error",
+    message: "daemon cannot go on",
+    reason: messageOf(err),
+  }));
+  process.exit(EXIT_FAILED);
+}
+
 function readSecrets({ secrets }: Settings): Secrets {
   const operatorTokens = readFileSync(secrets.operatorTokensFile, "utf8");
   // Checked here already, so that `--check` finds a bad file as well.
@@ -89,14 +112,7 @@
       }
     });
   }
-  daemon.failed.then((err) => {
-    console.error(JSON.stringify({
-      level: "error",
-      message: "daemon cannot go on",
-      reason: messageOf(err),
-    }));
-    process.exit(EXIT_FAILED);
-  });
+  daemon.failed.then(exitFailed);
   await daemon.ready;
   console.log("ready");
 }
--- a/packages/daemon/src/target_poller.ts
+++ b/packages/daemon/src/target_poller.ts
@@ -33,6 +33,8 @@
 /** Each target is asked once in this time: two polls within the 2 s that a leave may take. */
 const ROUND_MS = 1_000;
 const TICK_MS = 100;
+/** Load is asked for in each round of so many: it changes faster than it can be told. */
+const ROUNDS_PER_LOAD = 4;
 /** An answer later than this is no answer: a round trip in the region takes 3 ms. */
 const TIMEOUT_MS = 800;
 
@@ -40,6 +42,7 @@
 export class TargetPoller extends Task<TargetPollerMessage> {
   readonly #options: TargetPollerOptions;
   readonly #asking = new Set<TargetId>();
+  readonly #rounds = new Map<TargetId, number>();
   #targets: readonly TargetId[] = [];
   #next = 0;
   /** Targets that are due, as a fraction carried from tick to tick. */
@@ -66,6 +69,7 @@
   }
 
   protected override close(): void {
+    this.#rounds.clear();
     this.#asking.clear();
   }
 
@@ -82,6 +86,12 @@
     }
   }
 
+  #isLoadDue(target: TargetId): boolean {
+    const round = ((this.#rounds.get(target) ?? 0) + 1) % ROUNDS_PER_LOAD;
+    this.#rounds.set(target, round);
+    return round === 0;
+  }
+
   async #ask(target: TargetId): Promise<void> {
     const pool = this.#options.poolOf(target);
     const startedAt = performance.now();
@@ -91,7 +101,7 @@
       }
       const [health, load] = await Promise.all([
         get(pool, "/health"),
-        get(pool, "/load"),
+        this.#isLoadDue(target) ? get(pool, "/load") : undefined,
       ]);
       const ageMs = performance.now() - startedAt;
       const inFlight = (load as { inFlight?: unknown } | undefined)?.inFlight;
