--- a/packages/coordination/src/dissemination/messages.ts
+++ b/packages/coordination/src/dissemination/messages.ts
@@ -9,7 +9,7 @@
 import type { Sender } from "../membership/messages.ts";
 
 /** One step of a document from a revision to a higher one. */
-export interface Change {
+export interface DisseminatedChange {
   /** The revision this applies to; 0 when `body` is the whole document. */
   readonly from: number;
   readonly revision: number;
@@ -19,26 +19,17 @@
   readonly body: string;
 }
 
-/** Which tree a push came down. */
-export type Tree =
-  /** Between zones; the receiver goes on in its own zone as well. */
-  | { readonly kind: "zones"; readonly origin: string }
-  /** Inside the receiver's zone. */
-  | { readonly kind: "zone" };
-
 /** A message between two VMs about one document. */
 export type DisseminationMessage =
   | {
     readonly kind: "push";
     readonly from: Sender;
-    readonly tree: Tree;
-    readonly change: Change;
+    readonly change: DisseminatedChange;
   }
   /** A change too large to push unasked; the receiver pulls it if it lacks it. */
   | {
     readonly kind: "offer";
     readonly from: Sender;
-    readonly tree: Tree;
     readonly revision: number;
   }
   | {
@@ -55,7 +46,7 @@
   | {
     readonly kind: "changes";
     readonly from: Sender;
-    readonly changes: readonly Change[];
+    readonly changes: readonly DisseminatedChange[];
   }
   /** The pulled revision is too old for deltas: load a snapshot of at least `revision`. */
   | {
@@ -72,6 +63,6 @@
     readonly message: DisseminationMessage;
   }
   /** Apply this change, which follows the revision that this VM has. */
-  | { readonly kind: "apply"; readonly change: Change }
+  | { readonly kind: "apply"; readonly change: DisseminatedChange }
   /** Load a snapshot of at least this revision, then call `loaded`. */
   | { readonly kind: "load-snapshot"; readonly revision: number };
--- a/packages/coordination/src/dissemination/mod.ts
+++ b/packages/coordination/src/dissemination/mod.ts
@@ -6,10 +6,9 @@
  */
 
 export type {
-  Change as DisseminatedChange,
+  DisseminatedChange,
   DisseminationEffect,
   DisseminationMessage,
-  Tree,
 } from "./messages.ts";
 export { rankedIn, READERS_PER_ZONE, readersOf } from "./ranks.ts";
 export type { Ranked } from "./ranks.ts";
