--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -275,7 +275,8 @@
     if (this.member(message.subject) === undefined) {
       return [];
     }
-    const sequence = this.#probes.start(message.subject, now);
+    const { subject } = message;
+    const sequence = this.#probes.start(subject, now, { onBehalf: true });
     const { vm } = message.from;
     this.#errands.set(sequence, { to: vm, sequence: message.sequence });
     return this.#ping(message.subject, sequence, now);
--- a/packages/coordination/src/membership/membership_test.ts
+++ b/packages/coordination/src/membership/membership_test.ts
@@ -33,6 +33,7 @@
   readonly net: VirtualNet<MembershipMessage>;
   changes: Change[] = [];
   superseded: string[] = [];
+  sent = 0;
   lossShare = 0;
   cut: (from: string, to: string) => boolean = () => false;
   #lives = 0;
@@ -42,6 +43,7 @@
       random: this.random,
       tickMs: 100,
       delay: (from, to) => this.#delay(from, to),
+      onSend: () => this.sent += 1,
       onEffect: (at, effect) => this.#note(at, effect as MembershipEffect),
     });
     this.vms(size).forEach((vm) => this.start(vm));
@@ -170,6 +172,21 @@
   expect(fleet.statesOf("e7")).toEqual(new Set(["dead"]));
 });
 
+// Whoever gets no answer asks others to try. Were those to ask others in turn,
+// one dead VM would keep all the rest busy with nothing but asking.
+test("a VM that was killed costs the others few messages", () => {
+  const fleet = new Fleet(12);
+  fleet.net.run(10_000);
+  const before = fleet.sent;
+  fleet.net.run(10_000);
+  const usual = fleet.sent - before;
+  fleet.kill("e5");
+  fleet.net.run(10_000);
+  // Each of 11 asks in six periods, and has three others ask; then all tell all.
+  const most = 11 * 6 * (1 + 3 + 3) + 11 * 11;
+  expect(fleet.sent - before - usual).toBeLessThan(usual + most);
+});
+
 // A link is gone for three seconds, less than the periods that a verdict takes.
 // Had each helper's failed attempt counted as a period, the verdict would come
 // after one and a VM that lives would lose its callers.
--- a/packages/coordination/src/membership/probes.ts
+++ b/packages/coordination/src/membership/probes.ts
@@ -24,10 +24,15 @@
   readonly #missed = new Map<VmId, number>();
   #sequence = 0;
 
-  /** Notes a ping that is sent now; returns its number. */
-  start(vm: VmId, now: number): number {
+  /**
+   * Notes a ping that is sent now; returns its number. One that is sent on
+   * another's behalf never goes by way of others: each helper would ask helpers
+   * of its own, and a single dead member would raise a storm of messages.
+   */
+  start(vm: VmId, now: number, { onBehalf } = { onBehalf: false }): number {
     this.#sequence += 1;
-    this.#pending.set(this.#sequence, { vm, askedOthers: false, sentAt: now });
+    const probe = { vm, askedOthers: onBehalf, sentAt: now };
+    this.#pending.set(this.#sequence, probe);
     return this.#sequence;
   }
 
