daemon: tell peers of each death under a key of its own

Two deaths of one request were published under one key, so that the second replaced the first and no peer could count to two. Seen in the crash test, which still fails: the membership core does not spread facts yet.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -626,7 +626,7 @@
   }
 
   #publishHeldBack(message: HeldBackMessage): void {
-    this.#publish(`held-back/${message.fingerprint}/${this.#self.vm}`, {
+    this.#publish(heldBackKey(message, this.#self.vm), {
       value: message as unknown as Fact["value"],
       lifetimeMs: message.remainingMs,
     });
@@ -824,6 +824,15 @@
   }
 }
 
+/**
+ * One fact for each death: under one key the second would replace the first,
+ * and the peers would never count to two.
+ */
+function heldBackKey(message: HeldBackMessage, self: VmId): string {
+  const about = message.kind === "coincided" ? message.target : message.kind;
+  return `held-back/${message.fingerprint}/${self}/${about}`;
+}
+
 function toVmEntries(view: FleetView): readonly VmEntry[] {
   return view.vms.map(({ id, region, zone, belief }) => ({
     vm: id,
