Run the terms of plans in the daemon, and name who may hold by instance

Cause: the daemon renewed a plan by the word of most VMs. The members of that majority need not have heard of a newer plan, so a VM could go on using slots that the planner had given on; and a region of three cut off from six stopped serving its own targets. Plans now name the instances that may hold something, those renew each other's terms, and the planner goes by reports of the very instance that the plan names.

--- a/packages/coordination/src/plan_term/mod.ts
+++ b/packages/coordination/src/plan_term/mod.ts
@@ -9,7 +9,6 @@
   advanceTerm,
   isTermValid,
   newTerm,
-  TERM_TIMES,
   type TermEffect,
   type TermEvent,
   type TermMessage,
--- a/packages/coordination/src/plan_term/term.ts
+++ b/packages/coordination/src/plan_term/term.ts
@@ -102,13 +102,6 @@
   readonly retryMs: number;
 }
 
-/**
- * 15 s bridges a holder's restart and a lossy minute, yet a dead VM's slots are
- * out of use for no longer than a minute. 300 ms is above two round trips of
- * 110 ms.
- */
-export const TERM_TIMES: TermTimes = { termMs: 15_000, retryMs: 300 };
-
 /** A running term is renewed this often, so that a few lost messages cost nothing. */
 const RENEWALS_PER_TERM = 6;
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -39,7 +39,8 @@
 import { Outages } from "./outages.ts";
 import type { Known, PeerId, PeerNotice } from "./peers/messages.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
-import { type PlanInputs, PlanTask } from "./plan_task.ts";
+import type { PlanInputs } from "./planning.ts";
+import { PlanTask } from "./plan_task.ts";
 import { stopAsPlanned } from "./planned_stop.ts";
 import { type ListedVm, PlatformClient } from "./platform_client.ts";
 import { Revisions } from "./revisions.ts";
@@ -78,6 +79,8 @@
 
 /** Peers that a VM without a configuration asks: one of them knows the newest, or hears of it soon. */
 const PEERS_ASKED = 4;
+/** Ten reads of the list by a reader. */
+const LIST_FRESH_MS = 5_000;
 /** How long a fact is known: targets are polled each second, so that it is renewed in time. */
 const LEAVING_FACT_MS = 20_000;
 const BELIEF_FACT_MS = 3_000;
@@ -202,7 +205,6 @@
         notice: (from, notice) => this.#onNotice(from, notice),
         claim: (_from, { question, waitMs }) =>
           this.#claims.answerPeer(question, waitMs),
-        newestPlan: () => this.#plan.plan?.sequence ?? 0,
         known: () => ({ ...this.#configuration.known, ...this.#plan.known }),
       },
       metrics: this.#metrics,
@@ -250,9 +252,8 @@
       report: (to, params) =>
         this.#tell(to, { method: "planner-report", params }),
       send: (to, params) => this.#tell(to, { method: "plan", params }),
-      listed: () => this.#fleet.view.vms.map(({ id }) => id),
-      askNewest: (vm, timeoutMs) => this.#askNewestPlan(vm, timeoutMs),
-      onPlan: (plan) => this.#onPlan(plan),
+      sendTerm: (to, params) => this.#tell(to, { method: "term", params }),
+      onPlan: (plan, validMs) => this.#onPlan(plan, validMs),
       log: this.#log,
     });
     this.#operator = this.#operatorTask(secrets);
@@ -523,13 +524,13 @@
       this.#tellDrains(this.#inForce);
     }
     if (this.#plan.plan !== undefined) {
-      this.#onPlan(this.#plan.plan);
+      this.#onPlan(this.#plan.plan, this.#plan.validMs);
     }
   }
 
-  #onPlan(plan: Plan): void {
+  #onPlan(plan: Plan, validMs: number): void {
     this.#metrics.planSequence.set(plan.sequence);
-    this.#steering.send({ kind: "plan", plan });
+    this.#steering.send({ kind: "plan", plan, validMs });
   }
 
   #planInputs(): PlanInputs | undefined {
@@ -543,9 +544,18 @@
       revision: inForce.revision,
       vms: toVmEntries(view),
       targets: this.#targetsToPlan(view, inForce),
+      listed: this.#listedVms(),
     };
   }
 
+  /** Unknown while the list is too old to say that a VM is not on it. */
+  #listedVms(): ReadonlySet<VmId> | undefined {
+    const { view, listedAt } = this.#fleet;
+    return performance.now() - listedAt < LIST_FRESH_MS
+      ? new Set(view.vms.map(({ id }) => id))
+      : undefined;
+  }
+
   /** The planner takes what is drained for leaving. */
   #targetsToPlan(
     view: FleetView,
@@ -730,15 +740,14 @@
       case "plan":
         this.#plan.send({ kind: "peer", message: notice.params });
         return;
+      case "term":
+        this.#plan.send({ kind: "term", message: notice.params });
+        return;
       case "slots":
         this.#loans.send({ kind: "peer", from, message: notice.params });
         return;
       case "planner-report":
-        this.#plan.send({
-          kind: "report",
-          from: from.vm,
-          report: notice.params,
-        });
+        this.#plan.send({ kind: "report", from, report: notice.params });
         return;
     }
   }
@@ -762,16 +771,6 @@
       : this.#peers.askHolder({ vm, address }, { question, waitMs });
   }
 
-  #askNewestPlan(
-    vm: VmId,
-    timeoutMs: number,
-  ): Promise<number | undefined> {
-    const address = this.#fleet.peerAddress(vm);
-    return address === undefined
-      ? Promise.resolve(undefined)
-      : this.#peers.askNewestPlan({ vm, address }, timeoutMs);
-  }
-
   /** Asks a few peers, near ones first, as a start-up storm must not meet all of them. */
   async #askPeers(): Promise<readonly Known[]> {
     const { zone, region } = this.#settings;
@@ -787,9 +786,9 @@
       ),
     );
     const known = answers.filter((answer) => answer !== undefined);
-    for (const { plan, planAgeMs = Infinity } of known) {
+    for (const { plan } of known) {
       if (plan !== undefined) {
-        this.#plan.send({ kind: "known", stored: plan, ageMs: planAgeMs });
+        this.#plan.send({ kind: "known", stored: plan });
       }
     }
     return known;
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -11,6 +11,8 @@
   HolderQuestion,
   InForce,
   MembershipMessage,
+  Sender,
+  TermMessage,
 } from "@poplarthread/coordination";
 import type {
   InstanceId,
@@ -77,6 +79,7 @@
   | { readonly method: "configuration"; readonly params: DisseminationMessage }
   | { readonly method: "plan"; readonly params: DisseminationMessage }
   | { readonly method: "slots"; readonly params: SlotMessage }
+  | { readonly method: "term"; readonly params: TermMessage }
   | { readonly method: "planner-report"; readonly params: PlannerReport };
 
 /** Names of the notices. */
@@ -85,6 +88,7 @@
   "configuration",
   "plan",
   "slots",
+  "term",
   "planner-report",
 ];
 
@@ -96,12 +100,13 @@
   readonly ageMs: number;
   /** The plan that the peer follows; absent where it has none. */
   readonly plan?: StoredPlan;
-  readonly planAgeMs?: number;
 }
 
 /** The plan as the table keeps it. */
 export interface StoredPlan {
   readonly plan: Plan;
+  /** Instances that may hold something by it, or still by an earlier plan. */
+  readonly holders: readonly Sender[];
   readonly planner: VmId;
   /** Fencing token of the lease under which it was written. */
   readonly token: number;
@@ -118,6 +123,4 @@
   notice(from: PeerId, notice: PeerNotice): void;
   claim(from: PeerId, call: ClaimCall): Promise<HolderAnswer>;
   known(): Known;
-  /** Sequence of the newest plan that this VM knows; 0 where it knows none. */
-  newestPlan(): number;
 }
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -163,16 +163,6 @@
     }
   }
 
-  /** Asks a peer for the sequence of the newest plan that it knows. */
-  async askNewestPlan(
-    peer: PeerAddress,
-    timeoutMs: number,
-  ): Promise<number | undefined> {
-    const call = { method: "newest-plan", call: {}, timeoutMs };
-    const answer = await this.#call(peer, call);
-    return typeof answer === "number" ? answer : undefined;
-  }
-
   async #call(
     { vm, address }: PeerAddress,
     { method, call, timeoutMs }: {
@@ -386,10 +376,6 @@
       this.#count("received", "claim");
       return handler.claim(peer, params as ClaimCall);
     });
-    channel.rpc.addMethod("newest-plan", () => {
-      this.#count("received", "newest-plan");
-      return handler.newestPlan();
-    });
     channel.rpc.addMethod("known", () => {
       this.#count("received", "known");
       return handler.known();
--- a/packages/daemon/src/peers/peer_network_test.ts
+++ b/packages/daemon/src/peers/peer_network_test.ts
@@ -47,7 +47,6 @@
       notice: (from, { method }) => heard.push(`${method} of ${from.vm}`),
       claim: () => Promise.resolve({ kind: "free" }),
       known: () => ({ ageMs: 0 }),
-      newestPlan: () => 0,
     },
     metrics,
     log,
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -6,22 +6,22 @@
  */
 
 import {
+  advanceTerm,
   Dissemination,
   type DisseminationEffect,
   type DisseminationMessage,
+  isTermValid,
   Lease,
+  newTerm,
   type Ranked,
+  type Sender,
   type Table,
   TableError,
+  type TermEvent,
+  type TermMessage,
+  type TermState,
 } from "@poplarthread/coordination";
-import {
-  type MeasuredDemand,
-  nextPlan,
-  type Plan,
-  type Policy,
-  type TargetEntry,
-  type VmEntry,
-} from "@poplarthread/decisions";
+import { type Plan, TERM_MS } from "@poplarthread/decisions";
 import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { Log } from "./log.ts";
 import type {
@@ -30,30 +30,20 @@
   PlannerReport,
   StoredPlan,
 } from "./peers/messages.ts";
+import { type PlanInputs, Planning } from "./planning.ts";
 import { Task } from "./task.ts";
 
-/** What the planner looks at, beside what VMs report to it. */
-export interface PlanInputs {
-  readonly policy: Policy;
-  readonly revision: number;
-  readonly vms: readonly VmEntry[];
-  readonly targets: readonly TargetEntry[];
-}
-
 /** What the task is told. */
 export type PlanMessage =
   | { readonly kind: "tick" }
   | { readonly kind: "peer"; readonly message: DisseminationMessage }
+  | { readonly kind: "term"; readonly message: TermMessage }
   | { readonly kind: "members"; readonly members: readonly Ranked[] }
   /** What a peer follows, told to a VM that has just started. */
-  | {
-    readonly kind: "known";
-    readonly stored: StoredPlan;
-    readonly ageMs: number;
-  }
+  | { readonly kind: "known"; readonly stored: StoredPlan }
   | {
     readonly kind: "report";
-    readonly from: VmId;
+    readonly from: Sender;
     readonly report: PlannerReport;
   };
 
@@ -66,15 +56,10 @@
   /** What this VM itself would report to the planner. */
   readonly ownReport: () => PlannerReport;
   readonly report: (to: VmId, report: PlannerReport) => void;
-  /** VMs that the platform lists; only they count towards a majority. */
-  readonly listed: () => readonly VmId[];
-  /** Asks a VM for the newest sequence it knows, waiting this long at most. */
-  readonly askNewest: (
-    vm: VmId,
-    timeoutMs: number,
-  ) => Promise<number | undefined>;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
-  readonly onPlan: (plan: Plan) => void;
+  readonly sendTerm: (to: VmId, message: TermMessage) => void;
+  /** A plan is known and may be used for `validMs`; 0 where it may not. */
+  readonly onPlan: (plan: Plan, validMs: number) => void;
   readonly log: Log;
 }
 
@@ -82,33 +67,28 @@
 const TICK_MS = 100;
 /** A VM that follows no plan yet looks for one this often, as it serves nothing without. */
 const FIRST_STEP_MS = 250;
-/** Reports older than this say nothing of a VM any more: two missed ones. */
-const FRESH_MS = 5_000;
-/** Longest wait for a peer's word on the newest plan; round trips are 110 ms at most. */
-const ASK_MS = 1_000;
-/** VMs report, and the planner plans, this often: five times within a plan's time to live. */
+/** VMs report, and the planner plans, this often; five reports fit into the time in which demand counts. */
 const STEP_MS = 2_000;
+/** A VM whose term has this little left looks into the table itself. */
+const LOW_TERM_MS = TERM_MS / 2;
+/** An unanswered question about the term; above two round trips of 110 ms. */
+const TERM_RETRY_MS = 300;
+const TERM_TIMES = { termMs: TERM_MS, retryMs: TERM_RETRY_MS };
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
 const LEASE_MS = 6_000;
 /** VMs that contend for the lease; the others would only read the table for nothing. */
 const CONTENDERS = 3;
 
-interface Reported {
-  readonly report: PlannerReport;
-  readonly at: number;
-}
-
 /** Owns the lease and the plan's tree of pushes. */
 export class PlanTask extends Task<PlanMessage> {
   readonly #options: PlanTaskOptions;
-  readonly #reports = new Map<VmId, Reported>();
+  #planning = new Planning();
+  #term: TermState;
   #lease: Lease | undefined;
   #tree: Dissemination;
   #stored: StoredPlan | undefined;
   /** When this VM wrote or first read the plan. */
   #storedAt = 0;
-  /** When the plan was last known to be the newest. */
-  #renewedAt = -Infinity;
   #steppedAt = -Infinity;
   #stepping = false;
   #contending = true;
@@ -117,6 +97,8 @@
     super("plan");
     this.#options = options;
     this.#tree = new Dissemination({ self: options.self });
+    const { vm, instance } = options.self;
+    this.#term = newTerm({ vm, instance });
   }
 
   get plan(): Plan | undefined {
@@ -124,11 +106,14 @@
   }
 
   /** What this VM tells a peer that has just started. */
-  get known(): Pick<Known, "plan" | "planAgeMs"> {
-    return this.#stored === undefined ? {} : {
-      plan: this.#stored,
-      planAgeMs: performance.now() - this.#storedAt,
-    };
+  get known(): Pick<Known, "plan"> {
+    return this.#stored === undefined ? {} : { plan: this.#stored };
+  }
+
+  /** For how long the plan may still be used, in milliseconds; 0 where it may not. */
+  get validMs(): number {
+    const now = performance.now();
+    return isTermValid(this.#term, now) ? this.#term.validUntil - now : 0;
   }
 
   get planner(): VmId | undefined {
@@ -142,6 +127,7 @@
 
   protected override open(): void {
     this.#stepping = false;
+    this.#planning = new Planning();
     this.#lease = new Lease(this.#options.table, {
       name: "planner",
       instance: this.#options.self.instance,
@@ -159,6 +145,7 @@
     switch (message.kind) {
       case "tick":
         this.#perform(this.#tree.tick(now));
+        this.#advanceTerm({ kind: "tick" });
         if (now - this.#steppedAt >= this.#periodMs()) {
           this.#step();
         }
@@ -171,10 +158,13 @@
         this.#contend(message.members);
         return;
       case "known":
-        this.#learn(message.stored, message.ageMs);
+        this.#adopt(message.stored);
+        return;
+      case "term":
+        this.#advanceTerm({ kind: "message", message: message.message });
         return;
       case "report":
-        this.#reports.set(message.from, { report: message.report, at: now });
+        this.#planning.hear(message.from, message.report, now);
         return;
     }
   }
@@ -230,76 +220,32 @@
         await this.#followPlan();
       }
     } catch (err) {
+      // Without the table nobody writes a plan, and holders renew each other's terms.
       if (!(err instanceof TableError)) {
         throw err;
       }
-      await this.#renewByPeers();
     }
   }
 
-  /** Readers look into the table; the others do so when they hear nothing. */
+  /** Readers look into the table; the others do so when nobody renews their term. */
   async #followPlan(): Promise<void> {
-    const ageMs = performance.now() - this.#renewedAt;
-    const stale = ageMs > (this.#stored?.plan.ttlMs ?? 0) / 3;
-    if (stale || this.#tree.isReader()) {
+    if (this.validMs < LOW_TERM_MS || this.#tree.isReader()) {
       await this.#readPlan();
     }
   }
 
   async #readPlan(): Promise<void> {
-    const startedAt = performance.now();
+    const askedAt = performance.now();
     const [row] = await this.#options.table.read([PLAN_KEY]);
     const stored = row!.value as unknown as StoredPlan | null;
     if (stored === null) {
       return;
     }
-    if (stored.plan.sequence === this.#stored?.plan.sequence) {
-      this.#renew(startedAt);
-    } else {
+    if (stored.plan.sequence > (this.#stored?.plan.sequence ?? 0)) {
       this.#originate(stored);
     }
-  }
-
-  /**
-   * While the table is away, the plan stays in force for a VM as long as most
-   * VMs of the plan know no newer one. One peer's word would not do: two VMs
-   * cut off from all others, and from the table, would renew each other's plan
-   * for ever while a planner on the other side hands their slots out. A planner
-   * needs the reports of most VMs as well, and two majorities share a VM.
-   */
-  async #renewByPeers(): Promise<void> {
-    const sequence = this.#stored?.plan.sequence;
-    if (sequence === undefined) {
-      return;
-    }
-    const askedAt = performance.now();
-    const all = this.#electorate();
-    const others = all.filter((vm) => vm !== this.#options.self.vm);
-    const answers = await Promise.all(
-      others.map((vm) => this.#options.askNewest(vm, ASK_MS)),
-    );
-    const agreeing = answers.filter((answer) => answer === sequence).length;
-    const self = all.length - others.length;
-    if (isMajority(agreeing + self, all.length)) {
-      this.#renew(askedAt);
-    }
-  }
-
-  /** VMs of the plan that the platform still lists. */
-  #electorate(): readonly VmId[] {
-    const listed = new Set(this.#options.listed());
-    const planned = new Set(
-      this.#stored?.plan.allotments.map(({ vm }) => vm) ?? [],
-    );
-    return [...planned].filter((vm) => listed.has(vm));
-  }
-
-  /** The plan was the newest at `at`: its time to live starts again from there. */
-  #renew(at: number): void {
-    const { plan } = this.#stored!;
-    const ageMs = performance.now() - at;
-    this.#renewedAt = at;
-    this.#options.onPlan({ ...plan, ttlMs: Math.max(1, plan.ttlMs - ageMs) });
+    const { sequence } = stored.plan;
+    this.#advanceTerm({ kind: "read", sequence, askedAt });
   }
 
   async #makePlan(): Promise<void> {
@@ -314,70 +260,30 @@
     if (token === undefined) {
       return;
     }
-    const now = performance.now();
-    if (!this.#hearsMost(now)) {
-      this.#options.log.warn("no new plan: too few VMs report", {});
-      return;
-    }
-    const previous = this.#stored?.plan;
-    const plan = nextPlan({
-      ...inputs,
-      demand: this.#demand(now),
-      confirmations: this.#confirmations(now),
-      ...(previous === undefined ? {} : { previous }),
-      stopped: new Set(),
-      previousAgeMs: now - this.#storedAt,
+    const askedAt = performance.now();
+    this.#planning.hear(
+      this.#options.self,
+      this.#options.ownReport(),
+      askedAt,
+    );
+    const planned = this.#planning.next(inputs, this.#stored, {
+      now: askedAt,
+      previousAgeMs: askedAt - this.#storedAt,
     });
-    const stored: StoredPlan = {
-      plan,
-      planner: this.#options.self.vm,
-      token,
-    };
+    const planner = this.#options.self.vm;
+    const stored: StoredPlan = { ...planned, planner, token };
     const result = await this.#lease!.transact([
       { key: PLAN_KEY, value: JSON.parse(JSON.stringify(stored)) },
     ]);
     if (result.kind === "committed") {
       this.#originate(stored);
+      const { sequence } = stored.plan;
+      this.#advanceTerm({ kind: "read", sequence, askedAt });
       return;
     }
     this.#options.log.warn("plan not written", { reason: result.kind });
   }
 
-  /** See {@link PlanTask.#renewByPeers}: without most VMs, none of their slots may move. */
-  #hearsMost(now: number): boolean {
-    const electorate = this.#electorate();
-    const heard = electorate.filter((vm) => {
-      const at = this.#reports.get(vm)?.at ?? -Infinity;
-      return vm === this.#options.self.vm || now - at < FRESH_MS;
-    });
-    return electorate.length === 0 ||
-      isMajority(heard.length, electorate.length);
-  }
-
-  #allReports(now: number): ReadonlyMap<VmId, Reported> {
-    const own = { report: this.#options.ownReport(), at: now };
-    return new Map([...this.#reports, [this.#options.self.vm, own]]);
-  }
-
-  #demand(now: number): readonly MeasuredDemand[] {
-    return [...this.#allReports(now)].flatMap(([vm, { report, at }]) =>
-      report.demand.map(({ service, slots }) => ({
-        vm,
-        service,
-        slots,
-        ageMs: now - at,
-      }))
-    );
-  }
-
-  #confirmations(now: number) {
-    return [...this.#allReports(now)].map(([vm, { report, at }]) => ({
-      vm,
-      sequence: report.sequence,
-      ageMs: now - at,
-    }));
-  }
-
   #originate(stored: StoredPlan): void {
     this.#adopt(stored);
     const change = {
@@ -405,24 +311,41 @@
     }
   }
 
-  /** A plan that is old already holds for what is left of its time to live only. */
-  #learn(stored: StoredPlan, ageMs: number): void {
-    const ttlMs = Math.max(1, stored.plan.ttlMs - ageMs);
-    this.#adopt({ ...stored, plan: { ...stored.plan, ttlMs } });
-  }
-
   /** Only ever a higher sequence: an old plan must not come back by a slow path. */
   #adopt(stored: StoredPlan): void {
-    if (stored.plan.sequence <= (this.#stored?.plan.sequence ?? 0)) {
+    const { sequence } = stored.plan;
+    if (sequence <= (this.#stored?.plan.sequence ?? 0)) {
       return;
     }
     this.#stored = stored;
     this.#storedAt = performance.now();
-    this.#renewedAt = this.#storedAt;
-    this.#options.onPlan(stored.plan);
+    this.#advanceTerm({ kind: "plan", sequence, holders: stored.holders });
+    this.#tellPlan();
+  }
+
+  #advanceTerm(event: TermEvent): void {
+    const before = this.#term;
+    const ctx = { now: performance.now(), times: TERM_TIMES };
+    const { state, effects } = advanceTerm(before, event, ctx);
+    this.#term = state;
+    if (state.validUntil > before.validUntil) {
+      this.#tellPlan();
+    }
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case "send":
+          this.#options.sendTerm(effect.to, effect.message);
+          break;
+        case "outdated":
+          this.#steppedAt = -Infinity;
+          break;
+      }
+    }
   }
-}
 
-function isMajority(count: number, all: number): boolean {
-  return count * 2 > all;
+  #tellPlan(): void {
+    if (this.#stored !== undefined) {
+      this.#options.onPlan(this.#stored.plan, this.validMs);
+    }
+  }
 }
--- a/packages/decisions/src/planner_test.ts
+++ b/packages/decisions/src/planner_test.ts
@@ -10,8 +10,9 @@
 import { describe, expect, test } from "vitest";
 import type { Plan } from "./plan.ts";
 import { planFaults } from "./plan_check.ts";
-import { nextPlan, type PlannerInput, SILENT_MS } from "./planner.ts";
+import { nextPlan, type PlannerInput } from "./planner.ts";
 import type { Policy } from "./policy.ts";
+import { STOPPED_AFTER_MS, watchSilence } from "./silence.ts";
 import { checkSwitch } from "./switch_check.ts";
 
 const regions = ["north", "south", "west"].map((name) => id<RegionId>(name));
@@ -67,6 +68,7 @@
     targets,
     demand: [],
     confirmations: [],
+    stopped: new Set(),
     previousAgeMs: 1_000,
     ...changes,
   };
@@ -92,11 +94,47 @@
   );
   const rest = ["north-vm-2", "north-vm-3"];
   let plan = nextPlan(inputOf({ vms: without, previous: first }));
-  expect(rest.map((vm) => slotsOf(plan, vm))).toEqual([4, 4]);
-  plan = nextPlan(
-    inputOf({ vms: without, previous: plan, previousAgeMs: SILENT_MS }),
+  const confirmed = new Map(
+    vms.slice(1).map(({ vm }) => [vm, plan.sequence]),
   );
-  expect(rest.map((vm) => slotsOf(plan, vm))).toEqual([6, 6]);
+  const gone = new Set<VmId>();
+  let silences: ReturnType<typeof watchSilence>["silences"] = [];
+  for (
+    const [now, slots] of [
+      [0, [4, 4]],
+      [STOPPED_AFTER_MS - 1, [4, 4]],
+      [STOPPED_AFTER_MS, [6, 6]],
+    ] as const
+  ) {
+    const holdings = plan.allotments;
+    const watched = watchSilence(silences, { holdings, confirmed, gone, now });
+    silences = watched.silences;
+    const { stopped } = watched;
+    plan = nextPlan(inputOf({ vms: without, previous: plan, stopped }));
+    expect(rest.map((vm) => slotsOf(plan, vm))).toEqual(slots);
+  }
+});
+
+// Two VMs are cut off together. They may vouch for each other's plan for as
+// long as they like, so no time is long enough to take their slots for free.
+test("two silent VMs are never taken for stopped, unless they are gone", () => {
+  const first = nextPlan(inputOf());
+  const away = vms.slice(0, 2).map(({ vm }) => vm);
+  const without = vms.map((vm) => ({ ...vm, live: !away.includes(vm.vm) }));
+  const plan = nextPlan(inputOf({ vms: without, previous: first }));
+  const confirmed = new Map(
+    vms.slice(2).map(({ vm }) => [vm, plan.sequence]),
+  );
+  const holdings = plan.allotments;
+  const gone = new Set<VmId>();
+  const early = watchSilence([], { holdings, confirmed, gone, now: 0 });
+  const late = watchSilence(early.silences, {
+    ...{ holdings, confirmed, gone },
+    now: 100 * STOPPED_AFTER_MS,
+  });
+  expect([...late.stopped]).toEqual([]);
+  const listed = { holdings, confirmed, gone: new Set(away), now: 0 };
+  expect([...watchSilence([], listed).stopped]).toEqual(away);
 });
 
 // Plans are made while VMs confirm late or never, come and go, and measured
