--- a/packages/coordination/src/claims/claims_test.ts
+++ b/packages/coordination/src/claims/claims_test.ts
@@ -196,7 +196,7 @@
         fc.array(write, { maxLength: 12, size: "max" }),
         async (writes) => {
           const table = new MemoryTable();
-          const batcher = new Batcher({ maxRows: 3 });
+          const batcher = new Batcher({ maxRows: 3, writesPerSecond: 25 });
           const results: WriteResult[][] = writes.map(() => []);
           writes.forEach(({ key }, value) =>
             batcher.add({
