--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -125,6 +125,7 @@
   () => explore(claimsModel({ ...CLAIMS, losses: 2 }, attemptCore)),
   () =>
     explore(claimsModel({ ...CLAIMS, losses: 1, otherBody: 1 }, attemptCore)),
+  () => explore(claimsModel({ ...CLAIMS, sendings: 3 }, attemptCore)),
   ...PLAN_TERMS.map((bounds) => () => explore(planTermModel(bounds))),
   ...ESCROW.map((bounds) => () =>
     explore(escrowModel(bounds, { rules: DEFAULT_RULES, remembers: false }))
