--- a/packages/coordination/src/blocks/block_table.ts
+++ b/packages/coordination/src/blocks/block_table.ts
@@ -45,12 +45,16 @@
 
   constructor(
     columns: BlockColumns,
-    options: { revision: number; redirects: Redirects },
+    options: { revision: number; redirects: Redirects; before?: BlockTable },
   ) {
+    const { revision, redirects, before } = options;
     this.columns = columns;
-    this.revision = options.revision;
-    this.redirects = options.redirects;
-    this.#index = new RangeIndex(columns);
+    this.revision = revision;
+    this.redirects = redirects;
+    // A change of redirects alone leaves the blocks, and so their index.
+    this.#index = before?.columns === columns
+      ? before.#index
+      : new RangeIndex(columns);
   }
 
   /** A table of the given blocks, in any order; of two for one prefix the later counts. */
--- a/packages/coordination/src/blocks/delta.ts
+++ b/packages/coordination/src/blocks/delta.ts
@@ -50,7 +50,11 @@
     }
   }
   const { revision } = delta;
-  return new BlockTable(merge(table, editsOf(delta)), { revision, redirects });
+  return new BlockTable(merge(table, editsOf(delta)), {
+    revision,
+    redirects,
+    before: table,
+  });
 }
 
 function editsOf(delta: BlockDelta): readonly Edit[] {
--- a/packages/coordination/src/blocks/range_index.ts
+++ b/packages/coordination/src/blocks/range_index.ts
@@ -53,34 +53,45 @@
   }
 }
 
-interface Open {
-  readonly end: number;
-  readonly site: number;
-}
-
-/** Cuts nested prefixes into ranges that follow each other. */
-function flatten(
-  { starts, sites, lengths }: BlockColumns,
-): { starts: Uint32Array; sites: Uint16Array } {
-  const flat = new RangeWriter(2 * starts.length + 1);
-  const open: Open[] = [];
+/** Addresses of a prefix by its length. */
+const SPAN = Float64Array.from(
+  { length: 33 },
+  (_, length) => 2 ** (32 - length),
+);
 
-  function closeUntil(address: number): void {
-    while (open.length > 0 && open[open.length - 1]!.end <= address) {
-      const { end } = open.pop()!;
-      flat.write(end, open[open.length - 1]?.site ?? NO_SITE);
-    }
-  }
+interface Ranges {
+  readonly starts: Uint32Array;
+  readonly sites: Uint16Array;
+}
 
+/**
+ * Cuts nested prefixes into ranges that follow each other. Runs over every block
+ * at each change of the table while callers wait, so it makes no objects.
+ */
+function flatten({ starts, sites, lengths }: BlockColumns): Ranges {
+  const writer = new RangeWriter(2 * starts.length + 1);
+  // The prefixes that hold the current address, widest first: one a length at most.
+  const openEnds = new Float64Array(SPAN.length);
+  const openSites = new Uint16Array(SPAN.length);
+  let open = 0;
   for (let at = 0; at < starts.length; at++) {
     const start = starts[at]!;
-    const site = sites[at]!;
-    closeUntil(start);
-    flat.write(start, site);
-    open.push({ end: start + 2 ** (32 - lengths[at]!), site });
+    while (open > 0 && openEnds[open - 1]! <= start) {
+      open -= 1;
+      const outer = open > 0 ? openSites[open - 1]! : NO_SITE;
+      writer.write(openEnds[open]!, outer);
+    }
+    writer.write(start, sites[at]!);
+    openEnds[open] = start + SPAN[lengths[at]!]!;
+    openSites[open] = sites[at]!;
+    open += 1;
+  }
+  while (open > 0) {
+    open -= 1;
+    const outer = open > 0 ? openSites[open - 1]! : NO_SITE;
+    writer.write(openEnds[open]!, outer);
   }
-  closeUntil(2 ** 32);
-  return flat.finish();
+  return writer.finish();
 }
 
 /** Collects ranges; one that ends where it starts, or repeats the site before, leaves no trace. */
@@ -95,21 +106,23 @@
   }
 
   write(start: number, site: number): void {
-    if (start >= 2 ** 32) {
+    if (start > 0xffffffff) {
       return;
     }
-    if (this.#size > 0 && this.#starts[this.#size - 1] === start) {
-      this.#size -= 1;
+    let size = this.#size;
+    if (size > 0 && this.#starts[size - 1] === start) {
+      size -= 1;
     }
-    const before = this.#size > 0 ? this.#sites[this.#size - 1] : NO_SITE;
+    const before = size > 0 ? this.#sites[size - 1] : NO_SITE;
     if (before !== site) {
-      this.#starts[this.#size] = start;
-      this.#sites[this.#size] = site;
-      this.#size += 1;
+      this.#starts[size] = start;
+      this.#sites[size] = site;
+      size += 1;
     }
+    this.#size = size;
   }
 
-  finish(): { starts: Uint32Array; sites: Uint16Array } {
+  finish(): Ranges {
     return {
       starts: this.#starts.slice(0, this.#size),
       sites: this.#sites.slice(0, this.#size),
