--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -24,17 +24,14 @@
 } from "@poplarthread/decisions";
 import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { Log } from "./log.ts";
-import type { PeerId, PlannerReport } from "./peers/messages.ts";
+import type {
+  Known,
+  PeerId,
+  PlannerReport,
+  StoredPlan,
+} from "./peers/messages.ts";
 import { Task } from "./task.ts";
 
-/** The plan as the table keeps it. */
-export interface StoredPlan {
-  readonly plan: Plan;
-  readonly planner: VmId;
-  /** Fencing token of the lease under which it was written. */
-  readonly token: number;
-}
-
 /** What the planner looks at, beside what VMs report to it. */
 export interface PlanInputs {
   readonly policy: Policy;
@@ -48,6 +45,12 @@
   | { readonly kind: "tick" }
   | { readonly kind: "peer"; readonly message: DisseminationMessage }
   | { readonly kind: "members"; readonly members: readonly Ranked[] }
+  /** What a peer follows, told to a VM that has just started. */
+  | {
+    readonly kind: "known";
+    readonly stored: StoredPlan;
+    readonly ageMs: number;
+  }
   | {
     readonly kind: "report";
     readonly from: VmId;
@@ -63,6 +66,13 @@
   /** What this VM itself would report to the planner. */
   readonly ownReport: () => PlannerReport;
   readonly report: (to: VmId, report: PlannerReport) => void;
+  /** VMs that the platform lists; only they count towards a majority. */
+  readonly listed: () => readonly VmId[];
+  /** Asks a VM for the newest sequence it knows, waiting this long at most. */
+  readonly askNewest: (
+    vm: VmId,
+    timeoutMs: number,
+  ) => Promise<number | undefined>;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
   readonly onPlan: (plan: Plan) => void;
   readonly log: Log;
@@ -70,6 +80,12 @@
 
 const PLAN_KEY = "plan/current";
 const TICK_MS = 100;
+/** A VM that follows no plan yet looks for one this often, as it serves nothing without. */
+const FIRST_STEP_MS = 250;
+/** Reports older than this say nothing of a VM any more: two missed ones. */
+const FRESH_MS = 5_000;
+/** Longest wait for a peer's word on the newest plan; round trips are 110 ms at most. */
+const ASK_MS = 1_000;
 /** VMs report, and the planner plans, this often: five times within a plan's time to live. */
 const STEP_MS = 2_000;
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
@@ -91,6 +107,8 @@
   #stored: StoredPlan | undefined;
   /** When this VM wrote or first read the plan. */
   #storedAt = 0;
+  /** When the plan was last known to be the newest. */
+  #renewedAt = -Infinity;
   #steppedAt = -Infinity;
   #stepping = false;
   #contending = true;
@@ -105,6 +123,14 @@
     return this.#stored?.plan;
   }
 
+  /** What this VM tells a peer that has just started. */
+  get known(): Pick<Known, "plan" | "planAgeMs"> {
+    return this.#stored === undefined ? {} : {
+      plan: this.#stored,
+      planAgeMs: performance.now() - this.#storedAt,
+    };
+  }
+
   get planner(): VmId | undefined {
     return this.#stored?.planner;
   }
@@ -133,7 +159,7 @@
     switch (message.kind) {
       case "tick":
         this.#perform(this.#tree.tick(now));
-        if (now - this.#steppedAt >= STEP_MS) {
+        if (now - this.#steppedAt >= this.#periodMs()) {
           this.#step();
         }
         return;
@@ -144,6 +170,9 @@
         this.#tree.setMembers(message.members);
         this.#contend(message.members);
         return;
+      case "known":
+        this.#learn(message.stored, message.ageMs);
+        return;
       case "report":
         this.#reports.set(message.from, { report: message.report, at: now });
         return;
@@ -172,6 +201,10 @@
     this.#contending = contending;
   }
 
+  #periodMs(): number {
+    return this.#stored === undefined ? FIRST_STEP_MS : STEP_MS;
+  }
+
   #step(): void {
     this.#steppedAt = performance.now();
     const { planner } = this;
@@ -182,33 +215,93 @@
       return;
     }
     this.#stepping = true;
-    const work = this.planning ? this.#makePlan() : this.#followPlan();
     this.spawn(
-      work.catch((err) => {
-        if (!(err instanceof TableError)) {
-          throw err;
-        }
-      }).finally(() => {
+      this.#stepOnce().finally(() => {
         this.#stepping = false;
       }),
     );
   }
 
-  /** Readers look into the table; the others hear from them. */
+  async #stepOnce(): Promise<void> {
+    try {
+      if (this.planning) {
+        await this.#makePlan();
+      } else {
+        await this.#followPlan();
+      }
+    } catch (err) {
+      if (!(err instanceof TableError)) {
+        throw err;
+      }
+      await this.#renewByPeers();
+    }
+  }
+
+  /** Readers look into the table; the others do so when they hear nothing. */
   async #followPlan(): Promise<void> {
-    if (this.#stored === undefined || this.#tree.isReader()) {
+    const ageMs = performance.now() - this.#renewedAt;
+    const stale = ageMs > (this.#stored?.plan.ttlMs ?? 0) / 3;
+    if (stale || this.#tree.isReader()) {
       await this.#readPlan();
     }
   }
 
   async #readPlan(): Promise<void> {
+    const startedAt = performance.now();
     const [row] = await this.#options.table.read([PLAN_KEY]);
     const stored = row!.value as unknown as StoredPlan | null;
-    if (stored !== null) {
+    if (stored === null) {
+      return;
+    }
+    if (stored.plan.sequence === this.#stored?.plan.sequence) {
+      this.#renew(startedAt);
+    } else {
       this.#originate(stored);
     }
   }
 
+  /**
+   * While the table is away, the plan stays in force for a VM as long as most
+   * VMs of the plan know no newer one. One peer's word would not do: two VMs
+   * cut off from all others, and from the table, would renew each other's plan
+   * for ever while a planner on the other side hands their slots out. A planner
+   * needs the reports of most VMs as well, and two majorities share a VM.
+   */
+  async #renewByPeers(): Promise<void> {
+    const sequence = this.#stored?.plan.sequence;
+    if (sequence === undefined) {
+      return;
+    }
+    const askedAt = performance.now();
+    const all = this.#electorate();
+    const others = all.filter((vm) => vm !== this.#options.self.vm);
+    const answers = await Promise.all(
+      others.map((vm) => this.#options.askNewest(vm, ASK_MS)),
+    );
+    const agreeing = answers.filter((answer) => answer === sequence).length;
+    const self = all.length - others.length;
+    if (isMajority(agreeing + self, all.length)) {
+      this.#renew(askedAt);
+    }
+  }
+
+  /** VMs of the plan that the platform still lists. */
+  #electorate(): readonly VmId[] {
+    const listed = new Set(this.#options.listed());
+    const planned = new Set(
+      this.#stored?.plan.allotments.map(({ vm }) => vm) ?? [],
+    );
+    return [...planned].filter((vm) => listed.has(vm));
+  }
+
+  /** The plan was the newest at `at`: its time to live starts again from there. */
+  #renew(at: number): void {
+    const { plan } = this.#stored!;
+    const ageMs = performance.now() - at;
+    this.#renewedAt = at;
+    this.#options.onPlan({ ...plan, ttlMs: Math.max(1, plan.ttlMs - ageMs) });
+  }
+
   async #makePlan(): Promise<void> {
     const inputs = this.#options.inputs();
     if (inputs === undefined) {
@@ -222,12 +315,17 @@
       return;
     }
     const now = performance.now();
+    if (!this.#hearsMost(now)) {
+      this.#options.log.warn("no new plan: too few VMs report", {});
+      return;
+    }
     const previous = this.#stored?.plan;
     const plan = nextPlan({
       ...inputs,
       demand: this.#demand(now),
       confirmations: this.#confirmations(now),
       ...(previous === undefined ? {} : { previous }),
+      stopped: new Set(),
       previousAgeMs: now - this.#storedAt,
     });
     const stored: StoredPlan = {
@@ -245,6 +343,17 @@
     this.#options.log.warn("plan not written", { reason: result.kind });
   }
 
+  /** See {@link PlanTask.#renewByPeers}: without most VMs, none of their slots may move. */
+  #hearsMost(now: number): boolean {
+    const electorate = this.#electorate();
+    const heard = electorate.filter((vm) => {
+      const at = this.#reports.get(vm)?.at ?? -Infinity;
+      return vm === this.#options.self.vm || now - at < FRESH_MS;
+    });
+    return electorate.length === 0 ||
+      isMajority(heard.length, electorate.length);
+  }
+
   #allReports(now: number): ReadonlyMap<VmId, Reported> {
     const own = { report: this.#options.ownReport(), at: now };
     return new Map([...this.#reports, [this.#options.self.vm, own]]);
@@ -296,6 +405,12 @@
     }
   }
 
+  /** A plan that is old already holds for what is left of its time to live only. */
+  #learn(stored: StoredPlan, ageMs: number): void {
+    const ttlMs = Math.max(1, stored.plan.ttlMs - ageMs);
+    this.#adopt({ ...stored, plan: { ...stored.plan, ttlMs } });
+  }
+
   /** Only ever a higher sequence: an old plan must not come back by a slow path. */
   #adopt(stored: StoredPlan): void {
     if (stored.plan.sequence <= (this.#stored?.plan.sequence ?? 0)) {
@@ -303,6 +418,11 @@
     }
     this.#stored = stored;
     this.#storedAt = performance.now();
+    this.#renewedAt = this.#storedAt;
     this.#options.onPlan(stored.plan);
   }
 }
+
+function isMajority(count: number, all: number): boolean {
+  return count * 2 > all;
+}
