daemon: hold a request back on all VMs, and before a third target

Two faults: the facts about two deaths had one key, so that the second took the place of the first before it had spread, and no other VM counted two; and the decisions' third attempt came before the deaths were judged.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -626,7 +626,10 @@
   }
 
   #publishHeldBack(message: HeldBackMessage): void {
-    this.#publish(`held-back/${message.fingerprint}/${this.#self.vm}`, {
+    // A key for each target: under one key the second death would take the
+    // place of the first before that has spread, and no VM would count two.
+    const about = message.kind === "coincided" ? message.target : "completed";
+    this.#publish(`held-back/${message.fingerprint}/${about}`, {
       value: message as unknown as Fact["value"],
       lifetimeMs: message.remainingMs,
     });
--- a/packages/daemon/src/http/caller_path_test.ts
+++ b/packages/daemon/src/http/caller_path_test.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import { connect } from "node:net";
 import { text } from "node:stream/consumers";
+import { setTimeout as sleep } from "node:timers/promises";
 import fc from "fast-check";
 import { afterEach, expect, test } from "vitest";
 import { startPath, type TestPath, type TestPathOptions } from "../testing.ts";
@@ -135,6 +136,25 @@
   }
 });
 
+test("a request on which two targets broke off reaches no third", async () => {
+  // One playlist crashes each target that builds it. Tried again and again, a
+  // single request would take down one target after the other.
+  let broken = 0;
+  const crash: RequestListener = (req) => {
+    broken += 1;
+    req.socket.destroy();
+  };
+  const { send } = await start([crash, crash, crash, crash]);
+  expect((await send("/playlist")).status).toBe(502);
+  expect(broken).toBe(2);
+  // Longer than failures on a target are gathered; a busy machine only waits longer.
+  await sleep(200);
+  const again = await send("/playlist");
+  expect(again.headers.get("poplarthread-outcome")).toBe("not-run");
+  expect(again.body).toContain("held-back");
+  expect(broken).toBe(2);
+});
+
 test("a caller that stops sending is cut, and reaches no target", async () => {
   // A caller announces a body and never sends it, a thousand times over. Each
   // would hold a slot of a target that has three.
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -89,6 +89,13 @@
 /** Up to this size, copying an answer costs less than a second write. */
 const ONE_WRITE_BYTES = 4_096;
 
+/**
+ * A request on which two targets broke off may be what crashes them; a third
+ * target would be next before anybody could have told. Sent again by its
+ * caller, it is held back if they did crash.
+ */
+const MOST_BROKEN = 2;
+
 const REFUSE_MESSAGES: Readonly<Record<RefuseReason, string>> = {
   "overload": "more requests wait than can be served in time",
   "waited-too-long": "no target became free in time",
@@ -113,6 +120,8 @@
   #body: RequestBody | undefined;
   #claim: KeyedClaim | undefined;
   #claimDispatched = false;
+  /** Attempts whose connection broke after they were sent. */
+  #broken = 0;
   #winner: Attempt | undefined;
   #copy: AnswerCopy | undefined;
   /** A target may have run the request. */
@@ -229,7 +238,7 @@
     if (!this.#mayDispatch()) {
       attempt.cancel();
       this.refuse("attempts-failed", {
-        message: "it must not be sent a second time",
+        message: "it must not be sent again",
       });
       return;
     }
@@ -388,6 +397,7 @@
 
   attemptEnded(attempt: Attempt, end: AttemptEnd): void {
     this.#services.watch.attemptEnded(this, attempt, end);
+    this.#broken += end === "failed-after-sent" ? 1 : 0;
     if (attempt.sent && (end === "refused-not-run" || end === "leaving")) {
       this.#mayHaveRun = this.#attempts.some((one) =>
         one !== attempt && one.sent && !one.refusedNotRun
@@ -485,6 +495,9 @@
     if (this.#body !== undefined && !this.#body.available) {
       return false;
     }
+    if (this.#broken >= MOST_BROKEN) {
+      return false;
+    }
     return this.route.route.repeat === "idempotent" || !this.#mayHaveRun;
   }
 
