--- a/packages/bench/src/decisions/pattern.ts
+++ b/packages/bench/src/decisions/pattern.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Deployment } from "./deployment.ts";
+import type { Deployment, ServiceWork } from "./deployment.ts";
 import type { Metrics } from "./metrics.ts";
 
 /** One line of figures. */
@@ -30,6 +30,8 @@
   readonly bound: number;
   /** Whether the figure must be at most or at least the bound. */
   readonly sense: "at most" | "at least";
+  /** The same figure of the central queue, where that tells the cause. */
+  readonly central?: number;
 }
 
 /** A point of a plot. */
@@ -50,8 +52,14 @@
 /** How a pattern is to be run. */
 export interface PatternContext {
   readonly deployment: Deployment;
+  /** Services to run; each runs alone. */
+  readonly work: readonly ServiceWork[];
+  /** Schemes to compare; ours and the central queue at least. */
+  readonly schemes: readonly string[];
+  /** Further schemes, compared under steady load only. */
+  readonly alternatives: readonly string[];
   readonly seed: number;
-  /** Shorter runs, fewer schemes. */
+  /** Shorter runs, fewer levels of load. */
   readonly quick: boolean;
 }
 
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -5,9 +5,81 @@
  */
 
 import process from "node:process";
-import { acceptance, followerCore } from "@poplarthread/coordination/cores";
+import {
+  acceptance,
+  attemptCore,
+  followerCore,
+  inForce,
+  leaseCore,
+} from "@poplarthread/coordination/cores";
+import { type ClaimsBounds, claimsModel } from "./claims_model.ts";
+import { DEFAULT_RULES } from "@poplarthread/coordination";
 import { configurationModel } from "./configuration_model.ts";
+import { type EscrowBounds, escrowModel } from "./escrow_model.ts";
 import { type Exploration, explore } from "./explore.ts";
+import { type LeaseBounds, leaseModel } from "./lease_model.ts";
+import { type PlanTermBounds, planTermModel } from "./plan_term_model.ts";
+
+const LEASE: LeaseBounds = {
+  contenders: 2,
+  calls: 4,
+  ticks: 0,
+  losses: 0,
+  crashes: 0,
+  stops: 0,
+  plans: 0,
+  revisions: 0,
+};
+
+const CLAIMS: ClaimsBounds = {
+  sendings: 2,
+  otherBody: 0,
+  vms: 2,
+  losses: 0,
+  crashes: 0,
+  expiries: 0,
+};
+
+/** Loans; moves to another owner; a restart amid loans. */
+const ESCROW: readonly EscrowBounds[] = [
+  {
+    vms: 2,
+    slots: 2,
+    steps: 3,
+    inFlight: 2,
+    repeats: 1,
+    restarts: 0,
+    wishes: 2,
+    stay: 0,
+  },
+  {
+    vms: 2,
+    slots: 2,
+    steps: 3,
+    inFlight: 2,
+    repeats: 0,
+    restarts: 0,
+    wishes: 0,
+    stay: 1,
+  },
+  {
+    vms: 2,
+    slots: 2,
+    steps: 4,
+    inFlight: 1,
+    repeats: 0,
+    restarts: 1,
+    wishes: 2,
+    stay: 0,
+  },
+];
+
+/** A VM that is cut off; one that restarts beside it; one that reads the table late. */
+const PLAN_TERMS: readonly PlanTermBounds[] = [
+  { steps: 3, questions: 2, reads: 0, restarts: 0 },
+  { steps: 3, questions: 1, reads: 0, restarts: 1 },
+  { steps: 3, questions: 1, reads: 1, restarts: 0 },
+];
 
 /** Each exploration, started one after the other, so that one's memory is freed before the next. */
 const RUNS: readonly (() => Exploration<unknown, unknown>)[] = [
@@ -29,6 +101,35 @@
       acceptance,
       followerCore,
     )),
+  () =>
+    explore(leaseModel(
+      { ...LEASE, calls: 5, ticks: 3, losses: 1, plans: 1 },
+      leaseCore,
+      inForce,
+    )),
+  () =>
+    explore(leaseModel(
+      { ...LEASE, ticks: 3, crashes: 1, plans: 1 },
+      leaseCore,
+      inForce,
+    )),
+  () =>
+    explore(leaseModel(
+      { ...LEASE, stops: 1, plans: 2, revisions: 1 },
+      leaseCore,
+      inForce,
+    )),
+  () =>
+    explore(claimsModel({ ...CLAIMS, losses: 1, expiries: 1 }, attemptCore)),
+  () => explore(claimsModel({ ...CLAIMS, losses: 1, crashes: 1 }, attemptCore)),
+  () => explore(claimsModel({ ...CLAIMS, losses: 2 }, attemptCore)),
+  () =>
+    explore(claimsModel({ ...CLAIMS, losses: 1, otherBody: 1 }, attemptCore)),
+  () => explore(claimsModel({ ...CLAIMS, sendings: 3 }, attemptCore)),
+  ...PLAN_TERMS.map((bounds) => () => explore(planTermModel(bounds))),
+  ...ESCROW.map((bounds) => () =>
+    explore(escrowModel(bounds, { rules: DEFAULT_RULES, remembers: false }))
+  ),
 ];
 
 const models = RUNS.map((run) => run());
