Let a restarted VM's slots wait for what it lent, and inherit in an outage

Cause: a new instance used its VM's slots at once, beside peers who still held slots that the earlier one had lent; and at start-up no VM was in the first plan but the planner, since reports go to a planner that is known by its plan.

The planner now gives a VM's slots to its new instance once nobody reports a loan of the earlier one. While the table is away the new instance takes the place of the earlier one when every VM agrees.

--- a/packages/coordination/src/plan_term/term.ts
+++ b/packages/coordination/src/plan_term/term.ts
@@ -59,6 +59,12 @@
     readonly askedAt: number;
   }
   | { readonly kind: "message"; readonly message: TermMessage }
+  /**
+   * The earlier instance on this VM has ended, and every other VM has said that
+   * the plan of that sequence is the newest it knows and that it holds nothing
+   * lent by that instance: this one may take its place.
+   */
+  | { readonly kind: "inherit"; readonly sequence: number }
   /** Time passes; every 100 ms or so. */
   | { readonly kind: "tick" };
 
@@ -66,7 +72,11 @@
 export type TermEffect =
   | { readonly kind: "send"; readonly to: VmId; readonly message: TermMessage }
   /** A peer follows a newer plan than this VM: get it. */
-  | { readonly kind: "outdated"; readonly sequence: number };
+  | {
+    readonly kind: "outdated";
+    readonly vm: VmId;
+    readonly sequence: number;
+  };
 
 /** A question on its way. */
 export interface TermQuestion {
@@ -81,6 +91,8 @@
   /** The plan that this VM follows; 0 before the first. */
   readonly sequence: number;
   readonly holders: readonly Sender[];
+  /** Whether this instance took the place of an earlier one that the plan names. */
+  readonly isHeir: boolean;
   /** The plan's slots may be used before this time, on this VM's clock. */
   readonly validUntil: number;
   /** Questions asked so far. */
@@ -114,6 +126,7 @@
     self,
     sequence: 0,
     holders: [],
+    isHeir: false,
     validUntil: -Infinity,
     asked: 0,
     last: undefined,
@@ -140,6 +153,8 @@
         : done(state);
     case "message":
       return afterMessage(state, event.message, ctx.times);
+    case "inherit":
+      return done({ ...state, isHeir: event.sequence === state.sequence });
     case "tick":
       return ask(state, ctx);
   }
@@ -161,7 +176,13 @@
   }
   // Answers about the plan before must not count for this one: whoever vouched
   // for that one may since have learned that this one was replaced, too.
-  return done({ ...state, sequence, holders, last: undefined });
+  return done({
+    ...state,
+    sequence,
+    holders,
+    isHeir: false,
+    last: undefined,
+  });
 }
 
 function afterMessage(
@@ -185,7 +206,11 @@
     }
     case "outdated":
       return message.sequence > state.sequence
-        ? done(state, { kind: "outdated", sequence: message.sequence })
+        ? done(state, {
+          kind: "outdated",
+          vm: message.from.vm,
+          sequence: message.sequence,
+        })
         : done(state);
   }
 }
@@ -196,7 +221,7 @@
 ): TermResult {
   const self = state.self;
   if (sequence > state.sequence) {
-    return done(state, { kind: "outdated", sequence });
+    return done(state, { kind: "outdated", vm: from.vm, sequence });
   }
   if (sequence < state.sequence) {
     const message = {
@@ -206,9 +231,10 @@
     } as const;
     return done(state, { kind: "send", to: from.vm, message });
   }
-  if (!isHolder(state, self.instance) || !isHolder(state, from.instance)) {
+  if (!isHolder(state, self.instance) || !names(state, from.vm)) {
     // An instance that the plan does not name may have started since with a
-    // plan that was old by then; the planner does not wait for its word.
+    // plan that was old by then; the planner does not wait for its word. An
+    // heir may therefore ask, but it never vouches.
     return done(state);
   }
   const message = { kind: "renewed", from: self, sequence, question } as const;
@@ -221,7 +247,7 @@
   askedAt: number,
   { termMs }: TermTimes,
 ): TermState {
-  if (!isHolder(state, state.self.instance)) {
+  if (!mayUse(state)) {
     return state;
   }
   const until = askedAt + termMs * (1 - CLOCK_DRIFT);
@@ -239,7 +265,7 @@
     ? times.retryMs
     : times.termMs / RENEWALS_PER_TERM;
   const isDue = last === undefined || now >= last.askedAt + everyMs;
-  if (!isDue || others.length === 0 || !isHolder(state, self.instance)) {
+  if (!isDue || others.length === 0 || !mayUse(state)) {
     return done(state);
   }
   const asked = state.asked + 1;
@@ -252,6 +278,16 @@
   );
 }
 
+/** Whether the plan's rows for this VM are this instance's. */
+function mayUse(state: TermState): boolean {
+  const { self, isHeir } = state;
+  return isHolder(state, self.instance) || (isHeir && names(state, self.vm));
+}
+
+function names({ holders }: TermState, vm: VmId): boolean {
+  return holders.some((holder) => holder.vm === vm);
+}
+
 function isHolder({ holders }: TermState, instance: InstanceId): boolean {
   return holders.some((holder) => holder.instance === instance);
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -248,6 +248,7 @@
       ownReport: () => ({
         sequence: this.#confirmedPlan,
         demand: this.#demand.means(performance.now()),
+        lenders: this.#loans.lenders,
       }),
       report: (to, params) =>
         this.#tell(to, { method: "planner-report", params }),
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -44,12 +44,12 @@
     readonly rank: number;
     readonly rankWaitMs: number;
     readonly waitMs: number;
-    /** Counts the questions of this VM. */
-    readonly question: number;
+    /** Unique over all instances, so that a grant to an earlier life counts for nothing. */
+    readonly question: string;
   }
   /**
    * Slots for `durationMs` from the grant. It was granted `askAgeMs` after the
-   * question of that number was heard, so that the borrower can place the grant
+   * question was heard, so that the borrower can place the grant
    * on its own clock however late this arrives.
    */
   | {
@@ -58,7 +58,7 @@
     readonly target: TargetId;
     readonly slots: number;
     readonly durationMs: number;
-    readonly question: number;
+    readonly question: string;
     readonly askAgeMs: number;
   }
   | { readonly kind: "give-back"; readonly loan: string };
@@ -71,6 +71,8 @@
     readonly service: ServiceId;
     readonly slots: number;
   }[];
+  /** Instances that lent this VM slots which it still holds. */
+  readonly lenders: readonly InstanceId[];
 }
 
 /** A message without an answer. */
@@ -100,6 +102,8 @@
   readonly ageMs: number;
   /** The plan that the peer follows; absent where it has none. */
   readonly plan?: StoredPlan;
+  /** Instances that lent the peer slots which it still holds. */
+  readonly lenders: readonly InstanceId[];
 }
 
 /** The plan as the table keeps it. */
--- a/packages/daemon/src/peers/peer_network_test.ts
+++ b/packages/daemon/src/peers/peer_network_test.ts
@@ -46,7 +46,7 @@
     handler: {
       notice: (from, { method }) => heard.push(`${method} of ${from.vm}`),
       claim: () => Promise.resolve({ kind: "free" }),
-      known: () => ({ ageMs: 0 }),
+      known: () => ({ ageMs: 0, lenders: [] }),
     },
     metrics,
     log,
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -58,6 +58,10 @@
   readonly report: (to: VmId, report: PlannerReport) => void;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
   readonly sendTerm: (to: VmId, message: TermMessage) => void;
+  /** Asks a VM for the plan it follows; it arrives as `known`. */
+  readonly fetchFrom: (vm: VmId) => void;
+  /** Asks every other VM that the platform lists; undefined for one that does not answer. */
+  readonly askAll: () => Promise<readonly (Known | undefined)[]>;
   /** A plan is known and may be used for `validMs`; 0 where it may not. */
   readonly onPlan: (plan: Plan, validMs: number) => void;
   readonly log: Log;
@@ -224,6 +228,30 @@
       if (!(err instanceof TableError)) {
         throw err;
       }
+      await this.#inherit();
+    }
+  }
+
+  /**
+   * A daemon that was restarted while the table is away is not in the plan, so
+   * that its slots would idle until the table is back. It takes the place of its
+   * earlier instance if every other VM says that the plan is the newest and that
+   * nothing lent by that instance is in use any more.
+   */
+  async #inherit(): Promise<void> {
+    const { vm, instance } = this.#options.self;
+    const before = this.#stored?.holders.find((holder) => holder.vm === vm);
+    if (before === undefined || before.instance === instance) {
+      return;
+    }
+    const { sequence } = this.#stored!.plan;
+    const answers = await this.#options.askAll();
+    const isAgreed = answers.every((answer) =>
+      answer?.plan?.plan.sequence === sequence &&
+      !answer.lenders.includes(before.instance)
+    );
+    if (isAgreed) {
+      this.#advanceTerm({ kind: "inherit", sequence });
     }
   }
 
@@ -337,7 +365,7 @@
           this.#options.sendTerm(effect.to, effect.message);
           break;
         case "outdated":
-          this.#steppedAt = -Infinity;
+          this.#options.fetchFrom(effect.vm);
           break;
       }
     }
--- a/packages/daemon/src/planning.ts
+++ b/packages/daemon/src/planning.ts
@@ -25,6 +25,8 @@
   readonly revision: number;
   readonly vms: readonly VmEntry[];
   readonly targets: readonly TargetEntry[];
+  /** Instances of the members, as far as they were heard. */
+  readonly instances: ReadonlyMap<VmId, InstanceId>;
   /** VMs that the platform lists; undefined while its list cannot be read. */
   readonly listed: ReadonlySet<VmId> | undefined;
 }
@@ -34,12 +36,14 @@
 
 /** A VM that reports with another instance for this long has started anew: no
  * late word of an earlier life keeps coming. Two reports are 2 s apart. */
-const NEW_LIFE_MS = 5_000;
+const NEW_LIFE_MS = 4_000;
 /** Reports older than this say nothing of a VM any more: two missed ones. */
 const FRESH_MS = 5_000;
-/** A VM that the platform does not list for this long is gone, and its longest
- * request of 30 s with it; the list lags by seconds. */
-const UNLISTED_MS = 60_000;
+/** A VM that the platform does not list for this long is gone: the list lags,
+ * so what it has left out was gone before, and one odd answer must not do. */
+const UNLISTED_MS = 10_000;
+/** Longest loan of slots; those of an ended instance outlive it. */
+const LONGEST_LOAN_MS = 30_000;
 
 interface Reported {
   readonly instance: InstanceId;
@@ -53,6 +57,11 @@
 export class Planning {
   readonly #reports = new Map<VmId, Reported>();
   readonly #unlistedSince = new Map<VmId, number>();
+  #instances: ReadonlyMap<VmId, InstanceId> = new Map();
+  /** Sequence of the plan in force. */
+  #sequence = 0;
+  /** Live VMs, whose word on loans is needed. */
+  #live: readonly VmId[] = [];
   #silences: readonly Silence[] = [];
 
   /** Takes in what a VM reports. */
@@ -70,13 +79,15 @@
     previous: PlannedHolders | undefined,
     { now, previousAgeMs }: { now: number; previousAgeMs: number },
   ): PlannedHolders {
+    this.#live = inputs.vms.filter(({ live }) => live).map(({ vm }) => vm);
+    this.#instances = inputs.instances;
+    this.#sequence = previous?.plan.sequence ?? 0;
     const confirmations = this.#confirmations(previous, now);
     const plan = nextPlan({
       ...inputs,
       vms: inputs.vms.map((vm) => ({
         ...vm,
-        // A VM that never reported has no instance that could hold anything.
-        live: vm.live && this.#reports.has(vm.vm),
+        live: vm.live && this.#mayHold(vm.vm, previous, now),
       })),
       demand: this.#demand(now),
       confirmations,
@@ -87,16 +98,41 @@
     const holding = new Set(
       [...plan.allotments, ...plan.links].map(({ vm }) => vm),
     );
-    const holders = [...holding].map((vm) => this.#holder(vm, previous));
+    const holders = [...holding].map((vm) => this.#holder(vm, previous, now));
     return { plan, holders: holders.filter((one) => one !== undefined) };
   }
 
-  /** The VM's present instance, or the one that held its slots before. */
-  #holder(vm: VmId, previous: PlannedHolders | undefined): Sender | undefined {
-    const reported = this.#reports.get(vm);
-    return reported === undefined
-      ? previous?.holders.find((holder) => holder.vm === vm)
-      : { vm, instance: reported.instance };
+  /** The VM's present instance: that of its reports, or else as heartbeats say. */
+  #instanceOf(vm: VmId): InstanceId | undefined {
+    return this.#reports.get(vm)?.instance ?? this.#instances.get(vm);
+  }
+
+  /**
+   * A VM that was never heard has no instance that could hold anything, and a new
+   * instance holds nothing while the earlier one may: its loans outlive it.
+   */
+  #mayHold(
+    vm: VmId,
+    previous: PlannedHolders | undefined,
+    now: number,
+  ): boolean {
+    const instance = this.#instanceOf(vm);
+    const holder = previous?.holders.find((one) => one.vm === vm);
+    return instance !== undefined &&
+      (holder === undefined || holder.instance === instance ||
+        this.#isGone(holder, now));
+  }
+
+  /** The instance that the VM's rows are about. */
+  #holder(
+    vm: VmId,
+    previous: PlannedHolders | undefined,
+    now: number,
+  ): Sender | undefined {
+    const instance = this.#instanceOf(vm);
+    return instance !== undefined && this.#mayHold(vm, previous, now)
+      ? { vm, instance }
+      : previous?.holders.find((holder) => holder.vm === vm);
   }
 
   #demand(now: number): readonly MeasuredDemand[] {
@@ -164,12 +200,41 @@
     }
   }
 
+  /**
+   * Whether an instance has ended and nobody uses slots that it lent. Its
+   * successor may use its slots by an older plan, until it follows this one.
+   */
   #isGone({ vm, instance }: Sender, now: number): boolean {
+    const endedAt = this.#endedAt({ vm, instance }, now);
+    const heir = this.#reports.get(vm);
+    const mayLag = heir !== undefined && heir.instance !== instance &&
+      heir.report.sequence < this.#sequence;
+    return endedAt !== undefined && !mayLag &&
+      (now - endedAt >= LONGEST_LOAN_MS ||
+        this.#isFreeOfLoans(instance, endedAt));
+  }
+
+  /** When the instance had ended at the latest; undefined where it may live. */
+  #endedAt({ vm, instance }: Sender, now: number): number | undefined {
     const reported = this.#reports.get(vm);
     const isReplaced = reported !== undefined &&
       reported.instance !== instance && now - reported.at < FRESH_MS &&
       reported.at - reported.firstAt >= NEW_LIFE_MS;
+    if (isReplaced) {
+      return reported.firstAt;
+    }
     const since = this.#unlistedSince.get(vm);
-    return isReplaced || (since !== undefined && now - since >= UNLISTED_MS);
+    return since !== undefined && now - since >= UNLISTED_MS
+      ? since
+      : undefined;
+  }
+
+  /** Whether all live VMs have reported since, and none with a loan of that instance. */
+  #isFreeOfLoans(instance: InstanceId, since: number): boolean {
+    return this.#live.every((vm) => {
+      const reported = this.#reports.get(vm);
+      return reported !== undefined && reported.at > since &&
+        !reported.report.lenders.includes(instance);
+    });
   }
 }
--- a/packages/daemon/src/slot_loans.ts
+++ b/packages/daemon/src/slot_loans.ts
@@ -53,14 +53,14 @@
 }
 
 interface Taken {
-  readonly from: VmId;
+  readonly from: PeerId;
   readonly target: TargetId;
   slots: number;
   readonly endsAt: number;
 }
 
 interface Question {
-  readonly number: number;
+  readonly question: string;
   readonly heardAt: number;
 }
 
@@ -70,9 +70,9 @@
   readonly #given = new Map<string, Given>();
   readonly #taken = new Map<string, Taken>();
   /** When each question was sent. */
-  readonly #asked = new Map<number, number>();
-  /** The last question heard, by VM, service and region. */
-  readonly #heard = new Map<string, Question>();
+  readonly #asked = new Map<string, number>();
+  /** The last question heard of each VM. */
+  readonly #heard = new Map<VmId, Question>();
   #questions = 0;
   #loans = 0;
 
@@ -81,6 +81,12 @@
     this.#options = options;
   }
 
+  /** Instances of which this VM holds slots. */
+  get lenders(): readonly InstanceId[] {
+    const lenders = [...this.#taken.values()].map(({ from }) => from.instance);
+    return [...new Set(lenders)];
+  }
+
   protected override open(): void {
     this.every(TICK_MS, { kind: "tick" });
   }
@@ -96,7 +102,7 @@
         return;
       case "return-all":
         for (const [loan, { from }] of this.#taken) {
-          this.#options.send(from, { kind: "give-back", loan });
+          this.#options.send(from.vm, { kind: "give-back", loan });
         }
         this.#taken.clear();
         return;
@@ -125,7 +131,7 @@
   #ask(effect: Ask, now: number): void {
     const { to, service, region, slots, rank, rankWaitMs, waitMs } = effect;
     this.#questions += 1;
-    const question = this.#questions;
+    const question = `${this.#options.instance}/${this.#questions}`;
     this.#asked.set(question, now);
     if (this.#asked.size > MAX_QUESTIONS * 16) {
       const [oldest] = this.#asked.keys();
@@ -148,7 +154,7 @@
     this.#loans += 1;
     const loan = `${this.#options.instance}/${this.#loans}`;
     this.#given.set(loan, { to, target, slots, endsAt: now + durationMs });
-    const question = this.#latestQuestion(to);
+    const question = this.#heard.get(to);
     if (question === undefined) {
       // Nobody asked: the borrower could not place the grant on its clock. The
       // slots come back when the loan has run out.
@@ -160,23 +166,11 @@
       target,
       slots,
       durationMs,
-      question: question.number,
+      question: question.question,
       askAgeMs: now - question.heardAt,
     });
   }
 
-  #latestQuestion(vm: VmId): Question | undefined {
-    let latest: Question | undefined;
-    for (const [key, question] of this.#heard) {
-      if (
-        key.startsWith(`${vm} `) && question.number > (latest?.number ?? 0)
-      ) {
-        latest = question;
-      }
-    }
-    return latest;
-  }
-
   /** Gives back what is held of that VM and target, oldest loan first. */
   #giveBack(effect: GiveBack): void {
     let slots = effect.slots;
@@ -184,7 +178,7 @@
       if (slots <= 0) {
         return;
       }
-      if (taken.from !== effect.to || taken.target !== effect.target) {
+      if (taken.from.vm !== effect.to || taken.target !== effect.target) {
         continue;
       }
       const given = Math.min(slots, taken.slots);
@@ -202,8 +196,7 @@
       case "ask": {
         const { service, region, slots, rank, rankWaitMs, waitMs, question } =
           message;
-        const key = `${from.vm} ${service} ${region}`;
-        this.#heard.set(key, { number: question, heardAt: now });
+        this.#heard.set(from.vm, { question, heardAt: now });
         this.#options.steer({
           kind: "asked",
           from: from.vm,
@@ -241,7 +234,7 @@
       return;
     }
     this.#taken.set(loan, {
-      from: from.vm,
+      from,
       target,
       slots,
       endsAt: now + left,
--- a/packages/decisions/src/plan_slots.ts
+++ b/packages/decisions/src/plan_slots.ts
@@ -103,7 +103,11 @@
   for (let i = 0; i < most && unowned <= 0; i++) {
     const [from, over] = furthest(counts, ideal, 1);
     const isFar = over > Math.max(1, HYSTERESIS * (ideal.get(from!) ?? 0));
-    if (from === undefined || (unowned === 0 && !isFar)) break;
+    // A VM without any slot serves nothing of its own until it has one.
+    const isBare = [...counts].some(([vm, slots]) =>
+      slots === 0 && ideal.get(vm)! > 0
+    );
+    if (from === undefined || (unowned === 0 && !isFar && !isBare)) break;
     counts.set(from, counts.get(from)! - 1);
     unowned++;
     if (unowned > 0) unowned -= addOne(counts, ideal);
