daemon: catch up with the newest plan in an outage, and contend for the lease only if first

VMs that had read different plans when the table went away would never have agreed; whoever hears of a newer one now fetches it. Only the first three VMs by name contend for the planner's lease.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -251,6 +251,7 @@
         this.#tell(to, { method: "planner-report", params }),
       send: (to, params) => this.#tell(to, { method: "plan", params }),
       listed: () => this.#fleet.view.vms.map(({ id }) => id),
+      fetchFrom: (vm) => void this.#askKnown([vm]),
       askNewest: (vm, timeoutMs) => this.#askNewestPlan(vm, timeoutMs),
       onPlan: (plan) => this.#onPlan(plan),
       log: this.#log,
@@ -784,11 +785,17 @@
       .filter((vm) => vm.id !== this.#self.vm && vm.belief !== "dead")
       .toSorted((a, b) => near(b) - near(a))
       .slice(0, PEERS_ASKED);
-    const answers = await Promise.all(
-      peers.map(({ id, peer }) =>
-        this.#peers.askKnown({ vm: id, address: peer })
-      ),
-    );
+    return await this.#askKnown(peers.map(({ id }) => id));
+  }
+
+  /** What those VMs know; their plans are taken in at once. */
+  async #askKnown(vms: readonly VmId[]): Promise<readonly Known[]> {
+    const answers = await Promise.all(vms.map((vm) => {
+      const address = this.#fleet.peerAddress(vm);
+      return address === undefined
+        ? undefined
+        : this.#peers.askKnown({ vm, address });
+    }));
     const known = answers.filter((answer) => answer !== undefined);
     for (const { plan, planAgeMs = Infinity } of known) {
       if (plan !== undefined) {
--- a/packages/daemon/src/http/caller_listener.ts
+++ b/packages/daemon/src/http/caller_listener.ts
@@ -47,6 +47,8 @@
 /** What the listener is told. */
 export type CallerListenerMessage =
   | { readonly kind: "tick" }
+  /** The same while nothing is in flight. */
+  | { readonly kind: "idle-tick" }
   /** Looks for callers that have stopped sending. */
   | { readonly kind: "sweep" }
   /** Each answer ends its connection from now on. */
@@ -56,6 +58,8 @@
 
 /** How often slow senders are looked for: a tenth of their shortest allowance. */
 const SWEEP_MS = 500;
+/** Decisions that wait for time without a request, as loans that run out, bear this delay. */
+const IDLE_TICK_MS = 100;
 /** Idle connections are closed after this long; undici callers keep them for 4 s. */
 const KEEP_ALIVE_MS = 5_000;
 const RETRY_NOT_READY_MS = 1_000;
@@ -75,6 +79,7 @@
   #server: CallerServer | undefined;
   #open = 0;
   #requests = 0;
+  #ticking = false;
   #draining = false;
   #whenEmpty: (() => void)[] = [];
 
@@ -127,18 +132,20 @@
       server.listen(port, host, resolve);
     });
     server.on("error", (err) => this.fail(err));
-    this.every(TICK_MS, { kind: "tick" });
+    this.#ticking = false;
+    this.every(IDLE_TICK_MS, { kind: "idle-tick" });
     this.every(SWEEP_MS, { kind: "sweep" });
   }
 
   protected override receive(message: CallerListenerMessage): void {
     switch (message.kind) {
-      case "tick": {
-        const now = performance.now();
-        this.#options.services.wheel.advance(now);
-        this.#options.onTick(now);
+      case "tick":
+        this.#ticking = false;
+        this.#tick();
+        return;
+      case "idle-tick":
+        this.#tick();
         return;
-      }
       case "sweep":
         this.#sweep(performance.now());
         return;
@@ -165,6 +172,21 @@
     });
   }
 
+  /** Ticks on while requests are in flight; waking up for none costs more than all else. */
+  #tick(): void {
+    const now = performance.now();
+    this.#options.services.wheel.advance(now);
+    this.#options.onTick(now);
+    this.#tickOn();
+  }
+
+  #tickOn(): void {
+    if (this.#open > 0 && !this.#ticking) {
+      this.#ticking = true;
+      this.after(TICK_MS, { kind: "tick" });
+    }
+  }
+
   #createServer(): CallerServer {
     const { limits } = this.#options.settings;
     const server: CallerServer = createServer({
@@ -276,6 +298,7 @@
       now: performance.now(),
     });
     this.#open += 1;
+    this.#tickOn();
     res.exchange = exchange;
     res.on("close", onClose);
     exchange.start();
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -73,6 +73,8 @@
     vm: VmId,
     timeoutMs: number,
   ) => Promise<number | undefined>;
+  /** Asks a VM for the plan it follows; it arrives as `known`. */
+  readonly fetchFrom: (vm: VmId) => void;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
   readonly onPlan: (plan: Plan) => void;
   readonly log: Log;
@@ -111,7 +113,7 @@
   #renewedAt = -Infinity;
   #steppedAt = -Infinity;
   #stepping = false;
-  #contending = true;
+  #members: readonly Ranked[] = [];
 
   constructor(options: PlanTaskOptions) {
     super("plan");
@@ -142,14 +144,7 @@
 
   protected override open(): void {
     this.#stepping = false;
-    this.#lease = new Lease(this.#options.table, {
-      name: "planner",
-      instance: this.#options.self.instance,
-      durationMs: LEASE_MS,
-    });
-    if (this.#contending) {
-      this.#lease.start();
-    }
+    this.#contend();
     this.every(TICK_MS, { kind: "tick" });
     this.#step();
   }
@@ -168,7 +163,8 @@
         return;
       case "members":
         this.#tree.setMembers(message.members);
-        this.#contend(message.members);
+        this.#members = message.members;
+        this.#contend();
         return;
       case "known":
         this.#learn(message.stored, message.ageMs);
@@ -187,18 +183,25 @@
   }
 
   /** The first VMs by name contend; all see the same ones, without electing them. */
-  #contend(members: readonly Ranked[]): void {
-    const first = members
+  #contend(): void {
+    const first = this.#members
       .filter((member) => member.state === "joined")
       .map(({ vm }) => vm)
       .sort()
       .slice(0, CONTENDERS);
-    const contending = first.length === 0 ||
-      first.includes(this.#options.self.vm);
-    if (contending && !this.#contending) {
-      this.#lease?.start();
+    const contends = first.includes(this.#options.self.vm);
+    if (contends && this.#lease === undefined) {
+      this.#lease = new Lease(this.#options.table, {
+        name: "planner",
+        instance: this.#options.self.instance,
+        durationMs: LEASE_MS,
+      });
+      this.#lease.start();
+    } else if (!contends && this.#lease !== undefined) {
+      const lease = this.#lease;
+      this.#lease = undefined;
+      this.spawn(lease.stop());
     }
-    this.#contending = contending;
   }
 
   #periodMs(): number {
@@ -278,6 +281,11 @@
     const answers = await Promise.all(
       others.map((vm) => this.#options.askNewest(vm, ASK_MS)),
     );
+    const ahead = answers.findIndex((answer = 0) => answer > sequence);
+    if (ahead !== -1) {
+      this.#options.fetchFrom(others[ahead]!);
+      return;
+    }
     const agreeing = answers.filter((answer) => answer === sequence).length;
     const self = all.length - others.length;
     if (isMajority(agreeing + self, all.length)) {
