--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -95,7 +95,7 @@
   #storedAt = 0;
   #steppedAt = -Infinity;
   #stepping = false;
-  #contending = true;
+  #members: readonly Ranked[] = [];
 
   constructor(options: PlanTaskOptions) {
     super("plan");
@@ -132,14 +132,7 @@
   protected override open(): void {
     this.#stepping = false;
     this.#planning = new Planning();
-    this.#lease = new Lease(this.#options.table, {
-      name: "planner",
-      instance: this.#options.self.instance,
-      durationMs: LEASE_MS,
-    });
-    if (this.#contending) {
-      this.#lease.start();
-    }
+    this.#contend();
     this.every(TICK_MS, { kind: "tick" });
     this.#step();
   }
@@ -159,7 +152,8 @@
         return;
       case "members":
         this.#tree.setMembers(message.members);
-        this.#contend(message.members);
+        this.#members = message.members;
+        this.#contend();
         return;
       case "known":
         this.#adopt(message.stored);
@@ -181,18 +175,25 @@
   }
 
   /** The first VMs by name contend; all see the same ones, without electing them. */
-  #contend(members: readonly Ranked[]): void {
-    const first = members
+  #contend(): void {
+    const first = this.#members
       .filter((member) => member.state === "joined")
       .map(({ vm }) => vm)
       .sort()
       .slice(0, CONTENDERS);
-    const contending = first.length === 0 ||
-      first.includes(this.#options.self.vm);
-    if (contending && !this.#contending) {
-      this.#lease?.start();
+    const contends = first.includes(this.#options.self.vm);
+    if (contends && this.#lease === undefined) {
+      this.#lease = new Lease(this.#options.table, {
+        name: "planner",
+        instance: this.#options.self.instance,
+        durationMs: LEASE_MS,
+      });
+      this.#lease.start();
+    } else if (!contends && this.#lease !== undefined) {
+      const lease = this.#lease;
+      this.#lease = undefined;
+      this.spawn(lease.stop());
     }
-    this.#contending = contending;
   }
 
   #periodMs(): number {
