Keep the cost of escrow with the loans, not with the pools

Causes: each step summed every pool over every loan, and after a refusal the next owner was asked at once, for ever, where all lacked slots. Now a step looks at pools with loans only, and after every owner has refused one is asked a second. A loan or term that ended by time alone had not been reported as a change either, since both sums were taken after it; the last report is kept now.

--- a/packages/coordination/src/escrow/borrowing.ts
+++ b/packages/coordination/src/escrow/borrowing.ts
@@ -20,6 +20,12 @@
 /** A request for a loan is repeated this often before another lender is asked. */
 const ATTEMPTS = 3;
 
+/**
+ * Once every owner has refused, one is asked this often. Where all lack slots,
+ * each of them would ask all others without a pause, in vain.
+ */
+const REFUSED_BY_ALL_MS = 1_000;
+
 /** Slots of a pool that this VM may use now, in use or not. */
 export function heldOf(ctx: Context, pool: PoolId): number {
   return ownOf(ctx, pool) + loansOf(ctx, pool)
@@ -89,10 +95,13 @@
 
 function askForLacking(ctx: Context, id: PoolId, pool: PoolState): void {
   const { state } = ctx;
+  if (pool.wanted === 0) {
+    return;
+  }
   const lacking = pool.wanted - heldOf(ctx, id);
   const asking = (Object.values(state.borrowed) as Borrowed[])
     .some((loan) => loan.pool === id && loan.slots === 0);
-  if (lacking <= 0 || asking) {
+  if (lacking <= 0 || asking || ctx.now < pool.askAgainAt) {
     return;
   }
   const lender = chooseLender(ctx, id);
@@ -181,6 +190,7 @@
     return;
   }
   loan.slots = grant.slots;
+  ctx.state.pools[loan.pool]!.refusals = 0;
   loan.stopsAt = until;
 }
 
@@ -194,7 +204,13 @@
     return;
   }
   ctx.state.spare[spareKey(refusal.from, loan.pool)] = refusal.spare;
-  if (loan.slots === 0) {
-    delete ctx.state.borrowed[refusal.loan];
+  if (loan.slots > 0) {
+    return;
+  }
+  delete ctx.state.borrowed[refusal.loan];
+  const pool = ctx.state.pools[loan.pool]!;
+  pool.refusals += 1;
+  if (pool.refusals >= (ctx.state.plan?.owners.length ?? 0) - 1) {
+    pool.askAgainAt = ctx.now + REFUSED_BY_ALL_MS;
   }
 }
--- a/packages/coordination/src/escrow/escrow.ts
+++ b/packages/coordination/src/escrow/escrow.ts
@@ -69,6 +69,10 @@
 export class Escrow {
   readonly #options: Required<EscrowOptions>;
   readonly #state: EscrowState;
+  /** Slots that were last reported as held, by pool. */
+  readonly #reported = new Map<PoolId, number>();
+  /** The plan under which all pools were last looked at and nothing was in question. */
+  #calmPlan: EscrowPlan | undefined;
 
   /** `state` continues a copied core; a daemon that starts passes none and so forgets safely. */
   constructor(options: EscrowOptions, state: EscrowState = initialState()) {
@@ -88,6 +92,7 @@
 
   /** Takes in a plan; an older or equal epoch is ignored. */
   adopt(plan: EscrowPlan, now: number): readonly EscrowEffect[] {
+    this.#calmPlan = undefined;
     return this.#step(now, (ctx) => adoptPlan(ctx, plan));
   }
 
@@ -126,6 +131,7 @@
     return this.#step(now, (ctx) => {
       const entry = ctx.state.pools[pool];
       if (entry !== undefined) {
+        entry.refusals = slots === entry.wanted ? entry.refusals : 0;
         entry.wanted = slots;
         tendLoans(ctx);
       }
@@ -198,6 +204,17 @@
     return { ...this.#options, state: this.#state, now, effects: [] };
   }
 
+  /** Pools that time alone may change: those with loans, or all while a plan or the term is in question. */
+  #changeable(now: number): readonly PoolId[] | undefined {
+    const { plan, raised, validUntil, lent, borrowed } = this.#state;
+    const isCalm = raised && now < validUntil && plan === this.#calmPlan;
+    this.#calmPlan = raised && now < validUntil ? plan : undefined;
+    return isCalm
+      ? [...Object.values(lent), ...Object.values(borrowed)]
+        .map((loan) => (loan as { pool: PoolId }).pool)
+      : undefined;
+  }
+
   /** Runs a step; `pools` bounds those whose slots it may change. */
   #step(
     now: number,
@@ -205,12 +222,14 @@
     pools?: readonly PoolId[],
   ): readonly EscrowEffect[] {
     const ctx = this.#context(now);
-    const before = heldByPool(ctx, pools);
+    const touched = pools ?? this.#changeable(now);
     takeBackExpired(ctx);
     body(ctx);
     settle(ctx);
-    for (const [pool, held] of heldByPool(ctx, pools)) {
-      if (held !== (before.get(pool) ?? 0)) {
+    for (const pool of touched ?? poolsOf(ctx.state)) {
+      const held = heldOf(ctx, pool);
+      if (held !== (this.#reported.get(pool) ?? 0)) {
+        this.#reported.set(pool, held);
         ctx.effects.push({ kind: "changed", pool, held });
       }
     }
@@ -218,11 +237,8 @@
   }
 }
 
-function heldByPool(
-  ctx: Context,
-  pools: readonly PoolId[] = entriesOf(ctx.state.pools).map(([pool]) => pool),
-): ReadonlyMap<PoolId, number> {
-  return new Map(pools.map((pool) => [pool, heldOf(ctx, pool)]));
+function poolsOf(state: EscrowState): readonly PoolId[] {
+  return entriesOf(state.pools).map(([pool]) => pool);
 }
 
 /** The pools that a message may change, or undefined for all. Most messages are about one loan. */
--- a/packages/coordination/src/escrow/ownership.ts
+++ b/packages/coordination/src/escrow/ownership.ts
@@ -14,6 +14,7 @@
   entriesOf,
   lastAskedAt,
   NEVER,
+  newPool,
   noteAsk,
   type PoolState,
 } from "./state.ts";
@@ -40,7 +41,7 @@
   }
   for (const pool of plan.pools) {
     const entry = state.pools[pool.pool] ??
-      { target: 0, share: 0, used: 0, wanted: 0 };
+      newPool();
     entry.target = sharesOf(pool, plan.owners).get(self.instance) ?? 0;
     state.pools[pool.pool] = entry;
   }
--- a/packages/coordination/src/escrow/state.ts
+++ b/packages/coordination/src/escrow/state.ts
@@ -20,6 +20,22 @@
   used: number;
   /** How many slots this VM would like to hold. */
   wanted: number;
+  /** Refusals in a row, since the last grant or wish. */
+  refusals: number;
+  /** No lender is asked before. */
+  askAgainAt: number;
+}
+
+/** A pool that no plan has given this VM a share of. */
+export function newPool(): PoolState {
+  return {
+    target: 0,
+    share: 0,
+    used: 0,
+    wanted: 0,
+    refusals: 0,
+    askAgainAt: NEVER,
+  };
 }
 
 /** A loan that this VM gave. */
