--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -34,11 +34,16 @@
   dead: faults.deadTarget,
   lying: faults.lyingReports,
   "all-dead": faults.allLookDead,
+  stops: faults.measurementsStop,
   region: faults.regionLoss,
   drain: faults.plannedDrain,
   recovery: faults.recovery,
 };
 
+/** Schemes in every comparison, and those that only a full run adds. */
+const USUAL = ["steering", "central", "two-choices", "round-robin", "random"];
+const ALTERNATIVES = ["hash-lending", "no-lending", "forwarding", "probing"];
+
 const HELP = `
   Usage
     npm run bench -- decisions [options]
@@ -81,8 +86,14 @@
     if (deployment === undefined) {
       throw new RangeError(`Cannot run the bench: no deployment ${name}`);
     }
-    const ctx = { deployment, seed: flags.seed, quick: flags.quick };
-    const found = runPatterns(ctx, flags.pattern);
+    const found = runPatterns({
+      deployment,
+      work: deployment.work,
+      schemes: USUAL,
+      alternatives: flags.quick ? [] : ALTERNATIVES,
+      seed: flags.seed,
+      quick: flags.quick,
+    }, flags.pattern);
     console.log(`\n## ${name}, seed ${flags.seed}\n`);
     if (flags.rows) console.log(`${rowTable(found.rows)}\n`);
     console.log(barTable(found.bars));
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,9 +37,10 @@
 import { OperatorTokens } from "./operator/mod.ts";
 import { createProbes, OperatorTask } from "./operator_task.ts";
 import { Outages } from "./outages.ts";
-import type { PeerId, PeerNotice } from "./peers/messages.ts";
+import type { Known, PeerId, PeerNotice } from "./peers/messages.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
-import { type PlanInputs, PlanTask } from "./plan_task.ts";
+import type { PlanInputs } from "./planning.ts";
+import { PlanTask } from "./plan_task.ts";
 import { stopAsPlanned } from "./planned_stop.ts";
 import { type ListedVm, PlatformClient } from "./platform_client.ts";
 import { Revisions } from "./revisions.ts";
@@ -76,6 +77,10 @@
   kill(): Promise<void>;
 }
 
+/** Peers that a VM without a configuration asks: one of them knows the newest, or hears of it soon. */
+const PEERS_ASKED = 4;
+/** Ten reads of the list by a reader. */
+const LIST_FRESH_MS = 5_000;
 /** How long a fact is known: targets are polled each second, so that it is renewed in time. */
 const LEAVING_FACT_MS = 20_000;
 const BELIEF_FACT_MS = 3_000;
@@ -172,7 +177,7 @@
     this.#crashes = new CrashWatch({
       publish: (message) => this.#publishHeldBack(message),
       onEnded: (attempt, end) => {
-        this.#metrics.attempts.inc({ end });
+        this.#metrics.attemptEnded(end);
         if (attempt.targetLeaving) {
           this.#targetLeaves(attempt.target);
         }
@@ -200,6 +205,7 @@
         notice: (from, notice) => this.#onNotice(from, notice),
         claim: (_from, { question, waitMs }) =>
           this.#claims.answerPeer(question, waitMs),
+        known: () => ({ ...this.#configuration.known, ...this.#plan.known }),
       },
       metrics: this.#metrics,
       log: this.#log,
@@ -226,6 +232,7 @@
       self,
       store: new ConfigurationStore<InForceJson>(this.#platform),
       send: (to, params) => this.#tell(to, { method: "configuration", params }),
+      askPeers: () => this.#askPeers(),
       onAdopted: (configuration) => this.#onAdopted(configuration),
       onReader: (reader) => this.#vmList.send({ kind: "reader", reader }),
       log: this.#log,
@@ -245,7 +252,8 @@
       report: (to, params) =>
         this.#tell(to, { method: "planner-report", params }),
       send: (to, params) => this.#tell(to, { method: "plan", params }),
-      onPlan: (plan) => this.#onPlan(plan),
+      sendTerm: (to, params) => this.#tell(to, { method: "term", params }),
+      onPlan: (plan, validMs) => this.#onPlan(plan, validMs),
       log: this.#log,
     });
     this.#operator = this.#operatorTask(secrets);
@@ -516,13 +524,13 @@
       this.#tellDrains(this.#inForce);
     }
     if (this.#plan.plan !== undefined) {
-      this.#onPlan(this.#plan.plan);
+      this.#onPlan(this.#plan.plan, this.#plan.validMs);
     }
   }
 
-  #onPlan(plan: Plan): void {
+  #onPlan(plan: Plan, validMs: number): void {
     this.#metrics.planSequence.set(plan.sequence);
-    this.#steering.send({ kind: "plan", plan });
+    this.#steering.send({ kind: "plan", plan, validMs });
   }
 
   #planInputs(): PlanInputs | undefined {
@@ -535,10 +543,32 @@
       policy: inForce.preset,
       revision: inForce.revision,
       vms: toVmEntries(view),
-      targets: toTargetEntries(view),
+      targets: this.#targetsToPlan(view, inForce),
+      listed: this.#listedVms(),
     };
   }
 
+  /** Unknown while the list is too old to say that a VM is not on it. */
+  #listedVms(): ReadonlySet<VmId> | undefined {
+    const { view, listedAt } = this.#fleet;
+    return performance.now() - listedAt < LIST_FRESH_MS
+      ? new Set(view.vms.map(({ id }) => id))
+      : undefined;
+  }
+
+  /** The planner takes what is drained for leaving. */
+  #targetsToPlan(
+    view: FleetView,
+    { drains }: Configuration,
+  ): readonly TargetEntry[] {
+    const drained = new Set(drains.map(({ kind, id }) => `${kind} ${id}`));
+    return toTargetEntries(view).map((entry) => ({
+      ...entry,
+      leaving: entry.leaving || drained.has(`target ${entry.target}`) ||
+        drained.has(`zone ${entry.zone}`),
+    }));
+  }
+
   #onPeerEffect(effect: PeerEffect): void {
     switch (effect.kind) {
       case "ask":
@@ -587,13 +617,26 @@
     });
   }
 
+  /** Nobody says any more that the target leaves: its drain was called off. */
+  #targetStays(target: TargetId): void {
+    this.#fleet.send({ kind: "target-staying", target });
+    // The decisions take a leaving target back only after it was gone.
+    const { view } = this.#fleet;
+    const targets = view.targets.filter(({ id }) => id !== target);
+    this.#steering.send({
+      kind: "targets",
+      targets: toTargetEntries({ ...view, targets }),
+    });
+    this.#steering.send({ kind: "targets", targets: toTargetEntries(view) });
+  }
+
   #heardLeaving(target: TargetId): void {
     this.#fleet.send({ kind: "target-leaving", target });
     this.#steering.send({ kind: "target-leaving", target });
   }
 
   #publishHeldBack(message: HeldBackMessage): void {
-    this.#publish(`held-back/${message.fingerprint}/${this.#self.vm}`, {
+    this.#publish(heldBackKey(message, this.#self.vm), {
       value: message as unknown as Fact["value"],
       lifetimeMs: message.remainingMs,
     });
@@ -658,8 +701,7 @@
         return;
       case "fact-expired":
         if (effect.key.startsWith("leaving/target/")) {
-          const target = effect.key.split("/")[2] as TargetId;
-          this.#fleet.send({ kind: "target-staying", target });
+          this.#targetStays(effect.key.split("/")[2] as TargetId);
         }
         return;
       case "ahead":
@@ -698,15 +740,14 @@
       case "plan":
         this.#plan.send({ kind: "peer", message: notice.params });
         return;
+      case "term":
+        this.#plan.send({ kind: "term", message: notice.params });
+        return;
       case "slots":
         this.#loans.send({ kind: "peer", from, message: notice.params });
         return;
       case "planner-report":
-        this.#plan.send({
-          kind: "report",
-          from: from.vm,
-          report: notice.params,
-        });
+        this.#plan.send({ kind: "report", from, report: notice.params });
         return;
     }
   }
@@ -730,6 +771,29 @@
       : this.#peers.askHolder({ vm, address }, { question, waitMs });
   }
 
+  /** Asks a few peers, near ones first, as a start-up storm must not meet all of them. */
+  async #askPeers(): Promise<readonly Known[]> {
+    const { zone, region } = this.#settings;
+    const near = (vm: FleetView["vms"][number]) =>
+      Number(vm.zone === zone) + Number(vm.region === region);
+    const peers = this.#fleet.view.vms
+      .filter((vm) => vm.id !== this.#self.vm && vm.belief !== "dead")
+      .toSorted((a, b) => near(b) - near(a))
+      .slice(0, PEERS_ASKED);
+    const answers = await Promise.all(
+      peers.map(({ id, peer }) =>
+        this.#peers.askKnown({ vm: id, address: peer })
+      ),
+    );
+    const known = answers.filter((answer) => answer !== undefined);
+    for (const { plan } of known) {
+      if (plan !== undefined) {
+        this.#plan.send({ kind: "known", stored: plan });
+      }
+    }
+    return known;
+  }
+
   #announce(): void {
     this.#leaving = true;
     this.#fleet.send({ kind: "self-leaving" });
@@ -759,6 +823,15 @@
   }
 }
 
+/**
+ * One fact for each death: under one key the second would replace the first,
+ * and the peers would never count to two.
+ */
+function heldBackKey(message: HeldBackMessage, self: VmId): string {
+  const about = message.kind === "coincided" ? message.target : message.kind;
+  return `held-back/${message.fingerprint}/${self}/${about}`;
+}
+
 function toVmEntries(view: FleetView): readonly VmEntry[] {
   return view.vms.map(({ id, region, zone, belief }) => ({
     vm: id,
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -9,7 +9,10 @@
   DisseminationMessage,
   HolderAnswer,
   HolderQuestion,
+  InForce,
   MembershipMessage,
+  Sender,
+  TermMessage,
 } from "@poplarthread/coordination";
 import type {
   InstanceId,
@@ -18,6 +21,8 @@
   TargetId,
   VmId,
 } from "@poplarthread/ids";
+import type { Plan } from "@poplarthread/decisions";
+import type { InForceJson } from "../in_force_value.ts";
 
 /** Version of this protocol; both ends must speak the same. */
 export const PROTOCOL_VERSION = 1;
@@ -74,6 +79,7 @@
   | { readonly method: "configuration"; readonly params: DisseminationMessage }
   | { readonly method: "plan"; readonly params: DisseminationMessage }
   | { readonly method: "slots"; readonly params: SlotMessage }
+  | { readonly method: "term"; readonly params: TermMessage }
   | { readonly method: "planner-report"; readonly params: PlannerReport };
 
 /** Names of the notices. */
@@ -82,10 +88,31 @@
   "configuration",
   "plan",
   "slots",
+  "term",
   "planner-report",
 ];
 
-/** A question about a claim: the one call that has an answer. */
+/** What a VM that has just started asks its peers for while the table is away. */
+export interface Known {
+  /** Absent where the peer knows none either. */
+  readonly inForce?: InForce<InForceJson>;
+  /** Age of the peer's knowledge that this is the latest, in milliseconds. */
+  readonly ageMs: number;
+  /** The plan that the peer follows; absent where it has none. */
+  readonly plan?: StoredPlan;
+}
+
+/** The plan as the table keeps it. */
+export interface StoredPlan {
+  readonly plan: Plan;
+  /** Instances that may hold something by it, or still by an earlier plan. */
+  readonly holders: readonly Sender[];
+  readonly planner: VmId;
+  /** Fencing token of the lease under which it was written. */
+  readonly token: number;
+}
+
+/** A question about a claim. */
 export interface ClaimCall {
   readonly question: HolderQuestion;
   readonly waitMs: number;
@@ -95,4 +122,5 @@
 export interface PeerHandler {
   notice(from: PeerId, notice: PeerNotice): void;
   claim(from: PeerId, call: ClaimCall): Promise<HolderAnswer>;
+  known(): Known;
 }
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -6,51 +6,44 @@
  */
 
 import {
+  advanceTerm,
   Dissemination,
   type DisseminationEffect,
   type DisseminationMessage,
+  isTermValid,
   Lease,
+  newTerm,
   type Ranked,
+  type Sender,
   type Table,
   TableError,
+  type TermEvent,
+  type TermMessage,
+  type TermState,
 } from "@poplarthread/coordination";
-import {
-  type MeasuredDemand,
-  nextPlan,
-  type Plan,
-  type Policy,
-  type TargetEntry,
-  type VmEntry,
-} from "@poplarthread/decisions";
+import { type Plan, TERM_MS } from "@poplarthread/decisions";
 import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { Log } from "./log.ts";
-import type { PeerId, PlannerReport } from "./peers/messages.ts";
+import type {
+  Known,
+  PeerId,
+  PlannerReport,
+  StoredPlan,
+} from "./peers/messages.ts";
+import { type PlanInputs, Planning } from "./planning.ts";
 import { Task } from "./task.ts";
 
-/** The plan as the table keeps it. */
-export interface StoredPlan {
-  readonly plan: Plan;
-  readonly planner: VmId;
-  /** Fencing token of the lease under which it was written. */
-  readonly token: number;
-}
-
-/** What the planner looks at, beside what VMs report to it. */
-export interface PlanInputs {
-  readonly policy: Policy;
-  readonly revision: number;
-  readonly vms: readonly VmEntry[];
-  readonly targets: readonly TargetEntry[];
-}
-
 /** What the task is told. */
 export type PlanMessage =
   | { readonly kind: "tick" }
   | { readonly kind: "peer"; readonly message: DisseminationMessage }
+  | { readonly kind: "term"; readonly message: TermMessage }
   | { readonly kind: "members"; readonly members: readonly Ranked[] }
+  /** What a peer follows, told to a VM that has just started. */
+  | { readonly kind: "known"; readonly stored: StoredPlan }
   | {
     readonly kind: "report";
-    readonly from: VmId;
+    readonly from: Sender;
     readonly report: PlannerReport;
   };
 
@@ -64,28 +57,33 @@
   readonly ownReport: () => PlannerReport;
   readonly report: (to: VmId, report: PlannerReport) => void;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
-  readonly onPlan: (plan: Plan) => void;
+  readonly sendTerm: (to: VmId, message: TermMessage) => void;
+  /** A plan is known and may be used for `validMs`; 0 where it may not. */
+  readonly onPlan: (plan: Plan, validMs: number) => void;
   readonly log: Log;
 }
 
 const PLAN_KEY = "plan/current";
 const TICK_MS = 100;
-/** VMs report, and the planner plans, this often: five times within a plan's time to live. */
+/** A VM that follows no plan yet looks for one this often, as it serves nothing without. */
+const FIRST_STEP_MS = 250;
+/** VMs report, and the planner plans, this often; five reports fit into the time in which demand counts. */
 const STEP_MS = 2_000;
+/** A VM whose term has this little left looks into the table itself. */
+const LOW_TERM_MS = TERM_MS / 2;
+/** An unanswered question about the term; above two round trips of 110 ms. */
+const TERM_RETRY_MS = 300;
+const TERM_TIMES = { termMs: TERM_MS, retryMs: TERM_RETRY_MS };
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
 const LEASE_MS = 6_000;
 /** VMs that contend for the lease; the others would only read the table for nothing. */
 const CONTENDERS = 3;
 
-interface Reported {
-  readonly report: PlannerReport;
-  readonly at: number;
-}
-
 /** Owns the lease and the plan's tree of pushes. */
 export class PlanTask extends Task<PlanMessage> {
   readonly #options: PlanTaskOptions;
-  readonly #reports = new Map<VmId, Reported>();
+  #planning = new Planning();
+  #term: TermState;
   #lease: Lease | undefined;
   #tree: Dissemination;
   #stored: StoredPlan | undefined;
@@ -99,12 +97,25 @@
     super("plan");
     this.#options = options;
     this.#tree = new Dissemination({ self: options.self });
+    const { vm, instance } = options.self;
+    this.#term = newTerm({ vm, instance });
   }
 
   get plan(): Plan | undefined {
     return this.#stored?.plan;
   }
 
+  /** What this VM tells a peer that has just started. */
+  get known(): Pick<Known, "plan"> {
+    return this.#stored === undefined ? {} : { plan: this.#stored };
+  }
+
+  /** For how long the plan may still be used, in milliseconds; 0 where it may not. */
+  get validMs(): number {
+    const now = performance.now();
+    return isTermValid(this.#term, now) ? this.#term.validUntil - now : 0;
+  }
+
   get planner(): VmId | undefined {
     return this.#stored?.planner;
   }
@@ -116,6 +127,7 @@
 
   protected override open(): void {
     this.#stepping = false;
+    this.#planning = new Planning();
     this.#lease = new Lease(this.#options.table, {
       name: "planner",
       instance: this.#options.self.instance,
@@ -133,7 +145,8 @@
     switch (message.kind) {
       case "tick":
         this.#perform(this.#tree.tick(now));
-        if (now - this.#steppedAt >= STEP_MS) {
+        this.#advanceTerm({ kind: "tick" });
+        if (now - this.#steppedAt >= this.#periodMs()) {
           this.#step();
         }
         return;
@@ -144,8 +157,14 @@
         this.#tree.setMembers(message.members);
         this.#contend(message.members);
         return;
+      case "known":
+        this.#adopt(message.stored);
+        return;
+      case "term":
+        this.#advanceTerm({ kind: "message", message: message.message });
+        return;
       case "report":
-        this.#reports.set(message.from, { report: message.report, at: now });
+        this.#planning.hear(message.from, message.report, now);
         return;
     }
   }
@@ -172,6 +191,10 @@
     this.#contending = contending;
   }
 
+  #periodMs(): number {
+    return this.#stored === undefined ? FIRST_STEP_MS : STEP_MS;
+  }
+
   #step(): void {
     this.#steppedAt = performance.now();
     const { planner } = this;
@@ -182,31 +205,47 @@
       return;
     }
     this.#stepping = true;
-    const work = this.planning ? this.#makePlan() : this.#followPlan();
     this.spawn(
-      work.catch((err) => {
-        if (!(err instanceof TableError)) {
-          throw err;
-        }
-      }).finally(() => {
+      this.#stepOnce().finally(() => {
         this.#stepping = false;
       }),
     );
   }
 
-  /** Readers look into the table; the others hear from them. */
+  async #stepOnce(): Promise<void> {
+    try {
+      if (this.planning) {
+        await this.#makePlan();
+      } else {
+        await this.#followPlan();
+      }
+    } catch (err) {
+      // Without the table nobody writes a plan, and holders renew each other's terms.
+      if (!(err instanceof TableError)) {
+        throw err;
+      }
+    }
+  }
+
+  /** Readers look into the table; the others do so when nobody renews their term. */
   async #followPlan(): Promise<void> {
-    if (this.#stored === undefined || this.#tree.isReader()) {
+    if (this.validMs < LOW_TERM_MS || this.#tree.isReader()) {
       await this.#readPlan();
     }
   }
 
   async #readPlan(): Promise<void> {
+    const askedAt = performance.now();
     const [row] = await this.#options.table.read([PLAN_KEY]);
     const stored = row!.value as unknown as StoredPlan | null;
-    if (stored !== null) {
+    if (stored === null) {
+      return;
+    }
+    if (stored.plan.sequence > (this.#stored?.plan.sequence ?? 0)) {
       this.#originate(stored);
     }
+    const { sequence } = stored.plan;
+    this.#advanceTerm({ kind: "read", sequence, askedAt });
   }
 
   async #makePlan(): Promise<void> {
@@ -221,54 +260,30 @@
     if (token === undefined) {
       return;
     }
-    const now = performance.now();
-    const previous = this.#stored?.plan;
-    const plan = nextPlan({
-      ...inputs,
-      demand: this.#demand(now),
-      confirmations: this.#confirmations(now),
-      ...(previous === undefined ? {} : { previous }),
-      previousAgeMs: now - this.#storedAt,
+    const askedAt = performance.now();
+    this.#planning.hear(
+      this.#options.self,
+      this.#options.ownReport(),
+      askedAt,
+    );
+    const planned = this.#planning.next(inputs, this.#stored, {
+      now: askedAt,
+      previousAgeMs: askedAt - this.#storedAt,
     });
-    const stored: StoredPlan = {
-      plan,
-      planner: this.#options.self.vm,
-      token,
-    };
+    const planner = this.#options.self.vm;
+    const stored: StoredPlan = { ...planned, planner, token };
     const result = await this.#lease!.transact([
       { key: PLAN_KEY, value: JSON.parse(JSON.stringify(stored)) },
     ]);
     if (result.kind === "committed") {
       this.#originate(stored);
+      const { sequence } = stored.plan;
+      this.#advanceTerm({ kind: "read", sequence, askedAt });
       return;
     }
     this.#options.log.warn("plan not written", { reason: result.kind });
   }
 
-  #allReports(now: number): ReadonlyMap<VmId, Reported> {
-    const own = { report: this.#options.ownReport(), at: now };
-    return new Map([...this.#reports, [this.#options.self.vm, own]]);
-  }
-
-  #demand(now: number): readonly MeasuredDemand[] {
-    return [...this.#allReports(now)].flatMap(([vm, { report, at }]) =>
-      report.demand.map(({ service, slots }) => ({
-        vm,
-        service,
-        slots,
-        ageMs: now - at,
-      }))
-    );
-  }
-
-  #confirmations(now: number) {
-    return [...this.#allReports(now)].map(([vm, { report, at }]) => ({
-      vm,
-      sequence: report.sequence,
-      ageMs: now - at,
-    }));
-  }
-
   #originate(stored: StoredPlan): void {
     this.#adopt(stored);
     const change = {
@@ -298,11 +313,39 @@
 
   /** Only ever a higher sequence: an old plan must not come back by a slow path. */
   #adopt(stored: StoredPlan): void {
-    if (stored.plan.sequence <= (this.#stored?.plan.sequence ?? 0)) {
+    const { sequence } = stored.plan;
+    if (sequence <= (this.#stored?.plan.sequence ?? 0)) {
       return;
     }
     this.#stored = stored;
     this.#storedAt = performance.now();
-    this.#options.onPlan(stored.plan);
+    this.#advanceTerm({ kind: "plan", sequence, holders: stored.holders });
+    this.#tellPlan();
+  }
+
+  #advanceTerm(event: TermEvent): void {
+    const before = this.#term;
+    const ctx = { now: performance.now(), times: TERM_TIMES };
+    const { state, effects } = advanceTerm(before, event, ctx);
+    this.#term = state;
+    if (state.validUntil > before.validUntil) {
+      this.#tellPlan();
+    }
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case "send":
+          this.#options.sendTerm(effect.to, effect.message);
+          break;
+        case "outdated":
+          this.#steppedAt = -Infinity;
+          break;
+      }
+    }
+  }
+
+  #tellPlan(): void {
+    if (this.#stored !== undefined) {
+      this.#options.onPlan(this.#stored.plan, this.validMs);
+    }
   }
 }
