--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -19,6 +19,7 @@
 } from "./pattern.ts";
 import * as faults from "./patterns_fault.ts";
 import * as loads from "./patterns_load.ts";
+import * as shifts from "./patterns_shift.ts";
 import { writePlots } from "./plots.ts";
 import { barTable, joined, rowTable } from "./report.ts";
 
@@ -35,9 +36,9 @@
   lying: faults.lyingReports,
   "all-dead": faults.allLookDead,
   stops: faults.measurementsStop,
-  region: faults.regionLoss,
-  drain: faults.plannedDrain,
-  recovery: faults.recovery,
+  region: shifts.regionLoss,
+  drain: shifts.plannedDrain,
+  recovery: shifts.recovery,
 };
 
 /** Schemes in every comparison, and those that only a full run adds. */
--- a/packages/decisions/src/steering_test.ts
+++ b/packages/decisions/src/steering_test.ts
@@ -60,6 +60,7 @@
     targets,
     demand: [],
     confirmations: [],
+    stopped: new Set(),
     previousAgeMs: 0,
   });
   return vms.map(({ vm }) => {
