Be ready only with a plan, and wait for all VMs before the first one

Cause of a test with real processes failing: the first plan was made as soon as one VM was known and gave it every region's slots, a tenth of which moved with each later plan; and a VM called itself ready before any plan named it, so that an outage right after the start found it without slots. Before: 1 of 3 playlists refused in an outage that began five seconds after the start. After: none, in two runs of that test, which is over in 2.8 s, not 9.6 s. One run of another test saw a VM that never became ready; cause not yet known.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -423,7 +423,20 @@
     if (this.#inForce === undefined) {
       return "no configuration is in force here";
     }
-    return this.#fleet.hasList ? undefined : "the list of VMs is not known";
+    if (!this.#fleet.hasList) {
+      return "the list of VMs is not known";
+    }
+    return this.#notPlanned();
+  }
+
+  /** While the table is away no plan can name this VM; it serves by borrowed slots. */
+  #notPlanned(): string | undefined {
+    if (this.#plan.plan === undefined) {
+      return "no plan is known";
+    }
+    return this.#plan.validMs > 0 || this.#outages.isOut("table")
+      ? undefined
+      : "no plan names this VM yet";
   }
 
   #checkReady(): void {
@@ -538,6 +551,7 @@
   #onPlan(plan: Plan, validMs: number): void {
     this.#metrics.planSequence.set(plan.sequence);
     this.#steering.send({ kind: "plan", plan, validMs });
+    this.#checkReady();
   }
 
   #planInputs(): PlanInputs | undefined {
--- a/packages/daemon/src/outages.ts
+++ b/packages/daemon/src/outages.ts
@@ -50,6 +50,11 @@
     this.#metrics.outage.set({ subject }, (now - outage.since) / 1_000);
   }
 
+  /** Whether a subject is out of reach now. */
+  isOut(subject: PlatformSubject): boolean {
+    return this.#open.has(subject);
+  }
+
   statuses(now: number): readonly OutageStatus[] {
     return [...this.#open].map(([subject, { since, reason }]) => ({
       subject,
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -80,6 +80,12 @@
 const TERM_TIMES = { termMs: TERM_MS, retryMs: TERM_RETRY_MS };
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
 const LEASE_MS = 6_000;
+/**
+ * How long the very first plan waits for VMs that were not heard yet. Made for
+ * the planner alone, it would give it every region's slots, which later plans
+ * move a tenth at a time.
+ */
+const FIRST_PLAN_WAIT_MS = 5_000;
 /** VMs that contend for the lease; the others would only read the table for nothing. */
 const CONTENDERS = 3;
 
@@ -93,6 +99,7 @@
   #stored: StoredPlan | undefined;
   /** When this VM wrote or first read the plan. */
   #storedAt = 0;
+  #openedAt = 0;
   #steppedAt = -Infinity;
   #stepping = false;
   #members: readonly Ranked[] = [];
@@ -131,6 +138,7 @@
 
   protected override open(): void {
     this.#stepping = false;
+    this.#openedAt = performance.now();
     this.#planning = new Planning();
     this.#contend();
     this.every(TICK_MS, { kind: "tick" });
@@ -295,6 +303,12 @@
       this.#options.ownReport(),
       askedAt,
     );
+    const isEarly = askedAt - this.#openedAt < FIRST_PLAN_WAIT_MS;
+    if (
+      this.#stored === undefined && isEarly && !this.#planning.knowsAll(inputs)
+    ) {
+      return;
+    }
     const planned = this.#planning.next(inputs, this.#stored, {
       now: askedAt,
       previousAgeMs: askedAt - this.#storedAt,
--- a/packages/daemon/src/planning.ts
+++ b/packages/daemon/src/planning.ts
@@ -73,6 +73,13 @@
     this.#reports.set(from.vm, { instance, report, firstAt, at: now });
   }
 
+  /** Whether every VM that seems to live was heard, so that a plan can name it. */
+  knowsAll(inputs: PlanInputs): boolean {
+    return inputs.vms.every(({ vm, live }) =>
+      !live || this.#reports.has(vm) || inputs.instances.has(vm)
+    );
+  }
+
   /** The plan after `previous`, which was first seen `previousAgeMs` ago. */
   next(
     inputs: PlanInputs,
