--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -457,6 +457,8 @@
     this.#routing = { revision, routes: new RouteTable(preset) };
     this.#metrics.revision.set(revision);
     this.#log.info("configuration in force", { revision });
+    const services = preset.services.map(({ id }) => id);
+    this.#demand.watch(services, performance.now());
     this.#steering.send({ kind: "start", policy: preset });
     this.#fleet.send({ kind: "configuration", configuration });
     this.#membership.send({ kind: "revision", revision });
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -182,13 +182,17 @@
     await lease?.stop();
   }
 
-  /** The first VMs by name contend; all see the same ones, without electing them. */
-  #contend(): void {
-    const first = this.#members
+  /** The first VMs by name; all see the same ones, without electing them. */
+  #candidates(): readonly VmId[] {
+    return this.#members
       .filter((member) => member.state === "joined")
       .map(({ vm }) => vm)
       .sort()
       .slice(0, CONTENDERS);
+  }
+
+  #contend(): void {
+    const first = this.#candidates();
     const contends = first.includes(this.#options.self.vm);
     if (contends && this.#lease === undefined) {
       this.#lease = new Lease(this.#options.table, {
@@ -210,10 +214,7 @@
 
   #step(): void {
     this.#steppedAt = performance.now();
-    const { planner } = this;
-    if (planner !== undefined && planner !== this.#options.self.vm) {
-      this.#options.report(planner, this.#options.ownReport());
-    }
+    this.#report();
     if (this.#stepping) {
       return;
     }
@@ -225,6 +226,21 @@
     );
   }
 
+  /**
+   * Whoever may become the planner hears of this VM beforehand: a planner takes
+   * a VM that never reported for one that can hold nothing.
+   */
+  #report(): void {
+    const listeners = new Set(this.#candidates());
+    if (this.planner !== undefined) {
+      listeners.add(this.planner);
+    }
+    listeners.delete(this.#options.self.vm);
+    for (const vm of listeners) {
+      this.#options.report(vm, this.#options.ownReport());
+    }
+  }
+
   async #stepOnce(): Promise<void> {
     try {
       if (this.planning) {
