Take a VM that is only listed for one without an instance

Cause of VMs that never became ready, in 4 of 19 starts of three daemons: a member known from the platform's list alone has an empty instance. The first plan named that as the holder of the VM's slots, so that the VM itself held nothing, and its slots had to be given up by an instance that never was.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -568,7 +568,10 @@
       vms: toVmEntries(view),
       targets: this.#targetsToPlan(view, inForce),
       instances: new Map(
-        this.#fleet.members.map(({ vm, instance }) => [vm, instance]),
+        this.#fleet.members
+          // A member that is only listed, and was never heard, has no instance yet.
+          .filter(({ instance }) => instance.length > 0)
+          .map(({ vm, instance }) => [vm, instance]),
       ),
       listed: this.#listedVms(),
     };
