Try: do not send claims whose caller gave up while they waited

Meant for overload: such writes take the table's writes from callers who still wait. The queue is first in, first out, so what is left at its head is about to expire too, and does while its transaction is under way.

--- a/packages/coordination/src/claims/group_commit.ts
+++ b/packages/coordination/src/claims/group_commit.ts
@@ -58,12 +58,15 @@
   }
 
   /** Applies the write, alone or with others. Never throws for a failing table. */
-  write(write: ConditionalWrite): Promise<WriteResult> {
+  write(
+    write: ConditionalWrite,
+    isWanted?: () => boolean,
+  ): Promise<WriteResult> {
     if (this.isRefusing) {
       return Promise.resolve({ kind: "failed", effect: "none" });
     }
     return new Promise((settle) => {
-      this.#batcher.add({ write, settle });
+      this.#batcher.add({ write, settle, isWanted });
       this.#schedule();
     });
   }
