--- a/packages/coordination/src/claims/batch.ts
+++ b/packages/coordination/src/claims/batch.ts
@@ -37,8 +37,6 @@
 /** A write that waits for its transaction. */
 export interface PendingWrite {
   readonly write: ConditionalWrite;
-  /** False once nobody needs it: its caller gave up while it waited. */
-  readonly isWanted?: () => boolean;
   readonly settle: (result: WriteResult) => void;
 }
 
@@ -91,10 +89,6 @@
     if (dueAt === undefined || now < dueAt) {
       return undefined;
     }
-    this.#dropUnwanted();
-    if (this.#queue.length === 0) {
-      return undefined;
-    }
     const keys = new Set<string>();
     const items: PendingWrite[] = [];
     const rest: PendingWrite[] = [];
@@ -111,25 +105,6 @@
     return { items };
   }
 
-  /**
-   * Under overload callers give up while their writes wait. Sending those would
-   * take the table's writes from callers who still wait. What was queued was
-   * never sent, so leaving it out is safe.
-   */
-  #dropUnwanted(): void {
-    const unwanted = this.#queue.filter(({ isWanted }) =>
-      isWanted?.() === false
-    );
-    if (unwanted.length > 0) {
-      this.#queue = this.#queue.filter(({ isWanted }) =>
-        isWanted?.() !== false
-      );
-      unwanted.forEach(({ settle }) =>
-        settle({ kind: "failed", effect: "none" })
-      );
-    }
-  }
-
   /** The whole batch took effect. */
   committed(batch: Batch): void {
     this.#inFlight = false;
--- a/packages/coordination/src/claims/claims.ts
+++ b/packages/coordination/src/claims/claims.ts
@@ -250,8 +250,7 @@
   ): Promise<void> {
     const key = attemptKey(tracked.attempt);
     const write = { key, over, value: claimJson(row) };
-    const isWanted = () => tracked.attempt.phase.kind !== "closed";
-    const result: WriteResult = await this.#commits.write(write, isWanted);
+    const result: WriteResult = await this.#commits.write(write);
     if (result.kind === "failed" && row.record.kind !== "claimed") {
       await new Promise((resolve) => setTimeout(resolve, 2 * OUTAGE_PROBE_MS));
     }
--- a/packages/coordination/src/claims/claims_test.ts
+++ b/packages/coordination/src/claims/claims_test.ts
@@ -223,22 +223,6 @@
   });
 });
 
-describe("Batcher under overload", () => {
-  // Writes wait, and some callers give up meanwhile. Were their writes sent all
-  // the same, callers who still wait would be served later or not at all.
-  it("does not send what nobody waits for any more", () => {
-    const batcher = new Batcher();
-    const settled: WriteResult[] = [];
-    const write = { key: "a", over: 0, value: 1 };
-    const settle = (result: WriteResult) => settled.push(result);
-    batcher.add({ write, settle, isWanted: () => false });
-    expect(batcher.take(0)).toBeUndefined();
-    expect(settled).toEqual([{ kind: "failed", effect: "none" }]);
-    batcher.add({ write, settle, isWanted: () => true });
-    expect(batcher.take(0)?.items).toHaveLength(1);
-  });
-});
-
 describe("ClaimSweep", () => {
   it("deletes a claim after a day, not before", async () => {
     const table = new MemoryTable();
--- a/packages/coordination/src/claims/group_commit.ts
+++ b/packages/coordination/src/claims/group_commit.ts
@@ -58,15 +58,12 @@
   }
 
   /** Applies the write, alone or with others. Never throws for a failing table. */
-  write(
-    write: ConditionalWrite,
-    isWanted?: () => boolean,
-  ): Promise<WriteResult> {
+  write(write: ConditionalWrite): Promise<WriteResult> {
     if (this.isRefusing) {
       return Promise.resolve({ kind: "failed", effect: "none" });
     }
     return new Promise((settle) => {
-      this.#batcher.add({ write, settle, isWanted });
+      this.#batcher.add({ write, settle });
       this.#schedule();
     });
   }
