--- a/packages/coordination/src/claims/claims.ts
+++ b/packages/coordination/src/claims/claims.ts
@@ -185,8 +185,11 @@
       return answer;
     }
     await new Promise<void>((resolve) => {
-      tracked.waiters.push(resolve);
-      setTimeout(resolve, Math.min(waitMs, MAX_HOLDER_WAIT_MS));
+      const timer = setTimeout(resolve, Math.min(waitMs, MAX_HOLDER_WAIT_MS));
+      tracked.waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
     });
     return answerForHolder(tracked.attempt);
   }
