--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -13,10 +13,11 @@
   leaseCore,
 } from "@poplarthread/coordination/cores";
 import { type ClaimsBounds, claimsModel } from "./claims_model.ts";
-import { DEFAULT_RULES } from "@poplarthread/coordination";
+import { DEFAULT_RULES, HeldBack } from "@poplarthread/coordination";
 import { configurationModel } from "./configuration_model.ts";
 import { type EscrowBounds, escrowModel } from "./escrow_model.ts";
 import { type Exploration, explore } from "./explore.ts";
+import { heldBackModel } from "./held_back_model.ts";
 import { type LeaseBounds, leaseModel } from "./lease_model.ts";
 import { type PlanTermBounds, planTermModel } from "./plan_term_model.ts";
 
@@ -126,6 +127,11 @@
   () =>
     explore(claimsModel({ ...CLAIMS, losses: 1, otherBody: 1 }, attemptCore)),
   () => explore(claimsModel({ ...CLAIMS, sendings: 3 }, attemptCore)),
+  () =>
+    explore(heldBackModel(
+      { vms: 2, sendings: 2, completions: 1, repeats: 1 },
+      { HeldBack },
+    )),
   ...PLAN_TERMS.map((bounds) => () => explore(planTermModel(bounds))),
   ...ESCROW.map((bounds) => () =>
     explore(escrowModel(bounds, { rules: DEFAULT_RULES, remembers: false }))
