--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -423,7 +423,20 @@
     if (this.#inForce === undefined) {
       return "no configuration is in force here";
     }
-    return this.#fleet.hasList ? undefined : "the list of VMs is not known";
+    if (!this.#fleet.hasList) {
+      return "the list of VMs is not known";
+    }
+    return this.#notPlanned();
+  }
+
+  /** While the table is away no plan can name this VM; it serves by borrowed slots. */
+  #notPlanned(): string | undefined {
+    if (this.#plan.plan === undefined) {
+      return "no plan is known";
+    }
+    return this.#plan.validMs > 0 || this.#outages.isOut("table")
+      ? undefined
+      : "no plan names this VM yet";
   }
 
   #checkReady(): void {
@@ -444,6 +457,8 @@
     this.#routing = { revision, routes: new RouteTable(preset) };
     this.#metrics.revision.set(revision);
     this.#log.info("configuration in force", { revision });
+    const services = preset.services.map(({ id }) => id);
+    this.#demand.watch(services, performance.now());
     this.#steering.send({ kind: "start", policy: preset });
     this.#fleet.send({ kind: "configuration", configuration });
     this.#membership.send({ kind: "revision", revision });
@@ -538,6 +553,7 @@
   #onPlan(plan: Plan, validMs: number): void {
     this.#metrics.planSequence.set(plan.sequence);
     this.#steering.send({ kind: "plan", plan, validMs });
+    this.#checkReady();
   }
 
   #planInputs(): PlanInputs | undefined {
