--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -205,7 +205,11 @@
         notice: (from, notice) => this.#onNotice(from, notice),
         claim: (_from, { question, waitMs }) =>
           this.#claims.answerPeer(question, waitMs),
-        known: () => ({ ...this.#configuration.known, ...this.#plan.known }),
+        known: () => ({
+          ...this.#configuration.known,
+          ...this.#plan.known,
+          lenders: this.#loans.lenders,
+        }),
       },
       metrics: this.#metrics,
       log: this.#log,
@@ -248,11 +252,14 @@
       ownReport: () => ({
         sequence: this.#confirmedPlan,
         demand: this.#demand.means(performance.now()),
+        lenders: this.#loans.lenders,
       }),
       report: (to, params) =>
         this.#tell(to, { method: "planner-report", params }),
       send: (to, params) => this.#tell(to, { method: "plan", params }),
       sendTerm: (to, params) => this.#tell(to, { method: "term", params }),
+      fetchFrom: (vm) => void this.#askKnown([vm]),
+      askAll: () => this.#askListed(),
       onPlan: (plan, validMs) => this.#onPlan(plan, validMs),
       log: this.#log,
     });
@@ -544,6 +551,9 @@
       revision: inForce.revision,
       vms: toVmEntries(view),
       targets: this.#targetsToPlan(view, inForce),
+      instances: new Map(
+        this.#fleet.members.map(({ vm, instance }) => [vm, instance]),
+      ),
       listed: this.#listedVms(),
     };
   }
@@ -780,18 +790,34 @@
       .filter((vm) => vm.id !== this.#self.vm && vm.belief !== "dead")
       .toSorted((a, b) => near(b) - near(a))
       .slice(0, PEERS_ASKED);
-    const answers = await Promise.all(
-      peers.map(({ id, peer }) =>
-        this.#peers.askKnown({ vm: id, address: peer })
-      ),
+    const answers = await this.#askKnown(peers.map(({ id }) => id));
+    return answers.filter((answer) => answer !== undefined);
+  }
+
+  /** What every other VM knows that the platform lists. */
+  async #askListed(): Promise<readonly (Known | undefined)[]> {
+    const others = this.#fleet.view.vms.filter(({ id }) =>
+      id !== this.#self.vm
     );
-    const known = answers.filter((answer) => answer !== undefined);
-    for (const { plan } of known) {
-      if (plan !== undefined) {
-        this.#plan.send({ kind: "known", stored: plan });
+    return await this.#askKnown(others.map(({ id }) => id));
+  }
+
+  /** What those VMs know; their plans are taken in at once. */
+  async #askKnown(
+    vms: readonly VmId[],
+  ): Promise<readonly (Known | undefined)[]> {
+    const answers = await Promise.all(vms.map((vm) => {
+      const address = this.#fleet.peerAddress(vm);
+      return address === undefined
+        ? undefined
+        : this.#peers.askKnown({ vm, address });
+    }));
+    for (const answer of answers) {
+      if (answer?.plan !== undefined) {
+        this.#plan.send({ kind: "known", stored: answer.plan });
       }
     }
-    return known;
+    return answers;
   }
 
   #announce(): void {
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -58,6 +58,10 @@
   readonly report: (to: VmId, report: PlannerReport) => void;
   readonly send: (to: VmId, message: DisseminationMessage) => void;
   readonly sendTerm: (to: VmId, message: TermMessage) => void;
+  /** Asks a VM for the plan it follows; it arrives as `known`. */
+  readonly fetchFrom: (vm: VmId) => void;
+  /** Asks every other VM that the platform lists; undefined for one that does not answer. */
+  readonly askAll: () => Promise<readonly (Known | undefined)[]>;
   /** A plan is known and may be used for `validMs`; 0 where it may not. */
   readonly onPlan: (plan: Plan, validMs: number) => void;
   readonly log: Log;
@@ -91,7 +95,7 @@
   #storedAt = 0;
   #steppedAt = -Infinity;
   #stepping = false;
-  #contending = true;
+  #members: readonly Ranked[] = [];
 
   constructor(options: PlanTaskOptions) {
     super("plan");
@@ -128,14 +132,7 @@
   protected override open(): void {
     this.#stepping = false;
     this.#planning = new Planning();
-    this.#lease = new Lease(this.#options.table, {
-      name: "planner",
-      instance: this.#options.self.instance,
-      durationMs: LEASE_MS,
-    });
-    if (this.#contending) {
-      this.#lease.start();
-    }
+    this.#contend();
     this.every(TICK_MS, { kind: "tick" });
     this.#step();
   }
@@ -155,7 +152,8 @@
         return;
       case "members":
         this.#tree.setMembers(message.members);
-        this.#contend(message.members);
+        this.#members = message.members;
+        this.#contend();
         return;
       case "known":
         this.#adopt(message.stored);
@@ -177,18 +175,25 @@
   }
 
   /** The first VMs by name contend; all see the same ones, without electing them. */
-  #contend(members: readonly Ranked[]): void {
-    const first = members
+  #contend(): void {
+    const first = this.#members
       .filter((member) => member.state === "joined")
       .map(({ vm }) => vm)
       .sort()
       .slice(0, CONTENDERS);
-    const contending = first.length === 0 ||
-      first.includes(this.#options.self.vm);
-    if (contending && !this.#contending) {
-      this.#lease?.start();
+    const contends = first.includes(this.#options.self.vm);
+    if (contends && this.#lease === undefined) {
+      this.#lease = new Lease(this.#options.table, {
+        name: "planner",
+        instance: this.#options.self.instance,
+        durationMs: LEASE_MS,
+      });
+      this.#lease.start();
+    } else if (!contends && this.#lease !== undefined) {
+      const lease = this.#lease;
+      this.#lease = undefined;
+      this.spawn(lease.stop());
     }
-    this.#contending = contending;
   }
 
   #periodMs(): number {
@@ -224,6 +229,30 @@
       if (!(err instanceof TableError)) {
         throw err;
       }
+      await this.#inherit();
+    }
+  }
+
+  /**
+   * A daemon that was restarted while the table is away is not in the plan, so
+   * that its slots would idle until the table is back. It takes the place of its
+   * earlier instance if every other VM says that the plan is the newest and that
+   * nothing lent by that instance is in use any more.
+   */
+  async #inherit(): Promise<void> {
+    const { vm, instance } = this.#options.self;
+    const before = this.#stored?.holders.find((holder) => holder.vm === vm);
+    if (before === undefined || before.instance === instance) {
+      return;
+    }
+    const { sequence } = this.#stored!.plan;
+    const answers = await this.#options.askAll();
+    const isAgreed = answers.every((answer) =>
+      answer?.plan?.plan.sequence === sequence &&
+      !answer.lenders.includes(before.instance)
+    );
+    if (isAgreed) {
+      this.#advanceTerm({ kind: "inherit", sequence });
     }
   }
 
@@ -337,7 +366,7 @@
           this.#options.sendTerm(effect.to, effect.message);
           break;
         case "outdated":
-          this.#steppedAt = -Infinity;
+          this.#options.fetchFrom(effect.vm);
           break;
       }
     }
