--- a/packages/daemon/src/demand.ts
+++ b/packages/daemon/src/demand.ts
@@ -19,6 +19,11 @@
 export class Demand {
   readonly #entries = new Map<ServiceId, Entry>();
 
+  /** These are the services: one without requests has a mean of 0, which is known. */
+  watch(services: readonly ServiceId[], now: number): void {
+    services.forEach((service) => this.#change(service, 0, now));
+  }
+
   began(service: ServiceId, now: number): void {
     this.#change(service, 1, now);
   }
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -80,6 +80,12 @@
 const TERM_TIMES = { termMs: TERM_MS, retryMs: TERM_RETRY_MS };
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
 const LEASE_MS = 6_000;
+/**
+ * How long the very first plan waits for VMs that were not heard yet. Made for
+ * the planner alone, it would give it every region's slots, which later plans
+ * move a tenth at a time.
+ */
+const FIRST_PLAN_WAIT_MS = 5_000;
 /** VMs that contend for the lease; the others would only read the table for nothing. */
 const CONTENDERS = 3;
 
@@ -93,6 +99,7 @@
   #stored: StoredPlan | undefined;
   /** When this VM wrote or first read the plan. */
   #storedAt = 0;
+  #openedAt = 0;
   #steppedAt = -Infinity;
   #stepping = false;
   #members: readonly Ranked[] = [];
@@ -131,6 +138,7 @@
 
   protected override open(): void {
     this.#stepping = false;
+    this.#openedAt = performance.now();
     this.#planning = new Planning();
     this.#contend();
     this.every(TICK_MS, { kind: "tick" });
@@ -174,13 +182,17 @@
     await lease?.stop();
   }
 
-  /** The first VMs by name contend; all see the same ones, without electing them. */
-  #contend(): void {
-    const first = this.#members
+  /** The first VMs by name; all see the same ones, without electing them. */
+  #candidates(): readonly VmId[] {
+    return this.#members
       .filter((member) => member.state === "joined")
       .map(({ vm }) => vm)
       .sort()
       .slice(0, CONTENDERS);
+  }
+
+  #contend(): void {
+    const first = this.#candidates();
     const contends = first.includes(this.#options.self.vm);
     if (contends && this.#lease === undefined) {
       this.#lease = new Lease(this.#options.table, {
@@ -202,10 +214,7 @@
 
   #step(): void {
     this.#steppedAt = performance.now();
-    const { planner } = this;
-    if (planner !== undefined && planner !== this.#options.self.vm) {
-      this.#options.report(planner, this.#options.ownReport());
-    }
+    this.#report();
     if (this.#stepping) {
       return;
     }
@@ -217,6 +226,21 @@
     );
   }
 
+  /**
+   * Whoever may become the planner hears of this VM beforehand: a planner takes
+   * a VM that never reported for one that can hold nothing.
+   */
+  #report(): void {
+    const listeners = new Set(this.#candidates());
+    if (this.planner !== undefined) {
+      listeners.add(this.planner);
+    }
+    listeners.delete(this.#options.self.vm);
+    for (const vm of listeners) {
+      this.#options.report(vm, this.#options.ownReport());
+    }
+  }
+
   async #stepOnce(): Promise<void> {
     try {
       if (this.planning) {
@@ -295,6 +319,12 @@
       this.#options.ownReport(),
       askedAt,
     );
+    const isEarly = askedAt - this.#openedAt < FIRST_PLAN_WAIT_MS;
+    if (
+      this.#stored === undefined && isEarly && !this.#planning.knowsAll(inputs)
+    ) {
+      return;
+    }
     const planned = this.#planning.next(inputs, this.#stored, {
       now: askedAt,
       previousAgeMs: askedAt - this.#storedAt,
