Decisions: one dead target among one or two held does not count as most

VMs that held slots of the dead target alone went on using it, and each failure freed its slot for the next.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -69,12 +69,23 @@
   return best;
 }
 
-/** Whether most of the targets held look dead by this VM's own attempts. */
+/** Held targets from which on they stand for the service. */
+const ENOUGH_HELD = 3;
+
+/**
+ * Whether most targets look dead by this VM's own attempts. A VM that holds
+ * slots of one or two targets looks at all that are known: judged by these
+ * alone, a single dead target is "most", stays in use, fails each request at
+ * once, and so draws in more of them than any other.
+ */
 export function mostLookDead(service: ServiceState): boolean {
-  if (service.held.length < 2) return service.held.length === 1;
+  const { held, targets } = service;
+  const isEnough = held.length >= ENOUGH_HELD;
   let failing = 0;
-  for (const target of service.held) if (target.belief.failing) failing++;
-  return failing * 2 > service.held.length;
+  for (const { belief } of isEnough ? held : targets) {
+    if (belief.failing) failing++;
+  }
+  return failing * 2 > (isEnough ? held.length : targets.size);
 }
 
 /** A failing target is tried by one request that may be repeated. */
