--- a/packages/decisions/src/steering_test.ts
+++ b/packages/decisions/src/steering_test.ts
@@ -188,6 +188,21 @@
     expect(attempts).toBeLessThanOrEqual(200 * 1.1 + 10);
   });
 
+  // A target is dead and refuses connections at once. The VM that holds slots
+  // of no other would send it every request, faster than to any that works.
+  test("a dead target is left alone, also by a VM that holds no other", () => {
+    const [vm] = fleet(["vm-1"]) as [Steering];
+    vm.handle({ kind: "target-leaving", target: targets[1]!.target }, 0);
+    for (let i = 0; i < 3; i++) {
+      const name = `r${i}`;
+      const once = arrival(name, { repeat: "at-most-once" });
+      expect(started(vm.handle(once, i))).toEqual([name]);
+      vm.handle(ended(name, "failed-after-sent"), i);
+    }
+    const next = arrival("next", { repeat: "at-most-once" });
+    expect(started(vm.handle(next, 9))).toEqual([]);
+  });
+
   // A target says with an answer that it is leaving. New work sent there would
   // be cut when it goes.
   test("a leaving target gets no new work from the first sign on", () => {
