--- a/packages/bench/src/coordination/main.ts
+++ b/packages/bench/src/coordination/main.ts
@@ -33,7 +33,7 @@
   })),
   {
     name: "group commit, each row counts as a write",
-    offered: 100,
+    offered: 300,
     repeats: 0,
     batch: {},
     limits: { unit: "row" },
@@ -54,7 +54,7 @@
     claims.push(await measureClaims(load));
   }
   const inForce = await measureInForce();
-  const recovery = await measureRecovery(60_000);
+  const recovery = await measureRecovery();
   const report = { limits: LIMITS, claims, inForce, recovery };
   console.log(JSON.stringify(report, undefined, 2));
 }
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -11,6 +11,8 @@
   HolderQuestion,
   InForce,
   MembershipMessage,
+  Sender,
+  TermMessage,
 } from "@poplarthread/coordination";
 import type {
   InstanceId,
@@ -42,12 +44,12 @@
     readonly rank: number;
     readonly rankWaitMs: number;
     readonly waitMs: number;
-    /** Counts the questions of this VM. */
-    readonly question: number;
+    /** Unique over all instances, so that a grant to an earlier life counts for nothing. */
+    readonly question: string;
   }
   /**
    * Slots for `durationMs` from the grant. It was granted `askAgeMs` after the
-   * question of that number was heard, so that the borrower can place the grant
+   * question was heard, so that the borrower can place the grant
    * on its own clock however late this arrives.
    */
   | {
@@ -56,7 +58,7 @@
     readonly target: TargetId;
     readonly slots: number;
     readonly durationMs: number;
-    readonly question: number;
+    readonly question: string;
     readonly askAgeMs: number;
   }
   | { readonly kind: "give-back"; readonly loan: string };
@@ -69,6 +71,8 @@
     readonly service: ServiceId;
     readonly slots: number;
   }[];
+  /** Instances that lent this VM slots which it still holds. */
+  readonly lenders: readonly InstanceId[];
 }
 
 /** A message without an answer. */
@@ -77,6 +81,7 @@
   | { readonly method: "configuration"; readonly params: DisseminationMessage }
   | { readonly method: "plan"; readonly params: DisseminationMessage }
   | { readonly method: "slots"; readonly params: SlotMessage }
+  | { readonly method: "term"; readonly params: TermMessage }
   | { readonly method: "planner-report"; readonly params: PlannerReport };
 
 /** Names of the notices. */
@@ -85,6 +90,7 @@
   "configuration",
   "plan",
   "slots",
+  "term",
   "planner-report",
 ];
 
@@ -96,12 +102,15 @@
   readonly ageMs: number;
   /** The plan that the peer follows; absent where it has none. */
   readonly plan?: StoredPlan;
-  readonly planAgeMs?: number;
+  /** Instances that lent the peer slots which it still holds. */
+  readonly lenders: readonly InstanceId[];
 }
 
 /** The plan as the table keeps it. */
 export interface StoredPlan {
   readonly plan: Plan;
+  /** Instances that may hold something by it, or still by an earlier plan. */
+  readonly holders: readonly Sender[];
   readonly planner: VmId;
   /** Fencing token of the lease under which it was written. */
   readonly token: number;
@@ -118,6 +127,4 @@
   notice(from: PeerId, notice: PeerNotice): void;
   claim(from: PeerId, call: ClaimCall): Promise<HolderAnswer>;
   known(): Known;
-  /** Sequence of the newest plan that this VM knows; 0 where it knows none. */
-  newestPlan(): number;
 }
