Let process tests begin on a deployment that serves

Slots come with the first plan and the word of their holders; a test that cut links before had nothing to cut. Each VM serves a playlist and a booking first.

--- a/packages/standins/src/process/fixture.ts
+++ b/packages/standins/src/process/fixture.ts
@@ -10,6 +10,7 @@
 import { MIXES, type RequestKind } from "../caller/request_kind.ts";
 import { Cluster, type ClusterOptions } from "../cluster/cluster.ts";
 import { type Ledger, reconcile } from "../cluster/ledger.ts";
+import { waitFor } from "../cluster/wait.ts";
 
 /** One VM in each region, and few targets: enough for every failure, quick to start. */
 const SMALL: ClusterOptions = {
@@ -54,6 +55,7 @@
   };
   let isGood = false;
   try {
+    await waitUntilServed(fixture);
     await body(fixture);
     isGood = true;
   } finally {
@@ -65,6 +67,20 @@
   }
 }
 
+/** Failures are to hit a running deployment: each VM has slots and has used them. */
+async function waitUntilServed({ cluster, vms, callers }: Fixture) {
+  const caller = callers(vms[0]!);
+  for (const vm of vms) {
+    const via = cluster.callerAddress(vm);
+    for (const kind of [PLAYLIST, BOOKING]) {
+      await waitFor(`${vm} to serve`, async () => {
+        const { outcome } = await caller.send(kind, { via, maxAttempts: 1 });
+        return outcome === "served";
+      });
+    }
+  }
+}
+
 /** Nothing ran twice, no refusal lied, each answer was whole and its own. */
 export async function expectSafe(fixture: Fixture): Promise<void> {
   expect(await fixture.ledger()).toEqual({
