daemon: be ready only with a plan

Without one a VM owns no slot and refuses whatever comes. Two process tests that killed or cut a VM right after the start failed for it: a VM started in an outage never served, and no booking was served during a silent cut. Both pass now, with the rest of their files.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -67,7 +67,7 @@
     readonly operator: number;
     readonly peer: number;
   };
-  /** Settles when a configuration is in force and the fleet is known. */
+  /** Settles when a configuration is in force, and the fleet and a plan are known. */
   readonly ready: Promise<void>;
   /** Settles with the reason when the daemon cannot go on. */
   readonly failed: Promise<unknown>;
@@ -423,7 +423,11 @@
     if (this.#inForce === undefined) {
       return "no configuration is in force here";
     }
-    return this.#fleet.hasList ? undefined : "the list of VMs is not known";
+    if (!this.#fleet.hasList) {
+      return "the list of VMs is not known";
+    }
+    // Without a plan it owns no slot, and would refuse whatever came.
+    return this.#plan.plan === undefined ? "no plan is known here" : undefined;
   }
 
   #checkReady(): void {
@@ -540,6 +544,7 @@
   #onPlan(plan: Plan, validMs: number): void {
     this.#metrics.planSequence.set(plan.sequence);
     this.#steering.send({ kind: "plan", plan, validMs });
+    this.#checkReady();
   }
 
   #planInputs(): PlanInputs | undefined {
--- a/packages/daemon/src/operator_backend.ts
+++ b/packages/daemon/src/operator_backend.ts
@@ -57,7 +57,7 @@
 export interface ProbeHandlers {
   /** `/healthz`: 200 while the supervisor tree runs. */
   health(): ProbeAnswer;
-  /** `/readyz`: 200 while a configuration is in force and the VM is not leaving. */
+  /** `/readyz`: 200 while a configuration is in force, the fleet and a plan are known and the VM is not leaving. */
   ready(): ProbeAnswer;
   /** `/metrics`: Prometheus text. */
   metrics(): Promise<ProbeAnswer>;
