--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -67,7 +67,7 @@
     readonly operator: number;
     readonly peer: number;
   };
-  /** Settles when a configuration is in force, and the fleet and a plan are known. */
+  /** Settles when a configuration is in force and the fleet is known. */
   readonly ready: Promise<void>;
   /** Settles with the reason when the daemon cannot go on. */
   readonly failed: Promise<unknown>;
@@ -426,8 +426,17 @@
     if (!this.#fleet.hasList) {
       return "the list of VMs is not known";
     }
-    // Without a plan it owns no slot, and would refuse whatever came.
-    return this.#plan.plan === undefined ? "no plan is known here" : undefined;
+    return this.#notPlanned();
+  }
+
+  /** While the table is away no plan can name this VM; it serves by borrowed slots. */
+  #notPlanned(): string | undefined {
+    if (this.#plan.plan === undefined) {
+      return "no plan is known";
+    }
+    return this.#plan.validMs > 0 || this.#outages.isOut("table")
+      ? undefined
+      : "no plan names this VM yet";
   }
 
   #checkReady(): void {
--- a/packages/daemon/src/plan_task.ts
+++ b/packages/daemon/src/plan_task.ts
@@ -80,8 +80,12 @@
 const TERM_TIMES = { termMs: TERM_MS, retryMs: TERM_RETRY_MS };
 /** Two renewals may be lost; a planner's death costs at most this and a little. */
 const LEASE_MS = 6_000;
-/** The first plan waits this long for VMs that do not report: eight steps without a plan. */
-const FIRST_PLAN_WAIT_MS = 2_000;
+/**
+ * How long the very first plan waits for VMs that were not heard yet. Made for
+ * the planner alone, it would give it every region's slots, which later plans
+ * move a tenth at a time.
+ */
+const FIRST_PLAN_WAIT_MS = 5_000;
 /** VMs that contend for the lease; the others would only read the table for nothing. */
 const CONTENDERS = 3;
 
@@ -95,9 +99,8 @@
   #stored: StoredPlan | undefined;
   /** When this VM wrote or first read the plan. */
   #storedAt = 0;
+  #openedAt = 0;
   #steppedAt = -Infinity;
-  readonly #heard = new Set<VmId>();
-  #firstTriedAt: number | undefined;
   #stepping = false;
   #members: readonly Ranked[] = [];
 
@@ -135,6 +138,7 @@
 
   protected override open(): void {
     this.#stepping = false;
+    this.#openedAt = performance.now();
     this.#planning = new Planning();
     this.#contend();
     this.every(TICK_MS, { kind: "tick" });
@@ -166,7 +170,6 @@
         this.#advanceTerm({ kind: "message", message: message.message });
         return;
       case "report":
-        this.#heard.add(message.from.vm);
         this.#planning.hear(message.from, message.report, now);
         return;
     }
@@ -238,21 +241,6 @@
     }
   }
 
-  /**
-   * The very first plan waits for the reports of all VMs. Without that, it would
-   * give every slot to the planner itself, and a few would move with each plan.
-   */
-  #isTooEarly(now: number): boolean {
-    if (this.#stored !== undefined) {
-      return false;
-    }
-    this.#firstTriedAt ??= now;
-    const silent = this.#members.filter(({ vm, state }) =>
-      state === "joined" && vm !== this.#options.self.vm && !this.#heard.has(vm)
-    );
-    return silent.length > 0 && now - this.#firstTriedAt < FIRST_PLAN_WAIT_MS;
-  }
-
   async #stepOnce(): Promise<void> {
     try {
       if (this.planning) {
@@ -326,14 +314,17 @@
       return;
     }
     const askedAt = performance.now();
-    if (this.#isTooEarly(askedAt)) {
-      return;
-    }
     this.#planning.hear(
       this.#options.self,
       this.#options.ownReport(),
       askedAt,
     );
+    const isEarly = askedAt - this.#openedAt < FIRST_PLAN_WAIT_MS;
+    if (
+      this.#stored === undefined && isEarly && !this.#planning.knowsAll(inputs)
+    ) {
+      return;
+    }
     const planned = this.#planning.next(inputs, this.#stored, {
       now: askedAt,
       previousAgeMs: askedAt - this.#storedAt,
