--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -426,17 +426,10 @@
     if (!this.#fleet.hasList) {
       return "the list of VMs is not known";
     }
-    return this.#notPlanned();
-  }
-
-  /** While the table is away no plan can name this VM; it serves by borrowed slots. */
-  #notPlanned(): string | undefined {
-    if (this.#plan.plan === undefined) {
-      return "no plan is known";
-    }
-    return this.#plan.validMs > 0 || this.#outages.isOut("table")
-      ? undefined
-      : "no plan names this VM yet";
+    // A VM that no plan names yet serves by slots that its neighbours lend. It
+    // must not wait to be named: the planner moves no slots for a VM without
+    // requests while the others are near their shares.
+    return this.#plan.plan === undefined ? "no plan is known" : undefined;
   }
 
   #checkReady(): void {
