--- a/packages/bench/src/mod.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** @module */
-export {};
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -31,7 +31,7 @@
 const PAUSE_MS = 2 * PERIOD_MS;
 
 /** Members that are asked to ping one that does not answer. */
-const HELPERS = 3;
+const INDIRECT_PROBES = 3;
 
 /** Every so many periods one member that is held dead but listed is pinged, so that a healed cut is noticed. */
 const PROBE_DEAD_PERIODS = 5;
@@ -171,7 +171,7 @@
       effects.push(...this.#startPeriod(now));
     }
     for (const { vm, sequence } of this.#probes.overdue(now)) {
-      effects.push(...this.#askHelpers(vm, { sequence, now }));
+      effects.push(...this.#probeIndirectly(vm, { sequence, now }));
     }
     return [...effects, ...this.#push(now)];
   }
@@ -249,7 +249,7 @@
     ];
   }
 
-  #askHelpers(
+  #probeIndirectly(
     subject: VmId,
     { sequence, now }: { sequence: number; now: number },
   ): readonly MembershipEffect[] {
@@ -257,7 +257,7 @@
     if (address === undefined) {
       return [];
     }
-    return this.#partners.pick(HELPERS, subject).map((vm) =>
+    return this.#partners.pick(INDIRECT_PROBES, subject).map((vm) =>
       this.#send(this.member(vm)!, {
         kind: "ping-request",
         sequence,
--- a/packages/coordination/src/membership/membership_test.ts
+++ b/packages/coordination/src/membership/membership_test.ts
@@ -188,7 +188,7 @@
 });
 
 // A link is gone for three seconds, less than the periods that a verdict takes.
-// Had each helper's failed attempt counted as a period, the verdict would come
+// Had each failed indirect probe counted as a period, the verdict would come
 // after one and a VM that lives would lose its callers.
 test("a short cut makes nobody dead", () => {
   const fleet = new Fleet(12);
--- a/packages/coordination/src/membership/probes.ts
+++ b/packages/coordination/src/membership/probes.ts
@@ -26,7 +26,7 @@
 
   /**
    * Notes a ping that is sent now; returns its number. One that is sent on
-   * another's behalf never goes by way of others: each helper would ask helpers
+   * another's behalf never goes by way of others: each VM asked would ask others
    * of its own, and a single dead member would raise a storm of messages.
    */
   start(vm: VmId, now: number, { onBehalf } = { onBehalf: false }): number {
--- a/packages/model/src/held_back_model.ts
+++ b/packages/model/src/held_back_model.ts
@@ -38,7 +38,7 @@
   | { readonly kind: "completed" }
   | { readonly kind: "heard"; readonly message: HeldBackMessage };
 
-interface Letter {
+interface Mailed {
   readonly to: number;
   readonly message: HeldBackMessage;
 }
@@ -46,7 +46,7 @@
 /** A state of the model. */
 export interface HeldBackState {
   readonly inputs: readonly (readonly Input[])[];
-  readonly letters: readonly Letter[];
+  readonly mail: readonly Mailed[];
   /** Targets that died, and on how many of them the other request was too. */
   readonly deaths: number;
   readonly shared: number;
@@ -64,7 +64,7 @@
   | { readonly type: "complete"; readonly vm: number }
   | {
     readonly type: "deliver";
-    readonly letter: number;
+    readonly mailed: number;
     readonly comesAgain: boolean;
   };
 
@@ -98,13 +98,13 @@
     const { news } = replay(mine);
     const others = state.inputs.map((_, other) => other)
       .filter((other) => other !== vm);
-    const letters = news.flatMap((message) =>
+    const mail = news.flatMap((message) =>
       others.map((to) => ({ to, message }))
     );
     return {
       ...state,
       inputs: state.inputs.with(vm, mine),
-      letters: [...state.letters, ...letters],
+      mail: [...state.mail, ...mail],
     };
   }
 
@@ -122,13 +122,13 @@
         return { ...after, completions: state.completions + 1 };
       }
       case "deliver": {
-        const { to, message } = state.letters[event.letter]!;
+        const { to, message } = state.mail[event.mailed]!;
         const after = put(state, to, { kind: "heard", message });
-        const letters = event.comesAgain
-          ? state.letters
-          : state.letters.filter((_, index) => index !== event.letter);
+        const mail = event.comesAgain
+          ? state.mail
+          : state.mail.filter((_, index) => index !== event.mailed);
         const repeats = state.repeats - (event.comesAgain ? 1 : 0);
-        return { ...after, letters, repeats };
+        return { ...after, mail, repeats };
       }
     }
   }
@@ -149,10 +149,10 @@
         events.push({ type: "complete", vm });
       }
     });
-    state.letters.forEach((_, letter) => {
-      events.push({ type: "deliver", letter, comesAgain: false });
+    state.mail.forEach((_, mailed) => {
+      events.push({ type: "deliver", mailed, comesAgain: false });
       if (state.repeats > 0) {
-        events.push({ type: "deliver", letter, comesAgain: true });
+        events.push({ type: "deliver", mailed, comesAgain: true });
       }
     });
     return events;
@@ -163,7 +163,7 @@
     bounds: { ...bounds },
     initial: {
       inputs: Array.from({ length: bounds.vms }, () => []),
-      letters: [],
+      mail: [],
       deaths: 0,
       shared: 0,
       completions: 0,
@@ -177,7 +177,7 @@
           deathsKnown(mine) < 2 || verdict(mine, CULPRIT) === "held-back"
         ),
       "the culprit is free again nowhere once all is told": (state) =>
-        state.deaths < 2 || state.letters.length > 0 ||
+        state.deaths < 2 || state.mail.length > 0 ||
         state.inputs.every((mine) => verdict(mine, CULPRIT) === "held-back"),
       "one shared target holds nobody else back": ({ inputs, shared }) =>
         shared > 1 ||
--- a/packages/standins/src/http_json.ts
+++ b/packages/standins/src/http_json.ts
@@ -1,5 +1,5 @@
 /**
- * Small helpers for stand-ins that speak JSON over HTTP.
+ * Reading and sending JSON over HTTP, for the stand-ins.
  *
  * @module
  */
