--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,20 +9,27 @@
 import type { Configuration, Settings } from "@poplarthread/config";
 import {
   ConfigurationStore,
-  type Fact,
-  type HeldBackMessage,
   type MembershipEffect,
   RequestClaims,
 } from "@poplarthread/coordination";
-import type { Plan, TargetEntry, VmEntry } from "@poplarthread/decisions";
-import type { InstanceId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
+import type { Plan } from "@poplarthread/decisions";
+import type { InstanceId, TargetId, VmId } from "@poplarthread/ids";
 import { Backend } from "./backend.ts";
+import { ClaimSweepTask } from "./claim_sweep_task.ts";
 import { ConfigurationAdmin } from "./configuration_admin.ts";
 import { ConfigurationTask } from "./configuration_task.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import { Demand } from "./demand.ts";
 import { messageOf } from "./errors.ts";
+import { type FactNews, Facts } from "./facts.ts";
 import { FleetTask, type FleetView } from "./fleet.ts";
+import {
+  regionStates,
+  sharedConnections,
+  targetsToPlan,
+  toTargetEntries,
+  toVmEntries,
+} from "./fleet_entries.ts";
 import { CallerListener, type RoutingView } from "./http/caller_listener.ts";
 import { DeadlineWheel } from "./http/deadline_wheel.ts";
 import type { ExchangeServices } from "./http/exchange.ts";
@@ -37,8 +44,9 @@
 import { OperatorTokens } from "./operator/mod.ts";
 import { createProbes, OperatorTask } from "./operator_task.ts";
 import { Outages } from "./outages.ts";
-import type { Known, PeerId, PeerNotice } from "./peers/messages.ts";
+import type { PeerId, PeerNotice } from "./peers/messages.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
+import { PeerQuestions } from "./peer_questions.ts";
 import type { PlanInputs } from "./planning.ts";
 import { PlanTask } from "./plan_task.ts";
 import { stopAsPlanned } from "./planned_stop.ts";
@@ -77,16 +85,8 @@
   kill(): Promise<void>;
 }
 
-/** Peers that a VM without a configuration asks: one of them knows the newest, or hears of it soon. */
-const PEERS_ASKED = 4;
 /** Ten reads of the list by a reader. */
 const LIST_FRESH_MS = 5_000;
-/** How long a fact is known: targets are polled each second, so that it is renewed in time. */
-const LEAVING_FACT_MS = 20_000;
-const BELIEF_FACT_MS = 3_000;
-/** How often the fact of a target that still says it leaves is renewed. */
-const RENEW_FACT_MS = 5_000;
-
 /** Starts a daemon; settles when its listeners are up. */
 export async function startDaemon(
   settings: Settings,
@@ -119,18 +119,19 @@
   readonly #poller: TargetPoller;
   readonly #callers: CallerListener;
   readonly #peers: PeerNetwork;
+  readonly #questions: PeerQuestions;
   readonly #membership: MembershipTask;
+  readonly #facts: Facts;
   readonly #loans: SlotLoans;
   readonly #configuration: ConfigurationTask;
   readonly #vmList: VmListTask;
   readonly #plan: PlanTask;
+  readonly #sweep: ClaimSweepTask;
   readonly #operator: OperatorTask;
   readonly #root: Supervisor;
-  readonly #leavingSaid = new Map<TargetId, number>();
   #routing: RoutingView | undefined;
   #leaving = false;
   #confirmedPlan = 0;
-  #facts = 0;
   #becomeReady: () => void = () => undefined;
   #fail: (err: unknown) => void = () => undefined;
 
@@ -159,7 +160,7 @@
       instance: this.instance,
       holders: {
         ask: ({ instance, claim, attempt }, waitMs) =>
-          this.#askHolder({ instance, claim, attempt }, waitMs),
+          this.#questions.askHolder({ instance, claim, attempt }, waitMs),
       },
     });
     const seed = randomBytes(4).readInt32LE();
@@ -175,11 +176,11 @@
       onStarted: () => this.#tellSteering(),
     });
     this.#crashes = new CrashWatch({
-      publish: (message) => this.#publishHeldBack(message),
+      publish: (message) => this.#facts.publishHeldBack(message),
       onEnded: (attempt, end) => {
         this.#metrics.attemptEnded(end);
         if (attempt.targetLeaving) {
-          this.#targetLeaves(attempt.target);
+          this.#facts.publishLeaving(attempt.target);
         }
       },
     });
@@ -214,6 +215,12 @@
       metrics: this.#metrics,
       log: this.#log,
     });
+    this.#questions = new PeerQuestions({
+      self,
+      fleet: this.#fleet,
+      peers: this.#peers,
+      onPlan: (stored) => this.#plan.send({ kind: "known", stored }),
+    });
     this.#membership = new MembershipTask({
       self,
       address: `${listen.peer.host}:${listen.peer.port}`,
@@ -227,6 +234,11 @@
         }),
       onEffect: (effect) => this.#onMembership(effect),
     });
+    this.#facts = new Facts({
+      self: vm,
+      publish: (fact) => this.#membership.send({ kind: "publish", fact }),
+      onFact: (news) => this.#onNews(news),
+    });
     this.#loans = new SlotLoans({
       instance: this.instance,
       send: (to, params) => this.#tell(to, { method: "slots", params }),
@@ -236,7 +248,7 @@
       self,
       store: new ConfigurationStore<InForceJson>(this.#platform),
       send: (to, params) => this.#tell(to, { method: "configuration", params }),
-      askPeers: () => this.#askPeers(),
+      askPeers: () => this.#questions.askNear(),
       onAdopted: (configuration) => this.#onAdopted(configuration),
       onReader: (reader) => this.#vmList.send({ kind: "reader", reader }),
       log: this.#log,
@@ -258,11 +270,14 @@
         this.#tell(to, { method: "planner-report", params }),
       send: (to, params) => this.#tell(to, { method: "plan", params }),
       sendTerm: (to, params) => this.#tell(to, { method: "term", params }),
-      fetchFrom: (vm) => void this.#askKnown([vm]),
-      askAll: () => this.#askListed(),
+      fetchFrom: (vm) => void this.#questions.askKnown([vm]),
+      askAll: () => this.#questions.askListed(),
       onPlan: (plan, validMs) => this.#onPlan(plan, validMs),
       log: this.#log,
     });
+    this.#sweep = new ClaimSweepTask(this.#platform, {
+      isMine: () => this.#plan.planning,
+    });
     this.#operator = this.#operatorTask(secrets);
     this.#root = this.#supervise();
   }
@@ -305,6 +320,7 @@
 
   async kill(): Promise<void> {
     await this.#root.stop();
+    this.#claims.close();
     await this.#pools.close();
     await this.#platform.close();
   }
@@ -331,7 +347,12 @@
     return group("daemon", [
       group("state", [this.#fleet, this.#steering, this.#crashes]),
       group("peers", [this.#peers, this.#membership, this.#loans]),
-      group("platform", [this.#configuration, this.#vmList, this.#plan]),
+      group("platform", [
+        this.#configuration,
+        this.#vmList,
+        this.#plan,
+        this.#sweep,
+      ]),
       group("serving", [this.#poller, this.#callers]),
       group("operators", [this.#operator]),
     ]);
@@ -479,7 +500,7 @@
           caller,
         })),
     });
-    this.#setPools(view, inForce);
+    this.#pools.setTargets(sharedConnections(view, inForce.preset));
     this.#poller.send({
       kind: "targets",
       targets: view.targets
@@ -488,35 +509,7 @@
     });
     this.#steering.send({ kind: "vms", vms: toVmEntries(view) });
     this.#steering.send({ kind: "targets", targets: toTargetEntries(view) });
-    this.#tellLostRegions(view);
-  }
-
-  /** Each live VM takes an equal share of the connections that a target accepts. */
-  #setPools(view: FleetView, { preset }: Configuration): void {
-    const alive = view.vms.filter(({ belief }) => belief !== "dead").length;
-    const most = new Map<ServiceId, number>(
-      preset.services.map(({ id, connectionsPerTarget }) => [
-        id,
-        Math.max(1, Math.floor(connectionsPerTarget / Math.max(1, alive))),
-      ]),
-    );
-    this.#pools.setTargets(
-      view.targets.flatMap(({ id, address, service }) => {
-        const connections = most.get(service);
-        return connections === undefined ? [] : [{ id, address, connections }];
-      }),
-    );
-  }
-
-  /** A region is lost when all its VMs are dead by their heartbeats. */
-  #tellLostRegions(view: FleetView): void {
-    const regions = new Map<string, FleetView["vms"]>();
-    for (const vm of view.vms) {
-      regions.set(vm.region, [...regions.get(vm.region) ?? [], vm]);
-    }
-    for (const vms of regions.values()) {
-      const lost = vms.every(({ belief }) => belief === "dead");
-      const { region } = vms[0]!;
+    for (const { region, lost } of regionStates(view)) {
       this.#steering.send({ kind: "region-lost", region, lost });
     }
   }
@@ -559,7 +552,7 @@
       policy: inForce.preset,
       revision: inForce.revision,
       vms: toVmEntries(view),
-      targets: this.#targetsToPlan(view, inForce),
+      targets: targetsToPlan(view, inForce),
       instances: new Map(
         this.#fleet.members
           // A member that is only listed, and was never heard, has no instance yet.
@@ -578,19 +571,6 @@
       : undefined;
   }
 
-  /** The planner takes what is drained for leaving. */
-  #targetsToPlan(
-    view: FleetView,
-    { drains }: Configuration,
-  ): readonly TargetEntry[] {
-    const drained = new Set(drains.map(({ kind, id }) => `${kind} ${id}`));
-    return toTargetEntries(view).map((entry) => ({
-      ...entry,
-      leaving: entry.leaving || drained.has(`target ${entry.target}`) ||
-        drained.has(`zone ${entry.zone}`),
-    }));
-  }
-
   #onPeerEffect(effect: PeerEffect): void {
     switch (effect.kind) {
       case "ask":
@@ -602,10 +582,7 @@
         this.#confirmedPlan = effect.sequence;
         return;
       case "belief-changed":
-        this.#publish(`belief/${effect.target}/${this.#self.vm}`, {
-          value: { failing: effect.failing },
-          lifetimeMs: BELIEF_FACT_MS,
-        });
+        this.#facts.publishBelief(effect.target, effect.failing);
         return;
     }
   }
@@ -613,7 +590,7 @@
   #onReport(report: TargetReport): void {
     const { target, state, inFlight, ageMs } = report;
     if (state === "draining") {
-      this.#targetLeaves(target);
+      this.#facts.publishLeaving(target);
     }
     this.#fleet.send({ kind: "target-cold", target, cold: state === "cold" });
     this.#steering.send({
@@ -625,18 +602,22 @@
     });
   }
 
-  #targetLeaves(target: TargetId): void {
-    const now = performance.now();
-    const saidAt = this.#leavingSaid.get(target) ?? -Infinity;
-    if (now - saidAt < RENEW_FACT_MS) {
-      return;
+  #onNews(news: FactNews): void {
+    switch (news.kind) {
+      case "target-leaving":
+        this.#fleet.send(news);
+        this.#steering.send(news);
+        return;
+      case "target-staying":
+        this.#targetStays(news.target);
+        return;
+      case "peer-belief":
+        this.#steering.send(news);
+        return;
+      case "held-back":
+        this.#crashes.send({ kind: "peer", message: news.message });
+        return;
     }
-    this.#leavingSaid.set(target, now);
-    this.#heardLeaving(target);
-    this.#publish(`leaving/target/${target}`, {
-      value: target,
-      lifetimeMs: LEAVING_FACT_MS,
-    });
   }
 
   /** Nobody says any more that the target leaves: its drain was called off. */
@@ -652,58 +633,6 @@
     this.#steering.send({ kind: "targets", targets: toTargetEntries(view) });
   }
 
-  #heardLeaving(target: TargetId): void {
-    this.#fleet.send({ kind: "target-leaving", target });
-    this.#steering.send({ kind: "target-leaving", target });
-  }
-
-  #publishHeldBack(message: HeldBackMessage): void {
-    this.#publish(heldBackKey(message, this.#self.vm), {
-      value: message as unknown as Fact["value"],
-      lifetimeMs: message.remainingMs,
-    });
-  }
-
-  /** Versions grow with time, also over restarts of the daemon. */
-  #publish(
-    key: string,
-    { value, lifetimeMs }: Pick<Fact, "value" | "lifetimeMs">,
-  ): void {
-    this.#facts = Math.max(this.#facts + 1, Date.now());
-    const fact = { key, version: this.#facts, value, lifetimeMs, urgent: true };
-    this.#membership.send({ kind: "publish", fact });
-  }
-
-  #onFact({ key, value, lifetimeMs }: Fact): void {
-    const [kind, ...rest] = key.split("/");
-    switch (kind) {
-      case "leaving":
-        this.#heardLeaving(rest[1] as TargetId);
-        return;
-      case "belief": {
-        const [target, from] = rest as [TargetId, VmId];
-        if (from !== this.#self.vm) {
-          const { failing } = value as { failing: boolean };
-          const ageMs = Math.max(0, BELIEF_FACT_MS - lifetimeMs);
-          this.#steering.send({
-            kind: "peer-belief",
-            from,
-            target,
-            failing,
-            ageMs,
-          });
-        }
-        return;
-      }
-      case "held-back":
-        this.#crashes.send({
-          kind: "peer",
-          message: value as unknown as HeldBackMessage,
-        });
-        return;
-    }
-  }
-
   #onMembership(effect: Exclude<MembershipEffect, { kind: "send" }>): void {
     switch (effect.kind) {
       case "changed":
@@ -719,12 +648,10 @@
         this.#tellMembers();
         return;
       case "fact":
-        this.#onFact(effect.fact);
+        this.#facts.receive(effect.fact);
         return;
       case "fact-expired":
-        if (effect.key.startsWith("leaving/target/")) {
-          this.#targetStays(effect.key.split("/")[2] as TargetId);
-        }
+        this.#facts.expired(effect.key);
         return;
       case "ahead":
         this.#configuration.send({
@@ -781,57 +708,6 @@
     }
   }
 
-  #askHolder(
-    question: Parameters<RequestClaims["answerPeer"]>[0],
-    waitMs: number,
-  ): ReturnType<RequestClaims["answerPeer"]> {
-    // An instance is named after its VM; a later life there says that it is dead.
-    const vm = question.instance.split(".")[0] as VmId;
-    const address = this.#fleet.peerAddress(vm);
-    return address === undefined
-      ? Promise.resolve({ kind: "unreachable" })
-      : this.#peers.askHolder({ vm, address }, { question, waitMs });
-  }
-
-  /** Asks a few peers, near ones first, as a start-up storm must not meet all of them. */
-  async #askPeers(): Promise<readonly Known[]> {
-    const { zone, region } = this.#settings;
-    const near = (vm: FleetView["vms"][number]) =>
-      Number(vm.zone === zone) + Number(vm.region === region);
-    const peers = this.#fleet.view.vms
-      .filter((vm) => vm.id !== this.#self.vm && vm.belief !== "dead")
-      .toSorted((a, b) => near(b) - near(a))
-      .slice(0, PEERS_ASKED);
-    const answers = await this.#askKnown(peers.map(({ id }) => id));
-    return answers.filter((answer) => answer !== undefined);
-  }
-
-  /** What every other VM knows that the platform lists. */
-  async #askListed(): Promise<readonly (Known | undefined)[]> {
-    const others = this.#fleet.view.vms.filter(({ id }) =>
-      id !== this.#self.vm
-    );
-    return await this.#askKnown(others.map(({ id }) => id));
-  }
-
-  /** What those VMs know; their plans are taken in at once. */
-  async #askKnown(
-    vms: readonly VmId[],
-  ): Promise<readonly (Known | undefined)[]> {
-    const answers = await Promise.all(vms.map((vm) => {
-      const address = this.#fleet.peerAddress(vm);
-      return address === undefined
-        ? undefined
-        : this.#peers.askKnown({ vm, address });
-    }));
-    for (const answer of answers) {
-      if (answer?.plan !== undefined) {
-        this.#plan.send({ kind: "known", stored: answer.plan });
-      }
-    }
-    return answers;
-  }
-
   #announce(): void {
     this.#leaving = true;
     this.#fleet.send({ kind: "self-leaving" });
@@ -860,32 +736,3 @@
     }
   }
 }
-
-/**
- * One fact for each death: under one key the second would replace the first,
- * and the peers would never count to two.
- */
-function heldBackKey(message: HeldBackMessage, self: VmId): string {
-  const about = message.kind === "coincided" ? message.target : message.kind;
-  return `held-back/${message.fingerprint}/${self}/${about}`;
-}
-
-function toVmEntries(view: FleetView): readonly VmEntry[] {
-  return view.vms.map(({ id, region, zone, belief }) => ({
-    vm: id,
-    region,
-    zone,
-    live: belief !== "dead" && belief !== "leaving",
-  }));
-}
-
-function toTargetEntries(view: FleetView): readonly TargetEntry[] {
-  return view.targets.map(({ id, service, region, zone, leaving, cold }) => ({
-    target: id,
-    service,
-    region,
-    zone,
-    leaving,
-    cold,
-  }));
-}
