Check in the model of plan terms what must hold, and nothing else

Its run by npm run model counted a property that must fail, to show that a silent VM can be waited out, among those that must hold, and ended with 1. The tests had named the properties and were right.

--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -19,7 +19,12 @@
 import { type Exploration, explore } from "./explore.ts";
 import { heldBackModel } from "./held_back_model.ts";
 import { type LeaseBounds, leaseModel } from "./lease_model.ts";
-import { type PlanTermBounds, planTermModel } from "./plan_term_model.ts";
+import {
+  ONE_HOLDER,
+  ONE_USER,
+  type PlanTermBounds,
+  planTermModel,
+} from "./plan_term_model.ts";
 
 const LEASE: LeaseBounds = {
   contenders: 2,
@@ -132,7 +137,9 @@
       { vms: 2, sendings: 2, completions: 1, repeats: 1 },
       { HeldBack },
     )),
-  ...PLAN_TERMS.map((bounds) => () => explore(planTermModel(bounds))),
+  ...PLAN_TERMS.map((bounds) => () =>
+    explore(planTermModel(bounds), [ONE_USER, ONE_HOLDER])
+  ),
   ...ESCROW.map((bounds) => () =>
     explore(escrowModel(bounds, { rules: DEFAULT_RULES, remembers: false }))
   ),
--- a/packages/model/src/plan_term_model_test.ts
+++ b/packages/model/src/plan_term_model_test.ts
@@ -3,6 +3,7 @@
 import { explore } from "./explore.ts";
 import { loadMutant } from "./mutant.ts";
 import {
+  ONE_HOLDER,
   ONE_USER,
   PLAN_TERM_CORES,
   type PlanTermBounds,
@@ -32,7 +33,7 @@
   it.each([CUT_OFF, RESTART, READ])(
     "let no slot have two users, within %o",
     (bounds) => {
-      const found = explore(planTermModel(bounds), [ONE_USER]);
+      const found = explore(planTermModel(bounds), [ONE_USER, ONE_HOLDER]);
       expect(found.violation).toBeUndefined();
       expect(found.states).toBeGreaterThan(1_000);
     },
