Let both race tests use one racing table

The same wrapper stood in the tests of claims and of the configuration. It is a module beside the faulty table now; schedule, faults, bounds and assertions are as they were.

--- a/packages/coordination/src/claims/claims_test.ts
+++ b/packages/coordination/src/claims/claims_test.ts
@@ -4,6 +4,7 @@
 import { MemoryTable } from "../memory_table.ts";
 import type { Table } from "../table.ts";
 import { type Fault, FaultyTable } from "../testing/faulty_table.ts";
+import { racingTable } from "../testing/racing_table.ts";
 import { Batcher, batchTransaction, type WriteResult } from "./batch.ts";
 import { type ClaimOutcome, RequestClaims } from "./claims.ts";
 import { claimId, claimKey } from "./claim_row.ts";
@@ -146,16 +147,7 @@
         async (sendings, faults, scheduler) => {
           const table = new FaultyTable();
           table.faults = [...faults];
-          const racing: Table = {
-            read: (keys) => table.read(keys),
-            scan: (prefix, options) => table.scan(prefix, options),
-            transact: async (transaction) => {
-              await scheduler.schedule(Promise.resolve("takes effect"));
-              const answer = table.transact(transaction);
-              await scheduler.schedule(Promise.allSettled([answer]));
-              return await answer;
-            },
-          };
+          const racing = racingTable(table, scheduler);
           const vms = fleet(racing, ["a", "b", "c"]);
           const runs = new Map<string, number>();
           const work = sendings.map(async (req, index) => {
--- a/packages/coordination/src/configuration/configuration_test.ts
+++ b/packages/coordination/src/configuration/configuration_test.ts
@@ -1,8 +1,8 @@
 import { id, type OperationId } from "@poplarthread/ids";
 import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { Table } from "../table.ts";
 import { type Fault, FaultyTable } from "../testing/faulty_table.ts";
+import { racingTable } from "../testing/racing_table.ts";
 import { ConfigurationFollower } from "./follower.ts";
 import type { FollowerEffect } from "./follower_core.ts";
 import { type ChangeOrigin, stillInForce } from "./in_force.ts";
@@ -68,16 +68,7 @@
         async (faults, operators, scheduler) => {
           const table = new FaultyTable();
           table.faults = [...faults];
-          const racing: Table = {
-            read: (keys) => table.read(keys),
-            scan: (prefix, options) => table.scan(prefix, options),
-            transact: async (transaction) => {
-              await scheduler.schedule(Promise.resolve("takes effect"));
-              const answer = table.transact(transaction);
-              await scheduler.schedule(Promise.allSettled([answer]));
-              return await answer;
-            },
-          };
+          const racing = racingTable(table, scheduler);
           const store = new ConfigurationStore<string>(racing);
           const names = ["ana", "bo", "cy", "di"].slice(0, operators);
           const all = Promise.all(
