--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -23,3 +23,18 @@
 export function messageOf(err: unknown): string {
   return err instanceof Error ? err.message : String(err);
 }
+
+/** A target could not be connected to within the time that it may take. */
+export class ConnectTimeoutError extends Error {
+  override readonly name = "ConnectTimeoutError";
+}
+
+/** What came on a connection is no answer to the request on it. */
+export class WrongAnswerError extends Error {
+  override readonly name = "WrongAnswerError";
+}
+
+/** A health probe was not answered within the time that it may take. */
+export class ProbeTimeoutError extends Error {
+  override readonly name = "ProbeTimeoutError";
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -0,0 +1,320 @@
+/**
+ * Listens for callers' requests.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { ServiceId } from "@poplarthread/ids";
+import { hashText, TrafficSplit } from "@poplarthread/placement";
+import { Task } from "../task.ts";
+import {
+  type Route,
+  RouteIndex,
+  type RoutingConfiguration,
+} from "./configuration.ts";
+import { GatewayExchange, type GatewayExchangeServices } from "./exchange.ts";
+import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
+import type { CallerRequest, Dialect } from "./ports.ts";
+import type { ListenAddress } from "./settings.ts";
+
+/** Until a configuration says otherwise. */
+const HEADER_BYTES = 16_384;
+const HEADER_TIMEOUT_MS = 5_000;
+const IDLE_TIMEOUT_MS = 15_000;
+/**
+ * A connection stays this much longer than the limit on idle ones, in
+ * milliseconds: a request that is on its way when the limit passes must not
+ * meet a closed connection.
+ */
+const IDLE_GRACE_MS = 1_000;
+/** How often Node looks for slow headers, in milliseconds. */
+const SLOW_CHECK_MS = 1_000;
+/** Connections that may wait to be accepted: all clients of a zone may come at once after a fault. */
+const BACKLOG = 1_024;
+/** How often a connection with malformed input is looked at until its answers are out, in milliseconds. */
+const PENDING_CHECK_MS = 20;
+/** Retry-After while no configuration is known, in milliseconds: a read of the store takes some 10 to 100. */
+const NOT_READY_RETRY_MS = 250;
+
+/** What the listener is told. */
+export type CallerListenerMessage =
+  | {
+    readonly kind: "configuration";
+    readonly configuration: RoutingConfiguration;
+  }
+  /** This VM leaves: answers end their connections. */
+  | { readonly kind: "leave" }
+  /** Takes no new connections and closes idle ones. */
+  | { readonly kind: "close-listener" };
+
+/** What the listener works with. */
+export interface CallerListenerOptions {
+  readonly listen: ListenAddress;
+  readonly dialect: Dialect;
+  /** Where this VM begins with splits, so that VMs do not all begin alike. */
+  readonly seed: string;
+  readonly services: GatewayExchangeServices;
+  /** Told of answers that no exchange gave. */
+  refused(request: CallerRequest | undefined, reason: OwnAnswerReason): void;
+}
+
+/** A connection and what is open on it. */
+interface CallerConnection {
+  readonly exchanges: Set<GatewayExchange>;
+  /** The last request that was read from it. */
+  latest: GatewayExchange | undefined;
+  /**
+   * An answer that ends the connection is out or on its way. What comes after
+   * it is not read: its caller takes it for unread and sends it again, so it must
+   * not reach a target.
+   */
+  isEnding: boolean;
+}
+
+/** A configuration with what is computed from it once. */
+interface Compiled {
+  readonly configuration: RoutingConfiguration;
+  readonly index: RouteIndex;
+}
+
+/** A split and the weights that it was made from. */
+interface RouteSplit {
+  readonly weights: string;
+  readonly split: TrafficSplit;
+}
+
+/** See the module's comment. */
+export class CallerListener extends Task<CallerListenerMessage> {
+  readonly #options: CallerListenerOptions;
+  readonly #connections = new Map<Socket, CallerConnection>();
+  #splits = new Map<string, RouteSplit>();
+  #server: Server | undefined;
+  #compiled: Compiled | undefined;
+  #isLeaving = false;
+  #openRequests = 0;
+
+  constructor(options: CallerListenerOptions) {
+    super("callers");
+    this.#options = options;
+  }
+
+  /** Requests without their final answer. */
+  get openRequests(): number {
+    return this.#openRequests;
+  }
+
+  /** Version of the configuration in force; 0 where none is. */
+  get version(): number {
+    return this.#compiled?.configuration.version ?? 0;
+  }
+
+  protected override open(): Promise<void> {
+    const server = createServer({
+      maxHeaderSize: HEADER_BYTES,
+      connectionsCheckingInterval: SLOW_CHECK_MS,
+      keepAliveTimeout: IDLE_TIMEOUT_MS + IDLE_GRACE_MS,
+      headersTimeout: HEADER_TIMEOUT_MS,
+      // A body's time is bounded by its route.
+      requestTimeout: 0,
+      noDelay: true,
+    }, (req, res) => this.#request(req, res));
+    server.on("connection", (socket) => this.#connected(socket));
+    server.on(
+      "clientError",
+      (err, socket) => this.#clientError(err, socket as Socket),
+    );
+    this.#server = server;
+    const { host, port } = this.#options.listen;
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen({ host, port, backlog: BACKLOG }, resolve);
+    });
+  }
+
+  protected override close(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#server = undefined;
+  }
+
+  protected override receive(message: CallerListenerMessage): void {
+    switch (message.kind) {
+      case "configuration":
+        this.#adopt(message.configuration);
+        return;
+      case "leave":
+        this.#isLeaving = true;
+        return;
+      case "close-listener":
+        this.#server?.close();
+        this.#server?.closeIdleConnections();
+        return;
+    }
+  }
+
+  /** An exchange has its final answer. */
+  ended(exchange: GatewayExchange): void {
+    this.#openRequests -= 1;
+    this.#connections.get(exchange.socket)?.exchanges.delete(exchange);
+  }
+
+  #adopt(configuration: RoutingConfiguration): void {
+    const { routes, limits } = configuration;
+    this.#compiled = { configuration, index: new RouteIndex(routes) };
+    const kept = new Map<string, RouteSplit>();
+    for (const route of routes) {
+      kept.set(route.name, this.#splitOf(route));
+    }
+    this.#splits = kept;
+    const server = this.#server;
+    if (server !== undefined) {
+      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_GRACE_MS;
+      server.headersTimeout = limits.headerTimeoutMs;
+      // Node reads it for each new connection; its types know it only as an option.
+      (server as Server & { maxHeaderSize?: number }).maxHeaderSize =
+        limits.headerBytes;
+    }
+  }
+
+  #splitOf(route: Route): RouteSplit {
+    const weights = JSON.stringify(route.split);
+    const known = this.#splits.get(route.name);
+    if (known?.weights === weights) {
+      return known;
+    }
+    const start = hashText(`${this.#options.seed} ${route.name}`) / 2 ** 32;
+    return { weights, split: new TrafficSplit(route.split, start) };
+  }
+
+  #connected(socket: Socket): void {
+    const connection: CallerConnection = {
+      exchanges: new Set(),
+      latest: undefined,
+      isEnding: false,
+    };
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      for (const exchange of connection.exchanges) {
+        exchange.callerClosed();
+      }
+    });
+  }
+
+  #request(req: IncomingMessage, res: ServerResponse): void {
+    res.sendDate = false;
+    const connection = this.#connections.get(req.socket);
+    if (connection === undefined || connection.isEnding) {
+      return;
+    }
+    const request = this.#options.dialect.readRequest(req);
+    if (request.kind === "malformed") {
+      this.#refuse(res, "malformed", { connection });
+      return;
+    }
+    const compiled = this.#compiled;
+    if (compiled === undefined) {
+      this.#refuse(res, "not-ready", { connection, request });
+      return;
+    }
+    const route = compiled.index.find(request.host, request.path);
+    const service = route && this.#splits.get(route.name)?.split.next();
+    if (route === undefined || service === undefined) {
+      this.#refuse(res, "no-route", { connection, request });
+      return;
+    }
+    this.#exchange({ req, res, connection, request, route, service, compiled });
+  }
+
+  #exchange(parts: {
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly connection: CallerConnection;
+    readonly request: CallerRequest;
+    readonly route: Route;
+    readonly service: ServiceId;
+    readonly compiled: Compiled;
+  }): void {
+    const { connection, compiled, ...options } = parts;
+    const exchange = new GatewayExchange(this.#options.services, {
+      ...options,
+      bodyBytes: compiled.configuration.limits.bodyBytes,
+      version: compiled.configuration.version,
+      now: performance.now(),
+      endsConnection: (mustEnd) => {
+        const ends = connection.latest === exchange &&
+          (mustEnd || this.#isLeaving);
+        connection.isEnding ||= ends;
+        return ends;
+      },
+    });
+    this.#openRequests += 1;
+    connection.exchanges.add(exchange);
+    connection.latest = exchange;
+    exchange.start();
+  }
+
+  #refuse(
+    res: ServerResponse,
+    reason: OwnAnswerReason,
+    { connection, request }: {
+      connection: CallerConnection;
+      request?: CallerRequest;
+    },
+  ): void {
+    // What follows an unread body cannot be told from it.
+    const closes = request === undefined || request.chunked ||
+      request.contentLength > 0;
+    connection.isEnding ||= closes;
+    connection.latest = undefined;
+    sendOwnAnswer(res, reason, {
+      retryAfterMs: reason === "not-ready" ? NOT_READY_RETRY_MS : undefined,
+      closes,
+    });
+    this.#options.refused(request, reason);
+  }
+
+  /** Input that never became a request: too large, too slow, or not HTTP. */
+  #clientError(err: Error & { code?: string }, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (
+      connection === undefined || !socket.writable || err.code === "ECONNRESET"
+    ) {
+      socket.destroy();
+      return;
+    }
+    connection.isEnding = true;
+    const answer = `HTTP/1.1 ${statusLineOf(err.code)}\r\n` +
+      "connection: close\r\ncontent-length: 0\r\n\r\n";
+    this.#options.refused(undefined, "malformed");
+    if (connection.exchanges.size === 0) {
+      socket.end(answer);
+      return;
+    }
+    // Requests before it still wait for their answers, which come first.
+    const timer = setInterval(() => {
+      if (connection.exchanges.size === 0 || socket.destroyed) {
+        clearInterval(timer);
+        socket.end();
+      }
+    }, PENDING_CHECK_MS);
+  }
+}
+
+function statusLineOf(code: string | undefined): string {
+  switch (code) {
+    case "HPE_HEADER_OVERFLOW":
+      return "431 Request Header Fields Too Large";
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return "408 Request Timeout";
+    default:
+      return "400 Bad Request";
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -0,0 +1,483 @@
+/**
+ * One request of a caller, from its header to its final answer.
+ *
+ * An exchange ends exactly once for its caller. A request that may run at most
+ * once is never sent again after a byte of it was written, unless its target
+ * says that it did not run it.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Dispatcher } from "undici";
+import type { ServiceId, TargetId } from "@poplarthread/ids";
+import { hashText, type Steering } from "@poplarthread/placement";
+import { NotSentError } from "../errors.ts";
+import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
+import { type BodyListener, RequestBody } from "../http/request_body.ts";
+import type { Log } from "../log.ts";
+import type { Route } from "./configuration.ts";
+import type { Connections } from "./connections.ts";
+import type { CrashSuspects } from "./crash_suspects.ts";
+import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
+import type { CallerRequest, Dialect, TargetAnswer } from "./ports.ts";
+import type { Placeable, RequestQueue } from "./request_queue.ts";
+import {
+  TargetAttempt,
+  type TargetAttemptEnd,
+  type TargetAttemptOwner,
+} from "./target_attempt.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+/** How an exchange ended, for logs and metrics. */
+export type GatewayExchangeEnd = "answered" | "caller-gone" | OwnAnswerReason;
+
+/** What an exchange works with; one object for all exchanges of a VM. */
+export interface GatewayExchangeServices {
+  readonly dialect: Dialect;
+  readonly wheel: DeadlineWheel;
+  readonly steering: Steering;
+  readonly queue: RequestQueue;
+  readonly connections: Connections;
+  readonly targets: TargetDirectory;
+  readonly suspects: CrashSuspects;
+  readonly log: Log;
+  /** Called once for each exchange, when its caller has its final answer. */
+  ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
+}
+
+/** A request as the listener took it in. */
+export interface GatewayExchangeOptions {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly bodyBytes: number;
+  /** Version of the configuration that it is handled by. */
+  readonly version: number;
+  readonly now: number;
+  /**
+   * Whether the answer is to end the caller's connection, asked right before it
+   * is written; `mustEnd` where the rest of the request's body will not be read.
+   */
+  endsConnection(mustEnd: boolean): boolean;
+}
+
+type Phase = "reading" | "waiting" | "sent" | "streaming" | "done";
+
+/**
+ * Connections that may fail to come about for one request. None of them reached
+ * a target; after this many the list of targets is of no use for the moment.
+ */
+const MOST_UNREACHABLE = 4;
+/** A retry is worth its place in the budget only with this much time left, in milliseconds: about one warm service time. */
+const RETRY_LEAST_MS = 120;
+/** Time that the answer needs on its way back to the caller, in milliseconds. */
+const ON_THE_WAY_MS = 5;
+
+/** See the module's comment. */
+export class GatewayExchange
+  implements Expiring, TargetAttemptOwner, BodyListener, Placeable {
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly version: number;
+  readonly startedAt: number;
+  readonly expiresAt: number;
+  readonly aimAt: number;
+  readonly priority: number;
+  readonly object: number | undefined;
+  readonly #services: GatewayExchangeServices;
+  readonly #options: GatewayExchangeOptions;
+  readonly #req: IncomingMessage;
+  readonly #res: ServerResponse;
+  readonly #tried = new Set<TargetId>();
+  #phase: Phase = "reading";
+  #body: RequestBody | undefined;
+  #attempt: TargetAttempt | undefined;
+  /** Attempts that were written to a target. */
+  #written = 0;
+  #unreachable = 0;
+  /** A target may have run the request. */
+  #mayHaveRun = false;
+  /** The last failure that a target answered; the caller gets it if nothing better comes. */
+  #failure: { answer: TargetAnswer; body: Buffer } | undefined;
+  #digest: string | undefined;
+
+  constructor(
+    services: GatewayExchangeServices,
+    options: GatewayExchangeOptions,
+  ) {
+    const { request, route, now } = options;
+    this.#services = services;
+    this.#req = options.req;
+    this.#res = options.res;
+    this.#options = options;
+    this.request = request;
+    this.route = route;
+    this.service = options.service;
+    this.version = options.version;
+    this.startedAt = now;
+    this.priority = route.priority;
+    this.aimAt = now + route.aimMs;
+    const patience = request.deadlineMs === undefined
+      ? route.timeoutMs
+      : Math.min(request.deadlineMs - ON_THE_WAY_MS, route.timeoutMs);
+    this.expiresAt = now + Math.max(1, patience);
+    this.object = route.hasAffinity && request.object !== undefined
+      ? hashText(`${route.host}${route.prefix}${request.object}`)
+      : undefined;
+  }
+
+  /** The caller's connection. */
+  get socket(): Socket {
+    return this.#req.socket;
+  }
+
+  /** Attempts that were written to a target. */
+  get attempts(): number {
+    return this.#written;
+  }
+
+  /** Takes the request in. */
+  start(): void {
+    this.#services.wheel.add(this);
+    this.#services.steering.arrived(this.service, this.startedAt);
+    if (!RequestBody.announcedBy(this.request)) {
+      this.bodyReady();
+      return;
+    }
+    this.#body = new RequestBody(this.#req, {
+      limitBytes: this.#options.bodyBytes,
+      listener: this,
+      now: this.startedAt,
+    });
+    this.#body.start(this.request);
+  }
+
+  bodyReady(): void {
+    if (this.#phase !== "reading") {
+      return;
+    }
+    this.#phase = "waiting";
+    this.#digest = this.#services.suspects.digestOf(
+      this.#req.method!,
+      this.#req.url!,
+      this.#body?.whole,
+    );
+    const heldMs = this.#services.suspects.heldBackMs(
+      this.#digest,
+      this.startedAt,
+    );
+    if (heldMs > 0) {
+      this.#answer("refused-by-targets", heldMs);
+      return;
+    }
+    this.#services.queue.add(this, performance.now());
+  }
+
+  bodyTooLarge(): void {
+    this.#answer("body-too-large");
+  }
+
+  tryPlace(now: number, ahead: number): boolean {
+    if (this.#phase !== "waiting") {
+      return false;
+    }
+    const decision = this.#services.steering.place({
+      service: this.service,
+      object: this.object,
+      regions: this.route.regions,
+      answerBy: this.expiresAt,
+      tried: this.#tried,
+    }, { now, ahead });
+    switch (decision.kind) {
+      case "send":
+        this.#send(decision.target, now);
+        return false;
+      case "wait":
+        return true;
+      case "refuse":
+        if (this.#failure !== undefined) {
+          this.#deliver(this.#failure.answer, this.#failure.body);
+          return false;
+        }
+        this.#answer(
+          this.#mayHaveRun ? "broken" : decision.reason,
+          decision.retryAfterMs,
+        );
+        return false;
+    }
+  }
+
+  /** The caller's connection is closed. */
+  callerClosed(): void {
+    if (this.#phase !== "done") {
+      this.#attempt?.abandon();
+      this.#finish("caller-gone");
+    }
+  }
+
+  /** Its time has passed. */
+  expire(): void {
+    if (this.#phase === "done") {
+      return;
+    }
+    if (this.#phase === "reading") {
+      this.#answer("slow-body");
+      return;
+    }
+    if (this.#failure !== undefined) {
+      this.#deliver(this.#failure.answer, this.#failure.body);
+      return;
+    }
+    if (this.#mayHaveRun) {
+      this.#answer("timeout");
+    } else {
+      this.#answer("expired-unsent", RETRY_LEAST_MS);
+    }
+  }
+
+  attemptWrites(attempt: TargetAttempt, now: number): boolean {
+    if (this.#phase !== "sent") {
+      return false;
+    }
+    this.#written += 1;
+    this.#mayHaveRun = true;
+    this.#body?.markFlowing();
+    this.#services.steering.written(attempt.target, now);
+    return true;
+  }
+
+  attemptStreams(
+    attempt: TargetAttempt,
+    answer: TargetAnswer,
+    first: Buffer,
+  ): boolean {
+    if (this.#phase !== "sent") {
+      return true;
+    }
+    this.#phase = "streaming";
+    this.#writeHead(answer);
+    return this.attemptPiece(attempt, first);
+  }
+
+  attemptPiece(attempt: TargetAttempt, piece: Buffer): boolean {
+    if (this.#phase !== "streaming" || this.#res.write(piece)) {
+      return true;
+    }
+    this.#res.once("drain", () => attempt.resume());
+    return false;
+  }
+
+  attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
+    const now = performance.now();
+    this.#tellSteering(attempt, end, now);
+    if (this.#attempt === attempt) {
+      this.#attempt = undefined;
+      this.#handle(attempt, end, now);
+    }
+    this.#services.queue.pump(this.service, now);
+  }
+
+  #tellSteering(
+    attempt: TargetAttempt,
+    end: TargetAttemptEnd,
+    now: number,
+  ): void {
+    const { steering, connections } = this.#services;
+    const { target, writtenAt } = attempt;
+    const times = { now, writtenAt };
+    switch (end.kind) {
+      case "answered":
+      case "not-run": {
+        const { answer } = end;
+        connections.giveBack(attempt.connection);
+        const failed = end.kind === "not-run" || answer.status >= 500;
+        const { load } = answer;
+        const { object } = this;
+        steering.ended(
+          target,
+          { kind: "answered", load, failed, object },
+          times,
+        );
+        if (answer.isOtherTarget) {
+          steering.unreachable(target, now);
+        }
+        return;
+      }
+      case "broke":
+        connections.drop(attempt.connection);
+        steering.ended(target, { kind: "broke" }, times);
+        this.#services.suspects.broke(this.#digest, target, now);
+        return;
+      case "unreachable":
+        connections.drop(attempt.connection);
+        steering.ended(target, { kind: "abandoned" }, times);
+        if (!(end.err instanceof NotSentError)) {
+          steering.unreachable(target, now);
+          this.#services.suspects.crashed(target, now);
+        }
+        return;
+      case "abandoned":
+        connections.drop(attempt.connection);
+        steering.ended(target, { kind: "abandoned" }, times);
+        return;
+    }
+  }
+
+  #handle(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
+    switch (end.kind) {
+      case "answered":
+        this.#answered(end.answer, end.body, now);
+        return;
+      case "not-run":
+        this.#mayHaveRun = false;
+        this.#again(now, "refused-by-targets");
+        return;
+      case "unreachable":
+        this.#unreachable += 1;
+        if (this.#unreachable > MOST_UNREACHABLE) {
+          this.#answer("no-target", RETRY_LEAST_MS);
+          return;
+        }
+        this.#requeue(now);
+        return;
+      case "broke":
+        this.#broke(attempt, end.err, now);
+        return;
+      case "abandoned":
+        return;
+    }
+  }
+
+  #answered(answer: TargetAnswer, body: Buffer, now: number): void {
+    if (this.#phase === "streaming") {
+      this.#res.end();
+      this.#finish("answered");
+      return;
+    }
+    if (answer.status >= 500 && this.route.repeat === "idempotent") {
+      this.#failure = { answer, body };
+      this.#again(now, "broken");
+      return;
+    }
+    this.#deliver(answer, body);
+  }
+
+  #broke(attempt: TargetAttempt, err: Error, now: number): void {
+    this.#services.log.warn("attempt broke", {
+      request: this.request.requestId,
+      target: attempt.target,
+      reason: err.message,
+    });
+    if (this.#phase === "streaming") {
+      // Part of the answer is out: it must not look complete.
+      this.#res.destroy();
+      this.#finish("broken");
+      return;
+    }
+    if (this.route.repeat === "at-most-once") {
+      this.#answer("broken");
+      return;
+    }
+    this.#again(now, "broken");
+  }
+
+  /** Sends it once more where that is allowed and can still be in time. */
+  #again(now: number, otherwise: OwnAnswerReason): void {
+    const { steering } = this.#services;
+    const isAllowed = this.#written < this.route.maxAttempts &&
+      this.expiresAt - now > RETRY_LEAST_MS &&
+      (this.#body?.available ?? true) &&
+      steering.spendRetry(this.service, now);
+    if (isAllowed) {
+      this.#requeue(now);
+    } else if (this.#failure !== undefined) {
+      this.#deliver(this.#failure.answer, this.#failure.body);
+    } else {
+      this.#answer(otherwise, RETRY_LEAST_MS);
+    }
+  }
+
+  #requeue(now: number): void {
+    this.#phase = "waiting";
+    this.#services.queue.add(this, now);
+  }
+
+  #send(id: TargetId, now: number): void {
+    const { targets, connections, steering, dialect } = this.#services;
+    const target = targets.get(id)!;
+    this.#tried.add(id);
+    this.#phase = "sent";
+    steering.sent(id, now);
+    const { connection, isFresh } = connections.take({
+      id,
+      address: target.address,
+      roundTripMs: steering.roundTripTo(id),
+    });
+    const attempt = new TargetAttempt(this, {
+      target: id,
+      requestId: this.request.requestId,
+      connection,
+      isFresh,
+      dialect,
+    });
+    this.#attempt = attempt;
+    const leftMs = Math.max(1, Math.floor(this.expiresAt - now));
+    connection.dispatch({
+      path: this.#req.url!,
+      method: this.#req.method as Dispatcher.HttpMethod,
+      headers: [
+        ...this.request.lines,
+        ...dialect.attemptLines({ target: id, leftMs }),
+      ],
+      body: this.#body?.forAttempt ?? null,
+    }, attempt);
+  }
+
+  #deliver(answer: TargetAnswer, body: Buffer): void {
+    this.#writeHead(answer);
+    this.#res.end(body);
+    this.#finish("answered");
+  }
+
+  #writeHead(answer: TargetAnswer): void {
+    if (this.#options.endsConnection(false)) {
+      answer.lines.push("connection", "close");
+    }
+    this.#res.writeHead(answer.status, answer.lines);
+  }
+
+  #answer(reason: OwnAnswerReason, retryAfterMs?: number): void {
+    if (this.#phase === "done") {
+      return;
+    }
+    if (this.#phase === "streaming") {
+      this.#attempt?.abandon();
+      this.#res.destroy();
+      this.#finish("broken");
+      return;
+    }
+    const attempt = this.#attempt;
+    this.#attempt = undefined;
+    attempt?.abandon();
+    const isReading = this.#body !== undefined && !this.#body.complete;
+    sendOwnAnswer(this.#res, reason, {
+      retryAfterMs,
+      closes: this.#options.endsConnection(isReading),
+    });
+    this.#finish(reason);
+  }
+
+  #finish(end: GatewayExchangeEnd): void {
+    this.#phase = "done";
+    this.#services.wheel.delete(this);
+    this.#services.queue.remove(this);
+    this.#body?.destroy();
+    this.#services.ended(this, end);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -0,0 +1,393 @@
+/**
+ * The one module that constructs a gateway: the daemon on a platform whose
+ * store lists the targets and holds the operators' configuration.
+ *
+ * @module
+ */
+
+import { randomBytes } from "node:crypto";
+import { setTimeout as delay } from "node:timers/promises";
+import type { InstanceId, TargetId, ZoneId } from "@poplarthread/ids";
+import { Steering } from "@poplarthread/placement";
+import { messageOf } from "../errors.ts";
+import { DeadlineWheel } from "../http/deadline_wheel.ts";
+import type { Log } from "../log.ts";
+import { Supervisor } from "../supervisor.ts";
+import { CallerListener } from "./caller_listener.ts";
+import type { RoutingConfiguration } from "./configuration.ts";
+import { Connections } from "./connections.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
+import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+import { HealthProber } from "./health_prober.ts";
+import { LookupListener } from "./lookup_listener.ts";
+import { type Heartbeat, PeerBeacon } from "./peer_beacon.ts";
+import type {
+  Dialect,
+  Member,
+  PlatformEvent,
+  PlatformPort,
+  WatchedSubject,
+} from "./ports.ts";
+import { RequestQueue } from "./request_queue.ts";
+import type { GatewaySettings } from "./settings.ts";
+import { TargetDirectory } from "./target_directory.ts";
+import { VmDirectory } from "./vm_directory.ts";
+
+/** What a gateway runs on. */
+export interface GatewayPorts {
+  readonly platform: PlatformPort;
+  readonly dialect: Dialect;
+  readonly log: Log;
+}
+
+/** A running gateway. */
+export interface Gateway {
+  /** Settles with the reason when it cannot go on. */
+  readonly failed: Promise<unknown>;
+  /** The planned stop; settles when nothing is left. */
+  stop(): Promise<void>;
+}
+
+/** How often deadlines and waiting requests are looked at while there are any, in milliseconds. */
+const BUSY_TICK_MS = 20;
+/** How often targets, peers and probes are looked at, in milliseconds. */
+const IDLE_TICK_MS = 200;
+/**
+ * Callers keep an answer to a look-up for this long, some of them three times as
+ * long, in milliseconds. So all of them know of a VM's leaving after 3 s, well
+ * before it must end.
+ */
+const LOOKUP_TTL_MS = 1_000;
+/** A VM that leaves takes connections until the callers' answers have run out. */
+const LEAVE_MS = 3 * LOOKUP_TTL_MS + 200;
+/** Kept of the time to SIGKILL for the end of the process itself, in milliseconds. */
+const STOP_MARGIN_MS = 250;
+/** How often a leaving VM looks whether its requests are over, in milliseconds. */
+const STOP_CHECK_MS = 20;
+
+/** Starts a gateway; settles when its listeners are up. */
+export async function startGateway(
+  settings: GatewaySettings,
+  ports: GatewayPorts,
+): Promise<Gateway> {
+  const wiring = new Wiring(settings, ports);
+  await wiring.start();
+  return wiring;
+}
+
+class Wiring implements Gateway {
+  readonly failed: Promise<unknown>;
+  readonly #settings: GatewaySettings;
+  readonly #platform: PlatformPort;
+  readonly #dialect: Dialect;
+  readonly #log: Log;
+  readonly #self: Member;
+  readonly #wheel = new DeadlineWheel(performance.now());
+  readonly #queue = new RequestQueue();
+  readonly #steering: Steering;
+  readonly #connections: Connections;
+  readonly #targets: TargetDirectory;
+  readonly #vms: VmDirectory;
+  readonly #suspects: CrashSuspects;
+  readonly #prober: HealthProber;
+  readonly #callers: CallerListener;
+  readonly #beacon: PeerBeacon;
+  readonly #root: Supervisor;
+  readonly #timers: NodeJS.Timeout[] = [];
+  #evacuated: ReadonlySet<ZoneId> = new Set();
+  #hasTargets = false;
+  #leaving = false;
+  #fail: (err: unknown) => void = () => undefined;
+
+  constructor(settings: GatewaySettings, ports: GatewayPorts) {
+    const { vm, zone, region, listen, bounds } = settings;
+    this.#settings = settings;
+    this.#platform = ports.platform;
+    this.#dialect = ports.dialect;
+    this.#log = ports.log;
+    this.failed = new Promise((resolve) => this.#fail = resolve);
+    this.#self = {
+      vm,
+      instance: `${vm}.${randomBytes(4).toString("hex")}` as InstanceId,
+      zone,
+      region,
+      callerAddress: `${listen.callers.host}:${listen.callers.port}`,
+      peerAddress: `${listen.peers.host}:${listen.peers.port}`,
+    };
+    this.#steering = new Steering({
+      vm,
+      place: { zone, region },
+      retries: bounds.retries,
+    });
+    this.#connections = new Connections({
+      localAddress: listen.callers.host,
+      listener: { connected: (target, ms) => this.#connected(target, ms) },
+    });
+    this.#targets = new TargetDirectory({
+      steering: this.#steering,
+      zones: settings.zones,
+      onGone: (target) => this.#connections.forget(target),
+      onChange: (target, what) => {
+        if (what === "gone" || what === "restarted") {
+          this.#suspects.crashed(target.id, performance.now());
+        }
+        this.#log.info(`target ${what}`, { target: target.id });
+      },
+    });
+    this.#vms = new VmDirectory({
+      self: this.#self,
+      onChange: (member, change) => {
+        this.#log.info(`peer ${change}`, { peer: member.instance });
+        this.#steering.setVms(this.#vms.owners(performance.now()));
+      },
+    });
+    this.#suspects = new CrashSuspects((crash) =>
+      this.#beacon.send({ kind: "crash", crash })
+    );
+    this.#prober = new HealthProber({
+      connections: this.#connections,
+      dialect: this.#dialect,
+    });
+    this.#callers = this.#createCallers();
+    this.#beacon = new PeerBeacon({
+      listen: listen.peers,
+      seeds: settings.seeds,
+      peers: () => this.#vms.peers(),
+      ownWord: () => ({
+        member: this.#self,
+        isLeaving: this.#leaving,
+        seen: {
+          operator: this.#platform.seen("operator"),
+          targets: this.#platform.seen("targets"),
+          members: this.#platform.seen("members"),
+        },
+      }),
+      heard: (heartbeat) => this.#heard(heartbeat),
+    });
+    this.#root = this.#supervise();
+  }
+
+  async start(): Promise<void> {
+    await this.#root.start({
+      failed: (_task, err) => this.#fail(err),
+    });
+    this.#steering.setVms(this.#vms.owners(performance.now()));
+    this.#platform.watch((event) => this.#onPlatform(event));
+    this.#platform.announce(this.#self);
+    this.#every(BUSY_TICK_MS, () => this.#busyTick());
+    this.#every(IDLE_TICK_MS, () => this.#idleTick());
+    this.#log.info("started", { instance: this.#self.instance });
+  }
+
+  async stop(): Promise<void> {
+    const startedAt = performance.now();
+    const mostMs = this.#settings.bounds.stopMs - STOP_MARGIN_MS;
+    this.#log.info("leaving");
+    this.#leaving = true;
+    this.#vms.leave();
+    this.#callers.send({ kind: "leave" });
+    this.#beacon.send({ kind: "beat" });
+    await delay(Math.min(LEAVE_MS, mostMs));
+    this.#callers.send({ kind: "close-listener" });
+    while (
+      this.#callers.openRequests > 0 && performance.now() - startedAt < mostMs
+    ) {
+      await delay(STOP_CHECK_MS);
+    }
+    this.#log.info("stopped", { open: this.#callers.openRequests });
+    this.#timers.forEach(clearInterval);
+    await this.#platform.close();
+    await this.#root.stop();
+    this.#connections.close();
+  }
+
+  #createCallers(): CallerListener {
+    return new CallerListener({
+      listen: this.#settings.listen.callers,
+      dialect: this.#dialect,
+      seed: this.#settings.vm,
+      services: {
+        dialect: this.#dialect,
+        wheel: this.#wheel,
+        steering: this.#steering,
+        queue: this.#queue,
+        connections: this.#connections,
+        targets: this.#targets,
+        suspects: this.#suspects,
+        log: this.#log,
+        ended: (exchange, end) => this.#ended(exchange, end),
+      },
+      refused: (request, reason) =>
+        this.#log.info("request refused", {
+          request: request?.requestId ?? "",
+          reason,
+        }),
+    });
+  }
+
+  #supervise(): Supervisor {
+    const lookups = new LookupListener({
+      listen: [this.#settings.listen.lookups, this.#settings.listen.readiness],
+      dialect: this.#dialect,
+      isReady: () => this.#isReady,
+      lookup: (question) => ({
+        addresses: this.#vms.addressesFor(question, performance.now()),
+        ttlMs: Math.min(LOOKUP_TTL_MS, this.#settings.bounds.lookupMs),
+      }),
+    });
+    const root = new Supervisor("gateway", {
+      listener: {
+        taskFailed: (task, err) =>
+          this.#log.error("task failed", { task, reason: messageOf(err) }),
+        taskRestarted: (task) => this.#log.info("task restarted", { task }),
+      },
+    });
+    [this.#beacon, this.#callers, lookups].forEach((task) => root.add(task));
+    return root;
+  }
+
+  get #isReady(): boolean {
+    return !this.#leaving && this.#callers.version > 0 && this.#hasTargets;
+  }
+
+  #every(periodMs: number, work: () => void): void {
+    this.#timers.push(setInterval(work, periodMs));
+  }
+
+  #busyTick(): void {
+    const now = performance.now();
+    this.#wheel.advance(now);
+    if (this.#queue.size > 0) {
+      this.#queue.pumpAll(now);
+    }
+  }
+
+  #idleTick(): void {
+    const now = performance.now();
+    this.#targets.sweep(now);
+    this.#vms.sweep(now);
+    for (const target of this.#steering.checkSilence(now)) {
+      this.#log.warn("target silent", { target });
+    }
+    for (const target of this.#steering.probesDue(now)) {
+      this.#probe(target);
+    }
+  }
+
+  #probe(id: TargetId): void {
+    const target = this.#targets.get(id);
+    const path = this.#targets.serviceOf(id)?.healthPath;
+    if (target === undefined || path === undefined) {
+      return;
+    }
+    const { address } = target;
+    const roundTripMs = this.#steering.roundTripTo(id);
+    this.#prober.probe({ id, address, roundTripMs }, path).then(
+      (health) => {
+        const isIt = health.target === undefined || health.target === id;
+        if (health.isHealthy && isIt) {
+          // It may have started anew since: its list entry tells that only later.
+          const coldMs = health.coldMs;
+          this.#steering.probeAnswered(id, { now: performance.now(), coldMs });
+          this.#log.info("target answers again", { target: id });
+        }
+      },
+      (err) =>
+        this.#log.debug("probe failed", { target: id, reason: messageOf(err) }),
+    );
+  }
+
+  #connected(id: TargetId, ms: number): void {
+    const target = this.#targets.get(id);
+    if (target !== undefined) {
+      this.#steering.roundTrips.measured(target.zone, ms);
+    }
+  }
+
+  #ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
+    this.#callers.ended(exchange);
+    const durationMs = Math.round(performance.now() - exchange.startedAt);
+    this.#log.info("request ended", {
+      request: exchange.request.requestId,
+      route: exchange.route.name,
+      revision: exchange.version,
+      end,
+      attempts: exchange.attempts,
+      durationMs,
+    });
+  }
+
+  #heard(heartbeat: Heartbeat): void {
+    const { member, isLeaving, seen, crashes } = heartbeat;
+    const now = performance.now();
+    if (this.#vms.heard(member, { now, isLeaving })) {
+      this.#beacon.send({ kind: "greet", member });
+    }
+    for (const crash of crashes) {
+      this.#suspects.heard(crash, now);
+    }
+    for (const [subject, version] of Object.entries(seen)) {
+      this.#platform.hint(subject as WatchedSubject, version);
+    }
+  }
+
+  #onPlatform(event: PlatformEvent): void {
+    const now = performance.now();
+    switch (event.kind) {
+      case "configuration":
+        this.#adopt(event.configuration);
+        return;
+      case "unusable-configuration":
+        this.#log.warn("configuration not used", { reason: event.reason });
+        return;
+      case "evacuations":
+        this.#evacuate(event.zones, now);
+        return;
+      case "targets":
+        this.#hasTargets = true;
+        this.#targets.update(event.targets, now);
+        this.#queue.pumpAll(now);
+        return;
+      case "members":
+        this.#vms.listed(event.members);
+        this.#beacon.send({ kind: "beat" });
+        return;
+      case "contact":
+        if (event.subject === "targets") {
+          this.#targets.contact(event.isLost, now);
+        }
+        this.#log.info(event.isLost ? "contact lost" : "contact regained", {
+          subject: event.subject,
+          ...(event.reason === undefined ? {} : { reason: event.reason }),
+        });
+        return;
+    }
+  }
+
+  #adopt(configuration: RoutingConfiguration): void {
+    if (configuration.version <= this.#callers.version) {
+      return;
+    }
+    this.#callers.send({ kind: "configuration", configuration });
+    this.#targets.setServices(configuration.services);
+    this.#log.info("configuration in force", {
+      revision: configuration.version,
+    });
+  }
+
+  #evacuate(zones: ReadonlySet<ZoneId>, now: number): void {
+    for (const zone of this.#evacuated) {
+      if (!zones.has(zone)) {
+        this.#targets.zoneTakenBack(zone, now);
+        this.#log.info("zone taken back", { zone });
+      }
+    }
+    for (const zone of zones) {
+      if (!this.#evacuated.has(zone)) {
+        this.#log.info("zone evacuated", { zone });
+      }
+    }
+    this.#evacuated = zones;
+    this.#steering.setEvacuated(zones);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/mod.ts
@@ -0,0 +1,35 @@
+/**
+ * The gateway: the daemon on a platform whose store lists the targets and holds
+ * the operators' configuration.
+ *
+ * @module
+ */
+
+export {
+  type CallerLimits,
+  type Route,
+  type RoutingConfiguration,
+  type Service,
+} from "./configuration.ts";
+export { type Gateway, type GatewayPorts, startGateway } from "./gateway.ts";
+export type {
+  AnnouncedTarget,
+  CallerRequest,
+  Dialect,
+  HealthAnswer,
+  LookupQuestion,
+  MalformedRequest,
+  Member,
+  PlatformEvent,
+  PlatformPort,
+  TargetAnswer,
+  WatchedSubject,
+} from "./ports.ts";
+export type {
+  GatewayBounds,
+  GatewaySettings,
+  ListenAddress,
+} from "./settings.ts";
+export { createLog, type Log } from "../log.ts";
+export { messageOf } from "../errors.ts";
+export { dropNamed, HOP_BY_HOP } from "../http/connection_lines.ts";
--- /dev/null
+++ b/packages/daemon/src/gateway/settings.ts
@@ -0,0 +1,43 @@
+/**
+ * What a gateway is told at its start.
+ *
+ * @module
+ */
+
+import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
+import type { RetryBound } from "@poplarthread/placement";
+
+/** Where a listener binds. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Bounds that the deployment sets; milliseconds. */
+export interface GatewayBounds {
+  readonly retries: RetryBound;
+  /** From SIGTERM to SIGKILL. */
+  readonly stopMs: number;
+  /** Silence after which a VM counts as out of touch. */
+  readonly contactMs: number;
+  /** Longest lifetime of a look-up's answer. */
+  readonly lookupMs: number;
+}
+
+/** The settings of one gateway, decoded and checked. */
+export interface GatewaySettings {
+  readonly vm: VmId;
+  readonly zone: ZoneId;
+  readonly region: RegionId;
+  readonly zones: ReadonlyMap<ZoneId, RegionId>;
+  readonly listen: {
+    readonly callers: ListenAddress;
+    readonly readiness: ListenAddress;
+    readonly lookups: ListenAddress;
+    readonly peers: ListenAddress;
+    readonly metrics: ListenAddress;
+  };
+  /** Addresses at which peers may be, `host:port`; at most a few, perhaps gone. */
+  readonly seeds: readonly string[];
+  readonly bounds: GatewayBounds;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/undici_client_module.d.ts
@@ -0,0 +1,6 @@
+/** undici's client module, which has no types of its own. */
+declare module "undici/lib/dispatcher/client.js" {
+  import type { Client } from "undici";
+  const client: typeof Client;
+  export default client;
+}
--- a/packages/daemon/src/http/request_body.ts
+++ b/packages/daemon/src/http/request_body.ts
@@ -8,7 +8,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
-import type { RequestHead } from "./request_head.ts";
 
 /**
  * Largest body that is read whole before the request is steered. A slow sender
@@ -17,6 +16,13 @@
  */
 export const WHOLE_BODY_BYTES = 65_536;
 
+/** What the header says of the body. */
+export interface AnnouncedBody {
+  /** Bytes of the body; -1 where the header does not say. */
+  readonly contentLength: number;
+  readonly chunked: boolean;
+}
+
 /** Told once how reading went. */
 export interface BodyListener {
   /** The body is whole, or its rest will be streamed. */
@@ -53,12 +59,12 @@
   }
 
   /** Whether `head` announces a body at all. */
-  static announcedBy(head: RequestHead): boolean {
+  static announcedBy(head: AnnouncedBody): boolean {
     return head.chunked || head.contentLength > 0;
   }
 
   /** Starts reading. The listener may be called before this returns. */
-  start(head: RequestHead): void {
+  start(head: AnnouncedBody): void {
     if (head.contentLength > this.#limitBytes) {
       this.#listener.bodyTooLarge();
       return;
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -6,11 +6,10 @@
 
 import process from "node:process";
 import winston from "winston";
-import type { RequestId } from "@poplarthread/ids";
 
 /** What a line may carry. A closed list: nothing else can leak into the log. */
 export interface LogFields {
-  readonly request?: RequestId;
+  readonly request?: string;
   readonly revision?: number;
   readonly task?: string;
   readonly target?: string;
@@ -19,6 +18,13 @@
   readonly end?: string;
   readonly durationMs?: number;
   readonly reason?: string;
+  readonly instance?: string;
+  readonly zone?: string;
+  readonly subject?: string;
+  /** Attempts that were written to a target. */
+  readonly attempts?: number;
+  /** Requests without their final answer. */
+  readonly open?: number;
 }
 
 /** Writes lines; the event is a fixed word or two, everything else a field. */
@@ -33,9 +39,15 @@
 
 /** The log of one daemon; each line names the VM and the instance. */
 export function createLog(
-  options: { level: string; vm: string; instance: string },
+  options: {
+    level: string;
+    vm: string;
+    instance: string;
+    /** Where lines go; standard error if left out. */
+    stream?: NodeJS.WritableStream;
+  },
 ): Log {
-  const { level, vm, instance } = options;
+  const { level, vm, instance, stream = process.stderr } = options;
   const logger = winston.createLogger({
     level,
     defaultMeta: { vm, instance },
@@ -43,7 +55,7 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [new winston.transports.Stream({ stream: process.stderr })],
+    transports: [new winston.transports.Stream({ stream })],
   });
   return {
     error: (event, fields) => void logger.error(event, fields),
--- /dev/null
+++ b/packages/placement/src/mod.ts
@@ -0,0 +1,33 @@
+/**
+ * Placement of requests that all VMs compute alike.
+ *
+ * @module
+ */
+
+export {
+  type Choice,
+  choose,
+  DEFAULT_WEIGHTS,
+  type PlacementWeights,
+  type TargetPrice,
+} from "./choose.ts";
+export { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
+export { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+export { hashText, pairWeight } from "./hash.ts";
+export { RoundTrips } from "./round_trips.ts";
+export { ServiceTimes } from "./service_times.ts";
+export type { Place, PlacedTarget } from "./target.ts";
+export { type Standing, TargetBelief } from "./target_belief.ts";
+export { type LoadReport, TargetLoad } from "./target_load.ts";
+export { type SplitPart, TrafficSplit } from "./traffic_split.ts";
+export { type Waiting, WaitingRoom } from "./waiting_room.ts";
+export { WarmObjects } from "./warm_objects.ts";
+export {
+  type AttemptResult,
+  type PlacementDecision,
+  type PlacementRefusal,
+  type PlacementRequest,
+  type SteeredTarget,
+  Steering,
+  type SteeringOptions,
+} from "./steering.ts";
--- /dev/null
+++ b/packages/placement/src/steering.ts
@@ -0,0 +1,406 @@
+/**
+ * Steers the requests of one VM: which target gets a request, which request
+ * waits, and which is refused at once.
+ *
+ * Pure: it takes the time as an argument and opens no socket. Times are
+ * milliseconds of one monotonic clock.
+ *
+ * @module
+ */
+
+import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
+import { choose, DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
+import { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
+import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import { RoundTrips } from "./round_trips.ts";
+import { ServiceTimes } from "./service_times.ts";
+import type { Place, PlacedTarget } from "./target.ts";
+import { TargetBelief } from "./target_belief.ts";
+import { type LoadReport, TargetLoad } from "./target_load.ts";
+import { WarmObjects } from "./warm_objects.ts";
+
+/** A request as far as its placement goes. */
+export interface PlacementRequest {
+  readonly service: ServiceId;
+  /** Hash of the object that it concerns; undefined where requests are all alike. */
+  readonly object: number | undefined;
+  /** Regions in which it may run; empty for all. */
+  readonly regions: readonly RegionId[];
+  /** When its caller or its route stops waiting. */
+  readonly answerBy: number;
+  /** Targets that it must not go to again. */
+  readonly tried: ReadonlySet<TargetId>;
+}
+
+/** Why a request is refused. */
+export type PlacementRefusal =
+  /** No target of the service may be used. */
+  | "no-target"
+  /** It would get its answer too late. */
+  | "overload";
+
+/** What happens to a request now. */
+export type PlacementDecision =
+  | {
+    readonly kind: "send";
+    readonly target: TargetId;
+    readonly expectedMs: number;
+  }
+  | { readonly kind: "wait" }
+  | {
+    readonly kind: "refuse";
+    readonly reason: PlacementRefusal;
+    readonly retryAfterMs: number;
+  };
+
+/** A target with the limits that its service sets. */
+export interface SteeredTarget extends PlacedTarget {
+  /** Requests a second that it bears while it is cold. */
+  readonly coldPerSecond: number;
+  /** It serves what it has and must get nothing new. */
+  readonly leaving: boolean;
+}
+
+/** How an attempt ended, as far as it says something about its target. */
+export type AttemptResult =
+  | {
+    readonly kind: "answered";
+    readonly load: LoadReport | undefined;
+    /** The target failed the request or refused to run it. */
+    readonly failed: boolean;
+    readonly object: number | undefined;
+  }
+  /** The connection broke off before the answer was whole. */
+  | { readonly kind: "broke" }
+  /** This VM broke it off. */
+  | { readonly kind: "abandoned" };
+
+/** What a VM steers by besides its targets. */
+export interface SteeringOptions {
+  readonly vm: VmId;
+  readonly place: Place;
+  readonly retries: RetryBound;
+  readonly weights?: PlacementWeights;
+}
+
+/**
+ * Requests that may wait at a target, as a multiple of its slots. A wait there
+ * cannot be taken back for a more urgent request, and a full target refuses;
+ * with none waiting, a slot would stand idle for a round trip.
+ */
+const QUEUE_PER_SLOT = 1;
+/** Shortest Retry-After, in milliseconds: about one warm service time. */
+const RETRY_AFTER_LEAST_MS = 100;
+/** Retry-After where no target may be used, in milliseconds: the list of targets changes within about this time. */
+const RETRY_AFTER_NO_TARGET_MS = 500;
+
+interface Entry {
+  target: SteeredTarget;
+  readonly load: TargetLoad;
+  readonly belief: TargetBelief;
+  owner: VmId | undefined;
+}
+
+/** See the module's comment. */
+export class Steering {
+  readonly roundTrips: RoundTrips;
+  readonly #options: SteeringOptions;
+  readonly #weights: PlacementWeights;
+  readonly #entries = new Map<TargetId, Entry>();
+  readonly #services = new Map<ServiceId, Entry[]>();
+  readonly #cold = new ColdTargets();
+  readonly #warm = new WarmObjects();
+  readonly #times = new ServiceTimes();
+  readonly #budgets = new Map<ServiceId, FleetRetryBudget>();
+  #vms: readonly ColdOwner[] = [];
+  #evacuated: ReadonlySet<string> = new Set();
+
+  constructor(options: SteeringOptions) {
+    this.#options = options;
+    this.#weights = options.weights ?? DEFAULT_WEIGHTS;
+    this.roundTrips = new RoundTrips(options.place);
+  }
+
+  /** The VMs that take part, this one among them. */
+  setVms(vms: readonly ColdOwner[]): void {
+    this.#vms = vms;
+    for (const entry of this.#entries.values()) {
+      entry.owner = ownerOf(entry.target, vms);
+    }
+  }
+
+  /** Zones whose targets get nothing. */
+  setEvacuated(zones: ReadonlySet<string>): void {
+    this.#evacuated = zones;
+  }
+
+  /** Adds a target, or takes in what has changed about it. */
+  setTarget(target: SteeredTarget): void {
+    const entry = this.#entries.get(target.id);
+    if (entry === undefined) {
+      this.#entries.set(target.id, {
+        target,
+        load: new TargetLoad(),
+        belief: new TargetBelief(),
+        owner: ownerOf(target, this.#vms),
+      });
+    } else {
+      entry.target = target;
+    }
+    this.#index();
+  }
+
+  /** The target is gone. */
+  removeTarget(id: TargetId): void {
+    this.#entries.delete(id);
+    this.#cold.forget(id);
+    this.#warm.forget(id);
+    this.#index();
+  }
+
+  /** The target has started anew: it keeps nothing warm. */
+  restarted(id: TargetId): void {
+    this.#warm.forget(id);
+  }
+
+  /** The target is cold until `until`. */
+  markCold(id: TargetId, until: number): void {
+    this.#cold.mark(id, until);
+  }
+
+  /** Whether the target takes requests, and why not otherwise. */
+  standing(id: TargetId): TargetBelief["standing"] | "unknown" {
+    return this.#entries.get(id)?.belief.standing ?? "unknown";
+  }
+
+  /** Round trip to a target, in milliseconds; 0 where it is not known. */
+  roundTripTo(id: TargetId): number {
+    const entry = this.#entries.get(id);
+    return entry === undefined ? 0 : this.roundTrips.to(entry.target);
+  }
+
+  /** A caller's request for `service` came. */
+  arrived(service: ServiceId, now: number): void {
+    this.#budget(service).arrived(now);
+  }
+
+  /** Whether a request may be sent once more; if so, that is counted. */
+  spendRetry(service: ServiceId, now: number): boolean {
+    return this.#budget(service).spend(now, this.#vms.length);
+  }
+
+  /** Decides what happens to a request now. `ahead` requests wait before it. */
+  place(
+    request: PlacementRequest,
+    { now, ahead }: { now: number; ahead: number },
+  ): PlacementDecision {
+    const usable: Entry[] = [];
+    let slots = 0;
+    for (const entry of this.#services.get(request.service) ?? []) {
+      if (this.#isUsable(entry, request)) {
+        usable.push(entry);
+        slots += entry.target.slots;
+      }
+    }
+    const serviceMs = this.#times.mean(request.service);
+    if (usable.length === 0) {
+      return refuse("no-target", RETRY_AFTER_NO_TARGET_MS);
+    }
+    const open = usable.filter((entry) => this.#hasRoom(entry, now));
+    const choice = this.#choose({ usable, open }, request, now);
+    const left = request.answerBy - now;
+    if (choice !== undefined) {
+      return choice.expectedMs + serviceMs / 2 > left
+        ? refuse("overload", choice.expectedMs)
+        : { kind: "send", ...choice };
+    }
+    const waitMs = (ahead + 1) * serviceMs / slots;
+    return waitMs + serviceMs > left
+      ? refuse("overload", waitMs)
+      : { kind: "wait" };
+  }
+
+  /** A request is sent to a target; returns the time by which its end is to be told. */
+  sent(id: TargetId, now: number): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) {
+      return;
+    }
+    entry.load.sent();
+    if (this.#cold.isCold(id, now)) {
+      this.#cold.sent(id, now, entry.target.coldPerSecond);
+    }
+  }
+
+  /** The request was written to the target's connection. */
+  written(id: TargetId, now: number): void {
+    this.#entries.get(id)?.belief.sent(now);
+  }
+
+  /** An attempt ended that was {@link sent}, and written at `writtenAt` if ever. */
+  ended(
+    id: TargetId,
+    result: AttemptResult,
+    { now, writtenAt }: { now: number; writtenAt: number | undefined },
+  ): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) {
+      return;
+    }
+    entry.load.ended();
+    if (writtenAt === undefined) {
+      return;
+    }
+    switch (result.kind) {
+      case "answered":
+        this.#answered(entry, result, { now, writtenAt });
+        return;
+      case "broke":
+        entry.belief.broke(writtenAt, now);
+        return;
+      case "abandoned":
+        entry.belief.dropped(writtenAt);
+        return;
+    }
+  }
+
+  /** No connection to the target came about. */
+  unreachable(id: TargetId, now: number): void {
+    this.#entries.get(id)?.belief.unreachable(now);
+  }
+
+  /** A probe found the target healthy, and cold for `coldMs`. */
+  probeAnswered(
+    id: TargetId,
+    { now, coldMs }: { now: number; coldMs: number },
+  ): void {
+    const entry = this.#entries.get(id);
+    if (coldMs > 0) {
+      this.#cold.mark(id, now + coldMs);
+    }
+    entry?.belief.probeAnswered(now);
+  }
+
+  /** Targets that have fallen silent since the last call. */
+  checkSilence(now: number): readonly TargetId[] {
+    const silent: TargetId[] = [];
+    for (const { target, load, belief } of this.#entries.values()) {
+      const serviceMs = this.#times.mean(target.service);
+      const waitMs = load.waitMs(now, { slots: target.slots, serviceMs });
+      if (belief.check(now, waitMs)) {
+        silent.push(target.id);
+      }
+    }
+    return silent;
+  }
+
+  /** Targets of which a probe is due. */
+  probesDue(now: number): readonly TargetId[] {
+    const due: TargetId[] = [];
+    for (const { target, belief } of this.#entries.values()) {
+      if (!target.leaving && belief.probeDue(now)) {
+        due.push(target.id);
+      }
+    }
+    return due;
+  }
+
+  #answered(
+    entry: Entry,
+    result: Extract<AttemptResult, { kind: "answered" }>,
+    { now, writtenAt }: { now: number; writtenAt: number },
+  ): void {
+    const { target, load, belief } = entry;
+    const { failed, object } = result;
+    belief.answered(writtenAt, { now, failed });
+    if (result.load !== undefined) {
+      load.reported(result.load, now);
+    }
+    if (failed) {
+      return;
+    }
+    if (result.load === undefined || result.load.waiting === 0) {
+      const ms = now - writtenAt - this.roundTrips.to(target);
+      this.#times.measured(target.service, ms);
+    }
+    if (object !== undefined) {
+      this.#warm.used(object, target.id, now);
+    }
+  }
+
+  #isUsable({ target, belief }: Entry, request: PlacementRequest): boolean {
+    return !target.leaving &&
+      belief.standing === "in-use" &&
+      !this.#evacuated.has(target.zone) &&
+      !request.tried.has(target.id) &&
+      (request.regions.length === 0 || request.regions.includes(target.region));
+  }
+
+  #hasRoom({ target, load, owner }: Entry, now: number): boolean {
+    if (this.#cold.isCold(target.id, now)) {
+      const isOwner = owner === this.#options.vm;
+      if (!isOwner || !this.#cold.maySend(target.id, now)) {
+        return false;
+      }
+    }
+    return load.inFlight(now) + 1 <= target.slots * (1 + QUEUE_PER_SLOT);
+  }
+
+  #choose(
+    { usable, open }: { usable: readonly Entry[]; open: readonly Entry[] },
+    request: PlacementRequest,
+    now: number,
+  ) {
+    const serviceMs = this.#times.mean(request.service);
+    const { object } = request;
+    return choose(open.map(({ target }) => target), {
+      from: this.#options.place,
+      all: usable.map(({ target }) => target),
+      object,
+      weights: this.#weights,
+      price: (target) => {
+        const { load, belief } = this.#entries.get(target.id)!;
+        return {
+          roundTripMs: this.roundTrips.to(target),
+          waitMs: load.waitMs(now, { slots: target.slots, serviceMs }),
+          isWarm: object !== undefined &&
+            this.#warm.isWarm(object, target.id, now),
+          failureShare: belief.failureShare(now),
+        };
+      },
+    });
+  }
+
+  #budget(service: ServiceId): FleetRetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      budget = new FleetRetryBudget(this.#options.retries);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #index(): void {
+    this.#services.clear();
+    for (const entry of this.#entries.values()) {
+      const { service } = entry.target;
+      const list = this.#services.get(service);
+      if (list === undefined) {
+        this.#services.set(service, [entry]);
+      } else {
+        list.push(entry);
+      }
+    }
+  }
+}
+
+function refuse(
+  reason: PlacementRefusal,
+  waitMs: number,
+): PlacementDecision {
+  return {
+    kind: "refuse",
+    reason,
+    retryAfterMs: Math.max(RETRY_AFTER_LEAST_MS, waitMs),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/target.ts
@@ -0,0 +1,25 @@
+/**
+ * A target as placement sees it.
+ *
+ * @module
+ */
+
+import type { RegionId, ServiceId, TargetId, ZoneId } from "@poplarthread/ids";
+
+/** What is known of a target before any request was sent to it. */
+export interface PlacedTarget {
+  readonly id: TargetId;
+  readonly service: ServiceId;
+  readonly zone: ZoneId;
+  readonly region: RegionId;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  /** Hash of its id. */
+  readonly hash: number;
+}
+
+/** Where a VM or a target is. */
+export interface Place {
+  readonly zone: ZoneId;
+  readonly region: RegionId;
+}
