Pass on an answer without a length as one without a length

Cause: an answer whose end is that of its connection cannot be told whole from cut where the target closes without a reset; a length of the gateway's own made the part look whole.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -260,8 +260,11 @@
     if (this.#phase !== "sent") {
       return true;
     }
+    if (!this.#writeHead(answer)) {
+      this.#answer("broken");
+      return true;
+    }
     this.#phase = "streaming";
-    this.#writeHead(answer);
     return this.attemptPiece(attempt, first);
   }
 
@@ -440,16 +443,43 @@
   }
 
   #deliver(answer: TargetAnswer, body: Buffer): void {
-    this.#writeHead(answer);
+    if (answer.isChunked) {
+      answer.lines.push("content-length", String(body.length));
+    }
+    if (!this.#writeHead(answer)) {
+      this.#failure = undefined;
+      this.#handleUnframed();
+      return;
+    }
     this.#res.end(body);
     this.#finish("answered");
   }
 
-  #writeHead(answer: TargetAnswer): void {
-    if (this.#options.endsConnection(false)) {
+  /** False where the answer cannot be passed on over this connection. */
+  #writeHead(answer: TargetAnswer): boolean {
+    // Nobody can tell whether an answer whose end is that of its connection is
+    // whole. With a length or a last chunk of our own it would look so, and its
+    // caller might take a part for the whole; so it stays without.
+    const isUnframed = !answer.isChunked && answer.contentLength < 0;
+    const ends = this.#options.endsConnection(isUnframed);
+    if (isUnframed && !ends) {
+      return false;
+    }
+    if (ends) {
       answer.lines.push("connection", "close");
     }
+    this.#res.useChunkedEncodingByDefault = !isUnframed;
     this.#res.writeHead(answer.status, answer.lines);
+    return true;
+  }
+
+  /** The answer would end a connection on which further requests wait for theirs. */
+  #handleUnframed(): void {
+    if (this.route.repeat === "idempotent") {
+      this.#again(performance.now(), "broken");
+    } else {
+      this.#answer("broken");
+    }
   }
 
   #answer(reason: OwnAnswerReason, retryAfterMs?: number): void {
