Place objects in an agreed order, and wait for a warm target

Cause: the choice left out full targets, so that any burst sent objects to whichever target had room. Seen in the logs of all VMs, which now name object, target, wait and the target's load for each request.

Now a full home stays in the choice with its queue as cost; each object has one order of targets that all VMs compute, unwarmed ones cost about what a cold run costs, later ones more, and a region is home to as many objects as its slots carry.

Of the new tests, two fail with the choice as it was: the full home that keeps its requests, and the small region.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -13,7 +13,11 @@
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
-import { hashText, type Steering } from "@poplarthread/placement";
+import {
+  hashText,
+  type LoadReport,
+  type Steering,
+} from "@poplarthread/placement";
 import { NotSentError } from "../errors.ts";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
@@ -66,6 +70,15 @@
   endsConnection(mustEnd: boolean): boolean;
 }
 
+/** What is logged of an attempt. */
+export interface AttemptSummary {
+  readonly target: TargetId;
+  readonly durationMs: number;
+  readonly end: TargetAttemptEnd["kind"];
+  /** The load that the target reported with its answer. */
+  readonly load: LoadReport | undefined;
+}
+
 type Phase = "reading" | "waiting" | "sent" | "streaming" | "done";
 
 /**
@@ -106,6 +119,8 @@
   /** The last failure that a target answered; the caller gets it if nothing better comes. */
   #failure: { answer: TargetAnswer; body: Buffer } | undefined;
   #digest: string | undefined;
+  #sentAt: number | undefined;
+  #last: AttemptSummary | undefined;
 
   constructor(
     services: GatewayExchangeServices,
@@ -142,6 +157,16 @@
     return this.#written;
   }
 
+  /** The attempt that ended last. */
+  get lastAttempt(): AttemptSummary | undefined {
+    return this.#last;
+  }
+
+  /** How long it waited here before it was first sent, in milliseconds. */
+  get waitedMs(): number {
+    return (this.#sentAt ?? performance.now()) - this.startedAt;
+  }
+
   /** Takes the request in. */
   start(): void {
     this.#services.wheel.add(this);
@@ -278,6 +303,12 @@
 
   attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
     const now = performance.now();
+    this.#last = {
+      target: attempt.target,
+      durationMs: now - attempt.startedAt,
+      end: end.kind,
+      load: "answer" in end ? end.answer.load : undefined,
+    };
     this.#tellSteering(attempt, end, now);
     if (this.#attempt === attempt) {
       this.#attempt = undefined;
@@ -416,6 +447,7 @@
     const target = targets.get(id)!;
     this.#tried.add(id);
     this.#phase = "sent";
+    this.#sentAt ??= now;
     steering.sent(id, now);
     const { connection, isFresh } = connections.take({
       id,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -313,6 +313,7 @@
   #ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
     this.#callers.ended(exchange);
     const durationMs = Math.round(performance.now() - exchange.startedAt);
+    const last = exchange.lastAttempt;
     this.#log.info("request ended", {
       request: exchange.request.requestId,
       route: exchange.route.name,
@@ -320,6 +321,16 @@
       end,
       attempts: exchange.attempts,
       durationMs,
+      subject: exchange.request.object ?? "",
+      waitedMs: Math.round(exchange.waitedMs),
+      ...(last === undefined ? {} : {
+        target: last.target,
+        targetMs: Math.round(last.durationMs),
+        targetEnd: last.end,
+        ...(last.load === undefined
+          ? {}
+          : { running: last.load.running, waiting: last.load.waiting }),
+      }),
     });
   }
 
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -21,6 +21,14 @@
   readonly instance?: string;
   readonly zone?: string;
   readonly subject?: string;
+  /** Time before the first attempt, in milliseconds. */
+  readonly waitedMs?: number;
+  /** Time of the last attempt, and how it ended. */
+  readonly targetMs?: number;
+  readonly targetEnd?: string;
+  /** Requests that the target ran and queued when it answered. */
+  readonly running?: number;
+  readonly waiting?: number;
   /** Attempts that were written to a target. */
   readonly attempts?: number;
   /** Requests without their final answer. */
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -13,8 +13,8 @@
  * @module
  */
 
-import type { TargetId } from "@poplarthread/ids";
-import { pairWeight } from "./hash.ts";
+import type { RegionId, TargetId } from "@poplarthread/ids";
+import { hashText, pairWeight } from "./hash.ts";
 import type { Place, PlacedTarget } from "./target.ts";
 
 /** What speaks for or against one target at this moment. */
@@ -37,8 +37,15 @@
    * stays warm for the object, so that later requests share that cost.
    */
   readonly unwarmedMs: number;
-  /** Cost of the target that comes last in the agreed order beside the first, in milliseconds. */
-  readonly disagreeMs: number;
+  /**
+   * Further cost of each position in the agreed order behind the first
+   * unwarmed one, in milliseconds. Without it an object is warmed wherever a
+   * queue is short at the moment: on ten targets in half a minute, each of which
+   * forgets another object for it.
+   */
+  readonly unwarmedStepMs: number;
+  /** Cost of each position in the agreed order where the target is warm, in milliseconds: requests return to the home once it has room. */
+  readonly awayMs: number;
   /** Cost of leaving the zone beyond the round trip, in milliseconds: bytes between zones are billed. */
   readonly leaveZoneMs: number;
   /** Cost of leaving the region beyond the round trip, in milliseconds. */
@@ -49,8 +56,9 @@
 
 /** The default weights; see {@link PlacementWeights}. */
 export const DEFAULT_WEIGHTS: PlacementWeights = {
-  unwarmedMs: 90,
-  disagreeMs: 20,
+  unwarmedMs: 350,
+  unwarmedStepMs: 100,
+  awayMs: 15,
   leaveZoneMs: 6,
   leaveRegionMs: 10,
   failingMs: 1_500,
@@ -59,6 +67,9 @@
 /** Ties among alike targets are broken in steps of less than a millisecond. */
 const TIE_STEPS = 64;
 
+/** Later positions in the agreed order are all alike. */
+const MOST_POSITION = 8;
+
 /** One choice. */
 export interface Choice {
   readonly target: TargetId;
@@ -72,6 +83,8 @@
   readonly from: Place;
   /** All targets that may serve the request, also those without room now: homes must not move when one is full. */
   readonly all: readonly PlacedTarget[];
+  /** Share of the objects that have a home in each region; 1 where it is missing. */
+  readonly homeShares: ReadonlyMap<RegionId, number>;
   /** Hash of the object; undefined where requests are all alike. */
   readonly object: number | undefined;
   readonly weights: PlacementWeights;
@@ -83,14 +96,14 @@
   targets: readonly PlacedTarget[],
   options: ChoiceOptions,
 ): Choice | undefined {
-  const homes = options.object === undefined
+  const order = options.object === undefined
     ? undefined
-    : homesOf(options.all, options.object);
+    : agreedOrder(options.object, options);
   let best: Choice | undefined;
   let bestCost = Infinity;
   for (const target of targets) {
     const price = options.price(target);
-    const cost = costOf(target, price, options, homes);
+    const cost = costOf(target, price, options, order);
     if (cost < bestCost) {
       bestCost = cost;
       best = {
@@ -106,7 +119,7 @@
   target: PlacedTarget,
   price: TargetPrice,
   options: ChoiceOptions,
-  homes: ReadonlySet<TargetId> | undefined,
+  order: ReadonlyMap<TargetId, number> | undefined,
 ): number {
   const { weights, from } = options;
   let cost = price.roundTripMs + price.waitMs +
@@ -116,34 +129,48 @@
   } else if (target.zone !== from.zone) {
     cost += weights.leaveZoneMs;
   }
-  if (options.object === undefined) {
+  if (order === undefined) {
     // Equal targets must not all be filled in the order of the list.
     return cost + target.hash % TIE_STEPS / TIE_STEPS;
   }
-  if (homes?.has(target.id) || price.isWarm) {
+  const position = Math.min(
+    order.get(target.id) ?? MOST_POSITION,
+    MOST_POSITION,
+  );
+  if (position === 0) {
     return cost;
   }
-  // Where a second target has to be warmed, all VMs should warm the same one.
-  const rank = 1 - pairWeight(options.object, target.hash) / 2 ** 32;
-  return cost + weights.unwarmedMs + rank * weights.disagreeMs;
+  return cost +
+    (price.isWarm
+      ? position * weights.awayMs
+      : weights.unwarmedMs + (position - 1) * weights.unwarmedStepMs);
 }
 
-/** The targets that all VMs take to be warm for an object: one in each region. */
-function homesOf(
-  targets: readonly PlacedTarget[],
+/**
+ * The order in which all VMs use targets for an object. The first one is its
+ * home, in the region of this VM if the object has a home there; the next ones
+ * take what the home has no room for.
+ */
+function agreedOrder(
   object: number,
-): ReadonlySet<TargetId> {
-  const best = new Map<string, { weight: number; id: TargetId }>();
-  for (const target of targets) {
-    const weight = pairWeight(object, target.hash);
-    const known = best.get(target.region);
-    if (known === undefined || weight > known.weight) {
-      best.set(target.region, { weight, id: target.id });
-    }
-  }
-  const homes = new Set<TargetId>();
-  for (const { id } of best.values()) {
-    homes.add(id);
-  }
-  return homes;
+  { all, from, homeShares }: ChoiceOptions,
+): ReadonlyMap<TargetId, number> {
+  const isHomeHere = hasHome(object, from.region, homeShares);
+  const weighed = all.map((target) => ({
+    id: target.id,
+    // Targets of this region come first, or last where it has no home for the object.
+    weight: pairWeight(object, target.hash) / 2 ** 32 +
+      (target.region === from.region ? (isHomeHere ? 1 : -1) : 0),
+  }));
+  weighed.sort((a, b) => b.weight - a.weight);
+  return new Map(weighed.map(({ id }, position) => [id, position]));
+}
+
+function hasHome(
+  object: number,
+  region: RegionId,
+  shares: ReadonlyMap<RegionId, number>,
+): boolean {
+  const position = pairWeight(object, hashText(region)) / 2 ** 32;
+  return position < (shares.get(region) ?? 1);
 }
--- /dev/null
+++ b/packages/placement/src/choose_test.ts
@@ -0,0 +1,156 @@
+/**
+ * How placement spreads objects over targets.
+ *
+ * @module
+ */
+
+import { describe, expect, test } from "vitest";
+import type { RegionId, TargetId } from "@poplarthread/ids";
+import { hashText } from "./hash.ts";
+import { homeShares } from "./home_shares.ts";
+import type { PlacementDecision, Steering } from "./steering.ts";
+import { SERVICE, steeringIn, targetIn, targetsIn } from "./testing.ts";
+
+/** Longer than any wait here. */
+const PATIENCE_MS = 10_000;
+
+function place(steering: Steering, object: string, now = 0): PlacementDecision {
+  return steering.place({
+    service: SERVICE,
+    object: hashText(object),
+    regions: [],
+    answerBy: now + PATIENCE_MS,
+    tried: new Set(),
+  }, { now, ahead: 0 });
+}
+
+function targetOf(decision: PlacementDecision): TargetId {
+  if (decision.kind !== "send") {
+    throw new TypeError(`expected a target, got ${decision.kind}`);
+  }
+  return decision.target;
+}
+
+function answer(steering: Steering, target: TargetId, options: {
+  object: string;
+  now: number;
+  waiting?: number;
+}): void {
+  const { object, now, waiting = 0 } = options;
+  steering.ended(target, {
+    kind: "answered",
+    failed: false,
+    object: hashText(object),
+    load: { running: 1, waiting, slots: 3 },
+  }, { now, writtenAt: now - 100 });
+}
+
+const OBJECTS = Array.from({ length: 40 }, (_, at) => `object ${at}`);
+
+describe("the home of an object", () => {
+  test("is the same for all VMs of a region, in any order of their lists", () => {
+    const targets = targetsIn("north", 8);
+    const first = steeringIn("north", targets);
+    const second = steeringIn("north", targets.toReversed());
+    for (const object of OBJECTS) {
+      expect(targetOf(place(first, object))).toBe(
+        targetOf(place(second, object)),
+      );
+    }
+  });
+
+  test("moves for few objects when a target goes", () => {
+    const targets = targetsIn("north", 8);
+    const before = steeringIn("north", targets);
+    const after = steeringIn("north", targets.slice(1));
+    const moved = OBJECTS.filter((object) =>
+      targetOf(place(before, object)) !== targetOf(place(after, object))
+    );
+    const lost = OBJECTS.filter((object) =>
+      targetOf(place(before, object)) === targets[0]!.id
+    );
+    expect(moved).toEqual(lost);
+  });
+
+  test("keeps its requests while it is full, though others stand idle", () => {
+    // Ten VMs ask for the same objects and their homes fill for a moment. Sent to
+    // any idle target, each request would run three times as long there and make
+    // that target forget another object: soon all targets are cold and full, and
+    // callers wait for seconds at a load that half of the slots could carry.
+    const targets = targetsIn("north", 8);
+    const steering = steeringIn("north", targets);
+    const home = targetOf(place(steering, "draft"));
+    for (let sent = 0; sent < 6; sent++) {
+      steering.sent(home, 0);
+    }
+    expect(place(steering, "draft").kind).toBe("wait");
+  });
+
+  test("is helped out by one agreed target when its queue is long", () => {
+    const targets = targetsIn("north", 8);
+    const steerings = [
+      steeringIn("north", targets),
+      steeringIn("north", targets.toReversed()),
+    ];
+    const helpers = steerings.map((steering) => {
+      const home = targetOf(place(steering, "draft"));
+      steering.sent(home, 0);
+      answer(steering, home, { object: "draft", now: 100, waiting: 12 });
+      return targetOf(place(steering, "draft", 101));
+    });
+    expect(helpers[0]).toBe(helpers[1]);
+    expect(helpers[0]).not.toBe(
+      targetOf(place(steerings[0]!, "draft", 60_000)),
+    );
+  });
+
+  test("lies in another region for what a small region has no room for", () => {
+    // A third of the callers live in a region with two of twenty-two targets. If
+    // all their objects had a home there, its targets would be the slowest and
+    // the fullest while others stand idle.
+    const targets = [...targetsIn("north", 20), ...targetsIn("south", 2)];
+    const steering = steeringIn("south", targets);
+    const local = OBJECTS.filter((object) =>
+      targetOf(place(steering, object)).startsWith("south")
+    );
+    expect(local.length).toBeGreaterThan(0);
+    expect(local.length).toBeLessThan(OBJECTS.length / 2);
+  });
+});
+
+describe("shares of regions", () => {
+  test("make the targets of all regions equally busy", () => {
+    const regions = (values: Record<string, number>) =>
+      new Map(Object.entries(values) as [RegionId, number][]);
+    expect(homeShares({
+      slots: regions({ north: 36, south: 30, east: 6 }),
+      vms: regions({ north: 3, south: 3, east: 3 }),
+    })).toMatchInlineSnapshot(`
+      Map {
+        "north" => 1,
+        "south" => 1,
+        "east" => 0.25,
+      }
+    `);
+  });
+});
+
+describe("targets that must not be used", () => {
+  test("get nothing while their zone is evacuated, they leave, or no route allows them", () => {
+    const steering = steeringIn("north", [
+      targetIn("north", "n"),
+      targetIn("south", "s"),
+      { ...targetIn("north", "leaving"), leaving: true },
+    ]);
+    steering.setEvacuated(new Set(["north-1"]));
+    expect(targetOf(place(steering, "a"))).toBe("s");
+    const decision = steering.place({
+      service: SERVICE,
+      object: undefined,
+      regions: ["north" as RegionId],
+      answerBy: PATIENCE_MS,
+      tried: new Set(),
+    }, { now: 0, ahead: 0 });
+    expect(decision).toMatchObject({ kind: "refuse", reason: "no-target" });
+  });
+});
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -12,6 +12,7 @@
 import { choose, DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import { homeShares } from "./home_shares.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Place, PlacedTarget } from "./target.ts";
@@ -108,6 +109,7 @@
   readonly #weights: PlacementWeights;
   readonly #entries = new Map<TargetId, Entry>();
   readonly #services = new Map<ServiceId, Entry[]>();
+  readonly #shares = new Map<ServiceId, ReadonlyMap<RegionId, number>>();
   readonly #cold = new ColdTargets();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
@@ -127,6 +129,7 @@
     for (const entry of this.#entries.values()) {
       entry.owner = ownerOf(entry.target, vms);
     }
+    this.#shareHomes();
   }
 
   /** Zones whose targets get nothing. */
@@ -206,15 +209,16 @@
     if (usable.length === 0) {
       return refuse("no-target", RETRY_AFTER_NO_TARGET_MS);
     }
-    const open = usable.filter((entry) => this.#hasRoom(entry, now));
-    const choice = this.#choose({ usable, open }, request, now);
+    const choice = this.#choose(usable, request, now);
     const left = request.answerBy - now;
-    if (choice !== undefined) {
+    const chosen = choice && this.#entries.get(choice.target);
+    if (choice !== undefined && chosen && this.#hasRoom(chosen, now)) {
       return choice.expectedMs + serviceMs / 2 > left
         ? refuse("overload", choice.expectedMs)
         : { kind: "send", ...choice };
     }
-    const waitMs = (ahead + 1) * serviceMs / slots;
+    const share = Math.max(1, slots / Math.max(1, this.#vms.length));
+    const waitMs = (ahead + 1) * serviceMs / share;
     return waitMs + serviceMs > left
       ? refuse("overload", waitMs)
       : { kind: "wait" };
@@ -336,26 +340,24 @@
       (request.regions.length === 0 || request.regions.includes(target.region));
   }
 
-  #hasRoom({ target, load, owner }: Entry, now: number): boolean {
-    if (this.#cold.isCold(target.id, now)) {
-      const isOwner = owner === this.#options.vm;
-      if (!isOwner || !this.#cold.maySend(target.id, now)) {
-        return false;
-      }
-    }
+  /** Whether this VM may send to it, as far as it is cold. */
+  #takes({ target, owner }: Entry, now: number): boolean {
+    return !this.#cold.isCold(target.id, now) ||
+      (owner === this.#options.vm && this.#cold.maySend(target.id, now));
+  }
+
+  #hasRoom({ target, load }: Entry, now: number): boolean {
     return load.inFlight(now) + 1 <= target.slots * (1 + QUEUE_PER_SLOT);
   }
 
-  #choose(
-    { usable, open }: { usable: readonly Entry[]; open: readonly Entry[] },
-    request: PlacementRequest,
-    now: number,
-  ) {
+  #choose(usable: readonly Entry[], request: PlacementRequest, now: number) {
     const serviceMs = this.#times.mean(request.service);
     const { object } = request;
-    return choose(open.map(({ target }) => target), {
+    const takers = usable.filter((entry) => this.#takes(entry, now));
+    return choose(takers.map(({ target }) => target), {
       from: this.#options.place,
       all: usable.map(({ target }) => target),
+      homeShares: this.#shares.get(request.service) ?? NO_SHARES,
       object,
       weights: this.#weights,
       price: (target) => {
@@ -391,9 +393,28 @@
         list.push(entry);
       }
     }
+    this.#shareHomes();
+  }
+
+  #shareHomes(): void {
+    const vms = new Map<RegionId, number>();
+    for (const { region } of this.#vms) {
+      vms.set(region, (vms.get(region) ?? 0) + 1);
+    }
+    this.#shares.clear();
+    for (const [service, entries] of this.#services) {
+      const slots = new Map<RegionId, number>();
+      for (const { target } of entries) {
+        const before = slots.get(target.region) ?? 0;
+        slots.set(target.region, before + target.slots);
+      }
+      this.#shares.set(service, homeShares({ slots, vms }));
+    }
   }
 }
 
+const NO_SHARES: ReadonlyMap<RegionId, number> = new Map();
+
 function refuse(
   reason: PlacementRefusal,
   waitMs: number,
--- a/packages/placement/src/target_load.ts
+++ b/packages/placement/src/target_load.ts
@@ -21,7 +21,7 @@
  * requests: about two warm service times of the deployments (100 to 200 ms),
  * after which half of the reported requests have left.
  */
-const REPORT_HALF_LIFE_MS = 400;
+const REPORT_HALF_LIFE_MS = 1_000;
 
 /** Tracks one target. Times are milliseconds of the monotonic clock. */
 export class TargetLoad {
