Log each request's decision, count and time requests, bound the log

A line for each request names its route, object, target, wait, the target's load and outcome; lines for good answers are thinned beyond 200 a second; a reader that stops costs lines, not memory (tested). Metrics are served on the last port of the range.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -12,7 +12,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { ServiceId } from "@poplarthread/ids";
-import { hashText, TrafficSplit } from "@poplarthread/placement";
+import { hashText, WeightedSplit } from "@poplarthread/placement";
 import { Task } from "../task.ts";
 import {
   type Route,
@@ -87,7 +87,7 @@
 /** A split and the weights that it was made from. */
 interface RouteSplit {
   readonly weights: string;
-  readonly split: TrafficSplit;
+  readonly split: WeightedSplit;
 }
 
 /** See the module's comment. */
@@ -190,7 +190,7 @@
       return known;
     }
     const start = hashText(`${this.#options.seed} ${route.name}`) / 2 ** 32;
-    return { weights, split: new TrafficSplit(route.split, start) };
+    return { weights, split: new WeightedSplit(route.split, start) };
   }
 
   #connected(socket: Socket): void {
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -50,6 +50,8 @@
   readonly log: Log;
   /** Called once for each exchange, when its caller has its final answer. */
   ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
+  /** Called once for each attempt. */
+  attemptEnded(end: TargetAttemptEnd["kind"]): void;
 }
 
 /** A request as the listener took it in. */
@@ -309,6 +311,7 @@
       end: end.kind,
       load: "answer" in end ? end.answer.load : undefined,
     };
+    this.#services.attemptEnded(end.kind);
     this.#tellSteering(attempt, end, now);
     if (this.#attempt === attempt) {
       this.#attempt = undefined;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -18,8 +18,10 @@
 import { Connections } from "./connections.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
 import { HealthProber } from "./health_prober.ts";
 import { LookupListener } from "./lookup_listener.ts";
+import { MetricsListener } from "./metrics_listener.ts";
 import { type Heartbeat, PeerBeacon } from "./peer_beacon.ts";
 import type {
   Dialect,
@@ -28,6 +30,7 @@
   PlatformPort,
   WatchedSubject,
 } from "./ports.ts";
+import { RequestLog } from "./request_log.ts";
 import { RequestQueue } from "./request_queue.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { TargetDirectory } from "./target_directory.ts";
@@ -83,6 +86,8 @@
   readonly #platform: PlatformPort;
   readonly #dialect: Dialect;
   readonly #log: Log;
+  readonly #requestLog: RequestLog;
+  readonly #metrics: GatewayMetrics;
   readonly #self: Member;
   readonly #wheel = new DeadlineWheel(performance.now());
   readonly #queue = new RequestQueue();
@@ -107,6 +112,15 @@
     this.#platform = ports.platform;
     this.#dialect = ports.dialect;
     this.#log = ports.log;
+    this.#requestLog = new RequestLog(ports.log);
+    this.#metrics = new GatewayMetrics(() => ({
+      openRequests: this.#callers.openRequests,
+      waitingRequests: this.#queue.size,
+      configurationVersion: this.#callers.version,
+      targets: this.#targets.size,
+      vmsUp: this.#vms.up(performance.now()).length,
+      droppedLines: ports.log.dropped,
+    }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
     this.#self = {
       vm,
@@ -133,12 +147,18 @@
         if (what === "gone" || what === "restarted") {
           this.#suspects.crashed(target.id, performance.now());
         }
-        this.#log.info(`target ${what}`, { target: target.id });
+        this.#metrics.beliefChanged(`target-${what}`);
+        this.#log.info(`target ${what}`, {
+          target: target.id,
+          service: target.service,
+          zone: target.zone,
+        });
       },
     });
     this.#vms = new VmDirectory({
       self: this.#self,
       onChange: (member, change) => {
+        this.#metrics.beliefChanged(`peer-${change}`);
         this.#log.info(`peer ${change}`, { peer: member.instance });
         this.#steering.setVms(this.#vms.owners(performance.now()));
       },
@@ -222,12 +242,16 @@
         suspects: this.#suspects,
         log: this.#log,
         ended: (exchange, end) => this.#ended(exchange, end),
+        attemptEnded: (end) => this.#metrics.attemptEnded(end),
       },
-      refused: (request, reason) =>
+      refused: (request, reason) => {
+        this.#metrics.requestRefused(reason);
         this.#log.info("request refused", {
           request: request?.requestId ?? "",
           reason,
-        }),
+          revision: this.#callers.version,
+        });
+      },
     });
   }
 
@@ -248,7 +272,13 @@
         taskRestarted: (task) => this.#log.info("task restarted", { task }),
       },
     });
-    [this.#beacon, this.#callers, lookups].forEach((task) => root.add(task));
+    const metrics = new MetricsListener({
+      listen: this.#settings.listen.metrics,
+      text: () => this.#metrics.text(),
+    });
+    [this.#beacon, this.#callers, lookups, metrics].forEach((task) =>
+      root.add(task)
+    );
     return root;
   }
 
@@ -273,6 +303,7 @@
     this.#targets.sweep(now);
     this.#vms.sweep(now);
     for (const target of this.#steering.checkSilence(now)) {
+      this.#metrics.beliefChanged("target-silent");
       this.#log.warn("target silent", { target });
     }
     for (const target of this.#steering.probesDue(now)) {
@@ -312,26 +343,10 @@
 
   #ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
     this.#callers.ended(exchange);
-    const durationMs = Math.round(performance.now() - exchange.startedAt);
-    const last = exchange.lastAttempt;
-    this.#log.info("request ended", {
-      request: exchange.request.requestId,
-      route: exchange.route.name,
-      revision: exchange.version,
-      end,
-      attempts: exchange.attempts,
-      durationMs,
-      subject: exchange.request.object ?? "",
-      waitedMs: Math.round(exchange.waitedMs),
-      ...(last === undefined ? {} : {
-        target: last.target,
-        targetMs: Math.round(last.durationMs),
-        targetEnd: last.end,
-        ...(last.load === undefined
-          ? {}
-          : { running: last.load.running, waiting: last.load.waiting }),
-      }),
-    });
+    const now = performance.now();
+    const seconds = (now - exchange.startedAt) / 1_000;
+    this.#metrics.requestEnded(end, { priority: exchange.priority, seconds });
+    this.#requestLog.ended(exchange, end, now);
   }
 
   #heard(heartbeat: Heartbeat): void {
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -0,0 +1,136 @@
+/**
+ * Counters and histograms of a gateway, in the text format of Prometheus.
+ *
+ * @module
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Bounds of the histogram in seconds: the aims of the deployments lie between 0.2 and 0.5. */
+const LATENCY_BUCKETS_S = [
+  0.02,
+  0.05,
+  0.1,
+  0.2,
+  0.3,
+  0.4,
+  0.5,
+  0.75,
+  1,
+  1.5,
+  2,
+  3,
+];
+
+/** What the gauges show at the moment of a scrape. */
+export interface GatewayGauges {
+  readonly openRequests: number;
+  readonly waitingRequests: number;
+  readonly configurationVersion: number;
+  readonly targets: number;
+  readonly vmsUp: number;
+  /** Lines that the log dropped because nobody read them. */
+  readonly droppedLines: number;
+}
+
+/** See the module's comment. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+  readonly #requests = this.#counter(
+    "poplarthread_gateway_requests_total",
+    "Callers' requests by how they ended",
+    "end",
+  );
+  readonly #attempts = this.#counter(
+    "poplarthread_gateway_attempts_total",
+    "Sendings of requests to targets by how they ended",
+    "end",
+  );
+  readonly #beliefs = this.#counter(
+    "poplarthread_gateway_belief_changes_total",
+    "Changes of what this VM believes of targets, peers and the platform",
+    "change",
+  );
+  readonly #latency = new Histogram({
+    name: "poplarthread_gateway_request_duration_seconds",
+    help:
+      "Time from a request's header to its final answer, by rank of its route",
+    labelNames: ["priority"],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+
+  /** `read` gives the gauges when they are asked for. */
+  constructor(read: () => GatewayGauges) {
+    const gauge = (
+      field: keyof GatewayGauges,
+      name: string,
+      help: string,
+    ): void => {
+      const made: Gauge = new Gauge({
+        name: `poplarthread_gateway_${name}`,
+        help,
+        registers: [this.#registry],
+        collect: () => made.set(read()[field]),
+      });
+    };
+    gauge(
+      "openRequests",
+      "open_requests",
+      "Requests without their final answer",
+    );
+    gauge(
+      "waitingRequests",
+      "waiting_requests",
+      "Requests that wait for a target",
+    );
+    gauge(
+      "configurationVersion",
+      "configuration_version",
+      "Version of the configuration in force",
+    );
+    gauge("targets", "targets", "Targets that are known");
+    gauge("vmsUp", "vms_up", "VMs that are up, this one among them");
+    gauge(
+      "droppedLines",
+      "dropped_log_lines",
+      "Lines that the log dropped because nobody read them",
+    );
+  }
+
+  /** A request has its final answer. */
+  requestEnded(
+    end: string,
+    { priority, seconds }: { priority: number; seconds: number },
+  ): void {
+    this.#requests.inc({ end });
+    this.#latency.observe({ priority }, seconds);
+  }
+
+  /** A request never became an exchange. */
+  requestRefused(reason: string): void {
+    this.#requests.inc({ end: reason });
+  }
+
+  attemptEnded(end: string): void {
+    this.#attempts.inc({ end });
+  }
+
+  beliefChanged(change: string): void {
+    this.#beliefs.inc({ change });
+  }
+
+  /** All figures as text. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #counter(name: string, help: string, label: string): Counter {
+    return new Counter({
+      name,
+      help,
+      labelNames: [label],
+      registers: [this.#registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/metrics_listener.ts
@@ -0,0 +1,53 @@
+/**
+ * Serves the metrics.
+ *
+ * @module
+ */
+
+import { createServer, type Server } from "node:http";
+import { messageOf } from "../errors.ts";
+import { Task } from "../task.ts";
+import type { ListenAddress } from "./settings.ts";
+
+/** Where Prometheus looks by custom. */
+const METRICS_PATH = "/metrics";
+
+/** See the module's comment. */
+export class MetricsListener extends Task<never> {
+  readonly #listen: ListenAddress;
+  readonly #text: () => Promise<string>;
+  #server: Server | undefined;
+
+  constructor(options: { listen: ListenAddress; text: () => Promise<string> }) {
+    super("metrics");
+    this.#listen = options.listen;
+    this.#text = options.text;
+  }
+
+  protected override open(): Promise<void> {
+    const server = createServer((req, res) => {
+      if (req.url !== METRICS_PATH) {
+        res.writeHead(404).end();
+        return;
+      }
+      this.#text().then(
+        (text) =>
+          res.writeHead(200, { "content-type": "text/plain" }).end(text),
+        (err) => res.writeHead(500).end(messageOf(err)),
+      );
+    });
+    this.#server = server;
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(this.#listen, resolve);
+    });
+  }
+
+  protected override receive(): void {}
+
+  protected override close(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#server = undefined;
+  }
+}
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -5,7 +5,9 @@
  */
 
 import process from "node:process";
+import type { Writable } from "node:stream";
 import winston from "winston";
+import { BoundedOutput } from "./bounded_output.ts";
 
 /** What a line may carry. A closed list: nothing else can leak into the log. */
 export interface LogFields {
@@ -21,6 +23,11 @@
   readonly instance?: string;
   readonly zone?: string;
   readonly subject?: string;
+  readonly service?: string;
+  /** What a request concerns, as its caller names it. */
+  readonly object?: string;
+  /** Lines that were not written. */
+  readonly lines?: number;
   /** Time before the first attempt, in milliseconds. */
   readonly waitedMs?: number;
   /** Time of the last attempt, and how it ended. */
@@ -43,6 +50,8 @@
   debug(event: string, fields?: LogFields): void;
   /** Whether debug lines are written; saves their cost where they aren't. */
   readonly debugs: boolean;
+  /** Lines that were dropped because their reader did not keep up. */
+  readonly dropped: number;
 }
 
 /** The log of one daemon; each line names the VM and the instance. */
@@ -52,10 +61,13 @@
     vm: string;
     instance: string;
     /** Where lines go; standard error if left out. */
-    stream?: NodeJS.WritableStream;
+    stream?: Writable;
   },
 ): Log {
   const { level, vm, instance, stream = process.stderr } = options;
+  const output = stream instanceof BoundedOutput
+    ? stream
+    : new BoundedOutput(stream);
   const logger = winston.createLogger({
     level,
     defaultMeta: { vm, instance },
@@ -63,7 +75,7 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [new winston.transports.Stream({ stream })],
+    transports: [new winston.transports.Stream({ stream: output })],
   });
   return {
     error: (event, fields) => void logger.error(event, fields),
@@ -71,5 +83,8 @@
     info: (event, fields) => void logger.info(event, fields),
     debug: (event, fields) => void logger.debug(event, fields),
     debugs: logger.isDebugEnabled(),
+    get dropped() {
+      return output.dropped;
+    },
   };
 }
--- a/packages/daemon/src/peers/peer_network_test.ts
+++ b/packages/daemon/src/peers/peer_network_test.ts
@@ -18,6 +18,7 @@
   info: () => undefined,
   debug: () => undefined,
   debugs: false,
+  dropped: 0,
 };
 const parent = {
   failed: (_: unknown, err: unknown) => {
--- a/packages/daemon/src/plan_task_test.ts
+++ b/packages/daemon/src/plan_task_test.ts
@@ -42,6 +42,7 @@
     info: () => undefined,
     debug: () => undefined,
     debugs: false,
+    dropped: 0,
   };
   const reaches = (from: VmId, to: VmId) => cut.has(from) === cut.has(to);
   function create(vm: VmId): PlanTask {
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -10,7 +10,7 @@
 import { ColdTargets, ownerOf } from "./cold_targets.ts";
 import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 import { hashText } from "./hash.ts";
-import { TrafficSplit } from "./traffic_split.ts";
+import { WeightedSplit } from "./weighted_split.ts";
 import { WaitingRoom } from "./waiting_room.ts";
 
 const TARGET = "t" as TargetId;
@@ -131,7 +131,7 @@
           service: `s${at}` as ServiceId,
           weight,
         }));
-        const split = new TrafficSplit(parts, start);
+        const split = new WeightedSplit(parts, start);
         const total = weights.reduce((sum, weight) => sum + weight, 0);
         const counts = new Map<string, number>();
         for (let taken = 1; taken <= 200; taken++) {
@@ -147,7 +147,7 @@
   });
 
   test("sends nothing to a part without weight", () => {
-    const split = new TrafficSplit([
+    const split = new WeightedSplit([
       { service: "old" as ServiceId, weight: 0 },
       { service: "new" as ServiceId, weight: 1 },
     ], 0);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -19,7 +19,7 @@
 export type { Place, PlacedTarget } from "./target.ts";
 export { type Standing, TargetBelief } from "./target_belief.ts";
 export { type LoadReport, TargetLoad } from "./target_load.ts";
-export { type SplitPart, TrafficSplit } from "./traffic_split.ts";
+export { type SplitPart, WeightedSplit } from "./weighted_split.ts";
 export { type Waiting, WaitingRoom } from "./waiting_room.ts";
 export { WarmObjects } from "./warm_objects.ts";
 export {
--- a/packages/placement/src/traffic_split.ts
+++ b/packages/placement/src/weighted_split.ts
@@ -17,7 +17,7 @@
  * within one request of its share. Random choice would be off by a tenth for a
  * few dozen requests, which is what a VM sees of a route in some seconds.
  */
-export class TrafficSplit {
+export class WeightedSplit {
   readonly #parts: readonly SplitPart[];
   readonly #credit: number[];
   readonly #total: number;
