--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { connect as connectTcp } from "node:net";
+import { connect as connectTcp, type Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import type { TargetId } from "@poplarthread/ids";
 import { ConnectTimeoutError } from "../errors.ts";
@@ -47,6 +47,7 @@
   readonly target: TargetId;
   readonly address: string;
   readonly #client: Client;
+  #socket: Socket | undefined;
   #isOpen = true;
   #wasReset = false;
   /** The target has closed its side. */
@@ -70,6 +71,7 @@
       bodyTimeout: 0,
       connect: connector(target, {
         ...options,
+        onSocket: (socket) => this.#socket = socket,
         onReset: () => this.#wasReset = true,
         onEnd: () => this.#hasEnded = true,
       }),
@@ -102,9 +104,14 @@
     this.#client.dispatch(req, handler);
   }
 
-  /** Cuts it. */
+  /**
+   * Cuts it with a reset. An ordinary close would leave what is not delivered yet
+   * to the kernel, which delivers it once a cut on the way has healed: a target
+   * would get requests whose callers left long ago.
+   */
   destroy(): void {
     this.#isOpen = false;
+    this.#socket?.resetAndDestroy();
     this.#client.destroy().catch(() => undefined);
   }
 }
@@ -115,6 +122,8 @@
   options: {
     localAddress: string;
     listener: ConnectionListener;
+    /** The connection begins to come about. */
+    onSocket: (socket: Socket) => void;
     onReset: () => void;
     onEnd: () => void;
   },
@@ -128,6 +137,7 @@
       localAddress: options.localAddress,
       noDelay: true,
     });
+    options.onSocket(socket);
     const timer = setTimeout(
       () => socket.destroy(new ConnectTimeoutError("No connection in time")),
       limitMs,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -66,7 +66,7 @@
 /** A VM that leaves takes connections until the callers' answers have run out. */
 const LEAVE_MS = 3 * LOOKUP_TTL_MS + 200;
 /** Kept of the time to SIGKILL for the end of the process itself, in milliseconds. */
-const STOP_MARGIN_MS = 250;
+const STOP_MARGIN_MS = 500;
 /** How often a leaving VM looks whether its requests are over, in milliseconds. */
 const STOP_CHECK_MS = 20;
 
