Tell the story of a request from collected logs: explain-request

Each failed attempt gets a line with its target, end, reason and load. The command reads logs of any number of VMs, prints the request's lines in order and what its VMs came to believe about the targets it met. Unknown ids and torn lines get a clear word (tested).

--- a/packages/cli/src/flags.ts
+++ b/packages/cli/src/flags.ts
@@ -30,6 +30,10 @@
     lookup                            the entry VMs that callers are told  [--zone ZONE]
     explain METHOD PATH               where a request would go now, and why  [--caller NAME]
 
+  Afterwards
+    explain-request ID [FILE...]      the story of one request from collected logs,
+                                      from standard input if no file is named
+
   Options
     --vm URL           operator listener of a VM; may be repeated, the first that
                        answers is asked (or POPLARTHREAD_VMS, separated by commas)
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -8,6 +8,7 @@
 import { OperatorApiError } from "@poplarthread/operator-api";
 import { audit } from "./commands/audit.ts";
 import { drain, undrain } from "./commands/drain.ts";
+import { explainRequest } from "./commands/explain_request.ts";
 import { explain, lookup } from "./commands/lookup.ts";
 import { preset } from "./commands/preset.ts";
 import { status } from "./commands/status.ts";
@@ -28,6 +29,7 @@
   audit,
   drain,
   explain,
+  "explain-request": explainRequest,
   lookup,
   preset,
   status,
@@ -61,9 +63,10 @@
   return command;
 }
 
-/** `preset check` asks nobody, so that a file can be checked anywhere. */
+/** Commands that ask nobody, so that files can be read anywhere. */
 function isLocal([command, verb]: readonly string[]): boolean {
-  return command === "preset" && verb === "check";
+  return command === "explain-request" ||
+    (command === "preset" && verb === "check");
 }
 
 function connect(flags: Flags, local: boolean): Vms {
--- /dev/null
+++ b/packages/cli/src/request_story_test.ts
@@ -0,0 +1,59 @@
+/**
+ * From a request's id to its cause.
+ *
+ * @module
+ */
+
+import { expect, test } from "vitest";
+import { RequestStoryReader } from "./request_story.ts";
+
+function line(
+  second: number,
+  message: string,
+  fields: Record<string, unknown> = {},
+): string {
+  const timestamp = new Date(Date.UTC(2026, 0, 1, 12, 0, second)).toISOString();
+  return JSON.stringify({ timestamp, vm: "vm-1", message, ...fields });
+}
+
+function storyOf(request: string, lines: readonly string[]) {
+  const reader = new RequestStoryReader(request);
+  lines.forEach((one) => reader.read(one));
+  const { own, beliefs, unreadable } = reader.story();
+  const messages = (list: typeof own) => list.map(({ message }) => message);
+  return { own: messages(own), beliefs: messages(beliefs), unreadable };
+}
+
+const LINES = [
+  line(20, "request ended", {
+    request: "r-1",
+    target: "t-2",
+    service: "portal",
+  }),
+  line(18, "attempt failed", { request: "r-1", target: "t-1" }),
+  line(17, "target silent", { target: "t-1" }),
+  line(17, "target silent", { target: "t-9" }),
+  line(16, "zone evacuated", { zone: "north-1" }),
+  line(2, "target silent", { target: "t-1" }),
+  line(19, "request ended", { request: "r-2", target: "t-1" }),
+];
+
+test("a request's own lines come in order, with what was believed of its targets", () => {
+  expect(storyOf("r-1", LINES)).toEqual({
+    own: ["attempt failed", "request ended"],
+    beliefs: ["zone evacuated", "target silent"],
+    unreadable: 0,
+  });
+});
+
+test("an unknown id has no story", () => {
+  expect(storyOf("r-7", LINES).own).toEqual([]);
+});
+
+test("torn lines are counted and do no harm", () => {
+  const torn = [...LINES, LINES[0]!.slice(0, 30), "not JSON", "{}", ""];
+  expect(storyOf("r-1", torn)).toMatchObject({
+    own: ["attempt failed", "request ended"],
+    unreadable: 3,
+  });
+});
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -312,14 +312,36 @@
       load: "answer" in end ? end.answer.load : undefined,
     };
     this.#services.attemptEnded(end.kind);
+    this.#logFailure(attempt, end, now);
     this.#tellSteering(attempt, end, now);
     if (this.#attempt === attempt) {
       this.#attempt = undefined;
-      this.#handle(attempt, end, now);
+      this.#handle(end, now);
     }
     this.#services.queue.pump(this.service, now);
   }
 
+  #logFailure(
+    attempt: TargetAttempt,
+    end: TargetAttemptEnd,
+    now: number,
+  ): void {
+    if (end.kind === "answered" || end.kind === "abandoned") {
+      return;
+    }
+    const load = end.kind === "not-run" ? end.answer.load : undefined;
+    this.#services.log.warn("attempt failed", {
+      request: this.request.requestId,
+      target: attempt.target,
+      end: end.kind,
+      durationMs: Math.round(now - attempt.startedAt),
+      ...("err" in end ? { reason: end.err.message } : {}),
+      ...(load === undefined
+        ? {}
+        : { running: load.running, waiting: load.waiting }),
+    });
+  }
+
   #tellSteering(
     attempt: TargetAttempt,
     end: TargetAttemptEnd,
@@ -366,7 +388,7 @@
     }
   }
 
-  #handle(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
+  #handle(end: TargetAttemptEnd, now: number): void {
     switch (end.kind) {
       case "answered":
         this.#answered(end.answer, end.body, now);
@@ -384,7 +406,7 @@
         this.#requeue(now);
         return;
       case "broke":
-        this.#broke(attempt, end.err, now);
+        this.#broke(now);
         return;
       case "abandoned":
         return;
@@ -405,12 +427,7 @@
     this.#deliver(answer, body);
   }
 
-  #broke(attempt: TargetAttempt, err: Error, now: number): void {
-    this.#services.log.warn("attempt broke", {
-      request: this.request.requestId,
-      target: attempt.target,
-      reason: err.message,
-    });
+  #broke(now: number): void {
     if (this.#phase === "streaming") {
       // Part of the answer is out: it must not look complete.
       this.#res.destroy();
