Let unwarmed targets cost what they do to all requests

A cold request on one more target takes some 300 ms longer, occupies its slot three times as long, and makes the target forget another object.

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -56,8 +56,8 @@
 
 /** The default weights; see {@link PlacementWeights}. */
 export const DEFAULT_WEIGHTS: PlacementWeights = {
-  unwarmedMs: 350,
-  unwarmedStepMs: 100,
+  unwarmedMs: 600,
+  unwarmedStepMs: 400,
   awayMs: 15,
   leaveZoneMs: 6,
   leaveRegionMs: 10,
