Refuse by the rate at which waiting requests go

Cause: the wait of a request was computed from the slots of its targets, as if no more urgent request came meanwhile; reads were held and refused at their end. Now the rate of requests that went in the last second counts, less the more urgent ones that came.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -172,7 +172,11 @@
   /** Takes the request in. */
   start(): void {
     this.#services.wheel.add(this);
-    this.#services.steering.arrived(this.service, this.startedAt);
+    this.#services.steering.arrived(
+      this.service,
+      this.priority,
+      this.startedAt,
+    );
     if (!RequestBody.announcedBy(this.request)) {
       this.bodyReady();
       return;
@@ -216,6 +220,7 @@
     }
     const decision = this.#services.steering.place({
       service: this.service,
+      priority: this.priority,
       object: this.object,
       regions: this.route.regions,
       answerBy: this.expiresAt,
--- a/packages/placement/src/choose_test.ts
+++ b/packages/placement/src/choose_test.ts
@@ -17,6 +17,7 @@
 function place(steering: Steering, object: string, now = 0): PlacementDecision {
   return steering.place({
     service: SERVICE,
+    priority: 0,
     object: hashText(object),
     regions: [],
     answerBy: now + PATIENCE_MS,
@@ -146,6 +147,7 @@
     expect(targetOf(place(steering, "a"))).toBe("s");
     const decision = steering.place({
       service: SERVICE,
+      priority: 0,
       object: undefined,
       regions: ["north" as RegionId],
       answerBy: PATIENCE_MS,
--- a/packages/placement/src/fleet_retry_budget.ts
+++ b/packages/placement/src/fleet_retry_budget.ts
@@ -10,6 +10,8 @@
  * @module
  */
 
+import { WindowCount } from "./window_count.ts";
+
 /** The bound over all VMs. */
 export interface RetryBound {
   /** Retries for each request. */
@@ -26,39 +28,6 @@
 const FIXED_SHARE = 0.45;
 /** Part of the ratio that is used: a VM's requests and retries fall into windows that differ by up to their service time. */
 const RATIO_SHARE = 0.8;
-/** Steps in which a window is counted. */
-const STEPS = 20;
-
-/** Counts events over a sliding window in steps. */
-class WindowCount {
-  readonly #counts = new Array<number>(STEPS).fill(0);
-  readonly #stepMs: number;
-  #step = 0;
-  #sum = 0;
-
-  constructor(windowMs: number) {
-    this.#stepMs = windowMs / STEPS;
-  }
-
-  add(now: number): void {
-    this.sum(now);
-    this.#counts[this.#step % STEPS]! += 1;
-    this.#sum += 1;
-  }
-
-  sum(now: number): number {
-    const step = Math.floor(now / this.#stepMs);
-    const passed = Math.min(step - this.#step, STEPS);
-    for (let back = 1; back <= passed; back++) {
-      const slot = (this.#step + back) % STEPS;
-      this.#sum -= this.#counts[slot]!;
-      this.#counts[slot] = 0;
-    }
-    this.#step = step;
-    return this.#sum;
-  }
-}
-
 /** The budget of one service on one VM. */
 export class FleetRetryBudget {
   readonly #bound: RetryBound;
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -11,6 +11,7 @@
 import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import { choose, DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
+import { DrainRate } from "./drain_rate.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
 import { homeShares } from "./home_shares.ts";
 import { RoundTrips } from "./round_trips.ts";
@@ -23,6 +24,8 @@
 /** A request as far as its placement goes. */
 export interface PlacementRequest {
   readonly service: ServiceId;
+  /** Rank of its route; 0 goes first. */
+  readonly priority: number;
   /** Hash of the object that it concerns; undefined where requests are all alike. */
   readonly object: number | undefined;
   /** Regions in which it may run; empty for all. */
@@ -113,6 +116,7 @@
   readonly #cold = new ColdTargets();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
+  readonly #rates = new Map<ServiceId, DrainRate>();
   readonly #budgets = new Map<ServiceId, FleetRetryBudget>();
   #vms: readonly ColdOwner[] = [];
   #evacuated: ReadonlySet<string> = new Set();
@@ -183,8 +187,9 @@
   }
 
   /** A caller's request for `service` came. */
-  arrived(service: ServiceId, now: number): void {
+  arrived(service: ServiceId, priority: number, now: number): void {
     this.#budget(service).arrived(now);
+    this.#rate(service).arrived(priority, now);
   }
 
   /** Whether a request may be sent once more; if so, that is counted. */
@@ -197,14 +202,8 @@
     request: PlacementRequest,
     { now, ahead }: { now: number; ahead: number },
   ): PlacementDecision {
-    const usable: Entry[] = [];
-    let slots = 0;
-    for (const entry of this.#services.get(request.service) ?? []) {
-      if (this.#isUsable(entry, request)) {
-        usable.push(entry);
-        slots += entry.target.slots;
-      }
-    }
+    const entries = this.#services.get(request.service) ?? [];
+    const usable = entries.filter((entry) => this.#isUsable(entry, request));
     const serviceMs = this.#times.mean(request.service);
     if (usable.length === 0) {
       return refuse("no-target", RETRY_AFTER_NO_TARGET_MS);
@@ -217,8 +216,8 @@
         ? refuse("overload", choice.expectedMs)
         : { kind: "send", ...choice };
     }
-    const share = Math.max(1, slots / Math.max(1, this.#vms.length));
-    const waitMs = (ahead + 1) * serviceMs / share;
+    const waitMs = this.#rate(request.service)
+      .waitMs(request.priority, { now, ahead });
     return waitMs + serviceMs > left
       ? refuse("overload", waitMs)
       : { kind: "wait" };
@@ -231,6 +230,7 @@
       return;
     }
     entry.load.sent();
+    this.#rate(entry.target.service).sent(now);
     if (this.#cold.isCold(id, now)) {
       this.#cold.sent(id, now, entry.target.coldPerSecond);
     }
@@ -382,6 +382,15 @@
     return budget;
   }
 
+  #rate(service: ServiceId): DrainRate {
+    let rate = this.#rates.get(service);
+    if (rate === undefined) {
+      rate = new DrainRate();
+      this.#rates.set(service, rate);
+    }
+    return rate;
+  }
+
   #index(): void {
     this.#services.clear();
     for (const entry of this.#entries.values()) {
