--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -122,6 +122,7 @@
   #failure: { answer: TargetAnswer; body: Buffer } | undefined;
   #digest: string | undefined;
   #sentAt: number | undefined;
+  #retryAfterMs: number | undefined;
   #last: AttemptSummary | undefined;
 
   constructor(
@@ -164,6 +165,11 @@
     return this.#last;
   }
 
+  /** When its caller was told to come back, in milliseconds; undefined where it was not. */
+  get retryAfterMs(): number | undefined {
+    return this.#retryAfterMs;
+  }
+
   /** How long it waited here before it was first sent, in milliseconds. */
   get waitedMs(): number {
     return (this.#sentAt ?? performance.now()) - this.startedAt;
@@ -223,6 +229,7 @@
       priority: this.priority,
       object: this.object,
       regions: this.route.regions,
+      arrivedAt: this.startedAt,
       answerBy: this.expiresAt,
       tried: this.#tried,
     }, { now, ahead });
@@ -552,6 +559,7 @@
     const attempt = this.#attempt;
     this.#attempt = undefined;
     attempt?.abandon();
+    this.#retryAfterMs = retryAfterMs;
     const isReading = this.#body !== undefined && !this.#body.complete;
     sendOwnAnswer(this.#res, reason, {
       retryAfterMs,
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -44,6 +44,9 @@
       attempts: exchange.attempts,
       durationMs: Math.round(now - exchange.startedAt),
       waitedMs: Math.round(exchange.waitedMs),
+      ...(exchange.retryAfterMs === undefined
+        ? {}
+        : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
       ...(last === undefined ? {} : {
         target: last.target,
         targetMs: Math.round(last.durationMs),
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -33,6 +33,8 @@
   /** Time of the last attempt, and how it ended. */
   readonly targetMs?: number;
   readonly targetEnd?: string;
+  /** When the caller was told to come back, in milliseconds. */
+  readonly retryAfterMs?: number;
   /** Requests that the target ran and queued when it answered. */
   readonly running?: number;
   readonly waiting?: number;
--- a/packages/placement/src/choose_test.ts
+++ b/packages/placement/src/choose_test.ts
@@ -20,6 +20,7 @@
     priority: 0,
     object: hashText(object),
     regions: [],
+    arrivedAt: now,
     answerBy: now + PATIENCE_MS,
     tried: new Set(),
   }, { now, ahead: 0 });
@@ -119,6 +120,32 @@
   });
 });
 
+describe("a request that finds no room", () => {
+  test("is told to come back at half of its time at the latest", () => {
+    // Its home stays full longer than expected, since more urgent requests keep
+    // coming. Held to the end of its time, it is refused when its caller has none
+    // left to try again.
+    const steering = steeringIn("north", targetsIn("north", 1));
+    const home = targetOf(place(steering, "draft"));
+    for (let sent = 0; sent < 6; sent++) {
+      steering.sent(home, 0);
+    }
+    const at = (now: number) =>
+      steering.place({
+        service: SERVICE,
+        priority: 0,
+        object: hashText("draft"),
+        regions: [],
+        arrivedAt: 0,
+        answerBy: 2_000,
+        tried: new Set(),
+      }, { now, ahead: 0 });
+    expect(at(10).kind).toBe("wait");
+    const decision = at(990);
+    expect(decision).toMatchObject({ kind: "refuse", reason: "overload" });
+  });
+});
+
 describe("shares of regions", () => {
   test("make the targets of all regions equally busy", () => {
     const regions = (values: Record<string, number>) =>
@@ -150,6 +177,7 @@
       priority: 0,
       object: undefined,
       regions: ["north" as RegionId],
+      arrivedAt: 0,
       answerBy: PATIENCE_MS,
       tried: new Set(),
     }, { now: 0, ahead: 0 });
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -30,6 +30,7 @@
   readonly object: number | undefined;
   /** Regions in which it may run; empty for all. */
   readonly regions: readonly RegionId[];
+  readonly arrivedAt: number;
   /** When its caller or its route stops waiting. */
   readonly answerBy: number;
   /** Targets that it must not go to again. */
@@ -93,6 +94,12 @@
  * with none waiting, a slot would stand idle for a round trip.
  */
 const QUEUE_PER_SLOT = 1;
+/**
+ * Share of its time that a request may wait here. The expected wait is a guess
+ * that more urgent requests can prove wrong; a request that is refused at half of
+ * its time can still be served when it comes back.
+ */
+const MOST_WAIT_SHARE = 0.5;
 /** Shortest Retry-After, in milliseconds: about one warm service time. */
 const RETRY_AFTER_LEAST_MS = 100;
 /** Retry-After where no target may be used, in milliseconds: the list of targets changes within about this time. */
@@ -218,7 +225,9 @@
     }
     const waitMs = this.#rate(request.service)
       .waitMs(request.priority, { now, ahead });
-    return waitMs + serviceMs > left
+    const waitsUntil = now + waitMs;
+    const mostWaitMs = (request.answerBy - request.arrivedAt) * MOST_WAIT_SHARE;
+    return waitsUntil > request.arrivedAt + mostWaitMs
       ? refuse("overload", waitMs)
       : { kind: "wait" };
   }
