--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -67,12 +67,16 @@
       name: string,
       help: string,
     ): void => {
-      const made: Gauge = new Gauge({
-        name: `poplarthread_gateway_${name}`,
-        help,
-        registers: [this.#registry],
-        collect: () => made.set(read()[field]),
-      });
+      this.#registry.registerMetric(
+        new Gauge({
+          name: `poplarthread_gateway_${name}`,
+          help,
+          registers: [],
+          collect() {
+            this.set(read()[field]);
+          },
+        }),
+      );
     };
     gauge(
       "openRequests",
