--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -7,3 +7,8 @@
 export { ExitCode } from "./exit_code.ts";
 export type { Terminal } from "./output.ts";
 export { run, type Surroundings } from "./program.ts";
+export {
+  type LogLine,
+  type RequestStory,
+  RequestStoryReader,
+} from "./request_story.ts";
