Never say not run of a request that an earlier attempt may have run

Cause: the word of the second target that it did not run a read also cleared what was known of the first one, whose connection had broken; the read was answered 503, which promises that it ran nowhere. Found while moving the reports of attempts out of the exchange into a module of their own. At-most-once requests were not concerned: they are not sent again after a break.

--- /dev/null
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -0,0 +1,111 @@
+/**
+ * Tells everybody concerned how an attempt ended: the log, the connections, the
+ * steering, and the watch over requests that crash targets.
+ *
+ * @module
+ */
+
+import type { Steering } from "@poplarthread/placement";
+import { NotSentError } from "../errors.ts";
+import type { Log } from "../log.ts";
+import type { Connections } from "./connections.ts";
+import type { CrashSuspects } from "./crash_suspects.ts";
+import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
+
+/** Who is told. */
+export interface AttemptReportServices {
+  readonly steering: Steering;
+  readonly connections: Connections;
+  readonly suspects: CrashSuspects;
+  readonly log: Log;
+}
+
+/** The end of an attempt, and whose it was. */
+export interface AttemptReport {
+  readonly end: TargetAttemptEnd;
+  readonly now: number;
+  /** The caller's id of the request. */
+  readonly request: string;
+  /** Hash of the object that the request concerns. */
+  readonly object: number | undefined;
+  /** What repeats of the request have in common with it. */
+  readonly digest: string | undefined;
+}
+
+/** See the module's comment. */
+export function reportAttempt(
+  services: AttemptReportServices,
+  attempt: TargetAttempt,
+  report: AttemptReport,
+): void {
+  logFailure(services.log, attempt, report);
+  tellConnections(services.connections, attempt, report.end);
+  tellSteering(services, attempt, report);
+}
+
+function logFailure(
+  log: Log,
+  attempt: TargetAttempt,
+  { end, now, request }: AttemptReport,
+): void {
+  if (end.kind === "answered" || end.kind === "abandoned") {
+    return;
+  }
+  const load = end.kind === "not-run" ? end.answer.load : undefined;
+  log.warn("attempt failed", {
+    request,
+    target: attempt.target,
+    end: end.kind,
+    durationMs: Math.round(now - attempt.startedAt),
+    ...("err" in end ? { reason: end.err.message } : {}),
+    ...(load === undefined
+      ? {}
+      : { running: load.running, waiting: load.waiting }),
+  });
+}
+
+function tellConnections(
+  connections: Connections,
+  { connection }: TargetAttempt,
+  end: TargetAttemptEnd,
+): void {
+  if (end.kind === "answered" || end.kind === "not-run") {
+    connections.giveBack(connection);
+  } else {
+    connections.drop(connection);
+  }
+}
+
+function tellSteering(
+  { steering, suspects }: AttemptReportServices,
+  { target, writtenAt }: TargetAttempt,
+  { end, now, object, digest }: AttemptReport,
+): void {
+  const times = { now, writtenAt };
+  switch (end.kind) {
+    case "answered":
+    case "not-run": {
+      const { load, status, isOtherTarget } = end.answer;
+      const failed = end.kind === "not-run" || status >= 500;
+      steering.ended(target, { kind: "answered", load, failed, object }, times);
+      if (isOtherTarget) {
+        steering.unreachable(target, now);
+      }
+      return;
+    }
+    case "broke":
+      steering.ended(target, { kind: "broke" }, times);
+      suspects.broke(digest, target, now);
+      return;
+    case "unreachable":
+      steering.ended(target, { kind: "abandoned" }, times);
+      if (!(end.err instanceof NotSentError)) {
+        steering.unreachable(target, now);
+        suspects.crashed(target, now);
+      }
+      return;
+    case "abandoned":
+      steering.ended(target, { kind: "abandoned" }, times);
+      return;
+  }
+}
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -13,18 +13,11 @@
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
-import {
-  hashText,
-  type LoadReport,
-  type Steering,
-} from "@poplarthread/placement";
-import { NotSentError } from "../errors.ts";
+import { hashText, type LoadReport } from "@poplarthread/placement";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
-import type { Log } from "../log.ts";
+import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
 import type { Route } from "./configuration.ts";
-import type { Connections } from "./connections.ts";
-import type { CrashSuspects } from "./crash_suspects.ts";
 import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
 import type { CallerRequest, Dialect, TargetAnswer } from "./ports.ts";
 import type { Placeable, RequestQueue } from "./request_queue.ts";
@@ -39,15 +32,11 @@
 export type GatewayExchangeEnd = "answered" | "caller-gone" | OwnAnswerReason;
 
 /** What an exchange works with; one object for all exchanges of a VM. */
-export interface GatewayExchangeServices {
+export interface GatewayExchangeServices extends AttemptReportServices {
   readonly dialect: Dialect;
   readonly wheel: DeadlineWheel;
-  readonly steering: Steering;
   readonly queue: RequestQueue;
-  readonly connections: Connections;
   readonly targets: TargetDirectory;
-  readonly suspects: CrashSuspects;
-  readonly log: Log;
   /** Called once for each exchange, when its caller has its final answer. */
   ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
   /** Called once for each attempt. */
@@ -118,6 +107,8 @@
   #unreachable = 0;
   /** A target may have run the request. */
   #mayHaveRun = false;
+  /** A target of an attempt before the last one may have. */
+  #mayHaveRunBefore = false;
   /** The last failure that a target answered; the caller gets it if nothing better comes. */
   #failure: { answer: TargetAnswer; body: Buffer } | undefined;
   #digest: string | undefined;
@@ -244,10 +235,7 @@
           this.#deliver(this.#failure.answer, this.#failure.body);
           return false;
         }
-        this.#answer(
-          this.#mayHaveRun ? "broken" : decision.reason,
-          decision.retryAfterMs,
-        );
+        this.#refuse(decision.reason, decision.retryAfterMs);
         return false;
     }
   }
@@ -324,8 +312,13 @@
       load: "answer" in end ? end.answer.load : undefined,
     };
     this.#services.attemptEnded(end.kind);
-    this.#logFailure(attempt, end, now);
-    this.#tellSteering(attempt, end, now);
+    reportAttempt(this.#services, attempt, {
+      end,
+      now,
+      request: this.request.requestId,
+      object: this.object,
+      digest: this.#digest,
+    });
     if (this.#attempt === attempt) {
       this.#attempt = undefined;
       this.#handle(end, now);
@@ -333,86 +326,19 @@
     this.#services.queue.pump(this.service, now);
   }
 
-  #logFailure(
-    attempt: TargetAttempt,
-    end: TargetAttemptEnd,
-    now: number,
-  ): void {
-    if (end.kind === "answered" || end.kind === "abandoned") {
-      return;
-    }
-    const load = end.kind === "not-run" ? end.answer.load : undefined;
-    this.#services.log.warn("attempt failed", {
-      request: this.request.requestId,
-      target: attempt.target,
-      end: end.kind,
-      durationMs: Math.round(now - attempt.startedAt),
-      ...("err" in end ? { reason: end.err.message } : {}),
-      ...(load === undefined
-        ? {}
-        : { running: load.running, waiting: load.waiting }),
-    });
-  }
-
-  #tellSteering(
-    attempt: TargetAttempt,
-    end: TargetAttemptEnd,
-    now: number,
-  ): void {
-    const { steering, connections } = this.#services;
-    const { target, writtenAt } = attempt;
-    const times = { now, writtenAt };
-    switch (end.kind) {
-      case "answered":
-      case "not-run": {
-        const { answer } = end;
-        connections.giveBack(attempt.connection);
-        const failed = end.kind === "not-run" || answer.status >= 500;
-        const { load } = answer;
-        const { object } = this;
-        steering.ended(
-          target,
-          { kind: "answered", load, failed, object },
-          times,
-        );
-        if (answer.isOtherTarget) {
-          steering.unreachable(target, now);
-        }
-        return;
-      }
-      case "broke":
-        connections.drop(attempt.connection);
-        steering.ended(target, { kind: "broke" }, times);
-        this.#services.suspects.broke(this.#digest, target, now);
-        return;
-      case "unreachable":
-        connections.drop(attempt.connection);
-        steering.ended(target, { kind: "abandoned" }, times);
-        if (!(end.err instanceof NotSentError)) {
-          steering.unreachable(target, now);
-          this.#services.suspects.crashed(target, now);
-        }
-        return;
-      case "abandoned":
-        connections.drop(attempt.connection);
-        steering.ended(target, { kind: "abandoned" }, times);
-        return;
-    }
-  }
-
   #handle(end: TargetAttemptEnd, now: number): void {
     switch (end.kind) {
       case "answered":
         this.#answered(end.answer, end.body, now);
         return;
       case "not-run":
-        this.#mayHaveRun = false;
-        this.#again(now, "refused-by-targets");
+        this.#mayHaveRun = this.#mayHaveRunBefore;
+        this.#again(now);
         return;
       case "unreachable":
         this.#unreachable += 1;
         if (this.#unreachable > MOST_UNREACHABLE) {
-          this.#answer("no-target", RETRY_LEAST_MS);
+          this.#refuse("no-target", RETRY_LEAST_MS);
           return;
         }
         this.#requeue(now);
@@ -433,7 +359,8 @@
     }
     if (answer.status >= 500 && this.route.repeat === "idempotent") {
       this.#failure = { answer, body };
-      this.#again(now, "broken");
+      this.#mayHaveRunBefore = true;
+      this.#again(now);
       return;
     }
     this.#deliver(answer, body);
@@ -450,11 +377,12 @@
       this.#answer("broken");
       return;
     }
-    this.#again(now, "broken");
+    this.#mayHaveRunBefore = true;
+    this.#again(now);
   }
 
   /** Sends it once more where that is allowed and can still be in time. */
-  #again(now: number, otherwise: OwnAnswerReason): void {
+  #again(now: number): void {
     const { steering } = this.#services;
     const isAllowed = this.#written < this.route.maxAttempts &&
       this.expiresAt - now > RETRY_LEAST_MS &&
@@ -465,7 +393,7 @@
     } else if (this.#failure !== undefined) {
       this.#deliver(this.#failure.answer, this.#failure.body);
     } else {
-      this.#answer(otherwise, RETRY_LEAST_MS);
+      this.#refuse("refused-by-targets", RETRY_LEAST_MS);
     }
   }
 
@@ -540,12 +468,22 @@
   /** The answer would end a connection on which further requests wait for theirs. */
   #handleUnframed(): void {
     if (this.route.repeat === "idempotent") {
-      this.#again(performance.now(), "broken");
+      this.#mayHaveRunBefore = true;
+      this.#again(performance.now());
     } else {
       this.#answer("broken");
     }
   }
 
+  /** Refuses it, which promises that it has not run; where nobody knows that, it failed instead. */
+  #refuse(reason: OwnAnswerReason, retryAfterMs: number): void {
+    if (this.#mayHaveRun) {
+      this.#answer("broken");
+    } else {
+      this.#answer(reason, retryAfterMs);
+    }
+  }
+
   #answer(reason: OwnAnswerReason, retryAfterMs?: number): void {
     if (this.#phase === "done") {
       return;
