Keep agreed orders, and ask waiting requests less often

Cause: each end of a request asked all that waited, and each asking sorted all targets anew.

Ruled out: an ordinary close instead of a reset (reset already there); the links (one region's own targets).

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -302,6 +302,7 @@
     const now = performance.now();
     this.#targets.sweep(now);
     this.#vms.sweep(now);
+    this.#queue.review(now);
     for (const target of this.#steering.checkSilence(now)) {
       this.#metrics.beliefChanged("target-silent");
       this.#log.warn("target silent", { target });
--- a/packages/daemon/src/gateway/request_queue.ts
+++ b/packages/daemon/src/gateway/request_queue.ts
@@ -14,6 +14,9 @@
   tryPlace(now: number, ahead: number): boolean;
 }
 
+/** Waiting requests that find no room before the others are not asked any more. */
+const STOP_AFTER = 6;
+
 /** See the module's comment. */
 export class RequestQueue {
   readonly #rooms = new Map<ServiceId, WaitingRoom<Placeable>>();
@@ -27,15 +30,16 @@
     return size;
   }
 
-  /** Adds a request and places what can be placed. */
+  /** Places a request, or lets it wait. */
   add(one: Placeable, now: number): void {
     let room = this.#rooms.get(one.service);
     if (room === undefined) {
       room = new WaitingRoom();
       this.#rooms.set(one.service, room);
     }
-    room.add(one);
-    this.pump(one.service, now);
+    if (one.tryPlace(now, room.ahead(one.priority))) {
+      room.add(one);
+    }
   }
 
   /** A request does not wait any more. */
@@ -43,26 +47,45 @@
     this.#rooms.get(one.service)?.remove(one);
   }
 
-  /** Places what can be placed of a service, the most urgent first. */
+  /**
+   * Places what can be placed of a service, the most urgent first. Stops when
+   * several in a row have found no room: asking all of them at the end of each
+   * request would cost a VM its whole processor share at the very moment at which
+   * it has the most to do.
+   */
   pump(service: ServiceId, now: number): void {
+    this.#pump(service, now, STOP_AFTER);
+  }
+
+  /** Places what can be placed of all services. */
+  pumpAll(now: number): void {
+    for (const service of this.#rooms.keys()) {
+      this.#pump(service, now, STOP_AFTER);
+    }
+  }
+
+  /** Asks all that wait, so that those which have waited too long are refused. */
+  review(now: number): void {
+    for (const service of this.#rooms.keys()) {
+      this.#pump(service, now, Infinity);
+    }
+  }
+
+  #pump(service: ServiceId, now: number, stopAfter: number): void {
     const room = this.#rooms.get(service);
     if (room === undefined || room.size === 0) {
       return;
     }
     let ahead = 0;
     for (const one of room.inOrder(now)) {
-      if (!one.tryPlace(now, ahead)) {
-        room.remove(one);
-      } else {
+      if (one.tryPlace(now, ahead)) {
         ahead += 1;
+      } else {
+        room.remove(one);
+      }
+      if (ahead >= stopAfter) {
+        return;
       }
-    }
-  }
-
-  /** Places what can be placed of all services. */
-  pumpAll(now: number): void {
-    for (const service of this.#rooms.keys()) {
-      this.pump(service, now);
     }
   }
 }
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -13,8 +13,7 @@
  * @module
  */
 
-import type { RegionId, TargetId } from "@poplarthread/ids";
-import { hashText, pairWeight } from "./hash.ts";
+import type { TargetId } from "@poplarthread/ids";
 import type { Place, PlacedTarget } from "./target.ts";
 
 /** What speaks for or against one target at this moment. */
@@ -77,100 +76,68 @@
   readonly expectedMs: number;
 }
 
-/** What a choice is made from. */
-export interface ChoiceOptions {
-  /** Where this VM is. */
-  readonly from: Place;
-  /** All targets that may serve the request, also those without room now: homes must not move when one is full. */
-  readonly all: readonly PlacedTarget[];
-  /** Share of the objects that have a home in each region; 1 where it is missing. */
-  readonly homeShares: ReadonlyMap<RegionId, number>;
-  /** Hash of the object; undefined where requests are all alike. */
-  readonly object: number | undefined;
-  readonly weights: PlacementWeights;
-  price(target: PlacedTarget): TargetPrice;
+/** A target that may be chosen. */
+export interface Candidate {
+  readonly target: PlacedTarget;
+  /**
+   * Position in the agreed order of the request's object among the targets that may
+   * be used, 0 for its home; undefined where requests are all alike.
+   */
+  readonly position: number | undefined;
+  readonly price: TargetPrice;
 }
 
-/** The cheapest of `targets`; undefined where there is none. */
+/** The cheapest of `candidates`; undefined where there is none. */
 export function choose(
-  targets: readonly PlacedTarget[],
-  options: ChoiceOptions,
+  candidates: readonly Candidate[],
+  { from, weights }: {
+    /** Where this VM is. */
+    readonly from: Place;
+    readonly weights: PlacementWeights;
+  },
 ): Choice | undefined {
-  const order = options.object === undefined
-    ? undefined
-    : agreedOrder(options.object, options);
-  let best: Choice | undefined;
+  let best: Candidate | undefined;
   let bestCost = Infinity;
-  for (const target of targets) {
-    const price = options.price(target);
-    const cost = costOf(target, price, options, order);
+  for (const candidate of candidates) {
+    const cost = wayCost(candidate, from, weights) +
+      warmthCost(candidate, weights);
     if (cost < bestCost) {
       bestCost = cost;
-      best = {
-        target: target.id,
-        expectedMs: price.waitMs + price.roundTripMs,
-      };
+      best = candidate;
     }
   }
-  return best;
+  return best && {
+    target: best.target.id,
+    expectedMs: best.price.waitMs + best.price.roundTripMs,
+  };
 }
 
-function costOf(
-  target: PlacedTarget,
-  price: TargetPrice,
-  options: ChoiceOptions,
-  order: ReadonlyMap<TargetId, number> | undefined,
+function wayCost(
+  { target, price }: Candidate,
+  from: Place,
+  weights: PlacementWeights,
 ): number {
-  const { weights, from } = options;
-  let cost = price.roundTripMs + price.waitMs +
+  const cost = price.roundTripMs + price.waitMs +
     price.failureShare * weights.failingMs;
   if (target.region !== from.region) {
-    cost += weights.leaveRegionMs;
-  } else if (target.zone !== from.zone) {
-    cost += weights.leaveZoneMs;
+    return cost + weights.leaveRegionMs;
   }
-  if (order === undefined) {
+  return target.zone === from.zone ? cost : cost + weights.leaveZoneMs;
+}
+
+function warmthCost(
+  { target, position, price }: Candidate,
+  weights: PlacementWeights,
+): number {
+  if (position === undefined) {
     // Equal targets must not all be filled in the order of the list.
-    return cost + target.hash % TIE_STEPS / TIE_STEPS;
+    return target.hash % TIE_STEPS / TIE_STEPS;
   }
-  const position = Math.min(
-    order.get(target.id) ?? MOST_POSITION,
-    MOST_POSITION,
-  );
   if (position === 0) {
-    return cost;
+    return 0;
   }
-  return cost +
-    (price.isWarm
-      ? position * weights.awayMs
-      : weights.unwarmedMs + (position - 1) * weights.unwarmedStepMs);
-}
-
-/**
- * The order in which all VMs use targets for an object. The first one is its
- * home, in the region of this VM if the object has a home there; the next ones
- * take what the home has no room for.
- */
-function agreedOrder(
-  object: number,
-  { all, from, homeShares }: ChoiceOptions,
-): ReadonlyMap<TargetId, number> {
-  const isHomeHere = hasHome(object, from.region, homeShares);
-  const weighed = all.map((target) => ({
-    id: target.id,
-    // Targets of this region come first, or last where it has no home for the object.
-    weight: pairWeight(object, target.hash) / 2 ** 32 +
-      (target.region === from.region ? (isHomeHere ? 1 : -1) : 0),
-  }));
-  weighed.sort((a, b) => b.weight - a.weight);
-  return new Map(weighed.map(({ id }, position) => [id, position]));
-}
-
-function hasHome(
-  object: number,
-  region: RegionId,
-  shares: ReadonlyMap<RegionId, number>,
-): boolean {
-  const position = pairWeight(object, hashText(region)) / 2 ** 32;
-  return position < (shares.get(region) ?? 1);
+  const away = Math.min(position, MOST_POSITION);
+  return price.isWarm
+    ? away * weights.awayMs
+    : weights.unwarmedMs + (away - 1) * weights.unwarmedStepMs;
 }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -9,7 +9,13 @@
  */
 
 import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
-import { choose, DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
+import { agreedOrder } from "./agreed_order.ts";
+import {
+  type Candidate,
+  choose,
+  DEFAULT_WEIGHTS,
+  type PlacementWeights,
+} from "./choose.ts";
 import { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
 import { DrainRate } from "./drain_rate.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
@@ -123,6 +129,12 @@
   readonly #cold = new ColdTargets();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
+  /**
+   * Orders by service and object, until the targets or VMs change. Computed anew
+   * for each request that waits, they took most of a VM's processor time on the
+   * heaviest seconds, and answers came a second late.
+   */
+  readonly #orders = new Map<string, readonly Entry[]>();
   readonly #rates = new Map<ServiceId, DrainRate>();
   readonly #budgets = new Map<ServiceId, FleetRetryBudget>();
   #vms: readonly ColdOwner[] = [];
@@ -209,8 +221,8 @@
     request: PlacementRequest,
     { now, ahead }: { now: number; ahead: number },
   ): PlacementDecision {
-    const entries = this.#services.get(request.service) ?? [];
-    const usable = entries.filter((entry) => this.#isUsable(entry, request));
+    const usable = this.#ordered(request)
+      .filter((entry) => this.#isUsable(entry, request));
     const serviceMs = this.#times.mean(request.service);
     if (usable.length === 0) {
       return refuse("no-target", RETRY_AFTER_NO_TARGET_MS);
@@ -359,27 +371,53 @@
     return load.inFlight(now) + 1 <= target.slots * (1 + QUEUE_PER_SLOT);
   }
 
+  /** The cheapest of `usable`, which are in the agreed order of the request's object. */
   #choose(usable: readonly Entry[], request: PlacementRequest, now: number) {
     const serviceMs = this.#times.mean(request.service);
     const { object } = request;
-    const takers = usable.filter((entry) => this.#takes(entry, now));
-    return choose(takers.map(({ target }) => target), {
-      from: this.#options.place,
-      all: usable.map(({ target }) => target),
-      homeShares: this.#shares.get(request.service) ?? NO_SHARES,
-      object,
-      weights: this.#weights,
-      price: (target) => {
-        const { load, belief } = this.#entries.get(target.id)!;
-        return {
+    const candidates: Candidate[] = [];
+    usable.forEach((entry, position) => {
+      const { target, load, belief } = entry;
+      if (!this.#takes(entry, now)) {
+        return;
+      }
+      candidates.push({
+        target,
+        position: object === undefined ? undefined : position,
+        price: {
           roundTripMs: this.roundTrips.to(target),
           waitMs: load.waitMs(now, { slots: target.slots, serviceMs }),
           isWarm: object !== undefined &&
             this.#warm.isWarm(object, target.id, now),
           failureShare: belief.failureShare(now),
-        };
-      },
+        },
+      });
     });
+    return choose(candidates, {
+      from: this.#options.place,
+      weights: this.#weights,
+    });
+  }
+
+  /** All targets of a request's service, in the agreed order of its object. */
+  #ordered({ service, object }: PlacementRequest): readonly Entry[] {
+    const entries = this.#services.get(service) ?? [];
+    if (object === undefined) {
+      return entries;
+    }
+    const key = `${service} ${object}`;
+    let order = this.#orders.get(key);
+    if (order === undefined) {
+      order = agreedOrder(object, entries, {
+        from: this.#options.place,
+        homeShares: this.#shares.get(service) ?? NO_SHARES,
+      });
+      if (this.#orders.size >= MOST_ORDERS) {
+        this.#orders.clear();
+      }
+      this.#orders.set(key, order);
+    }
+    return order;
   }
 
   #budget(service: ServiceId): FleetRetryBudget {
@@ -420,6 +458,7 @@
       vms.set(region, (vms.get(region) ?? 0) + 1);
     }
     this.#shares.clear();
+    this.#orders.clear();
     for (const [service, entries] of this.#services) {
       const slots = new Map<RegionId, number>();
       for (const { target } of entries) {
@@ -431,6 +470,8 @@
   }
 }
 
+/** Orders that are kept; one of 34 targets takes some 400 bytes. */
+const MOST_ORDERS = 5_000;
 const NO_SHARES: ReadonlyMap<RegionId, number> = new Map();
 
 function refuse(
--- a/packages/placement/src/warm_objects.ts
+++ b/packages/placement/src/warm_objects.ts
@@ -13,37 +13,39 @@
  * for at all comes back within a few seconds.
  */
 const KEPT_MS = 12_000;
-/** Pairs that are remembered; beyond it the oldest go. 20,000 pairs take about 2 MB. */
-const MOST_PAIRS = 20_000;
+/** Objects that are remembered; beyond it the oldest go. With some five targets each, 5,000 objects take about 2 MB. */
+const MOST_OBJECTS = 5_000;
+
+/** When this VM last sent requests for an object to targets, in milliseconds. */
+type UsedAt = Map<TargetId, number>;
 
 /** Remembers pairs of object and target. */
 export class WarmObjects {
-  /** In the order of last use, so that the oldest pair is the first one. */
-  readonly #usedAt = new Map<string, number>();
+  /** In the order of last use, so that the oldest object is the first one. */
+  readonly #objects = new Map<number, UsedAt>();
 
   /** A target answered a request for the object. */
   used(object: number, target: TargetId, now: number): void {
-    const pair = `${object} ${target}`;
-    this.#usedAt.delete(pair);
-    this.#usedAt.set(pair, now);
-    if (this.#usedAt.size > MOST_PAIRS) {
-      const [oldest] = this.#usedAt.keys();
-      this.#usedAt.delete(oldest!);
+    const usedAt: UsedAt = this.#objects.get(object) ?? new Map();
+    this.#objects.delete(object);
+    usedAt.set(target, now);
+    this.#objects.set(object, usedAt);
+    if (this.#objects.size > MOST_OBJECTS) {
+      const [oldest] = this.#objects.keys();
+      this.#objects.delete(oldest!);
     }
   }
 
   /** Whether the target likely keeps the object. */
   isWarm(object: number, target: TargetId, now: number): boolean {
-    const usedAt = this.#usedAt.get(`${object} ${target}`);
+    const usedAt = this.#objects.get(object)?.get(target);
     return usedAt !== undefined && now - usedAt < KEPT_MS;
   }
 
   /** The target has started anew and keeps nothing. */
   forget(target: TargetId): void {
-    for (const pair of this.#usedAt.keys()) {
-      if (pair.endsWith(` ${target}`)) {
-        this.#usedAt.delete(pair);
-      }
+    for (const usedAt of this.#objects.values()) {
+      usedAt.delete(target);
     }
   }
 }
