--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -171,23 +171,16 @@
     this.#listener = options.listener;
   }
 
-  /** Connections that are open to a target. */
-  openTo(id: TargetId): number {
-    return this.#open.get(id)?.size ?? 0;
-  }
-
   /** An idle connection, the one used last, or a new one. */
-  take(
-    target: ConnectionTarget,
-  ): { readonly connection: Connection; readonly isFresh: boolean } {
+  take(target: ConnectionTarget): Connection {
     const idle = this.#idle.get(target.id);
     for (let one = idle?.pop(); one !== undefined; one = idle?.pop()) {
       if (one.isOpen && one.address === target.address) {
-        return { connection: one, isFresh: false };
+        return one;
       }
       one.destroy();
     }
-    return { connection: this.fresh(target), isFresh: true };
+    return this.fresh(target);
   }
 
   /** A new connection. */
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -409,7 +409,7 @@
     this.#phase = "sent";
     this.#sentAt ??= now;
     steering.sent(id, now);
-    const { connection, isFresh } = connections.take({
+    const connection = connections.take({
       id,
       address: target.address,
       roundTripMs: steering.roundTripTo(id),
@@ -418,7 +418,6 @@
       target: id,
       requestId: this.request.requestId,
       connection,
-      isFresh,
       dialect,
     });
     this.#attempt = attempt;
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -18,8 +18,6 @@
   readonly retries: RetryBound;
   /** From SIGTERM to SIGKILL. */
   readonly stopMs: number;
-  /** Silence after which a VM counts as out of touch. */
-  readonly contactMs: number;
   /** Longest lifetime of a look-up's answer. */
   readonly lookupMs: number;
 }
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -62,15 +62,12 @@
   readonly requestId: string;
   readonly connection: Connection;
   readonly dialect: Dialect;
-  readonly isFresh: boolean;
 }
 
 /** Handles undici's events; see the module's comment. */
 export class TargetAttempt implements Dispatcher.DispatchHandler {
   readonly target: TargetId;
   readonly connection: Connection;
-  /** Whether the connection was made for it. */
-  readonly isFresh: boolean;
   readonly startedAt = performance.now();
   readonly #owner: TargetAttemptOwner;
   readonly #options: TargetAttemptOptions;
@@ -89,7 +86,6 @@
     this.#options = options;
     this.target = options.target;
     this.connection = options.connection;
-    this.isFresh = options.isFresh;
   }
 
   /** When its first byte was written; undefined where none may have been. */
--- a/packages/daemon/src/gateway/target_directory.ts
+++ b/packages/daemon/src/gateway/target_directory.ts
@@ -57,10 +57,6 @@
     return this.#known.get(id);
   }
 
-  all(): Iterable<AnnouncedTarget> {
-    return this.#known.values();
-  }
-
   /** The service of a target as the configuration in force has it. */
   serviceOf(id: TargetId): Service | undefined {
     const target = this.#known.get(id);
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { InstanceId, VmId } from "@poplarthread/ids";
+import type { VmId } from "@poplarthread/ids";
 import { type ColdOwner, hashText } from "@poplarthread/placement";
 import type { LookupQuestion, Member } from "./ports.ts";
 
@@ -130,11 +130,6 @@
       .map(({ callerAddress }) => callerAddress);
   }
 
-  /** The life of a VM that was heard last. */
-  instanceOf(vm: VmId): InstanceId | undefined {
-    return this.#entries.get(vm)?.member.instance;
-  }
-
   #isHeard(entry: Entry, now: number): boolean {
     return now - entry.heardAt < HEARD_WITHIN_MS;
   }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -194,11 +194,6 @@
     this.#cold.mark(id, until);
   }
 
-  /** Whether the target takes requests, and why not otherwise. */
-  standing(id: TargetId): TargetBelief["standing"] | "unknown" {
-    return this.#entries.get(id)?.belief.standing ?? "unknown";
-  }
-
   /** Round trip to a target, in milliseconds; 0 where it is not known. */
   roundTripTo(id: TargetId): number {
     const entry = this.#entries.get(id);
@@ -244,7 +239,7 @@
       : { kind: "wait" };
   }
 
-  /** A request is sent to a target; returns the time by which its end is to be told. */
+  /** A request is sent to a target; {@link ended} follows. */
   sent(id: TargetId, now: number): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) {
