--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -17,6 +17,7 @@
   decisions: () => import("./decisions/main.ts"),
   coordination: () => import("./coordination/main.ts"),
   slopes: () => import("./slopes/main.ts"),
+  journal: () => import("./journal/main.ts"),
 };
 
 const [name = "", ...args] = process.argv.slice(2);
