--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,7 +9,7 @@
     testTimeout: 120_000,
     include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
     // These need a build and run one at a time: see vitest.process.config.ts.
-    exclude: ["packages/standins/src/process/**"],
+    exclude: ["packages/standins/src/process/**", "platform/src/process/**"],
     server: { deps: { inline: [/@poplarthread\//] } },
   },
 });
--- a/vitest.process.config.ts
+++ b/vitest.process.config.ts
@@ -8,7 +8,10 @@
   ssr: { resolve: { conditions: ["source", "node", "import", "default"] } },
   resolve: { conditions: ["source", "node", "import", "default"] },
   test: {
-    include: ["packages/standins/src/process/**/*_test.ts"],
+    include: [
+      "packages/standins/src/process/**/*_test.ts",
+      "platform/src/process/**/*_test.ts",
+    ],
     server: { deps: { inline: [/@poplarthread\//] } },
     fileParallelism: false,
   },
