Move homes out of a region whose zone is evacuated

Shares of homes counted evacuated targets too, so that half of a region's targets had to serve all its objects. Now they count those that may be used; the test failed before.

--- a/packages/placement/src/choose_test.ts
+++ b/packages/placement/src/choose_test.ts
@@ -5,7 +5,7 @@
  */
 
 import { describe, expect, test } from "vitest";
-import type { RegionId, TargetId } from "@poplarthread/ids";
+import type { RegionId, TargetId, ZoneId } from "@poplarthread/ids";
 import { hashText } from "./hash.ts";
 import { homeShares } from "./home_shares.ts";
 import type { PlacementDecision, Steering } from "./steering.ts";
@@ -120,6 +120,36 @@
   });
 });
 
+describe("a region that loses half of its targets", () => {
+  test("is home to fewer objects until it has them back", () => {
+    // A zone is evacuated. If the rest of its region had to serve all of the region's
+    // objects, its requests would wait and be refused for as long as that lasts, while
+    // targets of other regions stand idle.
+    const targets = [
+      ...targetsIn("north", 8),
+      ...targetsIn("south", 4),
+      ...targetsIn("south", 4).map((target) => ({
+        ...target,
+        id: `b-${target.id}` as TargetId,
+        hash: hashText(`b-${target.id}`),
+        zone: "south-2" as ZoneId,
+      })),
+    ];
+    const steering = steeringIn("south", targets);
+    const local = () =>
+      OBJECTS.filter((object) =>
+        targetOf(place(steering, object)).includes("south")
+      ).length;
+    expect(local()).toBe(OBJECTS.length);
+    steering.setEvacuated(new Set(["south-2"]));
+    const kept = local();
+    expect(kept).toBeLessThan(OBJECTS.length);
+    expect(kept).toBeGreaterThan(OBJECTS.length / 2);
+    steering.setEvacuated(new Set());
+    expect(local()).toBe(OBJECTS.length);
+  });
+});
+
 describe("a request that finds no room", () => {
   test("is told to come back at half of its time at the latest", () => {
     // Its home stays full longer than expected, since more urgent requests keep
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -158,6 +158,7 @@
   /** Zones whose targets get nothing. */
   setEvacuated(zones: ReadonlySet<string>): void {
     this.#evacuated = zones;
+    this.#shareHomes();
   }
 
   /** Adds a target, or takes in what has changed about it. */
@@ -457,6 +458,9 @@
     for (const [service, entries] of this.#services) {
       const slots = new Map<RegionId, number>();
       for (const { target } of entries) {
+        if (target.leaving || this.#evacuated.has(target.zone)) {
+          continue;
+        }
         const before = slots.get(target.region) ?? 0;
         slots.set(target.region, before + target.slots);
       }
