Answer a body that cannot be read at once

Cause: a parse error in a body left its request waiting for the rest until its time had passed; it was then answered 408 after two seconds instead of 400 at once.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -291,10 +291,14 @@
       return;
     }
     connection.isEnding = true;
+    const isIdle = connection.exchanges.size === 0;
+    for (const exchange of connection.exchanges) {
+      exchange.bodyMalformed();
+    }
     const answer = `HTTP/1.1 ${statusLineOf(err.code)}\r\n` +
       "connection: close\r\ncontent-length: 0\r\n\r\n";
     this.#options.refused(undefined, "malformed");
-    if (connection.exchanges.size === 0) {
+    if (isIdle) {
       socket.end(answer);
       return;
     }
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -211,6 +211,13 @@
     this.#answer("body-too-large");
   }
 
+  /** What the caller sends as its body cannot be read, and its end cannot be known. */
+  bodyMalformed(): void {
+    if (this.#phase === "reading") {
+      this.#answer("malformed");
+    }
+  }
+
   tryPlace(now: number, ahead: number): boolean {
     if (this.#phase !== "waiting") {
       return false;
