Compute what hangs on all targets once a request needs it

Cause: each target that was set, and each VM that came up, made the index of all targets, the owners of cold ones and the shares of homes anew. Now they are computed when a request is placed. No decision changes; the placement's tests are the same.

--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -115,17 +115,30 @@
   target: SteeredTarget;
   readonly load: TargetLoad;
   readonly belief: TargetBelief;
+  /** The VM that may send to it while it is cold, as of the last index. */
   owner: VmId | undefined;
 }
 
+/** The targets of a service, with what is computed from all of them. */
+interface IndexedService {
+  readonly entries: readonly Entry[];
+  readonly homeShares: ReadonlyMap<RegionId, number>;
+}
+
+type TargetIndex = ReadonlyMap<ServiceId, IndexedService>;
+
 /** See the module's comment. */
 export class Steering {
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
   readonly #weights: PlacementWeights;
   readonly #entries = new Map<TargetId, Entry>();
-  readonly #services = new Map<ServiceId, Entry[]>();
-  readonly #shares = new Map<ServiceId, ReadonlyMap<RegionId, number>>();
+  /**
+   * Computed when a request needs it, undefined until then. A VM that starts takes
+   * in some hundred targets and VMs one after the other; computed anew for each,
+   * it would be busy with that for as long as it takes to serve dozens of requests.
+   */
+  #index: TargetIndex | undefined;
   readonly #cold = new ColdTargets();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
@@ -150,10 +163,7 @@
   /** The VMs that take part, this one among them. */
   setVms(vms: readonly ColdOwner[]): void {
     this.#vms = vms;
-    for (const entry of this.#entries.values()) {
-      entry.owner = ownerOf(entry.target, vms);
-    }
-    this.#shareHomes();
+    this.#changed();
   }
 
   /** Number of VMs that share the limits of all VMs together; more than those that take part, while some may be behind a cut. */
@@ -164,7 +174,7 @@
   /** Zones whose targets get nothing. */
   setEvacuated(zones: ReadonlySet<string>): void {
     this.#evacuated = zones;
-    this.#shareHomes();
+    this.#changed();
   }
 
   /** Adds a target, or takes in what has changed about it. */
@@ -175,12 +185,12 @@
         target,
         load: new TargetLoad(),
         belief: new TargetBelief(),
-        owner: ownerOf(target, this.#vms),
+        owner: undefined,
       });
     } else {
       entry.target = target;
     }
-    this.#index();
+    this.#changed();
   }
 
   /** The target is gone. */
@@ -188,7 +198,7 @@
     this.#entries.delete(id);
     this.#cold.forget(id);
     this.#warm.forget(id);
-    this.#index();
+    this.#changed();
   }
 
   /** The target has started anew: it keeps nothing warm. */
@@ -406,7 +416,7 @@
 
   /** All targets of a request's service, in the agreed order of its object. */
   #ordered({ service, object }: PlacementRequest): readonly Entry[] {
-    const entries = this.#services.get(service) ?? [];
+    const { entries, homeShares } = this.#indexed(service);
     if (object === undefined) {
       return entries;
     }
@@ -415,7 +425,7 @@
     if (order === undefined) {
       order = agreedOrder(object, entries, {
         from: this.#options.place,
-        homeShares: this.#shares.get(service) ?? NO_SHARES,
+        homeShares,
       });
       if (this.#orders.size >= MOST_ORDERS) {
         this.#orders.clear();
@@ -443,44 +453,55 @@
     return rate;
   }
 
-  #index(): void {
-    this.#services.clear();
+  /** What is computed from all targets and VMs no longer holds. */
+  #changed(): void {
+    this.#index = undefined;
+    this.#orders.clear();
+  }
+
+  #indexed(service: ServiceId): IndexedService {
+    this.#index ??= this.#computeIndex();
+    return this.#index.get(service) ?? NO_TARGETS;
+  }
+
+  #computeIndex(): TargetIndex {
+    const vms = new Map<RegionId, number>();
+    for (const { region } of this.#vms) {
+      vms.set(region, (vms.get(region) ?? 0) + 1);
+    }
+    const services = new Map<ServiceId, Entry[]>();
     for (const entry of this.#entries.values()) {
+      entry.owner = ownerOf(entry.target, this.#vms);
       const { service } = entry.target;
-      const list = this.#services.get(service);
+      const list = services.get(service);
       if (list === undefined) {
-        this.#services.set(service, [entry]);
+        services.set(service, [entry]);
       } else {
         list.push(entry);
       }
     }
-    this.#shareHomes();
+    return new Map([...services].map(([service, entries]) => {
+      const slots = this.#usableSlots(entries);
+      return [service, { entries, homeShares: homeShares({ slots, vms }) }];
+    }));
   }
 
-  #shareHomes(): void {
-    const vms = new Map<RegionId, number>();
-    for (const { region } of this.#vms) {
-      vms.set(region, (vms.get(region) ?? 0) + 1);
-    }
-    this.#shares.clear();
-    this.#orders.clear();
-    for (const [service, entries] of this.#services) {
-      const slots = new Map<RegionId, number>();
-      for (const { target } of entries) {
-        if (target.leaving || this.#evacuated.has(target.zone)) {
-          continue;
-        }
+  /** Slots by region, without those of targets that get nothing new. */
+  #usableSlots(entries: readonly Entry[]): ReadonlyMap<RegionId, number> {
+    const slots = new Map<RegionId, number>();
+    for (const { target } of entries) {
+      if (!target.leaving && !this.#evacuated.has(target.zone)) {
         const before = slots.get(target.region) ?? 0;
         slots.set(target.region, before + target.slots);
       }
-      this.#shares.set(service, homeShares({ slots, vms }));
     }
+    return slots;
   }
 }
 
 /** Orders that are kept; one of 34 targets takes some 400 bytes. */
 const MOST_ORDERS = 5_000;
-const NO_SHARES: ReadonlyMap<RegionId, number> = new Map();
+const NO_TARGETS: IndexedService = { entries: [], homeShares: new Map() };
 
 function refuse(
   reason: PlacementRefusal,
