--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -7,9 +7,9 @@
 
 import type { Steering } from "@poplarthread/placement";
 import { NotSentError } from "../errors.ts";
-import type { Log } from "../log.ts";
 import type { Connections } from "./connections.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
+import type { EventLog } from "./events.ts";
 import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
 
 /** Who is told. */
@@ -17,7 +17,7 @@
   readonly steering: Steering;
   readonly connections: Connections;
   readonly suspects: CrashSuspects;
-  readonly log: Log;
+  readonly log: EventLog;
 }
 
 /** The end of an attempt, and whose it was. */
@@ -44,7 +44,7 @@
 }
 
 function logFailure(
-  log: Log,
+  log: EventLog,
   attempt: TargetAttempt,
   { end, now, request }: AttemptReport,
 ): void {
@@ -52,7 +52,7 @@
     return;
   }
   const load = end.kind === "not-run" ? end.answer.load : undefined;
-  log.warn("attempt failed", {
+  log.write("attempt failed", {
     request,
     target: attempt.target,
     end: end.kind,
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -64,6 +64,8 @@
   readonly services: GatewayExchangeServices;
   /** Told of answers that no exchange gave. */
   refused(request: CallerRequest | undefined, reason: OwnAnswerReason): void;
+  /** Told of connections that could not be accepted. */
+  notAccepted(err: Error): void;
 }
 
 /** A connection and what is open on it. */
@@ -133,7 +135,13 @@
     );
     this.#server = server;
     const { host, port } = this.#options.listen;
-    return listen(server, { host, port, backlog: BACKLOG });
+    return listen(
+      server,
+      { host, port, backlog: BACKLOG },
+      // A connection that could not be accepted, for want of descriptors, is no
+      // reason to cut all others, as a new start of this task would.
+      (err) => this.#options.notAccepted(err),
+    );
   }
 
   protected override close(): void {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,8 +5,7 @@
  * @module
  */
 
-import { randomBytes } from "node:crypto";
-import type { InstanceId, TargetId, VmId, ZoneId } from "@poplarthread/ids";
+import type { TargetId, VmId, ZoneId } from "@poplarthread/ids";
 import { Steering } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
 import { DeadlineWheel } from "../http/deadline_wheel.ts";
@@ -17,6 +16,7 @@
 import type { RoutingConfiguration } from "./configuration.ts";
 import { Connections } from "./connections.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
+import { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { HealthProber } from "./health_prober.ts";
@@ -85,7 +85,7 @@
   readonly #settings: GatewaySettings;
   readonly #feed: PlatformFeed;
   readonly #dialect: Dialect;
-  readonly #log: Log;
+  readonly #log: EventLog;
   readonly #requestLog: RequestLog;
   readonly #metrics: GatewayMetrics;
   readonly #self: Member;
@@ -104,26 +104,28 @@
   #evacuated: ReadonlySet<ZoneId> = new Set();
   #hasTargets = false;
   #leaving = false;
+  /** The planned stop; whoever asks for it again waits for the same one. */
+  #stopped: Promise<void> | undefined;
   #fail: (err: unknown) => void = () => undefined;
 
   constructor(settings: GatewaySettings, ports: GatewayPorts) {
-    const { vm, zone, region, cores, listen, bounds } = settings;
+    const { vm, instance, zone, region, cores, listen, bounds } = settings;
     this.#settings = settings;
     this.#dialect = ports.dialect;
-    this.#log = ports.log;
-    this.#requestLog = new RequestLog(ports.log);
+    this.#log = new EventLog(ports.log);
+    this.#requestLog = new RequestLog(this.#log);
     this.#metrics = new GatewayMetrics(() => ({
       openRequests: this.#callers.openRequests,
       waitingRequests: this.#queue.size,
       configurationVersion: this.#callers.version,
       targets: this.#targets.size,
       vmsUp: this.#vms.up(performance.now()).length,
-      droppedLines: ports.log.dropped,
+      droppedLines: this.#log.dropped,
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
     this.#self = {
       vm,
-      instance: `${vm}.${randomBytes(4).toString("hex")}` as InstanceId,
+      instance,
       zone,
       region,
       callerAddress: `${listen.callers.host}:${listen.callers.port}`,
@@ -148,7 +150,7 @@
           this.#suspects.crashed(target.id, performance.now());
         }
         this.#metrics.beliefChanged(`target-${what}`);
-        this.#log.info(`target ${what}`, {
+        this.#log.write(`target ${what}`, {
           target: target.id,
           service: target.service,
           zone: target.zone,
@@ -159,7 +161,7 @@
       self: this.#self,
       onChange: (member, change) => {
         this.#metrics.beliefChanged(`peer-${change}`);
-        this.#log.info(`peer ${change}`, { peer: member.instance });
+        this.#log.write(`peer ${change}`, { peer: member.instance });
         this.#steering.setVms(this.#vms.owners(performance.now()));
       },
     });
@@ -187,7 +189,7 @@
     });
     this.#feed = new PlatformFeed({
       platform: ports.platform,
-      log: ports.log,
+      log: this.#log,
       relays: () => this.#vms.relays(performance.now()),
       listener: (event) => this.#onPlatform(event),
     });
@@ -202,13 +204,18 @@
     this.#feed.start(this.#self);
     this.#every(BUSY_TICK_MS, () => this.#busyTick());
     this.#every(IDLE_TICK_MS, () => this.#idleTick());
-    this.#log.info("started", { instance: this.#self.instance });
+    this.#log.write("started", {});
   }
 
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const startedAt = performance.now();
     const mostMs = this.#settings.bounds.stopMs - STOP_MARGIN_MS;
-    this.#log.info("leaving");
+    this.#log.write("leaving", {});
     this.#leaving = true;
     this.#vms.leave();
     this.#callers.send({ kind: "leave" });
@@ -220,7 +227,7 @@
     ) {
       await pause(STOP_CHECK_MS);
     }
-    this.#log.info("stopped", { open: this.#callers.openRequests });
+    this.#log.write("stopped", { open: this.#callers.openRequests });
     await this.kill();
   }
 
@@ -248,9 +255,11 @@
         ended: (exchange, end) => this.#ended(exchange, end),
         attemptEnded: (end) => this.#metrics.attemptEnded(end),
       },
+      notAccepted: (err) =>
+        this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
         this.#metrics.requestRefused(reason);
-        this.#log.info("request refused", {
+        this.#log.write("request refused", {
           request: request?.requestId ?? "",
           reason,
           revision: this.#callers.version,
@@ -272,8 +281,8 @@
     const root = new Supervisor("gateway", {
       listener: {
         taskFailed: (task, err) =>
-          this.#log.error("task failed", { task, reason: messageOf(err) }),
-        taskRestarted: (task) => this.#log.info("task restarted", { task }),
+          this.#log.write("task failed", { task, reason: messageOf(err) }),
+        taskRestarted: (task) => this.#log.write("task restarted", { task }),
       },
     });
     const metrics = new MetricsListener({
@@ -314,7 +323,7 @@
     this.#queue.review(now);
     for (const target of this.#steering.checkSilence(now)) {
       this.#metrics.beliefChanged("target-silent");
-      this.#log.warn("target silent", { target });
+      this.#log.write("target silent", { target });
     }
     for (const target of this.#steering.probesDue(now)) {
       this.#probe(target);
@@ -336,11 +345,11 @@
           // It may have started anew since: its list entry tells that only later.
           const coldMs = health.coldMs;
           this.#steering.probeAnswered(id, { now: performance.now(), coldMs });
-          this.#log.info("target answers again", { target: id });
+          this.#log.write("target answers again", { target: id });
         }
       },
       (err) =>
-        this.#log.debug("probe failed", { target: id, reason: messageOf(err) }),
+        this.#log.write("probe failed", { target: id, reason: messageOf(err) }),
     );
   }
 
@@ -356,7 +365,10 @@
     const now = performance.now();
     const seconds = (now - exchange.startedAt) / 1_000;
     this.#metrics.requestEnded(end, { priority: exchange.priority, seconds });
-    this.#requestLog.ended(exchange, end, now);
+    this.#requestLog.ended(exchange, end, {
+      now,
+      newsMs: this.#feed.ageOf("targets"),
+    });
   }
 
   #heard(heartbeat: Heartbeat): void {
@@ -398,7 +410,7 @@
         this.#adopt(event.configuration);
         return;
       case "unusable-configuration":
-        this.#log.warn("configuration not used", { reason: event.reason });
+        this.#log.write("configuration not used", { reason: event.reason });
         return;
       case "evacuations":
         this.#evacuate(event.zones, now);
@@ -416,21 +428,29 @@
         if (event.subject === "targets") {
           this.#targets.contact(event.isLost, now);
         }
-        this.#log.info(event.isLost ? "contact lost" : "contact regained", {
-          subject: event.subject,
-          ...(event.reason === undefined ? {} : { reason: event.reason }),
-        });
+        this.#logContact(event);
         return;
     }
   }
 
+  #logContact(
+    { subject, isLost, reason }: Extract<FeedEvent, { kind: "contact" }>,
+  ): void {
+    if (isLost) {
+      const why = reason === undefined ? {} : { reason };
+      this.#log.write("contact lost", { subject, ...why });
+    } else {
+      this.#log.write("contact regained", { subject });
+    }
+  }
+
   #adopt(configuration: RoutingConfiguration): void {
     if (configuration.version <= this.#callers.version) {
       return;
     }
     this.#callers.send({ kind: "configuration", configuration });
     this.#targets.setServices(configuration.services);
-    this.#log.info("configuration in force", {
+    this.#log.write("configuration in force", {
       revision: configuration.version,
     });
   }
@@ -439,12 +459,12 @@
     for (const zone of this.#evacuated) {
       if (!zones.has(zone)) {
         this.#targets.zoneTakenBack(zone, now);
-        this.#log.info("zone taken back", { zone });
+        this.#log.write("zone taken back", { zone });
       }
     }
     for (const zone of zones) {
       if (!this.#evacuated.has(zone)) {
-        this.#log.info("zone evacuated", { zone });
+        this.#log.write("zone evacuated", { zone });
       }
     }
     this.#evacuated = zones;
--- a/packages/daemon/src/gateway/lookup_listener.ts
+++ b/packages/daemon/src/gateway/lookup_listener.ts
@@ -41,7 +41,7 @@
     await Promise.all(this.#options.listen.map((address) => {
       const server = createServer((req, res) => this.#answer(req, res));
       this.#servers.push(server);
-      return listen(server, address);
+      return listen(server, address, (err) => this.fail(err));
     }));
   }
 
--- a/packages/daemon/src/gateway/metrics_listener.ts
+++ b/packages/daemon/src/gateway/metrics_listener.ts
@@ -38,7 +38,7 @@
       );
     });
     this.#server = server;
-    return listen(server, this.#listen);
+    return listen(server, this.#listen, (err) => this.fail(err));
   }
 
   protected override receive(): void {}
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -34,6 +34,7 @@
   GatewaySettings,
   ListenAddress,
 } from "./settings.ts";
+export { EventLog } from "./events.ts";
 export { createLog, type Log } from "../log.ts";
 export { messageOf } from "../errors.ts";
 export { callJson, type JsonCall } from "../json_call.ts";
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -6,8 +6,8 @@
  */
 
 import { messageOf } from "../errors.ts";
-import type { Log } from "../log.ts";
 import { pause } from "../pause.ts";
+import type { EventLog } from "./events.ts";
 import {
   type Member,
   type PlatformEvent,
@@ -35,7 +35,7 @@
 /** What the feed works with. */
 export interface PlatformFeedOptions {
   readonly platform: PlatformPort;
-  readonly log: Log;
+  readonly log: EventLog;
   /** VMs to ask in place of the store, best first. */
   relays(): readonly Member[];
   listener(event: FeedEvent): void;
@@ -77,6 +77,11 @@
     };
   }
 
+  /** Time since the platform confirmed what this VM knows of a subject, in milliseconds. */
+  ageOf(subject: WatchedSubject): number {
+    return Math.round(this.#watches.get(subject)!.ageMs);
+  }
+
   /** News for a peer. */
   news(
     subject: WatchedSubject,
@@ -108,7 +113,7 @@
             ...(reason === undefined ? {} : { reason }),
           }),
         relayLeft: (relay, reason) =>
-          log.info("relay left alone", { subject, peer: relay.vm, reason }),
+          log.write("relay left alone", { subject, peer: relay.vm, reason }),
       },
     });
   }
@@ -120,7 +125,7 @@
         await this.#options.platform.announce(self);
         return;
       } catch (err) {
-        this.#options.log.warn("own row not written", {
+        this.#options.log.write("own row not written", {
           reason: messageOf(err),
         });
       }
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -104,7 +104,7 @@
     const server = createServer((req, res) => void this.#answer(req, res));
     server.keepAliveTimeout = KEEP_ALIVE_MS;
     this.#server = server;
-    return listen(server, this.#listen);
+    return listen(server, this.#listen, (err) => this.fail(err));
   }
 
   protected override receive(): void {}
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Log } from "../log.ts";
+import type { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 
 /**
@@ -17,24 +17,28 @@
 
 /** See the module's comment. */
 export class RequestLog {
-  readonly #log: Log;
+  readonly #log: EventLog;
   #second = 0;
   #goodLines = 0;
   #thinned = 0;
 
-  constructor(log: Log) {
+  constructor(log: EventLog) {
     this.#log = log;
   }
 
   /** Writes the line. */
-  ended(exchange: GatewayExchange, end: GatewayExchangeEnd, now: number): void {
+  ended(
+    exchange: GatewayExchange,
+    end: GatewayExchangeEnd,
+    { now, newsMs }: { now: number; newsMs: number },
+  ): void {
     const isGood = end === "answered" && now <= exchange.aimAt;
     if (isGood && !this.#mayWrite(now)) {
       this.#thinned += 1;
       return;
     }
     const { route, request, lastAttempt: last } = exchange;
-    this.#log.info("request ended", {
+    this.#log.write("request ended", {
       request: request.requestId,
       route: route.name,
       revision: exchange.version,
@@ -44,6 +48,8 @@
       attempts: exchange.attempts,
       durationMs: Math.round(now - exchange.startedAt),
       waitedMs: Math.round(exchange.waitedMs),
+      // Of what was answered in time nobody asks why.
+      ...(isGood ? {} : { newsMs }),
       ...(exchange.retryAfterMs === undefined
         ? {}
         : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
@@ -62,7 +68,7 @@
     const second = Math.floor(now / 1_000);
     if (second !== this.#second) {
       if (this.#thinned > 0) {
-        this.#log.info("lines thinned", { lines: this.#thinned });
+        this.#log.write("lines thinned", { lines: this.#thinned });
       }
       this.#second = second;
       this.#goodLines = 0;
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
+import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { RetryBound } from "@poplarthread/placement";
 
 /** Where a listener binds. */
@@ -25,6 +25,8 @@
 /** The settings of one gateway, decoded and checked. */
 export interface GatewaySettings {
   readonly vm: VmId;
+  /** This start of the VM. */
+  readonly instance: InstanceId;
   readonly zone: ZoneId;
   readonly region: RegionId;
   /** Processor that the VM has, in cores. */
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -43,6 +43,8 @@
 const SILENT_REST_MS = 3_000;
 /** A relay whose own news are old is asked again after this, in milliseconds: it notices by then, too. */
 const STALE_REST_MS = 500;
+/** Age of news that the store never confirmed, in milliseconds: far above what is relied on. */
+const NEVER_MS = 3_600_000;
 /** A regained contact matters to others this long, in milliseconds: entries that lapsed are back within two seconds. */
 const REGAINED_MATTERS_MS = 2_000;
 /** Two reports of one regained contact differ by less than this, in milliseconds. */
@@ -81,7 +83,7 @@
   /** The relay that is being asked. */
   #asked: Member | undefined;
   /** When the store last confirmed that the copy is whole. */
-  #confirmedAt = -Infinity;
+  #confirmedAt = performance.now() - NEVER_MS;
   #regainedAt = -Infinity;
   #isLost = false;
   #pauseMs = RETRY_FIRST_MS;
@@ -97,6 +99,11 @@
     return this.#copy.newest;
   }
 
+  /** Time since the store last confirmed that nothing is missing, in milliseconds. */
+  get ageMs(): number {
+    return performance.now() - this.#confirmedAt;
+  }
+
   /** Follows the subject until {@link close}. */
   async run(): Promise<void> {
     while (!this.#closed.signal.aborted) {
@@ -138,7 +145,7 @@
       if (isDue || this.#closed.signal.aborted) {
         return {
           ...changes,
-          ageMs: Math.round(now - this.#confirmedAt),
+          ageMs: Math.round(this.ageMs),
           regainedMs: Number.isFinite(this.#regainedAt)
             ? Math.round(now - this.#regainedAt)
             : undefined,
--- a/packages/daemon/src/http/caller_listener.ts
+++ b/packages/daemon/src/http/caller_listener.ts
@@ -128,8 +128,7 @@
     const server = this.#createServer();
     this.#server = server;
     const { host, port } = this.#options.settings.listen.caller;
-    await listen(server, { host, port });
-    server.on("error", (err) => this.fail(err));
+    await listen(server, { host, port }, (err) => this.fail(err));
     this.#ticking = false;
     this.every(IDLE_TICK_MS, { kind: "idle-tick" });
     this.every(SWEEP_MS, { kind: "sweep" });
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -30,6 +30,8 @@
   readonly lines?: number;
   /** Time before the first attempt, in milliseconds. */
   readonly waitedMs?: number;
+  /** Age of what the VM knew of the targets, in milliseconds. */
+  readonly newsMs?: number;
   /** Time of the last attempt, and how it ended. */
   readonly targetMs?: number;
   readonly targetEnd?: string;
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -128,8 +128,7 @@
     const server = createServer((socket) => this.#accept(socket));
     server.maxConnections = MAX_INBOUND;
     this.#server = server;
-    await listen(server, { host, port });
-    server.on("error", (err) => this.fail(err));
+    await listen(server, { host, port }, (err) => this.fail(err));
     this.every(SWEEP_MS, { kind: "sweep" });
   }
 
