Tests of listeners have addresses of their process's own

The new tests of relays and heartbeats bound fixed loopback addresses: two runs of the tests side by side would have taken them from each other.

--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -13,6 +13,7 @@
   VmId,
   ZoneId,
 } from "@poplarthread/ids";
+import { ownAddress } from "../loopback.ts";
 import {
   type Heartbeat,
   PeerBeacon,
@@ -20,8 +21,7 @@
 } from "./peer_beacon.ts";
 import type { Member } from "./ports.ts";
 
-/** An address of the tests of this file alone. */
-const HOST = "127.0.0.78";
+const HOST = ownAddress(78);
 const PORTS = { self: 17_720, near: 17_721, far: 17_722 };
 
 let beacon: PeerBeacon;
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -7,11 +7,11 @@
 import { connect } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
+import { ownAddress } from "../loopback.ts";
 import type { Member } from "./ports.ts";
 import { RelayClient, RelayListener, type RelayNews } from "./relay.ts";
 
-/** An address of the tests of this file alone. */
-const HOST = "127.0.0.77";
+const HOST = ownAddress(77);
 const PORT = 17_720;
 const RELAY: Member = {
   vm: "vm-1" as VmId,
--- a/packages/daemon/src/listen_test.ts
+++ b/packages/daemon/src/listen_test.ts
@@ -7,9 +7,9 @@
 import { createServer } from "node:net";
 import { expect, test } from "vitest";
 import { listen } from "./listen.ts";
+import { ownAddress } from "./loopback.ts";
 
-/** An address of the tests of this file alone. */
-const HOST = "127.0.0.79";
+const HOST = ownAddress(79);
 
 test("errors after the listener is up are reported, each of them", async () => {
   // The process has run out of descriptors, and a connection cannot be accepted.
