--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -295,6 +295,8 @@
     }
     if (err instanceof HistoryGoneError) {
       this.#copy.loseHistory();
+      // A store that forgets at once would otherwise be read without end.
+      await pause(SETTLE_MS, this.#closed.signal);
       return;
     }
     if (this.#call.signal.aborted) {
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -200,6 +200,16 @@
     expect([...vm.rows.keys()]).toEqual([]);
   });
 
+  test("that forgets at once is not read without end", async () => {
+    // The store keeps no history at all, so each answer to a question for changes is
+    // that it does not know. Asked again and again without a pause, it has no time
+    // for anybody else, and each call is paid for.
+    store.historyFrom = Infinity;
+    new Vm("vm-1", store);
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(store.calls).toBeLessThan(50);
+  });
+
   test("is asked once for changes that come together", async () => {
     const vm = new Vm("vm-1", store);
     await vi.advanceTimersByTimeAsync(100);
