Heartbeats within a zone; two VMs of each zone report to the others

Reports, until now between regions, go between zones: 16 VMs hear two reports a second of each other zone. Two VMs of a zone report, so that it does not seem down while one is cut off.

Ruled out: shorter heartbeats between all, which would halve the bytes and still grow with the square of a region.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -22,11 +22,7 @@
 import { HealthProber } from "./health_prober.ts";
 import { LookupListener } from "./lookup_listener.ts";
 import { MetricsListener } from "./metrics_listener.ts";
-import {
-  type Heartbeat,
-  PeerBeacon,
-  type RegionReport,
-} from "./peer_beacon.ts";
+import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
 import { type FeedEvent, PlatformFeed } from "./platform_feed.ts";
 import type { Dialect, Member, PlatformPort, WatchedSubject } from "./ports.ts";
 import { RelayListener } from "./relay.ts";
@@ -381,7 +377,7 @@
     crashes.forEach((crash) => this.#beacon.send({ kind: "pass-on", crash }));
   }
 
-  #reported({ ages, leaving, seen, crashes }: RegionReport): void {
+  #reported({ ages, leaving, seen, crashes }: ZoneReport): void {
     const now = performance.now();
     for (const [name, ageMs] of Object.entries(ages)) {
       const vm = name as VmId;
@@ -392,7 +388,7 @@
   }
 
   #told(
-    { seen, crashes }: Pick<RegionReport, "seen" | "crashes">,
+    { seen, crashes }: Pick<ZoneReport, "seen" | "crashes">,
     now: number,
   ): void {
     for (const crash of crashes) {
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -1,9 +1,9 @@
 /**
  * Heartbeats between VMs, as JSON-RPC 2.0 notifications in datagrams.
  *
- * VMs of one region tell each other of themselves. Some VMs of each region tell
- * those of other regions which VMs of theirs are up: were each VM to tell each
- * other, 68 VMs would send 64 MB between regions in 42 s, as much as the requests.
+ * VMs of one zone tell each other of themselves. Two VMs of each zone tell those of
+ * other zones which VMs of theirs are up: were each VM to tell each other, 68 VMs
+ * would send 64 MB between regions in 42 s, more than the requests.
  *
  * Datagrams, because a connection that falls silent without a reset looks the
  * same as a peer with nothing to say, and because a lost heartbeat is followed
@@ -44,8 +44,8 @@
   readonly isLeaving: boolean;
 }
 
-/** What a VM says of the VMs of its region. */
-export interface RegionReport extends CommonWord {
+/** What a VM says of the VMs of its zone. */
+export interface ZoneReport extends CommonWord {
   /** Time since each VM that is up gave word of itself, in milliseconds. */
   readonly ages: Readonly<Record<VmId, number>>;
   /** Those of them that leave. */
@@ -60,7 +60,7 @@
   | { readonly kind: "greet"; readonly member: Member }
   /** This VM saw a crash: all VMs are told. */
   | { readonly kind: "crash"; readonly crash: SuspectedCrash }
-  /** A VM of the region saw one: other regions are told, if this VM reports. */
+  /** A VM of the zone saw one: other zones are told, if this VM reports. */
   | { readonly kind: "pass-on"; readonly crash: SuspectedCrash };
 
 /** What the task works with. */
@@ -68,15 +68,15 @@
   readonly listen: ListenAddress;
   /** Addresses to try besides the known peers, `host:port`. */
   readonly seeds: readonly string[];
-  /** Other VMs of the region. */
+  /** Other VMs of the zone. */
   near(): readonly Member[];
-  /** VMs of other regions to which this VM reports; none where others do. */
+  /** VMs of other zones to which this VM reports; none where others do. */
   far(): readonly Member[];
-  /** VMs of the region that are up, this one among them. */
+  /** VMs of the zone that are up, this one among them. */
   sightings(): readonly VmSighting[];
   ownWord(): Omit<Heartbeat, "crashes">;
   heard(heartbeat: Heartbeat): void;
-  reported(report: RegionReport): void;
+  reported(report: ZoneReport): void;
 }
 
 /** See the module's comment. */
@@ -85,7 +85,7 @@
   #socket: Socket | undefined;
   /** What this VM saw. */
   #own = new CrashList();
-  /** What others of the region saw. It goes to other regions only: told again within the region, it would go round for ever. */
+  /** What others of the zone saw. It goes to other zones only: told again within the zone, it would go round for ever. */
   #passedOn = new CrashList();
 
   constructor(options: PeerBeaconOptions) {
@@ -156,7 +156,7 @@
     const reports: Buffer[] = [];
     for (let at = 0; at < sightings.length; at += MOST_SIGHTINGS) {
       const vms = sightings.slice(at, at + MOST_SIGHTINGS);
-      reports.push(encode("region", {
+      reports.push(encode("zone", {
         seen,
         crashes,
         ages: Object.fromEntries(vms.map(({ vm, ageMs }) => [vm, ageMs])),
@@ -187,7 +187,7 @@
     }
     if (method === "heartbeat" && isHeartbeat(params)) {
       this.#options.heard(params);
-    } else if (method === "region" && isRegionReport(params)) {
+    } else if (method === "zone" && isZoneReport(params)) {
       this.#options.reported(params);
     }
   }
@@ -222,7 +222,7 @@
   return members.map(({ peerAddress }) => peerAddress);
 }
 
-function encode(method: string, params: Heartbeat | RegionReport): Buffer {
+function encode(method: string, params: Heartbeat | ZoneReport): Buffer {
   return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
 
@@ -242,8 +242,8 @@
     typeof member.cores === "number";
 }
 
-function isRegionReport(params: CommonWord): params is RegionReport {
-  const { ages, leaving } = params as Partial<RegionReport>;
+function isZoneReport(params: CommonWord): params is ZoneReport {
+  const { ages, leaving } = params as Partial<ZoneReport>;
   return typeof ages === "object" && Array.isArray(leaving) &&
     Object.values(ages).every((age) => typeof age === "number");
 }
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -14,10 +14,10 @@
  */
 const HEARD_WITHIN_MS = 3_200;
 /**
- * The same for VMs of other regions, of which reports tell, in milliseconds: after
- * the loss of the VMs that report, the region takes up to 3.2 s to notice, and one
- * more to report again. Meanwhile their word must hold, or a whole region would
- * seem down.
+ * The same for VMs of other zones, of which reports tell, in milliseconds: after
+ * the loss of the VMs that report, their zone takes up to 3.2 s to notice, and one
+ * more to report again. Meanwhile their word must hold, or a whole zone would seem
+ * down.
  */
 const REPORTED_WITHIN_MS = 5_000;
 /**
@@ -26,6 +26,8 @@
  * behind a cut use their part, too, and so do those that are not heard yet.
  */
 const FLEET_MEMORY_MS = 20_000;
+/** VMs of a zone that report: two, so that the zone does not seem down while one of them is cut off. */
+const REPORTING = 2;
 /** Fewer VMs than this in a caller's region, and it is told those of other regions too: it needs one to go to when another fails. */
 const LEAST_NEAR = 2;
 /** Most addresses in an answer. */
@@ -40,7 +42,7 @@
   isLeaving: boolean;
 }
 
-/** What a VM tells other regions of one VM of its own. */
+/** What a VM tells other zones of one VM of its own. */
 export interface VmSighting {
   readonly vm: VmId;
   /** Time since it gave word of itself, in milliseconds. */
@@ -116,7 +118,7 @@
     return !wasUp;
   }
 
-  /** Another region reports one of its VMs. */
+  /** Another zone reports one of its VMs. */
   sighted({ vm, ageMs, isLeaving }: VmSighting, now: number): void {
     const known = this.#entries.get(vm);
     // A VM whose row was not read yet is reported again within a second.
@@ -148,26 +150,26 @@
     }
   }
 
-  /** All other VMs of the region that were ever known, up or not. */
+  /** All other VMs of the zone that were ever known, up or not. */
   near(): readonly Member[] {
     return [...this.#entries.values()].filter((entry) => this.#isNear(entry))
       .map(({ member }) => member);
   }
 
   /**
-   * VMs of other regions to which this VM reports: all, if it is the first of its
-   * zone. So the loss of a zone leaves its region others that report.
+   * VMs of other zones to which this VM reports: all, if it is one of the first of
+   * its zone.
    */
   far(now: number): readonly Member[] {
     const ofZone = this.up(now).filter(({ zone }) => zone === this.#self.zone);
-    if (this.#above(ofZone).length > 0) {
+    if (this.#above(ofZone).length >= REPORTING) {
       return [];
     }
     return [...this.#entries.values()].filter((entry) => !this.#isNear(entry))
       .map(({ member }) => member);
   }
 
-  /** VMs of the region that are up or leaving, this one among them. */
+  /** VMs of the zone that are up or leaving, this one among them. */
   sightings(now: number): readonly VmSighting[] {
     const sightings: VmSighting[] = [{
       vm: this.#self.vm,
@@ -236,7 +238,7 @@
   }
 
   #isNear({ member }: Entry): boolean {
-    return member.region === this.#self.region;
+    return member.zone === this.#self.zone;
   }
 
   #isHeard(entry: Entry, now: number): boolean {
