Weigh the likely targets first

Targets of which nobody awaits an answer are not asked whether they are silent, five times a second.

No decision changes: a property test plays runs of full, lost, warm and returning targets against a steering that weighs all. It fails without the warm ones, and without the second look.

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -67,13 +67,15 @@
 const TIE_STEPS = 64;
 
 /** Later positions in the agreed order are all alike. */
-const MOST_POSITION = 8;
+export const MOST_POSITION = 8;
 
 /** One choice. */
 export interface Choice {
   readonly target: TargetId;
   /** Expected wait and round trip, in milliseconds. */
   readonly expectedMs: number;
+  /** What it was compared by, in milliseconds. */
+  readonly cost: number;
 }
 
 /** A target that may be chosen. */
@@ -109,9 +111,15 @@
   return best && {
     target: best.target.id,
     expectedMs: best.price.waitMs + best.price.roundTripMs,
+    cost: bestCost,
   };
 }
 
+/** The least that an unwarmed target at {@link MOST_POSITION} or behind it costs, in milliseconds. */
+export function leastCostBehind(weights: PlacementWeights): number {
+  return unwarmedCost(MOST_POSITION, weights);
+}
+
 function wayCost(
   { target, price }: Candidate,
   from: Place,
@@ -137,7 +145,9 @@
     return 0;
   }
   const away = Math.min(position, MOST_POSITION);
-  return price.isWarm
-    ? away * weights.awayMs
-    : weights.unwarmedMs + (away - 1) * weights.unwarmedStepMs;
+  return price.isWarm ? away * weights.awayMs : unwarmedCost(away, weights);
+}
+
+function unwarmedCost(position: number, weights: PlacementWeights): number {
+  return weights.unwarmedMs + (position - 1) * weights.unwarmedStepMs;
 }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -12,8 +12,11 @@
 import { agreedOrder } from "./agreed_order.ts";
 import {
   type Candidate,
+  type Choice,
   choose,
   DEFAULT_WEIGHTS,
+  leastCostBehind,
+  MOST_POSITION,
   type PlacementWeights,
 } from "./choose.ts";
 import { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
@@ -92,8 +95,17 @@
   readonly place: Place;
   readonly retries: RetryBound;
   readonly weights?: PlacementWeights;
+  /** How many targets of the agreed order are weighed before all are; {@link WEIGHS_FIRST} if left out. */
+  readonly weighsFirst?: number;
 }
 
+/**
+ * Those up to the position from which all are alike. Whatever is behind them costs
+ * more, unless it is warm: weighing all 576 targets of a large service for each
+ * request, and for each that waits at each end of another, only confirmed that.
+ */
+const WEIGHS_FIRST = MOST_POSITION + 1;
+
 /**
  * Requests that may wait at a target, as a multiple of its slots. A wait there
  * cannot be taken back for a more urgent request, and a full target refuses;
@@ -132,6 +144,7 @@
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
   readonly #weights: PlacementWeights;
+  readonly #weighsFirst: number;
   readonly #entries = new Map<TargetId, Entry>();
   /**
    * Computed when a request needs it, undefined until then. A VM that starts takes
@@ -157,6 +170,7 @@
   constructor(options: SteeringOptions) {
     this.#options = options;
     this.#weights = options.weights ?? DEFAULT_WEIGHTS;
+    this.#weighsFirst = options.weighsFirst ?? WEIGHS_FIRST;
     this.roundTrips = new RoundTrips(options.place);
   }
 
@@ -236,13 +250,12 @@
     request: PlacementRequest,
     { now, ahead }: { now: number; ahead: number },
   ): PlacementDecision {
-    const usable = this.#ordered(request)
-      .filter((entry) => this.#isUsable(entry, request));
     const serviceMs = this.#times.mean(request.service);
-    if (usable.length === 0) {
+    const first = this.#usable(request, this.#weighsFirst);
+    if (first.length === 0) {
       return refuse("no-target", RETRY_AFTER_NO_TARGET_MS);
     }
-    const choice = this.#choose(usable, request, now);
+    const choice = this.#choose(first, request, now);
     const left = request.answerBy - now;
     const chosen = choice && this.#entries.get(choice.target);
     if (choice !== undefined && chosen && this.#hasRoom(chosen, now)) {
@@ -325,6 +338,9 @@
   checkSilence(now: number): readonly TargetId[] {
     const silent: TargetId[] = [];
     for (const { target, load, belief } of this.#entries.values()) {
+      if (!belief.isAwaited) {
+        continue;
+      }
       const serviceMs = this.#times.mean(target.service);
       const waitMs = load.waitMs(now, { slots: target.slots, serviceMs });
       if (belief.check(now, waitMs)) {
@@ -386,34 +402,101 @@
     return load.inFlight(now) + 1 <= target.slots * (1 + QUEUE_PER_SLOT);
   }
 
-  /** The cheapest of `usable`, which are in the agreed order of the request's object. */
-  #choose(usable: readonly Entry[], request: PlacementRequest, now: number) {
-    const serviceMs = this.#times.mean(request.service);
+  /** The first `most` targets that a request may use, in the agreed order of its object. */
+  #usable(request: PlacementRequest, most: number): readonly Entry[] {
+    const ordered = this.#ordered(request);
+    if (request.object === undefined) {
+      return ordered.filter((entry) => this.#isUsable(entry, request));
+    }
+    const usable: Entry[] = [];
+    for (const entry of ordered) {
+      if (this.#isUsable(entry, request) && usable.push(entry) >= most) {
+        break;
+      }
+    }
+    return usable;
+  }
+
+  /** The cheapest target, where `first` are the first that may be used. */
+  #choose(
+    first: readonly Entry[],
+    request: PlacementRequest,
+    now: number,
+  ): Choice | undefined {
+    const near = this.#cheapest(first, request, now);
+    const isAll = first.length < this.#weighsFirst ||
+      request.object === undefined;
+    if (isAll || (near && near.cost <= leastCostBehind(this.#weights))) {
+      return near;
+    }
+    return this.#cheapest(this.#usable(request, Infinity), request, now);
+  }
+
+  #cheapest(
+    usable: readonly Entry[],
+    request: PlacementRequest,
+    now: number,
+  ): Choice | undefined {
     const { object } = request;
     const candidates: Candidate[] = [];
     usable.forEach((entry, position) => {
-      const { target, load, belief } = entry;
-      if (!this.#takes(entry, now)) {
-        return;
+      if (this.#takes(entry, now)) {
+        const at = object === undefined ? undefined : position;
+        candidates.push(this.#candidate(entry, { object, at, now }));
       }
-      candidates.push({
-        target,
-        position: object === undefined ? undefined : position,
-        price: {
-          roundTripMs: this.roundTrips.to(target),
-          waitMs: load.waitMs(now, { slots: target.slots, serviceMs }),
-          isWarm: object !== undefined &&
-            this.#warm.isWarm(object, target.id, now),
-          failureShare: belief.failureShare(now),
-        },
-      });
     });
+    for (const entry of this.#warmBehind(usable, request, now)) {
+      candidates.push(
+        this.#candidate(entry, { object, at: MOST_POSITION, now }),
+      );
+    }
     return choose(candidates, {
       from: this.#options.place,
       weights: this.#weights,
     });
   }
 
+  /** Targets behind `usable` that are warm for the request's object. */
+  #warmBehind(
+    usable: readonly Entry[],
+    request: PlacementRequest,
+    now: number,
+  ): readonly Entry[] {
+    const { object, service } = request;
+    if (object === undefined) {
+      return [];
+    }
+    return this.#warm.targetsOf(object, now)
+      .map((id) => this.#entries.get(id))
+      .filter((entry) => entry !== undefined)
+      .filter((entry) =>
+        entry.target.service === service && !usable.includes(entry) &&
+        this.#isUsable(entry, request) && this.#takes(entry, now)
+      );
+  }
+
+  #candidate(
+    { target, load, belief }: Entry,
+    { object, at, now }: {
+      object: number | undefined;
+      at: number | undefined;
+      now: number;
+    },
+  ): Candidate {
+    const serviceMs = this.#times.mean(target.service);
+    return {
+      target,
+      position: at,
+      price: {
+        roundTripMs: this.roundTrips.to(target),
+        waitMs: load.waitMs(now, { slots: target.slots, serviceMs }),
+        isWarm: object !== undefined &&
+          this.#warm.isWarm(object, target.id, now),
+        failureShare: belief.failureShare(now),
+      },
+    };
+  }
+
   /** All targets of a request's service, in the agreed order of its object. */
   #ordered({ service, object }: PlacementRequest): readonly Entry[] {
     const { entries, homeShares } = this.#indexed(service);
--- a/packages/placement/src/target_belief.ts
+++ b/packages/placement/src/target_belief.ts
@@ -87,6 +87,11 @@
     }
   }
 
+  /** A request was sent that has no answer yet. */
+  get isAwaited(): boolean {
+    return this.#open.length > 0;
+  }
+
   /** Notices silence; `expectedMs` is the wait and service that a request is expected to take. */
   check(now: number, expectedMs: number): boolean {
     const oldest = this.#open[0];
--- a/packages/placement/src/warm_objects.ts
+++ b/packages/placement/src/warm_objects.ts
@@ -42,6 +42,13 @@
     return usedAt !== undefined && now - usedAt < KEPT_MS;
   }
 
+  /** Targets that likely keep the object. */
+  targetsOf(object: number, now: number): readonly TargetId[] {
+    return [...(this.#objects.get(object) ?? [])]
+      .filter(([, usedAt]) => now - usedAt < KEPT_MS)
+      .map(([target]) => target);
+  }
+
   /** The target has started anew and keeps nothing. */
   forget(target: TargetId): void {
     for (const usedAt of this.#objects.values()) {
--- /dev/null
+++ b/packages/placement/src/weighs_first_test.ts
@@ -0,0 +1,111 @@
+/**
+ * Weighing the likely targets first.
+ *
+ * @module
+ */
+
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import type { RegionId, TargetId, VmId, ZoneId } from "@poplarthread/ids";
+import { hashText } from "./hash.ts";
+import { type PlacementDecision, Steering } from "./steering.ts";
+import { SERVICE, targetsIn } from "./testing.ts";
+
+const TARGETS = [...targetsIn("north", 9), ...targetsIn("south", 9)];
+/** Steps are this far apart, in milliseconds. */
+const STEP_MS = 40;
+/** Time of a run, in milliseconds. */
+const RUN_MS = 300;
+
+function steering(weighsFirst?: number): Steering {
+  const one = new Steering({
+    vm: "vm-north" as VmId,
+    place: { region: "north" as RegionId, zone: "north-1" as ZoneId },
+    retries: { ratio: 0.2, fixed: 50, windowMs: 10_000 },
+    ...(weighsFirst === undefined ? {} : { weighsFirst }),
+  });
+  one.setVms(["north", "south"].map((name) => ({
+    vm: `vm-${name}` as VmId,
+    region: name as RegionId,
+    hash: hashText(name),
+  })));
+  TARGETS.forEach((target) => one.setTarget(target));
+  return one;
+}
+
+type Step =
+  | { readonly kind: "answered"; readonly waiting: number }
+  /** No connection to the chosen target comes about. */
+  | { readonly kind: "lost" }
+  /** All targets answer their probes. */
+  | { readonly kind: "back" };
+
+const steps = fc.array(
+  fc.oneof(
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: fc.constant("answered" as const),
+        waiting: fc.constantFrom(0, 2, 60, 400),
+      }),
+    },
+    { weight: 6, arbitrary: fc.constant({ kind: "lost" as const }) },
+    { weight: 1, arbitrary: fc.constant({ kind: "back" as const }) },
+  ),
+  { minLength: 30, maxLength: 120 },
+);
+
+function decide(one: Steering, now: number): PlacementDecision {
+  return one.place({
+    service: SERVICE,
+    priority: 0,
+    object: 1,
+    regions: [],
+    arrivedAt: now,
+    answerBy: now + 60_000,
+    tried: new Set(),
+  }, { now, ahead: 0 });
+}
+
+function apply(
+  one: Steering,
+  step: Step,
+  { target, now }: { target: TargetId; now: number },
+): void {
+  switch (step.kind) {
+    case "lost":
+      one.unreachable(target, now);
+      return;
+    case "back":
+      TARGETS.forEach(({ id }) => one.probeAnswered(id, { now, coldMs: 0 }));
+      return;
+    case "answered":
+      one.sent(target, now);
+      one.written(target, now);
+      one.ended(target, {
+        kind: "answered",
+        failed: false,
+        object: 1,
+        load: { running: 3, waiting: step.waiting, slots: 3 },
+      }, { now: now + RUN_MS, writtenAt: now });
+      return;
+  }
+}
+
+test("chooses as if all targets were weighed, whatever is full, lost or warm", () => {
+  fc.assert(
+    fc.property(steps, (steps) => {
+      const both = [steering(), steering(Infinity)];
+      steps.forEach((step, at) => {
+        const now = at * STEP_MS;
+        const [decision, reference] = both.map((one) => decide(one, now));
+        expect(decision).toEqual(reference);
+        const target = decision?.kind === "send"
+          ? decision.target
+          : TARGETS[0]!.id;
+        both.forEach((one) => apply(one, step, { target, now }));
+      });
+    }),
+    { numRuns: 400 },
+  );
+});
