One piece of code where tests, soak and relays had copies

A VM for tests four times: memberNamed. The tests keep their assertions. - Who reports for a zone was decided by relaysFor, whose cap of two happened to be as large as the number of VMs that report; now by rankedAbove, on which both stand.

Ruled out: one loop for the header lines of dialect.ts and of the product's own protocol; they share what is the same (hop-by-hop lines) and decode other words.

--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -6,16 +6,11 @@
 
 import { createSocket, type Socket } from "node:dgram";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import type {
-  InstanceId,
-  RegionId,
-  TargetId,
-  VmId,
-  ZoneId,
-} from "@poplarthread/ids";
+import type { TargetId, VmId } from "@poplarthread/ids";
 import { ownAddress } from "../loopback.ts";
 import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
 import type { Member } from "./ports.ts";
+import { memberNamed } from "./testing.ts";
 
 const HOST = ownAddress(78);
 const PORTS = { self: 17_720, near: 17_721, far: 17_722 };
@@ -27,15 +22,7 @@
 let isReporting: boolean;
 
 function member(vm: string, port: number): Member {
-  return {
-    vm: vm as VmId,
-    instance: `${vm}.1` as InstanceId,
-    zone: "north-1" as ZoneId,
-    region: "north" as RegionId,
-    callerAddress: `${HOST}:80`,
-    peerAddress: `${HOST}:${port}`,
-    cores: 1,
-  };
+  return memberNamed(vm, { peerAddress: `${HOST}:${port}` });
 }
 
 /** A peer that notes what it is told. */
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -47,14 +47,10 @@
 }
 
 /** Subjects that the platform keeps and that are watched one by one. */
-export type WatchedSubject = "operator" | "targets" | "members";
-
-/** All subjects. */
-export const WATCHED_SUBJECTS: readonly WatchedSubject[] = [
-  "operator",
-  "targets",
-  "members",
-];
+export const WATCHED_SUBJECTS = ["operator", "targets", "members"] as const;
+
+/** One of {@link WATCHED_SUBJECTS}. */
+export type WatchedSubject = (typeof WATCHED_SUBJECTS)[number];
 
 /** News from the platform. */
 export type PlatformEvent =
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -62,7 +62,7 @@
 const ANSWER_MS = 500;
 
 const paramsSchema = z.object({
-  subject: z.enum(WATCHED_SUBJECTS as [WatchedSubject, ...WatchedSubject[]]),
+  subject: z.enum(WATCHED_SUBJECTS),
   version: z.number(),
   waitMs: z.number().min(0).max(30_000),
   isPatient: z.boolean(),
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -6,22 +6,13 @@
 
 import { connect } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import { ownAddress } from "../loopback.ts";
-import type { Member } from "./ports.ts";
 import { RelayClient, RelayListener, type RelayNews } from "./relay.ts";
+import { memberNamed } from "./testing.ts";
 
 const HOST = ownAddress(77);
 const PORT = 17_720;
-const RELAY: Member = {
-  vm: "vm-1" as VmId,
-  instance: "vm-1.1" as InstanceId,
-  zone: "north-1" as ZoneId,
-  region: "north" as RegionId,
-  callerAddress: `${HOST}:1`,
-  peerAddress: `${HOST}:${PORT}`,
-  cores: 1,
-};
+const RELAY = memberNamed("vm-1", { peerAddress: `${HOST}:${PORT}` });
 const QUESTION = { version: 3, waitMs: 100, isPatient: false };
 
 let client: RelayClient;
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -5,7 +5,6 @@
  */
 
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
-import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import { pause } from "../pause.ts";
 import {
   type ChangesQuestion,
@@ -16,6 +15,7 @@
 } from "./ports.ts";
 import type { RelayNews, RelayQuestion } from "./relay.ts";
 import { SubjectWatch } from "./subject_watch.ts";
+import { memberNamed } from "./testing.ts";
 
 /** A store of one subject in memory. */
 class FakeStore {
@@ -91,18 +91,6 @@
   }
 }
 
-function member(vm: string): Member {
-  return {
-    vm: vm as VmId,
-    instance: `${vm}.1` as InstanceId,
-    zone: "north-1" as ZoneId,
-    region: "north" as RegionId,
-    callerAddress: "127.0.0.1:1",
-    peerAddress: "127.0.0.1:2",
-    cores: 1,
-  };
-}
-
 /** A VM's watch, with what it was told. */
 class Vm {
   readonly watch: SubjectWatch;
@@ -116,7 +104,7 @@
   areRelaysSilent = false;
 
   constructor(name: string, store: FakeStore) {
-    this.member = member(name);
+    this.member = memberNamed(name);
     this.watch = new SubjectWatch("targets", {
       store,
       relays: () => this.relays.map((relay) => relay.member),
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -5,7 +5,12 @@
  */
 
 import type { VmId } from "@poplarthread/ids";
-import { type ColdOwner, hashText, relaysFor } from "@poplarthread/placement";
+import {
+  type ColdOwner,
+  hashText,
+  rankedAbove,
+  relaysFor,
+} from "@poplarthread/placement";
 import type { LookupQuestion, Member } from "./ports.ts";
 
 /**
@@ -162,7 +167,8 @@
    */
   far(now: number): readonly Member[] {
     const ofZone = this.up(now).filter(({ zone }) => zone === this.#self.zone);
-    if (this.#above(ofZone).length >= REPORTING) {
+    const above = rankedAbove(ranked(this.#self), ofZone.map(ranked));
+    if (above.length >= REPORTING) {
       return [];
     }
     return [...this.#entries.values()].filter((entry) => !this.#isNear(entry))
@@ -216,7 +222,7 @@
 
   /** VMs to ask for the store's news in place of the store, best first. */
   relays(now: number): readonly Member[] {
-    return this.#above(this.up(now));
+    return relaysFor(ranked(this.#self), this.up(now).map(ranked));
   }
 
   /** Addresses for a caller, those of its region where there are enough. */
@@ -228,15 +234,6 @@
       .map(({ callerAddress }) => callerAddress);
   }
 
-  /** The first VMs of the region among `vms` that rank above this one. */
-  #above(vms: readonly Member[]): readonly Member[] {
-    const ranked = vms.map((member) => ({
-      ...member,
-      hash: hashText(member.vm),
-    }));
-    return relaysFor({ ...this.#self, hash: hashText(this.#self.vm) }, ranked);
-  }
-
   #isNear({ member }: Entry): boolean {
     return member.zone === this.#self.zone;
   }
@@ -246,3 +243,8 @@
     return now - entry.heardAt < withinMs;
   }
 }
+
+/** A VM with what it is ranked by. */
+function ranked(member: Member): Member & { readonly hash: number } {
+  return { ...member, hash: hashText(member.vm) };
+}
--- a/packages/daemon/src/gateway/vm_directory_test.ts
+++ b/packages/daemon/src/gateway/vm_directory_test.ts
@@ -7,18 +7,15 @@
 import { describe, expect, test } from "vitest";
 import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { Member } from "./ports.ts";
+import { memberNamed } from "./testing.ts";
 import { VmDirectory } from "./vm_directory.ts";
 
 function member(vm: string, region: string, life = "a"): Member {
-  return {
-    vm: vm as VmId,
+  return memberNamed(vm, {
     instance: `${vm}.${life}` as InstanceId,
     zone: `${region}-1` as ZoneId,
     region: region as RegionId,
-    callerAddress: `${vm}:80`,
-    cores: 1,
-    peerAddress: `${vm}:77`,
-  };
+  });
 }
 
 function directory(): { vms: VmDirectory; changes: string[] } {
--- a/packages/decisions/src/lending.ts
+++ b/packages/decisions/src/lending.ts
@@ -92,7 +92,7 @@
 /** Whether every neighbour asks for slots itself: only then is the region short.
  * Asked afar in one VM's bad moment, slots of other regions were away for a
  * round trip each while a neighbour's came sooner: a tenth of the slots went
- * into way at 0.8 load, and p99 doubled (bench: sales of Kinolenta). */
+ * into way at 0.8 load, and p99 doubled (sales of Kinolenta). */
 export function allAsk(
   service: ServiceState,
   neighbours: readonly VmId[],
--- a/packages/decisions/src/plan_slots.ts
+++ b/packages/decisions/src/plan_slots.ts
@@ -23,8 +23,8 @@
 
 /** Most of a region's slots that one plan moves between VMs. A moved slot idles
  * until its VM confirmed and the next plan is out, 1.5 s: with a third of the
- * slots moved at once the drain of a zone ended in refusals at 40 % load (bench:
- * planned drain). */
+ * slots moved at once the drain of a zone ended in refusals at 40 % load
+ * (planned drain). */
 const MOST_MOVED = 0.1;
 
 /** What the distribution is made from. */
--- a/packages/placement/src/relays.ts
+++ b/packages/placement/src/relays.ts
@@ -34,12 +34,18 @@
   self: RelayCandidate,
   up: readonly T[],
 ): readonly T[] {
-  return up
-    .filter((one) => one.region === self.region && rank(one, self) < 0)
-    .toSorted(rank)
+  return rankedAbove(self, up.filter(({ region }) => region === self.region))
     .slice(0, MOST_RELAYS);
 }
 
+/** Those of `vms` that rank above `self`, best first. */
+export function rankedAbove<T extends RelayCandidate>(
+  self: RelayCandidate,
+  vms: readonly T[],
+): readonly T[] {
+  return vms.filter((one) => rank(one, self) < 0).toSorted(rank);
+}
+
 /** Large VMs first: a relay sends each change to all VMs of its region. */
 function rank(one: RelayCandidate, other: RelayCandidate): number {
   return other.cores - one.cores || one.hash - other.hash ||
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-ins for what surrounds the daemons, for the demo, the tests with real
- * processes and the bench.
+ * processes and the experiments.
  *
  * @module
  */
