An exchange ends once: its phases are a table, and a fault in it stays its own

Shown failing first: exchange_test.ts plays all events of one exchange without a network.

Change: phases and steps are one exhaustive table (exchange_phase.ts); an exchange that is done takes no step; leaving a phase abandons its attempt; the way back to the caller is a module of its own (caller_reply.ts). What an exchange throws ends that exchange alone, with a line in the log ("exchange failed").

Ruled out: a guard at writeHead alone; the attempt would have gone on at its target.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -275,6 +275,12 @@
       "waiting",
     ],
   },
+  "exchange failed": {
+    level: "error",
+    meaning:
+      "A fault of the gateway's own ended one request with a 502, or with a cut where its answer had begun.",
+    fields: ["request", "reason"],
+  },
   "lines thinned": {
     level: "info",
     meaning: "So many lines of requests answered in time were left out.",
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -1,9 +1,9 @@
 /**
  * One request of a caller, from its header to its final answer.
  *
- * An exchange ends exactly once for its caller. A request that may run at most
- * once is never sent again after a byte of it was written, unless its target
- * says that it did not run it.
+ * An exchange ends exactly once for its caller; whatever it hears after that, it
+ * passes over. A request that may run at most once is never sent again after a
+ * byte of it was written, unless its target says that it did not run it.
  *
  * @module
  */
@@ -14,11 +14,18 @@
 import type { Dispatcher } from "undici";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
 import { hashText, type LoadReport } from "@poplarthread/placement";
+import { messageOf } from "../errors.ts";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
 import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
+import { CallerReply, type EndsConnection } from "./caller_reply.ts";
 import type { Route } from "./configuration.ts";
-import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
+import {
+  type ExchangePhase,
+  type ExchangeStep,
+  phaseAfter,
+} from "./exchange_phase.ts";
+import type { OwnAnswerReason } from "./own_answer.ts";
 import type { CallerRequest, Dialect, TargetAnswer } from "./ports.ts";
 import type { Placeable, RequestQueue } from "./request_queue.ts";
 import {
@@ -54,11 +61,7 @@
   /** Version of the configuration that it is handled by. */
   readonly version: number;
   readonly now: number;
-  /**
-   * Whether the answer is to end the caller's connection, asked right before it
-   * is written; `mustEnd` where the rest of the request's body will not be read.
-   */
-  endsConnection(mustEnd: boolean): boolean;
+  readonly endsConnection: EndsConnection;
 }
 
 /** What is logged of an attempt. */
@@ -70,8 +73,6 @@
   readonly load: LoadReport | undefined;
 }
 
-type Phase = "reading" | "waiting" | "sent" | "streaming" | "done";
-
 /**
  * Connections that may fail to come about for one request. None of them reached
  * a target; after this many the list of targets is of no use for the moment.
@@ -97,9 +98,9 @@
   readonly #services: GatewayExchangeServices;
   readonly #options: GatewayExchangeOptions;
   readonly #req: IncomingMessage;
-  readonly #res: ServerResponse;
+  readonly #reply: CallerReply;
   readonly #tried = new Set<TargetId>();
-  #phase: Phase = "reading";
+  #phase: ExchangePhase = "reading";
   #body: RequestBody | undefined;
   #attempt: TargetAttempt | undefined;
   /** Attempts that were written to a target. */
@@ -123,7 +124,7 @@
     const { request, route, now } = options;
     this.#services = services;
     this.#req = options.req;
-    this.#res = options.res;
+    this.#reply = new CallerReply(options.res, options.endsConnection);
     this.#options = options;
     this.request = request;
     this.route = route;
@@ -168,29 +169,127 @@
 
   /** Takes the request in. */
   start(): void {
-    this.#services.wheel.add(this);
-    this.#services.steering.arrived(
-      this.service,
-      this.priority,
-      this.startedAt,
-    );
-    if (!RequestBody.announcedBy(this.request)) {
-      this.bodyReady();
-      return;
-    }
-    this.#body = new RequestBody(this.#req, {
-      limitBytes: this.#options.bodyBytes,
-      listener: this,
-      now: this.startedAt,
+    this.#guarded(() => {
+      this.#services.wheel.add(this);
+      this.#services.steering.arrived(
+        this.service,
+        this.priority,
+        this.startedAt,
+      );
+      if (!RequestBody.announcedBy(this.request)) {
+        this.#ready();
+        return;
+      }
+      this.#body = new RequestBody(this.#req, {
+        limitBytes: this.#options.bodyBytes,
+        listener: this,
+        now: this.startedAt,
+      });
+      this.#body.start(this.request);
     });
-    this.#body.start(this.request);
   }
 
   bodyReady(): void {
-    if (this.#phase !== "reading") {
+    this.#guarded(() => this.#ready());
+  }
+
+  bodyTooLarge(): void {
+    this.#guarded(() => this.#answer("body-too-large"));
+  }
+
+  /** What the caller sends as its body cannot be read, and its end cannot be known. */
+  bodyMalformed(): void {
+    if (this.#phase === "reading") {
+      this.#guarded(() => this.#answer("malformed"));
+    }
+  }
+
+  tryPlace(now: number, ahead: number): boolean {
+    return this.#guarded(() => this.#place(now, ahead)) ?? false;
+  }
+
+  /** The caller's connection is closed. */
+  callerClosed(): void {
+    this.#guarded(() => {
+      if (this.#enter("end")) {
+        this.#finished("caller-gone");
+      }
+    });
+  }
+
+  /** Its time has passed. */
+  expire(): void {
+    this.#guarded(() => {
+      if (this.#phase === "reading") {
+        this.#answer("slow-body");
+      } else if (this.#failure !== undefined) {
+        this.#deliver(this.#failure.answer, this.#failure.body);
+      } else if (this.#mayHaveRun) {
+        this.#answer("timeout");
+      } else {
+        this.#answer("expired-unsent", RETRY_LEAST_MS);
+      }
+    });
+  }
+
+  attemptWrites(attempt: TargetAttempt, now: number): boolean {
+    if (this.#attempt !== attempt) {
+      return false;
+    }
+    return this.#guarded(() => {
+      this.#written += 1;
+      this.#mayHaveRun = true;
+      this.#body?.markFlowing();
+      this.#services.steering.written(attempt.target, now);
+      return true;
+    }) ?? false;
+  }
+
+  attemptStreams(
+    attempt: TargetAttempt,
+    answer: TargetAnswer,
+    first: Buffer,
+  ): boolean {
+    if (this.#attempt !== attempt) {
+      return true;
+    }
+    return this.#guarded(() => {
+      if (!this.#reply.begin(answer)) {
+        this.#answer("broken");
+        return true;
+      }
+      this.#enter("stream");
+      // Another answer is out in part: this one cannot be given any more.
+      this.#failure = undefined;
+      return this.#reply.piece(first, () => attempt.resume());
+    }) ?? true;
+  }
+
+  attemptPiece(attempt: TargetAttempt, piece: Buffer): boolean {
+    if (this.#attempt !== attempt || this.#phase !== "streaming") {
+      return true;
+    }
+    return this.#guarded(() =>
+      this.#reply.piece(piece, () => attempt.resume())
+    ) ?? true;
+  }
+
+  attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
+    this.#guarded(() => {
+      const now = performance.now();
+      this.#report(attempt, end, now);
+      if (this.#attempt === attempt) {
+        this.#attempt = undefined;
+        this.#handle(end, now);
+      }
+      this.#services.queue.pump(this.service, now);
+    });
+  }
+
+  #ready(): void {
+    if (!this.#enter("queue")) {
       return;
     }
-    this.#phase = "waiting";
     this.#digest = this.#services.suspects.digestOf(
       this.#req.method!,
       this.#req.url!,
@@ -207,18 +306,8 @@
     this.#services.queue.add(this, performance.now());
   }
 
-  bodyTooLarge(): void {
-    this.#answer("body-too-large");
-  }
-
-  /** What the caller sends as its body cannot be read, and its end cannot be known. */
-  bodyMalformed(): void {
-    if (this.#phase === "reading") {
-      this.#answer("malformed");
-    }
-  }
-
-  tryPlace(now: number, ahead: number): boolean {
+  /** True if it waits on. */
+  #place(now: number, ahead: number): boolean {
     if (this.#phase !== "waiting") {
       return false;
     }
@@ -240,78 +329,14 @@
       case "refuse":
         if (this.#failure !== undefined) {
           this.#deliver(this.#failure.answer, this.#failure.body);
-          return false;
+        } else {
+          this.#refuse(decision.reason, decision.retryAfterMs);
         }
-        this.#refuse(decision.reason, decision.retryAfterMs);
         return false;
     }
   }
 
-  /** The caller's connection is closed. */
-  callerClosed(): void {
-    if (this.#phase !== "done") {
-      this.#attempt?.abandon();
-      this.#finish("caller-gone");
-    }
-  }
-
-  /** Its time has passed. */
-  expire(): void {
-    if (this.#phase === "done") {
-      return;
-    }
-    if (this.#phase === "reading") {
-      this.#answer("slow-body");
-      return;
-    }
-    if (this.#failure !== undefined) {
-      this.#deliver(this.#failure.answer, this.#failure.body);
-      return;
-    }
-    if (this.#mayHaveRun) {
-      this.#answer("timeout");
-    } else {
-      this.#answer("expired-unsent", RETRY_LEAST_MS);
-    }
-  }
-
-  attemptWrites(attempt: TargetAttempt, now: number): boolean {
-    if (this.#phase !== "sent") {
-      return false;
-    }
-    this.#written += 1;
-    this.#mayHaveRun = true;
-    this.#body?.markFlowing();
-    this.#services.steering.written(attempt.target, now);
-    return true;
-  }
-
-  attemptStreams(
-    attempt: TargetAttempt,
-    answer: TargetAnswer,
-    first: Buffer,
-  ): boolean {
-    if (this.#phase !== "sent") {
-      return true;
-    }
-    if (!this.#writeHead(answer)) {
-      this.#answer("broken");
-      return true;
-    }
-    this.#phase = "streaming";
-    return this.attemptPiece(attempt, first);
-  }
-
-  attemptPiece(attempt: TargetAttempt, piece: Buffer): boolean {
-    if (this.#phase !== "streaming" || this.#res.write(piece)) {
-      return true;
-    }
-    this.#res.once("drain", () => attempt.resume());
-    return false;
-  }
-
-  attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
-    const now = performance.now();
+  #report(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
     this.#last = {
       target: attempt.target,
       durationMs: now - attempt.startedAt,
@@ -326,11 +351,6 @@
       object: this.object,
       digest: this.#digest,
     });
-    if (this.#attempt === attempt) {
-      this.#attempt = undefined;
-      this.#handle(end, now);
-    }
-    this.#services.queue.pump(this.service, now);
   }
 
   #handle(end: TargetAttemptEnd, now: number): void {
@@ -360,8 +380,9 @@
 
   #answered(answer: TargetAnswer, body: Buffer, now: number): void {
     if (this.#phase === "streaming") {
-      this.#res.end();
-      this.#finish("answered");
+      this.#reply.end();
+      this.#enter("end");
+      this.#finished("answered");
       return;
     }
     if (answer.status >= 500 && this.route.repeat === "idempotent") {
@@ -374,13 +395,7 @@
   }
 
   #broke(now: number): void {
-    if (this.#phase === "streaming") {
-      // Part of the answer is out: it must not look complete.
-      this.#res.destroy();
-      this.#finish("broken");
-      return;
-    }
-    if (this.route.repeat === "at-most-once") {
+    if (this.#phase === "streaming" || this.route.repeat === "at-most-once") {
       this.#answer("broken");
       return;
     }
@@ -405,15 +420,16 @@
   }
 
   #requeue(now: number): void {
-    this.#phase = "waiting";
-    this.#services.queue.add(this, now);
+    if (this.#enter("queue")) {
+      this.#services.queue.add(this, now);
+    }
   }
 
   #send(id: TargetId, now: number): void {
     const { targets, connections, steering, dialect } = this.#services;
     const target = targets.get(id)!;
     this.#tried.add(id);
-    this.#phase = "sent";
+    this.#enter("send");
     this.#sentAt ??= now;
     steering.sent(id, now);
     const connection = connections.take({
@@ -441,34 +457,16 @@
   }
 
   #deliver(answer: TargetAnswer, body: Buffer): void {
-    if (answer.isChunked) {
-      answer.lines.push("content-length", String(body.length));
+    if (this.#phase === "done") {
+      return;
     }
-    if (!this.#writeHead(answer)) {
+    if (!this.#reply.whole(answer, body)) {
       this.#failure = undefined;
       this.#handleUnframed();
       return;
     }
-    this.#res.end(body);
-    this.#finish("answered");
-  }
-
-  /** False where the answer cannot be passed on over this connection. */
-  #writeHead(answer: TargetAnswer): boolean {
-    // Nobody can tell whether an answer whose end is that of its connection is
-    // whole. With a length or a last chunk of our own it would look so, and its
-    // caller might take a part for the whole; so it stays without.
-    const isUnframed = !answer.isChunked && answer.contentLength < 0;
-    const ends = this.#options.endsConnection(isUnframed);
-    if (isUnframed && !ends) {
-      return false;
-    }
-    if (ends) {
-      answer.lines.push("connection", "close");
-    }
-    this.#res.useChunkedEncodingByDefault = !isUnframed;
-    this.#res.writeHead(answer.status, answer.lines);
-    return true;
+    this.#enter("end");
+    this.#finished("answered");
   }
 
   /** The answer would end a connection on which further requests wait for theirs. */
@@ -491,32 +489,78 @@
   }
 
   #answer(reason: OwnAnswerReason, retryAfterMs?: number): void {
-    if (this.#phase === "done") {
+    const isStreaming = this.#phase === "streaming";
+    if (!this.#enter("end")) {
       return;
     }
-    if (this.#phase === "streaming") {
-      this.#attempt?.abandon();
-      this.#res.destroy();
-      this.#finish("broken");
+    if (isStreaming) {
+      // Part of the answer is out: it must not look complete.
+      this.#reply.cut();
+      this.#finished("broken");
       return;
     }
-    const attempt = this.#attempt;
-    this.#attempt = undefined;
-    attempt?.abandon();
     this.#retryAfterMs = retryAfterMs;
-    const isReading = this.#body !== undefined && !this.#body.complete;
-    sendOwnAnswer(this.#res, reason, {
-      retryAfterMs,
-      closes: this.#options.endsConnection(isReading),
-    });
-    this.#finish(reason);
+    const leavesBody = this.#body !== undefined && !this.#body.complete;
+    this.#reply.own(reason, { retryAfterMs, leavesBody });
+    this.#finished(reason);
   }
 
-  #finish(end: GatewayExchangeEnd): void {
-    this.#phase = "done";
+  /**
+   * Takes a step if its phase allows it. Whatever leaves an attempt behind breaks
+   * that attempt off: its target would work for nobody, and its end would be taken
+   * for that of the phase that follows.
+   */
+  #enter(step: ExchangeStep): boolean {
+    const next = phaseAfter(this.#phase, step);
+    if (next === undefined) {
+      return false;
+    }
+    this.#phase = next;
+    if (next !== "streaming") {
+      const attempt = this.#attempt;
+      this.#attempt = undefined;
+      attempt?.abandon();
+    }
+    return true;
+  }
+
+  /** What follows the end, whose answer is out. */
+  #finished(end: GatewayExchangeEnd): void {
     this.#services.wheel.delete(this);
     this.#services.queue.remove(this);
     this.#body?.destroy();
     this.#services.ended(this, end);
   }
+
+  /**
+   * Does what an event asks for. A fault in it ends this exchange alone: thrown
+   * into a socket's event, it would end the process, and the callers of all other
+   * requests would see their connections reset.
+   */
+  #guarded<T>(work: () => T): T | undefined {
+    try {
+      return work();
+    } catch (err) {
+      this.#fail(err);
+      return undefined;
+    }
+  }
+
+  #fail(err: unknown): void {
+    this.#services.log.write("exchange failed", {
+      request: this.request.requestId,
+      reason: err instanceof Error ? err.stack ?? err.message : messageOf(err),
+    });
+    try {
+      this.#answer("broken");
+    } catch (second) {
+      // Its answer was begun before, so it cannot be given: only a cut is true.
+      this.#services.log.write("exchange failed", {
+        request: this.request.requestId,
+        reason: messageOf(second),
+      });
+      this.#reply.cut();
+      this.#finished("broken");
+    }
+  }
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -0,0 +1,169 @@
+import fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import { ExchangeWorld } from "./exchange_world.ts";
+
+/** More than an attempt holds back until it is whole, in bytes. */
+const STREAMED_BYTES = 300_000;
+
+/** Longer than the route of the world gives a request, in milliseconds. */
+const TOO_LONG_MS = 1_050;
+
+/** The request's time passes. */
+function expire(world: ExchangeWorld): void {
+  vi.advanceTimersByTime(TOO_LONG_MS);
+  world.checkDeadlines();
+}
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ["performance"] });
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+describe("an exchange", () => {
+  // A target fails a read, which is sent to a second target. The read's time
+  // passes before that one answers, so its caller gets the failure that is
+  // there. Then the second target's connection breaks: its end used to answer the
+  // caller a second time, which ended the process with all its requests.
+  test("answers once when its time passes during a second attempt", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.exchange.start();
+    world.sendings[0]!.write();
+    world.sendings[0]!.answer({ status: 500 });
+    world.sendings[1]!.write();
+    expire(world);
+    expect(world.statuses).toEqual([500]);
+    expect(world.sendings[1]!.isCut).toBe(true);
+    world.sendings[1]!.fail();
+    expect(world.statuses).toEqual([500]);
+    expect(world.ends).toEqual(["answered"]);
+  });
+
+  // A target fails a read, and a second one begins a large answer that does not
+  // come to its end in time. The failure that is kept used to be sent behind the
+  // header of that answer; the caller gets a connection that ends early.
+  test("cuts an answer that does not end in time, whatever it kept", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.exchange.start();
+    world.sendings[0]!.write();
+    world.sendings[0]!.answer({ status: 500 });
+    world.sendings[1]!.write();
+    world.sendings[1]!.begin(STREAMED_BYTES);
+    expire(world);
+    expect(world.statuses).toEqual([200]);
+    expect(world.isCut).toBe(true);
+    expect(world.ends).toEqual(["broken"]);
+  });
+
+  // A fault in the code that places one request throws. Unguarded, it ends the
+  // process, and every caller of the VM loses its request.
+  test("ends by itself where its own code fails, and says so in the log", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.fault = new Error("a fault");
+    world.exchange.start();
+    expect(world.statuses).toEqual([502]);
+    expect(world.ends).toEqual(["broken"]);
+    expect(world.logged).toContain("exchange failed");
+  });
+
+  // The same while an attempt is on its way: its target must not go on working
+  // for nobody.
+  test("breaks its attempt off where its own code fails", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.exchange.start();
+    world.sendings[0]!.write();
+    world.fault = new Error("a fault");
+    world.sendings[0]!.answer({ status: 500 });
+    expect(world.statuses).toEqual([502]);
+    expect(world.openSending).toBeUndefined();
+  });
+
+  const act = fc.constantFrom<(world: ExchangeWorld) => void>(
+    (world) => world.openSending?.write(),
+    (world) => {
+      if (world.openSending?.isWritten) {
+        world.openSending.answer({ status: 200 });
+      }
+    },
+    (world) => {
+      if (world.openSending?.isWritten) {
+        world.openSending.answer({ status: 200 }, STREAMED_BYTES);
+      }
+    },
+    (world) => {
+      if (world.openSending?.isWritten) {
+        world.openSending.begin(STREAMED_BYTES);
+      }
+    },
+    (world) => {
+      if (world.openSending?.isWritten) {
+        world.openSending.answer({ status: 500 });
+      }
+    },
+    (world) => {
+      if (world.openSending?.isWritten) {
+        world.openSending.answer({ status: 500, isUnframed: true });
+      }
+    },
+    (world) => {
+      if (world.openSending?.isWritten) {
+        world.openSending.answer({ status: 503, notRun: true });
+      }
+    },
+    (world) => world.openSending?.fail(),
+    (world) => world.sendings[0]?.fail(),
+    expire,
+    (world) => world.exchange.callerClosed(),
+    (world) => world.pump(),
+    (world) => world.exchange.bodyMalformed(),
+    (world) => world.exchange.bodyTooLarge(),
+    (world) => world.decision = "wait",
+    (world) => world.decision = "send",
+    (world) => world.decision = "refuse",
+    (world) => world.fault = new Error("a fault"),
+  );
+
+  // Whatever comes in whatever order: one answer, one end, no open attempt behind
+  // it, and nothing thrown into the event loop.
+  test("ends exactly once in any order of events", () => {
+    fc.assert(
+      fc.property(
+        fc.constantFrom("idempotent" as const, "at-most-once" as const),
+        fc.boolean(),
+        fc.array(act, { maxLength: 12 }),
+        (repeat, isPipelined, acts) => {
+          const world = new ExchangeWorld({ repeat, isPipelined });
+          world.exchange.start();
+          acts.forEach((one) => one(world));
+          expire(world);
+          expect(world.statuses.length).toBeLessThanOrEqual(1);
+          expect(world.ends).toHaveLength(1);
+          expect(world.openSending).toBeUndefined();
+          if (world.ends[0] === "answered") {
+            expect(world.statuses).toHaveLength(1);
+          }
+        },
+      ),
+      { numRuns: 6_000 },
+    );
+  });
+
+  // An order that may have reached a target is never sent again.
+  test("writes an order at most once unless its target says that it did not run", () => {
+    fc.assert(
+      fc.property(fc.array(act, { maxLength: 12 }), (acts) => {
+        const world = new ExchangeWorld({ repeat: "at-most-once" });
+        world.exchange.start();
+        const refusesOnly = acts.filter((one) =>
+          !String(one).includes("notRun")
+        );
+        refusesOnly.forEach((one) => one(world));
+        const written = world.sendings.filter(({ isWritten }) => isWritten);
+        expect(written.length).toBeLessThanOrEqual(1);
+      }),
+      { numRuns: 1_000 },
+    );
+  });
+});
