The request path without sockets is a part of its own

Cause: steering, waiting room, deadlines, suspects and the list of targets were wired inside gateway.ts (469 lines) between listeners, so nothing could play them without sockets.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -17,6 +17,7 @@
   decisions: () => import("./decisions/main.ts"),
   coordination: () => import("./coordination/main.ts"),
   slopes: () => import("./slopes/main.ts"),
+  fleet: () => import("./fleet/main.ts"),
   journal: () => import("./journal/main.ts"),
 };
 
--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -7,7 +7,7 @@
 
 import type { Steering } from "@poplarthread/placement";
 import { NotSentError } from "../errors.ts";
-import type { Connections } from "./connections.ts";
+import type { ConnectionSource } from "./connections.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
 import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
@@ -15,7 +15,7 @@
 /** Who is told. */
 export interface AttemptReportServices {
   readonly steering: Steering;
-  readonly connections: Connections;
+  readonly connections: ConnectionSource;
   readonly suspects: CrashSuspects;
   readonly log: EventLog;
 }
@@ -65,7 +65,7 @@
 }
 
 function tellConnections(
-  connections: Connections,
+  connections: ConnectionSource,
   { connection }: TargetAttempt,
   end: TargetAttemptEnd,
 ): void {
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -20,9 +20,10 @@
   RouteIndex,
   type RoutingConfiguration,
 } from "./configuration.ts";
-import { GatewayExchange, type GatewayExchangeServices } from "./exchange.ts";
+import type { GatewayExchange } from "./exchange.ts";
 import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
 import type { CallerRequest, Dialect } from "./ports.ts";
+import type { RequestPath } from "./request_path.ts";
 import type { ListenAddress } from "./settings.ts";
 
 /** Until a configuration says otherwise. */
@@ -61,7 +62,7 @@
   readonly dialect: Dialect;
   /** Where this VM begins with splits, so that VMs do not all begin alike. */
   readonly seed: string;
-  readonly services: GatewayExchangeServices;
+  readonly path: RequestPath;
   /** Told of answers that no exchange gave. */
   refused(request: CallerRequest | undefined, reason: OwnAnswerReason): void;
   /** Told of connections that could not be accepted. */
@@ -249,7 +250,7 @@
     readonly compiled: Compiled;
   }): void {
     const { connection, compiled, ...options } = parts;
-    const exchange = new GatewayExchange(this.#options.services, {
+    const exchange = this.#options.path.exchange({
       ...options,
       bodyBytes: compiled.configuration.limits.bodyBytes,
       version: compiled.configuration.version,
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -42,8 +42,34 @@
   connected(target: TargetId, ms: number): void;
 }
 
+/** A connection as an attempt uses it. */
+export interface TargetConnection {
+  readonly target: TargetId;
+  /** Sends a request; its events go to the handler. */
+  dispatch(
+    req: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void;
+  /** Whether the answer that just ended was cut short by the end of the connection. */
+  wasCut(isChunked: boolean): boolean;
+  /** Cuts it, so that the target stops its work. */
+  destroy(): void;
+}
+
+/** Where attempts get their connections. */
+export interface ConnectionSource {
+  /** An idle connection or a new one. */
+  take(target: ConnectionTarget): TargetConnection;
+  /** Its request is answered. */
+  giveBack(connection: TargetConnection): void;
+  /** Its request did not come to a whole answer. */
+  drop(connection: TargetConnection): void;
+  /** The target is gone. */
+  forget(target: TargetId): void;
+}
+
 /** One connection; serves one request at a time. */
-export class Connection {
+export class Connection implements TargetConnection {
   readonly target: TargetId;
   readonly address: string;
   readonly #client: Client;
--- /dev/null
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -0,0 +1,28 @@
+/**
+ * The parts of a gateway that run without sockets, for programs that play them
+ * in virtual time.
+ *
+ * @module
+ */
+
+export type {
+  ConnectionSource,
+  ConnectionTarget,
+  TargetConnection,
+} from "./connections.ts";
+export type { Route, Service } from "./configuration.ts";
+export { EventLog } from "./events.ts";
+export type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+export type {
+  AnnouncedTarget,
+  CallerRequest,
+  Dialect,
+  TargetAnswer,
+} from "./ports.ts";
+export {
+  BUSY_TICK_MS,
+  IDLE_TICK_MS,
+  RequestPath,
+  type RequestPathOptions,
+} from "./request_path.ts";
+export type { Log } from "../log.ts";
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,17 +5,15 @@
  * @module
  */
 
-import type { TargetId, VmId, ZoneId } from "@poplarthread/ids";
+import type { TargetId, VmId } from "@poplarthread/ids";
 import { Steering } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
-import { DeadlineWheel } from "../http/deadline_wheel.ts";
 import type { Log } from "../log.ts";
 import { pause } from "../pause.ts";
 import { Supervisor } from "../supervisor.ts";
 import { CallerListener } from "./caller_listener.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
 import { Connections } from "./connections.ts";
-import { CrashSuspects } from "./crash_suspects.ts";
 import { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -27,9 +25,8 @@
 import type { Dialect, Member, PlatformPort, WatchedSubject } from "./ports.ts";
 import { RelayListener } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
-import { RequestQueue } from "./request_queue.ts";
+import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
 import type { GatewaySettings } from "./settings.ts";
-import { TargetDirectory } from "./target_directory.ts";
 import { VmDirectory } from "./vm_directory.ts";
 
 /** What a gateway runs on. */
@@ -49,10 +46,6 @@
   kill(): Promise<void>;
 }
 
-/** How often deadlines and waiting requests are looked at while there are any, in milliseconds. */
-const BUSY_TICK_MS = 20;
-/** How often targets, peers and probes are looked at, in milliseconds. */
-const IDLE_TICK_MS = 200;
 /**
  * Callers keep an answer to a look-up for this long, some of them three times as
  * long, in milliseconds. So all of them know of a VM's leaving after 3 s, well
@@ -85,19 +78,14 @@
   readonly #requestLog: RequestLog;
   readonly #metrics: GatewayMetrics;
   readonly #self: Member;
-  readonly #wheel = new DeadlineWheel(performance.now());
-  readonly #queue = new RequestQueue();
-  readonly #steering: Steering;
   readonly #connections: Connections;
-  readonly #targets: TargetDirectory;
+  readonly #path: RequestPath;
   readonly #vms: VmDirectory;
-  readonly #suspects: CrashSuspects;
   readonly #prober: HealthProber;
   readonly #callers: CallerListener;
   readonly #beacon: PeerBeacon;
   readonly #root: Supervisor;
   readonly #timers: NodeJS.Timeout[] = [];
-  #evacuated: ReadonlySet<ZoneId> = new Set();
   #hasTargets = false;
   #leaving = false;
   /** The planned stop; whoever asks for it again waits for the same one. */
@@ -105,16 +93,16 @@
   #fail: (err: unknown) => void = () => undefined;
 
   constructor(settings: GatewaySettings, ports: GatewayPorts) {
-    const { vm, instance, zone, region, cores, listen, bounds } = settings;
+    const { vm, instance, zone, region, cores, listen } = settings;
     this.#settings = settings;
     this.#dialect = ports.dialect;
     this.#log = new EventLog(ports.log);
     this.#requestLog = new RequestLog(this.#log);
     this.#metrics = new GatewayMetrics(() => ({
       openRequests: this.#callers.openRequests,
-      waitingRequests: this.#queue.size,
+      waitingRequests: this.#path.waitingRequests,
       configurationVersion: this.#callers.version,
-      targets: this.#targets.size,
+      targets: this.#path.targets.size,
       vmsUp: this.#vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
     }));
@@ -128,42 +116,21 @@
       peerAddress: `${listen.peers.host}:${listen.peers.port}`,
       cores,
     };
-    this.#steering = new Steering({
-      vm,
-      place: { zone, region },
-      retries: bounds.retries,
-    });
     this.#connections = new Connections({
       localAddress: listen.callers.host,
-      listener: { connected: (target, ms) => this.#connected(target, ms) },
-    });
-    this.#targets = new TargetDirectory({
-      steering: this.#steering,
-      zones: settings.zones,
-      onGone: (target) => this.#connections.forget(target),
-      onChange: (target, what) => {
-        if (what === "gone" || what === "restarted") {
-          this.#suspects.crashed(target.id, performance.now());
-        }
-        this.#metrics.beliefChanged(`target-${what}`);
-        this.#log.write(`target ${what}`, {
-          target: target.id,
-          service: target.service,
-          zone: target.zone,
-        });
+      listener: {
+        connected: (target, ms) => this.#path.connected(target, ms),
       },
     });
+    this.#path = this.#createPath(settings);
     this.#vms = new VmDirectory({
       self: this.#self,
       onChange: (member, change) => {
         this.#metrics.beliefChanged(`peer-${change}`);
         this.#log.write(`peer ${change}`, { peer: member.instance });
-        this.#steering.setVms(this.#vms.owners(performance.now()));
+        this.#path.steering.setVms(this.#vms.owners(performance.now()));
       },
     });
-    this.#suspects = new CrashSuspects((crash) =>
-      this.#beacon.send({ kind: "crash", crash })
-    );
     this.#prober = new HealthProber({
       connections: this.#connections,
       dialect: this.#dialect,
@@ -196,9 +163,9 @@
     await this.#root.start({
       failed: (_task, err) => this.#fail(err),
     });
-    this.#steering.setVms(this.#vms.owners(performance.now()));
+    this.#path.steering.setVms(this.#vms.owners(performance.now()));
     this.#feed.start(this.#self);
-    this.#every(BUSY_TICK_MS, () => this.#busyTick());
+    this.#every(BUSY_TICK_MS, () => this.#path.busyTick(performance.now()));
     this.#every(IDLE_TICK_MS, () => this.#idleTick());
     this.#log.write("started", {});
   }
@@ -234,23 +201,34 @@
     this.#connections.close();
   }
 
+  #createPath(settings: GatewaySettings): RequestPath {
+    const { vm, zone, region, zones, bounds } = settings;
+    return new RequestPath({
+      steering: new Steering({
+        vm,
+        place: { zone, region },
+        retries: bounds.retries,
+      }),
+      zones,
+      dialect: this.#dialect,
+      log: this.#log,
+      connections: this.#connections,
+      targetChanged: (_target, what) =>
+        this.#metrics.beliefChanged(`target-${what}`),
+      targetSilent: () => this.#metrics.beliefChanged("target-silent"),
+      probe: (target) => this.#probe(target),
+      publishCrash: (crash) => this.#beacon.send({ kind: "crash", crash }),
+      ended: (exchange, end) => this.#ended(exchange, end),
+      attemptEnded: (end) => this.#metrics.attemptEnded(end),
+    });
+  }
+
   #createCallers(): CallerListener {
     return new CallerListener({
       listen: this.#settings.listen.callers,
       dialect: this.#dialect,
       seed: this.#settings.vm,
-      services: {
-        dialect: this.#dialect,
-        wheel: this.#wheel,
-        steering: this.#steering,
-        queue: this.#queue,
-        connections: this.#connections,
-        targets: this.#targets,
-        suspects: this.#suspects,
-        log: this.#log,
-        ended: (exchange, end) => this.#ended(exchange, end),
-        attemptEnded: (end) => this.#metrics.attemptEnded(end),
-      },
+      path: this.#path,
       notAccepted: (err) =>
         this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
@@ -303,44 +281,29 @@
     this.#timers.push(setInterval(work, periodMs));
   }
 
-  #busyTick(): void {
-    const now = performance.now();
-    this.#wheel.advance(now);
-    if (this.#queue.size > 0) {
-      this.#queue.pumpAll(now);
-    }
-  }
-
   #idleTick(): void {
     const now = performance.now();
-    this.#targets.sweep(now);
     this.#vms.sweep(now);
-    this.#steering.setFleetSize(this.#vms.fleetSize(now));
-    this.#queue.review(now);
-    for (const target of this.#steering.checkSilence(now)) {
-      this.#metrics.beliefChanged("target-silent");
-      this.#log.write("target silent", { target });
-    }
-    for (const target of this.#steering.probesDue(now)) {
-      this.#probe(target);
-    }
+    this.#path.steering.setFleetSize(this.#vms.fleetSize(now));
+    this.#path.idleTick(now);
   }
 
   #probe(id: TargetId): void {
-    const target = this.#targets.get(id);
-    const path = this.#targets.serviceOf(id)?.healthPath;
+    const { steering, targets } = this.#path;
+    const target = targets.get(id);
+    const path = targets.serviceOf(id)?.healthPath;
     if (target === undefined || path === undefined) {
       return;
     }
     const { address } = target;
-    const roundTripMs = this.#steering.roundTripTo(id);
+    const roundTripMs = steering.roundTripTo(id);
     this.#prober.probe({ id, address, roundTripMs }, path).then(
       (health) => {
         const isIt = health.target === undefined || health.target === id;
         if (health.isHealthy && isIt) {
           // It may have started anew since: its list entry tells that only later.
           const coldMs = health.coldMs;
-          this.#steering.probeAnswered(id, { now: performance.now(), coldMs });
+          steering.probeAnswered(id, { now: performance.now(), coldMs });
           this.#log.write("target answers again", { target: id });
         }
       },
@@ -349,13 +312,6 @@
     );
   }
 
-  #connected(id: TargetId, ms: number): void {
-    const target = this.#targets.get(id);
-    if (target !== undefined) {
-      this.#steering.roundTrips.measured(target.zone, ms);
-    }
-  }
-
   #ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
     this.#callers.ended(exchange);
     const now = performance.now();
@@ -392,7 +348,7 @@
     now: number,
   ): void {
     for (const crash of crashes) {
-      this.#suspects.heard(crash, now);
+      this.#path.suspects.heard(crash, now);
     }
     for (const [subject, version] of Object.entries(seen)) {
       this.#feed.hint(subject as WatchedSubject, version);
@@ -409,12 +365,11 @@
         this.#log.write("configuration not used", { reason: event.reason });
         return;
       case "evacuations":
-        this.#evacuate(event.zones, now);
+        this.#path.evacuate(event.zones, now);
         return;
       case "targets":
         this.#hasTargets = true;
-        this.#targets.update(event.targets, now);
-        this.#queue.pumpAll(now);
+        this.#path.listed(event.targets, now);
         return;
       case "members":
         this.#vms.listed(event.members, now);
@@ -422,7 +377,7 @@
         return;
       case "contact":
         if (event.subject === "targets") {
-          this.#targets.contact(event.isLost, now);
+          this.#path.targets.contact(event.isLost, now);
         }
         this.#logContact(event);
         return;
@@ -445,25 +400,9 @@
       return;
     }
     this.#callers.send({ kind: "configuration", configuration });
-    this.#targets.setServices(configuration.services);
+    this.#path.targets.setServices(configuration.services);
     this.#log.write("configuration in force", {
       revision: configuration.version,
     });
   }
-
-  #evacuate(zones: ReadonlySet<ZoneId>, now: number): void {
-    for (const zone of this.#evacuated) {
-      if (!zones.has(zone)) {
-        this.#targets.zoneTakenBack(zone, now);
-        this.#log.write("zone taken back", { zone });
-      }
-    }
-    for (const zone of zones) {
-      if (!this.#evacuated.has(zone)) {
-        this.#log.write("zone evacuated", { zone });
-      }
-    }
-    this.#evacuated = zones;
-    this.#steering.setEvacuated(zones);
-  }
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -0,0 +1,159 @@
+/**
+ * What stands between callers' requests and targets on one VM, without a socket:
+ * steering, waiting requests, deadlines, and what is believed of targets.
+ *
+ * @module
+ */
+
+import type { RegionId, TargetId, ZoneId } from "@poplarthread/ids";
+import type { Steering } from "@poplarthread/placement";
+import { DeadlineWheel } from "../http/deadline_wheel.ts";
+import type { ConnectionSource } from "./connections.ts";
+import { CrashSuspects, type SuspectedCrash } from "./crash_suspects.ts";
+import type { EventLog } from "./events.ts";
+import {
+  GatewayExchange,
+  type GatewayExchangeOptions,
+  type GatewayExchangeServices,
+} from "./exchange.ts";
+import type { AnnouncedTarget, Dialect } from "./ports.ts";
+import { RequestQueue } from "./request_queue.ts";
+import { type TargetChange, TargetDirectory } from "./target_directory.ts";
+
+/** How often deadlines and waiting requests are looked at while there are any, in milliseconds. */
+export const BUSY_TICK_MS = 20;
+/** How often targets, peers and probes are looked at, in milliseconds. */
+export const IDLE_TICK_MS = 200;
+
+/** What a request path works with. */
+export interface RequestPathOptions {
+  readonly steering: Steering;
+  readonly zones: ReadonlyMap<ZoneId, RegionId>;
+  readonly dialect: Dialect;
+  readonly log: EventLog;
+  readonly connections: ConnectionSource;
+  /** Told of what changed about a target. */
+  targetChanged(target: AnnouncedTarget, what: TargetChange): void;
+  /** Told of a target that has fallen silent. */
+  targetSilent(target: TargetId): void;
+  /** A target that is out is to be probed. */
+  probe(target: TargetId): void;
+  /** Peers are to hear of a target that a request may have crashed. */
+  publishCrash(crash: SuspectedCrash): void;
+  /** Called once for each exchange, when its caller has its final answer. */
+  ended: GatewayExchangeServices["ended"];
+  /** Called once for each attempt. */
+  attemptEnded: GatewayExchangeServices["attemptEnded"];
+}
+
+/** See the module's comment. Times are milliseconds of the monotonic clock. */
+export class RequestPath {
+  readonly steering: Steering;
+  readonly targets: TargetDirectory;
+  readonly suspects: CrashSuspects;
+  readonly #options: RequestPathOptions;
+  readonly #services: GatewayExchangeServices;
+  readonly #wheel = new DeadlineWheel(performance.now());
+  readonly #queue = new RequestQueue();
+  #evacuated: ReadonlySet<ZoneId> = new Set();
+
+  constructor(options: RequestPathOptions) {
+    const { steering, dialect, log, connections } = options;
+    this.#options = options;
+    this.steering = steering;
+    this.targets = new TargetDirectory({
+      steering,
+      zones: options.zones,
+      onGone: (target) => connections.forget(target),
+      onChange: (target, what) => this.#targetChanged(target, what),
+    });
+    this.suspects = new CrashSuspects((crash) => options.publishCrash(crash));
+    this.#services = {
+      dialect,
+      wheel: this.#wheel,
+      steering,
+      queue: this.#queue,
+      connections,
+      targets: this.targets,
+      suspects: this.suspects,
+      log,
+      ended: (exchange, end) => options.ended(exchange, end),
+      attemptEnded: (end) => options.attemptEnded(end),
+    };
+  }
+
+  /** Requests that wait for a target. */
+  get waitingRequests(): number {
+    return this.#queue.size;
+  }
+
+  /** A caller's request; it begins with `start`. */
+  exchange(options: GatewayExchangeOptions): GatewayExchange {
+    return new GatewayExchange(this.#services, options);
+  }
+
+  /** Work that is due every {@link BUSY_TICK_MS}. */
+  busyTick(now: number): void {
+    this.#wheel.advance(now);
+    if (this.#queue.size > 0) {
+      this.#queue.pumpAll(now);
+    }
+  }
+
+  /** Work that is due every {@link IDLE_TICK_MS}. */
+  idleTick(now: number): void {
+    this.targets.sweep(now);
+    this.#queue.review(now);
+    for (const target of this.steering.checkSilence(now)) {
+      this.#options.targetSilent(target);
+      this.#options.log.write("target silent", { target });
+    }
+    for (const target of this.steering.probesDue(now)) {
+      this.#options.probe(target);
+    }
+  }
+
+  /** The platform's whole list of targets. */
+  listed(targets: ReadonlyMap<TargetId, AnnouncedTarget>, now: number): void {
+    this.targets.update(targets, now);
+    this.#queue.pumpAll(now);
+  }
+
+  /** Zones to whose targets nothing is to be sent. */
+  evacuate(zones: ReadonlySet<ZoneId>, now: number): void {
+    const { log } = this.#options;
+    for (const zone of this.#evacuated) {
+      if (!zones.has(zone)) {
+        this.targets.zoneTakenBack(zone, now);
+        log.write("zone taken back", { zone });
+      }
+    }
+    for (const zone of zones) {
+      if (!this.#evacuated.has(zone)) {
+        log.write("zone evacuated", { zone });
+      }
+    }
+    this.#evacuated = zones;
+    this.steering.setEvacuated(zones);
+  }
+
+  /** A connection to a target took `ms` to come about. */
+  connected(id: TargetId, ms: number): void {
+    const target = this.targets.get(id);
+    if (target !== undefined) {
+      this.steering.roundTrips.measured(target.zone, ms);
+    }
+  }
+
+  #targetChanged(target: AnnouncedTarget, what: TargetChange): void {
+    if (what === "gone" || what === "restarted") {
+      this.suspects.crashed(target.id, performance.now());
+    }
+    this.#options.targetChanged(target, what);
+    this.#options.log.write(`target ${what}`, {
+      target: target.id,
+      service: target.service,
+      zone: target.zone,
+    });
+  }
+}
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -10,7 +10,7 @@
 import type { Dispatcher } from "undici";
 import type { TargetId } from "@poplarthread/ids";
 import { NotSentError, WrongAnswerError } from "../errors.ts";
-import type { Connection } from "./connections.ts";
+import type { TargetConnection } from "./connections.ts";
 import type { Dialect, TargetAnswer } from "./ports.ts";
 
 /** How an attempt ended. */
@@ -60,14 +60,14 @@
 export interface TargetAttemptOptions {
   readonly target: TargetId;
   readonly requestId: string;
-  readonly connection: Connection;
+  readonly connection: TargetConnection;
   readonly dialect: Dialect;
 }
 
 /** Handles undici's events; see the module's comment. */
 export class TargetAttempt implements Dispatcher.DispatchHandler {
   readonly target: TargetId;
-  readonly connection: Connection;
+  readonly connection: TargetConnection;
   readonly startedAt = performance.now();
   readonly #owner: TargetAttemptOwner;
   readonly #options: TargetAttemptOptions;
