Exchange: the record of its attempts and their sending are parts of their own

What has become of a request's attempts (to which targets, whether one may have run it) is attempt_record.ts; sending one is start_attempt.ts.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -11,7 +11,6 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Dispatcher } from "undici";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
 import {
   hashText,
@@ -21,6 +20,7 @@
 import { messageOf } from "../errors.ts";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
+import { AttemptRecord } from "./attempt_record.ts";
 import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
 import { CallerReply, type EndsConnection } from "./caller_reply.ts";
 import type { Route } from "./configuration.ts";
@@ -30,24 +30,23 @@
   phaseAfter,
 } from "./exchange_phase.ts";
 import type { OwnAnswerReason } from "./own_answer.ts";
-import type { CallerRequest, Dialect, TargetAnswer } from "./ports.ts";
+import type { CallerRequest, TargetAnswer } from "./ports.ts";
 import type { Placeable, RequestQueue } from "./request_queue.ts";
-import {
+import { startAttempt, type StartAttemptServices } from "./start_attempt.ts";
+import type {
   TargetAttempt,
-  type TargetAttemptEnd,
-  type TargetAttemptOwner,
+  TargetAttemptEnd,
+  TargetAttemptOwner,
 } from "./target_attempt.ts";
-import type { TargetDirectory } from "./target_directory.ts";
 
 /** How an exchange ended, for logs and metrics. */
 export type GatewayExchangeEnd = "answered" | "caller-gone" | OwnAnswerReason;
 
 /** What an exchange works with; one object for all exchanges of a VM. */
-export interface GatewayExchangeServices extends AttemptReportServices {
-  readonly dialect: Dialect;
+export interface GatewayExchangeServices
+  extends AttemptReportServices, StartAttemptServices {
   readonly wheel: DeadlineWheel;
   readonly queue: RequestQueue;
-  readonly targets: TargetDirectory;
   /** Called once for each exchange, when its caller has its final answer. */
   ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
   /** Called once for each attempt. */
@@ -77,11 +76,6 @@
   readonly load: LoadReport | undefined;
 }
 
-/**
- * Connections that may fail to come about for one request. None of them reached
- * a target; after this many the list of targets is of no use for the moment.
- */
-const MOST_UNREACHABLE = 4;
 /** A retry is worth its place in the budget only with this much time left, in milliseconds: about one warm service time. */
 const RETRY_LEAST_MS = 120;
 /** Time that the answer needs on its way back to the caller, in milliseconds. */
@@ -103,19 +97,12 @@
   readonly #options: GatewayExchangeOptions;
   readonly #req: IncomingMessage;
   readonly #reply: CallerReply;
-  readonly #tried = new Set<TargetId>();
+  readonly #record = new AttemptRecord();
   #phase: ExchangePhase = "reading";
   #body: RequestBody | undefined;
   #attempt: TargetAttempt | undefined;
   /** Whether the target of the attempt was taken to keep the object. */
   #warmth: Warmth = "unknown";
-  /** Attempts that were written to a target. */
-  #written = 0;
-  #unreachable = 0;
-  /** A target may have run the request. */
-  #mayHaveRun = false;
-  /** A target of an attempt before the last one may have. */
-  #mayHaveRunBefore = false;
   /** The last failure that a target answered; the caller gets it if nothing better comes. */
   #failure: { answer: TargetAnswer; body: Buffer } | undefined;
   #digest: string | undefined;
@@ -155,7 +142,7 @@
 
   /** Attempts that were written to a target. */
   get attempts(): number {
-    return this.#written;
+    return this.#record.written;
   }
 
   /** The attempt that ended last. */
@@ -173,8 +160,11 @@
     return (this.#sentAt ?? performance.now()) - this.startedAt;
   }
 
-  /** Takes the request in. */
+  /** Takes the request in, unless its caller has left before. */
   start(): void {
+    if (this.#phase !== "reading") {
+      return;
+    }
     this.#guarded(() => {
       this.#services.wheel.add(this);
       this.#services.steering.arrived(
@@ -230,7 +220,7 @@
         this.#answer("slow-body");
       } else if (this.#failure !== undefined) {
         this.#deliver(this.#failure.answer, this.#failure.body);
-      } else if (this.#mayHaveRun) {
+      } else if (this.#record.mayHaveRun) {
         this.#answer("timeout");
       } else {
         this.#answer("expired-unsent", RETRY_LEAST_MS);
@@ -243,8 +233,7 @@
       return false;
     }
     return this.#guarded(() => {
-      this.#written += 1;
-      this.#mayHaveRun = true;
+      this.#record.writes();
       this.#body?.markFlowing();
       this.#services.steering.written(attempt.target, now);
       return true;
@@ -325,7 +314,7 @@
       regions: this.route.regions,
       arrivedAt: this.startedAt,
       answerBy: this.expiresAt,
-      tried: this.#tried,
+      tried: this.#record.tried,
     }, { now, ahead });
     switch (decision.kind) {
       case "send":
@@ -369,12 +358,12 @@
         this.#answered(end.answer, end.body, now);
         return;
       case "not-run":
-        this.#mayHaveRun = this.#mayHaveRunBefore;
+        this.#record.didNotRun();
         this.#again(now);
         return;
       case "unreachable":
-        this.#unreachable += 1;
-        if (this.#unreachable > MOST_UNREACHABLE) {
+        this.#record.didNotConnect();
+        if (this.#record.isOutOfReach) {
           this.#refuse("no-target", RETRY_LEAST_MS);
           return;
         }
@@ -397,7 +386,7 @@
     }
     if (answer.status >= 500 && this.route.repeat === "idempotent") {
       this.#failure = { answer, body };
-      this.#mayHaveRunBefore = true;
+      this.#record.failed();
       this.#again(now);
       return;
     }
@@ -409,14 +398,14 @@
       this.#answer("broken");
       return;
     }
-    this.#mayHaveRunBefore = true;
+    this.#record.failed();
     this.#again(now);
   }
 
   /** Sends it once more where that is allowed and can still be in time. */
   #again(now: number): void {
     const { steering } = this.#services;
-    const isAllowed = this.#written < this.route.maxAttempts &&
+    const isAllowed = this.#record.written < this.route.maxAttempts &&
       this.expiresAt - now > RETRY_LEAST_MS &&
       (this.#body?.available ?? true) &&
       steering.spendRetry(this.service, now);
@@ -435,35 +424,21 @@
     }
   }
 
-  #send(id: TargetId, now: number): void {
-    const { targets, connections, steering, dialect } = this.#services;
-    const target = targets.get(id)!;
-    this.#tried.add(id);
+  #send(target: TargetId, now: number): void {
+    const { steering } = this.#services;
+    this.#record.tried.add(target);
     this.#enter("send");
     this.#sentAt ??= now;
-    steering.sent(id, now);
-    const connection = connections.take({
-      id,
-      address: target.address,
-      roundTripMs: steering.roundTripTo(id),
-    });
-    const attempt = new TargetAttempt(this, {
-      target: id,
-      requestId: this.request.requestId,
-      connection,
-      dialect,
-    });
-    this.#attempt = attempt;
-    const leftMs = Math.max(1, Math.floor(this.expiresAt - now));
-    connection.dispatch({
-      path: this.#req.url!,
-      method: this.#req.method as Dispatcher.HttpMethod,
-      headers: [
-        ...this.request.lines,
-        ...dialect.attemptLines({ target: id, leftMs }),
-      ],
+    steering.sent(target, now);
+    startAttempt(this, this.#services, {
+      target,
+      request: this.request,
+      method: this.#req.method!,
+      url: this.#req.url!,
       body: this.#body?.forAttempt ?? null,
-    }, attempt);
+      leftMs: Math.max(1, Math.floor(this.expiresAt - now)),
+      started: (attempt) => this.#attempt = attempt,
+    });
   }
 
   #deliver(answer: TargetAnswer, body: Buffer): void {
@@ -482,7 +457,7 @@
   /** The answer would end a connection on which further requests wait for theirs. */
   #handleUnframed(): void {
     if (this.route.repeat === "idempotent") {
-      this.#mayHaveRunBefore = true;
+      this.#record.failed();
       this.#again(performance.now());
     } else {
       this.#answer("broken");
@@ -491,7 +466,7 @@
 
   /** Refuses it, which promises that it has not run; where nobody knows that, it failed instead. */
   #refuse(reason: OwnAnswerReason, retryAfterMs: number): void {
-    if (this.#mayHaveRun) {
+    if (this.#record.mayHaveRun) {
       this.#answer("broken");
     } else {
       this.#answer(reason, retryAfterMs);
