A VM that comes late reads what follows a request before it sends it on

A VM that is short of processor time reads a request whose caller has left; the close is read one turn of the event loop later, and by then the request is at a target.

Change: the tick of 20 ms tells that the loop runs late (over 100 ms); then an exchange starts two turns later, after what came behind its request has been read. A caller's closing of its own side counts at once, not after this VM has closed its side, too.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -63,6 +63,8 @@
   /** Where this VM begins with splits, so that VMs do not all begin alike. */
   readonly seed: string;
   readonly path: RequestPath;
+  /** Whether this VM reads what came some time ago. */
+  isLate(): boolean;
   /** Told of answers that no exchange gave. */
   refused(request: CallerRequest | undefined, reason: OwnAnswerReason): void;
   /** Told of connections that could not be accepted. */
@@ -207,12 +209,16 @@
       isEnding: false,
     };
     this.#connections.set(socket, connection);
-    socket.once("close", () => {
+    const left = () => {
       this.#connections.delete(socket);
       for (const exchange of connection.exchanges) {
         exchange.callerClosed();
       }
-    });
+    };
+    // The server closes its side, too, when a caller has closed its own; by the
+    // time at which both are closed, more requests would have been sent on.
+    socket.once("end", left);
+    socket.once("close", left);
   }
 
   #request(req: IncomingMessage, res: ServerResponse): void {
@@ -265,7 +271,11 @@
     this.#openRequests += 1;
     connection.exchanges.add(exchange);
     connection.latest = exchange;
-    exchange.start();
+    if (this.#options.isLate()) {
+      startAfterReading(exchange);
+    } else {
+      exchange.start();
+    }
   }
 
   #refuse(
@@ -319,6 +329,17 @@
   }
 }
 
+/**
+ * Starts an exchange once what came behind its request has been read. On a VM that
+ * comes late that may be its caller's close; sent on before, the request would
+ * take a slot for nobody, and its target would go on until the close is read.
+ * The first turn of the event loop ends the reading under way, the second one
+ * reads what came behind.
+ */
+function startAfterReading(exchange: GatewayExchange): void {
+  setImmediate(() => setImmediate(() => exchange.start()));
+}
+
 function statusLineOf(code: string | undefined): string {
   switch (code) {
     case "HPE_HEADER_OVERFLOW":
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { HealthProber } from "./health_prober.ts";
 import { LookupListener } from "./lookup_listener.ts";
+import { LoopDelay } from "./loop_delay.ts";
 import { MetricsListener } from "./metrics_listener.ts";
 import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
 import { type FeedEvent, PlatformFeed } from "./platform_feed.ts";
@@ -81,6 +82,7 @@
   readonly #self: Member;
   readonly #connections: Connections;
   readonly #path: RequestPath;
+  readonly #loopDelay = new LoopDelay(BUSY_TICK_MS, performance.now());
   readonly #vms: VmDirectory;
   readonly #prober: HealthProber;
   readonly #callers: CallerListener;
@@ -169,7 +171,7 @@
     });
     this.#path.steering.setVms(this.#vms.owners(performance.now()));
     this.#feed.start(this.#self);
-    this.#every(BUSY_TICK_MS, () => this.#path.busyTick(performance.now()));
+    this.#every(BUSY_TICK_MS, () => this.#busyTick());
     this.#every(IDLE_TICK_MS, () => this.#idleTick());
     this.#log.write("started", {});
   }
@@ -234,6 +236,7 @@
       dialect: this.#dialect,
       seed: this.#settings.vm,
       path: this.#path,
+      isLate: () => this.#loopDelay.isLate(performance.now()),
       notAccepted: (err) =>
         this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
@@ -286,6 +289,12 @@
     this.#timers.push(setInterval(work, periodMs));
   }
 
+  #busyTick(): void {
+    const now = performance.now();
+    this.#loopDelay.ticked(now);
+    this.#path.busyTick(now);
+  }
+
   #idleTick(): void {
     const now = performance.now();
     this.#vms.sweep(now);
