--- /dev/null
+++ b/packages/bench/src/fleet/ablations.ts
@@ -0,0 +1,178 @@
+/**
+ * Mechanisms of placement that can be left out, to see what each is worth: the
+ * emulator is bundled from sources in which one line is another.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { build, type Plugin } from "esbuild";
+
+const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
+const FLEET = join(ROOT, "packages", "bench", "src", "fleet");
+const PLACEMENT = "packages/placement/src";
+
+/** A mechanism, and the line that leaves it out. */
+export interface Ablation {
+  /** Source file from the root. */
+  readonly file: string;
+  /** Text that stands there exactly once, and what takes its place. */
+  readonly text: string;
+  readonly becomes: string;
+}
+
+/** All of them, by name. */
+export const ABLATIONS: Readonly<Record<string, Ablation>> = {
+  "agreed-order": {
+    file: `${PLACEMENT}/agreed_order.ts`,
+    text: "pairWeight(object, holder.target.hash)",
+    becomes: "pairWeight(object ^ hashText(from.zone), holder.target.hash)",
+  },
+  "region-first": {
+    file: `${PLACEMENT}/agreed_order.ts`,
+    text: "(isHomeHere ? 1 : -1)",
+    becomes: "0",
+  },
+  "home-shares": {
+    file: `${PLACEMENT}/home_shares.ts`,
+    text: "shares.set(region, Math.min(1, share));",
+    becomes: "shares.set(region, 1);",
+  },
+  "warm-beliefs": {
+    file: `${PLACEMENT}/warm_objects.ts`,
+    text: "return known !== undefined && now - known.usedAt < KEPT_MS;",
+    becomes: "return false;",
+  },
+  "warm-news": {
+    file: `${PLACEMENT}/steering.ts`,
+    text: "const id = this.#ids.get(target);",
+    becomes: "const id = undefined;",
+  },
+  "price-by-kind": {
+    file: `${PLACEMENT}/kind_times.ts`,
+    text: "if (times === undefined || !times.cold.isKnown) {",
+    becomes: "if (true) {",
+  },
+  "unwarmed-price": {
+    file: `${PLACEMENT}/choose.ts`,
+    text: "unwarmed: 1.5,",
+    becomes: "unwarmed: 0,",
+  },
+  "unwarmed-steps": {
+    file: `${PLACEMENT}/choose.ts`,
+    text: "unwarmedStep: 0.7,",
+    becomes: "unwarmedStep: 0,",
+  },
+  "away-price": {
+    file: `${PLACEMENT}/choose.ts`,
+    text: "awayMs: 15,",
+    becomes: "awayMs: 0,",
+  },
+  "failure-share": {
+    file: `${PLACEMENT}/choose.ts`,
+    text: "failingMs: 1_500,",
+    becomes: "failingMs: 0,",
+  },
+  "cold-owners": {
+    file: `${PLACEMENT}/steering.ts`,
+    text: "return !this.#cold.isCold(target.id, now) ||",
+    becomes: "return true ||",
+  },
+  "waiting-room": {
+    file: `${PLACEMENT}/steering.ts`,
+    text: "return Math.round(load.inFlight(now)) < most;",
+    becomes: "return true;",
+  },
+  "whole-requests": {
+    file: `${PLACEMENT}/steering.ts`,
+    text: "return Math.round(load.inFlight(now)) < most;",
+    becomes: "return load.inFlight(now) + 1 <= most;",
+  },
+  "early-refusal": {
+    file: `${PLACEMENT}/steering.ts`,
+    text: "return waitsUntil > request.arrivedAt + mostWaitMs",
+    becomes: "return false",
+  },
+  "urgent-first": {
+    file: `${PLACEMENT}/waiting_room.ts`,
+    text: "a.priority - b.priority ||",
+    becomes: "",
+  },
+  "late-last": {
+    file: `${PLACEMENT}/waiting_room.ts`,
+    text: "Number(a.aimAt < now) - Number(b.aimAt < now)",
+    becomes: "0",
+  },
+  "load-reports": {
+    file: `${PLACEMENT}/steering.ts`,
+    text: "load.reported(result.load, now);",
+    becomes: "",
+  },
+  "reports-fade": {
+    file: `${PLACEMENT}/target_load.ts`,
+    text: "2 ** (-age / REPORT_HALF_LIFE_MS)",
+    becomes: "(age < 0 ? 0 : 1)",
+  },
+  "silence": {
+    file: `${PLACEMENT}/target_belief.ts`,
+    text: "if (quietFor < SILENT_AFTER_MS + expectedMs) {",
+    becomes: "if (quietFor < Infinity) {",
+  },
+};
+
+/** Bundles the emulator without some mechanisms; settles with the bundle's path. */
+export async function bundleWithout(
+  names: readonly string[],
+): Promise<string> {
+  const outfile = join(
+    ROOT,
+    "packages",
+    "bench",
+    "dist",
+    "fleet",
+    `without-${names.join("-") || "nothing"}.mjs`,
+  );
+  await build({
+    entryPoints: [join(FLEET, "player.ts")],
+    outfile,
+    bundle: true,
+    platform: "node",
+    format: "esm",
+    conditions: ["source"],
+    mainFields: ["module", "main"],
+    // Some of the libraries are not ES modules.
+    banner: {
+      js:
+        'import { createRequire as requireFrom } from "node:module"; const require = requireFrom(import.meta.url);',
+    },
+    logLevel: "error",
+    plugins: [leaveOut(names.map((name) => ABLATIONS[name]!))],
+  });
+  return outfile;
+}
+
+function leaveOut(ablations: readonly Ablation[]): Plugin {
+  return {
+    name: "leave-out",
+    setup(bundler) {
+      bundler.onLoad({ filter: /\.ts$/ }, async ({ path }) => {
+        const own = ablations.filter(({ file }) => path === join(ROOT, file));
+        if (own.length === 0) {
+          return undefined;
+        }
+        const source = await readFile(path, "utf8");
+        return { contents: own.reduce(without, source), loader: "ts" };
+      });
+    },
+  };
+}
+
+/** A source without a mechanism; throws where its line is not there once. */
+export function without(source: string, { file, text, becomes }: Ablation) {
+  if (source.split(text).length !== 2) {
+    throw new Error(`${file} does not hold once: ${text}`);
+  }
+  return source.replace(text, becomes);
+}
--- a/packages/bench/src/fleet/main.ts
+++ b/packages/bench/src/fleet/main.ts
@@ -5,15 +5,19 @@
  * @module
  */
 
-import { readdirSync, readFileSync } from "node:fs";
+import { execFile } from "node:child_process";
+import { readdirSync } from "node:fs";
 import { basename, join } from "node:path";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
 import meow from "meow";
-import { readScenario, type Scenario } from "./scenario.ts";
-import { type Figures, figuresOf, meanOf, windowShares } from "./tally.ts";
-import { play, type Policy, type RunResult } from "./world.ts";
+import { ABLATIONS, bundleWithout } from "./ablations.ts";
+import { lineOf, type Summary, windowLines } from "./summary.ts";
 
 const SCENARIOS = fileURLToPath(new URL("../../scenarios/", import.meta.url));
+/** Left out of ablations unless named: a day of it takes a minute. */
+const LARGE = "stones-grown";
 
 const HELP = `
   Usage
@@ -23,15 +27,24 @@
   those if none is named.
 
   Options
-    --seeds K       how many seeds, from the first on (3)
-    --seed N        the first seed (1)
-    --policy NAME   gateway, or oracle: a bound that knows every target's queue
-    --windows       shares by window of two seconds, too
-    --json          figures as JSON lines
+    --seeds K        how many seeds, from the first on (3)
+    --seed N         the first seed (1)
+    --policy NAME    gateway, or oracle: a bound that knows every target's queue
+    --without NAME   leaves a mechanism out; may stand several times
+    --ablation       leaves out one mechanism after the other
+    --processes P    runs at the same time (4)
+    --windows        shares by window of two seconds, too
+
+  Mechanisms: ${Object.keys(ABLATIONS).join(", ")}
 `;
 
+interface Play {
+  readonly player: string;
+  readonly scenario: string;
+}
+
 /** Runs the experiment. */
-export function run(argv: readonly string[]): Promise<void> {
+export async function run(argv: readonly string[]): Promise<void> {
   const cli = meow(HELP, {
     importMeta: import.meta,
     argv,
@@ -43,30 +56,74 @@
         choices: ["gateway", "oracle"],
         default: "gateway",
       },
+      without: {
+        type: "string",
+        isMultiple: true,
+        choices: Object.keys(ABLATIONS),
+        default: [],
+      },
+      ablation: { type: "boolean", default: false },
+      processes: { type: "number", default: 4 },
       windows: { type: "boolean", default: false },
-      json: { type: "boolean", default: false },
     },
   });
-  const { seeds, seed: first, windows, json } = cli.flags;
-  const policy = cli.flags.policy as Policy;
+  const { seed, seeds, policy, processes, windows, ablation } = cli.flags;
+  const playAll = (plays: readonly Play[]) =>
+    inTurn(plays, processes, ({ player, scenario }) =>
+      playOne(player, [
+        fileOf(scenario),
+        String(seed),
+        String(seeds),
+        policy,
+      ]));
+  if (ablation) {
+    await ablate(cli.input, playAll);
+    return;
+  }
+  const player = await bundleWithout(cli.flags.without);
   const scenarios = cli.input.length > 0 ? cli.input : ownScenarios();
-  for (const named of scenarios) {
-    const scenario = load(named);
-    const runs: RunResult[] = [];
-    for (let seed = first; seed < first + seeds; seed++) {
-      runs.push(play({ scenario, seed, policy }));
+  const summaries = await playAll(
+    scenarios.map((scenario) => ({ player, scenario })),
+  );
+  for (const summary of summaries) {
+    console.log(lineOf(summary));
+    if (windows) {
+      console.log(windowLines(summary));
     }
-    const figures = meanOf(runs.map(({ requests }) => figuresOf(requests)));
+  }
+}
+
+/** A table: what is lost of the worth of each scenario without each mechanism. */
+async function ablate(
+  named: readonly string[],
+  playAll: (plays: readonly Play[]) => Promise<readonly Summary[]>,
+): Promise<void> {
+  const scenarios = named.length > 0
+    ? named
+    : ownScenarios().filter((name) => name !== LARGE);
+  const whole = await bundleWithout([]);
+  const base = await playAll(
+    scenarios.map((scenario) => ({ player: whole, scenario })),
+  );
+  const names = base.map(({ scenario }) => scenario);
+  console.log(`| without | ${names.join(" | ")} | mean |`);
+  console.log(`| --- |${" ---: |".repeat(names.length + 1)}`);
+  console.log(row("nothing: worth", base.map(({ worth }) => worth)));
+  for (const name of Object.keys(ABLATIONS)) {
+    const player = await bundleWithout([name]);
+    const changed = await playAll(
+      scenarios.map((scenario) => ({ player, scenario })),
+    );
     console.log(
-      json
-        ? JSON.stringify({ scenario: scenario.name, policy, ...figures })
-        : lineOf(scenario, figures, runs),
+      row(name, changed.map(({ worth }, at) => worth - base[at]!.worth)),
     );
-    if (windows) {
-      console.log(windowLine(runs));
-    }
   }
-  return Promise.resolve();
+}
+
+function row(name: string, figures: readonly number[]): string {
+  const mean = figures.reduce((sum, one) => sum + one, 0) / figures.length;
+  const cells = [...figures, mean].map((one) => one.toFixed(3));
+  return `| ${name} | ${cells.join(" | ")} |`;
 }
 
 function ownScenarios(): readonly string[] {
@@ -74,38 +131,36 @@
     .map((name) => basename(name, ".json")).toSorted();
 }
 
-function load(named: string): Scenario {
-  const file = named.endsWith(".json")
-    ? named
-    : join(SCENARIOS, `${named}.json`);
-  return readScenario(readFileSync(file, "utf8"));
+function fileOf(scenario: string): string {
+  return scenario.endsWith(".json")
+    ? scenario
+    : join(SCENARIOS, `${scenario}.json`);
 }
 
-function lineOf(
-  { name }: Scenario,
-  figures: Figures,
-  runs: readonly RunResult[],
-): string {
-  const kinds = Object.entries(figures.byKind)
-    .map(([kind, share]) => `${kind} ${share.toFixed(3)}`).join(", ");
-  const meanOver = (valueOf: (one: RunResult) => number) =>
-    runs.reduce((sum, one) => sum + valueOf(one), 0) / runs.length;
-  const attempts = runs.reduce((sum, one) => sum + one.attempts, 0);
-  const requests = runs.reduce((sum, one) => sum + one.requests.length, 0);
-  const breaches = runs.reduce((sum, one) => sum + one.coldBreaches, 0);
-  return `${name.padEnd(14)} worth ${figures.worth.toFixed(3)} ` +
-    `whole ${figures.whole.toFixed(3)} worst windows ` +
-    `${figures.worstWindows.toFixed(3)} zone ${figures.worstZone.toFixed(3)} ` +
-    `| late ${figures.late.toFixed(3)} refused ${figures.refused.toFixed(3)} ` +
-    `failed ${figures.failed.toFixed(3)} | ${kinds} | ` +
-    `warm ${meanOver(({ warmShare }) => warmShare).toFixed(3)}, wait ` +
-    `${meanOver(({ targetWaitMs }) => targetWaitMs).toFixed(0)} ms, ` +
-    `${(attempts / requests).toFixed(2)} attempts` +
-    (breaches > 0 ? `, ${breaches} cold breaches` : "");
+async function playOne(
+  player: string,
+  args: readonly string[],
+): Promise<Summary> {
+  const { stdout } = await promisify(execFile)(process.execPath, [
+    player,
+    ...args,
+  ]);
+  return JSON.parse(stdout) as Summary;
 }
 
-function windowLine(runs: readonly RunResult[]): string {
-  return runs.map(({ requests }) =>
-    windowShares(requests).map(({ share }) => share.toFixed(2)).join(" ")
-  ).join("\n");
+/** Does `work` for all items, `most` at a time; results in the items' order. */
+async function inTurn<T, R>(
+  items: readonly T[],
+  most: number,
+  work: (item: T) => Promise<R>,
+): Promise<readonly R[]> {
+  const results: R[] = [];
+  let next = 0;
+  const worker = async () => {
+    for (let at = next++; at < items.length; at = next++) {
+      results[at] = await work(items[at]!);
+    }
+  };
+  await Promise.all(Array.from({ length: most }, worker));
+  return results;
 }
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -25,8 +25,8 @@
 describe("an exchange", () => {
   // A target fails a read, which is sent to a second target. The read's time
   // passes before that one answers, so its caller gets the failure that is
-  // there. Then the second target's connection breaks: its end used to answer the
-  // caller a second time, which ended the process with all its requests.
+  // there. Then the second target's connection breaks. If its end answered the
+  // caller once more, the process would end with all its requests.
   test("answers once when its time passes during a second attempt", () => {
     const world = new ExchangeWorld({ repeat: "idempotent" });
     world.exchange.start();
@@ -42,8 +42,8 @@
   });
 
   // A target fails a read, and a second one begins a large answer that does not
-  // come to its end in time. The failure that is kept used to be sent behind the
-  // header of that answer; the caller gets a connection that ends early.
+  // come to its end in time. The failure that is kept must not follow the header of
+  // that answer; the caller gets a connection that ends early.
   test("cuts an answer that does not end in time, whatever it kept", () => {
     const world = new ExchangeWorld({ repeat: "idempotent" });
     world.exchange.start();
--- /dev/null
+++ b/packages/placement/src/load_of_kinds_test.ts
@@ -0,0 +1,135 @@
+/**
+ * What callers of short and long requests get from targets that they share, and
+ * when a target counts as full.
+ *
+ * @module
+ */
+
+import { beforeEach, describe, expect, test } from "vitest";
+import type { TargetId } from "@poplarthread/ids";
+import { hashText } from "./hash.ts";
+import type { PlacementDecision, Steering, Warmth } from "./steering.ts";
+import { SERVICE, steeringIn, targetsIn } from "./testing.ts";
+
+/** Times of a short and a long kind on targets that keep the object and that do not, in milliseconds. */
+const TIMES = {
+  short: { warm: 43, unwarmed: 144 },
+  long: { warm: 264, unwarmed: 880 },
+} as const;
+type Kind = keyof typeof TIMES;
+
+/** Longer than any wait here, in milliseconds. */
+const PATIENCE_MS = 10_000;
+
+let steering: Steering;
+let now: number;
+
+beforeEach(() => {
+  steering = steeringIn("north", targetsIn("north", 8));
+  now = 0;
+});
+
+function place(kind: Kind, object: string): PlacementDecision {
+  return steering.place({
+    service: SERVICE,
+    kind,
+    priority: 0,
+    object: hashText(object),
+    regions: [],
+    arrivedAt: now,
+    answerBy: now + PATIENCE_MS,
+    tried: new Set(),
+  }, { now, ahead: 0 });
+}
+
+function targetOf(decision: PlacementDecision): TargetId {
+  if (decision.kind !== "send") {
+    throw new TypeError(`expected a target, got ${decision.kind}`);
+  }
+  return decision.target;
+}
+
+/** A target answers a request of a kind; `waiting` others wait there. */
+function answer(target: TargetId, options: {
+  kind: Kind;
+  object: string;
+  warmth: Exclude<Warmth, "unknown">;
+  waiting?: number;
+}): void {
+  const { kind, object, warmth, waiting = 0 } = options;
+  const writtenAt = now;
+  steering.sent(target, writtenAt);
+  now += TIMES[kind][warmth];
+  steering.ended(target, {
+    kind: "answered",
+    failed: false,
+    object: hashText(object),
+    load: { running: waiting > 0 ? 3 : 0, waiting, slots: 3 },
+    requestKind: kind,
+    warmth,
+  }, { now, writtenAt });
+}
+
+function learnTimes(): void {
+  for (let round = 0; round < 20; round++) {
+    for (const kind of ["short", "long"] as const) {
+      const object = `${kind} object`;
+      const home = targetOf(place(kind, object));
+      answer(home, { kind, object, warmth: "warm" });
+      answer(home, { kind, object, warmth: "unwarmed" });
+    }
+  }
+}
+
+describe("two kinds that share targets", () => {
+  // A short and a long kind have their homes on targets with a long queue. The
+  // short one is done elsewhere before its turn would come, at the cost of 100 ms of a
+  // slot; the long one would hold that slot for 600 ms longer. With one price for
+  // both, the short one waits, and its callers get their answers late.
+  test("are sent away from a full home by what that costs each of them", () => {
+    learnTimes();
+    const homes = { short: "", long: "" };
+    for (const kind of ["short", "long"] as const) {
+      const object = `${kind} object`;
+      const home = targetOf(place(kind, object));
+      homes[kind] = home;
+      answer(home, { kind, object, warmth: "warm", waiting: 3 });
+    }
+    expect(targetOf(place("short", "short object"))).not.toBe(homes.short);
+    expect(place("long", "long object")).not.toMatchObject({
+      kind: "send",
+      target: expect.not.stringMatching(homes.long),
+    });
+  });
+});
+
+describe("a target", () => {
+  // Another VM's requests were at the target when it last answered. What is left
+  // of that report fades to a hundredth of a request, but never to none. If that
+  // took the last place, requests would wait beside a place that is free.
+  test("has room where what is told of others has faded", () => {
+    const home = targetOf(place("short", "draft"));
+    answer(home, {
+      kind: "short",
+      object: "draft",
+      warmth: "warm",
+      waiting: 1,
+    });
+    now += 7_000;
+    for (let sent = 0; sent < 4; sent++) {
+      steering.sent(home, now);
+    }
+    expect(place("short", "draft")).toMatchObject({
+      kind: "send",
+      target: home,
+    });
+  });
+
+  test("has no room for a sixth request on three slots", () => {
+    const home = targetOf(place("short", "draft"));
+    for (let sent = 0; sent < 5; sent++) {
+      steering.sent(home, now);
+    }
+    expect(place("short", "draft").kind).toBe("wait");
+  });
+});
