One bundler for the daemon, its mutants and the emulator's ablations

The bundler's options and the plugin that replaces one line of a source stood in platform/bundler.mjs and soak/mutants.ts, and again in the emulator. Now packages/bundling, plain JavaScript, since the daemon's build runs before anything is compiled.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -5,26 +5,20 @@
  * @module
  */
 
-import { readFile } from "node:fs/promises";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import { build, type Plugin } from "esbuild";
+import {
+  bundleProgram,
+  type LineReplacement,
+  replaceLines,
+  ROOT,
+} from "@poplarthread/bundling";
 
-const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
-const FLEET = join(ROOT, "packages", "bench", "src", "fleet");
+/** The program that is bundled. */
+const PLAYER = "packages/bench/src/fleet/player.ts";
 const PLACEMENT = "packages/placement/src";
 
-/** A mechanism, and the line that leaves it out. */
-export interface Ablation {
-  /** Source file from the root. */
-  readonly file: string;
-  /** Text that stands there exactly once, and what takes its place. */
-  readonly text: string;
-  readonly becomes: string;
-}
-
-/** All of them, by name. */
-export const ABLATIONS: Readonly<Record<string, Ablation>> = {
+/** All of them, by name, with the line that leaves them out. */
+export const ABLATIONS: Readonly<Record<string, LineReplacement>> = {
   "agreed-order": {
     file: `${PLACEMENT}/agreed_order.ts`,
     text: "pairWeight(object, holder.target.hash)",
@@ -134,45 +128,10 @@
     "fleet",
     `without-${names.join("-") || "nothing"}.mjs`,
   );
-  await build({
-    entryPoints: [join(FLEET, "player.ts")],
+  await bundleProgram({
+    entry: PLAYER,
     outfile,
-    bundle: true,
-    platform: "node",
-    format: "esm",
-    conditions: ["source"],
-    mainFields: ["module", "main"],
-    // Some of the libraries are not ES modules.
-    banner: {
-      js:
-        'import { createRequire as requireFrom } from "node:module"; const require = requireFrom(import.meta.url);',
-    },
-    logLevel: "error",
-    plugins: [leaveOut(names.map((name) => ABLATIONS[name]!))],
+    plugins: [replaceLines(names.map((name) => ABLATIONS[name]!))],
   });
   return outfile;
 }
-
-function leaveOut(ablations: readonly Ablation[]): Plugin {
-  return {
-    name: "leave-out",
-    setup(bundler) {
-      bundler.onLoad({ filter: /\.ts$/ }, async ({ path }) => {
-        const own = ablations.filter(({ file }) => path === join(ROOT, file));
-        if (own.length === 0) {
-          return undefined;
-        }
-        const source = await readFile(path, "utf8");
-        return { contents: own.reduce(without, source), loader: "ts" };
-      });
-    },
-  };
-}
-
-/** A source without a mechanism; throws where its line is not there once. */
-export function without(source: string, { file, text, becomes }: Ablation) {
-  if (source.split(text).length !== 2) {
-    throw new Error(`${file} does not hold once: ${text}`);
-  }
-  return source.replace(text, becomes);
-}
--- a/packages/bench/src/fleet/fleet_test.ts
+++ b/packages/bench/src/fleet/fleet_test.ts
@@ -1,12 +1,12 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { expect, test } from "vitest";
-import { ABLATIONS, without } from "./ablations.ts";
+import { replaceLine, ROOT } from "@poplarthread/bundling";
+import { ABLATIONS } from "./ablations.ts";
 import { readScenario, type Scenario } from "./scenario.ts";
 import { figuresOf } from "./tally.ts";
 import { play } from "./world.ts";
 
-const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
 const SCENARIOS = fileURLToPath(new URL("../../scenarios/", import.meta.url));
 /** So late that it is never heard in a run, in milliseconds. */
 const NEVER_MS = 1e9;
@@ -109,6 +109,6 @@
   "the line that leaves out %s stands once",
   (_name, ablation) => {
     const source = readFileSync(`${ROOT}${ablation.file}`, "utf8");
-    expect(without(source, ablation)).not.toBe(source);
+    expect(replaceLine(source, ablation)).not.toBe(source);
   },
 );
