Emulator in smaller parts; one request, one silent log for tests

A request and a target of a decision were written twice in the tests of placement, a log that drops its lines three times: once each.

--- a/packages/bench/src/fleet/oracle.ts
+++ b/packages/bench/src/fleet/oracle.ts
@@ -6,14 +6,17 @@
  * @module
  */
 
-import type { TargetId } from "@poplarthread/ids";
+import type { ServiceId, TargetId } from "@poplarthread/ids";
 import {
+  hashText,
   type PlacementDecision,
   type PlacementRequest,
   Steering,
   type SteeringOptions,
 } from "@poplarthread/placement";
-import type { EmulatedTarget } from "./emulated_target.ts";
+import type { EmulatedTarget, Job } from "./emulated_target.ts";
+import type { EmulatedRequest } from "./emulated_vm.ts";
+import type { RequestKind, Scenario } from "./scenario.ts";
 
 /** What the oracle sees of a request. */
 export interface OracleView {
@@ -23,6 +26,40 @@
   answerAt(target: EmulatedTarget, request: PlacementRequest): number;
 }
 
+/** Work as it is on the mean of its kind. */
+type MeanJob = Pick<Job, "object" | "workMs" | "warmGain">;
+
+/** Which work a request brings, by the hash of its object. */
+export class KnownJobs {
+  readonly #scenario: Scenario;
+  readonly #jobs = new Map<number, MeanJob>();
+
+  constructor(scenario: Scenario) {
+    this.#scenario = scenario;
+  }
+
+  /** A request of a kind comes. */
+  remember({ object, route }: EmulatedRequest, kind: RequestKind): void {
+    if (object !== undefined) {
+      const { workMs, warmGain } = kind;
+      const hash = hashText(`${route.host}${route.prefix}${object}`);
+      this.#jobs.set(hash, { object, workMs, warmGain });
+    }
+  }
+
+  /** The work of a request for an object, or of any request for a service. */
+  of(hash: number | undefined, service: ServiceId): MeanJob {
+    const known = hash === undefined ? undefined : this.#jobs.get(hash);
+    if (known !== undefined) {
+      return known;
+    }
+    const { workMs } = this.#scenario.kinds.find(({ services }) =>
+      service in services
+    )!;
+    return { object: undefined, workMs, warmGain: 0 };
+  }
+}
+
 /** Retry-After of a refusal, in milliseconds. */
 const RETRY_AFTER_MS = 200;
 
--- a/packages/bench/src/fleet/world.ts
+++ b/packages/bench/src/fleet/world.ts
@@ -28,7 +28,7 @@
 import { EmulatedTarget } from "./emulated_target.ts";
 import { announced, type EmulatedRequest, EmulatedVm } from "./emulated_vm.ts";
 import { strike } from "./events.ts";
-import { OracleSteering } from "./oracle.ts";
+import { KnownJobs, OracleSteering } from "./oracle.ts";
 import { Random } from "./random.ts";
 import type { RequestKind, Scenario, ScenarioService } from "./scenario.ts";
 import type { Served } from "./tally.ts";
@@ -95,8 +95,7 @@
   readonly #regions: ReadonlyMap<ZoneId, RegionId>;
   readonly #services: ReadonlyMap<ServiceId, Service>;
   readonly #splits = new Map<string, WeightedSplit>();
-  /** Requests for the oracle, by object hash and arrival. */
-  readonly #kinds = new Map<string, RequestKind>();
+  readonly #jobs: KnownJobs;
   #targetCount = 0;
 
   constructor({ scenario, seed, policy }: RunOptions, loop: EventLoop) {
@@ -104,6 +103,7 @@
     this.loop = loop;
     this.random = new Random(seed);
     this.#policy = policy;
+    this.#jobs = new KnownJobs(scenario);
     this.#regions = new Map(
       scenario.zones.map(({ name, region }) => [
         name as ZoneId,
@@ -116,9 +116,6 @@
     this.routes = new Map(
       scenario.kinds.map((kind) => [kind.name, routeOf(kind)]),
     );
-    for (const kind of scenario.kinds) {
-      this.#kinds.set(kind.name, kind);
-    }
   }
 
   play(): RunResult {
@@ -296,42 +293,17 @@
         ),
       answerAt: (target, { object, service }) => {
         const wayMs = this.#delayMs(zone, target.placed.zone);
-        const job = this.#jobOf(object, service);
+        const job = this.#jobs.of(object, service);
         const begins = Math.max(target.freeAt, this.loop.now + wayMs);
         return begins + target.workMs(job) + wayMs;
       },
     });
   }
 
-  /** The mean job of an object, for the oracle. */
-  #jobOf(
-    hash: number | undefined,
-    service: ServiceId,
-  ): Omit<Parameters<EmulatedTarget["workMs"]>[0], "done"> {
-    const known = hash === undefined ? undefined : this.#objects.get(hash);
-    if (known !== undefined) {
-      return known;
-    }
-    const kind = this.scenario.kinds.find(({ services }) =>
-      service in services
-    )!;
-    return { object: undefined, workMs: kind.workMs, warmGain: 0 };
-  }
-
-  readonly #objects = new Map<
-    number,
-    { object: string; workMs: number; warmGain: number }
-  >();
-
-  /** Remembers which object a hash stands for, for the oracle. */
+  /** What the oracle knows of a request that comes. */
   remember(request: EmulatedRequest, kind: RequestKind): void {
-    if (request.object !== undefined) {
-      const { host, prefix } = request.route;
-      this.#objects.set(hashText(`${host}${prefix}${request.object}`), {
-        object: request.object,
-        workMs: kind.workMs,
-        warmGain: kind.warmGain,
-      });
+    if (this.#policy === "oracle") {
+      this.#jobs.remember(request, kind);
     }
   }
 
--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -25,4 +25,4 @@
   RequestPath,
   type RequestPathOptions,
 } from "./request_path.ts";
-export type { Log } from "../log.ts";
+export { SILENT_LOG } from "../silent_log.ts";
--- a/packages/daemon/src/peers/peer_network_test.ts
+++ b/packages/daemon/src/peers/peer_network_test.ts
@@ -6,20 +6,12 @@
 import fc from "fast-check";
 import { afterEach, expect, test } from "vitest";
 import type { InstanceId, VmId } from "@poplarthread/ids";
-import type { Log } from "../log.ts";
+import { SILENT_LOG } from "../silent_log.ts";
 import { Metrics } from "../metrics.ts";
 import { newHello, proofOf } from "./handshake.ts";
 import type { PeerId, PeerNotice } from "./messages.ts";
 import { PeerNetwork } from "./peer_network.ts";
 
-const log: Log = {
-  error: () => undefined,
-  warn: () => undefined,
-  info: () => undefined,
-  debug: () => undefined,
-  debugs: false,
-  dropped: 0,
-};
 const parent = {
   failed: (_: unknown, err: unknown) => {
     throw err;
@@ -50,7 +42,7 @@
       known: () => ({ ageMs: 0, lenders: [] }),
     },
     metrics,
-    log,
+    log: SILENT_LOG,
   });
   await network.start(parent);
   const address = `127.0.0.1:${network.port}`;
--- a/packages/daemon/src/plan_task_test.ts
+++ b/packages/daemon/src/plan_task_test.ts
@@ -2,7 +2,7 @@
 import { MemoryTable, TableError } from "@poplarthread/coordination";
 import type { Plan } from "@poplarthread/decisions";
 import type { InstanceId, VmId } from "@poplarthread/ids";
-import type { Log } from "./log.ts";
+import { SILENT_LOG } from "./silent_log.ts";
 import type { PlannerReport } from "./peers/messages.ts";
 import { PlanTask } from "./plan_task.ts";
 import { TEST_PRESET } from "./testing.ts";
@@ -36,14 +36,6 @@
   const plans = new Map<VmId, { plan: Plan; endsAt: number }>();
   const lives = new Map<VmId, number>(NAMES.map((vm) => [vm, 1]));
   const tasks = new Map<VmId, PlanTask>();
-  const log: Log = {
-    error: () => undefined,
-    warn: () => undefined,
-    info: () => undefined,
-    debug: () => undefined,
-    debugs: false,
-    dropped: 0,
-  };
   const reaches = (from: VmId, to: VmId) => cut.has(from) === cut.has(to);
   function create(vm: VmId): PlanTask {
     const instance = `${vm}.${lives.get(vm)}` as InstanceId;
@@ -93,7 +85,7 @@
       send: () => undefined,
       onPlan: (plan, validMs) =>
         plans.set(vm, { plan, endsAt: performance.now() + validMs }),
-      log,
+      log: SILENT_LOG,
     });
     return task;
   }
--- a/packages/placement/src/choose_test.ts
+++ b/packages/placement/src/choose_test.ts
@@ -9,29 +9,16 @@
 import { hashText } from "./hash.ts";
 import { homeShares } from "./home_shares.ts";
 import type { PlacementDecision, Steering } from "./steering.ts";
-import { SERVICE, steeringIn, targetIn, targetsIn } from "./testing.ts";
-
-/** Longer than any wait here. */
-const PATIENCE_MS = 10_000;
+import {
+  requestFor,
+  steeringIn,
+  targetIn,
+  targetOf,
+  targetsIn,
+} from "./testing.ts";
 
 function place(steering: Steering, object: string, now = 0): PlacementDecision {
-  return steering.place({
-    service: SERVICE,
-    kind: "view",
-    priority: 0,
-    object: hashText(object),
-    regions: [],
-    arrivedAt: now,
-    answerBy: now + PATIENCE_MS,
-    tried: new Set(),
-  }, { now, ahead: 0 });
-}
-
-function targetOf(decision: PlacementDecision): TargetId {
-  if (decision.kind !== "send") {
-    throw new TypeError(`expected a target, got ${decision.kind}`);
-  }
-  return decision.target;
+  return steering.place(requestFor(object, { now }), { now, ahead: 0 });
 }
 
 function answer(steering: Steering, target: TargetId, options: {
@@ -164,16 +151,10 @@
       steering.sent(home, 0);
     }
     const at = (now: number) =>
-      steering.place({
-        service: SERVICE,
-        kind: "view",
-        priority: 0,
-        object: hashText("draft"),
-        regions: [],
-        arrivedAt: 0,
-        answerBy: 2_000,
-        tried: new Set(),
-      }, { now, ahead: 0 });
+      steering.place(
+        { ...requestFor("draft", { now: 0 }), answerBy: 2_000 },
+        { now, ahead: 0 },
+      );
     expect(at(10).kind).toBe("wait");
     const decision = at(990);
     expect(decision).toMatchObject({ kind: "refuse", reason: "overload" });
@@ -207,14 +188,9 @@
     steering.setEvacuated(new Set(["north-1"]));
     expect(targetOf(place(steering, "a"))).toBe("s");
     const decision = steering.place({
-      service: SERVICE,
-      kind: "view",
-      priority: 0,
+      ...requestFor("a", { now: 0 }),
       object: undefined,
       regions: ["north" as RegionId],
-      arrivedAt: 0,
-      answerBy: PATIENCE_MS,
-      tried: new Set(),
     }, { now: 0, ahead: 0 });
     expect(decision).toMatchObject({ kind: "refuse", reason: "no-target" });
   });
--- a/packages/placement/src/load_of_kinds_test.ts
+++ b/packages/placement/src/load_of_kinds_test.ts
@@ -9,7 +9,7 @@
 import type { TargetId } from "@poplarthread/ids";
 import { hashText } from "./hash.ts";
 import type { PlacementDecision, Steering, Warmth } from "./steering.ts";
-import { SERVICE, steeringIn, targetsIn } from "./testing.ts";
+import { requestFor, steeringIn, targetOf, targetsIn } from "./testing.ts";
 
 /** Times of a short and a long kind on targets that keep the object and that do not, in milliseconds. */
 const TIMES = {
@@ -18,9 +18,6 @@
 } as const;
 type Kind = keyof typeof TIMES;
 
-/** Longer than any wait here, in milliseconds. */
-const PATIENCE_MS = 10_000;
-
 let steering: Steering;
 let now: number;
 
@@ -30,23 +27,7 @@
 });
 
 function place(kind: Kind, object: string): PlacementDecision {
-  return steering.place({
-    service: SERVICE,
-    kind,
-    priority: 0,
-    object: hashText(object),
-    regions: [],
-    arrivedAt: now,
-    answerBy: now + PATIENCE_MS,
-    tried: new Set(),
-  }, { now, ahead: 0 });
-}
-
-function targetOf(decision: PlacementDecision): TargetId {
-  if (decision.kind !== "send") {
-    throw new TypeError(`expected a target, got ${decision.kind}`);
-  }
-  return decision.target;
+  return steering.place(requestFor(object, { now, kind }), { now, ahead: 0 });
 }
 
 /** A target answers a request of a kind; `waiting` others wait there. */
--- a/packages/placement/src/testing.ts
+++ b/packages/placement/src/testing.ts
@@ -12,11 +12,44 @@
   ZoneId,
 } from "@poplarthread/ids";
 import { hashText } from "./hash.ts";
-import { type SteeredTarget, Steering } from "./steering.ts";
+import {
+  type PlacementDecision,
+  type PlacementRequest,
+  type SteeredTarget,
+  Steering,
+} from "./steering.ts";
 
 /** The service of all test targets. */
 export const SERVICE = "portal" as ServiceId;
 
+/** Longer than any wait in tests, in milliseconds. */
+const PATIENCE_MS = 10_000;
+
+/** A request for an object that comes at `now`. */
+export function requestFor(
+  object: string,
+  { now, kind = "view" }: { now: number; kind?: string },
+): PlacementRequest {
+  return {
+    service: SERVICE,
+    kind,
+    priority: 0,
+    object: hashText(object),
+    regions: [],
+    arrivedAt: now,
+    answerBy: now + PATIENCE_MS,
+    tried: new Set(),
+  };
+}
+
+/** Where a decision sends its request; throws where it does not. */
+export function targetOf(decision: PlacementDecision): TargetId {
+  if (decision.kind !== "send") {
+    throw new TypeError(`expected a target, got ${decision.kind}`);
+  }
+  return decision.target;
+}
+
 /** A target in a zone `REGION-1`. */
 export function targetIn(region: string, name: string): SteeredTarget {
   return {
