Large zones are told of warm targets less often

Each VM told ten others four times a second.

Change: 100 ms for each VM that is told within the zone, 20 ms for each beyond. Test first seen failing.

--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -39,6 +39,15 @@
  */
 const WARM_NEAR_MS = 250;
 const WARM_FAR_MS = 500;
+/**
+ * With many VMs they are told less often: this long for each VM that is told, in
+ * milliseconds. Each of them tells all others, so at an even pace the datagrams
+ * grow with the square of the zone; with eleven VMs in each zone, the news took
+ * more processor time than they saved. So a VM hears ten datagrams a second from
+ * its zone, whatever its size, and sends fifty a second to other zones.
+ */
+const WARM_NEAR_PER_VM_MS = 100;
+const WARM_FAR_PER_VM_MS = 20;
 /** VMs that one report names; each takes some 35 bytes. */
 const MOST_SIGHTINGS = 25;
 
@@ -121,6 +130,9 @@
   #passedOn = new CrashList();
   readonly #warmNear = new WarmNews();
   readonly #warmFar = new WarmNews();
+  /** When the zone and the other zones were told last, in milliseconds. */
+  #toldNearAt = -Infinity;
+  #toldFarAt = -Infinity;
 
   constructor(options: PeerBeaconOptions) {
     super("peers");
@@ -170,18 +182,30 @@
         this.#warmFar.add(message.pair);
         return;
       case "tell-near":
-        this.#tellWarm("warm", this.#warmNear.take(), this.#options.near());
+        this.#tellNear(performance.now());
         return;
       case "tell-far":
-        this.#tellWarm(
-          "zone-warm",
-          this.#warmFar.take(),
-          this.#options.spokenTo(),
-        );
+        this.#tellFar(performance.now());
         return;
     }
   }
 
+  #tellNear(now: number): void {
+    const near = this.#options.near();
+    if (now - this.#toldNearAt >= near.length * WARM_NEAR_PER_VM_MS) {
+      this.#toldNearAt = now;
+      this.#tellWarm("warm", this.#warmNear.take(), near);
+    }
+  }
+
+  #tellFar(now: number): void {
+    const far = this.#options.spokenTo();
+    if (now - this.#toldFarAt >= far.length * WARM_FAR_PER_VM_MS) {
+      this.#toldFarAt = now;
+      this.#tellWarm("zone-warm", this.#warmFar.take(), far);
+    }
+  }
+
   /** A VM that has just started knows nothing: it hears of this one and of warm targets. */
   #greet({ peerAddress }: Member): void {
     this.#send(this.#heartbeat(), [peerAddress]);
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -27,6 +27,7 @@
 /** Pairs that the beacon itself was told of. */
 let heard: HashedPair[];
 let isReporting: boolean;
+let mates: readonly Member[];
 
 function member(vm: string, port: number): Member {
   return memberNamed(vm, { peerAddress: `${HOST}:${port}` });
@@ -58,12 +59,13 @@
   warm = new Map();
   heard = [];
   isReporting = true;
+  mates = [member("vm-2", PORTS.near)];
   near = await peer(PORTS.near, (params) => said.near.push(params));
   far = await peer(PORTS.far, (params) => said.far.push(params));
   beacon = new PeerBeacon({
     listen: { host: HOST, port: PORTS.self },
     seeds: [],
-    near: () => [member("vm-2", PORTS.near)],
+    near: () => mates,
     far: () => isReporting ? [member("vm-3", PORTS.far)] : [],
     spokenTo: () => isReporting ? [member("vm-3", PORTS.far)] : [],
     warmPairs: () => Array.from({ length: 2_000 }, (_, at) => pair(at)),
@@ -156,6 +158,24 @@
     expect(warm.get(PORTS.near)).toEqual([pair(7)]);
   });
 
+  test("is told less often in a large zone", async () => {
+    // Eleven VMs that each tell ten others four times a second send 440 datagrams a
+    // second, which take more of their processors than warm targets save.
+    mates = Array.from({ length: 10 }, () => member("vm-2", PORTS.near));
+    beacon.send({ kind: "warmed", pair: pair(1) });
+    beacon.send({ kind: "tell-near" });
+    await until(() => warm.get(PORTS.near)?.length === 10);
+    beacon.send({ kind: "warmed", pair: pair(2) });
+    vi.advanceTimersByTime(900);
+    beacon.send({ kind: "tell-near" });
+    beacon.send({ kind: "beat" });
+    await until(() => said.near.length > 0);
+    expect(warm.get(PORTS.near)).toHaveLength(10);
+    vi.advanceTimersByTime(100);
+    beacon.send({ kind: "tell-near" });
+    await until(() => warm.get(PORTS.near)?.length === 20);
+  });
+
   test("is passed on from the zone to other zones, and from there to nobody", async () => {
     // Passed on within the zone, or back from another one, it would go round for
     // ever, and the datagrams would be most of what VMs send.
