--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -166,12 +166,12 @@
     beacon.send({ kind: "tell-near" });
     await until(() => warm.get(PORTS.near)?.length === 10);
     beacon.send({ kind: "warmed", pair: pair(2) });
-    vi.advanceTimersByTime(900);
+    vi.advanceTimersByTime(500);
     beacon.send({ kind: "tell-near" });
     beacon.send({ kind: "beat" });
     await until(() => said.near.length > 0);
     expect(warm.get(PORTS.near)).toHaveLength(10);
-    vi.advanceTimersByTime(100);
+    vi.advanceTimersByTime(500);
     beacon.send({ kind: "tell-near" });
     await until(() => warm.get(PORTS.near)?.length === 20);
   });
