The first request of a connection is sent on only after what came behind it was read

Change: the first request of each connection starts two turns of the event loop later, like all requests of a VM that comes late.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -270,8 +270,9 @@
     });
     this.#openRequests += 1;
     connection.exchanges.add(exchange);
+    const isFirst = connection.latest === undefined;
     connection.latest = exchange;
-    if (this.#options.isLate()) {
+    if (isFirst || this.#options.isLate()) {
       startAfterReading(exchange);
     } else {
       exchange.start();
@@ -332,9 +333,10 @@
 /**
  * Starts an exchange once what came behind its request has been read. On a VM that
  * comes late that may be its caller's close; sent on before, the request would
- * take a slot for nobody, and its target would go on until the close is read.
- * The first turn of the event loop ends the reading under way, the second one
- * reads what came behind.
+ * take a slot for nobody, and its target would go on until the close is read. It is
+ * the same with the first request of a connection, which may have waited for
+ * seconds to be accepted: connections are accepted one a turn of the event loop.
+ * The first turn ends the reading under way, the second one reads what came behind.
  */
 function startAfterReading(exchange: GatewayExchange): void {
   setImmediate(() => setImmediate(() => exchange.start()));
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -195,7 +195,10 @@
 
   /** What the caller sends as its body cannot be read, and its end cannot be known. */
   bodyMalformed(): void {
-    if (this.#phase === "reading") {
+    // One that has no body is whole, also if it was not started yet: what cannot be
+    // read came behind it.
+    const hasBody = RequestBody.announcedBy(this.request);
+    if (hasBody && this.#phase === "reading") {
       this.#guarded(() => this.#answer("malformed"));
     }
   }
