gateway.ts: one import from placement

What it takes from the placement package stood in two imports, one of them behind the others. The daemon's bundle is the same byte for byte; formatter, linter and types pass.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
  */
 
 import type { TargetId, VmId } from "@poplarthread/ids";
-import { Steering } from "@poplarthread/placement";
+import { type HashedPair, Steering } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
 import type { Log } from "../log.ts";
 import { pause } from "../pause.ts";
@@ -29,7 +29,6 @@
 import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { VmDirectory } from "./vm_directory.ts";
-import type { HashedPair } from "@poplarthread/placement";
 
 /** What a gateway runs on. */
 export interface GatewayPorts {
