Orders of targets outlive changes that they do not hang on

Cause: each change of a target or VM threw away the index and all orders. With 668 targets and 195 VMs the next request then computed the owner of every target (49,000 weights) and sorted all targets.

Change: the index is a part of its own (TargetIndex). An order is kept by object and whether the object has a home here, so VMs that come and go leave it; only targets that come or go clear those of their service. The owner of a target is computed when it is cold and asked for. Warm targets behind the first are looked up by id instead of walking the order.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -21,8 +21,8 @@
 export const ABLATIONS: Readonly<Record<string, LineReplacement>> = {
   "agreed-order": {
     file: `${PLACEMENT}/agreed_order.ts`,
-    text: "pairWeight(object, holder.target.hash)",
-    becomes: "pairWeight(object ^ hashText(from.zone), holder.target.hash)",
+    text: "pairWeight(object, target.hash)",
+    becomes: "pairWeight(object ^ hashText(from.zone), target.hash)",
   },
   "region-first": {
     file: `${PLACEMENT}/agreed_order.ts`,
--- a/packages/placement/src/cold_targets.ts
+++ b/packages/placement/src/cold_targets.ts
@@ -47,6 +47,33 @@
   return best?.vm;
 }
 
+/** The VMs that own cold targets, computed for those of which it is asked. */
+export class ColdOwners {
+  readonly #owners = new Map<TargetId, VmId | undefined>();
+  #vms: readonly ColdOwner[] = [];
+
+  /** The VMs that take part. */
+  setVms(vms: readonly ColdOwner[]): void {
+    this.#vms = vms;
+    this.#owners.clear();
+  }
+
+  /** The VM that sends to a target while it is cold. */
+  of(
+    target: { id: TargetId; hash: number; region: RegionId },
+  ): VmId | undefined {
+    if (!this.#owners.has(target.id)) {
+      this.#owners.set(target.id, ownerOf(target, this.#vms));
+    }
+    return this.#owners.get(target.id);
+  }
+
+  /** The target is gone. */
+  forget(target: TargetId): void {
+    this.#owners.delete(target);
+  }
+}
+
 /** When a target stops being cold, and when its owner sent to it. */
 export class ColdTargets {
   readonly #until = new Map<TargetId, number>();
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -17,7 +17,7 @@
 export { rankedAbove, type RelayCandidate, relaysFor } from "./relays.ts";
 export { RoundTrips } from "./round_trips.ts";
 export { ServiceTimes } from "./service_times.ts";
-export type { Place, PlacedTarget } from "./target.ts";
+export type { Place, PlacedTarget, SteeredTarget } from "./target.ts";
 export { type Standing, TargetBelief } from "./target_belief.ts";
 export { type LoadReport, TargetLoad } from "./target_load.ts";
 export { type SplitPart, WeightedSplit } from "./weighted_split.ts";
@@ -28,7 +28,6 @@
   type PlacementDecision,
   type PlacementRefusal,
   type PlacementRequest,
-  type SteeredTarget,
   Steering,
   type SteeringOptions,
   type Warmth,
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -9,7 +9,6 @@
  */
 
 import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
-import { agreedOrder } from "./agreed_order.ts";
 import {
   type Candidate,
   type Choice,
@@ -19,15 +18,15 @@
   MOST_POSITION,
   type PlacementWeights,
 } from "./choose.ts";
-import { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
+import { type ColdOwner, ColdOwners, ColdTargets } from "./cold_targets.ts";
 import { DrainRate } from "./drain_rate.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
-import { homeShares } from "./home_shares.ts";
 import { KindTimes } from "./kind_times.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
-import type { Place, PlacedTarget } from "./target.ts";
+import type { Place, SteeredTarget } from "./target.ts";
 import { TargetBelief } from "./target_belief.ts";
+import { TargetIndex } from "./target_index.ts";
 import { type LoadReport, TargetLoad } from "./target_load.ts";
 import { type HashedPair, WarmObjects } from "./warm_objects.ts";
 
@@ -74,14 +73,6 @@
     readonly retryAfterMs: number;
   };
 
-/** A target with the limits that its service sets. */
-export interface SteeredTarget extends PlacedTarget {
-  /** Requests a second that it bears while it is cold. */
-  readonly coldPerSecond: number;
-  /** It serves what it has and must get nothing new. */
-  readonly leaving: boolean;
-}
-
 /** How an attempt ended, as far as it says something about its target. */
 export type AttemptResult =
   | {
@@ -143,8 +134,6 @@
   target: SteeredTarget;
   readonly load: TargetLoad;
   readonly belief: TargetBelief;
-  /** The VM that may send to it while it is cold, as of the last index. */
-  owner: VmId | undefined;
 }
 
 /** A target with its position in the agreed order of a request's object. */
@@ -154,42 +143,23 @@
   readonly position: number | undefined;
 }
 
-/** The targets of a service, with what is computed from all of them. */
-interface IndexedService {
-  readonly entries: readonly Entry[];
-  readonly homeShares: ReadonlyMap<RegionId, number>;
-}
-
-type TargetIndex = ReadonlyMap<ServiceId, IndexedService>;
-
 /** See the module's comment. */
 export class Steering {
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
   readonly #weights: PlacementWeights;
   readonly #weighsFirst: number;
-  readonly #entries = new Map<TargetId, Entry>();
+  readonly #index: TargetIndex<Entry>;
   /** Ids of the targets by their hashes, as other VMs name them. */
   readonly #ids = new Map<number, TargetId>();
-  /**
-   * Computed when a request needs it, undefined until then. A VM that starts takes
-   * in some hundred targets and VMs one after the other; computed anew for each,
-   * it would be busy with that for as long as it takes to serve dozens of requests.
-   */
-  #index: TargetIndex | undefined;
   readonly #cold = new ColdTargets();
+  readonly #owners = new ColdOwners();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
   readonly #kinds = new KindTimes();
-  /**
-   * Orders by service and object, until the targets or VMs change. Computed anew
-   * for each request that waits, they took most of a VM's processor time on the
-   * heaviest seconds, and answers came a second late.
-   */
-  readonly #orders = new Map<string, readonly Entry[]>();
   readonly #rates = new Map<ServiceId, DrainRate>();
   readonly #budgets = new Map<ServiceId, FleetRetryBudget>();
-  #vms: readonly ColdOwner[] = [];
+  #vmCount = 0;
   #fleetSize = 1;
   #evacuated: ReadonlySet<string> = new Set();
 
@@ -197,13 +167,15 @@
     this.#options = options;
     this.#weights = options.weights ?? DEFAULT_WEIGHTS;
     this.#weighsFirst = options.weighsFirst ?? WEIGHS_FIRST;
+    this.#index = new TargetIndex(options.place);
     this.roundTrips = new RoundTrips(options.place);
   }
 
   /** The VMs that take part, this one among them. */
   setVms(vms: readonly ColdOwner[]): void {
-    this.#vms = vms;
-    this.#changed();
+    this.#vmCount = vms.length;
+    this.#owners.setVms(vms);
+    this.#index.setVms(vms);
   }
 
   /** Number of VMs that share the limits of all VMs together; more than those that take part, while some may be behind a cut. */
@@ -214,36 +186,34 @@
   /** Zones whose targets get nothing. */
   setEvacuated(zones: ReadonlySet<string>): void {
     this.#evacuated = zones;
-    this.#changed();
+    this.#index.setEvacuated(zones);
   }
 
   /** Adds a target, or takes in what has changed about it. */
   setTarget(target: SteeredTarget): void {
-    const entry = this.#entries.get(target.id);
-    if (entry === undefined) {
-      this.#ids.set(target.hash, target.id);
-      this.#entries.set(target.id, {
-        target,
-        load: new TargetLoad(),
-        belief: new TargetBelief(),
-        owner: undefined,
-      });
-    } else {
-      entry.target = target;
+    const entry = this.#index.get(target.id);
+    if (entry !== undefined) {
+      this.#index.update(entry, target);
+      return;
     }
-    this.#changed();
+    this.#ids.set(target.hash, target.id);
+    this.#index.add({
+      target,
+      load: new TargetLoad(),
+      belief: new TargetBelief(),
+    });
   }
 
   /** The target is gone. */
   removeTarget(id: TargetId): void {
-    const entry = this.#entries.get(id);
+    const entry = this.#index.get(id);
     if (entry !== undefined) {
       this.#ids.delete(entry.target.hash);
     }
-    this.#entries.delete(id);
+    this.#index.delete(id);
     this.#cold.forget(id);
+    this.#owners.forget(id);
     this.#warm.forget(id);
-    this.#changed();
   }
 
   /** The target has started anew: it keeps nothing warm. */
@@ -267,14 +237,14 @@
   /** Pairs that are likely warm, for a VM that knows none. */
   warmPairs(now: number): readonly HashedPair[] {
     return this.#warm.all(now).flatMap(({ object, target }) => {
-      const entry = this.#entries.get(target);
+      const entry = this.#index.get(target);
       return entry === undefined ? [] : [{ object, target: entry.target.hash }];
     });
   }
 
   /** Round trip to a target, in milliseconds; 0 where it is not known. */
   roundTripTo(id: TargetId): number {
-    const entry = this.#entries.get(id);
+    const entry = this.#index.get(id);
     return entry === undefined ? 0 : this.roundTrips.to(entry.target);
   }
 
@@ -288,7 +258,7 @@
   spendRetry(service: ServiceId, now: number): boolean {
     return this.#budget(service).spend(
       now,
-      Math.max(this.#fleetSize, this.#vms.length),
+      Math.max(this.#fleetSize, this.#vmCount),
     );
   }
 
@@ -304,7 +274,7 @@
     }
     const choice = this.#choose(first, request, now);
     const left = request.answerBy - now;
-    const chosen = choice && this.#entries.get(choice.target);
+    const chosen = choice && this.#index.get(choice.target);
     if (choice !== undefined && chosen && this.#hasRoom(chosen, now)) {
       return choice.expectedMs + serviceMs / 2 > left
         ? refuse("overload", choice.expectedMs)
@@ -325,7 +295,7 @@
 
   /** A request is sent to a target; {@link ended} follows. */
   sent(id: TargetId, now: number): void {
-    const entry = this.#entries.get(id);
+    const entry = this.#index.get(id);
     if (entry === undefined) {
       return;
     }
@@ -338,7 +308,7 @@
 
   /** The request was written to the target's connection. */
   written(id: TargetId, now: number): void {
-    this.#entries.get(id)?.belief.sent(now);
+    this.#index.get(id)?.belief.sent(now);
   }
 
   /** An attempt ended that was {@link sent}, and written at `writtenAt` if ever. */
@@ -347,7 +317,7 @@
     result: AttemptResult,
     { now, writtenAt }: { now: number; writtenAt: number | undefined },
   ): void {
-    const entry = this.#entries.get(id);
+    const entry = this.#index.get(id);
     if (entry === undefined) {
       return;
     }
@@ -370,7 +340,7 @@
 
   /** No connection to the target came about. */
   unreachable(id: TargetId, now: number): void {
-    this.#entries.get(id)?.belief.unreachable(now);
+    this.#index.get(id)?.belief.unreachable(now);
   }
 
   /** A probe found the target healthy, and cold for `coldMs`. */
@@ -378,7 +348,7 @@
     id: TargetId,
     { now, coldMs }: { now: number; coldMs: number },
   ): void {
-    const entry = this.#entries.get(id);
+    const entry = this.#index.get(id);
     if (coldMs > 0) {
       this.#cold.mark(id, now + coldMs);
     }
@@ -388,7 +358,7 @@
   /** Targets that have fallen silent since the last call. */
   checkSilence(now: number): readonly TargetId[] {
     const silent: TargetId[] = [];
-    for (const { target, load, belief } of this.#entries.values()) {
+    for (const { target, load, belief } of this.#index.values()) {
       if (!belief.isAwaited) {
         continue;
       }
@@ -404,7 +374,7 @@
   /** Targets of which a probe is due. */
   probesDue(now: number): readonly TargetId[] {
     const due: TargetId[] = [];
-    for (const { target, belief } of this.#entries.values()) {
+    for (const { target, belief } of this.#index.values()) {
       if (!target.leaving && belief.probeDue(now)) {
         due.push(target.id);
       }
@@ -450,9 +420,10 @@
   }
 
   /** Whether this VM may send to it, as far as it is cold. */
-  #takes({ target, owner }: Entry, now: number): boolean {
+  #takes({ target }: Entry, now: number): boolean {
     return !this.#cold.isCold(target.id, now) ||
-      (owner === this.#options.vm && this.#cold.maySend(target.id, now));
+      (this.#owners.of(target) === this.#options.vm &&
+        this.#cold.maySend(target.id, now));
   }
 
   #hasRoom({ target, load }: Entry, now: number): boolean {
@@ -464,12 +435,13 @@
 
   /** The first `most` targets that a request may use, in the agreed order of its object. */
   #usable(request: PlacementRequest, most: number): readonly Entry[] {
-    const ordered = this.#ordered(request);
-    if (request.object === undefined) {
-      return ordered.filter((entry) => this.#isUsable(entry, request));
+    const { service, object } = request;
+    if (object === undefined) {
+      return this.#index.ofService(service)
+        .filter((entry) => this.#isUsable(entry, request));
     }
     const usable: Entry[] = [];
-    for (const entry of ordered) {
+    for (const entry of this.#index.inOrder(service, object)) {
       if (this.#isUsable(entry, request) && usable.push(entry) >= most) {
         break;
       }
@@ -524,15 +496,18 @@
     request: PlacementRequest,
     now: number,
   ): readonly Positioned[] {
-    const warm = new Set(this.#warm.targetsOf(request.object!, now));
-    first.forEach(({ target }) => warm.delete(target.id));
-    if (warm.size === 0) {
-      return [];
+    const { service } = request;
+    const object = request.object!;
+    const near = new Set(first);
+    const warm: Entry[] = [];
+    for (const id of this.#warm.targetsOf(object, now)) {
+      const entry = this.#index.get(id);
+      const isBehind = entry?.target.service === service && !near.has(entry);
+      if (isBehind && this.#isUsable(entry, request)) {
+        warm.push(entry);
+      }
     }
-    return this.#ordered(request)
-      .filter((entry) =>
-        warm.has(entry.target.id) && this.#isUsable(entry, request)
-      )
+    return this.#index.sorted(warm, { service, object })
       .map((entry) => ({ entry, position: MOST_POSITION }));
   }
 
@@ -582,27 +557,6 @@
     return expectedMs > MEASURED_WAIT_MS ? "unknown" : "unwarmed";
   }
 
-  /** All targets of a request's service, in the agreed order of its object. */
-  #ordered({ service, object }: PlacementRequest): readonly Entry[] {
-    const { entries, homeShares } = this.#indexed(service);
-    if (object === undefined) {
-      return entries;
-    }
-    const key = `${service} ${object}`;
-    let order = this.#orders.get(key);
-    if (order === undefined) {
-      order = agreedOrder(object, entries, {
-        from: this.#options.place,
-        homeShares,
-      });
-      if (this.#orders.size >= MOST_ORDERS) {
-        this.#orders.clear();
-      }
-      this.#orders.set(key, order);
-    }
-    return order;
-  }
-
   #budget(service: ServiceId): FleetRetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
@@ -620,57 +574,8 @@
     }
     return rate;
   }
-
-  /** What is computed from all targets and VMs no longer holds. */
-  #changed(): void {
-    this.#index = undefined;
-    this.#orders.clear();
-  }
-
-  #indexed(service: ServiceId): IndexedService {
-    this.#index ??= this.#computeIndex();
-    return this.#index.get(service) ?? NO_TARGETS;
-  }
-
-  #computeIndex(): TargetIndex {
-    const vms = new Map<RegionId, number>();
-    for (const { region } of this.#vms) {
-      vms.set(region, (vms.get(region) ?? 0) + 1);
-    }
-    const services = new Map<ServiceId, Entry[]>();
-    for (const entry of this.#entries.values()) {
-      entry.owner = ownerOf(entry.target, this.#vms);
-      const { service } = entry.target;
-      const list = services.get(service);
-      if (list === undefined) {
-        services.set(service, [entry]);
-      } else {
-        list.push(entry);
-      }
-    }
-    return new Map([...services].map(([service, entries]) => {
-      const slots = this.#usableSlots(entries);
-      return [service, { entries, homeShares: homeShares({ slots, vms }) }];
-    }));
-  }
-
-  /** Slots by region, without those of targets that get nothing new. */
-  #usableSlots(entries: readonly Entry[]): ReadonlyMap<RegionId, number> {
-    const slots = new Map<RegionId, number>();
-    for (const { target } of entries) {
-      if (!target.leaving && !this.#evacuated.has(target.zone)) {
-        const before = slots.get(target.region) ?? 0;
-        slots.set(target.region, before + target.slots);
-      }
-    }
-    return slots;
-  }
 }
 
-/** Orders that are kept; one of 34 targets takes some 400 bytes. */
-const MOST_ORDERS = 5_000;
-const NO_TARGETS: IndexedService = { entries: [], homeShares: new Map() };
-
 function refuse(
   reason: PlacementRefusal,
   waitMs: number,
--- a/packages/placement/src/target.ts
+++ b/packages/placement/src/target.ts
@@ -18,6 +18,14 @@
   readonly hash: number;
 }
 
+/** A target with the limits that its service sets. */
+export interface SteeredTarget extends PlacedTarget {
+  /** Requests a second that it bears while it is cold. */
+  readonly coldPerSecond: number;
+  /** It serves what it has and must get nothing new. */
+  readonly leaving: boolean;
+}
+
 /** Where a VM or a target is. */
 export interface Place {
   readonly zone: ZoneId;
--- a/packages/placement/src/testing.ts
+++ b/packages/placement/src/testing.ts
@@ -15,9 +15,9 @@
 import {
   type PlacementDecision,
   type PlacementRequest,
-  type SteeredTarget,
   Steering,
 } from "./steering.ts";
+import type { SteeredTarget } from "./target.ts";
 
 /** The service of all test targets. */
 export const SERVICE = "portal" as ServiceId;
