A VM that lost the store asks again before its news become old

Cause: the random pauses of the VM that asks the store. Drawn short three times and long once, the fourth comes after 1.5 s without a confirmation; the other VM then finds its relay's news old, asks the store itself, which is back by then, and reads of lapsed entries as if their targets were gone. That is a fault of the code: callers are refused for want of targets for up to two seconds.

Test first: the same with the draws 0, 0, 0, 0.999 failed ([] for lost, regained) and passes now.

Change: while its news are not old yet, a VM's pause ends 100 ms before they are.

Ruled out: telling a loss whenever a VM turns from a relay with old news to the store.

--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -39,6 +39,13 @@
 const RETRY_MOST_MS = 1_000;
 /** Pause after a change, in milliseconds, so that changes that come together cost one call: 68 VMs announce themselves in 300 ms. */
 const SETTLE_MS = 150;
+/**
+ * A VM that has lost the store asks again this long before its news become old, in
+ * milliseconds. After that, VMs that ask it turn to the store. Were the store back by
+ * then, they would read of entries that lapsed without knowing of the loss, and take
+ * living targets for gone.
+ */
+const ASKS_BEFORE_STALE_MS = 100;
 /** A relay that does not answer is left alone until its heartbeats are missed too, in milliseconds. */
 const SILENT_REST_MS = 3_000;
 /** A relay whose own news are old is asked again after this, in milliseconds: it notices by then, too. */
@@ -309,7 +316,13 @@
     }
     const jittered = this.#pauseMs * (0.5 + Math.random());
     this.#pauseMs = Math.min(RETRY_MOST_MS, this.#pauseMs * 2);
-    await pause(jittered, this.#closed.signal);
+    await pause(this.#beforeStale(jittered), this.#closed.signal);
+  }
+
+  /** The pause, or a shorter one that ends before this VM's news become old. */
+  #beforeStale(ms: number): number {
+    const leftMs = this.#staleAt - ASKS_BEFORE_STALE_MS - performance.now();
+    return leftMs > 0 ? Math.min(ms, leftMs) : ms;
   }
 
   #rest(relay: Member, ms: number, reason: string): void {
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -297,6 +297,27 @@
     expect(vm.contact).toEqual(["lost", "regained"]);
   });
 
+  test("that notices the store's return late leaves no other VM unaware of the loss", async () => {
+    // The store is back, but the relay pauses before it asks again. Meanwhile its news
+    // have become old, so the other VM asks the store itself, and reads of entries that
+    // lapsed. It never saw the store away; if it took the targets for gone, callers
+    // would be refused for want of targets.
+    const random = vi.spyOn(Math, "random");
+    [0, 0, 0, 0.999].forEach((value) => random.mockReturnValueOnce(value));
+    const first = new Vm("vm-1", store);
+    const vm = new Vm("vm-2", store);
+    vm.relays = [first];
+    await vi.advanceTimersByTimeAsync(1_500);
+    store.mode = "refuses";
+    await vi.advanceTimersByTimeAsync(1_100);
+    store.write("t-0", undefined);
+    store.mode = "answers";
+    await vi.advanceTimersByTimeAsync(3_000);
+    random.mockRestore();
+    expect(vm.rows.has("t-0")).toBe(false);
+    expect(vm.contact).toEqual(["lost", "regained"]);
+  });
+
   test("spares calls to a store that is away, and its return is heard soon", async () => {
     const first = new Vm("vm-1", store);
     const vm = new Vm("vm-2", store);
