--- a/packages/bench/src/fleet/scenario.ts
+++ b/packages/bench/src/fleet/scenario.ts
@@ -6,7 +6,7 @@
  */
 
 import { type Complaint, readDocument } from "@poplarthread/config";
-import { z } from "zod";
+import * as z from "zod";
 
 const positive = z.number().positive();
 const count = z.number().int().nonnegative();
--- a/packages/bundling/mod.d.mts
+++ b/packages/bundling/mod.d.mts
@@ -9,6 +9,8 @@
   readonly entry: string;
   readonly outfile: string;
   readonly plugins?: readonly Plugin[];
+  /** Kind of module; `esm` if left out. */
+  readonly format?: "esm" | "cjs";
 }
 
 /** Bundles a program of the workspace from the sources of all packages. */
--- a/packages/bundling/mod.mjs
+++ b/packages/bundling/mod.mjs
@@ -12,25 +12,28 @@
 /** The workspace's root. */
 export const ROOT = fileURLToPath(new URL("../../", import.meta.url));
 
+/** Libraries in the older module format ask for Node's modules by `require`. */
+const REQUIRE =
+  "import { createRequire as bundleRequire } from 'node:module';" +
+  "const require = bundleRequire(import.meta.url);";
+
 /** Bundles `entry`, a file from the root, into `outfile`. */
-export async function bundleProgram({ entry, outfile, plugins = [] }) {
+export async function bundleProgram(
+  { entry, outfile, plugins = [], format = "esm" },
+) {
   await build({
     entryPoints: [join(ROOT, entry)],
     outfile,
     plugins,
     bundle: true,
     platform: "node",
-    format: "esm",
+    format,
     target: "node20",
     conditions: ["source"],
     // The other entry of the JSON parser loads its parts in a way that no bundler follows.
     mainFields: ["module", "main"],
     legalComments: "none",
-    banner: {
-      // Libraries in the older module format ask for Node's modules by `require`.
-      js: "import { createRequire as bundleRequire } from 'node:module';" +
-        "const require = bundleRequire(import.meta.url);",
-    },
+    banner: format === "esm" ? { js: REQUIRE } : {},
   });
 }
 
--- a/packages/config/src/branded.ts
+++ b/packages/config/src/branded.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { PresetId, RegionId, ServiceId, ZoneId } from "@poplarthread/ids";
 import { branded } from "./branded.ts";
 import type { Format } from "./document.ts";
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -6,7 +6,7 @@
  */
 
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import { branded } from "./branded.ts";
 import type { Complaint, Format } from "./document.ts";
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -17,7 +17,7 @@
   isJSONRPCResponse,
   JSONRPCServer,
 } from "json-rpc-2.0";
-import { z } from "zod";
+import * as z from "zod";
 import { messageOf } from "../errors.ts";
 import { callJson, JsonAnswerError } from "../json_call.ts";
 import { listen } from "../listen.ts";
--- a/packages/operator-api/src/formats.ts
+++ b/packages/operator-api/src/formats.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import {
   type DrainSubject,
   type Format,
