Less chatter between VMs: members, greetings, reports between regions, news of warm targets

Ruled out: telling VMs of other regions less often still; a VM that is gone may be named for 6 s where contact_s is 3.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -245,6 +245,12 @@
     meaning: "An entry in the platform's list names no target to use.",
     fields: ["target"],
   },
+  "member entry cannot be read": {
+    level: "info",
+    meaning:
+      "The entry of a VM is of another version of the program; the VM is known once it is heard.",
+    fields: ["peer"],
+  },
   "connection not accepted": {
     level: "error",
     meaning: "A caller's connection could not be accepted.",
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -93,6 +93,7 @@
   readonly #timer = new PacedTimer((now) => this.#tick(now));
   #idleTickDueAt = 0;
   #hasTargets = false;
+  #hasMembers = false;
   #leaving = false;
   /** The planned stop; whoever asks for it again waits for the same one. */
   #stopped: Promise<void> | undefined;
@@ -140,9 +141,10 @@
     this.#callers = this.#createCallers();
     this.#beacon = new PeerBeacon({
       listen: listen.peers,
-      seeds: settings.seeds,
+      seeds: () => this.#hasMembers ? [] : settings.seeds,
       near: () => this.#vms.near(),
       far: () => this.#vms.far(performance.now()),
+      reports: () => this.#vms.reports(performance.now()),
       spokenTo: () => this.#vms.spokenTo(performance.now()),
       warmPairs: () => this.#path.steering.warmPairs(performance.now()),
       heardWarm: (pairs) => this.#heardWarm(pairs),
@@ -407,7 +409,7 @@
         return;
       case "members":
         this.#vms.listed(event.members, now);
-        this.#beacon.send({ kind: "beat" });
+        this.#sayHello();
         return;
       case "contact":
         if (event.subject === "targets") {
@@ -418,6 +420,14 @@
     }
   }
 
+  /** The VMs on the first list hear of this one; those that come later read the list and say so themselves. */
+  #sayHello(): void {
+    if (!this.#hasMembers) {
+      this.#hasMembers = true;
+      this.#beacon.send({ kind: "beat" });
+    }
+  }
+
   #logContact(
     { subject, isLost, reason }: Extract<FeedEvent, { kind: "contact" }>,
   ): void {
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -3,8 +3,8 @@
  * JSON-RPC 2.0 notifications in datagrams.
  *
  * VMs of one zone tell each other of themselves. Two VMs of each zone tell those of
- * other zones which VMs of theirs are up: were each VM to tell each other, 68 VMs
- * would send 64 MB between regions in 42 s, more than the requests.
+ * other zones which VMs of theirs are up, those of other regions less often: bytes
+ * between regions are dear, and what is known of VMs there decides little.
  *
  * Datagrams, because a connection that falls silent without a reset looks the
  * same as a peer with nothing to say, and because a lost heartbeat is followed
@@ -25,6 +25,8 @@
 
 /** How often a VM gives word of itself, in milliseconds; a VM is taken out after three that are missing. */
 const HEARTBEAT_MS = 1_000;
+/** VMs of other regions are told at each so many heartbeats. */
+const HEARTBEATS_BETWEEN_REGIONS = 2;
 /** Crashes that one datagram tells of; it stays below 1,400 bytes. */
 const MOST_CRASHES = 8;
 /** How long a crash is told of, in milliseconds: some heartbeats, as single ones are lost. */
@@ -48,6 +50,8 @@
  */
 const WARM_NEAR_PER_VM_MS = 100;
 const WARM_FAR_PER_VM_MS = 20;
+/** A VM that does not speak to other zones looks this often whether it does now, in milliseconds, while it has something to tell. */
+const SPEAKER_CHECK_MS = 3_000;
 /** VMs that one report names; each takes some 35 bytes. */
 const MOST_SIGHTINGS = 25;
 
@@ -72,16 +76,15 @@
   readonly leaving: readonly VmId[];
 }
 
-/**
- * Pairs that a VM that has just started is told, those used last: all VMs of its
- * zone greet it at once, which with eleven of them and 8 datagrams each takes a
- * link of 7 Mbit/s for 0.14 s.
- */
+/** Pairs that a VM that has just started is told by each VM that reports, those used last: 8 datagrams. */
 const MOST_GREETED = 800;
 
 /** Who tells of warm targets: those that hear it from a VM of their zone may pass it on. */
 type WarmMethod = "warm" | "zone-warm";
 
+/** Which others are told of warm targets: those of the zone, or of the region's other zones. */
+type WarmTelling = "tell-near" | "tell-far";
+
 /** What the task is told. */
 export type PeerBeaconMessage =
   /** This VM has warmed a target: all VMs are told soon. */
@@ -92,6 +95,8 @@
   | { readonly kind: "tell-far" }
   /** Sends a heartbeat to all peers now. */
   | { readonly kind: "beat" }
+  /** Sends the next one of those that come at even times. */
+  | { readonly kind: "heartbeat" }
   /** Sends one to a peer that was just heard for the first time. */
   | { readonly kind: "greet"; readonly member: Member }
   /** This VM saw a crash: all VMs are told. */
@@ -102,12 +107,14 @@
 /** What the task works with. */
 export interface PeerBeaconOptions {
   readonly listen: ListenAddress;
-  /** Addresses to try besides the known peers, `host:port`. */
-  readonly seeds: readonly string[];
+  /** Addresses to try besides the known peers, `host:port`; none once peers are known: all VMs are given the same few. */
+  seeds(): readonly string[];
   /** Other VMs of the zone. */
   near(): readonly Member[];
   /** VMs of other zones to which this VM reports; none where others do. */
   far(): readonly Member[];
+  /** Whether this VM is one of those of its zone that report. */
+  reports(): boolean;
   /** VMs of the region's other zones, where this VM is the one that tells them of warm targets. */
   spokenTo(): readonly Member[];
   /** Pairs that are known to be warm, those used last at the end. */
@@ -130,6 +137,10 @@
   #passedOn = new CrashList();
   readonly #warmNear = new WarmNews();
   readonly #warmFar = new WarmNews();
+  /** Heartbeats until VMs of other regions are told again. */
+  #untilFar = 0;
+  /** What is scheduled. */
+  readonly #scheduled = new Set<WarmTelling>();
   /** When the zone and the other zones were told last, in milliseconds. */
   #toldNearAt = -Infinity;
   #toldFarAt = -Infinity;
@@ -142,6 +153,7 @@
   protected override open(): Promise<void> {
     const socket = createSocket("udp4");
     this.#socket = socket;
+    this.#scheduled.clear();
     socket.on("message", (bytes) => this.#take(bytes));
     const { host, port } = this.#options.listen;
     return new Promise((resolve, reject) => {
@@ -149,9 +161,7 @@
       socket.bind(port, host, () => {
         socket.off("error", reject);
         socket.on("error", (err) => this.fail(err));
-        this.every(HEARTBEAT_MS, { kind: "beat" });
-        this.every(WARM_NEAR_MS, { kind: "tell-near" });
-        this.every(WARM_FAR_MS, { kind: "tell-far" });
+        this.every(HEARTBEAT_MS, { kind: "heartbeat" });
         resolve();
       });
     });
@@ -165,14 +175,17 @@
   protected override receive(message: PeerBeaconMessage): void {
     switch (message.kind) {
       case "beat":
-        this.#beat();
+        this.#beat(this.#options.far());
+        return;
+      case "heartbeat":
+        this.#beat(this.#dueFar());
         return;
       case "greet":
         this.#greet(message.member);
         return;
       case "crash":
         this.#own.add(message.crash);
-        this.#beat();
+        this.#beat(this.#options.far());
         return;
       case "pass-on":
         this.#passedOn.add(message.crash);
@@ -180,35 +193,63 @@
       case "warmed":
         this.#warmNear.add(message.pair);
         this.#warmFar.add(message.pair);
+        this.#schedule("tell-near", WARM_NEAR_MS);
+        this.#schedule("tell-far", WARM_FAR_MS);
         return;
       case "tell-near":
+        this.#scheduled.delete("tell-near");
         this.#tellNear(performance.now());
         return;
       case "tell-far":
+        this.#scheduled.delete("tell-far");
         this.#tellFar(performance.now());
         return;
     }
   }
 
+  /** Tells of warm targets in `ms`, or earlier where that is due already. */
+  #schedule(kind: WarmTelling, ms: number): void {
+    if (!this.#scheduled.has(kind)) {
+      this.#scheduled.add(kind);
+      this.after(ms, { kind });
+    }
+  }
+
   #tellNear(now: number): void {
     const near = this.#options.near();
-    if (now - this.#toldNearAt >= near.length * WARM_NEAR_PER_VM_MS) {
-      this.#toldNearAt = now;
-      this.#tellWarm("warm", this.#warmNear.take(), near);
+    const waitMs = this.#toldNearAt + near.length * WARM_NEAR_PER_VM_MS - now;
+    if (waitMs > 0) {
+      this.#schedule("tell-near", waitMs);
+      return;
     }
+    this.#toldNearAt = now;
+    this.#tellWarm("warm", this.#warmNear.take(), near);
   }
 
   #tellFar(now: number): void {
     const far = this.#options.spokenTo();
-    if (now - this.#toldFarAt >= far.length * WARM_FAR_PER_VM_MS) {
-      this.#toldFarAt = now;
-      this.#tellWarm("zone-warm", this.#warmFar.take(), far);
+    const everyMs = far.length === 0
+      ? SPEAKER_CHECK_MS
+      : far.length * WARM_FAR_PER_VM_MS;
+    const waitMs = this.#toldFarAt + everyMs - now;
+    if (waitMs > 0) {
+      this.#schedule("tell-far", waitMs);
+      return;
     }
+    this.#toldFarAt = now;
+    this.#tellWarm("zone-warm", this.#warmFar.take(), far);
   }
 
-  /** A VM that has just started knows nothing: it hears of this one and of warm targets. */
+  /**
+   * A VM that has just started knows nothing: it hears of this one, and of warm
+   * targets from those that report. Told by all of them, it was busy with the same
+   * pairs many times over while callers came back to it.
+   */
   #greet({ peerAddress }: Member): void {
     this.#send(this.#heartbeat(), [peerAddress]);
+    if (!this.#options.reports()) {
+      return;
+    }
     const newest = this.#options.warmPairs().slice(-MOST_GREETED);
     for (const pairs of encodePairs(newest)) {
       this.#send(encode("zone-warm", { pairs }), [peerAddress]);
@@ -231,14 +272,28 @@
     this.#options.heardWarm(pairs);
     if (method === "warm") {
       pairs.forEach((pair) => this.#warmFar.add(pair));
+      this.#schedule("tell-far", WARM_FAR_MS);
+    }
+  }
+
+  /** VMs of other zones that the next regular heartbeat goes to. */
+  #dueFar(): readonly Member[] {
+    const far = this.#options.far();
+    this.#untilFar -= 1;
+    if (this.#untilFar <= 0) {
+      this.#untilFar = HEARTBEATS_BETWEEN_REGIONS;
+      return far;
     }
+    const { region } = this.#options.ownWord().member;
+    return far.filter((member) => member.region === region);
   }
 
-  #beat(): void {
+  /** Tells the zone, and the VMs `reportedTo` of other zones. */
+  #beat(reportedTo: readonly Member[]): void {
     const near = addressesOf(this.#options.near());
-    const far = addressesOf(this.#options.far());
+    const far = addressesOf(reportedTo);
     const word = this.#options.ownWord();
-    const addresses = new Set([...near, ...this.#options.seeds]);
+    const addresses = new Set([...near, ...this.#options.seeds()]);
     addresses.delete(word.member.peerAddress);
     this.#send(this.#heartbeat(word), [...addresses]);
     if (far.length > 0) {
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
-import type { TargetId, VmId } from "@poplarthread/ids";
+import type { RegionId, TargetId, VmId } from "@poplarthread/ids";
 import type { HashedPair } from "@poplarthread/placement";
 import { ownAddress } from "../loopback.ts";
 import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
@@ -28,6 +28,7 @@
 let heard: HashedPair[];
 let isReporting: boolean;
 let mates: readonly Member[];
+let farMember: Member;
 
 function member(vm: string, port: number): Member {
   return memberNamed(vm, { peerAddress: `${HOST}:${port}` });
@@ -60,13 +61,15 @@
   heard = [];
   isReporting = true;
   mates = [member("vm-2", PORTS.near)];
+  farMember = member("vm-3", PORTS.far);
   near = await peer(PORTS.near, (params) => said.near.push(params));
   far = await peer(PORTS.far, (params) => said.far.push(params));
   beacon = new PeerBeacon({
     listen: { host: HOST, port: PORTS.self },
-    seeds: [],
+    seeds: () => [],
     near: () => mates,
-    far: () => isReporting ? [member("vm-3", PORTS.far)] : [],
+    far: () => isReporting ? [farMember] : [],
+    reports: () => isReporting,
     spokenTo: () => isReporting ? [member("vm-3", PORTS.far)] : [],
     warmPairs: () => Array.from({ length: 2_000 }, (_, at) => pair(at)),
     heardWarm: (pairs) => heard.push(...pairs),
@@ -119,6 +122,18 @@
   expect(said.far).toEqual([]);
 });
 
+test("VMs of other regions hear of the zone at each second heartbeat", async () => {
+  // Two VMs of each of nine zones told all 195 VMs each second which VMs of theirs are
+  // up. That was most of what went between regions, where bytes are dear.
+  farMember = { ...farMember, region: "south" as RegionId };
+  for (let beat = 0; beat < 4; beat++) {
+    beacon.send({ kind: "heartbeat" });
+  }
+  await until(() => said.near.length === 4 && said.far.length === 4);
+  beacon.send({ kind: "beat" });
+  await until(() => said.far.length === 6);
+});
+
 test("a crash is told of for a while, and not for ever", async () => {
   // Each heartbeat that tells of a crash makes it count from then on. Told of for
   // ever, it would hold back a popular page for the rest of the day.
@@ -195,6 +210,15 @@
     expect(warm.get(PORTS.near)).toContainEqual(pair(1_999));
   });
 
+  test("is told to a VM that has just started by those that report alone", async () => {
+    // Twenty VMs that greet it with 8 datagrams of the same pairs each keep a small VM
+    // busy while its callers come back.
+    isReporting = false;
+    beacon.send({ kind: "greet", member: member("vm-2", PORTS.near) });
+    await until(() => said.near.length === 1);
+    expect(warm.size).toBe(0);
+  });
+
   test("is passed over where it cannot be read", async () => {
     const bytes = Buffer.from(
       JSON.stringify({ method: "warm", params: { pairs: 7 } }),
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -20,6 +20,11 @@
  * down.
  */
 const REPORTED_WITHIN_MS = 5_000;
+/**
+ * The same for VMs of other regions, which are told of less often, in milliseconds:
+ * two reports. A VM that is gone may be named for 6 s.
+ */
+const REPORTED_FAR_WITHIN_MS = 5_500;
 /**
  * VMs count as part of the fleet this long after they were last heard, in
  * milliseconds. Limits that all VMs share are divided by their number: those
@@ -167,7 +172,12 @@
    * its zone.
    */
   far(now: number): readonly Member[] {
-    return this.#otherZones(now, REPORTING);
+    return this.reports(now) ? this.#otherZones() : [];
+  }
+
+  /** Whether this VM is one of those of its zone that report. */
+  reports(now: number): boolean {
+    return this.#aboveInZone(now) < REPORTING;
   }
 
   /**
@@ -177,17 +187,18 @@
    * served nobody better.
    */
   spokenTo(now: number): readonly Member[] {
-    return this.#otherZones(now, 1)
-      .filter(({ region }) => region === this.#self.region);
+    return this.#aboveInZone(now) > 0
+      ? []
+      : this.#otherZones().filter(({ region }) => region === this.#self.region);
   }
 
-  /** VMs of other zones, if this VM is one of the first `speaking` of its zone. */
-  #otherZones(now: number, speaking: number): readonly Member[] {
+  /** How many VMs of the zone that are up rank above this one. */
+  #aboveInZone(now: number): number {
     const ofZone = this.up(now).filter(({ zone }) => zone === this.#self.zone);
-    const above = rankedAbove(this.#self, ofZone);
-    if (above.length >= speaking) {
-      return [];
-    }
+    return rankedAbove(this.#self, ofZone).length;
+  }
+
+  #otherZones(): readonly Member[] {
     return [...this.#entries.values()].filter((entry) => !this.#isNear(entry))
       .map(({ member }) => member);
   }
@@ -247,8 +258,17 @@
   }
 
   #isHeard(entry: Entry, now: number): boolean {
-    const withinMs = this.#isNear(entry) ? HEARD_WITHIN_MS : REPORTED_WITHIN_MS;
-    return now - entry.heardAt < withinMs;
+    return now - entry.heardAt < this.#heldMs(entry);
+  }
+
+  /** How long the last word of a VM holds, in milliseconds. */
+  #heldMs(entry: Entry): number {
+    if (this.#isNear(entry)) {
+      return HEARD_WITHIN_MS;
+    }
+    return entry.member.region === this.#self.region
+      ? REPORTED_WITHIN_MS
+      : REPORTED_FAR_WITHIN_MS;
   }
 }
 
