Old news of a relay send one VM to the store, not all that asked it

Change: a VM whose news are old, but which may be about to read the store, lets those that ask it wait for 300 ms; its first own call after that waits 20 ms for changes, not a second, so that it knows soon. One whose own call to the store hangs says at once that its news are old, as before.

News reach those that asked a cut-off relay after 1.5 s, 300 ms more in the worst case; within 2.5 s.

--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -30,7 +30,7 @@
 };
 /** News whose last confirmation is older than a call's wait by this are not relied on, in milliseconds: twice the longest answer of a slow store. */
 const LATE_MS = 500;
-/** How long the first call after failed ones waits, in milliseconds: short, to know soon that the store is back. */
+/** How long the first call after failed ones, or after a relay's old news, waits, in milliseconds: short, to know soon that the store answers. */
 const CONTACT_WAIT_MS = 20;
 /** A call that waits for changes this long although a peer has seen one is given up, in milliseconds: a few times the store's usual 4 ms. */
 const MISSED_MS = 300;
@@ -46,6 +46,12 @@
  * living targets for gone.
  */
 const ASKS_BEFORE_STALE_MS = 100;
+/**
+ * A VM whose news are old, but which may be about to read the store, lets those that
+ * ask it wait this long, in milliseconds: a round trip to a store in another region
+ * and some more. Answered at once, all of them would turn to the store together.
+ */
+const READS_SOON_MS = 300;
 /** A relay that does not answer is left alone until its heartbeats are missed too, in milliseconds. */
 const SILENT_REST_MS = 3_000;
 /** A relay whose own news are old is asked again after this, in milliseconds: it notices by then, too. */
@@ -93,6 +99,8 @@
   #confirmedAt = performance.now() - NEVER_MS;
   #regainedAt = -Infinity;
   #isLost = false;
+  /** When this VM last called the store itself. */
+  #storeCallAt = -Infinity;
   #pauseMs = RETRY_FIRST_MS;
   #missed: NodeJS.Timeout | undefined;
 
@@ -138,14 +146,21 @@
 
   /** News for a peer, as soon as there are any; undefined where nothing was read yet. */
   async newsAfter(question: RelayQuestion): Promise<RelayNews | undefined> {
-    const until = performance.now() + question.waitMs;
+    const askedAt = performance.now();
+    const until = askedAt + question.waitMs;
     for (;;) {
       const changes = this.#copy.changesAfter(question.version);
+      const now = performance.now();
       if (changes === undefined) {
-        return undefined;
+        if (now >= askedAt + READS_SOON_MS || this.#closed.signal.aborted) {
+          return undefined;
+        }
+        await this.#woken(askedAt + READS_SOON_MS - now);
+        continue;
       }
-      const now = performance.now();
-      const staleAt = question.isPatient ? Infinity : this.#staleAt;
+      const staleAt = question.isPatient
+        ? Infinity
+        : this.#toldStaleAt(askedAt, now);
       const isDue = changes.isWhole || changes.rows.length > 0 ||
         now >= Math.min(until, staleAt) ||
         (question.isPatient && now < this.#staleAt);
@@ -174,11 +189,23 @@
     return this.#confirmedAt + WAIT_MS[this.#subject] + LATE_MS;
   }
 
+  /** When one that asked at `askedAt` is told that this VM's news are old. */
+  #toldStaleAt(askedAt: number, now: number): number {
+    const isStuck = this.#asked === undefined &&
+      now >= this.#storeCallAt + READS_SOON_MS;
+    return isStuck
+      ? this.#staleAt
+      : Math.max(this.#staleAt, askedAt + READS_SOON_MS);
+  }
+
   async #next(): Promise<void> {
     const relay = this.#relayToAsk();
     if (relay !== undefined) {
       await this.#askRelay(relay);
-    } else if (this.#copy.position === undefined) {
+      return;
+    }
+    this.#storeCallAt = performance.now();
+    if (this.#copy.position === undefined) {
       await this.#readAll();
     } else {
       await this.#readChanges();
@@ -236,7 +263,9 @@
   async #readChanges(): Promise<void> {
     const page = await this.#options.store.changes(this.#subject, {
       version: this.#copy.position!,
-      waitMs: this.#isLost ? CONTACT_WAIT_MS : WAIT_MS[this.#subject],
+      waitMs: this.#isLost || performance.now() >= this.#staleAt
+        ? CONTACT_WAIT_MS
+        : WAIT_MS[this.#subject],
       signal: this.#call.signal,
     });
     this.#succeeded(performance.now());
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -252,6 +252,38 @@
     expect(second.contact).toEqual([]);
   });
 
+  test("whose news are old sends one VM to the store, not all that asked it", async () => {
+    // The store drops its history, and the VM that asks it for its region hears nothing
+    // for two seconds. Its 60 followers notice at the same moment. Were each of them to
+    // read the store, that would be more calls than a calm day has, all at once.
+    const callsWith = async (followers: number) => {
+      const behind = new FakeStore();
+      behind.write("t-0", "ready");
+      const stuck = new FakeStore();
+      stuck.write("t-0", "ready");
+      const first = new Vm("vm-1", stuck);
+      const second = new Vm("vm-2", behind);
+      second.relays = [first];
+      const others = Array.from({ length: followers }, (_, at) => {
+        const vm = new Vm(`vm-${at + 3}`, behind);
+        vm.relays = [first, second];
+        return vm;
+      });
+      await vi.advanceTimersByTimeAsync(1_500);
+      const before = behind.calls;
+      stuck.mode = "hangs";
+      behind.version = 10;
+      await vi.advanceTimersByTimeAsync(2_000);
+      behind.write("t-1", "ready");
+      await vi.advanceTimersByTimeAsync(2_000);
+      expect(others.every(({ rows }) => rows.has("t-1"))).toBe(true);
+      expect(others.flatMap(({ contact }) => contact)).toEqual([]);
+      return behind.calls - before;
+    };
+    const alone = await callsWith(0);
+    expect(await callsWith(60)).toBeLessThanOrEqual(alone + 2);
+  });
+
   test("that cannot be reached is passed over, first for the next one", async () => {
     const first = new Vm("vm-1", store);
     const vm = new Vm("vm-2", store);
