Deadlines are looked at five times a second while none is close

One timer in place of two paces: a VM without close deadlines or waiting requests wakes every 200 ms, for targets, peers, probes and deadlines; a deadline within 200 ms brings back the 20 ms. Perf of an idle VM among six, 36 VM-seconds: 337 samples at 999 a second, of which the timers 102, their work (#fire) 48. Tests of the gateway and of the platform pass.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -289,7 +289,7 @@
   /** Returns in how many milliseconds it is due again. */
   #tick(now: number): number {
     if (now >= this.#idleTickDueAt) {
-      this.#idleTickDueAt = now + IDLE_TICK_MS;
+      this.#idleTickDueAt = now + IDLE_TICK_MS - BUSY_TICK_MS;
       this.#idleTick(now);
     }
     const nextMs = this.#path.tick(now);
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -22,9 +22,7 @@
 
 /** How often deadlines and waiting requests are looked at while some are close, in milliseconds. */
 export const BUSY_TICK_MS = 20;
-/** The same while no request waits and none runs out soon, in milliseconds. */
-const QUIET_TICK_MS = 100;
-/** How often targets, peers and probes are looked at, in milliseconds. */
+/** How often targets, peers and probes are looked at, and deadlines while none is close, in milliseconds. */
 export const IDLE_TICK_MS = 200;
 
 /** What a request path works with. */
@@ -105,8 +103,8 @@
       this.#queue.pumpAll(now);
     }
     const isClose = this.#queue.size > 0 ||
-      this.#wheel.dueWithin(QUIET_TICK_MS);
-    return isClose ? BUSY_TICK_MS : QUIET_TICK_MS;
+      this.#wheel.dueWithin(IDLE_TICK_MS);
+    return isClose ? BUSY_TICK_MS : IDLE_TICK_MS;
   }
 
   /** Work that is due every {@link IDLE_TICK_MS}. */
