--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -13,9 +13,7 @@
 
 /** Loaded on demand, so that one experiment's start-up cost is not another's. */
 const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {
-  path: () => import("./path/main.ts"),
   decisions: () => import("./decisions/main.ts"),
-  coordination: () => import("./coordination/main.ts"),
   fleet: () => import("./fleet/main.ts"),
   journal: () => import("./journal/main.ts"),
 };
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Stand-ins for what surrounds the daemons, for the demo, the tests with real
+ * Stand-ins for what surrounds the daemons, for the tests with real
  * processes and the experiments.
  *
  * @module
