Quotas of accounts over all VMs: credit that two VMs of each region keep

Cause: nothing held an account to its quota.

Each region has a fixed, equal part of the quota, of which its first keeper (rendezvous among VMs that are up) has 0.7 and its second 0.3; a keeper uses as much of its part as it hears of the region's VMs. So parts never sum to more than the quota, also behind cuts. A VM that starts has no credit and earns it. A request asks once it is read, by one datagram, the second keeper after 80 ms; beyond the quota it gets 429 and the time until there is credit.

Weighed and not built: an equal share for each VM (a small account would have less than one request a VM: with 66 VMs and 30 a second 0.45 a second each); counts that VMs tell each other, with free use far below the limit (by a sketch of the delays, one to three seconds of reports let an account that doubles its load overshoot by more than the tenth that is allowed).

Known limits: parts of regions don't follow the demand, so an account whose callers all stand in one region gets some 0.39 of its quota; credit of a request that waits is spent when it came, not when it runs; credit of one that does not run is not given back.

--- a/packages/daemon/src/gateway/admission.ts
+++ b/packages/daemon/src/gateway/admission.ts
@@ -6,9 +6,14 @@
  */
 
 import type { AccountId, RegionId } from "@poplarthread/ids";
-import type { AccountIndex, CallerIdentity } from "./client_account.ts";
-import { rankOf } from "./client_account.ts";
+import {
+  type AccountIndex,
+  type CallerIdentity,
+  type ClientAccount,
+  rankOf,
+} from "./client_account.ts";
 import type { Route } from "./configuration.ts";
+import type { Credit } from "./credit_exchange.ts";
 import type { OwnAnswerReason } from "./own_answer.ts";
 import type { CallerRequest } from "./ports.ts";
 
@@ -31,6 +36,11 @@
   readonly regions: readonly RegionId[];
   /** Why it must not be sent any more; undefined while it may. */
   recheck(): AdmissionRefusal | undefined;
+  /**
+   * Counts it for its account's quota, and tells why it may not run, or undefined if
+   * it may. Called once, perhaps before it returns.
+   */
+  count(done: (refusal: AdmissionRefusal | undefined) => void): void;
 }
 
 /** A decision. */
@@ -44,6 +54,8 @@
   accounts(): AccountIndex | undefined;
   /** Whether this VM surely knows of every key that was taken away longer ago than allowed. */
   knowsRevocations(): boolean;
+  /** Asks for the credit of one request of an account that has a quota. */
+  requestCredit(account: AccountId, done: (credit: Credit) => void): void;
 }
 
 /** See the module's comment. */
@@ -102,8 +114,31 @@
           ? undefined
           : refusal("unauthenticated");
       },
+      count: (done) => this.#count(account, done),
     };
   }
+
+  #count(
+    { id, quota }: ClientAccount,
+    done: (refusal: AdmissionRefusal | undefined) => void,
+  ): void {
+    if (quota === undefined) {
+      done(undefined);
+      return;
+    }
+    this.#options.requestCredit(id, (credit) => done(refusalFor(credit)));
+  }
+}
+
+function refusalFor(credit: Credit): AdmissionRefusal | undefined {
+  switch (credit.kind) {
+    case "granted":
+      return undefined;
+    case "used-up":
+      return refusal("over-quota", credit.readyInMs);
+    case "unknown":
+      return refusal("accounts-unknown", ACCOUNTS_UNKNOWN_RETRY_MS);
+  }
 }
 
 /** A caller that nobody asks for a key. */
@@ -113,6 +148,7 @@
     rank: rankOf(route, undefined),
     regions: route.regions,
     recheck: () => undefined,
+    count: (done) => done(undefined),
   };
 }
 
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -11,7 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { ServiceId } from "@poplarthread/ids";
+import type { AccountId, ServiceId } from "@poplarthread/ids";
 import { hashText, WeightedSplit } from "@poplarthread/placement";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
@@ -26,6 +26,7 @@
   RouteIndex,
   type RoutingConfiguration,
 } from "./configuration.ts";
+import type { Credit } from "./credit_exchange.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
 import type { CallerRequest, Dialect } from "./ports.ts";
@@ -73,6 +74,8 @@
   isLate(): boolean;
   /** Whether this VM surely knows of every key that was taken away longer ago than allowed. */
   knowsRevocations(): boolean;
+  /** Asks for the credit of one request of an account that has a quota. */
+  requestCredit(account: AccountId, done: (credit: Credit) => void): void;
   /** Told of answers that no exchange gave. */
   refused(request: CallerRequest | undefined, reason: OwnAnswerReason): void;
   /** Told of connections that could not be accepted. */
@@ -126,6 +129,7 @@
     this.#admission = new AdmissionControl({
       accounts: () => this.#compiled?.accounts,
       knowsRevocations: () => options.knowsRevocations(),
+      requestCredit: (account, done) => options.requestCredit(account, done),
     });
   }
 
@@ -139,6 +143,11 @@
     return this.#compiled?.configuration.version ?? 0;
   }
 
+  /** The accounts in force; undefined where callers need none. */
+  get accounts(): AccountIndex | undefined {
+    return this.#compiled?.accounts;
+  }
+
   protected override open(): Promise<void> {
     const server = createServer({
       maxHeaderSize: HEADER_BYTES,
--- a/packages/daemon/src/gateway/client_account.ts
+++ b/packages/daemon/src/gateway/client_account.ts
@@ -5,15 +5,9 @@
  */
 
 import type { AccountId, KeyDigest, RegionId } from "@poplarthread/ids";
+import type { Quota } from "@poplarthread/placement";
 import type { Route } from "./configuration.ts";
 
-/** How many requests of an account may run, over all VMs together. */
-export interface AccountQuota {
-  readonly perSecond: number;
-  /** Requests beyond the rate that may come at once. */
-  readonly burst: number;
-}
-
 /** A client account as operators configured it. */
 export interface ClientAccount {
   readonly id: AccountId;
@@ -23,7 +17,7 @@
   /** Regions in which its requests may run; empty for all. */
   readonly regions: readonly RegionId[];
   /** Undefined for no limit. */
-  readonly quota: AccountQuota | undefined;
+  readonly quota: Quota | undefined;
 }
 
 /** What the header of a request says of its sender. */
@@ -52,10 +46,12 @@
 
 /** The accounts of one configuration by their keys. */
 export class AccountIndex {
+  readonly #byId = new Map<AccountId, ClientAccount>();
   readonly #byKey = new Map<KeyDigest, ClientAccount>();
 
   constructor(accounts: readonly ClientAccount[]) {
     for (const account of accounts) {
+      this.#byId.set(account.id, account);
       account.keys.forEach((key) => this.#byKey.set(key, account));
     }
   }
@@ -65,6 +61,16 @@
     return this.#byKey.get(key);
   }
 
+  /** The account of this name; undefined where there is none. */
+  named(id: AccountId): ClientAccount | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** Names of all accounts. */
+  get ids(): ReadonlySet<AccountId> {
+    return new Set(this.#byId.keys());
+  }
+
   /** Who sends a request on `route`. */
   identify(credential: Credential, route: Route): CallerIdentity {
     if (route.isPublic) {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -42,6 +42,19 @@
     meaning:
       "age of what this VM knew of the targets, in milliseconds: time since the platform confirmed its list",
   },
+  account: {
+    type: "text",
+    meaning: "the client account that sent it, where one is asked for",
+  },
+  key: {
+    type: "text",
+    meaning: "first characters of the digest of the key that it was sent by",
+  },
+  accountsMs: {
+    type: "number",
+    meaning:
+      "age of what this VM knew of accounts and their keys, in milliseconds: time since the reading of the store began that told it",
+  },
   retryAfterMs: {
     type: "number",
     meaning: "when the caller was told to come back, in milliseconds",
@@ -258,8 +271,9 @@
   },
   "request refused": {
     level: "info",
-    meaning: "A request was refused before a route was found.",
+    meaning: "A request was refused before it became one for a target.",
     fields: ["request", "reason", "revision"],
+    optional: ["key", "accountsMs"],
   },
   "attempt failed": {
     level: "warn",
@@ -283,6 +297,8 @@
       "waitedMs",
     ],
     optional: [
+      "account",
+      "accountsMs",
       "newsMs",
       "retryAfterMs",
       "target",
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -20,7 +20,7 @@
 import { messageOf } from "../errors.ts";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
-import type { AdmittedCaller } from "./admission.ts";
+import type { AdmissionRefusal, AdmittedCaller } from "./admission.ts";
 import { AttemptRecord } from "./attempt_record.ts";
 import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
 import { CallerReply, type EndsConnection } from "./caller_reply.ts";
@@ -292,7 +292,7 @@
   }
 
   #ready(): void {
-    if (!this.#enter("queue")) {
+    if (!this.#enter("count")) {
       return;
     }
     this.#digest = this.#services.suspects.digestOf(
@@ -308,7 +308,18 @@
       this.#answer("refused-by-targets", heldMs);
       return;
     }
-    this.#services.queue.add(this, performance.now());
+    this.#options.caller.count((refusal) =>
+      this.#guarded(() => this.#counted(refusal))
+    );
+  }
+
+  /** It was counted for its account's quota. */
+  #counted(refusal: AdmissionRefusal | undefined): void {
+    if (refusal !== undefined) {
+      this.#giveUp(refusal.reason, refusal.retryAfterMs);
+    } else if (this.#enter("queue")) {
+      this.#services.queue.add(this, performance.now());
+    }
   }
 
   /** True if it waits on. */
--- a/packages/daemon/src/gateway/exchange_phase.ts
+++ b/packages/daemon/src/gateway/exchange_phase.ts
@@ -12,6 +12,8 @@
 export type ExchangePhase =
   /** Its body is being read. */
   | "reading"
+  /** It waits until it is counted for its account's quota. */
+  | "counting"
   /** It waits for a target. */
   | "waiting"
   /** An attempt is on its way. */
@@ -22,34 +24,17 @@
   | "done";
 
 /** What may happen to it next. */
-export type ExchangeStep = "queue" | "send" | "stream" | "end";
+export type ExchangeStep = "count" | "queue" | "send" | "stream" | "end";
 
 const NEXT: Readonly<
-  Record<
-    ExchangePhase,
-    Readonly<Record<ExchangeStep, ExchangePhase | undefined>>
-  >
+  Record<ExchangePhase, Readonly<Partial<Record<ExchangeStep, ExchangePhase>>>>
 > = {
-  reading: {
-    queue: "waiting",
-    send: undefined,
-    stream: undefined,
-    end: "done",
-  },
-  waiting: { queue: undefined, send: "sent", stream: undefined, end: "done" },
-  sent: { queue: "waiting", send: undefined, stream: "streaming", end: "done" },
-  streaming: {
-    queue: undefined,
-    send: undefined,
-    stream: undefined,
-    end: "done",
-  },
-  done: {
-    queue: undefined,
-    send: undefined,
-    stream: undefined,
-    end: undefined,
-  },
+  reading: { count: "counting", end: "done" },
+  counting: { queue: "waiting", end: "done" },
+  waiting: { send: "sent", end: "done" },
+  sent: { queue: "waiting", stream: "streaming", end: "done" },
+  streaming: { end: "done" },
+  done: {},
 };
 
 /** The phase after a step; undefined where the step must not be taken. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -16,6 +16,8 @@
 import { CallerListener } from "./caller_listener.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
 import { Connections } from "./connections.ts";
+import { CreditExchange } from "./credit_exchange.ts";
+import { CreditKeeperBooks } from "./credit_keeper.ts";
 import { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -25,7 +27,13 @@
 import { MetricsListener } from "./metrics_listener.ts";
 import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
 import { type FeedEvent, PlatformFeed } from "./platform_feed.ts";
-import type { Dialect, Member, PlatformPort, WatchedSubject } from "./ports.ts";
+import type {
+  CallerRequest,
+  Dialect,
+  Member,
+  PlatformPort,
+  WatchedSubject,
+} from "./ports.ts";
 import { RelayListener } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
 import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
@@ -62,6 +70,8 @@
 const STOP_MARGIN_MS = 500;
 /** How much earlier than allowed a VM stops relying on the keys that it knows, in milliseconds: a store that loses its history may tell of changes a second late. */
 const REVOCATION_MARGIN_MS = 1_200;
+/** Characters of a key's digest in the log: enough to tell keys apart, and nothing that opens a door. */
+const KEY_DIGITS = 8;
 /** How often a leaving VM looks whether its requests are over, in milliseconds. */
 const STOP_CHECK_MS = 20;
 
@@ -92,6 +102,8 @@
   readonly #prober: HealthProber;
   readonly #callers: CallerListener;
   readonly #beacon: PeerBeacon;
+  readonly #books: CreditKeeperBooks;
+  readonly #credit: CreditExchange;
   readonly #root: Supervisor;
   readonly #timer = new PacedTimer((now) => this.#tick(now));
   #idleTickDueAt = 0;
@@ -144,6 +156,21 @@
       dialect: this.#dialect,
     });
     this.#callers = this.#createCallers();
+    const upInRegion = () => this.#vms.upInRegion(performance.now());
+    this.#books = new CreditKeeperBooks({
+      self: this.#vms.self,
+      bound: settings.bounds.quotas,
+      regions: new Set(settings.zones.values()).size,
+      upInRegion,
+      knownInRegion: () => this.#vms.knownInRegion(performance.now()),
+      quotaOf: (account) => this.#callers.accounts?.named(account)?.quota,
+    });
+    this.#credit = new CreditExchange({
+      listen: listen.credit,
+      self: this.#vms.self,
+      books: this.#books,
+      upInRegion,
+    });
     this.#beacon = new PeerBeacon({
       listen: listen.peers,
       seeds: () => this.#hasMembers ? [] : settings.seeds,
@@ -245,6 +272,7 @@
       path: this.#path,
       isLate: () => this.#loopDelay.isLate(performance.now()),
       knowsRevocations: () => this.#knowsRevocations(),
+      requestCredit: (account, done) => this.#credit.request(account, done),
       notAccepted: (err) =>
         this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
@@ -253,11 +281,23 @@
           request: request?.requestId ?? "",
           reason,
           revision: this.#callers.version,
+          ...this.#accountFields(request),
         });
       },
     });
   }
 
+  /** What the log says of who sent a request that was refused. */
+  #accountFields(request: CallerRequest | undefined) {
+    if (request?.credential.kind !== "key") {
+      return {};
+    }
+    return {
+      key: request.credential.digest.slice(0, KEY_DIGITS),
+      accountsMs: Math.round(this.#accountsAgeMs),
+    };
+  }
+
   #supervise(): Supervisor {
     const lookups = new LookupListener({
       listen: [this.#settings.listen.lookups, this.#settings.listen.readiness],
@@ -283,9 +323,8 @@
       listen: this.#settings.listen.peers,
       news: (subject, question) => this.#feed.news(subject, question),
     });
-    [this.#beacon, this.#callers, lookups, metrics, relay].forEach((task) =>
-      root.add(task)
-    );
+    [this.#beacon, this.#credit, this.#callers, lookups, metrics, relay]
+      .forEach((task) => root.add(task));
     return root;
   }
 
@@ -362,6 +401,7 @@
     this.#requestLog.ended(exchange, end, {
       now,
       newsMs: this.#feed.ageOf("targets"),
+      accountsMs: Math.round(this.#accountsAgeMs),
     });
   }
 
@@ -472,6 +512,7 @@
       return;
     }
     this.#callers.send({ kind: "configuration", configuration });
+    this.#books.keepOnly(this.#callers.accounts?.ids ?? new Set());
     this.#path.targets.setServices(configuration.services);
     this.#log.write("configuration in force", {
       revision: configuration.version,
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -5,11 +5,7 @@
  * @module
  */
 
-export type {
-  AccountQuota,
-  ClientAccount,
-  Credential,
-} from "./client_account.ts";
+export type { ClientAccount, Credential } from "./client_account.ts";
 export {
   type CallerLimits,
   type Route,
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -30,7 +30,11 @@
   ended(
     exchange: GatewayExchange,
     end: GatewayExchangeEnd,
-    { now, newsMs }: { now: number; newsMs: number },
+    { now, newsMs, accountsMs }: {
+      now: number;
+      newsMs: number;
+      accountsMs: number;
+    },
   ): void {
     const isGood = end === "answered" && now <= exchange.aimAt;
     if (isGood && !this.#mayWrite(now)) {
@@ -48,8 +52,10 @@
       attempts: exchange.attempts,
       durationMs: Math.round(now - exchange.startedAt),
       waitedMs: Math.round(exchange.waitedMs),
+      ...(exchange.account === undefined ? {} : { account: exchange.account }),
       // Of what was answered in time nobody asks why.
       ...(isGood ? {} : { newsMs }),
+      ...(isGood || exchange.account === undefined ? {} : { accountsMs }),
       ...(exchange.retryAfterMs === undefined
         ? {}
         : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -5,7 +5,7 @@
  */
 
 import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
-import type { RetryBound } from "@poplarthread/placement";
+import type { QuotaBound, RetryBound } from "@poplarthread/placement";
 
 /** Where a listener binds. */
 export interface ListenAddress {
@@ -22,8 +22,8 @@
   readonly lookupMs: number;
   /** Time after which a key that was taken away must serve nobody; undefined where it need not be known so exactly. */
   readonly revocationMs: number | undefined;
-  /** Length of the windows in which quotas of accounts count. */
-  readonly quotaWindowMs: number;
+  /** How far accounts may go beyond their quotas. */
+  readonly quotas: QuotaBound;
 }
 
 /** The settings of one gateway, decoded and checked. */
@@ -41,6 +41,8 @@
     readonly readiness: ListenAddress;
     readonly lookups: ListenAddress;
     readonly peers: ListenAddress;
+    /** For questions about the credit of accounts; its port is the same on all VMs. */
+    readonly credit: ListenAddress;
     readonly metrics: ListenAddress;
   };
   /** Addresses at which peers may be, `host:port`; at most a few, perhaps gone. */
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -84,6 +84,11 @@
     this.#onChange = options.onChange;
   }
 
+  /** This VM, with what it is ranked by. */
+  get self(): RankedMember {
+    return this.#self;
+  }
+
   /** This VM leaves. */
   leave(): void {
     this.#selfLeaving = true;
@@ -232,6 +237,19 @@
       .filter(({ knownAt }) => now - knownAt < FLEET_MEMORY_MS).length;
   }
 
+  /** VMs of the region that are up, this one among them. */
+  upInRegion(now: number): readonly RankedMember[] {
+    return this.up(now).filter(({ region }) => region === this.#self.region);
+  }
+
+  /** VMs of the region that share its limits, this one among them: those that are up, or were lately. */
+  knownInRegion(now: number): number {
+    return 1 +
+      [...this.#entries.values()].filter(({ member, knownAt }) =>
+        member.region === this.#self.region && now - knownAt < FLEET_MEMORY_MS
+      ).length;
+  }
+
   /** VMs that are up, this one among them. */
   up(now: number): readonly RankedMember[] {
     const up = this.#selfLeaving ? [] : [this.#self];
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -36,6 +36,12 @@
   /** Time of the last attempt, and how it ended. */
   readonly targetMs?: number;
   readonly targetEnd?: string;
+  /** The client account that sent a request. */
+  readonly account?: string;
+  /** First characters of the digest of a key. */
+  readonly key?: string;
+  /** Age of what the VM knew of accounts, in milliseconds. */
+  readonly accountsMs?: number;
   /** When the caller was told to come back, in milliseconds. */
   readonly retryAfterMs?: number;
   /** Requests that the target ran and queued when it answered. */
--- /dev/null
+++ b/packages/placement/src/account_credit_test.ts
@@ -0,0 +1,108 @@
+/**
+ * Credit of accounts over all VMs.
+ *
+ * @module
+ */
+
+import fc from "fast-check";
+import { describe, expect, test } from "vitest";
+import type { RegionId, VmId } from "@poplarthread/ids";
+import {
+  CreditBucket,
+  creditLimit,
+  KEEPER_PARTS,
+  keepersOf,
+  partOf,
+} from "./account_credit.ts";
+import { hashText } from "./hash.ts";
+
+const BOUND = { windowMs: 5_000, overage: 0.1, slack: 20 };
+const REGIONS = 3;
+
+function allowed(quota: { perSecond: number; burst: number }): number {
+  return (quota.perSecond * 5 + quota.burst) * 1.1 + 20;
+}
+
+/** The moments at which requests get credit of any keeper, while each keeper is asked all the time. */
+function grants(
+  quota: { perSecond: number; burst: number },
+  { lengthMs, restartsAt }: { lengthMs: number; restartsAt: readonly number[] },
+): readonly number[] {
+  const limit = creditLimit(quota, BOUND);
+  const keepers = Array.from({ length: REGIONS }, () => KEEPER_PARTS).flat()
+    .map((part) => ({
+      limit: partOf(limit, part / REGIONS),
+      bucket: new CreditBucket(0),
+    }));
+  const times: number[] = [];
+  for (let now = 0; now < lengthMs; now += 10) {
+    for (const keeper of keepers) {
+      if (restartsAt.includes(now)) {
+        keeper.bucket = new CreditBucket(now);
+      }
+      while (keeper.bucket.take(keeper.limit, now)) {
+        times.push(now);
+      }
+    }
+  }
+  return times;
+}
+
+function mostInWindow(times: readonly number[]): number {
+  let from = 0;
+  let most = 0;
+  times.forEach((time, to) => {
+    while (time - times[from]! >= BOUND.windowMs) {
+      from += 1;
+    }
+    most = Math.max(most, to - from + 1);
+  });
+  return most;
+}
+
+describe("credit of an account", () => {
+  test("stays within the bound in any window, whatever is asked and whenever keepers restart", () => {
+    fc.assert(
+      fc.property(
+        fc.record({
+          perSecond: fc.integer({ min: 1, max: 300 }),
+          burst: fc.integer({ min: 0, max: 300 }),
+        }),
+        fc.array(fc.integer({ min: 0, max: 1_200 }), { maxLength: 5 }),
+        (quota, restarts) => {
+          const restartsAt = restarts.map((at) => at * 10);
+          const times = grants(quota, { lengthMs: 12_000, restartsAt });
+          expect(mostInWindow(times)).toBeLessThanOrEqual(allowed(quota));
+        },
+      ),
+      { numRuns: 200 },
+    );
+  });
+
+  test("serves what an account may send for as long as it sends it", () => {
+    const quota = { perSecond: 60, burst: 60 };
+    const times = grants(quota, { lengthMs: 30_000, restartsAt: [] });
+    const late = times.filter((time) => time >= 10_000).length;
+    expect(late / 20).toBeGreaterThanOrEqual(quota.perSecond);
+  });
+
+  test("tells when there is credit again", () => {
+    const limit = { perSecond: 4, most: 2 };
+    const bucket = new CreditBucket(0);
+    expect(bucket.readyInMs(limit, 0)).toBe(250);
+    expect(bucket.take(limit, 240)).toBe(false);
+    expect(bucket.take(limit, 260)).toBe(true);
+  });
+});
+
+test("all VMs name the same keepers, and another one where a keeper is lost", () => {
+  const vms = Array.from({ length: 22 }, (_, at) => ({
+    vm: `vm-${at}` as VmId,
+    region: "north" as RegionId,
+    hash: hashText(`vm-${at}`),
+  }));
+  const keepers = keepersOf("anna", vms);
+  expect(keepersOf("anna", vms.toReversed())).toEqual(keepers);
+  const left = vms.filter((vm) => vm !== keepers[0]);
+  expect(keepersOf("anna", left)[0]).toBe(keepers[1]);
+});
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -4,6 +4,17 @@
  * @module
  */
 
+export {
+  CreditBucket,
+  type CreditKeeper,
+  type CreditLimit,
+  creditLimit,
+  KEEPER_PARTS,
+  keepersOf,
+  partOf,
+  type Quota,
+  type QuotaBound,
+} from "./account_credit.ts";
 export {
   type Choice,
   choose,
