--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -29,7 +29,7 @@
   // caller once more, the process would end with all its requests.
   test("answers once when its time passes during a second attempt", () => {
     const world = new ExchangeWorld({ repeat: "idempotent" });
-    world.exchange.start();
+    world.start();
     world.sendings[0]!.write();
     world.sendings[0]!.answer({ status: 500 });
     world.sendings[1]!.write();
@@ -46,7 +46,7 @@
   // that answer; the caller gets a connection that ends early.
   test("cuts an answer that does not end in time, whatever it kept", () => {
     const world = new ExchangeWorld({ repeat: "idempotent" });
-    world.exchange.start();
+    world.start();
     world.sendings[0]!.write();
     world.sendings[0]!.answer({ status: 500 });
     world.sendings[1]!.write();
@@ -62,7 +62,7 @@
   test("ends by itself where its own code fails, and says so in the log", () => {
     const world = new ExchangeWorld({ repeat: "idempotent" });
     world.fault = new Error("a fault");
-    world.exchange.start();
+    world.start();
     expect(world.statuses).toEqual([502]);
     expect(world.ends).toEqual(["broken"]);
     expect(world.logged).toContain("exchange failed");
@@ -72,7 +72,7 @@
   // for nobody.
   test("breaks its attempt off where its own code fails", () => {
     const world = new ExchangeWorld({ repeat: "idempotent" });
-    world.exchange.start();
+    world.start();
     world.sendings[0]!.write();
     world.fault = new Error("a fault");
     world.sendings[0]!.answer({ status: 500 });
@@ -80,6 +80,52 @@
     expect(world.openSending).toBeUndefined();
   });
 
+  // A key is taken away while a request by it waits; it would run for somebody who
+  // has no right to it any more.
+  test("that waits is refused as not run once its key is not known to hold", () => {
+    const world = new ExchangeWorld({ repeat: "at-most-once" });
+    world.decision = "wait";
+    world.start();
+    world.refusal = { reason: "accounts-unknown", retryAfterMs: 250 };
+    world.decision = "send";
+    world.pump();
+    expect(world.sendings).toEqual([]);
+    expect(world.statuses).toEqual([503]);
+  });
+
+  // The same between two attempts.
+  test("is not sent again once its key is not known to hold", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.start();
+    world.sendings[0]!.write();
+    world.refusal = { reason: "unauthenticated", retryAfterMs: undefined };
+    world.sendings[0]!.answer({ status: 500 });
+    expect(world.sendings).toHaveLength(1);
+    expect(world.statuses).toEqual([500]);
+  });
+
+  // An account goes beyond its quota: sent on while it is being counted, the request
+  // would run all the same.
+  test("is not sent before it is counted, nor beyond its account's quota", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.exchange.start();
+    world.pump();
+    expect(world.sendings).toEqual([]);
+    world.counted!({ reason: "over-quota", retryAfterMs: 400 });
+    expect(world.sendings).toEqual([]);
+    expect(world.statuses).toEqual([429]);
+  });
+
+  // Its caller leaves while it is counted; its target would work for nobody.
+  test("is not sent where its caller leaves while it is counted", () => {
+    const world = new ExchangeWorld({ repeat: "idempotent" });
+    world.exchange.start();
+    world.exchange.callerClosed();
+    world.counted!(undefined);
+    expect(world.sendings).toEqual([]);
+    expect(world.ends).toEqual(["caller-gone"]);
+  });
+
   const act = fc.constantFrom<(world: ExchangeWorld) => void>(
     (world) => world.openSending?.write(),
     (world) => {
@@ -123,6 +169,8 @@
     (world) => world.decision = "send",
     (world) => world.decision = "refuse",
     (world) => world.fault = new Error("a fault"),
+    (world) =>
+      world.refusal = { reason: "accounts-unknown", retryAfterMs: 250 },
   );
 
   // Whatever comes in whatever order: one answer, one end, no open attempt behind
@@ -135,7 +183,7 @@
         fc.array(act, { maxLength: 12 }),
         (repeat, isPipelined, acts) => {
           const world = new ExchangeWorld({ repeat, isPipelined });
-          world.exchange.start();
+          world.start();
           acts.forEach((one) => one(world));
           expire(world);
           expect(world.statuses.length).toBeLessThanOrEqual(1);
@@ -155,7 +203,7 @@
     fc.assert(
       fc.property(fc.array(act, { maxLength: 12 }), (acts) => {
         const world = new ExchangeWorld({ repeat: "at-most-once" });
-        world.exchange.start();
+        world.start();
         const refusesOnly = acts.filter((one) =>
           !String(one).includes("notRun")
         );
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -11,7 +11,11 @@
 import type { Dispatcher } from "undici";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
 import type { PlacementDecision, Steering } from "@poplarthread/placement";
-import { anonymous } from "./admission.ts";
+import {
+  type AdmissionRefusal,
+  type AdmittedCaller,
+  anonymous,
+} from "./admission.ts";
 import { DeadlineWheel } from "../http/deadline_wheel.ts";
 import type { Log, LogFields } from "../log.ts";
 import type { Route } from "./configuration.ts";
@@ -109,6 +113,10 @@
   isCut = false;
   /** What the steering decides next. */
   decision: PlacementDecision["kind"] = "send";
+  /** Why the caller may not have the request run any more. */
+  refusal: AdmissionRefusal | undefined;
+  /** Tells that the request was counted for its account; undefined until it asks. */
+  counted: Parameters<AdmittedCaller["count"]>[0] | undefined;
   /** Thrown by the steering instead of a decision. */
   fault: Error | undefined;
   readonly #wheel = new DeadlineWheel(performance.now());
@@ -150,7 +158,11 @@
         chunked: false,
       },
       route,
-      caller: anonymous(route),
+      caller: {
+        ...anonymous(route),
+        recheck: () => this.refusal,
+        count: (done) => this.counted = done,
+      },
       service: SERVICE,
       bodyBytes: 1_000,
       version: 1,
@@ -164,6 +176,12 @@
     return this.sendings.findLast(({ isOpen }) => isOpen);
   }
 
+  /** The request is taken in, and counted at once. */
+  start(): void {
+    this.exchange.start();
+    this.counted!(undefined);
+  }
+
   /** Looks which deadlines have passed. */
   checkDeadlines(): void {
     this.#wheel.advance(performance.now());
