Accounts have a folder of their own in the gateway

Accounts (accounts/accounts.ts) holds the bound of revocation and the credit, and the wiring names them; behaviour is unchanged.

--- a/packages/daemon/src/gateway/admission.ts
+++ b/packages/daemon/src/gateway/accounts/admission.ts
@@ -12,10 +12,10 @@
   type ClientAccount,
   rankOf,
 } from "./client_account.ts";
-import type { Route } from "./configuration.ts";
+import type { Route } from "../configuration.ts";
 import type { Credit } from "./credit_exchange.ts";
-import type { OwnAnswerReason } from "./own_answer.ts";
-import type { CallerRequest } from "./ports.ts";
+import type { OwnAnswerReason } from "../own_answer.ts";
+import type { CallerRequest } from "../ports.ts";
 
 /** Retry-After while this VM does not know which keys are valid, in milliseconds: a read of the store, or of a peer's news, takes some 10 to 200. */
 const ACCOUNTS_UNKNOWN_RETRY_MS = 250;
--- a/packages/daemon/src/gateway/client_account.ts
+++ b/packages/daemon/src/gateway/accounts/client_account.ts
@@ -6,7 +6,7 @@
 
 import type { AccountId, KeyDigest, RegionId } from "@poplarthread/ids";
 import type { Quota } from "@poplarthread/placement";
-import type { Route } from "./configuration.ts";
+import type { Route } from "../configuration.ts";
 
 /** A client account as operators configured it. */
 export interface ClientAccount {
--- a/packages/daemon/src/gateway/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -16,10 +16,10 @@
 import type { AccountId } from "@poplarthread/ids";
 import { keepersOf } from "@poplarthread/placement";
 import * as z from "zod";
-import { Task } from "../task.ts";
+import { Task } from "../../task.ts";
 import type { CreditAnswer, CreditKeeperBooks } from "./credit_keeper.ts";
-import type { ListenAddress } from "./settings.ts";
-import type { RankedMember } from "./vm_directory.ts";
+import type { ListenAddress } from "../settings.ts";
+import type { RankedMember } from "../vm_directory.ts";
 
 /** The only method. */
 const METHOD = "credit";
--- a/packages/daemon/src/gateway/credit_exchange_test.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
@@ -8,11 +8,11 @@
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import type { AccountId } from "@poplarthread/ids";
 import { hashText, keepersOf } from "@poplarthread/placement";
-import { nextPort, ownAddress } from "../loopback.ts";
+import { nextPort, ownAddress } from "../../loopback.ts";
 import { type Credit, CreditExchange } from "./credit_exchange.ts";
 import { CreditKeeperBooks } from "./credit_keeper.ts";
-import { memberNamed } from "./testing.ts";
-import type { RankedMember } from "./vm_directory.ts";
+import { memberNamed } from "../testing.ts";
+import type { RankedMember } from "../vm_directory.ts";
 
 const BOUND = { windowMs: 5_000, overage: 0.1, slack: 20 };
 const ANNA = "anna" as AccountId;
--- a/packages/daemon/src/gateway/credit_keeper.ts
+++ b/packages/daemon/src/gateway/accounts/credit_keeper.ts
@@ -15,7 +15,7 @@
   type Quota,
   type QuotaBound,
 } from "@poplarthread/placement";
-import type { RankedMember } from "./vm_directory.ts";
+import type { RankedMember } from "../vm_directory.ts";
 
 /** What a keeper says to one request. */
 export type CreditAnswer =
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -19,14 +19,14 @@
   AdmissionControl,
   type AdmissionRefusal,
   type AdmittedCaller,
-} from "./admission.ts";
-import { AccountIndex } from "./client_account.ts";
+} from "./accounts/admission.ts";
+import { AccountIndex } from "./accounts/client_account.ts";
 import {
   type Route,
   RouteIndex,
   type RoutingConfiguration,
 } from "./configuration.ts";
-import type { Credit } from "./credit_exchange.ts";
+import type { Credit } from "./accounts/credit_exchange.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import { type OwnAnswerReason, sendOwnAnswer } from "./own_answer.ts";
 import type { CallerRequest, Dialect } from "./ports.ts";
--- a/packages/daemon/src/gateway/configuration.ts
+++ b/packages/daemon/src/gateway/configuration.ts
@@ -7,7 +7,7 @@
 
 import type { RegionId, ServiceId } from "@poplarthread/ids";
 import type { SplitPart } from "@poplarthread/placement";
-import type { ClientAccount } from "./client_account.ts";
+import type { ClientAccount } from "./accounts/client_account.ts";
 
 /** Requests of one host and path prefix. */
 export interface Route {
--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-export { anonymous } from "./admission.ts";
+export { anonymous } from "./accounts/admission.ts";
 export type {
   ConnectionSource,
   ConnectionTarget,
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -20,7 +20,7 @@
 import { messageOf } from "../errors.ts";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
-import type { AdmissionRefusal, AdmittedCaller } from "./admission.ts";
+import type { AdmissionRefusal, AdmittedCaller } from "./accounts/admission.ts";
 import { AttemptRecord } from "./attempt_record.ts";
 import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
 import { CallerReply, type EndsConnection } from "./caller_reply.ts";
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -15,7 +15,7 @@
   type AdmissionRefusal,
   type AdmittedCaller,
   anonymous,
-} from "./admission.ts";
+} from "./accounts/admission.ts";
 import { DeadlineWheel } from "../http/deadline_wheel.ts";
 import type { Log, LogFields } from "../log.ts";
 import type { Route } from "./configuration.ts";
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { isReliable } from "@poplarthread/coordination/freshness";
 import type { TargetId, VmId } from "@poplarthread/ids";
 import { type HashedPair, Steering } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
@@ -16,8 +15,7 @@
 import { CallerListener } from "./caller_listener.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
 import { Connections } from "./connections.ts";
-import { CreditExchange } from "./credit_exchange.ts";
-import { CreditKeeperBooks } from "./credit_keeper.ts";
+import { Accounts } from "./accounts/accounts.ts";
 import { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -27,13 +25,7 @@
 import { MetricsListener } from "./metrics_listener.ts";
 import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
 import { type FeedEvent, PlatformFeed } from "./platform_feed.ts";
-import type {
-  CallerRequest,
-  Dialect,
-  Member,
-  PlatformPort,
-  WatchedSubject,
-} from "./ports.ts";
+import type { Dialect, Member, PlatformPort, WatchedSubject } from "./ports.ts";
 import { RelayListener } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
 import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
@@ -68,10 +60,6 @@
 const LEAVE_MS = 3 * LOOKUP_TTL_MS + 200;
 /** Kept of the time to SIGKILL for the end of the process itself, in milliseconds. */
 const STOP_MARGIN_MS = 500;
-/** How much earlier than allowed a VM stops relying on the keys that it knows, in milliseconds: a store that loses its history may tell of changes a second late. */
-const REVOCATION_MARGIN_MS = 1_200;
-/** Characters of a key's digest in the log: enough to tell keys apart, and nothing that opens a door. */
-const KEY_DIGITS = 8;
 /** How often a leaving VM looks whether its requests are over, in milliseconds. */
 const STOP_CHECK_MS = 20;
 
@@ -102,15 +90,12 @@
   readonly #prober: HealthProber;
   readonly #callers: CallerListener;
   readonly #beacon: PeerBeacon;
-  readonly #books: CreditKeeperBooks;
-  readonly #credit: CreditExchange;
+  readonly #accounts: Accounts;
   readonly #root: Supervisor;
   readonly #timer = new PacedTimer((now) => this.#tick(now));
   #idleTickDueAt = 0;
   #hasTargets = false;
   #hasMembers = false;
-  /** From then on there may have been a newer configuration than the one in force, which could not be used. */
-  #unusableSince: number | undefined;
   #leaving = false;
   /** The planned stop; whoever asks for it again waits for the same one. */
   #stopped: Promise<void> | undefined;
@@ -156,20 +141,11 @@
       dialect: this.#dialect,
     });
     this.#callers = this.#createCallers();
-    const upInRegion = () => this.#vms.upInRegion(performance.now());
-    this.#books = new CreditKeeperBooks({
-      self: this.#vms.self,
-      bound: settings.bounds.quotas,
-      regions: new Set(settings.zones.values()).size,
-      upInRegion,
-      knownInRegion: () => this.#vms.knownInRegion(performance.now()),
-      quotaOf: (account) => this.#callers.accounts?.named(account)?.quota,
-    });
-    this.#credit = new CreditExchange({
-      listen: listen.credit,
-      self: this.#vms.self,
-      books: this.#books,
-      upInRegion,
+    this.#accounts = new Accounts({
+      settings,
+      vms: this.#vms,
+      index: () => this.#callers.accounts,
+      readAgeMs: () => this.#feed.readAgeOf("operator"),
     });
     this.#beacon = new PeerBeacon({
       listen: listen.peers,
@@ -271,8 +247,9 @@
       seed: this.#settings.vm,
       path: this.#path,
       isLate: () => this.#loopDelay.isLate(performance.now()),
-      knowsRevocations: () => this.#knowsRevocations(),
-      requestCredit: (account, done) => this.#credit.request(account, done),
+      knowsRevocations: () => this.#accounts.knowsRevocations(),
+      requestCredit: (account, done) =>
+        this.#accounts.requestCredit(account, done),
       notAccepted: (err) =>
         this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
@@ -281,23 +258,12 @@
           request: request?.requestId ?? "",
           reason,
           revision: this.#callers.version,
-          ...this.#accountFields(request),
+          ...this.#accounts.fieldsOf(request),
         });
       },
     });
   }
 
-  /** What the log says of who sent a request that was refused. */
-  #accountFields(request: CallerRequest | undefined) {
-    if (request?.credential.kind !== "key") {
-      return {};
-    }
-    return {
-      key: request.credential.digest.slice(0, KEY_DIGITS),
-      accountsMs: Math.round(this.#accountsAgeMs),
-    };
-  }
-
   #supervise(): Supervisor {
     const lookups = new LookupListener({
       listen: [this.#settings.listen.lookups, this.#settings.listen.readiness],
@@ -323,29 +289,18 @@
       listen: this.#settings.listen.peers,
       news: (subject, question) => this.#feed.news(subject, question),
     });
-    [this.#beacon, this.#credit, this.#callers, lookups, metrics, relay]
+    [
+      this.#beacon,
+      this.#accounts.credit,
+      this.#callers,
+      lookups,
+      metrics,
+      relay,
+    ]
       .forEach((task) => root.add(task));
     return root;
   }
 
-  /**
-   * Whether this VM knows of every key that was taken away longer ago than the
-   * deployment allows. The margin is for a store whose watches hear of changes late.
-   */
-  #knowsRevocations(): boolean {
-    const { revocationMs } = this.#settings.bounds;
-    return revocationMs === undefined ||
-      isReliable(this.#accountsAgeMs, revocationMs - REVOCATION_MARGIN_MS);
-  }
-
-  /** Age of what is in force here of the accounts, in milliseconds. */
-  get #accountsAgeMs(): number {
-    const readAgeMs = this.#feed.readAgeOf("operator");
-    return this.#unusableSince === undefined
-      ? readAgeMs
-      : Math.max(readAgeMs, performance.now() - this.#unusableSince);
-  }
-
   get #isReady(): boolean {
     return !this.#leaving && this.#callers.version > 0 && this.#hasTargets;
   }
@@ -401,7 +356,7 @@
     this.#requestLog.ended(exchange, end, {
       now,
       newsMs: this.#feed.ageOf("targets"),
-      accountsMs: Math.round(this.#accountsAgeMs),
+      accountsMs: Math.round(this.#accounts.ageMs),
     });
   }
 
@@ -464,7 +419,7 @@
         this.#adopt(event.configuration);
         return;
       case "unusable-configuration":
-        this.#unusableSince ??= now - this.#accountsAgeMs;
+        this.#accounts.misconfigured();
         this.#log.write("configuration not used", { reason: event.reason });
         return;
       case "evacuations":
@@ -507,12 +462,11 @@
   }
 
   #adopt(configuration: RoutingConfiguration): void {
-    this.#unusableSince = undefined;
     if (configuration.version <= this.#callers.version) {
       return;
     }
     this.#callers.send({ kind: "configuration", configuration });
-    this.#books.keepOnly(this.#callers.accounts?.ids ?? new Set());
+    this.#accounts.configured();
     this.#path.targets.setServices(configuration.services);
     this.#log.write("configuration in force", {
       revision: configuration.version,
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-export type { ClientAccount, Credential } from "./client_account.ts";
+export type { ClientAccount, Credential } from "./accounts/client_account.ts";
 export {
   type CallerLimits,
   type Route,
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -15,7 +15,7 @@
   ZoneId,
 } from "@poplarthread/ids";
 import type { LoadReport } from "@poplarthread/placement";
-import type { Credential } from "./client_account.ts";
+import type { Credential } from "./accounts/client_account.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
 
 /** A target as it announces itself. */
