Refused accounts are promised credit one after the other; unused credit is given back

Cause: a request beyond its quota was told the next moment with credit, as were all others refused then, so that they came back together for the credit of one. A request that was granted credit and then refused for want of a target kept it.

Each promise now lies behind the one before; a test plays fifty callers that are refused at once. Credit of a request that never ran serves the next one of its account at that VM, for half a second.

--- a/packages/daemon/src/gateway/accounts/accounts.ts
+++ b/packages/daemon/src/gateway/accounts/accounts.ts
@@ -79,6 +79,11 @@
     this.credit.request(account, done);
   }
 
+  /** A request that was granted credit did not run. */
+  giveBackCredit(account: AccountId): void {
+    this.credit.giveBack(account);
+  }
+
   /** A configuration is in force. */
   configured(): void {
     this.#unusableSince = undefined;
--- a/packages/daemon/src/gateway/accounts/admission.ts
+++ b/packages/daemon/src/gateway/accounts/admission.ts
@@ -41,6 +41,8 @@
    * it may. Called once, perhaps before it returns.
    */
   count(done: (refusal: AdmissionRefusal | undefined) => void): void;
+  /** It was counted, and never ran. */
+  uncount(): void;
 }
 
 /** A decision. */
@@ -56,6 +58,8 @@
   knowsRevocations(): boolean;
   /** Asks for the credit of one request of an account that has a quota. */
   requestCredit(account: AccountId, done: (credit: Credit) => void): void;
+  /** A request that was granted credit did not run. */
+  giveBackCredit(account: AccountId): void;
 }
 
 /** See the module's comment. */
@@ -115,6 +119,11 @@
           : refusal("unauthenticated");
       },
       count: (done) => this.#count(account, done),
+      uncount: () => {
+        if (account.quota !== undefined) {
+          this.#options.giveBackCredit(account.id);
+        }
+      },
     };
   }
 
@@ -149,6 +158,7 @@
     regions: route.regions,
     recheck: () => undefined,
     count: (done) => done(undefined),
+    uncount: () => undefined,
   };
 }
 
--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -25,6 +25,8 @@
 const METHOD = "credit";
 /** Longest wait for a keeper's answer, in milliseconds: its event loop may be busy, the way takes one. */
 const ANSWER_MS = 80;
+/** Credit that was given back holds this long, in milliseconds: kept for ever, it would add to what a later window allows. */
+const SPARE_MS = 500;
 /** How often is looked whether answers are missing, in milliseconds. */
 const CHECK_MS = 20;
 
@@ -72,6 +74,8 @@
 export class CreditExchange extends Task<CreditExchangeMessage> {
   readonly #options: CreditExchangeOptions;
   readonly #asking = new Map<number, Asking>();
+  /** Credit that was given back, as the moments until which it holds. */
+  readonly #spares = new Map<AccountId, number[]>();
   #socket: Socket | undefined;
   #lastId = 0;
 
@@ -82,10 +86,36 @@
 
   /** Asks for the credit of one request; `done` is called once, perhaps before this returns. */
   request(account: AccountId, done: (credit: Credit) => void): void {
+    if (this.#takeSpare(account)) {
+      done({ kind: "granted" });
+      return;
+    }
     const left = [...keepersOf(account, this.#options.upInRegion())];
     this.#askNext({ account, left, done, readyInMs: undefined, askedAt: 0 });
   }
 
+  /** A request that was granted credit did not run: the next one of its account has it. */
+  giveBack(account: AccountId): void {
+    const spares = this.#spares.get(account) ?? [];
+    spares.push(performance.now() + SPARE_MS);
+    this.#spares.set(account, spares);
+  }
+
+  #takeSpare(account: AccountId): boolean {
+    const spares = this.#spares.get(account);
+    if (spares === undefined) {
+      return false;
+    }
+    this.#spares.delete(account);
+    const now = performance.now();
+    const left = spares.filter((until) => now < until);
+    const [spare, ...others] = left;
+    if (others.length > 0) {
+      this.#spares.set(account, others);
+    }
+    return spare !== undefined;
+  }
+
   protected override open(): Promise<void> {
     const socket = createSocket("udp4");
     this.#socket = socket;
--- a/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
@@ -122,6 +122,19 @@
     expect(readyInMs).toBeLessThan(1_000);
   });
 
+  test("has the credit that another of its account gave back, for a while", async () => {
+    const vm = region.other(ANNA);
+    expect(await granted(vm, 1_000)).toBe(true);
+    // From now on the keepers grant nothing.
+    region.quota = undefined;
+    region.tasks.get(vm.vm)!.giveBack(ANNA);
+    expect((await region.ask(vm)).kind).toBe("granted");
+    expect((await region.ask(vm)).kind).toBe("unknown");
+    region.tasks.get(vm.vm)!.giveBack(ANNA);
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    expect((await region.ask(vm)).kind).toBe("unknown");
+  });
+
   test("turns to the second keeper where the first does not answer", async () => {
     const [first] = region.keepers(ANNA);
     const vm = region.other(ANNA);
--- a/packages/daemon/src/gateway/accounts/credit_keeper.ts
+++ b/packages/daemon/src/gateway/accounts/credit_keeper.ts
@@ -64,7 +64,7 @@
     }
     return bucket.take(limit, now)
       ? { kind: "granted" }
-      : { kind: "used-up", readyInMs: bucket.readyInMs(limit, now) };
+      : { kind: "used-up", readyInMs: bucket.promise(limit, now) };
   }
 
   /** Accounts that are gone are forgotten. */
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -76,6 +76,8 @@
   knowsRevocations(): boolean;
   /** Asks for the credit of one request of an account that has a quota. */
   requestCredit(account: AccountId, done: (credit: Credit) => void): void;
+  /** A request that was granted credit did not run. */
+  giveBackCredit(account: AccountId): void;
   /** Told of answers that no exchange gave. */
   refused(request: CallerRequest | undefined, reason: OwnAnswerReason): void;
   /** Told of connections that could not be accepted. */
@@ -130,6 +132,7 @@
       accounts: () => this.#compiled?.accounts,
       knowsRevocations: () => options.knowsRevocations(),
       requestCredit: (account, done) => options.requestCredit(account, done),
+      giveBackCredit: (account) => options.giveBackCredit(account),
     });
   }
 
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -101,6 +101,8 @@
   readonly #reply: CallerReply;
   readonly #record = new AttemptRecord();
   #phase: ExchangePhase = "reading";
+  /** It was counted for its account's quota. */
+  #isCounted = false;
   #body: RequestBody | undefined;
   #attempt: TargetAttempt | undefined;
   /** Whether the target of the attempt was taken to keep the object. */
@@ -318,7 +320,11 @@
     if (refusal !== undefined) {
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
     } else if (this.#enter("queue")) {
+      this.#isCounted = true;
       this.#services.queue.add(this, performance.now());
+    } else {
+      // Its caller left while it was counted.
+      this.#options.caller.uncount();
     }
   }
 
@@ -541,6 +547,9 @@
 
   /** What follows the end, whose answer is out. */
   #finished(end: GatewayExchangeEnd): void {
+    if (this.#isCounted && !this.#record.mayHaveRun) {
+      this.#options.caller.uncount();
+    }
     this.#services.wheel.delete(this);
     this.#services.queue.remove(this);
     this.#body?.destroy();
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -124,6 +124,20 @@
     world.counted!(undefined);
     expect(world.sendings).toEqual([]);
     expect(world.ends).toEqual(["caller-gone"]);
+    expect(world.uncounted).toBe(1);
+  });
+
+  // Its account would lose a part of its quota to a request that nobody ran.
+  test("gives its count back where it never ran, and only then", () => {
+    const refused = new ExchangeWorld({ repeat: "idempotent" });
+    refused.decision = "refuse";
+    refused.start();
+    expect(refused.uncounted).toBe(1);
+    const answered = new ExchangeWorld({ repeat: "idempotent" });
+    answered.start();
+    answered.sendings[0]!.write();
+    answered.sendings[0]!.answer({ status: 200 });
+    expect(answered.uncounted).toBe(0);
   });
 
   const act = fc.constantFrom<(world: ExchangeWorld) => void>(
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -117,6 +117,8 @@
   refusal: AdmissionRefusal | undefined;
   /** Tells that the request was counted for its account; undefined until it asks. */
   counted: Parameters<AdmittedCaller["count"]>[0] | undefined;
+  /** How often it was taken back that the request was counted. */
+  uncounted = 0;
   /** Thrown by the steering instead of a decision. */
   fault: Error | undefined;
   readonly #wheel = new DeadlineWheel(performance.now());
@@ -162,6 +164,7 @@
         ...anonymous(route),
         recheck: () => this.refusal,
         count: (done) => this.counted = done,
+        uncount: () => this.uncounted += 1,
       },
       service: SERVICE,
       bodyBytes: 1_000,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -250,6 +250,7 @@
       knowsRevocations: () => this.#accounts.knowsRevocations(),
       requestCredit: (account, done) =>
         this.#accounts.requestCredit(account, done),
+      giveBackCredit: (account) => this.#accounts.giveBackCredit(account),
       notAccepted: (err) =>
         this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
--- a/packages/placement/src/account_credit.ts
+++ b/packages/placement/src/account_credit.ts
@@ -47,6 +47,8 @@
   readonly hash: number;
 }
 
+/** The longest time that is promised, in milliseconds: callers that are told more don't wait for it. */
+const MOST_PROMISED_MS = 10_000;
 /** Part of what the bound allows that is given out: VMs may disagree for a moment on who keeps it. */
 const GIVEN_SHARE = 0.95;
 /** Part of what the bound allows that may come at once; the rest is earned over the window. */
@@ -83,6 +85,8 @@
 export class CreditBucket {
   #credit = 0;
   #earnedAt: number;
+  /** When the credit comes that was promised last. */
+  #promisedAt = -Infinity;
 
   /** Times are milliseconds of one monotonic clock. */
   constructor(now: number) {
@@ -99,10 +103,20 @@
     return true;
   }
 
-  /** When there is credit for a request, in milliseconds from `now`. */
-  readyInMs(limit: CreditLimit, now: number): number {
+  /**
+   * Promises credit to a request that got none, and returns in how many milliseconds
+   * there will be some. Each promise lies behind the one before: told the same time,
+   * all callers that were refused would come back together for the credit of one.
+   */
+  promise(limit: CreditLimit, now: number): number {
     this.#earn(limit, now);
-    return Math.max(0, 1 - this.#credit) / limit.perSecond * 1_000;
+    const earnMs = 1_000 / limit.perSecond;
+    const soonest = now + Math.max(0, 1 - this.#credit) * earnMs;
+    this.#promisedAt = Math.min(
+      Math.max(soonest, this.#promisedAt + earnMs),
+      now + MOST_PROMISED_MS,
+    );
+    return this.#promisedAt - now;
   }
 
   #earn({ perSecond, most }: CreditLimit, now: number): void {
--- a/packages/placement/src/account_credit_test.ts
+++ b/packages/placement/src/account_credit_test.ts
@@ -89,10 +89,22 @@
   test("tells when there is credit again", () => {
     const limit = { perSecond: 4, most: 2 };
     const bucket = new CreditBucket(0);
-    expect(bucket.readyInMs(limit, 0)).toBe(250);
+    expect(bucket.promise(limit, 0)).toBe(250);
     expect(bucket.take(limit, 240)).toBe(false);
     expect(bucket.take(limit, 260)).toBe(true);
   });
+
+  test("is promised to one refused request after the other", () => {
+    // Fifty callers are refused at once. Told the same time, they come back together,
+    // and all but one are refused once more.
+    const limit = { perSecond: 10, most: 5 };
+    const bucket = new CreditBucket(0);
+    const promised = Array.from({ length: 50 }, () => bucket.promise(limit, 0));
+    expect(promised.slice(0, 3)).toEqual([100, 200, 300]);
+    for (const at of promised) {
+      expect(bucket.take(limit, at)).toBe(true);
+    }
+  });
 });
 
 test("all VMs name the same keepers, and another one where a keeper is lost", () => {
