A cold target that comes back in another region has its owner there

Cause: the owner of a cold target was kept by the target's id until the VMs changed or the target went. One that came back under its id in another region kept the owner of its first region at VMs that had asked before, so that VMs could disagree on it for as long as it was listed. The test failed first.

--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -10,6 +10,7 @@
 import { ColdTargets, ownerOf } from "./cold_targets.ts";
 import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 import { hashText } from "./hash.ts";
+import { requestFor, steeringIn, targetIn } from "./testing.ts";
 import { WeightedSplit } from "./weighted_split.ts";
 import { WaitingRoom } from "./waiting_room.ts";
 
@@ -61,6 +62,18 @@
   });
 });
 
+test("a cold target that comes back elsewhere under its id has its owner there", () => {
+  // VMs that learned of it at different times would take different ones of them for
+  // its owner for as long as it is listed.
+  const steering = steeringIn("north", [targetIn("north", "t-0")]);
+  const decide = (now: number) =>
+    steering.place(requestFor("a", { now }), { now, ahead: 0 }).kind;
+  steering.markCold("t-0" as TargetId, 10_000);
+  expect(decide(0)).toBe("send");
+  steering.setTarget({ ...targetIn("south", "t-0") });
+  expect(decide(5_000)).not.toBe("send");
+});
+
 describe("the budget for retries", () => {
   const BOUND = { ratio: 0.2, fixed: 50, windowMs: 10_000 };
   const VMS = 9;
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -142,6 +142,9 @@
   setTarget(target: SteeredTarget): void {
     const entry = this.#index.get(target.id);
     if (entry !== undefined) {
+      if (entry.target.region !== target.region) {
+        this.#owners.forget(target.id);
+      }
       this.#index.update(entry, target);
       return;
     }
