Which VM is asked for news is a part of its own

NewsSources holds the choice and who is left alone; behaviour is unchanged, its tests are those of the watch.

--- /dev/null
+++ b/packages/daemon/src/gateway/news_sources.ts
@@ -0,0 +1,72 @@
+/**
+ * Which VM is asked for news of the platform's store in place of the store.
+ *
+ * @module
+ */
+
+import type { VmId } from "@poplarthread/ids";
+import type { Member } from "./ports.ts";
+
+/** A VM that the store turned away, and that others tell what it needs, asks the store again after this, in milliseconds. */
+const FALLBACK_MS = 5_000;
+
+/** The VMs that there are to ask. */
+export interface NewsSourcesOptions {
+  /** VMs to ask in place of the store, best first. */
+  relays(): readonly Member[];
+  /** VMs to ask where neither the store nor a relay tells anything, best first. */
+  fallbacks(): readonly Member[];
+}
+
+/** See the module's comment. Times are milliseconds of the monotonic clock. */
+export class NewsSources {
+  readonly #options: NewsSourcesOptions;
+  /** VMs that are left alone, with the moment until which. */
+  readonly #resting = new Map<VmId, number>();
+  /** Until then other VMs are asked in place of the store, which turned this VM away. */
+  #fallsBackUntil = -Infinity;
+
+  constructor(options: NewsSourcesOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the store turned this VM away, and others tell it what they hear. */
+  isSecondHand(now: number): boolean {
+    return now < this.#fallsBackUntil;
+  }
+
+  /**
+   * The VM to ask now; undefined where it is the store. The first read goes to the
+   * store: all VMs start at once, and none has news yet.
+   */
+  next(
+    now: number,
+    { isLost, isFirst }: {
+      readonly isLost: boolean;
+      readonly isFirst: boolean;
+    },
+  ): Member | undefined {
+    const isTurnedAway = isLost || this.isSecondHand(now);
+    if (isFirst && !isTurnedAway) {
+      return undefined;
+    }
+    const relay = this.#firstAwake(this.#options.relays(), now);
+    if (relay !== undefined || !isTurnedAway) {
+      return relay;
+    }
+    const fallback = this.#firstAwake(this.#options.fallbacks(), now);
+    if (fallback !== undefined && isLost) {
+      this.#fallsBackUntil = now + FALLBACK_MS;
+    }
+    return fallback;
+  }
+
+  /** A VM is not asked until `until`. */
+  rest({ vm }: Member, until: number): void {
+    this.#resting.set(vm, until);
+  }
+
+  #firstAwake(vms: readonly Member[], now: number): Member | undefined {
+    return vms.find(({ vm }) => now >= (this.#resting.get(vm) ?? 0));
+  }
+}
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -13,6 +13,7 @@
 } from "@poplarthread/coordination/freshness";
 import { messageOf } from "../errors.ts";
 import { pause } from "../pause.ts";
+import { NewsSources, type NewsSourcesOptions } from "./news_sources.ts";
 import {
   HistoryGoneError,
   type Member,
@@ -61,8 +62,6 @@
 const READS_SOON_MS = 300;
 /** A relay that does not answer is left alone until its heartbeats are missed too, in milliseconds. */
 const SILENT_REST_MS = 3_000;
-/** A VM that the store turned away, and that others tell what it needs, asks the store again after this, in milliseconds. */
-const FALLBACK_MS = 5_000;
 /** A relay whose own news are old is asked again after this, in milliseconds: it notices by then, too. */
 const STALE_REST_MS = 500;
 /** A relay tells what the store has confirmed as soon as it hears it, so it is given this much longer than the store itself, in milliseconds. */
@@ -87,12 +86,8 @@
 }
 
 /** What the watch works with. */
-export interface SubjectWatchOptions {
+export interface SubjectWatchOptions extends NewsSourcesOptions {
   readonly store: Pick<PlatformPort, "list" | "changes">;
-  /** VMs to ask in place of the store, best first. */
-  relays(): readonly Member[];
-  /** VMs to ask where neither the store nor a relay tells anything, best first. */
-  fallbacks(): readonly Member[];
   askRelay(relay: Member, question: RelayQuestion): Promise<RelayNews>;
   readonly listener: SubjectListener;
 }
@@ -102,9 +97,8 @@
   readonly #subject: WatchedSubject;
   readonly #options: SubjectWatchOptions;
   readonly #copy = new RowCopy();
+  readonly #sources: NewsSources;
   readonly #closed = new AbortController();
-  /** Relays that are left alone, with the moment until which. */
-  readonly #resting = new Map<string, number>();
   /** Peers' calls that wait for news. */
   readonly #waiting = new Set<() => void>();
   #call = new AbortController();
@@ -117,8 +111,6 @@
   #confirmedAt = performance.now() - NEVER_MS;
   #regainedAt = -Infinity;
   #isLost = false;
-  /** Until then other VMs are asked in place of the store, which turned this VM away. */
-  #fallsBackUntil = -Infinity;
   /** When this VM last called the store itself. */
   #storeCallAt = -Infinity;
   #pauseMs = RETRY_FIRST_MS;
@@ -126,6 +118,7 @@
 
   constructor(subject: WatchedSubject, options: SubjectWatchOptions) {
     this.#subject = subject;
+    this.#sources = new NewsSources(options);
     this.#options = options;
   }
 
@@ -188,11 +181,12 @@
         await this.#woken(askedAt + READS_SOON_MS - now);
         continue;
       }
+      const isSecondHand = this.#sources.isSecondHand(now);
       const staleAt = question.isPatient
         ? Infinity
         : this.#toldStaleAt(askedAt, now);
       const isDue = changes.isWhole || changes.rows.length > 0 ||
-        this.#isSecondHand || this.#confirmedAt > askedAt ||
+        isSecondHand || this.#confirmedAt > askedAt ||
         now >= Math.min(until, staleAt) ||
         (question.isPatient && now < this.#staleAt);
       if (isDue || this.#closed.signal.aborted) {
@@ -206,7 +200,7 @@
           regainedMs: Number.isFinite(this.#regainedAt)
             ? Math.round(now - this.#regainedAt)
             : undefined,
-          isSecondHand: this.#isSecondHand,
+          isSecondHand,
         };
       }
       await this.#woken(Math.min(until, staleAt) - now);
@@ -220,11 +214,6 @@
     this.#wake();
   }
 
-  /** The store turned this VM away, and others tell it what they hear. */
-  get #isSecondHand(): boolean {
-    return performance.now() < this.#fallsBackUntil;
-  }
-
   /** The monotonic clock, and the time for which this VM was suspended. */
   get #steadyNow(): number {
     return performance.now() + this.#suspension.lostMs;
@@ -245,7 +234,10 @@
   }
 
   async #next(): Promise<void> {
-    const relay = this.#relayToAsk();
+    const relay = this.#sources.next(performance.now(), {
+      isLost: this.#isLost,
+      isFirst: this.#copy.position === undefined,
+    });
     if (relay !== undefined) {
       await this.#askRelay(relay);
       return;
@@ -258,26 +250,6 @@
     }
   }
 
-  /** The first read goes to the store: all VMs start at once, and none has news yet. */
-  #relayToAsk(): Member | undefined {
-    const now = performance.now();
-    const turnedAway = this.#isLost || this.#isSecondHand;
-    if (this.#copy.position === undefined && !turnedAway) {
-      return undefined;
-    }
-    const firstAwake = (vms: readonly Member[]) =>
-      vms.find(({ vm }) => now >= (this.#resting.get(vm) ?? 0));
-    const relay = firstAwake(this.#options.relays());
-    if (relay !== undefined || !turnedAway) {
-      return relay;
-    }
-    const fallback = firstAwake(this.#options.fallbacks());
-    if (fallback !== undefined && this.#isLost) {
-      this.#fallsBackUntil = now + FALLBACK_MS;
-    }
-    return fallback;
-  }
-
   async #askRelay(relay: Member): Promise<void> {
     this.#asked = relay;
     const askedAt = this.#steadyNow;
@@ -430,7 +402,7 @@
   }
 
   #rest(relay: Member, ms: number, reason: string): void {
-    this.#resting.set(relay.vm, performance.now() + ms);
+    this.#sources.rest(relay, performance.now() + ms);
     this.#options.listener.relayLeft(relay, reason);
   }
 
