Client accounts take turns among requests that wait

Start-time fair queueing: an account's next turn lies behind its last one, and no account that comes gets an earlier turn than the one that is due. It costs one pass over what waits, as the sort did, and no walk over accounts.

Requests of one account, or of none, go as they came (property); so deployments without accounts are untouched. Weighed: deficit round robin, which keeps a list for each account, and requests here cost about alike.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -91,12 +91,12 @@
   },
   "urgent-first": {
     file: `${PLACEMENT}/waiting_room.ts`,
-    text: "a.priority - b.priority ||",
+    text: "a.one.priority - b.one.priority ||",
     becomes: "",
   },
   "late-last": {
     file: `${PLACEMENT}/waiting_room.ts`,
-    text: "Number(a.aimAt < now) - Number(b.aimAt < now)",
+    text: "Number(a.one.aimAt < now) - Number(b.one.aimAt < now)",
     becomes: "0",
   },
   "load-reports": {
--- a/packages/daemon/src/gateway/request_queue_test.ts
+++ b/packages/daemon/src/gateway/request_queue_test.ts
@@ -12,6 +12,7 @@
 class WaitingRequest implements Placeable {
   readonly service = "portal" as ServiceId;
   readonly aimAt = 1_000;
+  readonly account = undefined;
   readonly priority: number;
   asked = 0;
   hasRoom = false;
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -172,10 +172,11 @@
 describe("requests that wait", () => {
   test("go by rank, then those that can still be in time, then as they came", () => {
     const room = new WaitingRoom();
-    const read = { priority: 2, aimAt: 500 };
-    const lateOrder = { priority: 0, aimAt: 50 };
-    const order = { priority: 0, aimAt: 400 };
-    const second = { priority: 0, aimAt: 300 };
+    const account = undefined;
+    const read = { priority: 2, aimAt: 500, account };
+    const lateOrder = { priority: 0, aimAt: 50, account };
+    const order = { priority: 0, aimAt: 400, account };
+    const second = { priority: 0, aimAt: 300, account };
     [read, lateOrder, order, second].forEach((one) => room.add(one));
     expect(room.inOrder(100)).toEqual([order, second, lateOrder, read]);
   });
