Regions lend each other credit of accounts

A first keeper that has less than 0.4 of what it keeps at most asks the first keepers of other regions, at most each 250 ms; they give what they have above 0.6. What is lent is gone from the lender before it is sent, so that the sum never grows: a property plays loans and lost answers. Over real datagrams three regions lend one that alone has callers; without loans that test fails.

--- a/packages/daemon/src/gateway/accounts/accounts.ts
+++ b/packages/daemon/src/gateway/accounts/accounts.ts
@@ -50,12 +50,14 @@
       upInRegion,
       knownInRegion: () => vms.knownInRegion(performance.now()),
       quotaOf: (account) => index()?.named(account)?.quota,
+      short: (account, wanted) => this.credit.borrow(account, wanted),
     });
     this.credit = new CreditExchange({
       listen: listen.credit,
       self: vms.self,
       books: this.#books,
       upInRegion,
+      otherRegions: () => vms.upInOtherRegions(performance.now()),
     });
   }
 
--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -21,16 +21,27 @@
 import type { ListenAddress } from "../settings.ts";
 import type { RankedMember } from "../vm_directory.ts";
 
-/** The only method. */
-const METHOD = "credit";
+/** Asks for the credit of one request. */
+const CREDIT_METHOD = "credit";
+/** Asks the keeper of another region for credit. */
+const LEND_METHOD = "lend";
+/** Credit of an account is borrowed this often at most, in milliseconds: a few round trips between regions. */
+const BORROW_EVERY_MS = 250;
 /** Longest wait for a keeper's answer, in milliseconds: its event loop may be busy, the way takes one. */
 const ANSWER_MS = 80;
 /** Credit that was given back holds this long, in milliseconds: kept for ever, it would add to what a later window allows. */
 const SPARE_MS = 500;
+/** Questions for loans whose answers are waited for. */
+const MOST_BORROWING = 1_000;
 /** How often is looked whether answers are missing, in milliseconds. */
 const CHECK_MS = 20;
 
 const paramsSchema = z.object({ account: z.string() });
+const lendSchema = z.object({
+  account: z.string(),
+  amount: z.number().min(0),
+});
+const loanSchema = z.object({ lent: z.number().min(0) });
 const answerSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("granted") }),
   z.object({ kind: z.literal("used-up"), readyInMs: z.number() }),
@@ -57,6 +68,8 @@
   readonly books: CreditKeeperBooks;
   /** VMs of the region that are up, this one among them. */
   upInRegion(): readonly RankedMember[];
+  /** VMs that are up of each other region. */
+  otherRegions(): readonly (readonly RankedMember[])[];
 }
 
 /** A request that waits for credit. */
@@ -74,6 +87,10 @@
 export class CreditExchange extends Task<CreditExchangeMessage> {
   readonly #options: CreditExchangeOptions;
   readonly #asking = new Map<number, Asking>();
+  /** Accounts for which credit was asked of other regions, by the question. */
+  readonly #borrowing = new Map<number, AccountId>();
+  /** When credit of an account may be borrowed again. */
+  readonly #borrowAt = new Map<AccountId, number>();
   /** Credit that was given back, as the moments until which it holds. */
   readonly #spares = new Map<AccountId, number[]>();
   #socket: Socket | undefined;
@@ -101,6 +118,35 @@
     this.#spares.set(account, spares);
   }
 
+  /** Asks the first keepers of other regions for credit of an account. */
+  borrow(account: AccountId, amount: number): void {
+    const now = performance.now();
+    if (now < (this.#borrowAt.get(account) ?? 0)) {
+      return;
+    }
+    this.#borrowAt.set(account, now + BORROW_EVERY_MS);
+    for (const vms of this.#options.otherRegions()) {
+      const [keeper] = keepersOf(account, vms);
+      if (keeper !== undefined) {
+        this.#borrowing.set(
+          this.#ask(keeper, LEND_METHOD, { account, amount }),
+          account,
+        );
+      }
+    }
+    this.#forgetOldLoans();
+  }
+
+  /** A loan that is answered later than the newest questions allow for is lost. */
+  #forgetOldLoans(): void {
+    for (const id of this.#borrowing.keys()) {
+      if (this.#borrowing.size <= MOST_BORROWING) {
+        return;
+      }
+      this.#borrowing.delete(id);
+    }
+  }
+
   #takeSpare(account: AccountId): boolean {
     const spares = this.#spares.get(account);
     if (spares === undefined) {
@@ -165,13 +211,17 @@
       return;
     }
     asking.askedAt = now;
+    const { account } = asking;
+    this.#asking.set(this.#ask(keeper, CREDIT_METHOD, { account }), asking);
+  }
+
+  /** Sends a question and returns its id. */
+  #ask(keeper: RankedMember, method: string, params: object): number {
     this.#lastId += 1;
-    this.#asking.set(this.#lastId, asking);
-    const question = createJSONRPCRequest(this.#lastId, METHOD, {
-      account: asking.account,
-    });
     const [host] = keeper.peerAddress.split(":");
+    const question = createJSONRPCRequest(this.#lastId, method, params);
     this.#send(question, { port: this.#options.listen.port, host: host! });
+    return this.#lastId;
   }
 
   #answered(asking: Asking, answer: CreditAnswer): void {
@@ -215,19 +265,47 @@
     },
     { address, port }: RemoteInfo,
   ): void {
-    const asked = paramsSchema.safeParse(params);
-    if (method !== METHOD || !asked.success) {
-      return;
+    const result = this.#resultOf(method, params);
+    if (result !== undefined) {
+      const answer = createJSONRPCSuccessResponse(id ?? null, result);
+      this.#send(answer, { port, host: address });
+    }
+  }
+
+  /** Undefined where it is no question of a VM. */
+  #resultOf(method: string, params: unknown): object | undefined {
+    const { books } = this.#options;
+    const now = performance.now();
+    switch (method) {
+      case CREDIT_METHOD: {
+        const asked = paramsSchema.safeParse(params);
+        return asked.success
+          ? books.take(asked.data.account as AccountId, now)
+          : undefined;
+      }
+      case LEND_METHOD: {
+        const asked = lendSchema.safeParse(params);
+        if (!asked.success) {
+          return undefined;
+        }
+        const { account, amount } = asked.data;
+        const loan = { asked: amount, now };
+        return { lent: books.lend(account as AccountId, loan) };
+      }
+      default:
+        return undefined;
     }
-    const account = asked.data.account as AccountId;
-    const answer = this.#options.books.take(account, performance.now());
-    this.#send(createJSONRPCSuccessResponse(id ?? null, answer), {
-      port,
-      host: address,
-    });
   }
 
   #heard({ id, result }: { id: string | number | null; result?: unknown }) {
+    const borrower = this.#borrowing.get(Number(id));
+    const loan = loanSchema.safeParse(result);
+    if (borrower !== undefined && loan.success) {
+      this.#borrowing.delete(Number(id));
+      const { lent } = loan.data;
+      this.#options.books.borrowed(borrower, { lent, now: performance.now() });
+      return;
+    }
     const asking = this.#asking.get(Number(id));
     const answer = answerSchema.safeParse(result);
     if (asking === undefined || !answer.success) {
--- a/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
@@ -25,12 +25,25 @@
   /** VMs that are not heard any more. */
   readonly down = new Set<string>();
   quota: typeof QUOTA | undefined = QUOTA;
-  readonly port = nextPort();
+  /** Regions beside this one, all on one port. */
+  others: readonly Region[] = [];
+  readonly port: number;
+  readonly #name: string;
+  readonly #firstAddress: number;
+
+  constructor(
+    port: number,
+    { name, firstAddress }: { name: string; firstAddress: number },
+  ) {
+    this.port = port;
+    this.#name = name;
+    this.#firstAddress = firstAddress;
+  }
 
   async start(count: number): Promise<void> {
     for (let at = 0; at < count; at++) {
-      const vm = `vm-${at}`;
-      const peerAddress = `${ownAddress(90 + at)}:1`;
+      const vm = `vm-${this.#name}-${at}`;
+      const peerAddress = `${ownAddress(this.#firstAddress + at)}:1`;
       this.vms.push({
         ...memberNamed(vm, { peerAddress }),
         hash: hashText(vm),
@@ -72,12 +85,15 @@
       books: new CreditKeeperBooks({
         self,
         bound: BOUND,
-        regions: 1,
+        regions: 1 + this.others.length,
         upInRegion,
         knownInRegion: () => this.vms.length,
         quotaOf: () => this.quota,
+        short: (account, wanted) =>
+          this.tasks.get(self.vm)!.borrow(account, wanted),
       }),
       upInRegion,
+      otherRegions: () => this.others.map(({ vms }) => vms),
     });
     this.tasks.set(self.vm, task);
     await task.start({ failed: (_task, err) => expect.fail(String(err)) });
@@ -87,7 +103,7 @@
 let region: Region;
 
 beforeEach(async () => {
-  region = new Region();
+  region = new Region(nextPort(), { name: "north", firstAddress: 90 });
   await region.start(4);
 });
 
@@ -171,6 +187,35 @@
   expect(count).toBeLessThanOrEqual(allowed);
 });
 
+test("credit that one region does not need serves the callers of another", async () => {
+  // All callers of an account stand in one region: with its own part alone, a third of
+  // the quota, two thirds of what they may send would be refused.
+  const port = nextPort();
+  const regions = ["a", "b", "c"].map((name, at) =>
+    new Region(port, { name, firstAddress: 110 + 10 * at })
+  );
+  regions.forEach((one) =>
+    one.others = regions.filter((other) => other !== one)
+  );
+  await Promise.all(regions.map((one) => one.start(2)));
+  try {
+    const [busy] = regions;
+    const until = performance.now() + 2_500;
+    let count = 0;
+    while (performance.now() < until) {
+      const credit = await busy!.ask(busy!.vms[0]!);
+      count += credit.kind === "granted" ? 1 : 0;
+      await new Promise((resolve) => setTimeout(resolve, 4));
+    }
+    const part = (QUOTA.perSecond * 2.5 + QUOTA.burst) / 3;
+    expect(count).toBeGreaterThan(part * 1.4);
+    const allowed = (QUOTA.perSecond * 5 + QUOTA.burst) * 1.1 + 20;
+    expect(count).toBeLessThanOrEqual(allowed);
+  } finally {
+    await Promise.all(regions.map((one) => one.stop()));
+  }
+});
+
 test("a keeper that hears half of its region grants half as much", async () => {
   // Behind a cut each side finds keepers of its own. Each granting all, the account
   // would get its quota twice.
--- a/packages/daemon/src/gateway/accounts/credit_keeper.ts
+++ b/packages/daemon/src/gateway/accounts/credit_keeper.ts
@@ -37,6 +37,8 @@
   knownInRegion(): number;
   /** The quota in force; undefined where the account has none or is not known. */
   quotaOf(account: AccountId): Quota | undefined;
+  /** Little credit of an account is left: as much as `wanted` had better be borrowed. */
+  short(account: AccountId, wanted: number): void;
 }
 
 /** See the module's comment. Times are milliseconds of the monotonic clock. */
@@ -53,20 +55,38 @@
 
   /** Takes the credit of one request. */
   take(account: AccountId, now: number): CreditAnswer {
-    const limit = this.#limitOf(account);
-    if (limit === undefined || limit.perSecond <= 0) {
+    const kept = this.#kept(account);
+    if (kept === undefined) {
       return { kind: "not-kept" };
     }
-    let bucket = this.#buckets.get(account);
-    if (bucket === undefined) {
-      bucket = new CreditBucket(this.#startedAt);
-      this.#buckets.set(account, bucket);
+    const { bucket, limit } = kept;
+    const isGranted = bucket.take(limit, now);
+    if (bucket.isShort(limit, now)) {
+      this.#options.short(account, Math.ceil(limit.most));
     }
-    return bucket.take(limit, now)
+    return isGranted
       ? { kind: "granted" }
       : { kind: "used-up", readyInMs: bucket.promise(limit, now) };
   }
 
+  /** Gives credit to the keeper of another region; returns how much. */
+  lend(
+    account: AccountId,
+    loan: { readonly asked: number; readonly now: number },
+  ): number {
+    const kept = this.#kept(account);
+    return kept?.bucket.lend(kept.limit, loan) ?? 0;
+  }
+
+  /** The keeper of another region gave credit. */
+  borrowed(
+    account: AccountId,
+    loan: { readonly lent: number; readonly now: number },
+  ): void {
+    const kept = this.#kept(account);
+    kept?.bucket.borrowed(kept.limit, loan);
+  }
+
   /** Accounts that are gone are forgotten. */
   keepOnly(accounts: ReadonlySet<AccountId>): void {
     for (const account of this.#buckets.keys()) {
@@ -76,6 +96,23 @@
     }
   }
 
+  #kept(
+    account: AccountId,
+  ):
+    | { readonly bucket: CreditBucket; readonly limit: CreditLimit }
+    | undefined {
+    const limit = this.#limitOf(account);
+    if (limit === undefined || limit.perSecond <= 0) {
+      return undefined;
+    }
+    let bucket = this.#buckets.get(account);
+    if (bucket === undefined) {
+      bucket = new CreditBucket(this.#startedAt);
+      this.#buckets.set(account, bucket);
+    }
+    return { bucket, limit };
+  }
+
   /** This VM's part of an account's credit. */
   #limitOf(account: AccountId): CreditLimit | undefined {
     const { self, bound, regions } = this.#options;
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { VmId } from "@poplarthread/ids";
+import type { RegionId, VmId } from "@poplarthread/ids";
 import {
   fallbacksFor,
   hashText,
@@ -242,6 +242,17 @@
     return this.up(now).filter(({ region }) => region === this.#self.region);
   }
 
+  /** VMs that are up of each other region. */
+  upInOtherRegions(now: number): readonly (readonly RankedMember[])[] {
+    const regions = new Map<RegionId, RankedMember[]>();
+    for (const vm of this.up(now)) {
+      if (vm.region !== this.#self.region) {
+        regions.set(vm.region, [...(regions.get(vm.region) ?? []), vm]);
+      }
+    }
+    return [...regions.values()];
+  }
+
   /** VMs of the region that share its limits, this one among them: those that are up, or were lately. */
   knownInRegion(now: number): number {
     return 1 +
--- a/packages/placement/src/account_credit.ts
+++ b/packages/placement/src/account_credit.ts
@@ -10,6 +10,9 @@
  * quota, and a keeper uses only as much of it as it hears of the region's VMs: so parts
  * never sum to more than the quota, also while VMs are cut off from each other. A
  * keeper that starts has none and earns it, since the one before it may have spent all.
+ * Callers of an account don't stand in all regions alike, so first keepers lend each
+ * other what they can spare. What is lent is gone from the lender before it is sent; an
+ * answer that is lost takes it away, and doubles nothing.
  *
  * @module
  */
@@ -49,6 +52,9 @@
 
 /** The longest time that is promised, in milliseconds: callers that are told more don't wait for it. */
 const MOST_PROMISED_MS = 10_000;
+/** Below this part of what a keeper keeps at most, it borrows; above the other one, it lends. */
+const SHORT_SHARE = 0.4;
+const KEPT_SHARE = 0.6;
 /** Part of what the bound allows that is given out: VMs may disagree for a moment on who keeps it. */
 const GIVEN_SHARE = 0.95;
 /** Part of what the bound allows that may come at once; the rest is earned over the window. */
@@ -119,6 +125,33 @@
     return this.#promisedAt - now;
   }
 
+  /** Whether so little is left that more had better be borrowed. */
+  isShort(limit: CreditLimit, now: number): boolean {
+    this.#earn(limit, now);
+    return this.#credit < limit.most * SHORT_SHARE;
+  }
+
+  /** Gives credit to another keeper, as far as this one can spare it: it is gone from here. */
+  lend(
+    limit: CreditLimit,
+    { asked, now }: { readonly asked: number; readonly now: number },
+  ): number {
+    this.#earn(limit, now);
+    const spare = Math.floor(this.#credit - limit.most * KEPT_SHARE);
+    const lent = Math.max(0, Math.min(asked, spare));
+    this.#credit -= lent;
+    return lent;
+  }
+
+  /** Takes in what another keeper gave; what does not fit is lost. */
+  borrowed(
+    limit: CreditLimit,
+    { lent, now }: { readonly lent: number; readonly now: number },
+  ): void {
+    this.#earn(limit, now);
+    this.#credit = Math.min(limit.most, this.#credit + lent);
+  }
+
   #earn({ perSecond, most }: CreditLimit, now: number): void {
     const earned = (now - this.#earnedAt) / 1_000 * perSecond;
     // One request must fit, or an account with a small quota would never be served.
--- a/packages/placement/src/account_credit_test.ts
+++ b/packages/placement/src/account_credit_test.ts
@@ -94,6 +94,41 @@
     expect(bucket.take(limit, 260)).toBe(true);
   });
 
+  test("that is lent is gone from the lender, and no bucket holds more than it may", () => {
+    const limit = { perSecond: 10, most: 10 };
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            stepMs: fc.integer({ min: 0, max: 300 }),
+            asked: fc.integer({ min: 1, max: 20 }),
+            isLost: fc.boolean(),
+          }),
+          { maxLength: 40 },
+        ),
+        (loans) => {
+          const [lender, borrower] = [new CreditBucket(0), new CreditBucket(0)];
+          let now = 0;
+          let granted = 0;
+          for (const { stepMs, asked, isLost } of loans) {
+            now += stepMs;
+            const lent = lender.lend(limit, { asked, now });
+            if (!isLost) {
+              borrower.borrowed(limit, { lent, now });
+            }
+            while (borrower.take(limit, now)) {
+              granted += 1;
+            }
+          }
+          while (lender.take(limit, now)) {
+            granted += 1;
+          }
+          expect(granted).toBeLessThanOrEqual(2 * now / 1_000 * 10 + 1e-6);
+        },
+      ),
+    );
+  });
+
   test("is promised to one refused request after the other", () => {
     // Fifty callers are refused at once. Told the same time, they come back together,
     // and all but one are refused once more.
