Missing answers about credit are looked for only while some are waited for

Cause: the task looked each 20 ms on every VM, also where no account has a quota: fifty wake-ups a second of a fleet whose processor time is dear.

--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -95,6 +95,8 @@
   readonly #spares = new Map<AccountId, number[]>();
   #socket: Socket | undefined;
   #lastId = 0;
+  /** The next look for missing answers is due. */
+  #isChecking = false;
 
   constructor(options: CreditExchangeOptions) {
     super("credit");
@@ -165,6 +167,7 @@
   protected override open(): Promise<void> {
     const socket = createSocket("udp4");
     this.#socket = socket;
+    this.#isChecking = false;
     socket.on("message", (bytes, from) => this.#take(bytes, from));
     const { host, port } = this.#options.listen;
     return new Promise((resolve, reject) => {
@@ -172,7 +175,6 @@
       socket.bind(port, host, () => {
         socket.off("error", reject);
         socket.on("error", (err) => this.fail(err));
-        this.every(CHECK_MS, { kind: "check" });
         resolve();
       });
     });
@@ -184,6 +186,23 @@
   }
 
   protected override receive(_message: CreditExchangeMessage): void {
+    this.#isChecking = false;
+    this.#askFurther();
+    if (this.#asking.size > 0) {
+      this.#check();
+    }
+  }
+
+  /** Answers that are missing are looked for only while some are waited for. */
+  #check(): void {
+    if (!this.#isChecking) {
+      this.#isChecking = true;
+      this.after(CHECK_MS, { kind: "check" });
+    }
+  }
+
+  /** Asks the next keeper for those whose answer is missing. */
+  #askFurther(): void {
     const due = performance.now() - ANSWER_MS;
     for (const [id, asking] of this.#asking) {
       if (asking.askedAt > due) {
@@ -213,6 +232,7 @@
     asking.askedAt = now;
     const { account } = asking;
     this.#asking.set(this.#ask(keeper, CREDIT_METHOD, { account }), asking);
+    this.#check();
   }
 
   /** Sends a question and returns its id. */
