--- a/packages/daemon/src/gateway/accounts/accounts.ts
+++ b/packages/daemon/src/gateway/accounts/accounts.ts
@@ -12,11 +12,11 @@
 import type { VmDirectory } from "../vm_directory.ts";
 import type { AccountIndex } from "./client_account.ts";
 import { type Credit, CreditExchange } from "./credit_exchange.ts";
-import { CreditKeeperBooks } from "./credit_keeper.ts";
+import { CreditLedger } from "./credit_ledger.ts";
 
 /** How much earlier than allowed a VM stops relying on the keys that it knows, in milliseconds: a store that loses its history may tell of changes a second late. */
 const REVOCATION_MARGIN_MS = 1_200;
-/** Characters of a key's digest in the log: enough to tell keys apart, and nothing that opens a door. */
+/** Characters of a key's digest in the log: enough to tell keys apart. */
 const KEY_DIGITS = 8;
 
 /** What it works with. */
@@ -34,7 +34,7 @@
   /** The task that asks for credit and gives it; its owner supervises it. */
   readonly credit: CreditExchange;
   readonly #options: AccountsOptions;
-  readonly #books: CreditKeeperBooks;
+  readonly #ledger: CreditLedger;
   /** From then on there may have been a newer configuration than the one in force, which could not be used. */
   #unusableSince: number | undefined;
 
@@ -43,7 +43,7 @@
     const { listen, zones, bounds } = settings;
     const upInRegion = () => vms.upInRegion(performance.now());
     this.#options = options;
-    this.#books = new CreditKeeperBooks({
+    this.#ledger = new CreditLedger({
       self: vms.self,
       bound: bounds.quotas,
       regions: new Set(zones.values()).size,
@@ -55,7 +55,7 @@
     this.credit = new CreditExchange({
       listen: listen.credit,
       self: vms.self,
-      books: this.#books,
+      ledger: this.#ledger,
       upInRegion,
       otherRegions: () => vms.upInOtherRegions(performance.now()),
     });
@@ -89,7 +89,7 @@
   /** A configuration is in force. */
   configured(): void {
     this.#unusableSince = undefined;
-    this.#books.keepOnly(this.#options.index()?.ids ?? new Set());
+    this.#ledger.keepOnly(this.#options.index()?.ids ?? new Set());
   }
 
   /** A newer configuration than the one in force cannot be used. */
--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -17,7 +17,7 @@
 import { keepersOf } from "@poplarthread/placement";
 import * as z from "zod";
 import { Task } from "../../task.ts";
-import type { CreditAnswer, CreditKeeperBooks } from "./credit_keeper.ts";
+import type { CreditAnswer, CreditLedger } from "./credit_ledger.ts";
 import type { ListenAddress } from "../settings.ts";
 import type { RankedMember } from "../vm_directory.ts";
 
@@ -65,7 +65,7 @@
 export interface CreditExchangeOptions {
   readonly listen: ListenAddress;
   readonly self: RankedMember;
-  readonly books: CreditKeeperBooks;
+  readonly ledger: CreditLedger;
   /** VMs of the region that are up, this one among them. */
   upInRegion(): readonly RankedMember[];
   /** VMs that are up of each other region. */
@@ -226,7 +226,7 @@
     }
     const now = performance.now();
     if (keeper.vm === this.#options.self.vm) {
-      this.#answered(asking, this.#options.books.take(asking.account, now));
+      this.#answered(asking, this.#options.ledger.take(asking.account, now));
       return;
     }
     asking.askedAt = now;
@@ -294,13 +294,13 @@
 
   /** Undefined where it is no question of a VM. */
   #resultOf(method: string, params: unknown): object | undefined {
-    const { books } = this.#options;
+    const { ledger } = this.#options;
     const now = performance.now();
     switch (method) {
       case CREDIT_METHOD: {
         const asked = paramsSchema.safeParse(params);
         return asked.success
-          ? books.take(asked.data.account as AccountId, now)
+          ? ledger.take(asked.data.account as AccountId, now)
           : undefined;
       }
       case LEND_METHOD: {
@@ -310,7 +310,7 @@
         }
         const { account, amount } = asked.data;
         const loan = { asked: amount, now };
-        return { lent: books.lend(account as AccountId, loan) };
+        return { lent: ledger.lend(account as AccountId, loan) };
       }
       default:
         return undefined;
@@ -323,7 +323,7 @@
     if (borrower !== undefined && loan.success) {
       this.#borrowing.delete(Number(id));
       const { lent } = loan.data;
-      this.#options.books.borrowed(borrower, { lent, now: performance.now() });
+      this.#options.ledger.borrowed(borrower, { lent, now: performance.now() });
       return;
     }
     const asking = this.#asking.get(Number(id));
--- a/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
@@ -10,7 +10,7 @@
 import { hashText, keepersOf } from "@poplarthread/placement";
 import { nextPort, ownAddress } from "../../loopback.ts";
 import { type Credit, CreditExchange } from "./credit_exchange.ts";
-import { CreditKeeperBooks } from "./credit_keeper.ts";
+import { CreditLedger } from "./credit_ledger.ts";
 import { memberNamed } from "../testing.ts";
 import type { RankedMember } from "../vm_directory.ts";
 
@@ -82,7 +82,7 @@
     const task = new CreditExchange({
       listen: { host: self.peerAddress.split(":")[0]!, port: this.port },
       self,
-      books: new CreditKeeperBooks({
+      ledger: new CreditLedger({
         self,
         bound: BOUND,
         regions: 1 + this.others.length,
--- a/packages/daemon/src/gateway/accounts/credit_keeper.ts
+++ b/packages/daemon/src/gateway/accounts/credit_ledger.ts
@@ -25,8 +25,8 @@
   /** This VM keeps none for the account, as far as it knows. */
   | { readonly kind: "not-kept" };
 
-/** What a keeper works with. */
-export interface CreditKeeperOptions {
+/** What the ledger works with. */
+export interface CreditLedgerOptions {
   readonly self: RankedMember;
   readonly bound: QuotaBound;
   /** Regions among which each quota is divided. */
@@ -42,13 +42,13 @@
 }
 
 /** See the module's comment. Times are milliseconds of the monotonic clock. */
-export class CreditKeeperBooks {
-  readonly #options: CreditKeeperOptions;
+export class CreditLedger {
+  readonly #options: CreditLedgerOptions;
   readonly #startedAt: number;
   readonly #buckets = new Map<AccountId, CreditBucket>();
 
   /** `startedAt` is when this VM began: what it spent in an earlier life is not known. */
-  constructor(options: CreditKeeperOptions, startedAt = performance.now()) {
+  constructor(options: CreditLedgerOptions, startedAt = performance.now()) {
     this.#options = options;
     this.#startedAt = startedAt;
   }
