A fallback counts only once the store has confirmed its news since the loss

Cause: found by playing a region of 22 VMs on the paused clock.

What a fallback heard before the loss is taken in but shows nothing; the VM asks again after 0.3 s, gives a fallback 0.4 s at most, and tries the store as before. The test failed first.

--- a/packages/daemon/src/gateway/news_sources.ts
+++ b/packages/daemon/src/gateway/news_sources.ts
@@ -27,6 +27,8 @@
   readonly #turnedAway = new Map<VmId, number>();
   /** Until then other VMs are asked in place of the store, which turned this VM away. */
   #fallsBackUntil = -Infinity;
+  /** The VM that was asked last for want of another. */
+  #fallback: Member | undefined;
 
   constructor(options: NewsSourcesOptions) {
     this.#options = options;
@@ -57,11 +59,22 @@
     if (relay !== undefined || !isTurnedAway) {
       return relay;
     }
-    const fallback = this.#firstAwake(this.#options.fallbacks(), now);
-    if (fallback !== undefined && isLost) {
+    this.#fallback = this.#firstAwake(this.#options.fallbacks(), now);
+    return this.#fallback;
+  }
+
+  /** Whether a VM was asked because nobody else tells anything. */
+  isFallback({ vm }: Member): boolean {
+    return vm === this.#fallback?.vm;
+  }
+
+  /** A fallback has answered; whether by what the store confirmed since it turned this VM away. */
+  fallbackAnswered(isConfirmedSince: boolean, now: number): void {
+    if (!isConfirmedSince) {
+      this.#fallsBackUntil = -Infinity;
+    } else if (!this.isSecondHand(now)) {
       this.#fallsBackUntil = now + FALLBACK_MS;
     }
-    return fallback;
   }
 
   /** A VM is not asked until `until`. */
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -66,6 +66,10 @@
 const STALE_REST_MS = 500;
 /** A relay tells what the store has confirmed as soon as it hears it, so it is given this much longer than the store itself, in milliseconds. */
 const RELAYED_MS = 250;
+/** How long a fallback is given to hear from the store, in milliseconds. */
+const FALLBACK_WAIT_MS = 400;
+/** A VM whose news the store has not confirmed since this one lost it is asked again after this, in milliseconds: it hears from the store each second. */
+const UNCONFIRMED_REST_MS = 300;
 /** A relay that has its news from others is asked again after this, in milliseconds. */
 const SECOND_HAND_REST_MS = 2_000;
 /** Age of news that the store never confirmed, in milliseconds: far above what is relied on. */
@@ -111,6 +115,7 @@
   #confirmedAt = performance.now() - NEVER_MS;
   #regainedAt = -Infinity;
   #isLost = false;
+  #lostAt = -Infinity;
   /** When this VM last called the store itself. */
   #storeCallAt = -Infinity;
   #pauseMs = RETRY_FIRST_MS;
@@ -252,10 +257,14 @@
 
   async #askRelay(relay: Member): Promise<void> {
     this.#asked = relay;
+    const isFallback = this.#sources.isFallback(relay);
     const askedAt = this.#steadyNow;
     const news = await this.#options.askRelay(relay, {
       version: this.#copy.position ?? -1,
-      waitMs: WAIT_MS[this.#subject] + RELAYED_MS,
+      // Held long by one that lost the store, too, this VM would notice its return late.
+      waitMs: isFallback && this.#isLost
+        ? FALLBACK_WAIT_MS
+        : WAIT_MS[this.#subject] + RELAYED_MS,
       isPatient: this.#isLost,
       signal: this.#call.signal,
     });
@@ -263,7 +272,13 @@
     const now = performance.now();
     const isFresh = news.ageMs < WAIT_MS[this.#subject] + LATE_MS;
     this.#relayRegained(news, now);
-    if (isFresh) {
+    const isConfirmedSince = isFresh && now - news.ageMs > this.#lostAt;
+    if (isFallback) {
+      this.#sources.fallbackAnswered(isConfirmedSince, now);
+    }
+    // What a fallback heard before the loss does not show that the store answers it.
+    const isHelpful = isFallback ? isConfirmedSince : isFresh;
+    if (isHelpful) {
       this.#succeeded(now - news.ageMs);
     }
     this.#take(news.isWhole, { rows: news.rows, version: news.position });
@@ -272,6 +287,8 @@
     );
     if (!isFresh) {
       this.#rest(relay, STALE_REST_MS, "its news are old");
+    } else if (!isHelpful) {
+      this.#rest(relay, UNCONFIRMED_REST_MS, "it may have lost the store, too");
     } else if (news.isSecondHand) {
       const until = performance.now() + SECOND_HAND_REST_MS;
       this.#sources.passOver(relay, until);
@@ -391,6 +408,7 @@
     }
     if (!this.#isLost) {
       this.#isLost = true;
+      this.#lostAt = performance.now();
       this.#options.listener.contact(true, messageOf(err));
     }
     const jittered = this.#pauseMs * (0.5 + Math.random());
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -146,6 +146,26 @@
 let store: FakeStore;
 let vms: Vm[] = [];
 
+/** A region of 22 VMs, the first `refused` of which the store turns away for nine seconds. */
+async function callsOfRegion(
+  refused: number,
+): Promise<{ calls: number; oldestMs: number }> {
+  const faces = Array.from({ length: 22 }, () => new FakeStore());
+  faces.forEach((face) => face.write("t-0", "ready"));
+  const all = faces.map((face, at) => new Vm(`vm-${at}`, face));
+  all.forEach((vm, at) => {
+    vm.relays = all.slice(0, at);
+    vm.fallbacks = all.slice(at + 1, at + 3);
+  });
+  await vi.advanceTimersByTimeAsync(4_000);
+  const sumOf = () => faces.reduce((sum, { calls }) => sum + calls, 0);
+  const before = sumOf();
+  faces.slice(0, refused).forEach((face) => face.mode = "refuses");
+  await vi.advanceTimersByTimeAsync(9_000);
+  const ages = all.map(({ watch }) => watch.readAgeMs);
+  return { calls: sumOf() - before, oldestMs: Math.max(...ages) };
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
   vms = [];
@@ -343,21 +363,16 @@
   test("is passed over for the next one where the store turned it away, too", async () => {
     // The store refuses the two VMs that rank first in their region. All others asking
     // it in their place are twenty times the calls.
-    const faces = Array.from({ length: 22 }, () => new FakeStore());
-    faces.forEach((face) => face.write("t-0", "ready"));
-    const all = faces.map((face, at) => new Vm(`vm-${at}`, face));
-    all.forEach((vm, at) => {
-      vm.relays = all.slice(0, at);
-      vm.fallbacks = all.slice(at + 1, at + 3);
-    });
-    await vi.advanceTimersByTimeAsync(4_000);
-    const sumOf = () => faces.reduce((sum, { calls }) => sum + calls, 0);
-    const before = sumOf();
-    faces.slice(0, 2).forEach((face) => face.mode = "refuses");
-    await vi.advanceTimersByTimeAsync(9_000);
-    expect(sumOf() - before).toBeLessThan(40);
-    const ages = all.map(({ watch }) => watch.readAgeMs);
-    expect(Math.max(...ages)).toBeLessThan(3_800);
+    const { calls, oldestMs } = await callsOfRegion(2);
+    expect(calls).toBeLessThan(40);
+    expect(oldestMs).toBeLessThan(3_800);
+  });
+
+  test("does not send all to a store that is away for all", async () => {
+    // Nobody reaches the store. VMs that took each other's last news for a way to it
+    // would pass each other over until each asks the store itself.
+    const { calls } = await callsOfRegion(22);
+    expect(calls).toBeLessThan(100);
   });
 
   test("that was turned away itself is not asked without a pause", async () => {
