--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -6,10 +6,12 @@
  */
 
 import type { Steering, Warmth } from "@poplarthread/placement";
+import type { TargetId } from "@poplarthread/ids";
 import { NotSentError } from "../errors.ts";
 import type { ConnectionSource } from "./connections.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
+import type { TargetAnswer } from "./ports.ts";
 import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
 
 /** Who is told. */
@@ -81,10 +83,11 @@
 }
 
 function tellSteering(
-  { steering, suspects }: AttemptReportServices,
+  services: AttemptReportServices,
   { target, writtenAt }: TargetAttempt,
   { end, now, digest, object, requestKind, warmth }: AttemptReport,
 ): void {
+  const { steering, suspects } = services;
   const times = { now, writtenAt };
   switch (end.kind) {
     case "answered":
@@ -101,6 +104,8 @@
       }, times);
       if (isOtherTarget) {
         steering.unreachable(target, now);
+      } else {
+        tellLimit(services, target, end.answer);
       }
       return;
     }
@@ -120,3 +125,20 @@
       return;
   }
 }
+
+/** An answer without a limit says that there is none only where its target vouches for it. */
+function tellLimit(
+  { steering, log }: Pick<AttemptReportServices, "steering" | "log">,
+  target: TargetId,
+  { limitPerSecond: perSecond, isStamped }: TargetAnswer,
+): void {
+  const isSaid = perSecond !== undefined || isStamped;
+  if (!isSaid || !steering.limitNamed(target, { perSecond })) {
+    return;
+  }
+  if (perSecond === undefined) {
+    log.write("target not limited", { target });
+  } else {
+    log.write("target limited", { target, perSecond });
+  }
+}
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -73,6 +73,10 @@
     type: "number",
     meaning: "requests that waited at the target when it answered",
   },
+  perSecond: {
+    type: "number",
+    meaning: "requests a second that a target takes from all VMs together",
+  },
   zone: { type: "text", meaning: "availability zone" },
   peer: {
     type: "text",
@@ -248,6 +252,17 @@
     meaning: "A probe found a target healthy that was out.",
     fields: ["target"],
   },
+  "target limited": {
+    level: "warn",
+    meaning:
+      "A target in need has named a limit for all VMs together, or another one.",
+    fields: ["target", "perSecond"],
+  },
+  "target not limited": {
+    level: "info",
+    meaning: "A target that had named a limit names none any more.",
+    fields: ["target"],
+  },
   "probe failed": {
     level: "debug",
     meaning: "A probe of a target that is out failed.",
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -203,6 +203,7 @@
       written: nothing,
       ended: nothing,
       unreachable: nothing,
+      limitNamed: () => false,
       roundTripTo: () => 1,
       spendRetry: () => true,
       place: () => this.#decide(),
@@ -315,6 +316,7 @@
       isStamped: true,
       notRun: played.notRun ?? false,
       isOtherTarget: false,
+      limitPerSecond: undefined,
       load: undefined,
     };
   },
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -112,6 +112,7 @@
       waitingRequests: this.#path.waitingRequests,
       configurationVersion: this.#callers.version,
       targets: this.#path.targets.size,
+      limitedTargets: this.#path.steering.limitedTargets,
       vmsUp: this.#vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
     }));
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -28,6 +28,8 @@
   readonly waitingRequests: number;
   readonly configurationVersion: number;
   readonly targets: number;
+  /** Targets that have named a limit for all VMs together. */
+  readonly limitedTargets: number;
   readonly vmsUp: number;
   /** Lines that the log dropped because nobody read them. */
   readonly droppedLines: number;
@@ -94,6 +96,11 @@
       "Version of the configuration in force",
     );
     gauge("targets", "targets", "Targets that are known");
+    gauge(
+      "limitedTargets",
+      "limited_targets",
+      "Targets that have named a limit for all VMs together",
+    );
     gauge("vmsUp", "vms_up", "VMs that are up, this one among them");
     gauge(
       "droppedLines",
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -172,6 +172,8 @@
   /** The address belongs to another target now. */
   readonly isOtherTarget: boolean;
   readonly load: LoadReport | undefined;
+  /** Requests a second that the target takes from all VMs together; undefined where it names no limit. */
+  readonly limitPerSecond: number | undefined;
 }
 
 /** What a health probe found. */
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -29,6 +29,8 @@
   /** Lines that were not written. */
   readonly lines?: number;
   readonly targets?: number;
+  /** Requests a second that a target takes from all VMs together. */
+  readonly perSecond?: number;
   /** Time before the first attempt, in milliseconds. */
   readonly waitedMs?: number;
   /** Age of what the VM knew of the targets, in milliseconds. */
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -35,6 +35,7 @@
 export { ServiceTimes } from "./service_times.ts";
 export type { Place, PlacedTarget, SteeredTarget } from "./target.ts";
 export { type Standing, TargetBelief } from "./target_belief.ts";
+export type { NamedLimit } from "./target_limits.ts";
 export { type LoadReport, TargetLoad } from "./target_load.ts";
 export { type SplitPart, WeightedSplit } from "./weighted_split.ts";
 export { type Waiting, WaitingRoom } from "./waiting_room.ts";
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -34,6 +34,7 @@
 import type { Place, SteeredTarget } from "./target.ts";
 import { TargetBelief } from "./target_belief.ts";
 import { TargetIndex } from "./target_index.ts";
+import { type NamedLimit, TargetLimits } from "./target_limits.ts";
 import { TargetLoad } from "./target_load.ts";
 import { type HashedPair, WarmObjects } from "./warm_objects.ts";
 
@@ -103,6 +104,7 @@
   readonly #out = new Set<Entry>();
   readonly #cold = new ColdTargets();
   readonly #owners = new ColdOwners();
+  readonly #limits = new TargetLimits();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
   readonly #kinds = new KindTimes();
@@ -168,11 +170,18 @@
     this.#cold.forget(id);
     this.#owners.forget(id);
     this.#warm.forget(id);
+    this.#limits.forget(id);
   }
 
-  /** The target has started anew: it keeps nothing warm. */
+  /** The target has started anew: it keeps nothing warm and has named no limit. */
   restarted(id: TargetId): void {
     this.#warm.forget(id);
+    this.#limits.forget(id);
+  }
+
+  /** Targets that have a limit. */
+  get limitedTargets(): number {
+    return this.#limits.size;
   }
 
   /** The target is cold until `until`. */
@@ -296,6 +305,11 @@
     }
   }
 
+  /** The target says in an answer whether it has a limit; true if that is news. */
+  limitNamed(id: TargetId, limit: NamedLimit): boolean {
+    return this.#index.get(id) !== undefined && this.#limits.named(id, limit);
+  }
+
   /** No connection to the target came about. */
   unreachable(id: TargetId, now: number): void {
     const entry = this.#index.get(id);
