--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -7,9 +7,10 @@
 import fc from "fast-check";
 import { describe, expect, test } from "vitest";
 import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
-import { ColdTargets, ownerOf } from "./cold_targets.ts";
+import { ColdTargets } from "./cold_targets.ts";
 import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 import { hashText } from "./hash.ts";
+import { ownerOf } from "./target_owners.ts";
 import { requestFor, steeringIn, targetIn } from "./testing.ts";
 import { WeightedSplit } from "./weighted_split.ts";
 import { WaitingRoom } from "./waiting_room.ts";
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -22,7 +22,7 @@
   type PlacementWeights,
   type TargetPrice,
 } from "./choose.ts";
-export { type ColdOwner, ColdTargets, ownerOf } from "./cold_targets.ts";
+export { ColdTargets } from "./cold_targets.ts";
 export { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
 export { hashText, pairWeight } from "./hash.ts";
 export {
@@ -37,6 +37,7 @@
 export { type Standing, TargetBelief } from "./target_belief.ts";
 export type { NamedLimit } from "./target_limits.ts";
 export { type LoadReport, TargetLoad } from "./target_load.ts";
+export { ownerOf, type TargetOwner } from "./target_owners.ts";
 export { type SplitPart, WeightedSplit } from "./weighted_split.ts";
 export { type Waiting, WaitingRoom } from "./waiting_room.ts";
 export { type HashedPair, WarmObjects, type WarmPair } from "./warm_objects.ts";
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -18,7 +18,7 @@
   MOST_POSITION,
   type PlacementWeights,
 } from "./choose.ts";
-import { type ColdOwner, ColdOwners, ColdTargets } from "./cold_targets.ts";
+import { ColdTargets } from "./cold_targets.ts";
 import { DrainRate } from "./drain_rate.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
 import { KindTimes } from "./kind_times.ts";
@@ -36,6 +36,7 @@
 import { TargetIndex } from "./target_index.ts";
 import { type NamedLimit, TargetLimits } from "./target_limits.ts";
 import { TargetLoad } from "./target_load.ts";
+import { type TargetOwner, TargetOwners } from "./target_owners.ts";
 import { type HashedPair, WarmObjects } from "./warm_objects.ts";
 
 /** What a VM steers by besides its targets. */
@@ -103,7 +104,7 @@
   /** Targets that may be out, to be probed. */
   readonly #out = new Set<Entry>();
   readonly #cold = new ColdTargets();
-  readonly #owners = new ColdOwners();
+  readonly #owners = new TargetOwners();
   readonly #limits = new TargetLimits();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
@@ -123,7 +124,7 @@
   }
 
   /** The VMs that take part, this one among them. */
-  setVms(vms: readonly ColdOwner[]): void {
+  setVms(vms: readonly TargetOwner[]): void {
     this.#vmCount = vms.length;
     this.#owners.setVms(vms);
     this.#index.setVms(vms);
