--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -18,9 +18,10 @@
   MOST_POSITION,
   type PlacementWeights,
 } from "./choose.ts";
-import { type ColdOwner, ColdOwners, ColdTargets } from "./cold_targets.ts";
+import { ColdTargets } from "./cold_targets.ts";
 import { DrainRate } from "./drain_rate.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import { hashText, pairWeight } from "./hash.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
@@ -34,7 +35,9 @@
 import type { Place, SteeredTarget } from "./target.ts";
 import { TargetBelief } from "./target_belief.ts";
 import { TargetIndex } from "./target_index.ts";
+import { type NamedLimit, TargetLimits } from "./target_limits.ts";
 import { TargetLoad } from "./target_load.ts";
+import { type TargetOwner, TargetOwners } from "./target_owners.ts";
 import { type HashedPair, WarmObjects } from "./warm_objects.ts";
 
 /** What a VM steers by besides its targets. */
@@ -92,6 +95,7 @@
 export class Steering {
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
+  readonly #hash: number;
   readonly #weights: PlacementWeights;
   readonly #weighsFirst: number;
   readonly #index: TargetIndex<Entry>;
@@ -102,7 +106,8 @@
   /** Targets that may be out, to be probed. */
   readonly #out = new Set<Entry>();
   readonly #cold = new ColdTargets();
-  readonly #owners = new ColdOwners();
+  readonly #owners = new TargetOwners();
+  readonly #limits = new TargetLimits();
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
   readonly #kinds = new KindTimes();
@@ -114,6 +119,7 @@
 
   constructor(options: SteeringOptions) {
     this.#options = options;
+    this.#hash = hashText(options.vm);
     this.#weights = options.weights ?? DEFAULT_WEIGHTS;
     this.#weighsFirst = options.weighsFirst ?? WEIGHS_FIRST;
     this.#index = new TargetIndex(options.place);
@@ -121,7 +127,7 @@
   }
 
   /** The VMs that take part, this one among them. */
-  setVms(vms: readonly ColdOwner[]): void {
+  setVms(vms: readonly TargetOwner[]): void {
     this.#vmCount = vms.length;
     this.#owners.setVms(vms);
     this.#index.setVms(vms);
@@ -168,11 +174,18 @@
     this.#cold.forget(id);
     this.#owners.forget(id);
     this.#warm.forget(id);
+    this.#limits.forget(id);
   }
 
-  /** The target has started anew: it keeps nothing warm. */
+  /** The target has started anew: it keeps nothing warm and has named no limit. */
   restarted(id: TargetId): void {
     this.#warm.forget(id);
+    this.#limits.forget(id);
+  }
+
+  /** Targets that have a limit. */
+  get limitedTargets(): number {
+    return this.#limits.size;
   }
 
   /** The target is cold until `until`. */
@@ -258,6 +271,7 @@
     if (this.#cold.isCold(id, now)) {
       this.#cold.sent(id, now, entry.target.coldPerSecond);
     }
+    this.#limits.sent(id, now);
   }
 
   /** The request was written to the target's connection. */
@@ -296,6 +310,11 @@
     }
   }
 
+  /** The target says in an answer whether it has a limit; true if that is news. */
+  limitNamed(id: TargetId, limit: NamedLimit): boolean {
+    return this.#index.get(id) !== undefined && this.#limits.named(id, limit);
+  }
+
   /** No connection to the target came about. */
   unreachable(id: TargetId, now: number): void {
     const entry = this.#index.get(id);
@@ -389,11 +408,26 @@
       (request.regions.length === 0 || request.regions.includes(target.region));
   }
 
-  /** Whether this VM may send to it, as far as it is cold. */
+  /** Whether this VM may send to it, as far as it is cold or has a limit. */
   #takes({ target }: Entry, now: number): boolean {
-    return !this.#cold.isCold(target.id, now) ||
-      (this.#owners.of(target) === this.#options.vm &&
-        this.#cold.maySend(target.id, now));
+    const isCold = this.#cold.isCold(target.id, now);
+    if (!isCold && !this.#limits.has(target.id)) {
+      return true;
+    }
+    const isOwner = this.#owners.of(target) === this.#options.vm;
+    if (isCold && !(isOwner && this.#cold.maySend(target.id, now))) {
+      return false;
+    }
+    const heardVms = Math.max(1, this.#vmCount);
+    const allVms = Math.max(heardVms, this.#fleetSize);
+    return this.#limits.maySend(target.id, {
+      now,
+      part: { isOwner, heardVms, allVms, phase: this.#phaseAt(target) },
+    });
+  }
+
+  #phaseAt({ hash }: SteeredTarget): number {
+    return pairWeight(hash, this.#hash) / 2 ** 32;
   }
 
   #hasRoom({ target, load }: Entry, now: number): boolean {
