VMs tell each other of limits that targets name, and of their end

Each VM learned of a limit by its own requests. In a fleet of 195 the first requests of all VMs are more than the target asked to be spared, and the end of a limit is noticed by others than the owner only at their turns, minutes apart.

Words carry their age, so that an older one does not undo a newer one. The rule of limits does not hang on this: its tests play fleets without news.

--- a/packages/bench/src/fleet/emulated_vm.ts
+++ b/packages/bench/src/fleet/emulated_vm.ts
@@ -86,6 +86,7 @@
       targetChanged: () => undefined,
       targetSilent: () => undefined,
       probe: (target) => this.#probe(target),
+      publishLimit: () => undefined,
       publishCrash: () => undefined,
       ended: (exchange) => this.#ended(exchange),
       attemptEnded: () => undefined,
--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -11,6 +11,7 @@
 import type { ConnectionSource } from "./connections.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
+import type { LimitWord } from "./limit_news.ts";
 import type { TargetAnswer } from "./ports.ts";
 import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
 
@@ -20,6 +21,8 @@
   readonly connections: ConnectionSource;
   readonly suspects: CrashSuspects;
   readonly log: EventLog;
+  /** Told of what a target says of its limit with an answer. */
+  limitNamed(word: LimitWord): void;
 }
 
 /** The end of an attempt, and whose it was. */
@@ -128,17 +131,11 @@
 
 /** An answer without a limit says that there is none only where its target vouches for it. */
 function tellLimit(
-  { steering, log }: Pick<AttemptReportServices, "steering" | "log">,
+  services: AttemptReportServices,
   target: TargetId,
   { limitPerSecond: perSecond, isStamped }: TargetAnswer,
 ): void {
-  const isSaid = perSecond !== undefined || isStamped;
-  if (!isSaid || !steering.limitNamed(target, { perSecond })) {
-    return;
-  }
-  if (perSecond === undefined) {
-    log.write("target not limited", { target });
-  } else {
-    log.write("target limited", { target, perSecond });
+  if (perSecond !== undefined || isStamped) {
+    services.limitNamed({ target, perSecond, at: performance.now() });
   }
 }
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -77,6 +77,10 @@
     type: "number",
     meaning: "requests a second that a target takes from all VMs together",
   },
+  source: {
+    type: "text",
+    meaning: "how it was learned: answer (of the target), or peer (another VM)",
+  },
   zone: { type: "text", meaning: "availability zone" },
   peer: {
     type: "text",
@@ -256,12 +260,12 @@
     level: "warn",
     meaning:
       "A target in need has named a limit for all VMs together, or another one.",
-    fields: ["target", "perSecond"],
+    fields: ["target", "perSecond", "source"],
   },
   "target not limited": {
     level: "info",
     meaning: "A target that had named a limit names none any more.",
-    fields: ["target"],
+    fields: ["target", "source"],
   },
   "probe failed": {
     level: "debug",
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -140,6 +140,7 @@
       log,
       ended: (_exchange, end) => this.ends.push(end),
       attemptEnded: () => undefined,
+      limitNamed: () => undefined,
     }, {
       req: Object.assign(new EventEmitter(), {
         url: "/x",
@@ -203,7 +204,6 @@
       written: nothing,
       ended: nothing,
       unreachable: nothing,
-      limitNamed: () => false,
       roundTripTo: () => 1,
       spendRetry: () => true,
       place: () => this.#decide(),
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -157,6 +157,8 @@
       spokenTo: () => this.#vms.spokenTo(performance.now()),
       warmPairs: () => this.#path.steering.warmPairs(performance.now()),
       heardWarm: (pairs) => this.#heardWarm(pairs),
+      heardLimits: (words) =>
+        words.forEach((word) => this.#path.heardLimit(word)),
       sightings: () => this.#vms.sightings(performance.now()),
       ownWord: () => ({
         member: this.#self,
@@ -235,6 +237,7 @@
       targetSilent: () => this.#metrics.beliefChanged("target-silent"),
       probe: (target) => this.#probe(target),
       hurry: () => this.#timer.dueIn(BUSY_TICK_MS),
+      publishLimit: (word) => this.#beacon.send({ kind: "limit", word }),
       publishCrash: (crash) => this.#beacon.send({ kind: "crash", crash }),
       ended: (exchange, end) => this.#ended(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -18,6 +18,12 @@
 import type { HashedPair } from "@poplarthread/placement";
 import { Task } from "../task.ts";
 import type { SuspectedCrash } from "./crash_suspects.ts";
+import {
+  decodeLimits,
+  LIMIT_NEWS_MS,
+  LimitNews,
+  type LimitWord,
+} from "./limit_news.ts";
 import type { Member, WatchedSubject } from "./ports.ts";
 import type { ListenAddress } from "./settings.ts";
 import type { VmSighting } from "./vm_directory.ts";
@@ -85,6 +91,9 @@
 /** Which others are told of warm targets: those of the zone, or of the region's other zones. */
 type WarmTelling = "tell-near" | "tell-far";
 
+/** Who tells of limits, as with {@link WarmMethod}. */
+type LimitMethod = "limits" | "zone-limits";
+
 /** What the task is told. */
 export type PeerBeaconMessage =
   /** This VM has warmed a target: all VMs are told soon. */
@@ -102,7 +111,11 @@
   /** This VM saw a crash: all VMs are told. */
   | { readonly kind: "crash"; readonly crash: SuspectedCrash }
   /** A VM of the zone saw one: other zones are told, if this VM reports. */
-  | { readonly kind: "pass-on"; readonly crash: SuspectedCrash };
+  | { readonly kind: "pass-on"; readonly crash: SuspectedCrash }
+  /** A target said something new of its limit: all VMs are told soon. */
+  | { readonly kind: "limit"; readonly word: LimitWord }
+  /** Tells what is new of limits. */
+  | { readonly kind: "tell-limits" };
 
 /** What the task works with. */
 export interface PeerBeaconOptions {
@@ -120,6 +133,7 @@
   /** Pairs that are known to be warm, those used last at the end. */
   warmPairs(): readonly HashedPair[];
   heardWarm(pairs: readonly HashedPair[]): void;
+  heardLimits(words: readonly LimitWord[]): void;
   /** VMs of the zone that are up, this one among them. */
   sightings(): readonly VmSighting[];
   ownWord(): Omit<Heartbeat, "crashes">;
@@ -140,7 +154,9 @@
   /** Heartbeats until VMs of other regions are told again. */
   #untilFar = 0;
   /** What is scheduled. */
-  readonly #scheduled = new Set<WarmTelling>();
+  readonly #scheduled = new Set<WarmTelling | "tell-limits">();
+  readonly #limitsNear = new LimitNews();
+  readonly #limitsFar = new LimitNews();
   /** When the zone and the other zones were told last, in milliseconds. */
   #toldNearAt = -Infinity;
   #toldFarAt = -Infinity;
@@ -204,11 +220,59 @@
         this.#scheduled.delete("tell-far");
         this.#tellFar(performance.now());
         return;
+      case "limit":
+        this.#limitsNear.add(message.word);
+        this.#limitsFar.add(message.word);
+        this.#schedule("tell-limits", LIMIT_NEWS_MS);
+        return;
+      case "tell-limits":
+        this.#scheduled.delete("tell-limits");
+        this.#tellLimits(performance.now());
+        return;
     }
   }
 
-  /** Tells of warm targets in `ms`, or earlier where that is due already. */
-  #schedule(kind: WarmTelling, ms: number): void {
+  #tellLimits(now: number): void {
+    this.#sendLimits(
+      "limits",
+      this.#limitsNear.take(now),
+      this.#options.near(),
+    );
+    this.#sendLimits(
+      "zone-limits",
+      this.#limitsFar.take(now),
+      this.#options.far(),
+    );
+    if (!this.#limitsNear.isEmpty || !this.#limitsFar.isEmpty) {
+      this.#schedule("tell-limits", LIMIT_NEWS_MS);
+    }
+  }
+
+  #sendLimits(
+    method: LimitMethod,
+    words: readonly object[],
+    members: readonly Member[],
+  ): void {
+    const addresses = addressesOf(members);
+    for (const params of words) {
+      this.#send(encode(method, params), addresses);
+    }
+  }
+
+  #heardLimits(method: LimitMethod, params: unknown): void {
+    const words = decodeLimits(params, performance.now());
+    if (words === undefined) {
+      return;
+    }
+    this.#options.heardLimits(words);
+    if (method === "limits" && this.#options.reports()) {
+      words.forEach((word) => this.#limitsFar.add(word));
+      this.#schedule("tell-limits", LIMIT_NEWS_MS);
+    }
+  }
+
+  /** Tells in `ms`, or earlier where that is due already. */
+  #schedule(kind: WarmTelling | "tell-limits", ms: number): void {
     if (!this.#scheduled.has(kind)) {
       this.#scheduled.add(kind);
       this.after(ms, { kind });
@@ -345,6 +409,10 @@
       }
       return;
     }
+    if (method === "limits" || method === "zone-limits") {
+      this.#heardLimits(method, params);
+      return;
+    }
     if (!hasCommonWord(params)) {
       return;
     }
@@ -394,10 +462,7 @@
   return typeof (params as Partial<WarmWord> | null)?.pairs === "string";
 }
 
-function encode(
-  method: string,
-  params: Heartbeat | ZoneReport | WarmWord,
-): Buffer {
+function encode(method: string, params: object): Buffer {
   return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
 
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -10,6 +10,7 @@
 import type { RegionId, TargetId, VmId } from "@poplarthread/ids";
 import type { HashedPair } from "@poplarthread/placement";
 import { ownAddress } from "../loopback.ts";
+import type { LimitWord } from "./limit_news.ts";
 import { type Heartbeat, PeerBeacon, type ZoneReport } from "./peer_beacon.ts";
 import type { Member } from "./ports.ts";
 import { memberNamed } from "./testing.ts";
@@ -24,8 +25,12 @@
 let said: { near: Heartbeat[]; far: ZoneReport[] };
 /** Pairs that peers were told of, by the port of the peer. */
 let warm: Map<number, HashedPair[]>;
+/** Words of limits that peers were told of, by the port of the peer. */
+let limits: Map<number, { target: string; perSecond: number | null }[]>;
 /** Pairs that the beacon itself was told of. */
 let heard: HashedPair[];
+/** Words of limits that the beacon itself was told of. */
+let heardLimits: LimitWord[];
 let isReporting: boolean;
 let mates: readonly Member[];
 let farMember: Member;
@@ -43,7 +48,9 @@
   socket.on("message", (bytes) => {
     expect(bytes.length).toBeLessThan(1_400);
     const { params } = JSON.parse(bytes.toString());
-    if ("pairs" in params) {
+    if ("limits" in params) {
+      limits.set(port, [...limits.get(port) ?? [], ...params.limits]);
+    } else if ("pairs" in params) {
       const before = warm.get(port) ?? [];
       warm.set(port, [...before, ...decodePairs(params.pairs)]);
     } else {
@@ -58,7 +65,9 @@
   vi.useFakeTimers({ toFake: ["setInterval", "performance"] });
   said = { near: [], far: [] };
   warm = new Map();
+  limits = new Map();
   heard = [];
+  heardLimits = [];
   isReporting = true;
   mates = [member("vm-2", PORTS.near)];
   farMember = member("vm-3", PORTS.far);
@@ -73,6 +82,7 @@
     spokenTo: () => isReporting ? [member("vm-3", PORTS.far)] : [],
     warmPairs: () => Array.from({ length: 2_000 }, (_, at) => pair(at)),
     heardWarm: (pairs) => heard.push(...pairs),
+    heardLimits: (words) => heardLimits.push(...words),
     sightings: () =>
       Array.from({ length: 45 }, (_, at) => ({
         vm: `front-tbilisi-saburtalo-${at}` as VmId,
@@ -230,6 +240,52 @@
   });
 });
 
+describe("what a target says of its limit", () => {
+  const WORD: LimitWord = {
+    target: "t-1" as TargetId,
+    perSecond: 2.5,
+    at: 0,
+  };
+
+  test("is told to the zone, and to other zones by VMs that report, some times", async () => {
+    beacon.send({ kind: "limit", word: WORD });
+    for (let telling = 0; telling < 5; telling++) {
+      beacon.send({ kind: "tell-limits" });
+    }
+    beacon.send({ kind: "beat" });
+    await until(() => said.near.length === 1 && said.far.length === 2);
+    expect(limits.get(PORTS.near)).toHaveLength(3);
+    expect(limits.get(PORTS.far)).toHaveLength(3);
+    expect(limits.get(PORTS.far)![0])
+      .toMatchObject({ target: "t-1", perSecond: 2.5 });
+  });
+
+  test("is passed on from the zone to other zones, and from there to nobody", async () => {
+    sayLimit("limits", { target: "t-1", perSecond: null, ageMs: 40 });
+    sayLimit("zone-limits", { target: "t-2", perSecond: 1, ageMs: 0 });
+    await until(() => heardLimits.length === 2);
+    beacon.send({ kind: "tell-limits" });
+    await until(() => limits.has(PORTS.far));
+    expect(limits.get(PORTS.far)!.map(({ target }) => target)).toEqual(["t-1"]);
+    expect(limits.has(PORTS.near)).toBe(false);
+    expect(heardLimits[0]!.perSecond).toBeUndefined();
+    expect(heardLimits[0]!.at).toBeLessThan(heardLimits[1]!.at);
+  });
+
+  test("is passed over where it cannot be read", async () => {
+    sayLimit("limits", { target: 7, perSecond: "many", ageMs: 0 });
+    sayLimit("limits", { target: "t-1", perSecond: 1, ageMs: 0 });
+    await until(() => heardLimits.length === 1);
+    expect(heardLimits[0]!.target).toBe("t-1");
+  });
+});
+
+/** A peer tells the beacon of a limit. */
+function sayLimit(method: string, word: object): void {
+  const message = { jsonrpc: "2.0", method, params: { limits: [word] } };
+  near.send(Buffer.from(JSON.stringify(message)), PORTS.self, HOST);
+}
+
 /** A peer tells the beacon of warm targets. */
 function say(method: string, pairs: readonly HashedPair[]): void {
   for (const text of encodePairs(pairs)) {
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -16,6 +16,7 @@
   type GatewayExchangeOptions,
   type GatewayExchangeServices,
 } from "./exchange.ts";
+import type { LimitWord } from "./limit_news.ts";
 import type { AnnouncedTarget, Dialect } from "./ports.ts";
 import { RequestQueue } from "./request_queue.ts";
 import { type TargetChange, TargetDirectory } from "./target_directory.ts";
@@ -40,6 +41,8 @@
   probe(target: TargetId): void;
   /** A request begins to wait: {@link RequestPath.tick} is due in {@link BUSY_TICK_MS}. */
   hurry?(): void;
+  /** Peers are to hear what a target has said of its limit. */
+  publishLimit(word: LimitWord): void;
   /** Peers are to hear of a target that a request may have crashed. */
   publishCrash(crash: SuspectedCrash): void;
   /** Called once for each exchange, when its caller has its final answer. */
@@ -83,6 +86,11 @@
       log,
       ended: (exchange, end) => options.ended(exchange, end),
       attemptEnded: (end) => options.attemptEnded(end),
+      limitNamed: (word) => {
+        if (this.#limitNamed(word, "answer")) {
+          options.publishLimit(word);
+        }
+      },
     };
   }
 
@@ -126,6 +134,11 @@
     this.#queue.pumpAll(now);
   }
 
+  /** Another VM tells what a target has said of its limit. */
+  heardLimit(word: LimitWord): void {
+    this.#limitNamed(word, "peer");
+  }
+
   /** Zones to whose targets nothing is to be sent. */
   evacuate(zones: ReadonlySet<ZoneId>, now: number): void {
     const { log } = this.#options;
@@ -152,6 +165,21 @@
     }
   }
 
+  /** True if it is news. */
+  #limitNamed(word: LimitWord, source: "answer" | "peer"): boolean {
+    const { target, perSecond } = word;
+    const { log } = this.#options;
+    if (!this.steering.limitNamed(target, word)) {
+      return false;
+    }
+    if (perSecond === undefined) {
+      log.write("target not limited", { target, source });
+    } else {
+      log.write("target limited", { target, perSecond, source });
+    }
+    return true;
+  }
+
   #logFirstList(targets: readonly AnnouncedTarget[]): void {
     const counts = new Map<ServiceId, number>();
     for (const { service } of targets) {
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -31,6 +31,8 @@
   readonly targets?: number;
   /** Requests a second that a target takes from all VMs together. */
   readonly perSecond?: number;
+  /** How a fact was learned. */
+  readonly source?: string;
   /** Time before the first attempt, in milliseconds. */
   readonly waitedMs?: number;
   /** Age of what the VM knew of the targets, in milliseconds. */
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -310,7 +310,7 @@
     }
   }
 
-  /** The target says in an answer whether it has a limit; true if that is news. */
+  /** A target says whether it has a limit, in an answer or to another VM; true if that is news. */
   limitNamed(id: TargetId, limit: NamedLimit): boolean {
     return this.#index.get(id) !== undefined && this.#limits.named(id, limit);
   }
@@ -410,20 +410,28 @@
 
   /** Whether this VM may send to it, as far as it is cold or has a limit. */
   #takes({ target }: Entry, now: number): boolean {
-    const isCold = this.#cold.isCold(target.id, now);
-    if (!isCold && !this.#limits.has(target.id)) {
-      return true;
-    }
-    const isOwner = this.#owners.of(target) === this.#options.vm;
-    if (isCold && !(isOwner && this.#cold.maySend(target.id, now))) {
-      return false;
-    }
+    return this.#takesWhileCold(target, now) &&
+      (!this.#limits.has(target.id) || this.#takesWithinLimit(target, now));
+  }
+
+  #takesWhileCold(target: SteeredTarget, now: number): boolean {
+    return !this.#cold.isCold(target.id, now) ||
+      (this.#owns(target) && this.#cold.maySend(target.id, now));
+  }
+
+  #takesWithinLimit(target: SteeredTarget, now: number): boolean {
     const heardVms = Math.max(1, this.#vmCount);
-    const allVms = Math.max(heardVms, this.#fleetSize);
-    return this.#limits.maySend(target.id, {
-      now,
-      part: { isOwner, heardVms, allVms, phase: this.#phaseAt(target) },
-    });
+    const part = {
+      isOwner: this.#owns(target),
+      heardVms,
+      allVms: Math.max(heardVms, this.#fleetSize),
+      phase: this.#phaseAt(target),
+    };
+    return this.#limits.maySend(target.id, { now, part });
+  }
+
+  #owns(target: SteeredTarget): boolean {
+    return this.#owners.of(target) === this.#options.vm;
   }
 
   #phaseAt({ hash }: SteeredTarget): number {
--- a/packages/placement/src/target_limits.ts
+++ b/packages/placement/src/target_limits.ts
@@ -22,6 +22,8 @@
 export interface NamedLimit {
   /** Requests a second that it takes from all VMs together; undefined where it has no limit any more. */
   readonly perSecond: number | undefined;
+  /** When it said so, in milliseconds of the monotonic clock. */
+  readonly at: number;
 }
 
 /** The part that a VM has in what a target takes. */
@@ -36,8 +38,10 @@
   readonly phase: number;
 }
 
+/** What a target said last. */
 interface Limit {
-  readonly perSecond: number;
+  perSecond: number | undefined;
+  namedAt: number;
   sentAt: number;
 }
 
@@ -60,27 +64,30 @@
 
   /** How many targets have a limit. */
   get size(): number {
-    return this.#limits.size;
+    return [...this.#limits.keys()].filter((target) => this.has(target)).length;
   }
 
-  /** Takes in what a target says; true if that is news. */
-  named(target: TargetId, { perSecond }: NamedLimit): boolean {
+  /** Takes in what a target says, or what it said as another VM tells; true if that is news. */
+  named(target: TargetId, { perSecond, at }: NamedLimit): boolean {
     const known = this.#limits.get(target);
-    if (known?.perSecond === perSecond) {
-      return false;
+    if (known === undefined) {
+      if (perSecond !== undefined) {
+        this.#limits.set(target, { perSecond, namedAt: at, sentAt: -Infinity });
+      }
+      return perSecond !== undefined;
     }
-    if (perSecond === undefined) {
-      this.#limits.delete(target);
-      return true;
+    if (at < known.namedAt) {
+      return false;
     }
-    const sentAt = known?.sentAt ?? -Infinity;
-    this.#limits.set(target, { perSecond, sentAt });
-    return true;
+    const isNews = known.perSecond !== perSecond;
+    known.namedAt = at;
+    known.perSecond = perSecond;
+    return isNews;
   }
 
   /** Whether the target has a limit. */
   has(target: TargetId): boolean {
-    return this.#limits.has(target);
+    return this.#limits.get(target)?.perSecond !== undefined;
   }
 
   /** Whether this VM may send one more request now. */
@@ -89,10 +96,10 @@
     { now, part }: { readonly now: number; readonly part: LimitPart },
   ): boolean {
     const limit = this.#limits.get(target);
-    if (limit === undefined) {
+    if (limit?.perSecond === undefined) {
       return true;
     }
-    const turnEveryMs = 1_000 / perSecondOf(limit, part);
+    const turnEveryMs = 1_000 / perSecondOf(limit.perSecond, part);
     const sinceTurnMs = (now / turnEveryMs + part.phase) % 1 * turnEveryMs;
     return sinceTurnMs < TURN_MS && now - limit.sentAt > sinceTurnMs;
   }
@@ -112,9 +119,11 @@
 }
 
 /** Requests a second that this VM may send. */
-function perSecondOf(limit: Limit, part: LimitPart): number {
-  const { isOwner, heardVms, allVms } = part;
+function perSecondOf(
+  limit: number,
+  { isOwner, heardVms, allVms }: LimitPart,
+): number {
   const ownerShare = isOwner ? OWNER_SHARE * heardVms : 0;
   const share = (ownerShare + ALIKE_SHARE) / allVms;
-  return Math.max(LEAST_PER_SECOND, limit.perSecond) * share;
+  return Math.max(LEAST_PER_SECOND, limit) * share;
 }
--- a/packages/placement/src/target_limits_test.ts
+++ b/packages/placement/src/target_limits_test.ts
@@ -10,6 +10,7 @@
 import type { PlacementRequest } from "./placement.ts";
 import { Steering } from "./steering.ts";
 import type { SteeredTarget } from "./target.ts";
+import { TargetLimits } from "./target_limits.ts";
 import { requestFor, targetIn, targetsIn } from "./testing.ts";
 
 const REGIONS = ["north", "south", "east"];
@@ -24,6 +25,8 @@
 /** Requests that wait are placed again after this long, in milliseconds. */
 const WAIT_MS = 50;
 const PATIENCE_MS = 1_000;
+/** Time until VMs hear of each other's limits, in milliseconds. */
+const NEWS_MS = 600;
 /** Objects of the requests. */
 const OBJECTS = 40;
 
@@ -44,13 +47,15 @@
   readonly isTold: boolean;
 }
 
-/** VMs that hear nothing of each other but who is up, and targets that answer at once. */
+/** VMs that send to targets with limits, and hear of each other who is up. */
 class Fleet {
   readonly vms: FleetVm[];
   readonly arrivals: Arrival[] = [];
   readonly limits = new Map<TargetId, number>();
   refused = 0;
   now = 0;
+  /** Time until all VMs hear what a target said to one of them; they don't if it is left out. */
+  newsMs: number | undefined;
   readonly #targets: readonly SteeredTarget[];
   readonly #random = randomFrom(7);
   #due: { at: number; run: () => void }[] = [];
@@ -192,7 +197,13 @@
     if (vm.steering === steering && perSecond !== undefined) {
       vm.toldAt.set(target, vm.toldAt.get(target) ?? now);
     }
-    steering.limitNamed(target, { perSecond });
+    const limit = { perSecond, at: now };
+    if (steering.limitNamed(target, limit) && this.newsMs !== undefined) {
+      this.#after(
+        this.newsMs,
+        () => this.vms.forEach((vm) => vm.steering.limitNamed(target, limit)),
+      );
+    }
   }
 
   #steering(vm: VmId, region: RegionId): Steering {
@@ -309,9 +320,44 @@
     const fleet = new Fleet(1, [LIMITED]);
     const { steering } = fleet.vms[0]!;
     for (const end of ["restarted", "removeTarget"] as const) {
-      steering.limitNamed(LIMITED.id, { perSecond: 1 });
+      steering.limitNamed(LIMITED.id, { perSecond: 1, at: 0 });
       steering[end](LIMITED.id);
       expect(steering.limitedTargets).toBe(0);
     }
   });
+
+  test("spares its target the first request of each of many VMs", () => {
+    const targets = REGIONS.flatMap((region) => targetsIn(region, 4));
+    const [limited] = targets;
+    const fleet = new Fleet(195, targets);
+    fleet.newsMs = NEWS_MS;
+    fleet.play(2_000, 150);
+    const before = fleet.rate(limited!.id, 0);
+    fleet.limits.set(limited!.id, 1);
+    fleet.play(8_000, 150);
+    expect(fleet.rate(limited!.id, 3_000)).toBeLessThan(before / 3);
+  });
+
+  test("ends on all VMs when one has learned of its end", () => {
+    const targets = REGIONS.flatMap((region) => targetsIn(region, 4));
+    const fleet = new Fleet(195, targets);
+    fleet.newsMs = NEWS_MS;
+    targets.forEach(({ id }) => fleet.limits.set(id, 2));
+    fleet.play(8_000, 150);
+    expect(fleet.refused).toBeGreaterThan(0);
+    fleet.limits.clear();
+    fleet.play(3_000, 150);
+    fleet.refused = 0;
+    fleet.play(5_000, 150);
+    expect(fleet.refused).toBe(0);
+  });
+
+  test("is the one that its target named last, in whatever order VMs tell it", () => {
+    const limits = new TargetLimits();
+    expect(limits.named(LIMITED.id, { perSecond: 2, at: 100 })).toBe(true);
+    expect(limits.named(LIMITED.id, { perSecond: undefined, at: 200 }))
+      .toBe(true);
+    expect(limits.named(LIMITED.id, { perSecond: 2, at: 150 })).toBe(false);
+    expect(limits.has(LIMITED.id)).toBe(false);
+  });
 });
