That a target says in an answer that it leaves is decoded and logged

The adapter decodes the header; the directory of targets notes it for this life of the target and logs it once. Nothing decides by it yet: the rule is broken as before.

--- a/packages/bench/src/fleet/emulated_connections.ts
+++ b/packages/bench/src/fleet/emulated_connections.ts
@@ -201,6 +201,7 @@
       isStamped: true,
       notRun: end.kind === "refused",
       isOtherTarget: false,
+      isLeaving: false,
       limitPerSecond: undefined,
       load: end.load,
     };
--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -13,11 +13,13 @@
 import type { EventLog } from "./events.ts";
 import type { LimitWord } from "./limit_news.ts";
 import type { TargetAnswer } from "./ports.ts";
+import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
 
 /** Who is told. */
 export interface AttemptReportServices {
   readonly steering: Steering;
+  readonly targets: TargetDirectory;
   readonly connections: ConnectionSource;
   readonly suspects: CrashSuspects;
   readonly log: EventLog;
@@ -109,6 +111,9 @@
         steering.unreachable(target, now);
       } else {
         tellLimit(services, target, end.answer);
+        if (end.answer.isLeaving) {
+          services.targets.saysLeaving(target);
+        }
       }
       return;
     }
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -228,6 +228,12 @@
     meaning: "A target gets nothing new.",
     fields: ["target", "service", "zone"],
   },
+  "target leaving by its answer": {
+    level: "info",
+    meaning:
+      "A target has said in an answer that it leaves, before the platform's list did.",
+    fields: ["target", "service", "zone"],
+  },
   "target restarted": {
     level: "info",
     meaning:
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -316,6 +316,7 @@
       isStamped: true,
       notRun: played.notRun ?? false,
       isOtherTarget: false,
+      isLeaving: false,
       limitPerSecond: undefined,
       load: undefined,
     };
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -172,6 +172,8 @@
   /** The address belongs to another target now. */
   readonly isOtherTarget: boolean;
   readonly load: LoadReport | undefined;
+  /** The target leaves: it serves what it has and must get nothing new. */
+  readonly isLeaving: boolean;
   /** Requests a second that the target takes from all VMs together; undefined where it names no limit. */
   readonly limitPerSecond: number | undefined;
 }
--- a/packages/daemon/src/gateway/target_directory.ts
+++ b/packages/daemon/src/gateway/target_directory.ts
@@ -35,7 +35,13 @@
 }
 
 /** What changed about a target. */
-export type TargetChange = "added" | "leaving" | "restarted" | "gone" | "back";
+export type TargetChange =
+  | "added"
+  | "leaving"
+  | "leaving by its answer"
+  | "restarted"
+  | "gone"
+  | "back";
 
 /** Keeps the steering's targets in step with the platform's list. */
 export class TargetDirectory {
@@ -43,6 +49,8 @@
   readonly #known = new Map<TargetId, AnnouncedTarget>();
   /** Targets whose entry is missing, and until when that may be a lapse. */
   readonly #missing = new Map<TargetId, number>();
+  /** Targets that said in an answer that they leave, with the start of the life in which they did. */
+  readonly #saidLeaving = new Map<TargetId, number | undefined>();
   #services: ReadonlyMap<ServiceId, Service> = new Map();
   #contactLost = false;
   #lapsesUntil = 0;
@@ -65,6 +73,22 @@
     return target && this.#services.get(target.service);
   }
 
+  /** A target says in an answer that it leaves. */
+  saysLeaving(id: TargetId): void {
+    const target = this.#known.get(id);
+    if (target === undefined || target.leaving || this.#isSaid(target)) {
+      return;
+    }
+    this.#saidLeaving.set(id, target.startedAt);
+    this.#options.onChange(target, "leaving by its answer");
+  }
+
+  /** Whether the target has said in this life that it leaves. */
+  #isSaid({ id, startedAt }: AnnouncedTarget): boolean {
+    return this.#saidLeaving.has(id) &&
+      this.#saidLeaving.get(id) === startedAt;
+  }
+
   /** A configuration came into force. */
   setServices(services: ReadonlyMap<ServiceId, Service>): void {
     this.#services = services;
@@ -147,6 +171,7 @@
     } else if (
       known.startedAt !== target.startedAt || known.address !== target.address
     ) {
+      this.#saidLeaving.delete(target.id);
       steering.restarted(target.id);
       steering.markCold(target.id, now + this.#coldMs(target));
       onGone(target.id);
