A target that says in an answer that it leaves gets nothing new

What callers and targets saw: while the store was away (7.0 to 20.6 s), VMs sent a target requests 2,508 and 2,650 ms after its answers had told them that it leaves; 2,500 ms are allowed. Callers were served.

Cause: only the store's list made a target leave; what its answers say was not read. Class: as with limits, a fact that answers carry, in a design that learns of targets from the list. Ruled out: a list that undoes it (no VM regained contact in between), and a request that waited (sent on within 5 ms).

The directory of targets now holds what a target said for that life of it, beside the list: the list may have it as ready for as long as it likes, an entry that lapses and comes back included. Its start anew ends that.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -231,7 +231,7 @@
   "target leaving by its answer": {
     level: "info",
     meaning:
-      "A target has said in an answer that it leaves, before the platform's list did.",
+      "A target has said in an answer that it leaves, before the platform's list did: it gets nothing new.",
     fields: ["target", "service", "zone"],
   },
   "target restarted": {
--- a/packages/daemon/src/gateway/target_directory.ts
+++ b/packages/daemon/src/gateway/target_directory.ts
@@ -18,6 +18,9 @@
  */
 const LAPSED_BACK_MS = 2_000;
 
+/** Targets that said that they leave and are remembered when they are gone: an entry that lapsed may come back. */
+const MOST_SAID_LEAVING = 1_000;
+
 /** How long a target is cold where its service says nothing, in milliseconds. */
 const COLD_DEFAULT_MS = 3_000;
 /** Requests a second for a cold target whose service says nothing. */
@@ -73,13 +76,18 @@
     return target && this.#services.get(target.service);
   }
 
-  /** A target says in an answer that it leaves. */
+  /** A target says in an answer that it leaves; the list tells so later, or not at all while the store is away. */
   saysLeaving(id: TargetId): void {
     const target = this.#known.get(id);
     if (target === undefined || target.leaving || this.#isSaid(target)) {
       return;
     }
     this.#saidLeaving.set(id, target.startedAt);
+    if (this.#saidLeaving.size > MOST_SAID_LEAVING) {
+      const [oldest] = this.#saidLeaving.keys();
+      this.#saidLeaving.delete(oldest!);
+    }
+    this.#steer(target);
     this.#options.onChange(target, "leaving by its answer");
   }
 
@@ -198,7 +206,8 @@
   }
 
   #steer(target: AnnouncedTarget): void {
-    const { id, service, zone, slots, leaving } = target;
+    const { id, service, zone, slots } = target;
+    const leaving = target.leaving || this.#isSaid(target);
     const region = this.#options.zones.get(zone);
     if (region === undefined) {
       // A zone that the settings do not name is in no region that a route may allow.
