--- a/packages/bench/src/fleet/emulated_connections.ts
+++ b/packages/bench/src/fleet/emulated_connections.ts
@@ -202,6 +202,7 @@
       notRun: end.kind === "refused",
       isOtherTarget: false,
       isLeaving: false,
+      restMs: 0,
       limitPerSecond: undefined,
       load: end.load,
     };
--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -114,6 +114,12 @@
         if (end.answer.isLeaving) {
           services.targets.saysLeaving(target);
         }
+        if (end.answer.restMs > 0) {
+          services.log.write("target asks for rest", {
+            target,
+            restMs: Math.round(end.answer.restMs),
+          });
+        }
       }
       return;
     }
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -73,6 +73,11 @@
     type: "number",
     meaning: "requests that waited at the target when it answered",
   },
+  restMs: {
+    type: "number",
+    meaning:
+      "for how long a target wants nothing from this VM, in milliseconds",
+  },
   perSecond: {
     type: "number",
     meaning: "requests a second that a target takes from all VMs together",
@@ -262,6 +267,12 @@
     meaning: "A probe found a target healthy that was out.",
     fields: ["target"],
   },
+  "target asks for rest": {
+    level: "warn",
+    meaning:
+      "A target has turned a request away and wants nothing from this VM for a while.",
+    fields: ["target", "restMs"],
+  },
   "target limited": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -317,6 +317,7 @@
       notRun: played.notRun ?? false,
       isOtherTarget: false,
       isLeaving: false,
+      restMs: 0,
       limitPerSecond: undefined,
       load: undefined,
     };
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -174,6 +174,8 @@
   readonly load: LoadReport | undefined;
   /** The target leaves: it serves what it has and must get nothing new. */
   readonly isLeaving: boolean;
+  /** How long the target, which turned the request away, wants nothing from this VM, in milliseconds; 0 where it asks for no rest. */
+  readonly restMs: number;
   /** Requests a second that the target takes from all VMs together; undefined where it names no limit. */
   readonly limitPerSecond: number | undefined;
 }
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -29,6 +29,8 @@
   /** Lines that were not written. */
   readonly lines?: number;
   readonly targets?: number;
+  /** For how long a target wants nothing from this VM, in milliseconds. */
+  readonly restMs?: number;
   /** Requests a second that a target takes from all VMs together. */
   readonly perSecond?: number;
   /** How a fact was learned. */
