A target that asks for rest gets nothing from that VM until it is over

What callers and targets saw: two targets turned requests away with a 503 and asked each VM for 3 s of rest; they went on getting requests from the same VMs every few hundred milliseconds (4 and 3 in that time, two are allowed).

Cause: the wish was not read. A refusal counted as a failure, whose price a warm home outweighs, and all the more where the others are full. Ruled out: a rest kept too short (the refused attempts have no pause at all), and other VMs' requests (single VMs exceed it).

The belief in a target now holds until when it rests; it is not used until then, nor probed, and a life anew ends it. Where all targets of a service rest, requests are refused at once and their callers told when the first rest ends, instead of half a second.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -115,10 +115,7 @@
           services.targets.saysLeaving(target);
         }
         if (end.answer.restMs > 0) {
-          services.log.write("target asks for rest", {
-            target,
-            restMs: Math.round(end.answer.restMs),
-          });
+          tellRest(services, target, { now, restMs: end.answer.restMs });
         }
       }
       return;
@@ -150,3 +147,12 @@
     services.limitNamed({ target, perSecond, at: performance.now() });
   }
 }
+
+function tellRest(
+  { steering, log }: AttemptReportServices,
+  target: TargetId,
+  { now, restMs }: { readonly now: number; readonly restMs: number },
+): void {
+  steering.rests(target, now + restMs);
+  log.write("target asks for rest", { target, restMs: Math.round(restMs) });
+}
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -177,10 +177,11 @@
     this.#limits.forget(id);
   }
 
-  /** The target has started anew: it keeps nothing warm and has named no limit. */
+  /** The target has started anew: it keeps nothing warm, has named no limit and asked for no rest. */
   restarted(id: TargetId): void {
     this.#warm.forget(id);
     this.#limits.forget(id);
+    this.#index.get(id)?.belief.restarted();
   }
 
   /** Targets that have a limit. */
@@ -235,9 +236,9 @@
     { now, ahead }: { now: number; ahead: number },
   ): PlacementDecision {
     const serviceMs = this.#times.mean(request.service);
-    const first = this.#usable(request, this.#weighsFirst);
+    const first = this.#usable(request, now, this.#weighsFirst);
     if (first.length === 0) {
-      return refuse("no-target", RETRY_AFTER_NO_TARGET_MS);
+      return refuse("no-target", this.#usableInMs(request, now));
     }
     const choice = this.#choose(first, request, now);
     const left = request.answerBy - now;
@@ -315,6 +316,11 @@
     return this.#index.get(id) !== undefined && this.#limits.named(id, limit);
   }
 
+  /** The target has turned a request away and wants nothing from this VM until then. */
+  rests(id: TargetId, until: number): void {
+    this.#index.get(id)?.belief.rest(until);
+  }
+
   /** No connection to the target came about. */
   unreachable(id: TargetId, now: number): void {
     const entry = this.#index.get(id);
@@ -400,14 +406,31 @@
     }
   }
 
-  #isUsable({ target, belief }: Entry, request: PlacementRequest): boolean {
+  #isUsable(entry: Entry, request: PlacementRequest, now: number): boolean {
+    return this.#isInUse(entry, request) &&
+      entry.belief.restMs(now) === 0 &&
+      !request.tried.has(entry.target.id);
+  }
+
+  /** Whether it may be used, but for the requests that it had already and its rest. */
+  #isInUse({ target, belief }: Entry, request: PlacementRequest): boolean {
     return !target.leaving &&
       belief.standing === "in-use" &&
       !this.#evacuated.has(target.zone) &&
-      !request.tried.has(target.id) &&
       (request.regions.length === 0 || request.regions.includes(target.region));
   }
 
+  /** When its caller had better come again, in milliseconds: where all targets rest, at the end of the first rest. */
+  #usableInMs(request: PlacementRequest, now: number): number {
+    const rests = this.#index.ofService(request.service)
+      .filter((entry) => this.#isInUse(entry, request))
+      .map(({ belief }) => belief.restMs(now));
+    const soonest = Math.min(...rests);
+    return soonest > 0 && Number.isFinite(soonest)
+      ? soonest
+      : RETRY_AFTER_NO_TARGET_MS;
+  }
+
   /** Whether this VM may send to it, as far as it is cold or has a limit. */
   #takes({ target }: Entry, now: number): boolean {
     return this.#takesWhileCold(target, now) &&
@@ -446,15 +469,19 @@
   }
 
   /** The first `most` targets that a request may use, in the agreed order of its object. */
-  #usable(request: PlacementRequest, most: number): readonly Entry[] {
+  #usable(
+    request: PlacementRequest,
+    now: number,
+    most: number,
+  ): readonly Entry[] {
     const { service, object } = request;
     if (object === undefined) {
       return this.#index.ofService(service)
-        .filter((entry) => this.#isUsable(entry, request));
+        .filter((entry) => this.#isUsable(entry, request, now));
     }
     const usable: Entry[] = [];
     for (const entry of this.#index.inOrder(service, object)) {
-      if (this.#isUsable(entry, request) && usable.push(entry) >= most) {
+      if (this.#isUsable(entry, request, now) && usable.push(entry) >= most) {
         break;
       }
     }
@@ -487,7 +514,7 @@
     if (near && near.cost <= leastCostBehind(basis)) {
       return near;
     }
-    const all = this.#usable(request, Infinity);
+    const all = this.#usable(request, now, Infinity);
     return this.#cheapest(this.#inOrder(all, request), request, now);
   }
 
@@ -515,7 +542,7 @@
     for (const id of this.#warm.targetsOf(object, now)) {
       const entry = this.#index.get(id);
       const isBehind = entry?.target.service === service && !near.has(entry);
-      if (isBehind && this.#isUsable(entry, request)) {
+      if (isBehind && this.#isUsable(entry, request, now)) {
         warm.push(entry);
       }
     }
--- a/packages/placement/src/target_belief.ts
+++ b/packages/placement/src/target_belief.ts
@@ -56,6 +56,7 @@
   #probePauseMs = PROBE_FIRST_MS;
   #failures = 0;
   #failuresAt = 0;
+  #restsUntil = -Infinity;
 
   get standing(): Standing {
     return this.#standing;
@@ -121,9 +122,26 @@
     return true;
   }
 
+  /** It wants nothing from this VM until then. */
+  rest(until: number): void {
+    this.#restsUntil = Math.max(this.#restsUntil, until);
+  }
+
+  /** How long it still wants nothing from this VM, in milliseconds; 0 where it takes requests. */
+  restMs(now: number): number {
+    return Math.max(0, this.#restsUntil - now);
+  }
+
+  /** It lives anew. */
+  restarted(): void {
+    this.#restsUntil = -Infinity;
+  }
+
   /** Whether a probe is due; if so, the next one is planned. */
   probeDue(now: number): boolean {
-    if (this.#standing === "in-use" || now < this.#probeAt) {
+    const isDue = this.#standing !== "in-use" && now >= this.#probeAt &&
+      this.restMs(now) === 0;
+    if (!isDue) {
       return false;
     }
     this.#probeAt = now + this.#probePauseMs;
