--- a/packages/bench/src/fleet/emulated_connections.ts
+++ b/packages/bench/src/fleet/emulated_connections.ts
@@ -201,6 +201,8 @@
       isStamped: true,
       notRun: end.kind === "refused",
       isOtherTarget: false,
+      isLeaving: false,
+      restMs: 0,
       limitPerSecond: undefined,
       load: end.load,
     };
--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -13,11 +13,13 @@
 import type { EventLog } from "./events.ts";
 import type { LimitWord } from "./limit_news.ts";
 import type { TargetAnswer } from "./ports.ts";
+import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetAttempt, TargetAttemptEnd } from "./target_attempt.ts";
 
 /** Who is told. */
 export interface AttemptReportServices {
   readonly steering: Steering;
+  readonly targets: TargetDirectory;
   readonly connections: ConnectionSource;
   readonly suspects: CrashSuspects;
   readonly log: EventLog;
@@ -109,6 +111,12 @@
         steering.unreachable(target, now);
       } else {
         tellLimit(services, target, end.answer);
+        if (end.answer.isLeaving) {
+          services.targets.saysLeaving(target);
+        }
+        if (end.answer.restMs > 0) {
+          tellRest(services, target, { now, restMs: end.answer.restMs });
+        }
       }
       return;
     }
@@ -139,3 +147,12 @@
     services.limitNamed({ target, perSecond, at: performance.now() });
   }
 }
+
+function tellRest(
+  { steering, log }: AttemptReportServices,
+  target: TargetId,
+  { now, restMs }: { readonly now: number; readonly restMs: number },
+): void {
+  steering.rests(target, now + restMs);
+  log.write("target asks for rest", { target, restMs: Math.round(restMs) });
+}
--- a/packages/daemon/src/gateway/exchange_world.ts
+++ b/packages/daemon/src/gateway/exchange_world.ts
@@ -316,6 +316,8 @@
       isStamped: true,
       notRun: played.notRun ?? false,
       isOtherTarget: false,
+      isLeaving: false,
+      restMs: 0,
       limitPerSecond: undefined,
       load: undefined,
     };
--- a/packages/daemon/src/gateway/target_directory.ts
+++ b/packages/daemon/src/gateway/target_directory.ts
@@ -18,6 +18,9 @@
  */
 const LAPSED_BACK_MS = 2_000;
 
+/** Targets that said that they leave and are remembered when they are gone: an entry that lapsed may come back. */
+const MOST_SAID_LEAVING = 1_000;
+
 /** How long a target is cold where its service says nothing, in milliseconds. */
 const COLD_DEFAULT_MS = 3_000;
 /** Requests a second for a cold target whose service says nothing. */
@@ -35,7 +38,13 @@
 }
 
 /** What changed about a target. */
-export type TargetChange = "added" | "leaving" | "restarted" | "gone" | "back";
+export type TargetChange =
+  | "added"
+  | "leaving"
+  | "leaving by its answer"
+  | "restarted"
+  | "gone"
+  | "back";
 
 /** Keeps the steering's targets in step with the platform's list. */
 export class TargetDirectory {
@@ -43,6 +52,8 @@
   readonly #known = new Map<TargetId, AnnouncedTarget>();
   /** Targets whose entry is missing, and until when that may be a lapse. */
   readonly #missing = new Map<TargetId, number>();
+  /** Targets that said in an answer that they leave, with the start of the life in which they did. */
+  readonly #saidLeaving = new Map<TargetId, number | undefined>();
   #services: ReadonlyMap<ServiceId, Service> = new Map();
   #contactLost = false;
   #lapsesUntil = 0;
@@ -65,6 +76,27 @@
     return target && this.#services.get(target.service);
   }
 
+  /** A target says in an answer that it leaves; the list tells so later, or not at all while the store is away. */
+  saysLeaving(id: TargetId): void {
+    const target = this.#known.get(id);
+    if (target === undefined || target.leaving || this.#isSaid(target)) {
+      return;
+    }
+    this.#saidLeaving.set(id, target.startedAt);
+    if (this.#saidLeaving.size > MOST_SAID_LEAVING) {
+      const [oldest] = this.#saidLeaving.keys();
+      this.#saidLeaving.delete(oldest!);
+    }
+    this.#steer(target);
+    this.#options.onChange(target, "leaving by its answer");
+  }
+
+  /** Whether the target has said in this life that it leaves. */
+  #isSaid({ id, startedAt }: AnnouncedTarget): boolean {
+    return this.#saidLeaving.has(id) &&
+      this.#saidLeaving.get(id) === startedAt;
+  }
+
   /** A configuration came into force. */
   setServices(services: ReadonlyMap<ServiceId, Service>): void {
     this.#services = services;
@@ -147,6 +179,7 @@
     } else if (
       known.startedAt !== target.startedAt || known.address !== target.address
     ) {
+      this.#saidLeaving.delete(target.id);
       steering.restarted(target.id);
       steering.markCold(target.id, now + this.#coldMs(target));
       onGone(target.id);
@@ -173,7 +206,8 @@
   }
 
   #steer(target: AnnouncedTarget): void {
-    const { id, service, zone, slots, leaving } = target;
+    const { id, service, zone, slots } = target;
+    const leaving = target.leaving || this.#isSaid(target);
     const region = this.#options.zones.get(zone);
     if (region === undefined) {
       // A zone that the settings do not name is in no region that a route may allow.
