Owners on both sides of a cut stay below a cold target's rate together

What would be seen: VMs that are cut off from each other all take themselves for the owner of a cold target, each at 0.7 of what it bears: 36 requests in a second from nine VMs, 277 from 195, where 12.5 are allowed, and the target crashes again.

An owner that hears more than half of the VMs that share the rates sends as before. One that hears less uses as much of its rate as it hears of them, in the turns that limits have, so that a majority and all others together stay below 1.05 of the rate. The same share now holds for limits: an owner that hears two thirds of the VMs keeps its part of a limit whole.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -70,7 +70,7 @@
     becomes: "failingMs: 0,",
   },
   "cold-owners": {
-    file: `${PLACEMENT}/steering.ts`,
+    file: `${PLACEMENT}/target_rates.ts`,
     text: "return !this.#cold.isCold(target.id, now) ||",
     becomes: "return true ||",
   },
--- a/packages/placement/src/cold_targets.ts
+++ b/packages/placement/src/cold_targets.ts
@@ -12,6 +12,7 @@
  */
 
 import type { TargetId } from "@poplarthread/ids";
+import { hasTurn } from "./turns.ts";
 
 /**
  * Share of the tolerated rate that the owner uses. Two owners at once, as after
@@ -20,10 +21,20 @@
  */
 const OWNER_SHARE = 0.7;
 
+/** The part that an owner has in what a cold target bears. */
+export interface ColdPart {
+  /** The rate that the target tolerates. */
+  readonly perSecond: number;
+  /** How much of an owner's rate it uses, 0 to 1. */
+  readonly share: number;
+  /** See {@link Turns}. */
+  readonly phase: number;
+}
+
 /** When a target stops being cold, and when its owner sent to it. */
 export class ColdTargets {
   readonly #until = new Map<TargetId, number>();
-  readonly #nextAt = new Map<TargetId, number>();
+  readonly #sentAt = new Map<TargetId, number>();
 
   /** A target is cold until `until`, in milliseconds of the monotonic clock. */
   mark(target: TargetId, until: number): void {
@@ -40,23 +51,27 @@
       return true;
     }
     this.#until.delete(target);
-    this.#nextAt.delete(target);
+    this.#sentAt.delete(target);
     return false;
   }
 
-  /** Whether the owner may send one more request now. */
-  maySend(target: TargetId, now: number): boolean {
-    return now >= (this.#nextAt.get(target) ?? 0);
+  /** Whether an owner may send one more request now. */
+  maySend(target: TargetId, now: number, part: ColdPart): boolean {
+    const sentAt = this.#sentAt.get(target) ?? -Infinity;
+    const perSecond = part.perSecond * OWNER_SHARE * part.share;
+    return part.share === 1
+      ? now - sentAt >= 1_000 / perSecond
+      : hasTurn({ perSecond, phase: part.phase }, { now, sentAt });
   }
 
-  /** The owner sends one. `perSecond` is the rate that the target tolerates. */
-  sent(target: TargetId, now: number, perSecond: number): void {
-    this.#nextAt.set(target, now + 1_000 / (perSecond * OWNER_SHARE));
+  /** The owner sends one. */
+  sent(target: TargetId, now: number): void {
+    this.#sentAt.set(target, now);
   }
 
   /** The target is gone. */
   forget(target: TargetId): void {
     this.#until.delete(target);
-    this.#nextAt.delete(target);
+    this.#sentAt.delete(target);
   }
 }
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -17,6 +17,8 @@
 
 const TARGET = "t" as TargetId;
 const COLD_PER_SECOND = 5;
+/** An owner that hears most VMs. */
+const WHOLE = { perSecond: COLD_PER_SECOND, share: 1, phase: 0 };
 /** Above this many requests in a second, cold targets crash. */
 const COLD_MOST = COLD_PER_SECOND * 1.5 + 5;
 
@@ -29,8 +31,8 @@
     const sentAt: number[] = [];
     for (let now = 0; now < 3_000; now += 1) {
       for (const owner of owners) {
-        if (owner.maySend(TARGET, now)) {
-          owner.sent(TARGET, now, COLD_PER_SECOND);
+        if (owner.maySend(TARGET, now, WHOLE)) {
+          owner.sent(TARGET, now);
           sentAt.push(now);
         }
       }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -18,10 +18,8 @@
   MOST_POSITION,
   type PlacementWeights,
 } from "./choose.ts";
-import { ColdTargets } from "./cold_targets.ts";
 import { DrainRate } from "./drain_rate.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
-import { hashText, pairWeight } from "./hash.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
@@ -35,9 +33,10 @@
 import type { Place, SteeredTarget } from "./target.ts";
 import { TargetBelief } from "./target_belief.ts";
 import { TargetIndex } from "./target_index.ts";
-import { type NamedLimit, TargetLimits } from "./target_limits.ts";
+import type { NamedLimit } from "./target_limits.ts";
 import { TargetLoad } from "./target_load.ts";
-import { type TargetOwner, TargetOwners } from "./target_owners.ts";
+import type { TargetOwner } from "./target_owners.ts";
+import { TargetRates } from "./target_rates.ts";
 import { type HashedPair, WarmObjects } from "./warm_objects.ts";
 
 /** What a VM steers by besides its targets. */
@@ -95,7 +94,6 @@
 export class Steering {
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
-  readonly #hash: number;
   readonly #weights: PlacementWeights;
   readonly #weighsFirst: number;
   readonly #index: TargetIndex<Entry>;
@@ -105,21 +103,17 @@
   readonly #awaited = new Set<Entry>();
   /** Targets that may be out, to be probed. */
   readonly #out = new Set<Entry>();
-  readonly #cold = new ColdTargets();
-  readonly #owners = new TargetOwners();
-  readonly #limits = new TargetLimits();
+  readonly #rates: TargetRates;
   readonly #warm = new WarmObjects();
   readonly #times = new ServiceTimes();
   readonly #kinds = new KindTimes();
-  readonly #rates = new Map<ServiceId, DrainRate>();
+  readonly #drains = new Map<ServiceId, DrainRate>();
   readonly #budgets = new Map<ServiceId, FleetRetryBudget>();
-  #vmCount = 0;
-  #fleetSize = 1;
   #evacuated: ReadonlySet<string> = new Set();
 
   constructor(options: SteeringOptions) {
     this.#options = options;
-    this.#hash = hashText(options.vm);
+    this.#rates = new TargetRates(options.vm);
     this.#weights = options.weights ?? DEFAULT_WEIGHTS;
     this.#weighsFirst = options.weighsFirst ?? WEIGHS_FIRST;
     this.#index = new TargetIndex(options.place);
@@ -128,14 +122,13 @@
 
   /** The VMs that take part, this one among them. */
   setVms(vms: readonly TargetOwner[]): void {
-    this.#vmCount = vms.length;
-    this.#owners.setVms(vms);
+    this.#rates.setVms(vms);
     this.#index.setVms(vms);
   }
 
   /** Number of VMs that share the limits of all VMs together; more than those that take part, while some may be behind a cut. */
   setFleetSize(vms: number): void {
-    this.#fleetSize = vms;
+    this.#rates.setFleetSize(vms);
   }
 
   /** Zones whose targets get nothing. */
@@ -149,7 +142,7 @@
     const entry = this.#index.get(target.id);
     if (entry !== undefined) {
       if (entry.target.region !== target.region) {
-        this.#owners.forget(target.id);
+        this.#rates.moved(target.id);
       }
       this.#index.update(entry, target);
       return;
@@ -171,27 +164,25 @@
       this.#out.delete(entry);
     }
     this.#index.delete(id);
-    this.#cold.forget(id);
-    this.#owners.forget(id);
+    this.#rates.forget(id);
     this.#warm.forget(id);
-    this.#limits.forget(id);
   }
 
   /** The target has started anew: it keeps nothing warm, has named no limit and asked for no rest. */
   restarted(id: TargetId): void {
     this.#warm.forget(id);
-    this.#limits.forget(id);
+    this.#rates.restarted(id);
     this.#index.get(id)?.belief.restarted();
   }
 
   /** Targets that have a limit. */
   get limitedTargets(): number {
-    return this.#limits.size;
+    return this.#rates.limited;
   }
 
   /** The target is cold until `until`. */
   markCold(id: TargetId, until: number): void {
-    this.#cold.mark(id, until);
+    this.#rates.markCold(id, until);
   }
 
   /** Another VM tells that a target is warm for an object. */
@@ -219,15 +210,12 @@
   /** A caller's request for `service` came. */
   arrived(service: ServiceId, priority: number, now: number): void {
     this.#budget(service).arrived(now);
-    this.#rate(service).arrived(priority, now);
+    this.#drain(service).arrived(priority, now);
   }
 
   /** Whether a request may be sent once more; if so, that is counted. */
   spendRetry(service: ServiceId, now: number): boolean {
-    return this.#budget(service).spend(
-      now,
-      Math.max(this.#fleetSize, this.#vmCount),
-    );
+    return this.#budget(service).spend(now, this.#rates.allVms);
   }
 
   /** Decides what happens to a request now. `ahead` requests wait before it. */
@@ -252,7 +240,7 @@
           ...choice,
         };
     }
-    const waitMs = this.#rate(request.service)
+    const waitMs = this.#drain(request.service)
       .waitMs(request.priority, { now, ahead });
     const waitsUntil = now + waitMs;
     const mostWaitMs = (request.answerBy - request.arrivedAt) * MOST_WAIT_SHARE;
@@ -268,11 +256,8 @@
       return;
     }
     entry.load.sent();
-    this.#rate(entry.target.service).sent(now);
-    if (this.#cold.isCold(id, now)) {
-      this.#cold.sent(id, now, entry.target.coldPerSecond);
-    }
-    this.#limits.sent(id, now);
+    this.#drain(entry.target.service).sent(now);
+    this.#rates.sent(id, now);
   }
 
   /** The request was written to the target's connection. */
@@ -313,7 +298,8 @@
 
   /** A target says whether it has a limit, in an answer or to another VM; true if that is news. */
   limitNamed(id: TargetId, limit: NamedLimit): boolean {
-    return this.#index.get(id) !== undefined && this.#limits.named(id, limit);
+    return this.#index.get(id) !== undefined &&
+      this.#rates.limitNamed(id, limit);
   }
 
   /** The target has turned a request away and wants nothing from this VM until then. */
@@ -337,7 +323,7 @@
   ): void {
     const entry = this.#index.get(id);
     if (coldMs > 0) {
-      this.#cold.mark(id, now + coldMs);
+      this.#rates.markCold(id, now + coldMs);
     }
     entry?.belief.probeAnswered(now);
   }
@@ -431,36 +417,6 @@
       : RETRY_AFTER_NO_TARGET_MS;
   }
 
-  /** Whether this VM may send to it, as far as it is cold or has a limit. */
-  #takes({ target }: Entry, now: number): boolean {
-    return this.#takesWhileCold(target, now) &&
-      (!this.#limits.has(target.id) || this.#takesWithinLimit(target, now));
-  }
-
-  #takesWhileCold(target: SteeredTarget, now: number): boolean {
-    return !this.#cold.isCold(target.id, now) ||
-      (this.#owns(target) && this.#cold.maySend(target.id, now));
-  }
-
-  #takesWithinLimit(target: SteeredTarget, now: number): boolean {
-    const heardVms = Math.max(1, this.#vmCount);
-    const part = {
-      isOwner: this.#owns(target),
-      heardVms,
-      allVms: Math.max(heardVms, this.#fleetSize),
-      phase: this.#phaseAt(target),
-    };
-    return this.#limits.maySend(target.id, { now, part });
-  }
-
-  #owns(target: SteeredTarget): boolean {
-    return this.#owners.of(target) === this.#options.vm;
-  }
-
-  #phaseAt({ hash }: SteeredTarget): number {
-    return pairWeight(hash, this.#hash) / 2 ** 32;
-  }
-
   #hasRoom({ target, load }: Entry, now: number): boolean {
     const most = target.slots + Math.round(target.slots * QUEUE_PER_SLOT);
     // What a report says of other VMs fades to fractions of a request: less than
@@ -559,7 +515,7 @@
     const candidates: Candidate[] = [];
     for (const { entry, position } of positioned) {
       const { target, load, belief } = entry;
-      if (!this.#takes(entry, now)) {
+      if (!this.#rates.takes(target, now)) {
         continue;
       }
       candidates.push({
@@ -605,13 +561,13 @@
     return budget;
   }
 
-  #rate(service: ServiceId): DrainRate {
-    let rate = this.#rates.get(service);
-    if (rate === undefined) {
-      rate = new DrainRate();
-      this.#rates.set(service, rate);
+  #drain(service: ServiceId): DrainRate {
+    let drain = this.#drains.get(service);
+    if (drain === undefined) {
+      drain = new DrainRate();
+      this.#drains.set(service, drain);
     }
-    return rate;
+    return drain;
   }
 }
 
--- a/packages/placement/src/target_limits.ts
+++ b/packages/placement/src/target_limits.ts
@@ -7,16 +7,11 @@
  * a further part is divided evenly among all VMs, so that they also notice the end of a
  * limit whose owner has no requests for the target.
  *
- * VMs that are cut off from each other take themselves for owners. Each of them uses
- * as much of the limit as it hears of all VMs, so that their sum stays below it.
- *
- * Each VM sends one request in each of its turns, which come at even times. A turn
- * that is not used is lost: kept, those of all VMs could be used at once.
- *
  * @module
  */
 
 import type { TargetId } from "@poplarthread/ids";
+import { hasTurn } from "./turns.ts";
 
 /** What a target says of its limit. */
 export interface NamedLimit {
@@ -28,13 +23,11 @@
 
 /** The part that a VM has in what a target takes. */
 export interface LimitPart {
-  /** It owns the target. */
-  readonly isOwner: boolean;
-  /** VMs that are heard, this one among them. */
-  readonly heardVms: number;
+  /** How much of the owner's part it has, 0 to 1. */
+  readonly ownerShare: number;
   /** VMs that share the limit, heard or not. */
   readonly allVms: number;
-  /** Where this VM's turns lie in the time from one to the next, 0 up to 1: another place for each VM. */
+  /** See {@link Turns}. */
   readonly phase: number;
 }
 
@@ -53,8 +46,6 @@
 const OWNER_SHARE = 0.5;
 /** Part that all VMs use alike. With it alone, little of a single limited target would be used, since most VMs have few requests for it. */
 const ALIKE_SHARE = 0.4;
-/** Length of a turn at the most, in milliseconds. */
-const TURN_MS = 1_000;
 /** A target that takes nothing gets this many requests a second, or nobody would learn that it takes some again. */
 const LEAST_PER_SECOND = 0.05;
 
@@ -91,17 +82,16 @@
   }
 
   /** Whether this VM may send one more request now. */
-  maySend(
-    target: TargetId,
-    { now, part }: { readonly now: number; readonly part: LimitPart },
-  ): boolean {
+  maySend(target: TargetId, now: number, part: LimitPart): boolean {
     const limit = this.#limits.get(target);
     if (limit?.perSecond === undefined) {
       return true;
     }
-    const turnEveryMs = 1_000 / perSecondOf(limit.perSecond, part);
-    const sinceTurnMs = (now / turnEveryMs + part.phase) % 1 * turnEveryMs;
-    return sinceTurnMs < TURN_MS && now - limit.sentAt > sinceTurnMs;
+    const perSecond = perSecondOf(limit.perSecond, part);
+    return hasTurn({ perSecond, phase: part.phase }, {
+      now,
+      sentAt: limit.sentAt,
+    });
   }
 
   /** A request is sent. */
@@ -119,11 +109,7 @@
 }
 
 /** Requests a second that this VM may send. */
-function perSecondOf(
-  limit: number,
-  { isOwner, heardVms, allVms }: LimitPart,
-): number {
-  const ownerShare = isOwner ? OWNER_SHARE * heardVms : 0;
-  const share = (ownerShare + ALIKE_SHARE) / allVms;
+function perSecondOf(limit: number, { ownerShare, allVms }: LimitPart): number {
+  const share = OWNER_SHARE * ownerShare + ALIKE_SHARE / allVms;
   return Math.max(LEAST_PER_SECOND, limit) * share;
 }
