--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -14,9 +14,9 @@
  */
 
 import { createSocket, type Socket } from "node:dgram";
-import type { VmId } from "@poplarthread/ids";
 import type { HashedPair } from "@poplarthread/placement";
 import { Task } from "../task.ts";
+import { CrashNews } from "./crash_news.ts";
 import type { SuspectedCrash } from "./crash_suspects.ts";
 import {
   decodeLimits,
@@ -24,7 +24,16 @@
   LimitNews,
   type LimitWord,
 } from "./limit_news.ts";
-import type { Member, WatchedSubject } from "./ports.ts";
+import {
+  encode,
+  hasCommonWord,
+  type Heartbeat,
+  isHeartbeat,
+  isWarmWord,
+  isZoneReport,
+  type ZoneReport,
+} from "./peer_words.ts";
+import type { Member } from "./ports.ts";
 import type { ListenAddress } from "./settings.ts";
 import type { VmSighting } from "./vm_directory.ts";
 import { decodePairs, encodePairs, WarmNews } from "./warm_news.ts";
@@ -33,10 +42,6 @@
 const HEARTBEAT_MS = 1_000;
 /** VMs of other regions are told at each so many heartbeats. */
 const HEARTBEATS_BETWEEN_REGIONS = 2;
-/** Crashes that one datagram tells of; it stays below 1,400 bytes. */
-const MOST_CRASHES = 8;
-/** How long a crash is told of, in milliseconds: some heartbeats, as single ones are lost. */
-const CRASH_NEWS_MS = 5_000;
 /** The same for one that names VMs besides. */
 const MOST_CRASHES_REPORTED = 4;
 /**
@@ -61,27 +66,6 @@
 /** VMs that one report names; each takes some 35 bytes. */
 const MOST_SIGHTINGS = 25;
 
-/** What each datagram says besides. */
-interface CommonWord {
-  /** The newest version that the sender has seen of each subject of the platform. */
-  readonly seen: Readonly<Record<WatchedSubject, number>>;
-  readonly crashes: readonly SuspectedCrash[];
-}
-
-/** What a VM says of itself. */
-export interface Heartbeat extends CommonWord {
-  readonly member: Member;
-  readonly isLeaving: boolean;
-}
-
-/** What a VM says of the VMs of its zone. */
-export interface ZoneReport extends CommonWord {
-  /** Time since each VM that is up gave word of itself, in milliseconds. */
-  readonly ages: Readonly<Record<VmId, number>>;
-  /** Those of them that leave. */
-  readonly leaving: readonly VmId[];
-}
-
 /** Pairs that a VM that has just started is told by each VM that reports, those used last: 8 datagrams. */
 const MOST_GREETED = 800;
 
@@ -146,9 +130,9 @@
   readonly #options: PeerBeaconOptions;
   #socket: Socket | undefined;
   /** What this VM saw. */
-  #own = new CrashList();
+  #own = new CrashNews();
   /** What others of the zone saw. It goes to other zones only: told again within the zone, it would go round for ever. */
-  #passedOn = new CrashList();
+  #passedOn = new CrashNews();
   readonly #warmNear = new WarmNews();
   readonly #warmFar = new WarmNews();
   /** Heartbeats until VMs of other regions are told again. */
@@ -424,66 +408,6 @@
   }
 }
 
-/**
- * Crashes to tell of, each for a while only. Told of for ever, they would count
- * anew with each heartbeat, and a request that met three of them would be held
- * back for good.
- */
-class CrashList {
-  #crashes: readonly { crash: SuspectedCrash; until: number }[] = [];
-
-  add(crash: SuspectedCrash): void {
-    const isKnown = this.#crashes.some((known) =>
-      known.crash.digest === crash.digest && known.crash.target === crash.target
-    );
-    if (!isKnown) {
-      const until = performance.now() + CRASH_NEWS_MS;
-      this.#crashes = [...this.#crashes, { crash, until }].slice(-MOST_CRASHES);
-    }
-  }
-
-  current(): readonly SuspectedCrash[] {
-    const now = performance.now();
-    this.#crashes = this.#crashes.filter(({ until }) => now < until);
-    return this.#crashes.map(({ crash }) => crash);
-  }
-}
-
 function addressesOf(members: readonly Member[]): readonly string[] {
   return members.map(({ peerAddress }) => peerAddress);
 }
-
-/** What a VM tells of warm targets: pairs, encoded. */
-interface WarmWord {
-  readonly pairs: string;
-}
-
-function isWarmWord(params: unknown): params is WarmWord {
-  return typeof (params as Partial<WarmWord> | null)?.pairs === "string";
-}
-
-function encode(method: string, params: object): Buffer {
-  return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
-}
-
-function hasCommonWord(params: unknown): params is CommonWord {
-  if (typeof params !== "object" || params === null) {
-    return false;
-  }
-  const { seen, crashes } = params as Partial<CommonWord>;
-  return typeof seen === "object" && Array.isArray(crashes);
-}
-
-function isHeartbeat(params: CommonWord): params is Heartbeat {
-  const { member } = params as Partial<Heartbeat>;
-  return typeof member?.vm === "string" &&
-    typeof member.peerAddress === "string" &&
-    typeof member.callerAddress === "string" &&
-    typeof member.cores === "number";
-}
-
-function isZoneReport(params: CommonWord): params is ZoneReport {
-  const { ages, leaving } = params as Partial<ZoneReport>;
-  return typeof ages === "object" && Array.isArray(leaving) &&
-    Object.values(ages).every((age) => typeof age === "number");
-}
