Only a success without the line ends a target's limit

A target in need may fail requests, and what it sends then may lack the line that names its limit. Taken for the end of the limit, such an answer would let all VMs send their usual load until the next answer that names it: the news of it goes to all of them. Not seen; found by reading the fix of the limits against answers other than successes.

The test failed before (one line target not limited after a stamped 500). What an answer says of its target besides the load is taken in at one place.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -110,13 +110,7 @@
       if (isOtherTarget) {
         steering.unreachable(target, now);
       } else {
-        tellLimit(services, target, end.answer);
-        if (end.answer.isLeaving) {
-          services.targets.saysLeaving(target);
-        }
-        if (end.answer.restMs > 0) {
-          tellRest(services, target, { now, restMs: end.answer.restMs });
-        }
+        tellWishes(services, target, { answer: end.answer, now });
       }
       return;
     }
@@ -137,22 +131,31 @@
   }
 }
 
-/** An answer without a limit says that there is none only where its target vouches for it. */
-function tellLimit(
+/** Takes in what an answer says of its target besides the load. */
+function tellWishes(
   services: AttemptReportServices,
   target: TargetId,
-  { limitPerSecond: perSecond, isStamped }: TargetAnswer,
+  { answer, now }: { readonly answer: TargetAnswer; readonly now: number },
 ): void {
-  if (perSecond !== undefined || isStamped) {
-    services.limitNamed({ target, perSecond, at: performance.now() });
+  const { limitPerSecond: perSecond, isLeaving, restMs } = answer;
+  if (perSecond !== undefined || saysNoLimit(answer)) {
+    services.limitNamed({ target, perSecond, at: now });
+  }
+  if (isLeaving) {
+    services.targets.saysLeaving(target);
+  }
+  if (restMs > 0) {
+    services.steering.rests(target, now + restMs);
+    services.log.write("target asks for rest", {
+      target,
+      restMs: Math.round(restMs),
+    });
   }
 }
 
-function tellRest(
-  { steering, log }: AttemptReportServices,
-  target: TargetId,
-  { now, restMs }: { readonly now: number; readonly restMs: number },
-): void {
-  steering.rests(target, now + restMs);
-  log.write("target asks for rest", { target, restMs: Math.round(restMs) });
+/** Only a success ends a limit: what a target in need sends when it fails may lack the line. */
+function saysNoLimit(
+  { status, isStamped, limitPerSecond }: TargetAnswer,
+): boolean {
+  return isStamped && status < 300 && limitPerSecond === undefined;
 }
