VMs that lost the store with all others hear of its return

The store was away for all from 7.9 to 12.4 s; no VM of any region regained contact before 30.6 s, and only after a VM was killed.

Cause: a VM that has lost the store asks others while one of them is awake, and the store when none is. An unhelpful one rests for 0.5 s and takes up to 0.4 s to answer, so with three or more of them one is always awake: where all VMs have lost the store, they ask each other in a circle for good. Evidence: the log of front-kutaisi-rioni-2 asks three VMs in turn every 1.3 s from 9.6 to 30.5 s and never the store. Class: a livelock of fallbacks, each of which waits for another to make contact.

A VM that has lost the store now asks it again each second, one that has relays each three, also while there are others to ask, and one of these in between. The test, three regions of four VMs, a store that refuses all for six seconds, failed first: after the users' 5.5 s all 12 VMs were without news.

--- a/packages/daemon/src/gateway/news_sources.ts
+++ b/packages/daemon/src/gateway/news_sources.ts
@@ -34,6 +34,11 @@
     this.#options = options;
   }
 
+  /** Whether there are VMs to ask in place of the store, awake or not. */
+  get hasRelays(): boolean {
+    return this.#options.relays(new Set()).length > 0;
+  }
+
   /** Whether the store turned this VM away, and others tell it what they hear. */
   isSecondHand(now: number): boolean {
     return now < this.#fallsBackUntil;
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -72,6 +72,13 @@
 const UNCONFIRMED_REST_MS = 300;
 /** A relay that has its news from others is asked again after this, in milliseconds. */
 const SECOND_HAND_REST_MS = 2_000;
+/**
+ * A VM that has lost the store asks it again after this, in milliseconds, also while
+ * there are others to ask: where all have lost it, none of them can tell of its return.
+ * One that has relays asks less often, since the first relay asks for it.
+ */
+const LOST_ASKS_MS = 1_000;
+const LOST_RELAYED_ASKS_MS = 3_000;
 /** Age of news that the store never confirmed, in milliseconds: far above what is relied on. */
 const NEVER_MS = 3_600_000;
 /** A regained contact matters to others this long, in milliseconds: entries that lapsed are back within two seconds. */
@@ -118,6 +125,8 @@
   #lostAt = -Infinity;
   /** When this VM last called the store itself. */
   #storeCallAt = -Infinity;
+  /** Another VM was asked since then. */
+  #hasAskedOthers = false;
   #pauseMs = RETRY_FIRST_MS;
   #missed: NodeJS.Timeout | undefined;
 
@@ -239,15 +248,18 @@
   }
 
   async #next(): Promise<void> {
-    const relay = this.#sources.next(performance.now(), {
+    const now = performance.now();
+    const relay = this.#isStoreDue(now) ? undefined : this.#sources.next(now, {
       isLost: this.#isLost,
       isFirst: this.#copy.position === undefined,
     });
     if (relay !== undefined) {
+      this.#hasAskedOthers = true;
       await this.#askRelay(relay);
       return;
     }
-    this.#storeCallAt = performance.now();
+    this.#hasAskedOthers = false;
+    this.#storeCallAt = now;
     if (this.#copy.position === undefined) {
       await this.#readAll();
     } else {
@@ -255,6 +267,15 @@
     }
   }
 
+  /** Whether a VM that has lost the store asks it again, whoever else there is to ask. */
+  #isStoreDue(now: number): boolean {
+    const afterMs = this.#sources.hasRelays
+      ? LOST_RELAYED_ASKS_MS
+      : LOST_ASKS_MS;
+    return this.#isLost && this.#hasAskedOthers &&
+      now >= this.#storeCallAt + afterMs;
+  }
+
   async #askRelay(relay: Member): Promise<void> {
     this.#asked = relay;
     const isFallback = this.#sources.isFallback(relay);
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -143,6 +143,9 @@
   }
 }
 
+/** Time until all VMs have heard of the store's return, in milliseconds: the users' `contact_s` and `config_apply_s`. */
+const RETURN_MS = 5_500;
+
 let store: FakeStore;
 let vms: Vm[] = [];
 
@@ -375,6 +378,27 @@
     expect(calls).toBeLessThan(100);
   });
 
+  test("that lost the store with all others hears of its return, which no other can tell", async () => {
+    const regions = ["a", "b", "c"].map((region) =>
+      Array.from({ length: 4 }, (_, at) => new Vm(`${region}-${at}`, store))
+    );
+    for (const region of regions) {
+      const elsewhere = regions.filter((other) => other !== region)
+        .flatMap((other) => other.slice(0, 2));
+      region.forEach((vm, at) => {
+        vm.relays = region.slice(0, at);
+        vm.fallbacks = [...region.slice(at + 1, at + 3), ...elsewhere];
+      });
+    }
+    await vi.advanceTimersByTimeAsync(3_000);
+    store.mode = "refuses";
+    await vi.advanceTimersByTimeAsync(6_000);
+    store.mode = "answers";
+    store.write("t-1", "ready");
+    await vi.advanceTimersByTimeAsync(RETURN_MS);
+    expect(vms.filter(({ rows }) => !rows.has("t-1"))).toEqual([]);
+  });
+
   test("that was turned away itself is not asked without a pause", async () => {
     // Three VMs are turned away and have only each other: their answers come at once.
     const refusing = new FakeStore();
