--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -1,6 +1,6 @@
 /**
- * Heartbeats between VMs, and what they tell each other of warm targets, as
- * JSON-RPC 2.0 notifications in datagrams.
+ * Heartbeats between VMs, and what they tell each other of warm targets and of limits
+ * that targets name, as JSON-RPC 2.0 notifications in datagrams.
  *
  * VMs of one zone tell each other of themselves. Two VMs of each zone tell those of
  * other zones which VMs of theirs are up, those of other regions less often: bytes
