--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -110,7 +110,7 @@
       if (isOtherTarget) {
         steering.unreachable(target, now);
       } else {
-        tellWishes(services, target, { answer: end.answer, now });
+        tellNotices(services, target, { answer: end.answer, now });
       }
       return;
     }
@@ -132,7 +132,7 @@
 }
 
 /** Takes in what an answer says of its target besides the load. */
-function tellWishes(
+function tellNotices(
   services: AttemptReportServices,
   target: TargetId,
   { answer, now }: { readonly answer: TargetAnswer; readonly now: number },
