--- /dev/null
+++ b/packages/placement/src/homes/home_agent.ts
@@ -0,0 +1,77 @@
+/**
+ * The part of one VM in assigning and following homes of objects, without sockets:
+ * messages and ticks go in, messages to send come out.
+ *
+ * @module
+ */
+
+import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
+import type { TargetOwner } from "../target_owners.ts";
+import type { HomeSource } from "./home_source.ts";
+import type { HomeMessage, RoomShare } from "./messages.ts";
+
+/** Interval at which {@link HomeAgent.tick} must be called. */
+export const HOME_TICK_MS = 100;
+
+/** A target that can be a home. */
+export interface HomeTarget {
+  /** Hash of its id. */
+  readonly hash: number;
+  readonly region: RegionId;
+  readonly slots: number;
+  /** Start of its current run; a change means that it has lost its cache. */
+  readonly startedAt: number;
+}
+
+/** A message to send to another VM. */
+export interface OutgoingHomeMessage {
+  readonly to: VmId;
+  readonly message: HomeMessage;
+}
+
+/** Counters for metrics, since the start. */
+export interface HomeCounts {
+  /** Homes assigned, added, moved and dropped by this VM as an owner. */
+  readonly assigned: number;
+  readonly added: number;
+  readonly moved: number;
+  readonly dropped: number;
+  /** Queries of this VM that got no answer in time. */
+  readonly unanswered: number;
+}
+
+/** Options of a {@link HomeAgent}. */
+export interface HomeAgentOptions {
+  readonly self: TargetOwner;
+  /** Creates the name of a new term. */
+  newTerm(): string;
+  /** Called when queries or other messages wait to be sent before the next tick. */
+  onOutgoing(): void;
+  /** Called when homes that requests wait for have become known, or are not going to be. */
+  onHomes(service: ServiceId): void;
+  /** Called when this VM becomes the owner of a service in its region, or stops being it. */
+  onOwnership(service: ServiceId, isOwner: boolean): void;
+}
+
+/** See the module comment. Times are milliseconds of the monotonic clock. */
+export interface HomeAgent {
+  readonly source: HomeSource;
+  readonly counts: HomeCounts;
+  /** Sets the reachable VMs, including this one. */
+  setVms(vms: readonly TargetOwner[], now: number): void;
+  /**
+   * Sets the targets of all services whose objects get homes by load, without those
+   * that are leaving or evacuated. Other services are unassigned.
+   */
+  setTargets(
+    services: ReadonlyMap<ServiceId, readonly HomeTarget[]>,
+    now: number,
+  ): void;
+  receive(message: HomeMessage, from: VmId, now: number): void;
+  /** Periodic work; see {@link HOME_TICK_MS}. */
+  tick(now: number): void;
+  /** Removes and returns the messages to send. */
+  takeOutgoing(now: number): readonly OutgoingHomeMessage[];
+  /** What the owner last said of the service's room; empty if it has room for all. */
+  roomOf(service: ServiceId, now: number): readonly RoomShare[];
+}
--- /dev/null
+++ b/packages/placement/src/homes/home_source.ts
@@ -0,0 +1,45 @@
+/**
+ * The homes of objects as steering uses them.
+ *
+ * @module
+ */
+
+import type { ServiceId } from "@poplarthread/ids";
+
+/** A request whose object may have homes. */
+export interface HomeRequest {
+  readonly service: ServiceId;
+  readonly object: number;
+  /** Time that a warm target takes for it, in milliseconds. */
+  readonly workMs: number;
+}
+
+/** What a VM knows of the homes of an object. */
+export type HomesLookup =
+  /** Objects of this service have no assigned homes: their home follows from the rendezvous order. */
+  | { readonly kind: "unassigned" }
+  /** The owner has been asked; its answer is due by `until`. */
+  | { readonly kind: "pending"; readonly until: number }
+  /** Target hashes, the preferred home first. */
+  | { readonly kind: "assigned"; readonly targets: readonly number[] };
+
+/** Source of homes; see the module comment. Times are milliseconds of the monotonic clock. */
+export interface HomeSource {
+  /** The homes of a request's object; asks the owner if they are not known. */
+  lookUp(request: HomeRequest, now: number): HomesLookup;
+  /** Asks for one more home, because the request would wait too long at all of them. */
+  requestAnother(request: HomeRequest, now: number): void;
+  /** Records that a caller's request for the object has arrived. */
+  recordDemand(request: HomeRequest, priority: number): void;
+  /** Records what a target's response shows about it. */
+  recordResponse(
+    service: ServiceId,
+    response: {
+      readonly target: number;
+      readonly pace: number | undefined;
+      readonly isRefusal: boolean;
+    },
+  ): void;
+  /** Records that a request was refused for lack of room. */
+  recordRefusal(service: ServiceId, priority: number): void;
+}
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -25,6 +25,31 @@
 export { ColdTargets } from "./cold_targets.ts";
 export { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
 export { hashText, pairWeight } from "./hash.ts";
+export type {
+  HomeRequest,
+  HomesLookup,
+  HomeSource,
+} from "./homes/home_source.ts";
+export {
+  HOME_TICK_MS,
+  type HomeAgent,
+  type HomeAgentOptions,
+  type HomeCounts,
+  type HomeTarget,
+  type OutgoingHomeMessage,
+} from "./homes/home_agent.ts";
+export type {
+  DemandReport,
+  HomeMessage,
+  HomeQuery,
+  ObjectDemand,
+  ObjectHomes,
+  OwnerTerm,
+  PriorityDemand,
+  RoomShare,
+  TargetObservation,
+  TargetShare,
+} from "./homes/messages.ts";
 export {
   fallbacksFor,
   rankedAbove,
--- a/packages/placement/src/target_load.ts
+++ b/packages/placement/src/target_load.ts
@@ -14,6 +14,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on the target's machine at this moment, as a multiple of the
+   * usual time; undefined if the target does not report it.
+   */
+  readonly pace?: number;
 }
 
 /**
