Room: shares by priority, the gate and reserved places

Pure parts: the owner divides a service's room among priorities, each VM admits its arrivals by the shares, and less urgent requests leave places at targets free.

--- /dev/null
+++ b/packages/placement/src/room/room_gate.ts
@@ -0,0 +1,216 @@
+/**
+ * Admits or refuses new requests of a service by the shares that the owner of its
+ * homes has announced.
+ *
+ * Answers loads with more work than slots. A request that finds no room is refused
+ * at once, with the time at which it will, instead of waiting in a queue until its
+ * objective has passed. Room goes first to accounts that send what they usually do
+ * and to requests that can still be in time.
+ *
+ * @module
+ */
+
+import type { AccountId } from "@poplarthread/ids";
+import type { RoomShare } from "../homes/messages.ts";
+import { AccountShares } from "./account_shares.ts";
+import { Promises } from "./promises.ts";
+
+/** A new request. */
+export interface GateRequest {
+  /** Priority rank; 0 is the most urgent. */
+  readonly priority: number;
+  /** Undefined if callers are not identified. */
+  readonly account: AccountId | undefined;
+  /** Hash that is equal for repeats of the request; undefined if it has none. */
+  readonly repeatKey: number | undefined;
+  /** Whether its response is expected within its latency objective. */
+  readonly isInTime: boolean;
+}
+
+/** Why a request was refused. */
+export type GateCause =
+  /** The room of its priority is used up. */
+  | "share"
+  /** Its account sends far more than its usual share. */
+  | "account"
+  /** It would be late, and there is only room for those that are not. */
+  | "late"
+  /** It was refused before and has come back before the time it was told. */
+  | "early-return";
+
+/** What happens to a new request. */
+export type GateDecision =
+  | { readonly kind: "admit" }
+  | {
+    readonly kind: "refuse";
+    readonly cause: GateCause;
+    readonly retryAfterMs: number;
+  };
+
+/** Counters for metrics, since the start. */
+export interface GateCounts {
+  readonly admitted: number;
+  readonly refused: Readonly<Record<GateCause, number>>;
+  readonly refusedByPriority: ReadonlyMap<number, number>;
+  /** Refused requests that returned in their time and were admitted. */
+  readonly promisesKept: number;
+  /** Refused requests that returned in their time and were refused again. */
+  readonly promisesBroken: number;
+}
+
+/** Time without an update after which shares are obsolete: a few intervals. */
+const SHARES_EXPIRE_MS = 3_000;
+/** Room that may be saved up by requests that are refused although it exists. */
+const MAX_CREDIT = 3;
+/**
+ * Return times are spread by this share around the announced one, so that callers
+ * refused together don't return together.
+ */
+const RETURN_SPREAD = 0.5;
+/** Fraction of the golden ratio: its multiples are evenly spread in 0 to 1. */
+const GOLDEN_FRACTION = 0.618_033_988_749_895;
+
+const ADMIT: GateDecision = { kind: "admit" };
+
+/** The gate of one service on one VM. Times are milliseconds of the monotonic clock. */
+export class RoomGate {
+  readonly #accounts = new AccountShares();
+  readonly #promises = new Promises();
+  /** Room available to each priority, in requests. */
+  readonly #credits = new Map<number, number>();
+  readonly #refused: Record<GateCause, number> = {
+    share: 0,
+    account: 0,
+    late: 0,
+    "early-return": 0,
+  };
+  readonly #refusedByPriority = new Map<number, number>();
+  #shares: readonly RoomShare[] = [];
+  #updatedAt = -Infinity;
+  #admitted = 0;
+  #promisesKept = 0;
+  #promisesBroken = 0;
+  /** Position in the sequence of return times, 0 to 1; it differs between VMs. */
+  #spread: number;
+
+  /** `phase` is from 0 up to 1 and differs between VMs. */
+  constructor(phase: number) {
+    this.#spread = phase;
+  }
+
+  get counts(): GateCounts {
+    return {
+      admitted: this.#admitted,
+      refused: { ...this.#refused },
+      refusedByPriority: new Map(this.#refusedByPriority),
+      promisesKept: this.#promisesKept,
+      promisesBroken: this.#promisesBroken,
+    };
+  }
+
+  /** Sets the shares that the owner has announced; none if there is room for all. */
+  update(shares: readonly RoomShare[], now: number): void {
+    this.#shares = shares;
+    this.#updatedAt = now;
+  }
+
+  /** Decides whether a new request is admitted. Call it once for each request. */
+  decide(request: GateRequest, now: number): GateDecision {
+    const { priority, account, repeatKey } = request;
+    if (account !== undefined) {
+      this.#accounts.arrived(account, now);
+    }
+    const share = this.#shareOf(priority, now);
+    const returned = this.#promises.takeReturn(repeatKey, now);
+    if (returned.kind === "due") {
+      this.#promisesKept += 1;
+    }
+    if (share === undefined) {
+      return this.#admit();
+    }
+    const credit = this.#accrue(share, now);
+    if (returned.kind === "due") {
+      this.#credits.set(priority, Math.max(0, credit - 1));
+      return this.#admit();
+    }
+    const cause = returned.kind === "early"
+      ? "early-return"
+      : this.#surplusCause(request, now);
+    const needed = cause === "share" ? 1 : 2;
+    if (credit >= needed) {
+      this.#credits.set(priority, credit - 1);
+      return this.#admit();
+    }
+    this.#countRefusal(cause, priority);
+    return {
+      kind: "refuse",
+      cause,
+      retryAfterMs: returned.kind === "early"
+        ? returned.dueAt - now
+        : this.#promise(request, share, now),
+    };
+  }
+
+  /** Records that a request admitted for a promise was refused after all. */
+  promiseBroken(): void {
+    this.#promisesKept -= 1;
+    this.#promisesBroken += 1;
+  }
+
+  #shareOf(priority: number, now: number): RoomShare | undefined {
+    return now - this.#updatedAt > SHARES_EXPIRE_MS
+      ? undefined
+      : this.#shares.find((one) => one.priority === priority);
+  }
+
+  /** Adds the room for one arrival, and for promises that have become due. */
+  #accrue({ priority, admitted }: RoomShare, now: number): number {
+    const due = this.#promises.takeDue(priority, now);
+    // A returning request is also an arrival, and has that share of its room.
+    const added = admitted + due * (1 - admitted);
+    const credit = (this.#credits.get(priority) ?? this.#spread) + added;
+    const bounded = Math.min(credit, MAX_CREDIT + due);
+    this.#credits.set(priority, bounded);
+    return bounded;
+  }
+
+  /** Why the request would be refused if there isn't room for all. */
+  #surplusCause(
+    { account, isInTime }: GateRequest,
+    now: number,
+  ): GateCause {
+    if (
+      account !== undefined && this.#accounts.isFarAboveUsual(account, now)
+    ) {
+      return "account";
+    }
+    return isInTime ? "share" : "late";
+  }
+
+  #promise(
+    { priority, repeatKey }: GateRequest,
+    { returnMs }: RoomShare,
+    now: number,
+  ): number {
+    this.#spread = (this.#spread + GOLDEN_FRACTION) % 1;
+    const factor = 1 + RETURN_SPREAD * (this.#spread - 0.5);
+    const retryAfterMs = Math.round(returnMs * factor);
+    this.#promises.add({
+      key: repeatKey,
+      priority,
+      dueAt: now + retryAfterMs,
+    });
+    return retryAfterMs;
+  }
+
+  #admit(): GateDecision {
+    this.#admitted += 1;
+    return ADMIT;
+  }
+
+  #countRefusal(cause: GateCause, priority: number): void {
+    this.#refused[cause] += 1;
+    const before = this.#refusedByPriority.get(priority) ?? 0;
+    this.#refusedByPriority.set(priority, before + 1);
+  }
+}
--- /dev/null
+++ b/packages/placement/src/room/room_shares.ts
@@ -0,0 +1,211 @@
+/**
+ * Divides a service's room among the priorities that ask for it, on the VM that
+ * owns the service's homes in a region.
+ *
+ * Answers loads with more work than slots: bursts of one kind of request, targets
+ * that are slow or refuse a part of what they get. Without shares, less urgent
+ * requests of all VMs fill the targets' queues, and the most urgent ones, which
+ * have the least slack, are late.
+ *
+ * @module
+ */
+
+import type { RoomShare } from "../homes/messages.ts";
+import { ReturnCalendar } from "./return_calendar.ts";
+
+/** What callers ask for at one priority. */
+export interface PriorityOffer {
+  /** Priority rank; 0 is the most urgent. */
+  readonly priority: number;
+  /** Requests per second, refused ones and those that return included. */
+  readonly perSecond: number;
+  /** Those of them that were refused for lack of room. */
+  readonly refusedPerSecond: number;
+  /** Mean time that a warm target takes for one of them. */
+  readonly workMs: number;
+}
+
+/** Demand and capacity of a service in a region. */
+export interface ServiceRoom {
+  /** At most one for each priority. */
+  readonly offers: readonly PriorityOffer[];
+  /** Slots that the region's requests can keep busy; see {@link capacityOf}. */
+  readonly capacitySlots: number;
+}
+
+/** The share of each priority that the room suffices for. */
+export interface DividedRoom {
+  readonly offer: PriorityOffer;
+  /** 0 to 1. */
+  readonly admitted: number;
+}
+
+/** A target as part of the capacity. */
+export interface TargetCapacity {
+  readonly slots: number;
+  /** Time that work takes there, as a multiple of the usual time. */
+  readonly pace: number;
+  /** Share of its requests that it refuses to run, 0 to 1. */
+  readonly refusedShare: number;
+}
+
+/** Share of any priority's requests that is admitted, so that none starves. */
+const FLOOR_SHARE = 0.1;
+/**
+ * Room is short when demand exceeds this share of the capacity, until it falls
+ * below the second one. The gap is wider than the variation of a steady demand.
+ */
+const SHORT_ABOVE_USE = 1;
+const ENOUGH_BELOW_USE = 0.85;
+/**
+ * Share of the capacity that is given out while room is short: queues at targets
+ * would grow without bound at the full capacity.
+ */
+const USABLE_SHARE = 0.95;
+/** Share of the admitted requests whose room is promised to returning ones. */
+const RETURN_ROOM_SHARE = 0.5;
+
+/** Slots that the targets' work can use, as if all ran at the usual pace. */
+export function capacityOf(targets: readonly TargetCapacity[]): number {
+  return targets.reduce(
+    (sum, { slots, pace, refusedShare }) =>
+      sum + slots * (1 - refusedShare) / pace,
+    0,
+  );
+}
+
+/** A region's part in the use of a service. */
+export interface RegionUse {
+  /** Capacity of its own targets. */
+  readonly capacitySlots: number;
+  /** Slots that its callers' requests would keep busy. */
+  readonly demandSlots: number;
+}
+
+/**
+ * Capacity for the callers of region `own`: its own targets, and its part of what
+ * the other regions leave unused. Regions that are short divide that in proportion
+ * to what they lack.
+ */
+export function regionCapacity(
+  own: RegionUse,
+  others: readonly RegionUse[],
+): number {
+  const lacking = lackOf(own);
+  if (lacking === 0) {
+    return own.capacitySlots;
+  }
+  const spare = others.reduce(
+    (sum, one) => sum + Math.max(0, one.capacitySlots - one.demandSlots),
+    0,
+  );
+  const allLacking = others.reduce((sum, one) => sum + lackOf(one), lacking);
+  return own.capacitySlots + spare * lacking / allLacking;
+}
+
+function lackOf({ capacitySlots, demandSlots }: RegionUse): number {
+  return Math.max(0, demandSlots - capacitySlots);
+}
+
+/**
+ * Divides `capacitySlots`: each priority gets the floor, and then what it asks for,
+ * the most urgent first. The result is in order of urgency.
+ */
+export function divideRoom(
+  { offers, capacitySlots }: ServiceRoom,
+): readonly DividedRoom[] {
+  const demand = demandOf(offers);
+  const floor = demand > 0 ? Math.min(FLOOR_SHARE, capacitySlots / demand) : 1;
+  let left = Math.max(0, capacitySlots - floor * demand);
+  let admitted = 1;
+  return offers.toSorted((a, b) => a.priority - b.priority).map((offer) => {
+    const rest = slotsOf(offer) * (1 - floor);
+    const granted = Math.min(rest, left);
+    left -= granted;
+    // A priority without demand gets no more than the one before it.
+    admitted = rest > 0
+      ? floor + (1 - floor) * Math.min(1, granted / rest)
+      : admitted;
+    return { offer, admitted };
+  });
+}
+
+/** Plans the shares of one service. Times are milliseconds of one monotonic clock. */
+export class RoomPlanner {
+  readonly #calendars = new Map<number, ReturnCalendar>();
+  #isShort = false;
+  #plannedAt: number | undefined;
+
+  /**
+   * The shares of all priorities, or none while there is room for all. Call it once
+   * for each update that is sent.
+   */
+  plan(room: ServiceRoom, now: number): readonly RoomShare[] {
+    const sincePlanMs = now - (this.#plannedAt ?? now);
+    this.#plannedAt = now;
+    if (!this.#updateShortage(room)) {
+      return [];
+    }
+    const capacitySlots = room.capacitySlots * USABLE_SHARE;
+    return divideRoom({ offers: room.offers, capacitySlots })
+      .map((divided) => this.#share(divided, { now, sincePlanMs }));
+  }
+
+  #updateShortage({ offers, capacitySlots }: ServiceRoom): boolean {
+    const demand = demandOf(offers);
+    const bound = this.#isShort ? ENOUGH_BELOW_USE : SHORT_ABOVE_USE;
+    this.#isShort = demand > capacitySlots * bound;
+    return this.#isShort;
+  }
+
+  #share(
+    { offer, admitted }: DividedRoom,
+    { now, sincePlanMs }: {
+      readonly now: number;
+      readonly sincePlanMs: number;
+    },
+  ): RoomShare {
+    const { priority, perSecond, refusedPerSecond } = offer;
+    const calendar = this.#calendar(priority);
+    const returnMs = calendar.promise({
+      requests: refusedPerSecond * sincePlanMs / 1_000,
+      roomPerSecond: perSecond * admitted * RETURN_ROOM_SHARE,
+    }, now);
+    const promised = calendar.promisedPerSecond(now);
+    return {
+      priority,
+      admitted: admittedBeside(promised, { perSecond, admitted }),
+      returnMs: Math.round(returnMs),
+    };
+  }
+
+  #calendar(priority: number): ReturnCalendar {
+    let calendar = this.#calendars.get(priority);
+    if (calendar === undefined) {
+      calendar = new ReturnCalendar();
+      this.#calendars.set(priority, calendar);
+    }
+    return calendar;
+  }
+}
+
+/**
+ * The share of other requests that leaves room for promised ones. VMs admit promised
+ * requests in addition to it.
+ */
+function admittedBeside(
+  promisedPerSecond: number,
+  { perSecond, admitted }: { perSecond: number; admitted: number },
+): number {
+  const others = perSecond - promisedPerSecond;
+  const room = perSecond * admitted - promisedPerSecond;
+  return others > 0 ? Math.max(0, Math.min(admitted, room / others)) : admitted;
+}
+
+function demandOf(offers: readonly PriorityOffer[]): number {
+  return offers.reduce((sum, offer) => sum + slotsOf(offer), 0);
+}
+
+function slotsOf({ perSecond, workMs }: PriorityOffer): number {
+  return perSecond * workMs / 1_000;
+}
