placement: split steering by concern

Cause: steering.ts held entries, the choice of candidates, admission and feedback in 654 lines; homes by load touch each of them. Change: target_entries, candidates, admission and target_feedback are files of their own behind the Steering facade; behaviour is unchanged. The ablations name the new files.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -41,7 +41,7 @@
   },
   "warm-news": {
     file: `${PLACEMENT}/steering.ts`,
-    text: "const id = this.#idsByHash.get(target);",
+    text: "const id = this.#known.entries.idOf(target);",
     becomes: "const id = undefined;",
   },
   "price-by-kind": {
@@ -75,17 +75,17 @@
     becomes: "return true ||",
   },
   "waiting-room": {
-    file: `${PLACEMENT}/steering.ts`,
+    file: `${PLACEMENT}/admission.ts`,
     text: "return Math.round(load.inFlight(now)) < maxInFlight;",
     becomes: "return true;",
   },
   "whole-requests": {
-    file: `${PLACEMENT}/steering.ts`,
+    file: `${PLACEMENT}/admission.ts`,
     text: "return Math.round(load.inFlight(now)) < maxInFlight;",
     becomes: "return load.inFlight(now) + 1 <= maxInFlight;",
   },
   "early-refusal": {
-    file: `${PLACEMENT}/steering.ts`,
+    file: `${PLACEMENT}/admission.ts`,
     text: "return waitsUntil > request.arrivedAt + maxWaitMs",
     becomes: "return false",
   },
@@ -101,7 +101,7 @@
     becomes: "0",
   },
   "load-reports": {
-    file: `${PLACEMENT}/steering.ts`,
+    file: `${PLACEMENT}/target_feedback.ts`,
     text: "load.reported(result.load, now);",
     becomes: "",
   },
--- /dev/null
+++ b/packages/placement/src/admission.ts
@@ -0,0 +1,176 @@
+/**
+ * Whether a request is sent now, waits in this VM's queue, or is refused.
+ *
+ * @module
+ */
+
+import type { ServiceId } from "@poplarthread/ids";
+import type { Candidates } from "./candidates.ts";
+import type { Choice } from "./choose.ts";
+import { DrainRate } from "./drain_rate.ts";
+import type {
+  PlacementDecision,
+  PlacementRefusal,
+  PlacementRequest,
+  Warmth,
+} from "./placement.ts";
+import type { SteeredEntry } from "./target_entries.ts";
+import type { TargetKnowledge } from "./target_knowledge.ts";
+
+/**
+ * Requests that may wait at a target, as a multiple of its slots. A request that
+ * waits there can't be moved to another target or let a more urgent one pass, and a
+ * full target refuses requests. With none waiting there, a slot would be idle for
+ * one round trip.
+ */
+const MAX_QUEUED_PER_SLOT = 2 / 3;
+/**
+ * Response times of requests with a longer expected wait for a slot are not used as
+ * samples.
+ */
+const MAX_MEASURED_WAIT_MS = 60;
+/**
+ * Share of a request's total time that it may wait in this VM's queue. The expected
+ * wait is an estimate that more urgent requests can invalidate; a request refused
+ * halfway can still succeed if the caller retries it.
+ */
+const MAX_WAIT_SHARE = 0.5;
+/** Shortest Retry-After: about one warm service time. */
+const MIN_RETRY_AFTER_MS = 100;
+/**
+ * Retry-After when no target is usable: the target list usually changes within this
+ * time.
+ */
+const NO_TARGET_RETRY_AFTER_MS = 500;
+
+/** When a placement is decided. */
+export interface PlacementMoment {
+  readonly now: number;
+  /** Number of requests queued before the one to place. */
+  readonly ahead: number;
+}
+
+/** Decides whether requests are sent, wait or are refused. */
+export class Admission {
+  readonly #known: TargetKnowledge;
+  readonly #candidates: Candidates;
+  readonly #drainRates = new Map<ServiceId, DrainRate>();
+
+  constructor(known: TargetKnowledge, candidates: Candidates) {
+    this.#known = known;
+    this.#candidates = candidates;
+  }
+
+  /** Records the arrival of a caller's request. */
+  arrived(service: ServiceId, priority: number, now: number): void {
+    this.#drainRate(service).arrived(priority, now);
+  }
+
+  /** Records that a request was assigned to a target. */
+  sent(service: ServiceId, now: number): void {
+    this.#drainRate(service).sent(now);
+  }
+
+  /** Decides what happens to a request now. */
+  place(
+    request: PlacementRequest,
+    moment: PlacementMoment,
+  ): PlacementDecision {
+    const { now } = moment;
+    const compared = this.#candidates.cheapestFor(request, now);
+    if (compared.kind === "none") {
+      return refusal("no-target", this.#retryAfterMs(request, now));
+    }
+    const { choice } = compared;
+    const chosen = choice && this.#known.entries.get(choice.target);
+    return choice !== undefined && chosen && hasCapacity(chosen, now)
+      ? this.#send(choice, request, now)
+      : this.#wait(request, moment);
+  }
+
+  #send(
+    choice: Choice,
+    request: PlacementRequest,
+    now: number,
+  ): PlacementDecision {
+    const serviceMs = this.#known.serviceTimes.meanMs(request.service);
+    const remainingMs = request.deadlineAt - now;
+    return choice.expectedMs + serviceMs / 2 > remainingMs
+      ? refusal("overload", choice.expectedMs)
+      : {
+        kind: "send",
+        warmth: this.#warmth(choice, request, now),
+        ...choice,
+      };
+  }
+
+  #wait(
+    request: PlacementRequest,
+    { now, ahead }: PlacementMoment,
+  ): PlacementDecision {
+    const waitMs = this.#drainRate(request.service)
+      .waitMs(request.priority, { now, ahead });
+    const waitsUntil = now + waitMs;
+    const maxWaitMs = (request.deadlineAt - request.arrivedAt) * MAX_WAIT_SHARE;
+    return waitsUntil > request.arrivedAt + maxWaitMs
+      ? refusal("overload", waitMs)
+      : { kind: "wait" };
+  }
+
+  /**
+   * Retry-After for a request without a usable target. If all targets are in
+   * back-off, it ends with the earliest back-off.
+   */
+  #retryAfterMs(request: PlacementRequest, now: number): number {
+    const soonest = this.#known.entries.minBackOffMs(request, now);
+    return soonest > 0 && Number.isFinite(soonest)
+      ? soonest
+      : NO_TARGET_RETRY_AFTER_MS;
+  }
+
+  /**
+   * Unknown if the request is expected to wait, as its response time would include
+   * the wait.
+   */
+  #warmth(
+    { target, expectedMs }: Choice,
+    { object }: PlacementRequest,
+    now: number,
+  ): Warmth {
+    if (object === undefined) {
+      return "unknown";
+    }
+    if (this.#known.warmObjects.isWarm(object, target, now)) {
+      return "warm";
+    }
+    return expectedMs > MAX_MEASURED_WAIT_MS ? "unknown" : "unwarmed";
+  }
+
+  #drainRate(service: ServiceId): DrainRate {
+    let drain = this.#drainRates.get(service);
+    if (drain === undefined) {
+      drain = new DrainRate();
+      this.#drainRates.set(service, drain);
+    }
+    return drain;
+  }
+}
+
+function hasCapacity({ target, load }: SteeredEntry, now: number): boolean {
+  const maxInFlight = target.slots +
+    Math.round(target.slots * MAX_QUEUED_PER_SLOT);
+  // The estimate of other VMs' requests decays to fractions of a request.
+  // Rounding ignores less than half a request.
+  return Math.round(load.inFlight(now)) < maxInFlight;
+}
+
+function refusal(
+  reason: PlacementRefusal,
+  waitMs: number,
+): PlacementDecision {
+  return {
+    kind: "refuse",
+    reason,
+    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/target_feedback.ts
@@ -0,0 +1,161 @@
+/**
+ * What this VM learns about targets from attempts: their load, health, times and
+ * warm objects.
+ *
+ * @module
+ */
+
+import type { TargetId } from "@poplarthread/ids";
+import type { AttemptResult } from "./placement.ts";
+import type { SteeredEntry } from "./target_entries.ts";
+import type { TargetKnowledge } from "./target_knowledge.ts";
+import type { HashedPair } from "./warm_objects.ts";
+
+/** Times of an attempt. */
+export interface AttemptTimes {
+  readonly now: number;
+  /** Undefined if it was never written to the connection. */
+  readonly writtenAt: number | undefined;
+}
+
+type Answered = Extract<AttemptResult, { kind: "answered" }>;
+
+/** Applies the outcomes of attempts and probes. */
+export class TargetFeedback {
+  readonly #known: TargetKnowledge;
+  readonly #onWarmPair: (pair: HashedPair) => void;
+  /**
+   * Targets that may have pending requests of this VM. Few of several hundred have
+   * any at one time.
+   */
+  readonly #withPendingRequests = new Set<SteeredEntry>();
+  /** Targets that may be unusable and need probes. */
+  readonly #unhealthy = new Set<SteeredEntry>();
+
+  /** `onWarmPair` is called when other VMs should know that a target is warm for an object. */
+  constructor(known: TargetKnowledge, onWarmPair: (pair: HashedPair) => void) {
+    this.#known = known;
+    this.#onWarmPair = onWarmPair;
+  }
+
+  /** The target no longer exists. */
+  removed(entry: SteeredEntry): void {
+    this.#withPendingRequests.delete(entry);
+    this.#unhealthy.delete(entry);
+  }
+
+  /** Records that a request has been written to the target's connection. */
+  written(entry: SteeredEntry, now: number): void {
+    entry.health.sent(now);
+    this.#withPendingRequests.add(entry);
+  }
+
+  /** Records the end of an attempt. */
+  ended(
+    entry: SteeredEntry,
+    result: AttemptResult,
+    { now, writtenAt }: AttemptTimes,
+  ): void {
+    entry.load.ended();
+    if (writtenAt === undefined) {
+      return;
+    }
+    switch (result.kind) {
+      case "answered":
+        this.#responded(entry, result, { now, writtenAt });
+        return;
+      case "broke":
+        entry.health.connectionBroke(writtenAt, now);
+        return;
+      case "abandoned":
+        entry.health.removePending(writtenAt);
+        return;
+    }
+  }
+
+  /** Marks the target unreachable: no connection could be established. */
+  markUnreachable(entry: SteeredEntry, now: number): void {
+    entry.health.markUnreachable(now);
+    this.#unhealthy.add(entry);
+  }
+
+  /**
+   * Checks all targets with pending requests and returns those that have become
+   * unresponsive since the last call.
+   */
+  findUnresponsive(now: number): readonly TargetId[] {
+    const { serviceTimes } = this.#known;
+    const unresponsive: TargetId[] = [];
+    for (const entry of this.#withPendingRequests) {
+      const { target, load, health } = entry;
+      if (!health.hasPendingRequests) {
+        this.#withPendingRequests.delete(entry);
+        continue;
+      }
+      const serviceMs = serviceTimes.meanMs(target.service);
+      const waitMs = load.waitMs(now, { slots: target.slots, serviceMs });
+      const longMs = serviceTimes.longMs(target.service);
+      if (health.detectUnresponsive(now, { waitMs, longMs })) {
+        unresponsive.push(target.id);
+        this.#unhealthy.add(entry);
+      }
+    }
+    return unresponsive;
+  }
+
+  /** Targets that should be probed now. Schedules the next probe of each. */
+  probesDue(now: number): readonly TargetId[] {
+    const due: TargetId[] = [];
+    for (const entry of this.#unhealthy) {
+      const { target, health } = entry;
+      if (health.state === "in-use") {
+        this.#unhealthy.delete(entry);
+      } else if (!target.isLeaving && health.probeDue(now)) {
+        due.push(target.id);
+      }
+    }
+    return due;
+  }
+
+  #responded(
+    entry: SteeredEntry,
+    result: Answered,
+    times: { readonly now: number; readonly writtenAt: number },
+  ): void {
+    const { target, load, health } = entry;
+    const { failed, object } = result;
+    const { now, writtenAt } = times;
+    health.responded(writtenAt, { now, failed });
+    if (result.load !== undefined) {
+      load.reported(result.load, now);
+    }
+    if (failed) {
+      return;
+    }
+    const ms = now - writtenAt - this.#known.roundTrips.to(target);
+    this.#recordTimes(entry, result, ms);
+    if (object === undefined) {
+      return;
+    }
+    const pair = { object, target: target.id };
+    if (this.#known.warmObjects.recordUse(pair, now)) {
+      this.#onWarmPair({ object, target: target.hash });
+    }
+  }
+
+  /** Records a response time without the round trip. */
+  #recordTimes(
+    { target }: SteeredEntry,
+    { load, requestKind, warmth }: Answered,
+    ms: number,
+  ): void {
+    const { serviceTimes, kindTimes } = this.#known;
+    serviceTimes.recordResponseTime(target.service, ms);
+    if (load === undefined || load.waiting === 0) {
+      serviceTimes.recordServiceTime(target.service, ms);
+      if (warmth !== "unknown") {
+        kindTimes.record(requestKind, ms, warmth === "warm");
+      }
+    }
+  }
+}
