Steering: hook the gate, reserved places and refusals of targets in

Services whose room is shared admit new requests by the owner's shares, keep places at targets for more urgent priorities, take refusals for lack of room apart from failures, and reserve retries for the most urgent requests. Other services are served as before.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -97,12 +97,13 @@
   switch (end.kind) {
     case "answered":
     case "not-run": {
-      const { load, status, isOtherTarget } = end.response;
+      const { load, status, isOtherTarget, isLeaving } = end.response;
       const failed = end.kind === "not-run" || status >= 500;
       steering.ended(target, {
         kind: "answered",
         load,
         failed,
+        isRefusal: end.kind === "not-run" && !isOtherTarget && !isLeaving,
         object,
         requestKind,
         warmth,
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -15,6 +15,7 @@
 import {
   hashText,
   type LoadReport,
+  type PlacementRequest,
   type Warmth,
 } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
@@ -324,33 +325,51 @@
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
     } else if (this.#transition("queue")) {
       this.#isCountedForQuota = true;
-      this.#services.queue.add(this, performance.now());
+      this.#admit(performance.now());
     } else {
       // The caller disconnected while the quota was being checked.
       this.#options.caller.refundQuota();
     }
   }
 
-  /** Tries to place the request; returns true if it has to keep waiting. */
-  #place(now: number, ahead: number): boolean {
-    if (this.#phase !== "waiting") {
-      return false;
-    }
-    const refusal = this.#options.caller.recheck();
-    if (refusal !== undefined) {
+  /** Queues the new request, unless its service has no room for it. */
+  #admit(now: number): void {
+    const { steering, queue } = this.#services;
+    const refusal = steering.admit(this.#placementRequest(), now);
+    if (refusal === undefined) {
+      queue.add(this, now);
+    } else {
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
-      return false;
     }
-    const decision = this.#services.steering.place({
+  }
+
+  #placementRequest(): PlacementRequest {
+    return {
       service: this.service,
       kind: this.route.name,
       priority: this.priority,
       object: this.object,
+      account: this.account,
       regions: this.#options.caller.regions,
       arrivedAt: this.startedAt,
       deadlineAt: this.expiresAt,
+      objectiveAt: this.objectiveAt,
       tried: this.#attempts.tried,
-    }, { now, ahead });
+    };
+  }
+
+  /** Tries to place the request; returns true if it has to keep waiting. */
+  #place(now: number, ahead: number): boolean {
+    if (this.#phase !== "waiting") {
+      return false;
+    }
+    const refusal = this.#options.caller.recheck();
+    if (refusal !== undefined) {
+      this.#giveUp(refusal.reason, refusal.retryAfterMs);
+      return false;
+    }
+    const decision = this.#services.steering
+      .place(this.#placementRequest(), { now, ahead });
     switch (decision.kind) {
       case "send":
         this.#warmth = decision.warmth;
@@ -390,6 +409,7 @@
         return;
       case "not-run":
         this.#attempts.didNotRun();
+        this.#clearRefusal(now);
         this.#retry(now);
         return;
       case "unreachable":
@@ -433,13 +453,22 @@
     this.#retry(now);
   }
 
+  /** Allows the target that refused the request once more, where others would refuse it as well. */
+  #clearRefusal(now: number): void {
+    const target = this.#lastAttempt?.target;
+    const { steering } = this.#services;
+    if (target !== undefined && steering.mayTryAgain(this.service, now)) {
+      this.#attempts.tried.delete(target);
+    }
+  }
+
   /** Retries the request if that is allowed and can still finish in time. */
   #retry(now: number): void {
     const { steering } = this.#services;
     const isAllowed = this.#attempts.written < this.route.maxAttempts &&
       this.expiresAt - now > MIN_RETRY_TIME_MS &&
       (this.#body?.available ?? true) &&
-      steering.takeRetry(this.service, now);
+      steering.takeRetry(this.service, now, this);
     if (isAllowed) {
       this.#requeue(now);
     } else {
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -206,6 +206,8 @@
       markUnreachable: noop,
       roundTripTo: () => 1,
       takeRetry: () => true,
+      mayTryAgain: () => false,
+      admit: noop,
       place: () => this.#decide(),
     } as unknown as Steering;
   }
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -11,6 +11,7 @@
 import type {
   PlacementDecision,
   PlacementRefusal,
+  PlacementRefused,
   PlacementRequest,
   Warmth,
 } from "./placement.ts";
@@ -64,6 +65,24 @@
   /** Records the arrival of a caller's request. */
   arrived(service: ServiceId, priority: number, now: number): void {
     this.#drainRate(service).arrived(priority, now);
+    this.#known.room.arrived(service, priority, now);
+  }
+
+  /**
+   * Refuses a new request if the service has no room for it; call it once for each
+   * request, before it is placed.
+   */
+  admit(
+    request: PlacementRequest,
+    now: number,
+  ): PlacementRefused | undefined {
+    const expectedMs = this.#known.serviceTimes.meanMs(request.service);
+    const objectiveAt = request.objectiveAt ?? request.deadlineAt;
+    const isInTime = now + expectedMs <= objectiveAt;
+    const decision = this.#known.room.admit(request, { isInTime, now });
+    return decision.kind === "refuse"
+      ? refusal("overload", decision.retryAfterMs)
+      : undefined;
   }
 
   /** Records that a request was assigned to a target. */
@@ -83,7 +102,8 @@
     }
     const { choice } = compared;
     const chosen = choice && this.#known.entries.get(choice.target);
-    return choice !== undefined && chosen && hasCapacity(chosen, now)
+    return choice !== undefined && chosen &&
+        this.#hasCapacity(chosen, request, now)
       ? this.#send(choice, request, now)
       : this.#wait(request, moment);
   }
@@ -96,7 +116,7 @@
     const serviceMs = this.#known.serviceTimes.meanMs(request.service);
     const remainingMs = request.deadlineAt - now;
     return choice.expectedMs + serviceMs / 2 > remainingMs
-      ? refusal("overload", choice.expectedMs)
+      ? this.#overload(request, choice.expectedMs, now)
       : {
         kind: "send",
         warmth: this.#warmth(choice, request, now),
@@ -113,10 +133,33 @@
     const waitsUntil = now + waitMs;
     const maxWaitMs = (request.deadlineAt - request.arrivedAt) * MAX_WAIT_SHARE;
     return waitsUntil > request.arrivedAt + maxWaitMs
-      ? refusal("overload", waitMs)
+      ? this.#overload(request, waitMs, now)
       : { kind: "wait" };
   }
 
+  #overload(
+    request: PlacementRequest,
+    waitMs: number,
+    now: number,
+  ): PlacementRefused {
+    const returnMs = this.#known.room.refusedLater(request, now);
+    return refusal("overload", returnMs ?? waitMs);
+  }
+
+  #hasCapacity(
+    { target, load }: SteeredEntry,
+    { priority }: PlacementRequest,
+    now: number,
+  ): boolean {
+    const maxInFlight = target.slots +
+      Math.round(target.slots * MAX_QUEUED_PER_SLOT);
+    const places = this.#known.room
+      .placesAt(target, { priority, maxInFlight, now });
+    // The estimate of other VMs' requests decays to fractions of a request.
+    // Rounding ignores less than half a request.
+    return Math.round(load.inFlight(now)) < places;
+  }
+
   /**
    * Retry-After for a request without a usable target. If all targets are in
    * back-off, it ends with the earliest back-off.
@@ -156,18 +199,10 @@
   }
 }
 
-function hasCapacity({ target, load }: SteeredEntry, now: number): boolean {
-  const maxInFlight = target.slots +
-    Math.round(target.slots * MAX_QUEUED_PER_SLOT);
-  // The estimate of other VMs' requests decays to fractions of a request.
-  // Rounding ignores less than half a request.
-  return Math.round(load.inFlight(now)) < maxInFlight;
-}
-
 function refusal(
   reason: PlacementRefusal,
   waitMs: number,
-): PlacementDecision {
+): PlacementRefused {
   return {
     kind: "refuse",
     reason,
--- a/packages/placement/src/fleet_retry_budget.ts
+++ b/packages/placement/src/fleet_retry_budget.ts
@@ -49,14 +49,14 @@
   }
 
   /**
-   * Takes one retry from the budget of this VM, one of `vms` VMs; false if the
-   * budget is used up.
+   * Takes one retry from the budget of this VM, one of `vms` VMs; false if no more
+   * than `reservedShare` of the budget is left.
    */
-  trySpend(now: number, vms: number): boolean {
+  trySpend(now: number, vms: number, { reservedShare = 0 } = {}): boolean {
     const { ratio, fixed } = this.#bound;
     const allowed = this.#requests.sum(now) * ratio * RATIO_SHARE +
       fixed * FIXED_SHARE / Math.max(1, vms);
-    if (this.#retries.sum(now) + 1 > allowed) {
+    if (this.#retries.sum(now) + 1 > allowed * (1 - reservedShare)) {
       return false;
     }
     this.#retries.add(now);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -56,6 +56,16 @@
   type RelayCandidate,
   relaysFor,
 } from "./relays.ts";
+export {
+  capacityOf,
+  type PriorityOffer,
+  regionCapacity,
+  type RegionUse,
+  RoomPlanner,
+  type ServiceRoom,
+  type TargetCapacity,
+} from "./room/room_shares.ts";
+export type { GateCause, GateCounts } from "./room/room_gate.ts";
 export { RoundTrips } from "./round_trips.ts";
 export { ServiceTimes } from "./service_times.ts";
 export type { Location, PlacedTarget, SteeredTarget } from "./target.ts";
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import type { RegionId, ServiceId, TargetId } from "@poplarthread/ids";
+import type {
+  AccountId,
+  RegionId,
+  ServiceId,
+  TargetId,
+} from "@poplarthread/ids";
 import type { LoadReport } from "./target_load.ts";
 
 /** The properties of a request that its placement depends on. */
@@ -19,11 +24,15 @@
    * nothing for it.
    */
   readonly object: number | undefined;
+  /** The client account that it belongs to; undefined if callers are not identified. */
+  readonly account?: AccountId | undefined;
   /** Regions in which it may run; empty for all regions. */
   readonly regions: readonly RegionId[];
   readonly arrivedAt: number;
   /** When the timeout of its caller or of its route expires. */
   readonly deadlineAt: number;
+  /** When its latency objective expires; by default with the deadline. */
+  readonly objectiveAt?: number;
   /** Targets that must not receive it again. */
   readonly tried: ReadonlySet<TargetId>;
 }
@@ -50,11 +59,14 @@
     readonly warmth: Warmth;
   }
   | { readonly kind: "wait" }
-  | {
-    readonly kind: "refuse";
-    readonly reason: PlacementRefusal;
-    readonly retryAfterMs: number;
-  };
+  | PlacementRefused;
+
+/** A request is refused. */
+export interface PlacementRefused {
+  readonly kind: "refuse";
+  readonly reason: PlacementRefusal;
+  readonly retryAfterMs: number;
+}
 
 /** How an attempt ended, as far as it affects the view of its target. */
 export type AttemptResult =
@@ -63,6 +75,8 @@
     readonly load: LoadReport | undefined;
     /** The target failed the request or refused to run it. */
     readonly failed: boolean;
+    /** The target refused to run it for lack of room; `failed` is also true. */
+    readonly isRefusal?: boolean;
     readonly object: number | undefined;
     /** Kind of the request; see {@link PlacementRequest.kind}. */
     readonly requestKind: string;
--- a/packages/placement/src/room/promises.ts
+++ b/packages/placement/src/room/promises.ts
@@ -1,22 +1,13 @@
 /**
  * The return times that this VM has given to refused requests.
  *
- * A request that returns in its time finds room. A caller may return to another
- * VM, which doesn't know the promise, so the room is also counted by priority:
- * other requests are admitted to it where the caller doesn't come.
+ * A request that returns in its time is admitted before new ones. One that comes
+ * earlier goes behind them: otherwise callers that repeat at once would get the room
+ * of those that wait as they were told.
  *
  * @module
  */
 
-/** A promise of room. */
-export interface RoomPromise {
-  /** Recognizes the request when it returns; undefined if it can't be recognized. */
-  readonly key: number | undefined;
-  readonly priority: number;
-  /** When it has room, in milliseconds of the monotonic clock. */
-  readonly dueAt: number;
-}
-
 /** What a repeated request was promised. */
 export type ReturnState =
   | { readonly kind: "none" }
@@ -28,57 +19,54 @@
 const EARLY_TOLERANCE_MS = 50;
 /** Time after which a caller that has not returned is not expected any more. */
 const LATE_TOLERANCE_MS = 1_000;
-/** Bound of the memory used; the oldest promises are forgotten first. */
+/** Bounds of the memory used; the oldest ones are forgotten first. */
 const MAX_PROMISES = 1_000;
+const MAX_KEPT = 200;
 
-/** The promises of one service on one VM. */
+/** The promises of one service on one VM, by the keys of the refused requests. */
 export class Promises {
-  readonly #byKey = new Map<number, RoomPromise>();
-  #uncounted: RoomPromise[] = [];
+  /** When each request has room, the latest promise last. */
+  readonly #dueAt = new Map<number, number>();
+  /** Requests that have returned in their time, the latest last. */
+  readonly #kept = new Set<number>();
 
-  /** Records a promise. */
-  add(promise: RoomPromise): void {
-    this.#uncounted.push(promise);
-    if (promise.key !== undefined) {
-      this.#byKey.set(promise.key, promise);
-    }
-    if (this.#uncounted.length > MAX_PROMISES) {
-      this.#uncounted.shift();
-    }
+  /** Records a promise of room from `dueAt` on. */
+  add(key: number, dueAt: number): void {
+    this.#dueAt.delete(key);
+    this.#dueAt.set(key, dueAt);
+    dropOldest(this.#dueAt, MAX_PROMISES);
   }
 
-  /** What the request with this key was promised. A promise that is due is removed. */
+  /** What the request was promised. A promise that is due is removed. */
   takeReturn(key: number | undefined, now: number): ReturnState {
-    const promise = key === undefined ? undefined : this.#byKey.get(key);
-    if (promise === undefined) {
+    const dueAt = key === undefined ? undefined : this.#dueAt.get(key);
+    if (dueAt === undefined) {
       return { kind: "none" };
     }
-    if (now < promise.dueAt - EARLY_TOLERANCE_MS) {
-      return { kind: "early", dueAt: promise.dueAt };
+    if (now < dueAt - EARLY_TOLERANCE_MS) {
+      return { kind: "early", dueAt };
     }
-    this.#byKey.delete(promise.key!);
-    return now <= promise.dueAt + LATE_TOLERANCE_MS
-      ? { kind: "due" }
-      : { kind: "none" };
+    this.#dueAt.delete(key!);
+    if (now > dueAt + LATE_TOLERANCE_MS) {
+      return { kind: "none" };
+    }
+    this.#kept.add(key!);
+    dropOldest(this.#kept, MAX_KEPT);
+    return { kind: "due" };
   }
 
-  /** Number of promises of a priority that have become due since the last call. */
-  takeDue(priority: number, now: number): number {
-    const isDue = (one: RoomPromise) =>
-      one.priority === priority && one.dueAt <= now;
-    const due = this.#uncounted.filter(isDue);
-    if (due.length > 0) {
-      this.#uncounted = this.#uncounted.filter((one) => !isDue(one));
-      this.#forgetLate(now);
-    }
-    return due.length;
+  /** Whether the request has returned in its time; false when asked again. */
+  forgetKept(key: number | undefined): boolean {
+    return key !== undefined && this.#kept.delete(key);
   }
+}
 
-  #forgetLate(now: number): void {
-    for (const [key, { dueAt }] of this.#byKey) {
-      if (now > dueAt + LATE_TOLERANCE_MS) {
-        this.#byKey.delete(key);
-      }
-    }
+function dropOldest(
+  keys: Map<number, unknown> | Set<number>,
+  max: number,
+): void {
+  if (keys.size > max) {
+    const [oldest] = keys.keys();
+    keys.delete(oldest!);
   }
 }
--- a/packages/placement/src/room/return_calendar.ts
+++ b/packages/placement/src/room/return_calendar.ts
@@ -48,11 +48,6 @@
     return requests > 0 ? total / requests : this.#nextFreeMs(roomPerSlot, now);
   }
 
-  /** Requests per second that were promised room at `now`. */
-  promisedPerSecond(now: number): number {
-    return (this.#promised.get(slotAt(now)) ?? 0) * 1_000 / SLOT_MS;
-  }
-
   #nextFreeMs(roomPerSlot: number, now: number): number {
     let slot = slotAt(now + MIN_RETURN_MS) + 1;
     while ((this.#promised.get(slot) ?? 0) >= roomPerSlot) {
--- a/packages/placement/src/room/room_gate.ts
+++ b/packages/placement/src/room/room_gate.ts
@@ -13,7 +13,7 @@
 import type { AccountId } from "@poplarthread/ids";
 import type { RoomShare } from "../homes/messages.ts";
 import { AccountShares } from "./account_shares.ts";
-import { Promises } from "./promises.ts";
+import { Promises, type ReturnState } from "./promises.ts";
 
 /** A new request. */
 export interface GateRequest {
@@ -25,6 +25,8 @@
   readonly repeatKey: number | undefined;
   /** Whether its response is expected within its latency objective. */
   readonly isInTime: boolean;
+  /** Longest time that its caller waits before it returns. */
+  readonly maxReturnMs: number;
 }
 
 /** Why a request was refused. */
@@ -62,6 +64,8 @@
 const SHARES_EXPIRE_MS = 3_000;
 /** Room that may be saved up by requests that are refused although it exists. */
 const MAX_CREDIT = 3;
+/** Requests that may be admitted for promises ahead of the room for them. */
+const MAX_DEBT = 3;
 /**
  * Return times are spread by this share around the announced one, so that callers
  * refused together don't return together.
@@ -122,25 +126,19 @@
     }
     const share = this.#shareOf(priority, now);
     const returned = this.#promises.takeReturn(repeatKey, now);
-    if (returned.kind === "due") {
-      this.#promisesKept += 1;
-    }
+    this.#promisesKept += returned.kind === "due" ? 1 : 0;
     if (share === undefined) {
       return this.#admit();
     }
-    const credit = this.#accrue(share, now);
-    if (returned.kind === "due") {
-      this.#credits.set(priority, Math.max(0, credit - 1));
-      return this.#admit();
-    }
-    const cause = returned.kind === "early"
-      ? "early-return"
-      : this.#surplusCause(request, now);
-    const needed = cause === "share" ? 1 : 2;
-    if (credit >= needed) {
+    const credit = this.#accrue(share);
+    const cause = this.#causeFor(request, returned, now);
+    if (credit >= creditNeeded(returned, cause)) {
       this.#credits.set(priority, credit - 1);
       return this.#admit();
     }
+    if (this.#promises.forgetKept(repeatKey)) {
+      this.#breakPromise();
+    }
     this.#countRefusal(cause, priority);
     return {
       kind: "refuse",
@@ -151,10 +149,19 @@
     };
   }
 
-  /** Records that a request admitted for a promise was refused after all. */
-  promiseBroken(): void {
-    this.#promisesKept -= 1;
-    this.#promisesBroken += 1;
+  /**
+   * A request that was admitted has been refused after all, since it would have
+   * waited too long. Returns when it finds room, if the shares are in force.
+   */
+  refusedLater(
+    request: Omit<GateRequest, "isInTime">,
+    now: number,
+  ): number | undefined {
+    if (this.#promises.forgetKept(request.repeatKey)) {
+      this.#breakPromise();
+    }
+    const share = this.#shareOf(request.priority, now);
+    return share && this.#promise(request, share, now);
   }
 
   #shareOf(priority: number, now: number): RoomShare | undefined {
@@ -163,22 +170,23 @@
       : this.#shares.find((one) => one.priority === priority);
   }
 
-  /** Adds the room for one arrival, and for promises that have become due. */
-  #accrue({ priority, admitted }: RoomShare, now: number): number {
-    const due = this.#promises.takeDue(priority, now);
-    // A returning request is also an arrival, and has that share of its room.
-    const added = admitted + due * (1 - admitted);
-    const credit = (this.#credits.get(priority) ?? this.#spread) + added;
-    const bounded = Math.min(credit, MAX_CREDIT + due);
+  /** Adds the room for one arrival. */
+  #accrue({ priority, admitted }: RoomShare): number {
+    const credit = (this.#credits.get(priority) ?? this.#spread) + admitted;
+    const bounded = Math.min(credit, MAX_CREDIT);
     this.#credits.set(priority, bounded);
     return bounded;
   }
 
-  /** Why the request would be refused if there isn't room for all. */
-  #surplusCause(
+  /** Why the request is refused if there isn't room for all. */
+  #causeFor(
     { account, isInTime }: GateRequest,
+    returned: ReturnState,
     now: number,
   ): GateCause {
+    if (returned.kind === "early") {
+      return "early-return";
+    }
     if (
       account !== undefined && this.#accounts.isFarAboveUsual(account, now)
     ) {
@@ -188,21 +196,24 @@
   }
 
   #promise(
-    { priority, repeatKey }: GateRequest,
+    { repeatKey, maxReturnMs }: Omit<GateRequest, "isInTime">,
     { returnMs }: RoomShare,
     now: number,
   ): number {
     this.#spread = (this.#spread + GOLDEN_FRACTION) % 1;
-    const factor = 1 + RETURN_SPREAD * (this.#spread - 0.5);
-    const retryAfterMs = Math.round(returnMs * factor);
-    this.#promises.add({
-      key: repeatKey,
-      priority,
-      dueAt: now + retryAfterMs,
-    });
+    const spreadMs = returnMs * (1 + RETURN_SPREAD * (this.#spread - 0.5));
+    const retryAfterMs = Math.round(Math.min(spreadMs, maxReturnMs));
+    if (repeatKey !== undefined) {
+      this.#promises.add(repeatKey, now + retryAfterMs);
+    }
     return retryAfterMs;
   }
 
+  #breakPromise(): void {
+    this.#promisesKept -= 1;
+    this.#promisesBroken += 1;
+  }
+
   #admit(): GateDecision {
     this.#admitted += 1;
     return ADMIT;
@@ -214,3 +225,11 @@
     this.#refusedByPriority.set(priority, before + 1);
   }
 }
+
+/** Room that must have accrued for a request to be admitted. */
+function creditNeeded(returned: ReturnState, cause: GateCause): number {
+  if (returned.kind === "due") {
+    return 1 - MAX_DEBT;
+  }
+  return cause === "share" ? 1 : 2;
+}
--- a/packages/placement/src/room/room_shares.ts
+++ b/packages/placement/src/room/room_shares.ts
@@ -171,12 +171,7 @@
       requests: refusedPerSecond * sincePlanMs / 1_000,
       roomPerSecond: perSecond * admitted * RETURN_ROOM_SHARE,
     }, now);
-    const promised = calendar.promisedPerSecond(now);
-    return {
-      priority,
-      admitted: admittedBeside(promised, { perSecond, admitted }),
-      returnMs: Math.round(returnMs),
-    };
+    return { priority, admitted, returnMs: Math.round(returnMs) };
   }
 
   #calendar(priority: number): ReturnCalendar {
@@ -189,19 +184,6 @@
   }
 }
 
-/**
- * The share of other requests that leaves room for promised ones. VMs admit promised
- * requests in addition to it.
- */
-function admittedBeside(
-  promisedPerSecond: number,
-  { perSecond, admitted }: { perSecond: number; admitted: number },
-): number {
-  const others = perSecond - promisedPerSecond;
-  const room = perSecond * admitted - promisedPerSecond;
-  return others > 0 ? Math.max(0, Math.min(admitted, room / others)) : admitted;
-}
-
 function demandOf(offers: readonly PriorityOffer[]): number {
   return offers.reduce((sum, offer) => sum + slotsOf(offer), 0);
 }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -13,12 +13,16 @@
 import { Candidates } from "./candidates.ts";
 import { DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import type { RoomShare } from "./homes/messages.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
   PlacementDecision,
+  PlacementRefused,
   PlacementRequest,
 } from "./placement.ts";
+import type { GateCounts } from "./room/room_gate.ts";
+import { type RetryRequest, VmRoom } from "./room/vm_room.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Location, SteeredTarget } from "./target.ts";
@@ -70,6 +74,7 @@
       serviceTimes: new ServiceTimes(),
       kindTimes: new KindTimes(),
       roundTrips: this.roundTrips,
+      room: new VmRoom(options.vm),
     };
     const candidates = new Candidates(this.#known, {
       from: options.location,
@@ -181,10 +186,57 @@
 
   /**
    * Takes one retry from the service's retry budget; false if the budget is used
-   * up.
+   * up, or too little of it is left for a request of this priority.
    */
-  takeRetry(service: ServiceId, now: number): boolean {
-    return this.#retryBudget(service).trySpend(now, this.#known.rates.totalVms);
+  takeRetry(
+    service: ServiceId,
+    now: number,
+    retry: RetryRequest = { priority: 0, objectiveAt: Infinity },
+  ): boolean {
+    const { room, rates, serviceTimes } = this.#known;
+    const runMs = serviceTimes.meanMs(service);
+    const terms = room.retryTerms(service, retry, { runMs, now });
+    if (terms.kind === "hopeless") {
+      return false;
+    }
+    const isTaken = this.#retryBudget(service)
+      .trySpend(now, rates.totalVms, terms);
+    if (!isTaken) {
+      room.retryDenied(service, retry.priority, now);
+    }
+    return isTaken;
+  }
+
+  /** Whether a target of the service that refused a request may get it again. */
+  mayTryAgain(service: ServiceId, now: number): boolean {
+    return this.#known.room.mayTryAgain(service, now);
+  }
+
+  /** Sets the services whose room is shared among all VMs. */
+  setSharedRoom(services: ReadonlySet<ServiceId>): void {
+    this.#known.room.setServices(services);
+  }
+
+  /** Sets the shares that the owner of a service's homes has announced. */
+  updateRoom(
+    service: ServiceId,
+    shares: readonly RoomShare[],
+    now: number,
+  ): void {
+    this.#known.room.update(service, shares, now);
+  }
+
+  /** Counters of the services whose room is shared, for metrics. */
+  roomCounts(): ReadonlyMap<ServiceId, GateCounts> {
+    return this.#known.room.counts();
+  }
+
+  /**
+   * Refuses a new request if the service has no room for it; call it once for each
+   * request, before {@link place}.
+   */
+  admit(request: PlacementRequest, now: number): PlacementRefused | undefined {
+    return this.#admission.admit(request, now);
   }
 
   /**
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -125,7 +125,12 @@
     const { target, load, health } = entry;
     const { failed, object } = result;
     const { now, writtenAt } = times;
-    health.responded(writtenAt, { now, failed });
+    const isRefusal = result.isRefusal ?? false;
+    if (this.#known.room.responded(target, { isRefusal, now }) && isRefusal) {
+      health.refused(writtenAt, now);
+    } else {
+      health.responded(writtenAt, { now, failed });
+    }
     if (result.load !== undefined) {
       load.reported(result.load, now);
     }
--- a/packages/placement/src/target_health.ts
+++ b/packages/placement/src/target_health.ts
@@ -94,6 +94,15 @@
     }
   }
 
+  /** Records that the target refused the request sent at `sentAt` for lack of room. */
+  refused(sentAt: number, now: number): void {
+    this.removePending(sentAt);
+    this.#lastResponseAt = now;
+    if (this.#state === "unresponsive") {
+      this.#markInUse();
+    }
+  }
+
   /** Records that a connection broke with a request in progress. */
   connectionBroke(sentAt: number, now: number): void {
     this.removePending(sentAt);
--- a/packages/placement/src/target_knowledge.ts
+++ b/packages/placement/src/target_knowledge.ts
@@ -5,6 +5,7 @@
  */
 
 import type { KindTimes } from "./kind_times.ts";
+import type { VmRoom } from "./room/vm_room.ts";
 import type { RoundTrips } from "./round_trips.ts";
 import type { ServiceTimes } from "./service_times.ts";
 import type { TargetEntries } from "./target_entries.ts";
@@ -19,4 +20,5 @@
   readonly serviceTimes: ServiceTimes;
   readonly kindTimes: KindTimes;
   readonly roundTrips: RoundTrips;
+  readonly room: VmRoom;
 }
