placement: place by assigned homes

Cause: without a view of the load, some targets are the home of six or seven objects, and their overflow runs on targets without the object cached. Change: SteeringOptions.homes is asked for the homes of a request's object. Homes are compared first and cost no position; an unwarmed one costs the time that a cache saves, once. Requests wait while the owner is asked, which does not count as overload. Demand, responses and refusals are recorded. Decisions state how the target relates to the homes, and what a request waits for.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -103,6 +103,7 @@
         kind: "answered",
         load,
         failed,
+        isRefusal: end.kind === "not-run",
         object,
         requestKind,
         warmth,
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -179,11 +179,12 @@
     }
     this.#guarded(() => {
       this.#services.wheel.add(this);
-      this.#services.steering.arrived(
-        this.service,
-        this.priority,
-        this.startedAt,
-      );
+      this.#services.steering.arrived({
+        service: this.service,
+        kind: this.route.name,
+        priority: this.priority,
+        object: this.object,
+      }, this.startedAt);
       if (!RequestBody.isPresent(this.request)) {
         this.#bodyComplete();
         return;
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -223,7 +223,7 @@
           warmth: "unknown",
         };
       case "wait":
-        return { kind: "wait" };
+        return { kind: "wait", for: "capacity" };
       case "refuse":
         return { kind: "refuse", reason: "overload", retryAfterMs: 100 };
     }
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -9,11 +9,13 @@
 import type { Choice } from "./choose.ts";
 import { DrainRate } from "./drain_rate.ts";
 import type {
+  PlacedVia,
   PlacementDecision,
   PlacementRefusal,
   PlacementRequest,
   Warmth,
 } from "./placement.ts";
+import type { RequestHomes } from "./request_homes.ts";
 import type { SteeredEntry } from "./target_entries.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
 
@@ -50,15 +52,26 @@
   readonly ahead: number;
 }
 
+/** Dependencies of {@link Admission}. */
+export interface AdmissionOptions {
+  readonly candidates: Candidates;
+  readonly homes: RequestHomes;
+}
+
 /** Decides whether requests are sent, wait or are refused. */
 export class Admission {
   readonly #known: TargetKnowledge;
   readonly #candidates: Candidates;
+  readonly #homes: RequestHomes;
   readonly #drainRates = new Map<ServiceId, DrainRate>();
 
-  constructor(known: TargetKnowledge, candidates: Candidates) {
+  constructor(
+    known: TargetKnowledge,
+    { candidates, homes }: AdmissionOptions,
+  ) {
     this.#known = known;
     this.#candidates = candidates;
+    this.#homes = homes;
   }
 
   /** Records the arrival of a caller's request. */
@@ -78,25 +91,30 @@
   ): PlacementDecision {
     const { now } = moment;
     const compared = this.#candidates.cheapestFor(request, now);
-    if (compared.kind === "none") {
-      return refusal("no-target", this.#retryAfterMs(request, now));
+    switch (compared.kind) {
+      case "none":
+        return refusal("no-target", this.#retryAfterMs(request, now));
+      case "pending":
+        return { kind: "wait", for: "homes" };
+      case "compared":
+        break;
     }
     const { choice } = compared;
     const chosen = choice && this.#known.entries.get(choice.target);
     return choice !== undefined && chosen && hasCapacity(chosen, now)
-      ? this.#send(choice, request, now)
+      ? this.#send({ ...choice, via: compared.via }, request, now)
       : this.#wait(request, moment);
   }
 
   #send(
-    choice: Choice,
+    choice: Choice & { readonly via: PlacedVia | undefined },
     request: PlacementRequest,
     now: number,
   ): PlacementDecision {
     const serviceMs = this.#known.serviceTimes.meanMs(request.service);
     const remainingMs = request.deadlineAt - now;
     return choice.expectedMs + serviceMs / 2 > remainingMs
-      ? refusal("overload", choice.expectedMs)
+      ? this.#refuse(request, choice.expectedMs)
       : {
         kind: "send",
         warmth: this.#warmth(choice, request, now),
@@ -113,8 +131,14 @@
     const waitsUntil = now + waitMs;
     const maxWaitMs = (request.deadlineAt - request.arrivedAt) * MAX_WAIT_SHARE;
     return waitsUntil > request.arrivedAt + maxWaitMs
-      ? refusal("overload", waitMs)
-      : { kind: "wait" };
+      ? this.#refuse(request, waitMs)
+      : { kind: "wait", for: "capacity" };
+  }
+
+  /** Refuses a request for lack of room. */
+  #refuse(request: PlacementRequest, waitMs: number): PlacementDecision {
+    this.#homes.recordRefusal(request);
+    return refusal("overload", waitMs);
   }
 
   /**
--- a/packages/placement/src/candidates.ts
+++ b/packages/placement/src/candidates.ts
@@ -12,7 +12,8 @@
   minCostFromMaxPosition,
   type PlacementWeights,
 } from "./choose.ts";
-import type { PlacementRequest } from "./placement.ts";
+import type { PlacedVia, PlacementRequest } from "./placement.ts";
+import type { HomesForRequest, RequestHomes } from "./request_homes.ts";
 import type { Location } from "./target.ts";
 import type { SteeredEntry } from "./target_entries.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
@@ -30,6 +31,7 @@
   /** Location of this VM. */
   readonly from: Location;
   readonly weights: PlacementWeights;
+  readonly homes: RequestHomes;
   /**
    * Number of targets, in rendezvous order, that are compared before all of them
    * are; defaults to {@link INITIAL_CANDIDATES}.
@@ -41,14 +43,29 @@
 export type CandidatesResult =
   /** The request may be sent to no target. */
   | { readonly kind: "none" }
+  /** The homes of its object are not known yet. */
+  | { readonly kind: "pending" }
   /** The cheapest one; undefined if rates allow no request to any of them now. */
-  | { readonly kind: "compared"; readonly choice: Choice | undefined };
+  | {
+    readonly kind: "compared";
+    readonly choice: Choice | undefined;
+    readonly via: PlacedVia | undefined;
+  };
 
 /** A target and its position in the rendezvous order of the request's object. */
 interface Positioned {
   readonly entry: SteeredEntry;
   /** Undefined for requests without an object. */
   readonly position: number | undefined;
+  readonly isHome: boolean;
+}
+
+/** A request to compare targets for. */
+interface Comparison {
+  readonly request: PlacementRequest;
+  readonly now: number;
+  /** The usable assigned homes of its object; undefined if none are assigned. */
+  readonly homes: readonly SteeredEntry[] | undefined;
 }
 
 /** Compares targets; see the module comment. */
@@ -56,12 +73,14 @@
   readonly #known: TargetKnowledge;
   readonly #from: Location;
   readonly #weights: PlacementWeights;
+  readonly #homes: RequestHomes;
   readonly #initialCandidates: number;
 
   constructor(known: TargetKnowledge, options: CandidatesOptions) {
     this.#known = known;
     this.#from = options.from;
     this.#weights = options.weights;
+    this.#homes = options.homes;
     this.#initialCandidates = options.initialCandidates ?? INITIAL_CANDIDATES;
   }
 
@@ -69,21 +88,50 @@
   cheapestFor(request: PlacementRequest, now: number): CandidatesResult {
     const initial = this.#known.entries
       .usable(request, now, this.#initialCandidates);
-    return initial.length === 0
-      ? { kind: "none" }
-      : { kind: "compared", choice: this.#choose(initial, request, now) };
+    if (initial.length === 0) {
+      return { kind: "none" };
+    }
+    const homes = this.#homes.lookUp(request, now);
+    if (homes.kind === "pending") {
+      return homes;
+    }
+    const usableHomes = homes.kind === "assigned" ? homes.usable : undefined;
+    const choice = this.#choose(initial, { request, now, homes: usableHomes });
+    return {
+      kind: "compared",
+      choice,
+      via: choice && this.#via(choice, request, homes),
+    };
+  }
+
+  #via(
+    { target }: Choice,
+    { object }: PlacementRequest,
+    homes: Exclude<HomesForRequest, { kind: "pending" }>,
+  ): PlacedVia | undefined {
+    if (object === undefined) {
+      return undefined;
+    }
+    if (homes.kind === "unassigned") {
+      return "unassigned";
+    }
+    if (homes.preferred?.target.id === target) {
+      return "home";
+    }
+    const isHome = homes.usable.some((entry) => entry.target.id === target);
+    return isHome ? "second-home" : "other";
   }
 
   /** The cheapest target; `initial` holds the first usable ones in rendezvous order. */
   #choose(
     initial: readonly SteeredEntry[],
-    request: PlacementRequest,
-    now: number,
+    comparison: Comparison,
   ): Choice | undefined {
+    const { request, now } = comparison;
     const isComplete = initial.length < this.#initialCandidates ||
       request.object === undefined;
     if (isComplete) {
-      return this.#cheapest(withPositions(initial, request), request, now);
+      return this.#cheapest(withPositions(initial, comparison), comparison);
     }
     const costParams = {
       weights: this.#weights,
@@ -91,32 +139,31 @@
     };
     const cheapest = this.#cheapest(
       [
-        ...withPositions(initial, request),
-        ...this.#warmBeyond(initial, request, now),
+        ...withPositions(initial, comparison),
+        ...this.#warmBeyond(initial, comparison),
       ],
-      request,
-      now,
+      comparison,
     );
     if (cheapest && cheapest.cost <= minCostFromMaxPosition(costParams)) {
       return cheapest;
     }
     const all = this.#known.entries.usable(request, now, Infinity);
-    return this.#cheapest(withPositions(all, request), request, now);
+    return this.#cheapest(withPositions(all, comparison), comparison);
   }
 
   /**
-   * Usable targets after `initial` that are warm for the request's object. They are
-   * returned in rendezvous order, so that all VMs break ties alike.
+   * Usable targets after `initial` that are warm for the request's object, without
+   * its homes. They are returned in rendezvous order, so that all VMs break ties
+   * alike.
    */
   #warmBeyond(
     initial: readonly SteeredEntry[],
-    request: PlacementRequest,
-    now: number,
+    { request, now, homes = [] }: Comparison,
   ): readonly Positioned[] {
     const { entries, warmObjects } = this.#known;
     const { service } = request;
     const object = request.object!;
-    const excluded = new Set(initial);
+    const excluded = new Set([...initial, ...homes]);
     const warm: SteeredEntry[] = [];
     for (const id of warmObjects.targetsOf(object, now)) {
       const entry = entries.get(id);
@@ -127,13 +174,12 @@
       }
     }
     return entries.sorted(warm, { service, object })
-      .map((entry) => ({ entry, position: MAX_POSITION }));
+      .map((entry) => ({ entry, position: MAX_POSITION, isHome: false }));
   }
 
   #cheapest(
     positioned: readonly Positioned[],
-    request: PlacementRequest,
-    now: number,
+    { request, now }: Comparison,
   ): Choice | undefined {
     const candidates: Candidate[] = [];
     for (const one of positioned) {
@@ -149,7 +195,7 @@
   }
 
   #candidate(
-    { entry, position }: Positioned,
+    { entry, position, isHome }: Positioned,
     { service, object }: PlacementRequest,
     now: number,
   ): Candidate {
@@ -159,6 +205,7 @@
     return {
       target,
       position,
+      isHome,
       costs: {
         roundTripMs: roundTrips.to(target),
         waitMs: load.waitMs(now, { slots: target.slots, serviceMs }),
@@ -170,13 +217,28 @@
   }
 }
 
-/** Adds the position in rendezvous order; requests without an object have none. */
+/**
+ * Adds the position in rendezvous order; requests without an object have none. Homes
+ * come first.
+ */
 function withPositions(
   usable: readonly SteeredEntry[],
-  { object }: PlacementRequest,
+  { request, homes }: Comparison,
 ): readonly Positioned[] {
-  return usable.map((entry, position) => ({
-    entry,
-    position: object === undefined ? undefined : position,
-  }));
+  if (homes === undefined) {
+    return usable.map((entry, position) => ({
+      entry,
+      position: request.object === undefined ? undefined : position,
+      isHome: false,
+    }));
+  }
+  const others = usable.filter((entry) => !homes.includes(entry));
+  return [
+    ...homes.map((entry) => ({ entry, position: 0, isHome: true })),
+    ...others.map((entry, index) => ({
+      entry,
+      position: index + 1,
+      isHome: false,
+    })),
+  ];
 }
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -89,9 +89,12 @@
   readonly target: PlacedTarget;
   /**
    * Position in the rendezvous order of the request's object among the usable
-   * targets, 0 for its home; undefined for requests without an object.
+   * targets, 0 for its home; undefined for requests without an object. If homes are
+   * assigned, the others are counted from 1.
    */
   readonly position: number | undefined;
+  /** It is an assigned home of the request's object. */
+  readonly isHome: boolean;
   readonly costs: TargetCosts;
 }
 
@@ -148,9 +151,14 @@
 }
 
 function warmthCost(
-  { target, position, costs }: Candidate,
+  { target, position, isHome, costs }: Candidate,
   params: ChoiceParams,
 ): number {
+  if (isHome) {
+    // Unwarmed, it has to be warmed by one request or another, so there is no
+    // surcharge for keeping a slot busy for longer.
+    return costs.isWarm ? 0 : params.savedMs;
+  }
   if (position === undefined) {
     // Spreads requests over equal targets instead of filling them in list order.
     return target.hash % TIE_STEPS / TIE_STEPS;
--- a/packages/placement/src/kind_times.ts
+++ b/packages/placement/src/kind_times.ts
@@ -1,6 +1,6 @@
 /**
- * Time that a target saves on a request if it has the object cached, by kind of
- * request.
+ * Time that a request takes on a target that has its object cached, and the time
+ * that the cache saves, by kind of request.
  *
  * Kinds of requests differ widely: one takes 40 ms with the object cached and 140
  * ms without, another one 260 and 880 ms. If uncached targets had the same cost for
@@ -22,6 +22,8 @@
 const MEDIAN_INTERVAL_SAMPLES = 8;
 /** Used until the saved time is known. */
 const DEFAULT_SAVED_MS = 300;
+/** Used until either time is known. */
+const DEFAULT_WARM_MS = 200;
 /**
  * Share of the uncached time that is assumed to be saved until the cached time is
  * known.
@@ -87,6 +89,17 @@
     (isWarm ? times.warm : times.unwarmed).add(Math.max(1, ms));
   }
 
+  /** Time in milliseconds that a target with the object cached takes. */
+  warmMs(kind: string): number {
+    const times = this.#times.get(kind);
+    if (times?.warm.isKnown) {
+      return times.warm.value;
+    }
+    return times?.unwarmed.isKnown
+      ? times.unwarmed.value * (1 - DEFAULT_SAVED_SHARE)
+      : DEFAULT_WARM_MS;
+  }
+
   /** Time in milliseconds that a target with the object cached saves. */
   savedMs(kind: string): number {
     const times = this.#times.get(kind);
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -28,6 +28,12 @@
   readonly tried: ReadonlySet<TargetId>;
 }
 
+/** The properties of a request that are recorded when it arrives. */
+export type PlacementArrival = Pick<
+  PlacementRequest,
+  "service" | "kind" | "priority" | "object"
+>;
+
 /**
  * Whether the target was assumed to have the request's object cached when the
  * request was sent to it.
@@ -41,6 +47,17 @@
   /** Its response is expected too late. */
   | "overload";
 
+/** How the target of a request relates to the homes of the request's object. */
+export type PlacedVia =
+  /** The preferred home. */
+  | "home"
+  /** Another home. */
+  | "second-home"
+  /** A target that is not one of the homes. */
+  | "other"
+  /** The object has no assigned homes. */
+  | "unassigned";
+
 /** What happens to a request now. */
 export type PlacementDecision =
   | {
@@ -48,8 +65,11 @@
     readonly target: TargetId;
     readonly expectedMs: number;
     readonly warmth: Warmth;
+    /** Undefined for requests without an object. */
+    readonly via?: PlacedVia | undefined;
   }
-  | { readonly kind: "wait" }
+  /** The request waits for the homes of its object to become known, or for capacity. */
+  | { readonly kind: "wait"; readonly for: "homes" | "capacity" }
   | {
     readonly kind: "refuse";
     readonly reason: PlacementRefusal;
@@ -63,6 +83,8 @@
     readonly load: LoadReport | undefined;
     /** The target failed the request or refused to run it. */
     readonly failed: boolean;
+    /** The target refused to run the request. */
+    readonly isRefusal?: boolean;
     readonly object: number | undefined;
     /** Kind of the request; see {@link PlacementRequest.kind}. */
     readonly requestKind: string;
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -13,12 +13,15 @@
 import { Candidates } from "./candidates.ts";
 import { DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import type { HomeSource } from "./homes/home_source.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
+  PlacementArrival,
   PlacementDecision,
   PlacementRequest,
 } from "./placement.ts";
+import { RequestHomes } from "./request_homes.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Location, SteeredTarget } from "./target.ts";
@@ -46,6 +49,8 @@
    * are; by default as many as can differ in the cost of their position.
    */
   readonly initialCandidates?: number;
+  /** Assigned homes of objects; without it, homes follow from the rendezvous order. */
+  readonly homes?: HomeSource;
 }
 
 /**
@@ -56,6 +61,7 @@
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
   readonly #known: TargetKnowledge;
+  readonly #homes: RequestHomes;
   readonly #admission: Admission;
   readonly #feedback: TargetFeedback;
   readonly #retryBudgets = new Map<ServiceId, FleetRetryBudget>();
@@ -71,16 +77,21 @@
       kindTimes: new KindTimes(),
       roundTrips: this.roundTrips,
     };
+    this.#homes = new RequestHomes(this.#known, options.homes);
     const candidates = new Candidates(this.#known, {
+      homes: this.#homes,
       from: options.location,
       weights: options.weights ?? DEFAULT_WEIGHTS,
       initialCandidates: options.initialCandidates,
     });
-    this.#admission = new Admission(this.#known, candidates);
-    this.#feedback = new TargetFeedback(
-      this.#known,
-      (pair) => options.onWarmPair?.(pair),
-    );
+    this.#admission = new Admission(this.#known, {
+      candidates,
+      homes: this.#homes,
+    });
+    this.#feedback = new TargetFeedback(this.#known, {
+      onWarmPair: (pair) => options.onWarmPair?.(pair),
+      homes: options.homes,
+    });
   }
 
   /** Sets the reachable VMs, including this one. */
@@ -173,10 +184,12 @@
     return entry === undefined ? 0 : this.roundTrips.to(entry.target);
   }
 
-  /** Records the arrival of a caller's request for `service`. */
-  arrived(service: ServiceId, priority: number, now: number): void {
+  /** Records the arrival of a caller's request. */
+  arrived(request: PlacementArrival, now: number): void {
+    const { service, priority } = request;
     this.#retryBudget(service).arrived(now);
     this.#admission.arrived(service, priority, now);
+    this.#homes.recordDemand(request);
   }
 
   /**
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -7,6 +7,7 @@
 
 import type { TargetId } from "@poplarthread/ids";
 import type { AttemptResult } from "./placement.ts";
+import type { HomeSource } from "./homes/home_source.ts";
 import type { SteeredEntry } from "./target_entries.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
 import type { HashedPair } from "./warm_objects.ts";
@@ -20,10 +21,17 @@
 
 type Answered = Extract<AttemptResult, { kind: "answered" }>;
 
+/** Receivers of what is learned, besides the targets' entries. */
+export interface TargetFeedbackOptions {
+  /** Called when other VMs should know that a target is warm for an object. */
+  onWarmPair(pair: HashedPair): void;
+  readonly homes: HomeSource | undefined;
+}
+
 /** Applies the outcomes of attempts and probes. */
 export class TargetFeedback {
   readonly #known: TargetKnowledge;
-  readonly #onWarmPair: (pair: HashedPair) => void;
+  readonly #options: TargetFeedbackOptions;
   /**
    * Targets that may have pending requests of this VM. Few of several hundred have
    * any at one time.
@@ -32,10 +40,9 @@
   /** Targets that may be unusable and need probes. */
   readonly #unhealthy = new Set<SteeredEntry>();
 
-  /** `onWarmPair` is called when other VMs should know that a target is warm for an object. */
-  constructor(known: TargetKnowledge, onWarmPair: (pair: HashedPair) => void) {
+  constructor(known: TargetKnowledge, options: TargetFeedbackOptions) {
     this.#known = known;
-    this.#onWarmPair = onWarmPair;
+    this.#options = options;
   }
 
   /** The target no longer exists. */
@@ -129,6 +136,11 @@
     if (result.load !== undefined) {
       load.reported(result.load, now);
     }
+    this.#options.homes?.recordResponse(target.service, {
+      target: target.hash,
+      pace: result.load?.pace,
+      isRefusal: result.isRefusal ?? false,
+    });
     if (failed) {
       return;
     }
@@ -139,7 +151,7 @@
     }
     const pair = { object, target: target.id };
     if (this.#known.warmObjects.recordUse(pair, now)) {
-      this.#onWarmPair({ object, target: target.hash });
+      this.#options.onWarmPair({ object, target: target.hash });
     }
   }
 
