placement: weigh the pace that targets report

Cause: targets share their machines with others; work on a slowed one takes several times as long, which the number of requests there does not show. Change: the wait at a target and the run time there are weighed with the pace of its last report, which fades to the usual one with a half-life of 400 ms. Service times and times by kind are recorded at the usual pace. Targets that report no pace are weighed as before.

--- a/packages/placement/src/candidates.ts
+++ b/packages/placement/src/candidates.ts
@@ -196,11 +196,11 @@
 
   #candidate(
     { entry, position, isHome }: Positioned,
-    { service, object }: PlacementRequest,
+    { service, object, kind }: PlacementRequest,
     now: number,
   ): Candidate {
     const { target, load, health } = entry;
-    const { roundTrips, serviceTimes, warmObjects } = this.#known;
+    const { roundTrips, serviceTimes, kindTimes, warmObjects } = this.#known;
     const serviceMs = serviceTimes.meanMs(service);
     return {
       target,
@@ -209,6 +209,7 @@
       costs: {
         roundTripMs: roundTrips.to(target),
         waitMs: load.waitMs(now, { slots: target.slots, serviceMs }),
+        extraRunMs: (load.pace(now) - 1) * kindTimes.warmMs(kind),
         isWarm: object !== undefined &&
           warmObjects.isWarm(object, target.id, now),
         failureShare: health.failureShare(now),
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -21,6 +21,8 @@
   readonly roundTripMs: number;
   /** Expected wait for a slot. */
   readonly waitMs: number;
+  /** Expected run time beyond the usual one, because of the pace of its machine. */
+  readonly extraRunMs: number;
   /** A VM recently sent requests for the object to this target. */
   readonly isWarm: boolean;
   /** Share of recent requests that the target failed, 0 to 1. */
@@ -142,7 +144,7 @@
   { target, costs }: Candidate,
   { from, weights }: ChoiceParams,
 ): number {
-  const cost = costs.roundTripMs + costs.waitMs +
+  const cost = costs.roundTripMs + costs.waitMs + costs.extraRunMs +
     costs.failureShare * weights.failingMs;
   if (target.region !== from.region) {
     return cost + weights.crossRegionMs;
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -164,9 +164,10 @@
     const { serviceTimes, kindTimes } = this.#known;
     serviceTimes.recordResponseTime(target.service, ms);
     if (load === undefined || load.waiting === 0) {
-      serviceTimes.recordServiceTime(target.service, ms);
+      const usualMs = ms / (load?.pace ?? 1);
+      serviceTimes.recordServiceTime(target.service, usualMs);
       if (warmth !== "unknown") {
-        kindTimes.record(requestKind, ms, warmth === "warm");
+        kindTimes.record(requestKind, usualMs, warmth === "warm");
       }
     }
   }
--- a/packages/placement/src/target_load.ts
+++ b/packages/placement/src/target_load.ts
@@ -29,12 +29,20 @@
  */
 const REPORT_HALF_LIFE_MS = 1_000;
 
+/**
+ * Half-life of a reported pace. Other work on the target's machine starts and ends
+ * several times a second, so an older report says little about the next request.
+ */
+const PACE_HALF_LIFE_MS = 400;
+
 /** Tracks the load of one target. Times are milliseconds of the monotonic clock. */
 export class TargetLoad {
   /** Pending requests of this VM. */
   #localRequests = 0;
   #remoteRequests = 0;
   #reportedAt = 0;
+  /** Undefined if the target does not report it. */
+  #pace: number | undefined;
 
   /** Records that a request was sent. */
   sent(): void {
@@ -51,6 +59,19 @@
     const total = report.running + report.waiting;
     this.#remoteRequests = Math.max(0, total - this.#localRequests);
     this.#reportedAt = now;
+    this.#pace = report.pace;
+  }
+
+  /**
+   * Expected time of work that starts now, as a multiple of the usual time; 1 if the
+   * target does not report it.
+   */
+  pace(now: number): number {
+    if (this.#pace === undefined) {
+      return 1;
+    }
+    const age = now - this.#reportedAt;
+    return 1 + (this.#pace - 1) * 2 ** (-age / PACE_HALF_LIFE_MS);
   }
 
   /** Estimated number of requests of all VMs at the target. */
@@ -63,7 +84,7 @@
   /** Expected wait for a slot in milliseconds. */
   waitMs(now: number, { slots, serviceMs }: WaitParams): number {
     const ahead = this.inFlight(now) - slots + 1;
-    return ahead <= 0 ? 0 : ahead * serviceMs / slots;
+    return ahead <= 0 ? 0 : ahead * serviceMs / slots * this.pace(now);
   }
 }
 
