Assign homes of objects by load

An owner in each region keeps a table of the homes of a service's objects: consistent hashing with bounded loads, more homes for objects that ask for much, slow moves away from targets that stay too busy. The VMs query it, report to it and follow its numbered updates; owners of different regions exchange their loads.

--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -8,7 +8,7 @@
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
 import type { TargetOwner } from "../target_owners.ts";
 import type { HomeSource } from "./home_source.ts";
-import type { HomeMessage, RoomShare } from "./messages.ts";
+import type { HomeMessage, PriorityDemand, RoomShare } from "./messages.ts";
 
 /** Interval at which {@link HomeAgent.tick} must be called. */
 export const HOME_TICK_MS = 100;
@@ -40,9 +40,25 @@
   readonly unanswered: number;
 }
 
+/** What the callers of a region ask of a service, and what it can do for them. */
+export interface ServiceDemand {
+  /** Time that the demand covers, in milliseconds. */
+  readonly spanMs: number;
+  /** Demand of all VMs of the region, the most urgent priority first. */
+  readonly priorities: readonly PriorityDemand[];
+  /** Slots of the region's targets, over their mean pace. */
+  readonly capacity: number;
+  /** How many of them are kept busy, also by other regions' callers. */
+  readonly busySlots: number;
+}
+
 /** Options of a {@link HomeAgent}. */
 export interface HomeAgentOptions {
   readonly self: TargetOwner;
+  /** Limit of a target's load, as a multiple of the mean load. */
+  readonly bound?: number;
+  /** Computes the room that this VM, as an owner, tells the others of; none by default. */
+  roomOf?(service: ServiceId, demand: ServiceDemand): readonly RoomShare[];
   /** Creates the name of a new term. */
   newTerm(): string;
   /** Called when queries or other messages wait to be sent before the next tick. */
--- /dev/null
+++ b/packages/placement/src/homes/home_record.ts
@@ -0,0 +1,60 @@
+/**
+ * What an owner keeps of an object, and how many homes it needs.
+ *
+ * @module
+ */
+
+/** Homes of one object at most; each costs a place in a target's cache. */
+export const MAX_HOMES = 4;
+/** An object that needs more than this share of a target's slots gets another home. */
+const SHARE_OF_TARGET = 0.5;
+/** A home is needed no longer when the others would stay this far below their share. */
+const SURPLUS_MARGIN = 0.7;
+
+/** The move of an object to another target. */
+export interface HomeMove {
+  readonly from: number;
+  readonly to: number;
+  readonly startedAt: number;
+}
+
+/** An object in the owner's table. Times are milliseconds of the monotonic clock. */
+export interface HomeRecord {
+  readonly object: number;
+  /** Target hashes, the preferred home first. */
+  homes: readonly number[];
+  workMs: number;
+  perSecond: number;
+  /** Requests reported since the rate was last computed. */
+  requests: number;
+  /** Slots counted as busy at each of the homes. */
+  share: number;
+  usedAt: number;
+  /** When a home was last added because the others were too busy. */
+  extendedAt: number;
+  /** Since when the object needs fewer homes than it has. */
+  surplusSince: number | undefined;
+  move: HomeMove | undefined;
+  /** Number of the last change of the homes. */
+  sequence: number;
+}
+
+/** Slots that the object's requests keep busy on average. */
+export function busySlotsOf(
+  { perSecond, workMs }: Pick<HomeRecord, "perSecond" | "workMs">,
+): number {
+  return perSecond * workMs / 1_000;
+}
+
+/** How many homes an object needs on targets of the given capacity. */
+export function wantedHomes(busySlots: number, capacity: number): number {
+  const share = Math.max(1e-6, SHARE_OF_TARGET * capacity);
+  return Math.min(MAX_HOMES, Math.max(1, Math.ceil(busySlots / share)));
+}
+
+/** Whether the object would do with one home less. */
+export function hasSurplus(record: HomeRecord, capacity: number): boolean {
+  const { length } = record.homes;
+  const needed = wantedHomes(busySlotsOf(record) / SURPLUS_MARGIN, capacity);
+  return length > 1 && record.move === undefined && needed < length;
+}
--- /dev/null
+++ b/packages/placement/src/homes/home_table.ts
@@ -0,0 +1,354 @@
+/**
+ * The owner's table: which targets are the homes of each object in use.
+ *
+ * It answers targets that are unevenly asked for: an object's home is the first
+ * target of its rendezvous order whose load stays within a bound of the mean. A table
+ * that is lost is mostly computed again alike, because most objects get the first
+ * target of their order.
+ *
+ * @module
+ */
+
+import type { RegionId } from "@poplarthread/ids";
+import type { HomeTarget } from "./home_agent.ts";
+import {
+  advanceMove,
+  crowdedTargets,
+  isUsefulMove,
+  MAX_MOVES_PER_SWEEP,
+} from "./home_moves.ts";
+import {
+  busySlotsOf,
+  hasSurplus,
+  type HomeRecord,
+  MAX_HOMES,
+  wantedHomes,
+} from "./home_record.ts";
+import { HomeTargets } from "./home_targets.ts";
+import { mergeHomes } from "./merge_homes.ts";
+import { withoutLost } from "./home_protocol.ts";
+import type { HomeQuery, ObjectDemand, ObjectHomes } from "./messages.ts";
+import { ObjectRates } from "./object_rates.ts";
+
+/** Time after which an observation counts half in an object's rate. */
+const RATE_HALF_LIFE_MS = 4_000;
+/** Objects that nobody asked for are dropped after this time. */
+const UNUSED_TTL_MS = 15_000;
+/** Minimum time between two homes added because the others were too busy. */
+const EXTEND_INTERVAL_MS = 300;
+/** Time for which a home stays that is needed no longer; a dropped one loses its cache. */
+const SURPLUS_TTL_MS = 10_000;
+
+/** Options of a {@link HomeTable}. */
+export interface HomeTableOptions {
+  readonly region: RegionId;
+  /** Limit of a target's load, as a multiple of the mean load. */
+  readonly bound: number;
+}
+
+/** Numbers of changes since the start. */
+export interface HomeChanges {
+  assigned: number;
+  added: number;
+  moved: number;
+  dropped: number;
+}
+
+/** See the module comment. Times are milliseconds of the monotonic clock. */
+export class HomeTable {
+  /** The targets with their loads. */
+  readonly targets: HomeTargets;
+  readonly counts: HomeChanges = {
+    assigned: 0,
+    added: 0,
+    moved: 0,
+    dropped: 0,
+  };
+  readonly #records = new Map<number, HomeRecord>();
+  readonly #rates = new ObjectRates();
+  readonly #crowdedSince = new Map<number, number>();
+  #sequence = 0;
+  #sweptAt: number | undefined;
+
+  constructor(options: HomeTableOptions) {
+    this.targets = new HomeTargets(options);
+  }
+
+  /** Number of the last change. */
+  get sequence(): number {
+    return this.#sequence;
+  }
+
+  /** Number of objects in use. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** The homes of an object; undefined if it has none. */
+  homesOf(object: number): ObjectHomes | undefined {
+    const record = this.#records.get(object);
+    return record && { object, targets: record.homes };
+  }
+
+  /** Homes changed after the given number, in the order of their last change. */
+  changesSince(sequence: number): readonly (ObjectHomes & {
+    readonly sequence: number;
+  })[] {
+    if (sequence >= this.#sequence) {
+      return [];
+    }
+    return [...this.#records.values()]
+      .filter((record) => record.sequence > sequence)
+      .sort((a, b) => a.sequence - b.sequence)
+      .map(({ object, homes, sequence }) => ({
+        object,
+        targets: homes,
+        sequence,
+      }));
+  }
+
+  /** Sets the targets. Objects whose home is gone or has restarted get another one. */
+  setTargets(targets: readonly HomeTarget[]): void {
+    const lost = this.targets.set(targets);
+    if (lost.size === 0) {
+      return;
+    }
+    for (const record of this.#records.values()) {
+      if (record.homes.some((home) => lost.has(home))) {
+        this.#reassign(record, lost);
+      }
+    }
+  }
+
+  /** The homes of a query's object, which gets one if it has none. */
+  assign({ object, workMs, wanted }: HomeQuery, now: number): ObjectHomes {
+    const known = this.#records.get(object);
+    if (known !== undefined && known.homes.length > 0) {
+      known.usedAt = now;
+      if (wanted === "another") {
+        this.#extend(known, now);
+      }
+      return { object, targets: known.homes };
+    }
+    const record = known ?? this.#add(object, workMs, now);
+    this.#setHomes(record, this.#chooseFirst(record));
+    this.counts.assigned += 1;
+    return { object, targets: record.homes };
+  }
+
+  /** Adds homes that a VM uses already to those of the table. */
+  adopt({ object, targets, workMs }: ObjectDemand, now: number): void {
+    const known = this.#records.get(object);
+    const usable = targets.filter((target) =>
+      this.targets.has(target) && known?.homes.includes(target) !== true
+    );
+    if (usable.length === 0) {
+      return;
+    }
+    const record = known ?? this.#add(object, workMs, now);
+    const merged = mergeHomes(record.homes, { object, targets: usable });
+    if (merged.length > record.homes.length) {
+      this.#setHomes(record, merged);
+    }
+  }
+
+  /** Counts what callers asked of a VM. */
+  recordDemand(demand: ObjectDemand, now: number): void {
+    const { object, requests, workMs } = demand;
+    if (requests === 0) {
+      return;
+    }
+    this.assign({ object, workMs, wanted: "any" }, now);
+    const record = this.#records.get(object)!;
+    record.requests += requests;
+    record.workMs = workMs;
+  }
+
+  /**
+   * Periodic work: computes rates, and adds, moves and drops homes. A new owner adds
+   * only: the VMs have not told it yet what they use.
+   */
+  sweep(
+    now: number,
+    { isRecovering }: { readonly isRecovering: boolean },
+  ): void {
+    this.#updateRates(now);
+    this.targets.refresh(now);
+    for (const record of [...this.#records.values()]) {
+      this.#addWanted(record);
+      if (!isRecovering) {
+        this.#drop(record, now);
+        this.#advance(record, now);
+      }
+    }
+    if (!isRecovering) {
+      this.#startMoves(now);
+    }
+  }
+
+  #add(object: number, workMs: number, now: number): HomeRecord {
+    const record: HomeRecord = {
+      object,
+      homes: [],
+      workMs,
+      perSecond: this.#rates.expected(workMs),
+      requests: 0,
+      share: 0,
+      usedAt: now,
+      extendedAt: -Infinity,
+      surplusSince: undefined,
+      move: undefined,
+      sequence: 0,
+    };
+    this.#records.set(object, record);
+    return record;
+  }
+
+  #chooseFirst(record: HomeRecord): readonly number[] {
+    const busySlots = busySlotsOf(record);
+    const { object } = record;
+    const home = this.targets.choose({ object, busySlots, except: [] });
+    return home === undefined ? [] : [home];
+  }
+
+  /** Changes an object's homes, and with them the load of the targets. */
+  #setHomes(record: HomeRecord, homes: readonly number[]): void {
+    this.#uncount(record);
+    record.homes = homes;
+    this.#count(record);
+    this.#sequence += 1;
+    record.sequence = this.#sequence;
+  }
+
+  #count(record: HomeRecord): void {
+    record.share = busySlotsOf(record) / Math.max(1, record.homes.length);
+    record.homes.forEach((home) => this.targets.add(home, record.share, 1));
+  }
+
+  #uncount({ homes, share }: HomeRecord): void {
+    homes.forEach((home) => this.targets.add(home, -share, -1));
+  }
+
+  #reassign(record: HomeRecord, lost: ReadonlySet<number>): void {
+    record.move = undefined;
+    this.#setHomes(record, withoutLost(record.homes, lost));
+    if (record.homes.length === 0) {
+      this.#setHomes(record, this.#chooseFirst(record));
+      this.counts.assigned += 1;
+    }
+  }
+
+  #extend(record: HomeRecord, now: number): void {
+    if (
+      record.homes.length < MAX_HOMES &&
+      now - record.extendedAt >= EXTEND_INTERVAL_MS
+    ) {
+      record.extendedAt = now;
+      this.#addHome(record);
+    }
+  }
+
+  #addHome(record: HomeRecord): void {
+    const busySlots = busySlotsOf(record) / (record.homes.length + 1);
+    const { object, homes } = record;
+    const choice = { object, busySlots, except: homes };
+    const home = this.targets.chooseNear(choice);
+    if (home !== undefined) {
+      record.surplusSince = undefined;
+      this.#setHomes(record, [...homes, home]);
+      this.counts.added += 1;
+    }
+  }
+
+  #addWanted(record: HomeRecord): void {
+    const capacity = this.#capacityFor(record);
+    if (record.homes.length < wantedHomes(busySlotsOf(record), capacity)) {
+      this.#addHome(record);
+    }
+  }
+
+  /** Drops an object that nobody uses, or a home that it needs no longer. */
+  #drop(record: HomeRecord, now: number): void {
+    if (now - record.usedAt >= UNUSED_TTL_MS) {
+      this.#uncount(record);
+      this.#records.delete(record.object);
+      this.counts.dropped += record.homes.length;
+      return;
+    }
+    if (!hasSurplus(record, this.#capacityFor(record))) {
+      record.surplusSince = undefined;
+      return;
+    }
+    record.surplusSince ??= now;
+    const keptSince = Math.max(record.surplusSince, record.extendedAt);
+    if (now - keptSince >= SURPLUS_TTL_MS) {
+      record.surplusSince = now;
+      this.#setHomes(record, record.homes.slice(0, -1));
+      this.counts.dropped += 1;
+    }
+  }
+
+  #capacityFor({ homes }: HomeRecord): number {
+    return homes.length === 0 ? Infinity : this.targets.capacityOf(homes[0]!);
+  }
+
+  #updateRates(now: number): void {
+    const elapsedMs = now - (this.#sweptAt ?? now);
+    this.#sweptAt = now;
+    if (elapsedMs <= 0) {
+      return;
+    }
+    const gain = 1 - 2 ** (-elapsedMs / RATE_HALF_LIFE_MS);
+    for (const record of this.#records.values()) {
+      const seen = record.requests * 1_000 / elapsedMs;
+      this.#uncount(record);
+      record.perSecond += gain * (seen - record.perSecond);
+      record.requests = 0;
+      this.#count(record);
+    }
+    this.#rates.set(this.#records.values());
+  }
+
+  #advance(record: HomeRecord, now: number): void {
+    const next = advanceMove(record, now);
+    if (next === undefined) {
+      return;
+    }
+    record.move = next.move;
+    this.#setHomes(record, next.homes);
+    this.counts.moved += next.move === undefined ? 1 : 0;
+  }
+
+  #startMoves(now: number): void {
+    let moves = 0;
+    const crowded = this.targets.crowded();
+    for (const target of crowdedTargets(crowded, this.#crowdedSince, now)) {
+      if (moves < MAX_MOVES_PER_SWEEP && this.#startMove(target, now)) {
+        moves += 1;
+      }
+    }
+  }
+
+  /** Starts to move the heaviest object whose move helps away from a target. */
+  #startMove(from: number, now: number): boolean {
+    const movable = [...this.#records.values()]
+      .filter(({ homes, move }) =>
+        homes.length === 1 && homes[0] === from && move === undefined
+      )
+      .sort((a, b) => busySlotsOf(b) - busySlotsOf(a));
+    for (const record of movable) {
+      const { object } = record;
+      const busySlots = busySlotsOf(record);
+      const to = this.targets.choose({ object, busySlots, except: [from] });
+      if (
+        to !== undefined &&
+        isUsefulMove(this.targets, { from, to, busySlots })
+      ) {
+        record.move = { from, to, startedAt: now };
+        this.#setHomes(record, [from, to]);
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -37,7 +37,9 @@
   type HomeCounts,
   type HomeTarget,
   type OutgoingHomeMessage,
+  type ServiceDemand,
 } from "./homes/home_agent.ts";
+export { HomeCoordinator } from "./homes/home_coordinator.ts";
 export type {
   DemandReport,
   HomeMessage,
