--- a/packages/placement/src/homes/home_directory.ts
+++ b/packages/placement/src/homes/home_directory.ts
@@ -12,6 +12,7 @@
   followOwner,
   followUpdate,
 } from "./home_protocol.ts";
+import { MAX_HOMES } from "./home_record.ts";
 import { HomeReports } from "./home_reports.ts";
 import type { HomeRequest, HomesLookup } from "./home_source.ts";
 import type {
@@ -135,7 +136,9 @@
   /** Asks for one more home; see HomeSource. */
   requestAnother({ object, workMs }: HomeRequest, now: number): void {
     const known = this.#objects.get(object);
-    if (known === undefined || now - known.extendedAt < EXTEND_INTERVAL_MS) {
+    const isDue = known !== undefined && known.homes.length < MAX_HOMES &&
+      now - known.extendedAt >= EXTEND_INTERVAL_MS;
+    if (!isDue) {
       return;
     }
     known.extendedAt = now;
--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -31,7 +31,9 @@
 import { ObjectRates } from "./object_rates.ts";
 
 /** Time after which an observation counts half in an object's rate. */
-const RATE_HALF_LIFE_MS = 4_000;
+const RATE_HALF_LIFE_MS = 6_000;
+/** Weight of one request in an object's mean work; kinds of request differ in it. */
+const WORK_GAIN = 0.1;
 /** Objects that nobody asked for are dropped after this time. */
 const UNUSED_TTL_MS = 15_000;
 /** Minimum time between two homes added because the others were too busy. */
@@ -79,11 +81,6 @@
     return this.#sequence;
   }
 
-  /** Number of objects in use. */
-  get size(): number {
-    return this.#records.size;
-  }
-
   /** The homes of an object; undefined if it has none. */
   homesOf(object: number): ObjectHomes | undefined {
     const record = this.#records.get(object);
@@ -161,7 +158,8 @@
     this.assign({ object, workMs, wanted: "any" }, now);
     const record = this.#records.get(object)!;
     record.requests += requests;
-    record.workMs = workMs;
+    const gain = 1 - (1 - WORK_GAIN) ** requests;
+    record.workMs += gain * (workMs - record.workMs);
   }
 
   /**
--- a/packages/placement/src/homes/home_targets.ts
+++ b/packages/placement/src/homes/home_targets.ts
@@ -18,6 +18,12 @@
 const REGION_BOUND = 1.3;
 /** At this load requests seldom wait, so a target takes any object up to it. */
 const FREE_LOAD = 0.25;
+/** Beyond this load requests queue, so that a target takes more only if all have to. */
+const FULL_LOAD = 0.8;
+/** Limit of a target's load, as a multiple of the mean, when targets are full. */
+const FULL_BOUND = 1.25;
+/** A target is crowded at this multiple of the limit, so that noise moves no objects. */
+const CROWDED_MARGIN = 1.2;
 /** Weight of one request in the mean pace, small enough to outlast a short stall. */
 const PACE_GAIN = 0.03;
 /** A further home is the least loaded of this many, so that it is mostly the same one. */
@@ -163,7 +169,7 @@
 
   /** Targets whose load exceeds the bound. */
   crowded(): readonly number[] {
-    const limit = this.#loadLimit(this.#meanLoad(0));
+    const limit = CROWDED_MARGIN * this.#loadLimit(this.#meanLoad(0));
     return this.#all
       .filter((state) => state.homes > 0 && loadWith(state, 0) > limit)
       .map(({ target }) => target.hash);
@@ -250,7 +256,9 @@
   }
 
   #loadLimit(meanLoad: number): number {
-    return Math.max(FREE_LOAD, this.#options.bound * meanLoad);
+    const { bound } = this.#options;
+    const full = Math.max(FULL_LOAD, Math.min(bound, FULL_BOUND) * meanLoad);
+    return Math.max(FREE_LOAD, Math.min(bound * meanLoad, full));
   }
 
   /** Targets cache few objects, and rates of new objects are not known yet. */
