--- /dev/null
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -0,0 +1,137 @@
+/**
+ * The fields of the log lines and their meaning.
+ *
+ * @module
+ */
+
+import type { LogFields } from "../log.ts";
+
+/** A field of a log line. */
+export interface FieldDescription {
+  readonly type: "text" | "number";
+  readonly meaning: string;
+}
+
+/** All fields. */
+export const FIELDS = {
+  request: { type: "text", meaning: "the caller's id of the request" },
+  route: { type: "text", meaning: "name of the route" },
+  revision: {
+    type: "number",
+    meaning: "version of the configuration that was in force on this VM",
+  },
+  service: { type: "text", meaning: "service of the route, or of the target" },
+  object: {
+    type: "text",
+    meaning: "the object that the request concerns, as named by its caller",
+  },
+  end: { type: "text", meaning: "how the request or attempt ended" },
+  reason: { type: "text", meaning: "the reason, as text" },
+  attempts: {
+    type: "number",
+    meaning: "number of attempts that were sent to a target",
+  },
+  durationMs: { type: "number", meaning: "total time, in milliseconds" },
+  waitedMs: {
+    type: "number",
+    meaning: "time before the first attempt, in milliseconds",
+  },
+  newsMs: {
+    type: "number",
+    meaning:
+      "age of this VM's list of targets, in milliseconds: time since the platform last confirmed it",
+  },
+  account: {
+    type: "text",
+    meaning:
+      "the client account that sent the request, if the route requires one",
+  },
+  key: {
+    type: "text",
+    meaning: "first characters of the digest of the request's key",
+  },
+  accountsMs: {
+    type: "number",
+    meaning:
+      "age of this VM's list of accounts and keys, in milliseconds: time since the start of the read of the store that gave it",
+  },
+  retryAfterMs: {
+    type: "number",
+    meaning:
+      "time after which the caller may retry, as sent to it, in milliseconds",
+  },
+  target: { type: "text", meaning: "id of the target" },
+  targetMs: {
+    type: "number",
+    meaning: "duration of the last attempt, in milliseconds",
+  },
+  targetEnd: { type: "text", meaning: "how the last attempt ended" },
+  running: {
+    type: "number",
+    meaning: "requests running at the target when it responded",
+  },
+  waiting: {
+    type: "number",
+    meaning: "requests waiting at the target when it responded",
+  },
+  restMs: {
+    type: "number",
+    meaning:
+      "back-off that the target asks of this VM: time without any request, in milliseconds",
+  },
+  perSecond: {
+    type: "number",
+    meaning: "requests a second that a target accepts from all VMs together",
+  },
+  source: {
+    type: "text",
+    meaning:
+      "where the information comes from: answer (a response of the target) or peer (another VM)",
+  },
+  zone: { type: "text", meaning: "availability zone" },
+  peer: {
+    type: "text",
+    meaning:
+      "another VM or its instance; several instances, separated by spaces, if they changed together",
+  },
+  subject: {
+    type: "text",
+    meaning:
+      "the watched set of rows in the platform's store: operator, targets or members",
+  },
+  task: { type: "text", meaning: "task: a supervised part of the process" },
+  open: { type: "number", meaning: "requests without a final response" },
+  lines: { type: "number", meaning: "number of log lines left out" },
+  targets: { type: "number", meaning: "number of targets" },
+  placement: {
+    type: "text",
+    meaning:
+      "how the last target was chosen, if the service has homes by load: home (the preferred home of the object), second-home (another of its homes), other (none of its homes) or unassigned (the object had no homes: its owner gave none in time)",
+  },
+  term: {
+    type: "text",
+    meaning: "the owner's term: random, new each time a VM becomes an owner",
+  },
+  vms: {
+    type: "number",
+    meaning: "number of VMs of the region that are up, this one included",
+  },
+  objects: { type: "number", meaning: "number of objects that have homes" },
+  homes: { type: "number", meaning: "number of homes of these objects" },
+  secondHomes: {
+    type: "number",
+    meaning: "homes besides the first one of each object",
+  },
+  moved: {
+    type: "number",
+    meaning: "homes moved to another target since the line before",
+  },
+  peakLoad: {
+    type: "number",
+    meaning: "load of the busiest target as a multiple of the mean",
+  },
+  queries: {
+    type: "number",
+    meaning: "number of queries since the line before",
+  },
+} as const satisfies Partial<Record<keyof LogFields, FieldDescription>>;
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -1,117 +1,20 @@
 /**
  * Every log event of the gateway with its level, fields and meaning. The reference
- * (docs/reference/events.md) is generated from this file.
+ * (docs/reference/events.md) is generated from them.
  *
  * @module
  */
 
-import type { Log, LogFields } from "../log.ts";
-
-/** A field of a log line. */
-interface FieldDescription {
-  readonly type: "text" | "number";
-  readonly meaning: string;
-}
-
-/** All fields. */
-const FIELDS = {
-  request: { type: "text", meaning: "the caller's id of the request" },
-  route: { type: "text", meaning: "name of the route" },
-  revision: {
-    type: "number",
-    meaning: "version of the configuration that was in force on this VM",
-  },
-  service: { type: "text", meaning: "service of the route, or of the target" },
-  object: {
-    type: "text",
-    meaning: "the object that the request concerns, as named by its caller",
-  },
-  end: { type: "text", meaning: "how the request or attempt ended" },
-  reason: { type: "text", meaning: "the reason, as text" },
-  attempts: {
-    type: "number",
-    meaning: "number of attempts that were sent to a target",
-  },
-  durationMs: { type: "number", meaning: "total time, in milliseconds" },
-  waitedMs: {
-    type: "number",
-    meaning: "time before the first attempt, in milliseconds",
-  },
-  newsMs: {
-    type: "number",
-    meaning:
-      "age of this VM's list of targets, in milliseconds: time since the platform last confirmed it",
-  },
-  account: {
-    type: "text",
-    meaning:
-      "the client account that sent the request, if the route requires one",
-  },
-  key: {
-    type: "text",
-    meaning: "first characters of the digest of the request's key",
-  },
-  accountsMs: {
-    type: "number",
-    meaning:
-      "age of this VM's list of accounts and keys, in milliseconds: time since the start of the read of the store that gave it",
-  },
-  retryAfterMs: {
-    type: "number",
-    meaning:
-      "time after which the caller may retry, as sent to it, in milliseconds",
-  },
-  target: { type: "text", meaning: "id of the target" },
-  targetMs: {
-    type: "number",
-    meaning: "duration of the last attempt, in milliseconds",
-  },
-  targetEnd: { type: "text", meaning: "how the last attempt ended" },
-  running: {
-    type: "number",
-    meaning: "requests running at the target when it responded",
-  },
-  waiting: {
-    type: "number",
-    meaning: "requests waiting at the target when it responded",
-  },
-  restMs: {
-    type: "number",
-    meaning:
-      "back-off that the target asks of this VM: time without any request, in milliseconds",
-  },
-  perSecond: {
-    type: "number",
-    meaning: "requests a second that a target accepts from all VMs together",
-  },
-  source: {
-    type: "text",
-    meaning:
-      "where the information comes from: answer (a response of the target) or peer (another VM)",
-  },
-  zone: { type: "text", meaning: "availability zone" },
-  peer: {
-    type: "text",
-    meaning:
-      "another VM or its instance; several instances, separated by spaces, if they changed together",
-  },
-  subject: {
-    type: "text",
-    meaning:
-      "the watched set of rows in the platform's store: operator, targets or members",
-  },
-  task: { type: "text", meaning: "task: a supervised part of the process" },
-  open: { type: "number", meaning: "requests without a final response" },
-  lines: { type: "number", meaning: "number of log lines left out" },
-  targets: { type: "number", meaning: "number of targets" },
-} as const satisfies Partial<Record<keyof LogFields, FieldDescription>>;
+import type { Log } from "../log.ts";
+import { FIELDS } from "./event_fields.ts";
 
 type Fields = typeof FIELDS;
 
 /** Name of a field. */
 export type FieldName = keyof Fields;
 
-interface EventDescription {
+/** An event. */
+export interface EventDescription {
   readonly level: "error" | "warn" | "info" | "debug";
   readonly meaning: string;
   readonly fields: readonly FieldName[];
@@ -120,7 +23,7 @@
 }
 
 /** All events. */
-const EVENTS = {
+export const EVENTS = {
   "started": {
     level: "info",
     meaning: "The process listens and begins to follow the platform's store.",
@@ -291,6 +194,42 @@
     meaning: "A target that had stated a limit no longer states one.",
     fields: ["target", "source"],
   },
+  "homes owned": {
+    level: "info",
+    meaning:
+      "This VM is the owner of a service's homes: from now on it assigns homes to the objects of its region's callers.",
+    fields: ["service", "term", "vms"],
+  },
+  "homes not owned": {
+    level: "info",
+    meaning:
+      "This VM is no longer the owner of a service's homes: another VM of the region is, or the service has no homes by load any more.",
+    fields: ["service", "term", "vms"],
+  },
+  "homes assigned": {
+    level: "info",
+    meaning: "What an owner has assigned; at most every 10 s for each service.",
+    fields: [
+      "service",
+      "term",
+      "objects",
+      "homes",
+      "secondHomes",
+      "moved",
+      "peakLoad",
+    ],
+  },
+  "homes unanswered": {
+    level: "warn",
+    meaning:
+      "Owners did not answer queries for homes in time; the requests went by the rendezvous order instead. At most one line every 10 s.",
+    fields: ["queries"],
+  },
+  "homes message not sent": {
+    level: "error",
+    meaning: "A message about homes is too long for a datagram.",
+    fields: ["service", "reason"],
+  },
   "probe failed": {
     level: "debug",
     meaning: "A probe of an unresponsive target failed.",
@@ -349,6 +288,7 @@
       "target",
       "targetMs",
       "targetEnd",
+      "placement",
       "running",
       "waiting",
     ],
@@ -399,35 +339,3 @@
     this.#log[EVENTS[event].level](event, fields);
   }
 }
-
-/** Renders the reference of all events as a Markdown page. */
-export function renderEventReference(): string {
-  const lines = [
-    "# Events of the log",
-    "",
-    "One JSON object a line on standard output, with `timestamp`, `level`, `vm` and",
-    "`instance` besides the fields below; `message` is the event.",
-    "",
-  ];
-  const events = Object.entries<EventDescription>(EVENTS);
-  for (const [event, { level, meaning, fields, optional = [] }] of events) {
-    const names = [
-      ...fields.map((name) => `\`${name}\``),
-      ...optional.map((name) => `\`${name}\` (where it applies)`),
-    ];
-    lines.push(`## ${event}`, "", `Level ${level}. ${meaning}`, "");
-    if (names.length > 0) {
-      lines.push(`Fields: ${names.join(", ")}.`, "");
-    }
-  }
-  lines.push(
-    "## Fields",
-    "",
-    "| field | type | meaning |",
-    "| --- | --- | --- |",
-  );
-  for (const [name, { type, meaning }] of Object.entries(FIELDS)) {
-    lines.push(`| \`${name}\` | ${type} | ${meaning} |`);
-  }
-  return `${lines.join("\n")}\n`;
-}
--- a/packages/daemon/src/gateway/events_test.ts
+++ b/packages/daemon/src/gateway/events_test.ts
@@ -5,7 +5,7 @@
  */
 
 import { expect, test } from "vitest";
-import { renderEventReference } from "./events.ts";
+import { renderEventReference } from "./event_reference.ts";
 
 // The page is committed. After a change of an event or a field, this fails until the
 // page is regenerated with `npm run docs`.
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -15,6 +15,7 @@
 import {
   hashText,
   type LoadReport,
+  type PlacedVia,
   type Warmth,
 } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
@@ -109,6 +110,8 @@
   #attempt: TargetAttempt | undefined;
   /** Whether the target of the current attempt was expected to hold the object in its cache. */
   #warmth: Warmth = "unknown";
+  #placedVia: PlacedVia | undefined;
+  #awaitsHomes = false;
   /** The latest error response of a target; sent to the caller if no retry succeeds. */
   #failedResponse: { response: TargetResponse; body: Buffer } | undefined;
   /** Digest by which repeats of the request are recognized. */
@@ -162,6 +165,15 @@
     return this.#lastAttempt;
   }
 
+  /** How the target of the last attempt was chosen; undefined if there was none, or the request has no object. */
+  get placedVia(): PlacedVia | undefined {
+    return this.#placedVia;
+  }
+
+  get awaitsHomes(): boolean {
+    return this.#awaitsHomes;
+  }
+
   /** The Retry-After sent to the caller; undefined if none was sent. */
   get retryAfterMs(): number | undefined {
     return this.#retryAfterMs;
@@ -351,9 +363,11 @@
       deadlineAt: this.expiresAt,
       tried: this.#attempts.tried,
     }, { now, ahead });
+    this.#awaitsHomes = decision.kind === "wait" && decision.for === "homes";
     switch (decision.kind) {
       case "send":
         this.#warmth = decision.warmth;
+        this.#placedVia = decision.via;
         this.#send(decision.target, now);
         return false;
       case "wait":
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,34 +5,33 @@
  * @module
  */
 
-import type { TargetId, VmId } from "@poplarthread/ids";
-import { type HashedPair, Steering } from "@poplarthread/placement";
+import { HomeCoordinator, Steering } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
 import type { Log } from "../log.ts";
 import { PacedTimer } from "../paced_timer.ts";
 import { pause } from "../pause.ts";
 import { Supervisor } from "../supervisor.ts";
 import { CallerListener } from "./caller_listener.ts";
-import type { RoutingConfiguration } from "./configuration.ts";
 import { Connections } from "./connections.ts";
 import { Accounts } from "./accounts/accounts.ts";
 import { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { HealthProber } from "./health_prober.ts";
+import { Homes } from "./homes/homes.ts";
 import { LookupListener } from "./lookup_listener.ts";
 import { LoopDelay } from "./loop_delay.ts";
 import { MetricsListener } from "./metrics_listener.ts";
-import { PeerBeacon } from "./peer_beacon.ts";
-import type { Heartbeat, ZoneReport } from "./peer_messages.ts";
-import { type FeedEvent, PlatformFeed } from "./platform_feed.ts";
-import type { Dialect, Member, PlatformPort, WatchedSubject } from "./ports.ts";
+import { Peers } from "./peers.ts";
+import { PlatformEvents } from "./platform_events.ts";
+import { PlatformFeed } from "./platform_feed.ts";
+import type { Dialect, Member, PlatformPort } from "./ports.ts";
 import { RelayListener } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
 import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
 import type { GatewaySettings } from "./settings.ts";
-import { VmChanges } from "./vm_changes.ts";
-import { VmDirectory } from "./vm_directory.ts";
+import { TargetProbes } from "./target_probes.ts";
+import type { RankedMember } from "./vm_directory.ts";
 
 /** External dependencies of a gateway. */
 export interface GatewayPorts {
@@ -86,17 +85,15 @@
   readonly #connections: Connections;
   readonly #requestPath: RequestPath;
   readonly #loopDelay = new LoopDelay(performance.now() + BUSY_TICK_MS);
-  readonly #vms: VmDirectory;
-  readonly #vmChanges = new VmChanges();
-  readonly #prober: HealthProber;
+  readonly #peers: Peers;
+  readonly #homes: Homes;
+  readonly #probes: TargetProbes;
   readonly #callerListener: CallerListener;
-  readonly #beacon: PeerBeacon;
   readonly #accounts: Accounts;
+  readonly #platformEvents: PlatformEvents;
   readonly #supervisor: Supervisor;
   readonly #timer = new PacedTimer((now) => this.#tick(now));
   #idleTickDueAt = 0;
-  #hasTargets = false;
-  #hasMembers = false;
   #leaving = false;
   /** The graceful shutdown in progress; repeated calls of `stop` share it. */
   #stopped: Promise<void> | undefined;
@@ -114,7 +111,7 @@
       configurationVersion: this.#callerListener.version,
       targets: this.#requestPath.targets.size,
       limitedTargets: this.#requestPath.steering.limitedTargets,
-      vmsUp: this.#vms.up(performance.now()).length,
+      vmsUp: this.#peers.vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
@@ -134,48 +131,53 @@
           this.#requestPath.recordConnectTime(target, ms),
       },
     });
-    this.#requestPath = this.#createRequestPath(settings);
-    this.#vms = new VmDirectory({
+    this.#peers = new Peers({
+      settings,
       self: this.#self,
-      onChange: (member, change) => this.#vmChanges.add(member, change),
+      log: this.#log,
+      metrics: this.#metrics,
+      path: () => this.#requestPath,
+      feed: () => this.#feed,
+      vmsChanged: (up, now) => this.#setVms(up, now),
     });
-    this.#prober = new HealthProber({
-      connections: this.#connections,
-      dialect: this.#dialect,
+    const { vms } = this.#peers;
+    this.#homes = new Homes({
+      settings,
+      vms,
+      log: this.#log,
+      metrics: this.#metrics.homes,
+      createAgent: (options) => new HomeCoordinator(options),
+      homesKnown: (service, now) => this.#requestPath.homesKnown(service, now),
+    });
+    this.#requestPath = this.#createRequestPath(settings);
+    this.#probes = new TargetProbes({
+      prober: new HealthProber({
+        connections: this.#connections,
+        dialect: this.#dialect,
+      }),
+      log: this.#log,
+      path: () => this.#requestPath,
     });
     this.#callerListener = this.#createCallerListener();
     this.#accounts = new Accounts({
       settings,
-      vms: this.#vms,
+      vms,
       accounts: () => this.#callerListener.accounts,
       readAgeMs: () => this.#feed.readAgeOf("operator"),
     });
-    this.#beacon = new PeerBeacon({
-      listen: listen.peers,
-      seeds: () => this.#hasMembers ? [] : settings.seeds,
-      zonePeers: () => this.#vms.zonePeers(),
-      reportRecipients: () => this.#vms.reportRecipients(performance.now()),
-      isZoneDelegate: () => this.#vms.isZoneDelegate(performance.now()),
-      warmRecipients: () => this.#vms.warmRecipients(performance.now()),
-      warmPairs: () => this.#requestPath.steering.warmPairs(performance.now()),
-      warmReceived: (pairs) => this.#onWarmPairs(pairs),
-      limitsReceived: (updates) =>
-        updates.forEach((update) => this.#requestPath.applyPeerLimit(update)),
-      zoneVmStatuses: () => this.#vms.zoneVmStatuses(performance.now()),
-      localState: () => ({
-        member: this.#self,
-        isLeaving: this.#leaving,
-        seen: this.#feed.seen,
-      }),
-      heartbeatReceived: (heartbeat) => this.#onHeartbeat(heartbeat),
-      zoneReportReceived: (report) => this.#onZoneReport(report),
+    this.#platformEvents = new PlatformEvents({
+      path: this.#requestPath,
+      callerListener: this.#callerListener,
+      accounts: this.#accounts,
+      peers: this.#peers,
+      log: this.#log,
     });
     this.#feed = new PlatformFeed({
       platform: ports.platform,
       log: this.#log,
-      relays: (except) => this.#vms.relays(performance.now(), except),
-      fallbacks: () => this.#vms.fallbacks(performance.now()),
-      listener: (event) => this.#onFeedEvent(event),
+      relays: (except) => vms.relays(performance.now(), except),
+      fallbacks: () => vms.fallbacks(performance.now()),
+      listener: (event) => this.#platformEvents.handle(event),
     });
     this.#supervisor = this.#createSupervisor();
   }
@@ -184,7 +186,8 @@
     await this.#supervisor.start({
       failed: (_task, err) => this.#fail(err),
     });
-    this.#requestPath.steering.setVms(this.#vms.up(performance.now()));
+    const now = performance.now();
+    this.#setVms(this.#peers.vms.up(now), now);
     this.#feed.start(this.#self);
     this.#timer.scheduleWithin(BUSY_TICK_MS);
     this.#log.write("started", {});
@@ -200,9 +203,9 @@
     const stopTimeoutMs = this.#settings.bounds.stopMs - STOP_MARGIN_MS;
     this.#log.write("leaving", {});
     this.#leaving = true;
-    this.#vms.leave();
     this.#callerListener.send({ kind: "leave" });
-    this.#beacon.send({ kind: "beat" });
+    this.#peers.leave();
+    this.#homes.setVms(this.#peers.vms.up(startedAt), startedAt);
     await pause(Math.min(LEAVE_DELAY_MS, stopTimeoutMs));
     this.#callerListener.send({ kind: "close-listener" });
     while (
@@ -229,7 +232,8 @@
         vm,
         location: { zone, region },
         retries: bounds.retries,
-        onWarmPair: (pair) => this.#beacon.send({ kind: "warmed", pair }),
+        onWarmPair: (pair) => this.#peers.beacon.send({ kind: "warmed", pair }),
+        homes: this.#homes.source,
       }),
       zones,
       dialect: this.#dialect,
@@ -237,11 +241,15 @@
       connections: this.#connections,
       targetChanged: (_target, change) =>
         this.#metrics.stateChanged(`target-${change}`),
+      homeTargetsChanged: (targets, now) =>
+        this.#homes.setTargets(targets, now),
       targetUnresponsive: () => this.#metrics.stateChanged("target-silent"),
-      probe: (target) => this.#probe(target),
+      probe: (target) => this.#probes.probe(target),
       requestQueued: () => this.#timer.scheduleWithin(BUSY_TICK_MS),
-      publishLimit: (update) => this.#beacon.send({ kind: "limit", update }),
-      publishCrash: (crash) => this.#beacon.send({ kind: "crash", crash }),
+      publishLimit: (update) =>
+        this.#peers.beacon.send({ kind: "limit", update }),
+      publishCrash: (crash) =>
+        this.#peers.beacon.send({ kind: "crash", crash }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
     });
@@ -278,7 +286,7 @@
       dialect: this.#dialect,
       isReady: () => this.#isReady,
       lookup: (query) => ({
-        addresses: this.#vms.addressesFor(query, performance.now()),
+        addresses: this.#peers.vms.addressesFor(query, performance.now()),
         ttlMs: Math.min(LOOKUP_TTL_MS, this.#settings.bounds.lookupMs),
       }),
     });
@@ -298,8 +306,9 @@
       handler: (subject, query) => this.#feed.changesAfter(subject, query),
     });
     [
-      this.#beacon,
+      this.#peers.beacon,
       this.#accounts.creditExchange,
+      this.#homes.exchange,
       this.#callerListener,
       lookups,
       metrics,
@@ -311,7 +320,7 @@
 
   get #isReady(): boolean {
     return !this.#leaving && this.#callerListener.version > 0 &&
-      this.#hasTargets;
+      this.#platformEvents.hasTargets;
   }
 
   /** Runs the periodic work; returns the time until the next tick, in milliseconds. */
@@ -326,35 +335,10 @@
   }
 
   #idleTick(now: number): void {
-    this.#vms.sweep(now);
-    this.#publishVmChanges(now);
-    this.#requestPath.steering.setFleetSize(this.#vms.fleetSize(now));
+    this.#peers.sweep(now);
+    this.#requestPath.steering.setFleetSize(this.#peers.vms.fleetSize(now));
     this.#requestPath.idleTick(now);
-  }
-
-  #probe(id: TargetId): void {
-    const { steering, targets } = this.#requestPath;
-    const target = targets.get(id);
-    const path = targets.serviceOf(id)?.healthPath;
-    if (target === undefined || path === undefined) {
-      return;
-    }
-    const { address } = target;
-    const roundTripMs = steering.roundTripTo(id);
-    this.#prober.probe({ id, address, roundTripMs }, path).then(
-      (health) => {
-        const isSameTarget = health.target === undefined ||
-          health.target === id;
-        if (health.isHealthy && isSameTarget) {
-          // The target may have restarted since; its entry in the store shows that only later.
-          const coldMs = health.coldMs;
-          steering.probeSucceeded(id, { now: performance.now(), coldMs });
-          this.#log.write("target answers again", { target: id });
-        }
-      },
-      (err) =>
-        this.#log.write("probe failed", { target: id, reason: messageOf(err) }),
-    );
+    this.#homes.idleTick(now);
   }
 
   #onRequestEnd(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
@@ -367,119 +351,12 @@
       now,
       newsMs: this.#feed.ageOf("targets"),
       accountsMs: Math.round(this.#accounts.ageMs),
+      hasHomes: this.#homes.has(exchange.service),
     });
   }
 
-  #onHeartbeat(heartbeat: Heartbeat): void {
-    const { member, isLeaving, seen, crashes } = heartbeat;
-    const now = performance.now();
-    if (this.#vms.recordHeartbeat(member, { now, isLeaving })) {
-      this.#beacon.send({ kind: "greet", member });
-    }
-    this.#publishVmChanges(now);
-    this.#applyUpdates({ seen, crashes }, now);
-    crashes.forEach((crash) => this.#beacon.send({ kind: "pass-on", crash }));
-  }
-
-  #publishVmChanges(now: number): void {
-    const changes = this.#vmChanges.take();
-    for (const { change, instances } of changes) {
-      this.#metrics.stateChanged(`peer-${change}`, instances.length);
-      this.#log.write(`peer ${change}`, { peer: instances.join(" ") });
-    }
-    if (changes.length > 0) {
-      this.#requestPath.steering.setVms(this.#vms.up(now));
-    }
-  }
-
-  #onWarmPairs(pairs: readonly HashedPair[]): void {
-    const now = performance.now();
-    for (const { object, target } of pairs) {
-      this.#requestPath.steering.addWarmPair({ object, target }, now);
-    }
-  }
-
-  #onZoneReport({ ages, leaving, seen, crashes }: ZoneReport): void {
-    const now = performance.now();
-    for (const [name, ageMs] of Object.entries(ages)) {
-      const vm = name as VmId;
-      const isLeaving = leaving.includes(vm);
-      this.#vms.recordStatus({ vm, ageMs, isLeaving }, now);
-    }
-    this.#publishVmChanges(now);
-    this.#applyUpdates({ seen, crashes }, now);
-  }
-
-  #applyUpdates(
-    { seen, crashes }: Pick<ZoneReport, "seen" | "crashes">,
-    now: number,
-  ): void {
-    for (const crash of crashes) {
-      this.#requestPath.suspects.recordCrash(crash, now);
-    }
-    for (const [subject, version] of Object.entries(seen)) {
-      this.#feed.hint(subject as WatchedSubject, version);
-    }
-  }
-
-  #onFeedEvent(event: FeedEvent): void {
-    const now = performance.now();
-    switch (event.kind) {
-      case "configuration":
-        this.#applyConfiguration(event.configuration);
-        return;
-      case "unusable-configuration":
-        this.#accounts.configurationRejected();
-        this.#log.write("configuration not used", { reason: event.reason });
-        return;
-      case "evacuations":
-        this.#requestPath.setEvacuatedZones(event.zones, now);
-        return;
-      case "targets":
-        this.#hasTargets = true;
-        this.#requestPath.updateTargets(event.targets, now);
-        return;
-      case "members":
-        this.#vms.addRegistered(event.members, now);
-        this.#announceOnFirstList();
-        return;
-      case "contact":
-        if (event.subject === "targets") {
-          this.#requestPath.targets.connectivityChanged(event.isLost, now);
-        }
-        this.#logConnectivity(event);
-        return;
-    }
-  }
-
-  /** Sends a heartbeat to the VMs of the first member list; VMs that start later read the list and send theirs first. */
-  #announceOnFirstList(): void {
-    if (!this.#hasMembers) {
-      this.#hasMembers = true;
-      this.#beacon.send({ kind: "beat" });
-    }
-  }
-
-  #logConnectivity(
-    { subject, isLost, reason }: Extract<FeedEvent, { kind: "contact" }>,
-  ): void {
-    if (isLost) {
-      const fields = reason === undefined ? {} : { reason };
-      this.#log.write("contact lost", { subject, ...fields });
-    } else {
-      this.#log.write("contact regained", { subject });
-    }
-  }
-
-  #applyConfiguration(configuration: RoutingConfiguration): void {
-    if (configuration.version <= this.#callerListener.version) {
-      return;
-    }
-    this.#callerListener.send({ kind: "configuration", configuration });
-    this.#accounts.configurationApplied();
-    this.#requestPath.targets.setServices(configuration.services);
-    this.#log.write("configuration in force", {
-      revision: configuration.version,
-    });
+  #setVms(up: readonly RankedMember[], now: number): void {
+    this.#requestPath.steering.setVms(up);
+    this.#homes.setVms(up, now);
   }
 }
--- a/packages/daemon/src/gateway/homes/home_codec.ts
+++ b/packages/daemon/src/gateway/homes/home_codec.ts
@@ -1,6 +1,6 @@
 /**
  * Messages about homes as datagrams: JSON-RPC 2.0 notifications whose lists are
- * packed in base64. A message that is too long for one datagram is sent in parts.
+ * packed in base64.
  *
  * @module
  */
@@ -25,30 +25,11 @@
 
 /** Longest datagram: one that fits into an Ethernet frame. */
 const MAX_DATAGRAM_BYTES = 1_399;
-/** Parts of one message; a longer one cannot be sent. */
-export const MAX_PARTS = 64;
 /** Precision of times: a tenth of a millisecond. */
 const PER_MS = 10;
 /** Precision of shares and loads. */
 const PER_UNIT = 1_000;
 
-/** Which part of a message a datagram has. */
-export interface PartNumber {
-  /** Same in all parts of a message, and different in the sender's other messages. */
-  readonly message: number;
-  readonly index: number;
-  readonly count: number;
-}
-
-/** The contents of one datagram. */
-export interface HomeDatagram {
-  readonly head: MessageHead;
-  /** The packed lists, or a part of them. */
-  readonly packed: string;
-  /** Undefined if the datagram has the whole message. */
-  readonly part: PartNumber | undefined;
-}
-
 const service = z.string() as unknown as z.ZodType<ServiceId>;
 const region = z.string() as unknown as z.ZodType<RegionId>;
 const term = z.string() as unknown as z.ZodType<OwnerTerm>;
@@ -67,7 +48,13 @@
   }),
   z.object({
     method: z.literal("home-report"),
-    params: z.object({ service, term: term.optional(), sequence }),
+    params: z.object({
+      service,
+      number: sequence,
+      term: term.optional(),
+      sequence,
+      namesEarlierHomes: z.boolean(),
+    }),
   }),
   z.object({
     method: z.literal("home-summary"),
@@ -75,88 +62,41 @@
   }),
 ]);
 
-const partSchema = z.object({
-  packed: z.string(),
-  part: z.tuple([
-    z.number().int().min(0),
-    z.number().int().min(0),
-    z.number().int().min(2).max(MAX_PARTS),
-  ]).optional(),
-});
+const packedSchema = z.object({ packed: z.string() });
 
 /** Method and parameters of a notification, without the packed lists. */
-export type MessageHead = z.output<typeof headSchema>;
+type MessageHead = z.output<typeof headSchema>;
 
-/**
- * Encodes a message as one or more datagrams; none if it is too long. `id`
- * identifies the message among those that the sender sent lately.
- */
-export function encodeHomeMessage(
-  message: HomeMessage,
-  id: number,
-): readonly Buffer[] {
-  const head = headOf(message);
-  const packed = pack(message);
-  const whole = encode({ head, packed, part: undefined });
-  if (whole.length <= MAX_DATAGRAM_BYTES) {
-    return [whole];
-  }
-  const longest = { message: id, index: MAX_PARTS, count: MAX_PARTS };
-  const room = MAX_DATAGRAM_BYTES -
-    encode({ head, packed: "", part: longest }).length;
-  const count = Math.ceil(packed.length / room);
-  if (room <= 0 || count > MAX_PARTS) {
-    return [];
-  }
-  return Array.from({ length: count }, (_, index) =>
-    encode({
-      head,
-      packed: packed.slice(index * room, (index + 1) * room),
-      part: { message: id, index, count },
-    }));
+/** Encodes a message; undefined if it is too long for a datagram. */
+export function encodeHomeMessage(message: HomeMessage): Buffer | undefined {
+  const { method, params } = headOf(message);
+  const datagram = encodeNotification(method, {
+    ...params,
+    packed: pack(message),
+  });
+  return datagram.length <= MAX_DATAGRAM_BYTES ? datagram : undefined;
 }
 
 /** Decodes a datagram; undefined if it is malformed. */
-export function decodeHomeDatagram(bytes: Buffer): HomeDatagram | undefined {
+export function decodeHomeMessage(datagram: Buffer): HomeMessage | undefined {
   let notification: unknown;
   try {
-    notification = JSON.parse(bytes.toString("utf8"));
+    notification = JSON.parse(datagram.toString("utf8"));
   } catch {
     // Not JSON, so not from a VM of this deployment.
     return undefined;
   }
   const head = headSchema.safeParse(notification).data;
   const { params } = (notification ?? {}) as { params?: unknown };
-  const rest = partSchema.safeParse(params).data;
-  if (head === undefined || rest === undefined) {
+  const lists = packedSchema.safeParse(params).data;
+  if (head === undefined || lists === undefined) {
     return undefined;
   }
-  const { packed, part: numbers } = rest;
-  if (numbers === undefined) {
-    return { head, packed, part: undefined };
-  }
-  const [message, index, count] = numbers;
-  return index < count
-    ? { head, packed, part: { message, index, count } }
-    : undefined;
-}
-
-/** Decodes a message from its head and all of its packed lists; undefined if they are malformed. */
-export function decodeHomeMessage(
-  head: MessageHead,
-  packed: string,
-): HomeMessage | undefined {
-  const reader = new PackedReader(packed);
+  const reader = new PackedReader(lists.packed);
   const message = readMessage(head, reader);
   return reader.isComplete ? message : undefined;
 }
 
-function encode({ head, packed, part }: HomeDatagram): Buffer {
-  const { method, params } = head;
-  const numbers = part && [part.message, part.index, part.count];
-  return encodeNotification(method, { ...params, packed, part: numbers });
-}
-
 function headOf(message: HomeMessage): MessageHead {
   const { service } = message;
   switch (message.kind) {
@@ -170,8 +110,11 @@
       };
     }
     case "report": {
-      const { term, sequence } = message.report;
-      return { method: "home-report", params: { service, term, sequence } };
+      const { number, term, sequence, namesEarlierHomes } = message.report;
+      return {
+        method: "home-report",
+        params: { service, number, term, sequence, namesEarlierHomes },
+      };
     }
     case "summary": {
       const { region } = message;
@@ -213,8 +156,10 @@
       return { kind: "update", service, term, sequence, after, homes, room };
     }
     case "home-report": {
-      const { service, term, sequence } = head.params;
-      const report = { term, sequence, ...readReport(reader) };
+      const { service, number, term, sequence, namesEarlierHomes } =
+        head.params;
+      const counted = readReport(reader);
+      const report = { number, term, sequence, namesEarlierHomes, ...counted };
       return { kind: "report", service, report };
     }
     case "home-summary": {
@@ -291,7 +236,7 @@
 
 function readReport(
   reader: PackedReader,
-): Omit<DemandReport, "term" | "sequence"> {
+): Pick<DemandReport, "spanMs" | "priorities" | "targets" | "objects"> {
   return {
     spanMs: reader.amount(PER_MS),
     priorities: reader.list(() => readPriority(reader)),
@@ -321,7 +266,10 @@
   observation: TargetObservation,
 ): void {
   writer.hash(observation.target);
-  writer.amount(observation.pace, PER_UNIT);
+  writer.list(
+    observation.pace === undefined ? [] : [observation.pace],
+    (pace) => writer.amount(pace, PER_UNIT),
+  );
   writer.amount(observation.refusedShare, PER_UNIT);
   writer.amount(observation.requests);
 }
@@ -329,7 +277,7 @@
 function readObservation(reader: PackedReader): TargetObservation {
   return {
     target: reader.hash(),
-    pace: reader.amount(PER_UNIT),
+    pace: reader.list(() => reader.amount(PER_UNIT))[0],
     refusedShare: reader.share(PER_UNIT),
     requests: reader.amount(),
   };
--- /dev/null
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -0,0 +1,165 @@
+/**
+ * Exchanges messages about homes of objects with other VMs: owns the socket, and
+ * drives the agent that assigns and follows homes. Does nothing while no service has
+ * homes by load.
+ *
+ * @module
+ */
+
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import type { VmId } from "@poplarthread/ids";
+import {
+  HOME_TICK_MS,
+  type HomeAgent,
+  type HomeMessage,
+  type OutgoingHomeMessage,
+} from "@poplarthread/placement";
+import { Task } from "../../task.ts";
+import type { ListenAddress } from "../settings.ts";
+import { decodeHomeMessage, encodeHomeMessage } from "./home_codec.ts";
+
+/** Messages to the task. */
+export type HomeExchangeMessage =
+  /** Whether any service has homes by load may have changed. */
+  | { readonly kind: "activity-changed" }
+  /** Periodic work is due. */
+  | { readonly kind: "tick" }
+  /** The agent has messages to send before the next tick. */
+  | { readonly kind: "flush" };
+
+/** Dependencies of {@link HomeExchange}. */
+export interface HomeExchangeOptions {
+  /** The port is the same on all VMs. */
+  readonly listen: ListenAddress;
+  readonly agent: HomeAgent;
+  /** Whether any service has homes by load. */
+  isActive(): boolean;
+  /** IP address of a known VM; undefined for an unknown one. */
+  addressOf(vm: VmId): string | undefined;
+  /** The known VM with an IP address; undefined if there is none. */
+  vmAt(address: string): VmId | undefined;
+  /** Called for each message that the agent gets. */
+  received(kind: HomeMessage["kind"]): void;
+  /** Called for a message that is too long to be sent. */
+  notSent(message: HomeMessage): void;
+}
+
+/** The task; see the module comment. */
+export class HomeExchange extends Task<HomeExchangeMessage> {
+  readonly #options: HomeExchangeOptions;
+  #socket: Socket | undefined;
+  #isTickScheduled = false;
+  #isFlushScheduled = false;
+
+  constructor(options: HomeExchangeOptions) {
+    super("homes");
+    this.#options = options;
+  }
+
+  /** Sends what the agent has to send, once the current events are handled. */
+  flushSoon(): void {
+    if (!this.#isFlushScheduled) {
+      this.#isFlushScheduled = true;
+      queueMicrotask(() => {
+        this.#isFlushScheduled = false;
+        this.send({ kind: "flush" });
+      });
+    }
+  }
+
+  protected override open(): Promise<void> {
+    const socket = this.createSocket();
+    this.#socket = socket;
+    this.#isTickScheduled = false;
+    socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
+    const { host, port } = this.#options.listen;
+    return new Promise((resolve, reject) => {
+      socket.once("error", reject);
+      socket.bind(port, host, () => {
+        socket.off("error", reject);
+        socket.on("error", (err) => this.fail(err));
+        this.#scheduleTick();
+        resolve();
+      });
+    });
+  }
+
+  /** Creates the socket; tests substitute one that loses datagrams. */
+  protected createSocket(): Socket {
+    return createSocket("udp4");
+  }
+
+  protected override close(): void {
+    this.#socket?.close();
+    this.#socket = undefined;
+  }
+
+  protected override receive({ kind }: HomeExchangeMessage): void {
+    switch (kind) {
+      case "activity-changed":
+        this.#scheduleTick();
+        return;
+      case "tick":
+        this.#isTickScheduled = false;
+        this.#tick();
+        return;
+      case "flush":
+        this.#sendOutgoing();
+        return;
+    }
+  }
+
+  /** Schedules the next tick, unless no service has homes by load. */
+  #scheduleTick(): void {
+    if (!this.#isTickScheduled && this.#options.isActive()) {
+      this.#isTickScheduled = true;
+      this.sendAfter(HOME_TICK_MS, { kind: "tick" });
+    }
+  }
+
+  #tick(): void {
+    if (this.#options.isActive()) {
+      this.#scheduleTick();
+      this.#options.agent.tick(performance.now());
+      this.#sendOutgoing();
+    }
+  }
+
+  #sendOutgoing(): void {
+    if (!this.#options.isActive()) {
+      return;
+    }
+    const { agent } = this.#options;
+    agent.takeOutgoing(performance.now()).forEach((one) => this.#send(one));
+  }
+
+  #send({ to, message }: OutgoingHomeMessage): void {
+    const address = this.#options.addressOf(to);
+    if (address === undefined) {
+      // The VM was removed since the agent addressed it; the message counts as lost.
+      return;
+    }
+    const datagram = encodeHomeMessage(message);
+    if (datagram === undefined) {
+      this.#options.notSent(message);
+      return;
+    }
+    const { port } = this.#options.listen;
+    // A datagram that cannot be sent is treated like a lost one.
+    this.#socket?.send(datagram, port, address, () => undefined);
+  }
+
+  #onDatagram(bytes: Buffer, { address, port }: RemoteInfo): void {
+    const from = port === this.#options.listen.port
+      ? this.#options.vmAt(address)
+      : undefined;
+    if (from === undefined || !this.#options.isActive()) {
+      return;
+    }
+    const message = decodeHomeMessage(bytes);
+    if (message !== undefined) {
+      this.#options.received(message.kind);
+      this.#options.agent.receive(message, from, performance.now());
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -0,0 +1,128 @@
+/**
+ * Homes by load on this VM: connects the agent that assigns and follows homes with
+ * its socket, its log lines and its metrics.
+ *
+ * @module
+ */
+
+import { randomBytes } from "node:crypto";
+import type { ServiceId } from "@poplarthread/ids";
+import type {
+  HomeAgentOptions,
+  HomeSource,
+  OwnerTerm,
+} from "@poplarthread/placement";
+import type { EventLog } from "../events.ts";
+import type { GatewaySettings } from "../settings.ts";
+import type { RankedMember, VmDirectory } from "../vm_directory.ts";
+import { HomeExchange } from "./home_exchange.ts";
+import { HomeLog } from "./home_log.ts";
+import type { HomeMetrics } from "./home_metrics.ts";
+import type { HomeTargets } from "./home_targets.ts";
+import type { ObservedHomeAgent } from "./owned_homes.ts";
+
+/** Bytes of randomness in the name of a term. */
+const TERM_BYTES = 4;
+
+/** Dependencies of {@link Homes}. */
+export interface HomesOptions {
+  readonly settings: Pick<GatewaySettings, "listen">;
+  readonly vms: VmDirectory;
+  readonly log: EventLog;
+  readonly metrics: HomeMetrics;
+  createAgent(options: HomeAgentOptions): ObservedHomeAgent;
+  /** Places the requests of a service that wait for homes. */
+  homesKnown(service: ServiceId, now: number): void;
+}
+
+/** See the module comment. Times are milliseconds of the monotonic clock. */
+export class Homes {
+  /** The task that exchanges messages; the gateway's supervisor runs it. */
+  readonly exchange: HomeExchange;
+  readonly #options: HomesOptions;
+  readonly #agent: ObservedHomeAgent;
+  readonly #log: HomeLog;
+  /** Services whose homes became known, until their waiting requests are placed. */
+  readonly #servicesToPlace = new Set<ServiceId>();
+  #targets: HomeTargets = new Map();
+
+  constructor(options: HomesOptions) {
+    const { settings, vms, log, metrics, createAgent } = options;
+    this.#options = options;
+    this.#agent = createAgent({
+      self: vms.self,
+      newTerm: () => randomBytes(TERM_BYTES).toString("hex") as OwnerTerm,
+      onOutgoing: () => this.exchange.flushSoon(),
+      onHomes: (service) => this.#placeSoon(service),
+      onOwnership: (service, isOwner) =>
+        this.#log.ownershipChanged(service, isOwner),
+    });
+    this.exchange = new HomeExchange({
+      listen: settings.listen.homes,
+      agent: this.#agent,
+      isActive: () => this.#isActive,
+      addressOf: (vm) => vms.hostOf(vm),
+      vmAt: (address) => vms.vmAt(address),
+      received: (kind) => metrics.received(kind),
+      notSent: ({ service, kind }) =>
+        log.write("homes message not sent", { service, reason: kind }),
+    });
+    this.#log = new HomeLog({
+      log,
+      agent: this.#agent,
+      vmsInRegion: () => vms.upInRegion(performance.now()).length,
+    });
+    metrics.follow(this.#agent);
+  }
+
+  /** The homes as steering uses them. */
+  get source(): HomeSource {
+    return this.#agent.source;
+  }
+
+  /** Whether a service has homes by load. */
+  has(service: ServiceId): boolean {
+    return this.#targets.has(service);
+  }
+
+  /** Sets the VMs that are up, including this one unless it is leaving. */
+  setVms(up: readonly RankedMember[], now: number): void {
+    this.#agent.setVms(up, now);
+  }
+
+  /** Sets the targets of the services that have homes by load. */
+  setTargets(targets: HomeTargets, now: number): void {
+    this.#targets = targets;
+    this.#agent.setTargets(targets, now);
+    this.exchange.send({ kind: "activity-changed" });
+  }
+
+  /** Periodic work: log lines that are due. */
+  idleTick(now: number): void {
+    if (this.#isActive) {
+      this.#log.write(now);
+    }
+  }
+
+  get #isActive(): boolean {
+    return this.#targets.size > 0;
+  }
+
+  /**
+   * Places a service's waiting requests once the current events are handled: placing
+   * them looks up homes, which the agent may be in the middle of.
+   */
+  #placeSoon(service: ServiceId): void {
+    if (this.#servicesToPlace.size === 0) {
+      queueMicrotask(() => this.#placeWaiting());
+    }
+    this.#servicesToPlace.add(service);
+  }
+
+  #placeWaiting(): void {
+    const services = [...this.#servicesToPlace];
+    this.#servicesToPlace.clear();
+    const now = performance.now();
+    services.forEach((service) => this.#options.homesKnown(service, now));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/peers.ts
@@ -0,0 +1,152 @@
+/**
+ * The other VMs: which of them are up, and what they and this VM tell each other of
+ * targets.
+ *
+ * @module
+ */
+
+import type { VmId } from "@poplarthread/ids";
+import type { HashedPair } from "@poplarthread/placement";
+import type { EventLog } from "./events.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { PeerBeacon } from "./peer_beacon.ts";
+import type { CommonFields, Heartbeat, ZoneReport } from "./peer_messages.ts";
+import type { PlatformFeed } from "./platform_feed.ts";
+import type { Member, WatchedSubject } from "./ports.ts";
+import type { RequestPath } from "./request_path.ts";
+import type { GatewaySettings } from "./settings.ts";
+import { VmChanges } from "./vm_changes.ts";
+import { type RankedMember, VmDirectory } from "./vm_directory.ts";
+
+/** Dependencies of {@link Peers}. */
+export interface PeersOptions {
+  readonly settings: GatewaySettings;
+  readonly self: Member;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  path(): RequestPath;
+  feed(): Pick<PlatformFeed, "seen" | "hint">;
+  /** Called with the VMs that are up when they have changed. */
+  vmsChanged(up: readonly RankedMember[], now: number): void;
+}
+
+/** See the module comment. Times are milliseconds of the monotonic clock. */
+export class Peers {
+  readonly vms: VmDirectory;
+  /** The task that sends and receives the messages; the gateway's supervisor runs it. */
+  readonly beacon: PeerBeacon;
+  readonly #options: PeersOptions;
+  readonly #changes = new VmChanges();
+  #hasMembers = false;
+  #isLeaving = false;
+
+  constructor(options: PeersOptions) {
+    this.#options = options;
+    this.vms = new VmDirectory({
+      self: options.self,
+      onChange: (member, change) => this.#changes.add(member, change),
+    });
+    this.beacon = this.#createBeacon();
+  }
+
+  /** Tells the other VMs that this one is leaving. */
+  leave(): void {
+    this.#isLeaving = true;
+    this.vms.leave();
+    this.beacon.send({ kind: "beat" });
+  }
+
+  /** Periodic work: marks VMs as down whose heartbeats are missing. */
+  sweep(now: number): void {
+    this.vms.sweep(now);
+    this.#publishChanges(now);
+  }
+
+  /** Adds the VMs that are registered in the platform's store. */
+  addRegistered(members: readonly Member[], now: number): void {
+    this.vms.addRegistered(members, now);
+    // VMs that start later read the list and send their first heartbeats themselves.
+    if (!this.#hasMembers) {
+      this.#hasMembers = true;
+      this.beacon.send({ kind: "beat" });
+    }
+  }
+
+  #createBeacon(): PeerBeacon {
+    const { settings, self, path, feed } = this.#options;
+    const { vms } = this;
+    return new PeerBeacon({
+      listen: settings.listen.peers,
+      seeds: () => this.#hasMembers ? [] : settings.seeds,
+      zonePeers: () => vms.zonePeers(),
+      reportRecipients: () => vms.reportRecipients(performance.now()),
+      isZoneDelegate: () => vms.isZoneDelegate(performance.now()),
+      warmRecipients: () => vms.warmRecipients(performance.now()),
+      warmPairs: () => path().steering.warmPairs(performance.now()),
+      warmReceived: (pairs) => this.#onWarmPairs(pairs),
+      limitsReceived: (updates) =>
+        updates.forEach((update) => path().applyPeerLimit(update)),
+      zoneVmStatuses: () => vms.zoneVmStatuses(performance.now()),
+      localState: () => ({
+        member: self,
+        isLeaving: this.#isLeaving,
+        seen: feed().seen,
+      }),
+      heartbeatReceived: (heartbeat) => this.#onHeartbeat(heartbeat),
+      zoneReportReceived: (report) => this.#onZoneReport(report),
+    });
+  }
+
+  #onHeartbeat(heartbeat: Heartbeat): void {
+    const { member, isLeaving, crashes } = heartbeat;
+    const now = performance.now();
+    if (this.vms.recordHeartbeat(member, { now, isLeaving })) {
+      this.beacon.send({ kind: "greet", member });
+    }
+    this.#publishChanges(now);
+    this.#applyUpdates(heartbeat, now);
+    crashes.forEach((crash) => this.beacon.send({ kind: "pass-on", crash }));
+  }
+
+  #onZoneReport(report: ZoneReport): void {
+    const { ages, leaving } = report;
+    const now = performance.now();
+    for (const [name, ageMs] of Object.entries(ages)) {
+      const vm = name as VmId;
+      const isLeaving = leaving.includes(vm);
+      this.vms.recordStatus({ vm, ageMs, isLeaving }, now);
+    }
+    this.#publishChanges(now);
+    this.#applyUpdates(report, now);
+  }
+
+  #onWarmPairs(pairs: readonly HashedPair[]): void {
+    const now = performance.now();
+    const { steering } = this.#options.path();
+    for (const { object, target } of pairs) {
+      steering.addWarmPair({ object, target }, now);
+    }
+  }
+
+  #publishChanges(now: number): void {
+    const { log, metrics, vmsChanged } = this.#options;
+    const changes = this.#changes.take();
+    for (const { change, instances } of changes) {
+      metrics.stateChanged(`peer-${change}`, instances.length);
+      log.write(`peer ${change}`, { peer: instances.join(" ") });
+    }
+    if (changes.length > 0) {
+      vmsChanged(this.vms.up(now), now);
+    }
+  }
+
+  #applyUpdates({ seen, crashes }: CommonFields, now: number): void {
+    const { path, feed } = this.#options;
+    for (const crash of crashes) {
+      path().suspects.recordCrash(crash, now);
+    }
+    for (const [subject, version] of Object.entries(seen)) {
+      feed().hint(subject as WatchedSubject, version);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -0,0 +1,91 @@
+/**
+ * Applies the platform's changes to the parts of the gateway.
+ *
+ * @module
+ */
+
+import type { Accounts } from "./accounts/accounts.ts";
+import type { CallerListener } from "./caller_listener.ts";
+import type { RoutingConfiguration } from "./configuration.ts";
+import type { EventLog } from "./events.ts";
+import type { Peers } from "./peers.ts";
+import type { FeedEvent } from "./platform_feed.ts";
+import type { RequestPath } from "./request_path.ts";
+
+/** The parts that follow the platform. */
+export interface PlatformEventsOptions {
+  readonly path: RequestPath;
+  readonly callerListener: CallerListener;
+  readonly accounts: Accounts;
+  readonly peers: Peers;
+  readonly log: EventLog;
+}
+
+/** See the module comment. */
+export class PlatformEvents {
+  readonly #options: PlatformEventsOptions;
+  #hasTargets = false;
+
+  constructor(options: PlatformEventsOptions) {
+    this.#options = options;
+  }
+
+  /** Whether a list of targets has been read. */
+  get hasTargets(): boolean {
+    return this.#hasTargets;
+  }
+
+  /** Applies one change. */
+  handle(event: FeedEvent): void {
+    const { path, accounts, peers, log } = this.#options;
+    const now = performance.now();
+    switch (event.kind) {
+      case "configuration":
+        this.#applyConfiguration(event.configuration);
+        return;
+      case "unusable-configuration":
+        accounts.configurationRejected();
+        log.write("configuration not used", { reason: event.reason });
+        return;
+      case "evacuations":
+        path.setEvacuatedZones(event.zones, now);
+        return;
+      case "targets":
+        this.#hasTargets = true;
+        path.updateTargets(event.targets, now);
+        return;
+      case "members":
+        peers.addRegistered(event.members, now);
+        return;
+      case "contact":
+        if (event.subject === "targets") {
+          path.targets.connectivityChanged(event.isLost, now);
+        }
+        this.#logConnectivity(event);
+        return;
+    }
+  }
+
+  #logConnectivity(
+    { subject, isLost, reason }: Extract<FeedEvent, { kind: "contact" }>,
+  ): void {
+    const { log } = this.#options;
+    if (isLost) {
+      const fields = reason === undefined ? {} : { reason };
+      log.write("contact lost", { subject, ...fields });
+    } else {
+      log.write("contact regained", { subject });
+    }
+  }
+
+  #applyConfiguration(configuration: RoutingConfiguration): void {
+    const { path, callerListener, accounts, log } = this.#options;
+    if (configuration.version <= callerListener.version) {
+      return;
+    }
+    callerListener.send({ kind: "configuration", configuration });
+    accounts.configurationApplied();
+    path.targets.setServices(configuration.services);
+    log.write("configuration in force", { revision: configuration.version });
+  }
+}
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -29,10 +29,12 @@
   requestEnded(
     exchange: GatewayExchange,
     end: GatewayExchangeEnd,
-    { now, newsMs, accountsMs }: {
+    { now, newsMs, accountsMs, hasHomes }: {
       now: number;
       newsMs: number;
       accountsMs: number;
+      /** Whether the service has homes by load. */
+      hasHomes: boolean;
     },
   ): void {
     const isOnTime = end === "answered" && now <= exchange.objectiveAt;
@@ -40,7 +42,7 @@
       this.#suppressedLines += 1;
       return;
     }
-    const { route, request, lastAttempt: last } = exchange;
+    const { route, request, lastAttempt: last, placedVia } = exchange;
     this.#log.write("request ended", {
       request: request.requestId,
       route: route.name,
@@ -62,6 +64,9 @@
         target: last.target,
         targetMs: Math.round(last.durationMs),
         targetEnd: last.end,
+        ...(hasHomes && placedVia !== undefined
+          ? { placement: placedVia }
+          : {}),
         ...(last.load === undefined
           ? {}
           : { running: last.load.running, waiting: last.load.waiting }),
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -16,6 +16,8 @@
   type GatewayExchangeOptions,
   type GatewayExchangeServices,
 } from "./exchange.ts";
+import { HomeTargetWatch } from "./homes/home_target_watch.ts";
+import type { HomeTargets } from "./homes/home_targets.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
 import type { Dialect, RegisteredTarget } from "./ports.ts";
 import { RequestQueue } from "./request_queue.ts";
@@ -35,6 +37,8 @@
   readonly connections: ConnectionSource;
   /** Called when a target has changed. */
   targetChanged(target: RegisteredTarget, change: TargetChange): void;
+  /** Called when the services with homes by load, or the targets that can be homes, have changed. */
+  homeTargetsChanged?(targets: HomeTargets, now: number): void;
   /** Called when a target has become unresponsive. */
   targetUnresponsive(target: TargetId): void;
   /** Probes a target that was taken out of use. */
@@ -60,6 +64,7 @@
   readonly #services: GatewayExchangeServices;
   readonly #wheel = new DeadlineWheel(performance.now());
   readonly #queue: RequestQueue;
+  readonly #homeTargets: HomeTargetWatch;
   #evacuatedZones: ReadonlySet<ZoneId> = new Set();
 
   constructor(options: RequestPathOptions) {
@@ -67,9 +72,18 @@
     this.#options = options;
     this.steering = steering;
     this.#queue = new RequestQueue(() => options.requestQueued?.());
+    this.#homeTargets = new HomeTargetWatch({
+      known: () => this.targets.known(),
+      zones: () => ({
+        regions: options.zones,
+        evacuated: this.#evacuatedZones,
+      }),
+      changed: (targets, now) => options.homeTargetsChanged?.(targets, now),
+    });
     this.targets = new TargetDirectory({
       steering,
       zones: options.zones,
+      onKnownChanged: () => this.#homeTargets.markOutdated(),
       onRunEnded: (target) => connections.remove(target),
       onChange: (target, change) => this.#targetChanged(target, change),
       onFirstList: (targets) => this.#logFirstList(targets),
@@ -107,6 +121,7 @@
   /** Expires deadlines and places waiting requests; returns the time until the next call is due. */
   tick(now: number): number {
     this.#wheel.advance(now);
+    this.#homeTargets.update(now);
     if (this.#queue.size > 0) {
       this.#queue.placeAllWaiting(now);
     }
@@ -134,9 +149,15 @@
     now: number,
   ): void {
     this.targets.update(targets, now);
+    this.#homeTargets.update(now);
     this.#queue.placeAllWaiting(now);
   }
 
+  /** Places the requests of a service that wait for homes: they have become known, or are not going to be. */
+  homesKnown(service: ServiceId, now: number): void {
+    this.#queue.placeAwaitingHomes(service, now);
+  }
+
   /** Applies a target's limit that a peer reported. */
   applyPeerLimit(limit: LimitUpdate): void {
     this.#applyLimit(limit, "peer");
@@ -158,6 +179,8 @@
     }
     this.#evacuatedZones = zones;
     this.steering.setEvacuated(zones);
+    this.#homeTargets.markOutdated();
+    this.#homeTargets.update(now);
   }
 
   /** Records that connecting to a target took `ms`. */
--- a/packages/daemon/src/gateway/request_queue.ts
+++ b/packages/daemon/src/gateway/request_queue.ts
@@ -10,6 +10,8 @@
 /** A request that can be placed. */
 export interface Placeable extends QueuedRequest {
   readonly service: ServiceId;
+  /** Whether it waits because the homes of its object are not known yet. */
+  readonly awaitsHomes: boolean;
   /** Tries to place the request while `ahead` requests wait before it; returns true if it has to keep waiting. */
   tryPlace(now: number, ahead: number): boolean;
 }
@@ -77,6 +79,25 @@
     }
   }
 
+  /**
+   * Tries to place every request of a service that waits for homes. The pass for
+   * waiting requests may end before it reaches them.
+   */
+  placeAwaitingHomes(service: ServiceId, now: number): void {
+    const queue = this.#queues.get(service);
+    if (queue === undefined || queue.size === 0) {
+      return;
+    }
+    let ahead = 0;
+    for (const request of queue.inOrder(now)) {
+      if (!request.awaitsHomes || request.tryPlace(now, ahead)) {
+        ahead += 1;
+      } else {
+        queue.remove(request);
+      }
+    }
+  }
+
   #placeWaiting(service: ServiceId, now: number, maxFailed: number): void {
     const queue = this.#queues.get(service);
     if (queue === undefined || queue.size === 0) {
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -44,6 +44,8 @@
     readonly peers: ListenAddress;
     /** For requests for account credit from other VMs; the port is the same on all VMs. */
     readonly credit: ListenAddress;
+    /** For messages of other VMs about homes of objects; the port is the same on all VMs. */
+    readonly homes: ListenAddress;
     readonly metrics: ListenAddress;
   };
   /** Addresses of a few possible peers, `host:port`, used until peers are known; some may be gone. */
--- a/packages/daemon/src/gateway/target_directory.ts
+++ b/packages/daemon/src/gateway/target_directory.ts
@@ -8,6 +8,7 @@
 import type { RegionId, ServiceId, TargetId, ZoneId } from "@poplarthread/ids";
 import { hashText, type Steering } from "@poplarthread/placement";
 import type { Service } from "./configuration.ts";
+import type { KnownTarget } from "./homes/home_targets.ts";
 import type { RegisteredTarget } from "./ports.ts";
 
 /**
@@ -33,6 +34,8 @@
   /** A target is gone or has restarted: connections to its previous run are useless. */
   onRunEnded(target: TargetId): void;
   onChange(target: RegisteredTarget, what: TargetChange): void;
+  /** The known targets, or what is known of one, have changed. */
+  onKnownChanged(): void;
   /** Called once instead of {@link onChange} if no target was known before: a call for each of several hundred targets would delay the start. */
   onFirstList(targets: readonly RegisteredTarget[]): void;
 }
@@ -70,6 +73,14 @@
     return this.#known.get(id);
   }
 
+  /** All known targets. */
+  known(): readonly KnownTarget[] {
+    return [...this.#known.values()].map((target) => ({
+      target,
+      isLeaving: this.#isLeaving(target),
+    }));
+  }
+
   /** The service of a target in the configuration in force. */
   serviceOf(id: TargetId): Service | undefined {
     const target = this.#known.get(id);
@@ -94,6 +105,10 @@
     this.#options.onChange(target, "leaving by its answer");
   }
 
+  #isLeaving(target: RegisteredTarget): boolean {
+    return target.isLeaving || this.#hasAnnouncedLeaving(target);
+  }
+
   /** Whether this run of the target has announced that it is leaving. */
   #hasAnnouncedLeaving({ id, startedAt }: RegisteredTarget): boolean {
     return this.#announcedLeaving.has(id) &&
@@ -145,6 +160,7 @@
       this.#missingUntil.delete(id);
       const target = this.#known.get(id);
       this.#known.delete(id);
+      this.#options.onKnownChanged();
       this.#options.steering.removeTarget(id);
       this.#options.onRunEnded(id);
       if (target !== undefined) {
@@ -210,7 +226,8 @@
 
   #updateSteering(target: RegisteredTarget): void {
     const { id, service, zone, slots } = target;
-    const isLeaving = target.isLeaving || this.#hasAnnouncedLeaving(target);
+    const isLeaving = this.#isLeaving(target);
+    this.#options.onKnownChanged();
     const region = this.#options.zones.get(zone);
     if (region === undefined) {
       // A zone that is not in the settings belongs to no region, so no route can use it.
--- /dev/null
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -0,0 +1,54 @@
+/**
+ * Probes the targets that were taken out of use, and returns the healthy ones to use.
+ *
+ * @module
+ */
+
+import type { TargetId } from "@poplarthread/ids";
+import { messageOf } from "../errors.ts";
+import type { EventLog } from "./events.ts";
+import type { HealthProber } from "./health_prober.ts";
+import type { RequestPath } from "./request_path.ts";
+
+/** Dependencies of {@link TargetProbes}. */
+export interface TargetProbesOptions {
+  readonly prober: HealthProber;
+  readonly log: EventLog;
+  path(): RequestPath;
+}
+
+/** See the module comment. */
+export class TargetProbes {
+  readonly #options: TargetProbesOptions;
+
+  constructor(options: TargetProbesOptions) {
+    this.#options = options;
+  }
+
+  /** Starts a probe of one target. */
+  probe(id: TargetId): void {
+    const { prober, log, path } = this.#options;
+    const { steering, targets } = path();
+    const target = targets.get(id);
+    const healthPath = targets.serviceOf(id)?.healthPath;
+    if (target === undefined || healthPath === undefined) {
+      return;
+    }
+    const { address } = target;
+    const roundTripMs = steering.roundTripTo(id);
+    prober.probe({ id, address, roundTripMs }, healthPath).then(
+      (health) => {
+        const isSameTarget = health.target === undefined ||
+          health.target === id;
+        if (health.isHealthy && isSameTarget) {
+          // The target may have restarted since; its entry in the store shows that only later.
+          const coldMs = health.coldMs;
+          steering.probeSucceeded(id, { now: performance.now(), coldMs });
+          log.write("target answers again", { target: id });
+        }
+      },
+      (err) =>
+        log.write("probe failed", { target: id, reason: messageOf(err) }),
+    );
+  }
+}
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -72,6 +72,8 @@
 export class VmDirectory {
   readonly #self: RankedMember;
   readonly #entries = new Map<VmId, Entry>();
+  /** VMs that were ever known at an IP address. */
+  readonly #vmsByHost = new Map<string, Set<VmId>>();
   readonly #onChange: (member: Member, change: VmChange) => void;
   #selfLeaving = false;
 
@@ -101,14 +103,14 @@
       }
       const known = this.#entries.get(member.vm);
       if (known === undefined) {
-        this.#entries.set(member.vm, {
+        this.#add({
           member: withHash(member),
           lastSeenAt: -Infinity,
           knownAt: now,
           isLeaving: false,
         });
       } else if (known.lastSeenAt === -Infinity || !this.#isInZone(known)) {
-        known.member = withHash(member);
+        this.#add({ ...known, member: withHash(member) });
       }
     }
   }
@@ -124,7 +126,7 @@
     const known = this.#entries.get(member.vm);
     const wasUp = known !== undefined && this.#isAlive(known, now) &&
       known.member.instance === member.instance;
-    this.#entries.set(member.vm, {
+    this.#add({
       member: withHash(member),
       lastSeenAt: now,
       knownAt: now,
@@ -138,6 +140,28 @@
     return !wasUp;
   }
 
+  /** IP address of another known VM; undefined for an unknown one. */
+  hostOf(vm: VmId): string | undefined {
+    const entry = this.#entries.get(vm);
+    return entry && hostOf(entry.member);
+  }
+
+  /** The other VM at an IP address: the one known last, if there were several; undefined if there is none. */
+  vmAt(host: string): VmId | undefined {
+    const there = [...this.#vmsByHost.get(host) ?? []]
+      .map((vm) => this.#entries.get(vm)!)
+      .filter(({ member }) => hostOf(member) === host);
+    return there.toSorted((a, b) => b.knownAt - a.knownAt)[0]?.member.vm;
+  }
+
+  #add(entry: Entry): void {
+    const { member } = entry;
+    const host = hostOf(member);
+    const vms = this.#vmsByHost.get(host) ?? new Set();
+    this.#entries.set(member.vm, entry);
+    this.#vmsByHost.set(host, vms.add(member.vm));
+  }
+
   /** Records the state of a VM from another zone's report. */
   recordStatus({ vm, ageMs, isLeaving }: VmStatus, now: number): void {
     const known = this.#entries.get(vm);
@@ -313,6 +337,10 @@
   }
 }
 
+function hostOf({ peerAddress }: Member): string {
+  return peerAddress.split(":")[0]!;
+}
+
 function withHash(member: Member): RankedMember {
   return { ...member, hash: hashText(member.vm) };
 }
--- a/packages/daemon/src/gateway/vm_directory_test.ts
+++ b/packages/daemon/src/gateway/vm_directory_test.ts
@@ -165,3 +165,18 @@
     ["n-3"],
   ]);
 });
+
+test("an IP address names the VM that was known there last", () => {
+  // A message from the replacement of a VM would otherwise count as one of its
+  // predecessor.
+  const { vms } = directory();
+  const at = (vm: string, host: string) =>
+    memberNamed(vm, { peerAddress: `${host}:77` });
+  vms.addRegistered([at("n-3", "10.0.0.2"), at("n-2", "10.0.0.2")], 0);
+  vms.recordHeartbeat(at("n-3", "10.0.0.2"), { now: 100, ...UP });
+  expect(vms.vmAt("10.0.0.2")).toBe("n-3");
+  vms.recordHeartbeat(at("n-3", "10.0.0.3"), { now: 200, ...UP });
+  expect(vms.vmAt("10.0.0.2")).toBe("n-2");
+  expect(vms.hostOf("n-3" as VmId)).toBe("10.0.0.3");
+  expect(vms.vmAt("10.0.0.9")).toBeUndefined();
+});
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -57,6 +57,18 @@
   readonly attempts?: number;
   /** Number of requests without their final response. */
   readonly open?: number;
+  /** How the last target was chosen with regard to the homes of the request's object. */
+  readonly placement?: string;
+  /** An owner of homes: its term, the VMs of its region, and what it has assigned. */
+  readonly term?: string;
+  readonly vms?: number;
+  readonly objects?: number;
+  readonly homes?: number;
+  readonly secondHomes?: number;
+  readonly moved?: number;
+  readonly peakLoad?: number;
+  /** Number of queries for homes. */
+  readonly queries?: number;
 }
 
 /** Writes log lines. The event is a fixed phrase; everything that varies is a field. */
--- a/packages/placement/src/homes/messages.ts
+++ b/packages/placement/src/homes/messages.ts
@@ -50,8 +50,8 @@
 /** What one VM observed of a target since its last report. */
 export interface TargetObservation {
   readonly target: number;
-  /** Mean time that work takes there, as a multiple of the usual time. */
-  readonly pace: number;
+  /** Mean time that work takes there, as a multiple of the usual time; undefined if the target doesn't state it. */
+  readonly pace: number | undefined;
   /** Share of the requests that it refused to run, 0 to 1. */
   readonly refusedShare: number;
   /** Requests that the share was computed from. */
@@ -60,12 +60,16 @@
 
 /** A VM's regular report to the owner. */
 export interface DemandReport {
+  /** Grows with each report of the VM, so that a repeated one is not counted again. */
+  readonly number: number;
   /** Time that the report covers, in milliseconds. */
   readonly spanMs: number;
   /** The term and sequence number of the owner's updates that the VM has applied. */
   readonly term: OwnerTerm | undefined;
   readonly sequence: number;
-  /** Objects in use. With a new term all known ones, with their homes so far. */
+  /** Whether the objects include all that the VM knew before this term, with their homes then. */
+  readonly namesEarlierHomes: boolean;
+  /** Objects in use. */
   readonly objects: readonly ObjectDemand[];
   readonly priorities: readonly PriorityDemand[];
   readonly targets: readonly TargetObservation[];
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -68,6 +68,7 @@
 export { type HashedPair, WarmObjects, type WarmPair } from "./warm_objects.ts";
 export type {
   AttemptResult,
+  PlacedVia,
   PlacementDecision,
   PlacementRefusal,
   PlacementRequest,
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -41,6 +41,16 @@
   /** Its response is expected too late. */
   | "overload";
 
+/** How the target of a request was chosen with regard to its object's homes. */
+export type PlacedVia =
+  /** It is the preferred home, or another one. */
+  | "home"
+  | "second-home"
+  /** The object has homes, and the target is none of them. */
+  | "other"
+  /** The object has no assigned homes. */
+  | "unassigned";
+
 /** What happens to a request now. */
 export type PlacementDecision =
   | {
@@ -48,8 +58,14 @@
     readonly target: TargetId;
     readonly expectedMs: number;
     readonly warmth: Warmth;
+    /** Undefined for a request without an object. */
+    readonly via?: PlacedVia;
+  }
+  | {
+    readonly kind: "wait";
+    /** What it waits for: a slot, or the homes of its object. */
+    readonly for?: "homes" | "capacity";
   }
-  | { readonly kind: "wait" }
   | {
     readonly kind: "refuse";
     readonly reason: PlacementRefusal;
