--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -17,7 +17,6 @@
 import { EventLog } from "./events.ts";
 import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
-import { HealthProber } from "./health_prober.ts";
 import { Homes } from "./homes/homes.ts";
 import { LookupListener } from "./lookup_listener.ts";
 import { LoopDelay } from "./loop_delay.ts";
@@ -25,11 +24,11 @@
 import { Peers } from "./peers.ts";
 import { PlatformEvents } from "./platform_events.ts";
 import { PlatformFeed } from "./platform_feed.ts";
-import type { Dialect, Member, PlatformPort } from "./ports.ts";
+import type { Dialect, PlatformPort } from "./ports.ts";
 import { RelayListener } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
 import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
-import type { GatewaySettings } from "./settings.ts";
+import { type GatewaySettings, memberOf } from "./settings.ts";
 import { TargetProbes } from "./target_probes.ts";
 import type { RankedMember } from "./vm_directory.ts";
 
@@ -81,7 +80,6 @@
   readonly #log: EventLog;
   readonly #requestLog: RequestLog;
   readonly #metrics: GatewayMetrics;
-  readonly #self: Member;
   readonly #connections: Connections;
   readonly #requestPath: RequestPath;
   readonly #loopDelay = new LoopDelay(performance.now() + BUSY_TICK_MS);
@@ -100,7 +98,6 @@
   #fail: (err: unknown) => void = () => undefined;
 
   constructor(settings: GatewaySettings, ports: GatewayPorts) {
-    const { vm, instance, zone, region, cores, listen } = settings;
     this.#settings = settings;
     this.#dialect = ports.dialect;
     this.#log = new EventLog(ports.log);
@@ -115,17 +112,8 @@
       droppedLines: this.#log.dropped,
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
-    this.#self = {
-      vm,
-      instance,
-      zone,
-      region,
-      callerAddress: `${listen.callers.host}:${listen.callers.port}`,
-      peerAddress: `${listen.peers.host}:${listen.peers.port}`,
-      cores,
-    };
     this.#connections = new Connections({
-      localAddress: listen.callers.host,
+      localAddress: settings.listen.callers.host,
       listener: {
         connected: (target, ms) =>
           this.#requestPath.recordConnectTime(target, ms),
@@ -133,7 +121,7 @@
     });
     this.#peers = new Peers({
       settings,
-      self: this.#self,
+      self: memberOf(settings),
       log: this.#log,
       metrics: this.#metrics,
       path: () => this.#requestPath,
@@ -151,10 +139,8 @@
     });
     this.#requestPath = this.#createRequestPath(settings);
     this.#probes = new TargetProbes({
-      prober: new HealthProber({
-        connections: this.#connections,
-        dialect: this.#dialect,
-      }),
+      connections: this.#connections,
+      dialect: this.#dialect,
       log: this.#log,
       path: () => this.#requestPath,
     });
@@ -188,7 +174,7 @@
     });
     const now = performance.now();
     this.#setVms(this.#peers.vms.up(now), now);
-    this.#feed.start(this.#self);
+    this.#feed.start(memberOf(this.#settings));
     this.#timer.scheduleWithin(BUSY_TICK_MS);
     this.#log.write("started", {});
   }
@@ -281,15 +267,7 @@
   }
 
   #createSupervisor(): Supervisor {
-    const lookups = new LookupListener({
-      listen: [this.#settings.listen.lookups, this.#settings.listen.readiness],
-      dialect: this.#dialect,
-      isReady: () => this.#isReady,
-      lookup: (query) => ({
-        addresses: this.#peers.vms.addressesFor(query, performance.now()),
-        ttlMs: Math.min(LOOKUP_TTL_MS, this.#settings.bounds.lookupMs),
-      }),
-    });
+    const { listen, bounds } = this.#settings;
     const supervisor = new Supervisor("gateway", {
       listener: {
         taskFailed: (task, err) =>
@@ -297,12 +275,21 @@
         taskRestarted: (task) => this.#log.write("task restarted", { task }),
       },
     });
+    const lookups = new LookupListener({
+      listen: [listen.lookups, listen.readiness],
+      dialect: this.#dialect,
+      isReady: () => this.#isReady,
+      lookup: (query) => ({
+        addresses: this.#peers.vms.addressesFor(query, performance.now()),
+        ttlMs: Math.min(LOOKUP_TTL_MS, bounds.lookupMs),
+      }),
+    });
     const metrics = new MetricsListener({
-      listen: this.#settings.listen.metrics,
+      listen: listen.metrics,
       text: () => this.#metrics.text(),
     });
     const relay = new RelayListener({
-      listen: this.#settings.listen.peers,
+      listen: listen.peers,
       handler: (subject, query) => this.#feed.changesAfter(subject, query),
     });
     [
@@ -313,8 +300,7 @@
       lookups,
       metrics,
       relay,
-    ]
-      .forEach((task) => supervisor.add(task));
+    ].forEach((task) => supervisor.add(task));
     return supervisor;
   }
 
--- a/packages/daemon/src/gateway/homes/owned_homes.ts
+++ b/packages/daemon/src/gateway/homes/owned_homes.ts
@@ -23,5 +23,5 @@
 /** An agent that tells what it has assigned. */
 export interface ObservedHomeAgent extends HomeAgent {
   /** The services whose homes this VM owns. */
-  owned(now: number): readonly OwnedHomes[];
+  owned?(now: number): readonly OwnedHomes[];
 }
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -6,6 +6,7 @@
 
 import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { QuotaBound, RetryBound } from "@poplarthread/placement";
+import type { Member } from "./ports.ts";
 
 /** Address that a listener binds to. */
 export interface ListenAddress {
@@ -52,3 +53,17 @@
   readonly seeds: readonly string[];
   readonly bounds: GatewayBounds;
 }
+
+/** The VM with the given settings, as it registers itself. */
+export function memberOf(settings: GatewaySettings): Member {
+  const { vm, instance, zone, region, cores, listen } = settings;
+  return {
+    vm,
+    instance,
+    zone,
+    region,
+    callerAddress: `${listen.callers.host}:${listen.callers.port}`,
+    peerAddress: `${listen.peers.host}:${listen.peers.port}`,
+    cores,
+  };
+}
--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -7,12 +7,11 @@
 import type { TargetId } from "@poplarthread/ids";
 import { messageOf } from "../errors.ts";
 import type { EventLog } from "./events.ts";
-import type { HealthProber } from "./health_prober.ts";
+import { HealthProber, type HealthProberOptions } from "./health_prober.ts";
 import type { RequestPath } from "./request_path.ts";
 
 /** Dependencies of {@link TargetProbes}. */
-export interface TargetProbesOptions {
-  readonly prober: HealthProber;
+export interface TargetProbesOptions extends HealthProberOptions {
   readonly log: EventLog;
   path(): RequestPath;
 }
@@ -20,14 +19,16 @@
 /** See the module comment. */
 export class TargetProbes {
   readonly #options: TargetProbesOptions;
+  readonly #prober: HealthProber;
 
   constructor(options: TargetProbesOptions) {
     this.#options = options;
+    this.#prober = new HealthProber(options);
   }
 
   /** Starts a probe of one target. */
   probe(id: TargetId): void {
-    const { prober, log, path } = this.#options;
+    const { log, path } = this.#options;
     const { steering, targets } = path();
     const target = targets.get(id);
     const healthPath = targets.serviceOf(id)?.healthPath;
@@ -36,7 +37,7 @@
     }
     const { address } = target;
     const roundTripMs = steering.roundTripTo(id);
-    prober.probe({ id, address, roundTripMs }, healthPath).then(
+    this.#prober.probe({ id, address, roundTripMs }, healthPath).then(
       (health) => {
         const isSameTarget = health.target === undefined ||
           health.target === id;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -71,6 +71,7 @@
 export type {
   AttemptResult,
   PlacedVia,
+  PlacementArrival,
   PlacementDecision,
   PlacementRefusal,
   PlacementRequest,
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -28,6 +28,12 @@
   readonly tried: ReadonlySet<TargetId>;
 }
 
+/** The properties of a request that are recorded when it arrives. */
+export type PlacementArrival = Pick<
+  PlacementRequest,
+  "service" | "kind" | "priority" | "object"
+>;
+
 /**
  * Whether the target was assumed to have the request's object cached when the
  * request was sent to it.
@@ -41,12 +47,13 @@
   /** Its response is expected too late. */
   | "overload";
 
-/** How the target of a request was chosen with regard to its object's homes. */
+/** How the target of a request relates to the homes of the request's object. */
 export type PlacedVia =
-  /** It is the preferred home, or another one. */
+  /** The preferred home. */
   | "home"
+  /** Another home. */
   | "second-home"
-  /** The object has homes, and the target is none of them. */
+  /** A target that is not one of the homes. */
   | "other"
   /** The object has no assigned homes. */
   | "unassigned";
@@ -58,14 +65,11 @@
     readonly target: TargetId;
     readonly expectedMs: number;
     readonly warmth: Warmth;
-    /** Undefined for a request without an object. */
-    readonly via?: PlacedVia;
-  }
-  | {
-    readonly kind: "wait";
-    /** What it waits for: a slot, or the homes of its object. */
-    readonly for?: "homes" | "capacity";
+    /** Undefined for requests without an object. */
+    readonly via?: PlacedVia | undefined;
   }
+  /** The request waits for the homes of its object to become known, or for capacity. */
+  | { readonly kind: "wait"; readonly for: "homes" | "capacity" }
   | {
     readonly kind: "refuse";
     readonly reason: PlacementRefusal;
@@ -79,6 +83,8 @@
     readonly load: LoadReport | undefined;
     /** The target failed the request or refused to run it. */
     readonly failed: boolean;
+    /** The target refused to run the request. */
+    readonly isRefusal?: boolean;
     readonly object: number | undefined;
     /** Kind of the request; see {@link PlacementRequest.kind}. */
     readonly requestKind: string;
