bench: homes by load, paces and further events in the fleet emulator

Cause: the emulator could play neither targets that state their start nor machines whose pace changes. Change: optional fields of scenarios: startTimes and homeLossShare (the VMs then run the real agents and message format, with delays and loss), the pace of a service's machines, tails of a kind of request, bursts of one kind, and the events shed and kill-home-owner.

--- a/packages/bench/src/fleet/callers.ts
+++ b/packages/bench/src/fleet/callers.ts
@@ -38,6 +38,7 @@
   readonly #startsAt: number;
   readonly #endsAt: number;
   readonly #kinds: ReadonlyMap<string, RequestKind>;
+  readonly #mixes = new Map<Traffic, WeightedChoice<string>>();
   readonly #objectChoices: ReadonlyMap<string, WeightedChoice<string>>;
   #attemptCount = 0;
 
@@ -56,9 +57,10 @@
   start(): void {
     for (const traffic of this.#world.scenario.traffic) {
       const mix = new WeightedChoice(Object.entries(traffic.mix));
+      this.#mixes.set(traffic, mix);
       this.#world.loop.after(
         this.#startsAt,
-        () => this.#scheduleNext(traffic, mix),
+        () => this.#scheduleNext(traffic),
       );
     }
   }
@@ -67,20 +69,41 @@
    * Schedules the next request. The interval is drawn for the current rate, which
    * changes little within one interval.
    */
-  #scheduleNext(traffic: Traffic, mix: WeightedChoice<string>): void {
+  #scheduleNext(traffic: Traffic): void {
     const { loop, random } = this.#world;
     const intervalMs = random.intervalMs(this.#currentRate(traffic) / 1_000);
     loop.after(intervalMs, () => {
       if (loop.now < this.#endsAt) {
-        this.#createRequest(traffic.zone, mix.pick(random));
-        this.#scheduleNext(traffic, mix);
+        this.#createRequest(traffic.zone, this.#mixOf(traffic).pick(random));
+        this.#scheduleNext(traffic);
       }
     });
   }
 
-  #currentRate({ perSecond, wave }: Traffic): number {
+  /** Kinds of request and their weights at this moment. */
+  #mixOf(traffic: Traffic): WeightedChoice<string> {
+    return this.#world.traffic.kindBursts.size === 0
+      ? this.#mixes.get(traffic)!
+      : new WeightedChoice(Object.entries(this.#burstMix(traffic)));
+  }
+
+  #burstMix({ mix }: Traffic): Readonly<Record<string, number>> {
+    const weights = { ...mix };
+    for (const { requestKind, factor } of this.#world.traffic.kindBursts) {
+      if (weights[requestKind] !== undefined) {
+        weights[requestKind] *= factor;
+      }
+    }
+    return weights;
+  }
+
+  #currentRate(zoneTraffic: Traffic): number {
     const { loop, traffic } = this.#world;
-    const rate = perSecond * traffic.factor;
+    const { perSecond, wave, mix } = zoneTraffic;
+    const mixFactor = traffic.kindBursts.size === 0
+      ? 1
+      : sumOf(this.#burstMix(zoneTraffic)) / sumOf(mix);
+    const rate = perSecond * traffic.factor * mixFactor;
     if (wave === undefined) {
       return rate;
     }
@@ -103,13 +126,21 @@
       kind,
       zone: callerZone as ZoneId,
       object: this.#objectOf(kind, zone as ZoneId),
-      workMs: kind.workMs * random.normalFactor(kind.spread),
+      workMs: this.#workOf(kind),
       startedAt: loop.now,
       deadlineAt: loop.now + kind.deadlineMs,
       retriesLeft: kind.retries,
     });
   }
 
+  #workOf({ workMs, spread, tails }: RequestKind): number {
+    const { random } = this.#world;
+    const usualMs = workMs * random.normalFactor(spread);
+    return tails !== undefined && random.uniform() < tails.share
+      ? usualMs * tails.factor
+      : usualMs;
+  }
+
   /** Requests shifted to another zone still ask for the objects of their own zone's region. */
   #objectOf(
     { name, perRegion }: RequestKind,
@@ -212,6 +243,10 @@
   }
 }
 
+function sumOf(weights: Readonly<Record<string, number>>): number {
+  return Object.values(weights).reduce((sum, one) => sum + one, 0);
+}
+
 /** Objects of a kind of request, with a Zipf distribution: the first ones are the most popular. */
 function objectChoice(
   { name, objects, skew }: RequestKind,
--- a/packages/bench/src/fleet/emulated_target.ts
+++ b/packages/bench/src/fleet/emulated_target.ts
@@ -7,6 +7,7 @@
 
 import type { LoadReport, PlacedTarget } from "@poplarthread/placement";
 import type { EventLoop } from "../decisions/event_loop.ts";
+import { MachinePace } from "./machine_pace.ts";
 import type { ScenarioService } from "./scenario.ts";
 
 /** How a job ended at its target. */
@@ -53,6 +54,8 @@
   coldUntil = 0;
   slowFactor = 1;
   failureShare = 0;
+  /** Share of the requests that it refuses whatever its load. */
+  refusedShare = 0;
   /** Requests that were started in a slot. */
   handled = 0;
   /** Those of them whose object was cached. */
@@ -62,6 +65,7 @@
   /** Number of times the bound on requests within one second to a cold target was exceeded. */
   coldBreaches = 0;
   readonly #options: EmulatedTargetOptions;
+  readonly #machinePace: MachinePace | undefined;
   readonly #running = new Set<RunningJob>();
   #waiting: Job[] = [];
   readonly #arrivedAt = new WeakMap<Job, number>();
@@ -73,14 +77,18 @@
     this.#options = options;
     this.placed = options.placed;
     this.service = options.service;
+    const { pace } = options.service;
+    this.#machinePace = pace && new MachinePace(options.placed.hash, pace);
   }
 
   /** The load that it reports in its responses. */
   get load(): LoadReport {
+    const pace = this.#machinePace?.at(this.#options.loop.now);
     return {
       running: this.#running.size,
       waiting: this.#waiting.length,
       slots: this.service.slots,
+      ...(pace === undefined ? {} : { pace }),
     };
   }
 
@@ -111,7 +119,8 @@
   durationMs({ object, workMs, warmGain }: Omit<Job, "done">): number {
     const cold = this.coldMs > 0 ? this.service.coldFactor : 1;
     const warm = this.isCached(object) ? 1 - warmGain : 1;
-    return workMs * warm * cold * this.slowFactor;
+    const ms = workMs * warm * cold * this.slowFactor;
+    return this.#machinePace?.durationMs(ms, this.#options.loop.now) ?? ms;
   }
 
   submit(job: Job): void {
@@ -119,6 +128,10 @@
       job.done({ kind: "reset" });
       return;
     }
+    if (this.refusedShare > 0 && this.#options.random() < this.refusedShare) {
+      job.done({ kind: "refused", load: this.load });
+      return;
+    }
     this.#checkColdRate();
     this.#arrivedAt.set(job, this.#options.loop.now);
     if (this.#running.size < this.service.slots) {
--- a/packages/bench/src/fleet/emulated_vm.ts
+++ b/packages/bench/src/fleet/emulated_vm.ts
@@ -33,6 +33,7 @@
   type EmulatedConnectionsOptions,
   type EmulatedWork,
 } from "./emulated_connections.ts";
+import type { EmulatedHomes } from "./emulated_homes.ts";
 import type { EmulatedTarget } from "./emulated_target.ts";
 
 /** A caller's request as a VM receives it. */
@@ -58,6 +59,8 @@
   readonly region: RegionId;
   readonly zones: ReadonlyMap<ZoneId, RegionId>;
   readonly services: ReadonlyMap<ServiceId, Service>;
+  /** Undefined if no service has homes by load. */
+  readonly homes: EmulatedHomes | undefined;
 }
 
 /** An emulated VM. */
@@ -84,6 +87,7 @@
       log: new EventLog(SILENT_LOG),
       connections: new EmulatedConnections(options, this.#work),
       targetChanged: () => undefined,
+      homeTargetsChanged: (targets) => options.homes?.setTargets(targets),
       targetUnresponsive: () => undefined,
       probe: (target) => this.#probe(target),
       publishLimit: () => undefined,
@@ -92,10 +96,16 @@
       attemptEnded: () => undefined,
     });
     this.path.targets.setServices(options.services);
+    this.homes?.start(this.path);
     this.#repeat(BUSY_TICK_MS, (now) => void this.path.tick(now));
     this.#repeat(IDLE_TICK_MS, (now) => this.path.idleTick(now));
   }
 
+  /** Its homes by load, if any. */
+  get homes(): EmulatedHomes | undefined {
+    return this.#options.homes;
+  }
+
   /** Applies the platform's current list of targets. */
   setTargets(targets: ReadonlyMap<TargetId, RegisteredTarget>): void {
     if (this.isUp) {
@@ -141,6 +151,7 @@
   /** Ends its process: all connections are reset and all its state is lost. */
   kill(): void {
     this.isUp = false;
+    this.homes?.stop();
     const open = [...this.#openRequests];
     this.#openRequests.clear();
     for (const [exchange, request] of open) {
--- a/packages/bench/src/fleet/events.ts
+++ b/packages/bench/src/fleet/events.ts
@@ -6,6 +6,7 @@
 
 import type { ZoneId } from "@poplarthread/ids";
 import type { EmulatedTarget } from "./emulated_target.ts";
+import type { EmulatedVm } from "./emulated_vm.ts";
 import type { ScenarioEvent } from "./scenario.ts";
 import type { World } from "./world.ts";
 
@@ -18,12 +19,7 @@
 export function applyEvent(world: World, event: ScenarioEvent): void {
   switch (event.kind) {
     case "burst":
-      world.traffic.factor *= event.factor;
-      afterSeconds(
-        world,
-        event.forS,
-        () => world.traffic.factor /= event.factor,
-      );
+      burst(world, event);
       return;
     case "shift": {
       const { from, to, share } = event;
@@ -48,6 +44,14 @@
         afterSeconds(world, event.forS, () => target.failureShare = 0);
       }
       return;
+    case "shed":
+      for (const target of world.targets.values()) {
+        if (target.service.name === event.service) {
+          target.refusedShare = event.share;
+          afterSeconds(world, event.forS, () => target.refusedShare = 0);
+        }
+      }
+      return;
     case "crash":
       for (
         const target of world.random.sample(world.liveTargets(), event.share)
@@ -88,17 +92,48 @@
       });
       return;
     case "restart-vms":
-      for (
-        const vm of world.random.sample([...world.vms.values()], event.share)
-      ) {
-        vm.kill();
-        afterSeconds(world, event.forS, () => world.startVm(vm.vm, vm.zone));
-      }
-      world.publishMembers();
+      killVms(
+        world,
+        world.random.sample([...world.vms.values()], event.share),
+        event.forS,
+      );
+      return;
+    case "kill-home-owner":
+      killVms(world, world.homeOwners(), event.forS);
       return;
   }
 }
 
+function burst(
+  world: World,
+  { requestKind, factor, forS }: Extract<ScenarioEvent, { kind: "burst" }>,
+): void {
+  const { traffic } = world;
+  if (requestKind === undefined) {
+    traffic.factor *= factor;
+    afterSeconds(world, forS, () => traffic.factor /= factor);
+    return;
+  }
+  const burst = { requestKind, factor };
+  traffic.kindBursts.add(burst);
+  afterSeconds(world, forS, () => traffic.kindBursts.delete(burst));
+}
+
+/** Stops VMs, and restarts them without state after `forS`, if given. */
+function killVms(
+  world: World,
+  vms: readonly EmulatedVm[],
+  forS: number | undefined,
+): void {
+  for (const vm of vms) {
+    vm.kill();
+    if (forS !== undefined) {
+      afterSeconds(world, forS, () => world.startVm(vm.vm, vm.zone));
+    }
+  }
+  world.publishMembers();
+}
+
 /**
  * Crashes a target and restarts it after `forS`, if given. The platform drops the
  * entry of a target that is still down after `silentEntryS`.
--- a/packages/bench/src/fleet/scenario.ts
+++ b/packages/bench/src/fleet/scenario.ts
@@ -47,8 +47,16 @@
   skew: z.number().nonnegative(),
   /** Share of the work that is saved on a target that has the object cached. */
   warmGain: share,
+  /** A share of the requests takes `factor` times as long; none if omitted. */
+  tails: z.strictObject({ share, factor: positive }).optional(),
 });
 
+/**
+ * Pace of the targets' machines, which they report with their load: at any time a
+ * share of them takes `factor` times as long for its work, each for `spellMs`.
+ */
+const pace = z.strictObject({ share, factor: positive, spellMs: positive });
+
 const service = z.strictObject({
   name: z.string(),
   /** Number of targets by zone. */
@@ -63,15 +71,18 @@
   coldFactor: positive,
   /** Requests a second that a target can take while it is slow. */
   coldPerSecond: positive,
+  /** Without it, machines always run at the usual pace and report none. */
+  pace: pace.optional(),
 });
 
 const event = z.discriminatedUnion("kind", [
-  /** The request rate of all zones is multiplied by `factor`. */
+  /** The request rate of all zones is multiplied by `factor`, for one kind of request or all. */
   z.strictObject({
     kind: z.literal("burst"),
     at,
     forS: positive,
     factor: positive,
+    requestKind: z.string().optional(),
   }),
   /** A share of the requests of zone `from` arrives in zone `to`. */
   z.strictObject({
@@ -98,6 +109,14 @@
     share,
     fails: share,
   }),
+  /** All targets of a service refuse a share of the requests that they get. */
+  z.strictObject({
+    kind: z.literal("shed"),
+    at,
+    forS: positive,
+    service: z.string(),
+    share,
+  }),
   /** A share of the targets crashes and restarts with empty caches after `forS`; never if omitted. */
   z.strictObject({
     kind: z.literal("crash"),
@@ -137,6 +156,12 @@
     forS: positive,
     share,
   }),
+  /** The VMs that own homes of objects stop, and restart without state after `forS`; never if omitted. */
+  z.strictObject({
+    kind: z.literal("kill-home-owner"),
+    at,
+    forS: positive.optional(),
+  }),
 ]);
 
 const schema = z.strictObject({
@@ -160,6 +185,10 @@
     warmNearMs: z.number().nonnegative().default(150),
     warmFarMs: z.number().nonnegative().default(600),
   }),
+  /** Whether the targets' entries state when they started: their objects then get homes by load. */
+  startTimes: z.boolean().default(false),
+  /** Share of the messages about homes that are lost. */
+  homeLossShare: share.default(0),
   /** Time until the platform removes the entry of an unresponsive target. */
   silentEntryS: positive,
   /** Bound on the retries of all VMs to a service: `fixed` plus `ratio` of the requests, in any window. */
@@ -235,6 +264,12 @@
       checkDefined(one.from, zones, ["events", index, "from"]);
       checkDefined(one.to, zones, ["events", index, "to"]);
     }
+    if ("service" in one) {
+      checkDefined(one.service, services, ["events", index, "service"]);
+    }
+    if ("requestKind" in one && one.requestKind !== undefined) {
+      checkDefined(one.requestKind, kinds, ["events", index, "requestKind"]);
+    }
   });
   return complaints;
 }
--- a/packages/bench/src/fleet/world.ts
+++ b/packages/bench/src/fleet/world.ts
@@ -25,6 +25,7 @@
 } from "@poplarthread/placement";
 import { EventLoop } from "../decisions/event_loop.ts";
 import { Callers } from "./callers.ts";
+import { EmulatedHomes } from "./emulated_homes.ts";
 import { EmulatedTarget } from "./emulated_target.ts";
 import {
   type EmulatedRequest,
@@ -92,6 +93,7 @@
   readonly traffic = {
     factor: 1,
     shifts: new Set<{ from: string; to: string; share: number }>(),
+    kindBursts: new Set<{ requestKind: string; factor: number }>(),
   };
   readonly evacuatedZones = new Set<ZoneId>();
   attempts = 0;
@@ -100,12 +102,15 @@
   readonly #services: ReadonlyMap<ServiceId, Service>;
   readonly #splits = new Map<string, WeightedSplit>();
   readonly #jobs: ExpectedJobs;
+  /** Decides which messages about homes are lost; apart, so that the traffic stays the same. */
+  readonly #homeLosses: Random;
   #targetCount = 0;
 
   constructor({ scenario, seed, policy }: RunOptions, loop: EventLoop) {
     this.scenario = scenario;
     this.loop = loop;
     this.random = new Random(seed);
+    this.#homeLosses = new Random(seed);
     this.#policy = policy;
     this.#jobs = new ExpectedJobs(scenario);
     this.#regions = new Map(
@@ -225,6 +230,9 @@
   /** Starts a VM without state. */
   startVm(name: VmId, zone: ZoneId): void {
     const region = this.regionOf(zone);
+    const homes = this.scenario.startTimes
+      ? this.#createHomes(name, zone)
+      : undefined;
     const vm = new EmulatedVm({
       vm: name,
       zone,
@@ -232,9 +240,11 @@
       zones: this.#regions,
       services: this.#services,
       loop: this.loop,
+      homes,
       steering: this.#createSteering({
         vm: name,
         location: { zone, region },
+        ...(homes === undefined ? {} : { homes: homes.source }),
         onWarmPair: (pair) => this.#publishWarmTarget(name, pair),
         retries: {
           ratio: this.scenario.retries.ratio,
@@ -262,11 +272,35 @@
         if (vm.isUp) {
           vm.path.steering.setVms(owners);
           vm.path.steering.setFleetSize(this.vms.size);
+          vm.homes?.setVms(owners);
         }
       }
     });
   }
 
+  /** Running VMs that own homes of objects. */
+  homeOwners(): readonly EmulatedVm[] {
+    return [...this.vms.values()]
+      .filter(({ isUp, homes }) => isUp && (homes?.owned.size ?? 0) > 0);
+  }
+
+  #createHomes(vm: VmId, zone: ZoneId): EmulatedHomes {
+    return new EmulatedHomes({
+      self: { vm, region: this.regionOf(zone), hash: hashText(vm) },
+      loop: this.loop,
+      send: (to, datagram) => {
+        const receiver = this.vms.get(to);
+        const isLost = this.#homeLosses.uniform() < this.scenario.homeLossShare;
+        if (receiver !== undefined && !isLost) {
+          this.loop.after(
+            this.#delayMs(zone, receiver.zone),
+            () => receiver.homes?.receive(datagram, vm),
+          );
+        }
+      },
+    });
+  }
+
   /** Reports a warm target to the other VMs of the region; those of the same zone get it first. */
   #publishWarmTarget(from: VmId, pair: HashedPair): void {
     const { zone, region } = this.vms.get(from)!;
--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -14,6 +14,7 @@
 export type { Route, Service } from "./configuration.ts";
 export { EventLog } from "./events.ts";
 export type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+export { decodeHomeMessage, encodeHomeMessage } from "./homes/home_codec.ts";
 export type {
   CallerRequest,
   Dialect,
