Room: plans of the owner, wired to homes by load

The owner plans shares from the demand of its region, its targets' capacity and what other regions leave unused; VMs look them up when a request arrives. The refusals of targets don't lower the capacity: they come at random, and admitting less would only add to them.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -76,13 +76,13 @@
   },
   "waiting-room": {
     file: `${PLACEMENT}/admission.ts`,
-    text: "return Math.round(load.inFlight(now)) < maxInFlight;",
+    text: "return Math.round(load.inFlight(now)) < places;",
     becomes: "return true;",
   },
   "whole-requests": {
     file: `${PLACEMENT}/admission.ts`,
-    text: "return Math.round(load.inFlight(now)) < maxInFlight;",
-    becomes: "return load.inFlight(now) + 1 <= maxInFlight;",
+    text: "return Math.round(load.inFlight(now)) < places;",
+    becomes: "return load.inFlight(now) + 1 <= places;",
   },
   "early-refusal": {
     file: `${PLACEMENT}/admission.ts`,
@@ -110,6 +110,37 @@
     text: "2 ** (-age / REPORT_HALF_LIFE_MS)",
     becomes: "(age < 0 ? 0 : 1)",
   },
+  "shared-room": {
+    file: `${PLACEMENT}/room/vm_room.ts`,
+    text: "for (const service of services) {",
+    becomes: "for (const service of [] as ServiceId[]) {",
+  },
+  "room-shares": {
+    file: `${PLACEMENT}/room/vm_room.ts`,
+    text: "return { shares: this.#roomOf(service, now), now };",
+    becomes: "return { shares: [], now };",
+  },
+  "reserved-places": {
+    file: `${PLACEMENT}/room/reserved_places.ts`,
+    text: "maxInFlight - moreUrgent);",
+    becomes: "maxInFlight);",
+  },
+  "refused-targets": {
+    file: `${PLACEMENT}/room/refusal_rates.ts`,
+    text: "return refused > OUT_OF_ROOM_SHARE && !this.isOutOfRoom(now)",
+    becomes: "return false",
+  },
+  "same-target-again": {
+    file: `${PLACEMENT}/room/vm_room.ts`,
+    text:
+      "return this.#services.get(service)?.refusals.isOutOfRoom(now) ?? false;",
+    becomes: "return false;",
+  },
+  "retry-reserve": {
+    file: `${PLACEMENT}/room/vm_room.ts`,
+    text: "if (room === undefined || !room.refusals.isOutOfRoom(now)) {",
+    becomes: "if (true) {",
+  },
   "silence": {
     file: `${PLACEMENT}/target_health.ts`,
     text: "if (sinceResponseMs < unresponsiveMs + waitMs) {",
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -21,6 +21,8 @@
   readonly roundTripMs: number;
   /** Expected wait for a slot. */
   readonly waitMs: number;
+  /** Expected run time beyond the usual one, because of the pace of its machine. */
+  readonly extraRunMs: number;
   /** A VM recently sent requests for the object to this target. */
   readonly isWarm: boolean;
   /** Share of recent requests that the target failed, 0 to 1. */
@@ -89,9 +91,12 @@
   readonly target: PlacedTarget;
   /**
    * Position in the rendezvous order of the request's object among the usable
-   * targets, 0 for its home; undefined for requests without an object.
+   * targets, 0 for its home; undefined for requests without an object. If homes are
+   * assigned, the others are counted from 1.
    */
   readonly position: number | undefined;
+  /** It is an assigned home of the request's object. */
+  readonly isHome: boolean;
   readonly costs: TargetCosts;
 }
 
@@ -139,7 +144,7 @@
   { target, costs }: Candidate,
   { from, weights }: ChoiceParams,
 ): number {
-  const cost = costs.roundTripMs + costs.waitMs +
+  const cost = costs.roundTripMs + costs.waitMs + costs.extraRunMs +
     costs.failureShare * weights.failingMs;
   if (target.region !== from.region) {
     return cost + weights.crossRegionMs;
@@ -148,9 +153,14 @@
 }
 
 function warmthCost(
-  { target, position, costs }: Candidate,
+  { target, position, isHome, costs }: Candidate,
   params: ChoiceParams,
 ): number {
+  if (isHome) {
+    // Unwarmed, it has to be warmed by one request or another, so there is no
+    // surcharge for keeping a slot busy for longer.
+    return costs.isWarm ? 0 : params.savedMs;
+  }
   if (position === undefined) {
     // Spreads requests over equal targets instead of filling them in list order.
     return target.hash % TIE_STEPS / TIE_STEPS;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -37,7 +37,9 @@
   type HomeCounts,
   type HomeTarget,
   type OutgoingHomeMessage,
+  type ServiceDemand,
 } from "./homes/home_agent.ts";
+export { HomeCoordinator } from "./homes/home_coordinator.ts";
 export type {
   DemandReport,
   HomeMessage,
@@ -56,14 +58,13 @@
   type RelayCandidate,
   relaysFor,
 } from "./relays.ts";
+export { RoomPlans } from "./room/room_plans.ts";
 export {
-  capacityOf,
   type PriorityOffer,
   regionCapacity,
   type RegionUse,
   RoomPlanner,
   type ServiceRoom,
-  type TargetCapacity,
 } from "./room/room_shares.ts";
 export type { GateCause, GateCounts } from "./room/room_gate.ts";
 export { RoundTrips } from "./round_trips.ts";
@@ -78,6 +79,8 @@
 export { type HashedPair, WarmObjects, type WarmPair } from "./warm_objects.ts";
 export type {
   AttemptResult,
+  PlacedVia,
+  PlacementArrival,
   PlacementDecision,
   PlacementRefusal,
   PlacementRequest,
--- a/packages/placement/src/room/room_gate.ts
+++ b/packages/placement/src/room/room_gate.ts
@@ -29,6 +29,13 @@
   readonly maxReturnMs: number;
 }
 
+/** When a request is decided on. */
+export interface GateMoment {
+  /** The shares that the owner last announced; none if there is room for all. */
+  readonly shares: readonly RoomShare[];
+  readonly now: number;
+}
+
 /** Why a request was refused. */
 export type GateCause =
   /** The room of its priority is used up. */
@@ -60,8 +67,6 @@
   readonly promisesBroken: number;
 }
 
-/** Time without an update after which shares are obsolete: a few intervals. */
-const SHARES_EXPIRE_MS = 3_000;
 /** Room that may be saved up by requests that are refused although it exists. */
 const MAX_CREDIT = 3;
 /** Requests that may be admitted for promises ahead of the room for them. */
@@ -89,8 +94,6 @@
     "early-return": 0,
   };
   readonly #refusedByPriority = new Map<number, number>();
-  #shares: readonly RoomShare[] = [];
-  #updatedAt = -Infinity;
   #admitted = 0;
   #promisesKept = 0;
   #promisesBroken = 0;
@@ -112,19 +115,13 @@
     };
   }
 
-  /** Sets the shares that the owner has announced; none if there is room for all. */
-  update(shares: readonly RoomShare[], now: number): void {
-    this.#shares = shares;
-    this.#updatedAt = now;
-  }
-
   /** Decides whether a new request is admitted. Call it once for each request. */
-  decide(request: GateRequest, now: number): GateDecision {
+  decide(request: GateRequest, { shares, now }: GateMoment): GateDecision {
     const { priority, account, repeatKey } = request;
     if (account !== undefined) {
       this.#accounts.arrived(account, now);
     }
-    const share = this.#shareOf(priority, now);
+    const share = shareOf(shares, priority);
     const returned = this.#promises.takeReturn(repeatKey, now);
     this.#promisesKept += returned.kind === "due" ? 1 : 0;
     if (share === undefined) {
@@ -155,21 +152,15 @@
    */
   refusedLater(
     request: Omit<GateRequest, "isInTime">,
-    now: number,
+    { shares, now }: GateMoment,
   ): number | undefined {
     if (this.#promises.forgetKept(request.repeatKey)) {
       this.#breakPromise();
     }
-    const share = this.#shareOf(request.priority, now);
+    const share = shareOf(shares, request.priority);
     return share && this.#promise(request, share, now);
   }
 
-  #shareOf(priority: number, now: number): RoomShare | undefined {
-    return now - this.#updatedAt > SHARES_EXPIRE_MS
-      ? undefined
-      : this.#shares.find((one) => one.priority === priority);
-  }
-
   /** Adds the room for one arrival. */
   #accrue({ priority, admitted }: RoomShare): number {
     const credit = (this.#credits.get(priority) ?? this.#spread) + admitted;
@@ -226,6 +217,13 @@
   }
 }
 
+function shareOf(
+  shares: readonly RoomShare[],
+  priority: number,
+): RoomShare | undefined {
+  return shares.find((share) => share.priority === priority);
+}
+
 /** Room that must have accrued for a request to be admitted. */
 function creditNeeded(returned: ReturnState, cause: GateCause): number {
   if (returned.kind === "due") {
--- a/packages/placement/src/room/room_shares.ts
+++ b/packages/placement/src/room/room_shares.ts
@@ -29,7 +29,7 @@
 export interface ServiceRoom {
   /** At most one for each priority. */
   readonly offers: readonly PriorityOffer[];
-  /** Slots that the region's requests can keep busy; see {@link capacityOf}. */
+  /** Slots that the region's requests can keep busy; see {@link regionCapacity}. */
   readonly capacitySlots: number;
 }
 
@@ -40,40 +40,23 @@
   readonly admitted: number;
 }
 
-/** A target as part of the capacity. */
-export interface TargetCapacity {
-  readonly slots: number;
-  /** Time that work takes there, as a multiple of the usual time. */
-  readonly pace: number;
-  /** Share of its requests that it refuses to run, 0 to 1. */
-  readonly refusedShare: number;
-}
-
 /** Share of any priority's requests that is admitted, so that none starves. */
 const FLOOR_SHARE = 0.1;
 /**
  * Room is short when demand exceeds this share of the capacity, until it falls
  * below the second one. The gap is wider than the variation of a steady demand.
  */
-const SHORT_ABOVE_USE = 1;
-const ENOUGH_BELOW_USE = 0.85;
+const SHORT_ABOVE_USE = 0.9;
+const ENOUGH_BELOW_USE = 0.75;
 /**
- * Share of the capacity that is given out while room is short: queues at targets
- * would grow without bound at the full capacity.
+ * Share of the capacity that is given out while room is short: at this use of a few
+ * slots, the mean wait is about as long as a run, which is the slack of urgent
+ * requests.
  */
-const USABLE_SHARE = 0.95;
+const USABLE_SHARE = 0.8;
 /** Share of the admitted requests whose room is promised to returning ones. */
 const RETURN_ROOM_SHARE = 0.5;
 
-/** Slots that the targets' work can use, as if all ran at the usual pace. */
-export function capacityOf(targets: readonly TargetCapacity[]): number {
-  return targets.reduce(
-    (sum, { slots, pace, refusedShare }) =>
-      sum + slots * (1 - refusedShare) / pace,
-    0,
-  );
-}
-
 /** A region's part in the use of a service. */
 export interface RegionUse {
   /** Capacity of its own targets. */
@@ -114,7 +97,7 @@
 export function divideRoom(
   { offers, capacitySlots }: ServiceRoom,
 ): readonly DividedRoom[] {
-  const demand = demandOf(offers);
+  const demand = demandSlotsOf(offers);
   const floor = demand > 0 ? Math.min(FLOOR_SHARE, capacitySlots / demand) : 1;
   let left = Math.max(0, capacitySlots - floor * demand);
   let admitted = 1;
@@ -130,47 +113,41 @@
   });
 }
 
-/** Plans the shares of one service. Times are milliseconds of one monotonic clock. */
+/** Plans the shares of one service. */
 export class RoomPlanner {
   readonly #calendars = new Map<number, ReturnCalendar>();
   #isShort = false;
-  #plannedAt: number | undefined;
+  /** Time covered by the plans so far, in milliseconds. */
+  #now = 0;
 
   /**
-   * The shares of all priorities, or none while there is room for all. Call it once
-   * for each update that is sent.
+   * The shares of all priorities, or none while there is room for all. `spanMs` is
+   * the time since the last plan, which the room was measured in.
    */
-  plan(room: ServiceRoom, now: number): readonly RoomShare[] {
-    const sincePlanMs = now - (this.#plannedAt ?? now);
-    this.#plannedAt = now;
+  plan(room: ServiceRoom, spanMs: number): readonly RoomShare[] {
+    this.#now += spanMs;
     if (!this.#updateShortage(room)) {
       return [];
     }
     const capacitySlots = room.capacitySlots * USABLE_SHARE;
     return divideRoom({ offers: room.offers, capacitySlots })
-      .map((divided) => this.#share(divided, { now, sincePlanMs }));
+      .map((divided) => this.#share(divided, spanMs));
   }
 
   #updateShortage({ offers, capacitySlots }: ServiceRoom): boolean {
-    const demand = demandOf(offers);
+    const demand = demandSlotsOf(offers);
     const bound = this.#isShort ? ENOUGH_BELOW_USE : SHORT_ABOVE_USE;
     this.#isShort = demand > capacitySlots * bound;
     return this.#isShort;
   }
 
-  #share(
-    { offer, admitted }: DividedRoom,
-    { now, sincePlanMs }: {
-      readonly now: number;
-      readonly sincePlanMs: number;
-    },
-  ): RoomShare {
+  #share({ offer, admitted }: DividedRoom, spanMs: number): RoomShare {
     const { priority, perSecond, refusedPerSecond } = offer;
     const calendar = this.#calendar(priority);
     const returnMs = calendar.promise({
-      requests: refusedPerSecond * sincePlanMs / 1_000,
+      requests: refusedPerSecond * spanMs / 1_000,
       roomPerSecond: perSecond * admitted * RETURN_ROOM_SHARE,
-    }, now);
+    }, this.#now);
     return { priority, admitted, returnMs: Math.round(returnMs) };
   }
 
@@ -184,7 +161,8 @@
   }
 }
 
-function demandOf(offers: readonly PriorityOffer[]): number {
+/** Slots that the offered work would keep busy. */
+export function demandSlotsOf(offers: readonly PriorityOffer[]): number {
   return offers.reduce((sum, offer) => sum + slotsOf(offer), 0);
 }
 
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -16,6 +16,7 @@
 import {
   type GateCounts,
   type GateDecision,
+  type GateMoment,
   type GateRequest,
   RoomGate,
 } from "./room_gate.ts";
@@ -43,6 +44,12 @@
   | { readonly kind: "hopeless" }
   | { readonly kind: "allowed"; readonly reservedShare: number };
 
+/** What the owner of a service's homes last said of its room; none if it has room for all. */
+export type RoomLookup = (
+  service: ServiceId,
+  now: number,
+) => readonly RoomShare[];
+
 /** The state of one service. */
 class ServiceRoom {
   readonly gate: RoomGate;
@@ -63,9 +70,11 @@
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class VmRoom {
   readonly #phase: number;
+  readonly #roomOf: RoomLookup;
   readonly #services = new Map<ServiceId, ServiceRoom>();
 
-  constructor(vm: VmId) {
+  constructor(vm: VmId, roomOf: RoomLookup) {
+    this.#roomOf = roomOf;
     this.#phase = hashText(vm) / 2 ** 32;
   }
 
@@ -83,11 +92,6 @@
     }
   }
 
-  /** Sets the shares that the owner has announced; none if there is room for all. */
-  update(service: ServiceId, shares: readonly RoomShare[], now: number): void {
-    this.#services.get(service)?.gate.update(shares, now);
-  }
-
   /** Counters by service, for metrics. */
   counts(): ReadonlyMap<ServiceId, GateCounts> {
     return new Map(
@@ -106,7 +110,10 @@
     { isInTime, now }: { readonly isInTime: boolean; readonly now: number },
   ): GateDecision {
     const gate = this.#services.get(request.service)?.gate;
-    return gate?.decide({ ...gateRequest(request, now), isInTime }, now) ??
+    return gate?.decide(
+      { ...gateRequest(request, now), isInTime },
+      this.#moment(request, now),
+    ) ??
       { kind: "admit" };
   }
 
@@ -116,7 +123,10 @@
    */
   refusedLater(request: RoomRequest, now: number): number | undefined {
     const gate = this.#services.get(request.service)?.gate;
-    return gate?.refusedLater(gateRequest(request, now), now);
+    return gate?.refusedLater(
+      gateRequest(request, now),
+      this.#moment(request, now),
+    );
   }
 
   /** Requests that may be at a target when one of `priority` is sent there. */
@@ -183,6 +193,10 @@
   retryDenied(service: ServiceId, priority: number, now: number): void {
     this.#services.get(service)?.retries.denied(priority, now);
   }
+
+  #moment({ service }: RoomRequest, now: number): GateMoment {
+    return { shares: this.#roomOf(service, now), now };
+  }
 }
 
 function gateRequest(
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -13,16 +13,18 @@
 import { Candidates } from "./candidates.ts";
 import { DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
-import type { RoomShare } from "./homes/messages.ts";
+import type { HomeSource } from "./homes/home_source.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
+  PlacementArrival,
   PlacementDecision,
   PlacementRefused,
   PlacementRequest,
 } from "./placement.ts";
 import type { GateCounts } from "./room/room_gate.ts";
-import { type RetryRequest, VmRoom } from "./room/vm_room.ts";
+import { type RetryRequest, type RoomLookup, VmRoom } from "./room/vm_room.ts";
+import { RequestHomes } from "./request_homes.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Location, SteeredTarget } from "./target.ts";
@@ -45,11 +47,15 @@
    * object.
    */
   onWarmPair?(pair: HashedPair): void;
+  /** What the owner of a service's homes last said of its room. */
+  readonly roomOf?: RoomLookup | undefined;
   /**
    * Number of targets, in rendezvous order, that are compared before all of them
    * are; by default as many as can differ in the cost of their position.
    */
   readonly initialCandidates?: number;
+  /** Assigned homes of objects; without it, homes follow from the rendezvous order. */
+  readonly homes?: HomeSource;
 }
 
 /**
@@ -60,6 +66,7 @@
   readonly roundTrips: RoundTrips;
   readonly #options: SteeringOptions;
   readonly #known: TargetKnowledge;
+  readonly #homes: RequestHomes;
   readonly #admission: Admission;
   readonly #feedback: TargetFeedback;
   readonly #retryBudgets = new Map<ServiceId, FleetRetryBudget>();
@@ -74,18 +81,23 @@
       serviceTimes: new ServiceTimes(),
       kindTimes: new KindTimes(),
       roundTrips: this.roundTrips,
-      room: new VmRoom(options.vm),
+      room: new VmRoom(options.vm, options.roomOf ?? (() => [])),
     };
+    this.#homes = new RequestHomes(this.#known, options.homes);
     const candidates = new Candidates(this.#known, {
+      homes: this.#homes,
       from: options.location,
       weights: options.weights ?? DEFAULT_WEIGHTS,
       initialCandidates: options.initialCandidates,
     });
-    this.#admission = new Admission(this.#known, candidates);
-    this.#feedback = new TargetFeedback(
-      this.#known,
-      (pair) => options.onWarmPair?.(pair),
-    );
+    this.#admission = new Admission(this.#known, {
+      candidates,
+      homes: this.#homes,
+    });
+    this.#feedback = new TargetFeedback(this.#known, {
+      onWarmPair: (pair) => options.onWarmPair?.(pair),
+      homes: options.homes,
+    });
   }
 
   /** Sets the reachable VMs, including this one. */
@@ -178,10 +190,12 @@
     return entry === undefined ? 0 : this.roundTrips.to(entry.target);
   }
 
-  /** Records the arrival of a caller's request for `service`. */
-  arrived(service: ServiceId, priority: number, now: number): void {
+  /** Records the arrival of a caller's request. */
+  arrived(request: PlacementArrival, now: number): void {
+    const { service, priority } = request;
     this.#retryBudget(service).arrived(now);
     this.#admission.arrived(service, priority, now);
+    this.#homes.recordDemand(request);
   }
 
   /**
@@ -217,15 +231,6 @@
     this.#known.room.setServices(services);
   }
 
-  /** Sets the shares that the owner of a service's homes has announced. */
-  updateRoom(
-    service: ServiceId,
-    shares: readonly RoomShare[],
-    now: number,
-  ): void {
-    this.#known.room.update(service, shares, now);
-  }
-
   /** Counters of the services whose room is shared, for metrics. */
   roomCounts(): ReadonlyMap<ServiceId, GateCounts> {
     return this.#known.room.counts();
