Room: admit less while reported queues exceed the slack of urgent requests

Demand in warm work understates what a service is asked for while objects are not cached, so queues grew although the plan had room. Each VM now lowers its share from the queues that targets report, and raises it when they are short.

--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -117,8 +117,13 @@
   },
   "room-shares": {
     file: `${PLACEMENT}/room/vm_room.ts`,
-    text: "return { shares: this.#roomOf(service, now), now };",
-    becomes: "return { shares: [], now };",
+    text: "const announced = this.#roomOf(service, now);",
+    becomes: "const announced: RoomShare[] = [];",
+  },
+  "local-room": {
+    file: `${PLACEMENT}/room/local_room.ts`,
+    text: "if (this.#reports < MIN_REPORTS) {",
+    becomes: "if (true) {",
   },
   "reserved-places": {
     file: `${PLACEMENT}/room/reserved_places.ts`,
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -89,10 +89,10 @@
     request: PlacementRequest,
     now: number,
   ): PlacementRefused | undefined {
-    const expectedMs = this.#known.serviceTimes.meanMs(request.service);
-    const objectiveAt = request.objectiveAt ?? request.deadlineAt;
-    const isInTime = now + expectedMs <= objectiveAt;
-    const decision = this.#known.room.admit(request, { isInTime, now });
+    const decision = this.#known.room.admit(request, {
+      isInTime: () => this.#isInTime(request, now),
+      now,
+    });
     if (decision.kind === "admit") {
       return undefined;
     }
@@ -100,6 +100,17 @@
     return refusal("overload", decision.retryAfterMs);
   }
 
+  /** Whether a response is expected within the latency objective. */
+  #isInTime(request: PlacementRequest, now: number): boolean {
+    const compared = this.#candidates.cheapestFor(request, now);
+    const expectedMs = compared.kind === "compared"
+      ? compared.choice?.expectedMs ?? 0
+      : 0;
+    const runMs = this.#known.serviceTimes.meanMs(request.service);
+    const objectiveAt = request.objectiveAt ?? request.deadlineAt;
+    return now + expectedMs + runMs <= objectiveAt;
+  }
+
   /** Records that a request was assigned to a target. */
   sent(service: ServiceId, now: number): void {
     this.#drainRate(service).sent(now);
--- a/packages/placement/src/room/room_gate.ts
+++ b/packages/placement/src/room/room_gate.ts
@@ -24,7 +24,7 @@
   /** Hash that is equal for repeats of the request; undefined if it has none. */
   readonly repeatKey: number | undefined;
   /** Whether its response is expected within its latency objective. */
-  readonly isInTime: boolean;
+  isInTime(): boolean;
   /** Longest time that its caller waits before it returns. */
   readonly maxReturnMs: number;
 }
@@ -171,19 +171,20 @@
 
   /** Why the request is refused if there isn't room for all. */
   #causeFor(
-    { account, isInTime }: GateRequest,
+    request: GateRequest,
     returned: ReturnState,
     now: number,
   ): GateCause {
     if (returned.kind === "early") {
       return "early-return";
     }
+    const { account } = request;
     if (
       account !== undefined && this.#accounts.isFarAboveUsual(account, now)
     ) {
       return "account";
     }
-    return isInTime ? "share" : "late";
+    return request.isInTime() ? "share" : "late";
   }
 
   #promise(
--- a/packages/placement/src/room/room_shares.ts
+++ b/packages/placement/src/room/room_shares.ts
@@ -46,14 +46,13 @@
  * Room is short when demand exceeds this share of the capacity, until it falls
  * below the second one. The gap is wider than the variation of a steady demand.
  */
-const SHORT_ABOVE_USE = 0.9;
-const ENOUGH_BELOW_USE = 0.75;
+const SHORT_ABOVE_USE = 1;
+const ENOUGH_BELOW_USE = 0.85;
 /**
- * Share of the capacity that is given out while room is short: at this use of a few
- * slots, the mean wait is about as long as a run, which is the slack of urgent
- * requests.
+ * Share of the capacity that is given out while room is short: queues at targets
+ * would grow without bound at the full capacity.
  */
-const USABLE_SHARE = 0.8;
+const USABLE_SHARE = 0.95;
 /** Share of the admitted requests whose room is promised to returning ones. */
 const RETURN_ROOM_SHARE = 0.5;
 
@@ -113,25 +112,22 @@
   });
 }
 
-/** Plans the shares of one service. */
+/** Plans the shares of one service, as long as its room is short. */
 export class RoomPlanner {
-  readonly #calendars = new Map<number, ReturnCalendar>();
+  readonly #returns = new ReturnPlanner();
   #isShort = false;
-  /** Time covered by the plans so far, in milliseconds. */
-  #now = 0;
 
   /**
    * The shares of all priorities, or none while there is room for all. `spanMs` is
    * the time since the last plan, which the room was measured in.
    */
   plan(room: ServiceRoom, spanMs: number): readonly RoomShare[] {
-    this.#now += spanMs;
     if (!this.#updateShortage(room)) {
       return [];
     }
     const capacitySlots = room.capacitySlots * USABLE_SHARE;
-    return divideRoom({ offers: room.offers, capacitySlots })
-      .map((divided) => this.#share(divided, spanMs));
+    const divided = divideRoom({ offers: room.offers, capacitySlots });
+    return this.#returns.plan(divided, spanMs);
   }
 
   #updateShortage({ offers, capacitySlots }: ServiceRoom): boolean {
@@ -140,6 +136,22 @@
     this.#isShort = demand > capacitySlots * bound;
     return this.#isShort;
   }
+}
+
+/** Plans when refused requests of one service find room. */
+export class ReturnPlanner {
+  readonly #calendars = new Map<number, ReturnCalendar>();
+  /** Time covered by the plans so far, in milliseconds. */
+  #now = 0;
+
+  /** The shares with return times; `spanMs` is the time since the last plan. */
+  plan(
+    divided: readonly DividedRoom[],
+    spanMs: number,
+  ): readonly RoomShare[] {
+    this.#now += spanMs;
+    return divided.map((one) => this.#share(one, spanMs));
+  }
 
   #share({ offer, admitted }: DividedRoom, spanMs: number): RoomShare {
     const { priority, perSecond, refusedPerSecond } = offer;
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -10,6 +10,8 @@
 import type { AccountId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import { hashText } from "../hash.ts";
 import type { RoomShare } from "../homes/messages.ts";
+import type { LoadReport } from "../target_load.ts";
+import { LocalRoom, tighterShares } from "./local_room.ts";
 import { RefusalRates } from "./refusal_rates.ts";
 import { placesFor, PrioritiesInUse } from "./reserved_places.ts";
 import { RetryReserve } from "./retry_reserve.ts";
@@ -56,6 +58,7 @@
   readonly priorities = new PrioritiesInUse();
   readonly refusals = new RefusalRates();
   readonly retries = new RetryReserve();
+  readonly local = new LocalRoom();
 
   constructor(phase: number) {
     this.gate = new RoomGate(phase);
@@ -101,20 +104,25 @@
 
   /** Records the arrival of a caller's request. */
   arrived(service: ServiceId, priority: number, now: number): void {
-    this.#services.get(service)?.priorities.arrived(priority, now);
+    const room = this.#services.get(service);
+    room?.priorities.arrived(priority, now);
+    room?.local.arrived(priority, now);
   }
 
   /** Decides whether a new request is admitted. Call it once for each request. */
   admit(
     request: RoomRequest,
-    { isInTime, now }: { readonly isInTime: boolean; readonly now: number },
+    { isInTime, now }: { isInTime(): boolean; readonly now: number },
   ): GateDecision {
-    const gate = this.#services.get(request.service)?.gate;
-    return gate?.decide(
+    const room = this.#services.get(request.service);
+    const decision = room?.gate.decide(
       { ...gateRequest(request, now), isInTime },
       this.#moment(request, now),
-    ) ??
-      { kind: "admit" };
+    );
+    if (decision?.kind === "refuse") {
+      room?.local.refused(request.priority);
+    }
+    return decision ?? { kind: "admit" };
   }
 
   /**
@@ -156,9 +164,16 @@
   /** Records a target's response; true if the service's refusals are not failures. */
   responded(
     { id, service }: { readonly id: TargetId; readonly service: ServiceId },
-    { isRefusal, now }: { readonly isRefusal: boolean; readonly now: number },
+    { isRefusal, load, now }: {
+      readonly isRefusal: boolean;
+      readonly load: LoadReport | undefined;
+      readonly now: number;
+    },
   ): boolean {
     const room = this.#services.get(service);
+    if (load !== undefined) {
+      room?.local.reported(load);
+    }
     room?.refusals.responded(id, isRefusal, now);
     return room !== undefined;
   }
@@ -195,7 +210,9 @@
   }
 
   #moment({ service }: RoomRequest, now: number): GateMoment {
-    return { shares: this.#roomOf(service, now), now };
+    const announced = this.#roomOf(service, now);
+    const local = this.#services.get(service)?.local.shares(now) ?? [];
+    return { shares: tighterShares(announced, local), now };
   }
 }
 
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -133,7 +133,13 @@
     const { failed, object } = result;
     const { now, writtenAt } = times;
     const isRefusal = result.isRefusal ?? false;
-    if (this.#known.room.responded(target, { isRefusal, now }) && isRefusal) {
+    if (
+      this.#known.room.responded(target, {
+        isRefusal,
+        load: result.load,
+        now,
+      }) && isRefusal
+    ) {
       health.refused(writtenAt, now);
     } else {
       health.responded(writtenAt, { now, failed });
