--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -127,8 +127,8 @@
   },
   "reserved-places": {
     file: `${PLACEMENT}/room/reserved_places.ts`,
-    text: "maxInFlight - moreUrgent);",
-    becomes: "maxInFlight);",
+    text: "maxInFlight - RESERVED_PLACES * moreUrgent,",
+    becomes: "maxInFlight,",
   },
   "refused-targets": {
     file: `${PLACEMENT}/room/refusal_rates.ts`,
@@ -143,8 +143,8 @@
   },
   "retry-reserve": {
     file: `${PLACEMENT}/room/vm_room.ts`,
-    text: "if (room === undefined || !room.refusals.isOutOfRoom(now)) {",
-    becomes: "if (true) {",
+    text: "if (room === undefined) {\n      return UNRESERVED;",
+    becomes: "if (true) {\n      return UNRESERVED;",
   },
   "silence": {
     file: `${PLACEMENT}/target_health.ts`,
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -89,7 +89,10 @@
     request: PlacementRequest,
     now: number,
   ): PlacementRefused | undefined {
+    const runMs = this.#known.serviceTimes.meanMs(request.service);
+    const objectiveAt = request.objectiveAt ?? request.deadlineAt;
     const decision = this.#known.room.admit(request, {
+      slackRuns: (objectiveAt - now) / runMs - 1,
       isInTime: () => this.#isInTime(request, now),
       now,
     });
--- a/packages/placement/src/room/account_shares.ts
+++ b/packages/placement/src/room/account_shares.ts
@@ -19,6 +19,8 @@
 const MAX_SHARE_FACTOR = 2;
 /** Standard deviations by which a random count may exceed its expected value. */
 const MAX_DEVIATIONS = 2;
+/** Weight of a surplus request in the usual share: a flood must not soon be usual. */
+const SURPLUS_WEIGHT = 0.1;
 /** Requests from which the usual shares are known well enough. */
 const MIN_USUAL_REQUESTS = 30;
 /** Number of accounts above which those that have stopped sending are dropped. */
@@ -34,8 +36,8 @@
     this.#halfLifeMs = halfLifeMs;
   }
 
-  add(now: number): void {
-    this.#value = this.at(now) + 1;
+  add(weight: number, now: number): void {
+    this.#value = this.at(now) + weight;
     this.#at = now;
   }
 
@@ -49,9 +51,14 @@
   readonly recent = new DecayingCount(RECENT_HALF_LIFE_MS);
   readonly usual = new DecayingCount(USUAL_HALF_LIFE_MS);
 
-  add(now: number): void {
-    this.recent.add(now);
-    this.usual.add(now);
+  add(usualWeight: number, now: number): void {
+    this.recent.add(1, now);
+    this.usual.add(usualWeight, now);
+  }
+
+  /** Usual requests before the recent ones. */
+  earlier(now: number): number {
+    return Math.max(0, this.usual.at(now) - this.recent.at(now));
   }
 }
 
@@ -68,20 +75,21 @@
       counts = new RequestCounts();
       this.#accounts.set(account, counts);
     }
-    counts.add(now);
-    this.#all.add(now);
+    const weight = this.isFarAboveUsual(account, now) ? SURPLUS_WEIGHT : 1;
+    counts.add(weight, now);
+    this.#all.add(weight, now);
   }
 
   /** Whether the account sends far more than its usual share. */
   isFarAboveUsual(account: AccountId, now: number): boolean {
     const counts = this.#accounts.get(account);
-    const total = this.#all.usual.at(now);
+    const total = this.#all.earlier(now);
     if (counts === undefined || total < MIN_USUAL_REQUESTS) {
       return false;
     }
     // An account that has just begun to send may have a mean share.
     const usualShare = Math.max(
-      counts.usual.at(now) / total,
+      counts.earlier(now) / total,
       1 / this.#accounts.size,
     );
     const expected = usualShare * this.#all.recent.at(now);
--- a/packages/placement/src/room/local_room.ts
+++ b/packages/placement/src/room/local_room.ts
@@ -20,14 +20,23 @@
 /** Window in which arrivals and refusals are counted. */
 const WINDOW_MS = 2_000;
 /**
- * Waiting requests per slot, the wait in runs. Up to the first one, urgent requests
- * are in time; the share recovers below the second one.
+ * Queue at targets, as a multiple of the slack of the most urgent requests, above
+ * which less is admitted, and below which more. The mean exceeds what most requests
+ * meet, since popular objects have their homes at targets with longer queues.
  */
-const MAX_QUEUED_RUNS = 1.2;
-const FEW_QUEUED_RUNS = 0.8;
+const MAX_QUEUED_SLACK = 1.5;
+const FEW_QUEUED_SLACK = 1;
+/**
+ * Slack in runs until it is known, and the least one: queues are shorter only at a
+ * small part of the capacity.
+ */
+const DEFAULT_SLACK_RUNS = 1;
+const MIN_SLACK_RUNS = 0.8;
+/** Time after which a priority without requests doesn't determine the slack. */
+const SLACK_TTL_MS = 5_000;
 /** Reports from which their mean is meaningful. */
 const MIN_REPORTS = 3;
-/** Limits of one adjustment. */
+/** Factors of one adjustment. */
 const MAX_DECREASE = 0.5;
 const INCREASE = 1.3;
 /** Smallest share of the requests that is admitted. */
@@ -47,6 +56,8 @@
   #admitted = 1;
   #queuedRuns = 0;
   #reports = 0;
+  /** Slack of the most urgent priority in use. */
+  #slack = { priority: Infinity, runs: DEFAULT_SLACK_RUNS, at: -Infinity };
   #adjustedAt: number | undefined;
   #shares: readonly RoomShare[] = [];
 
@@ -60,6 +71,14 @@
     this.#countsOf(priority).refused += 1;
   }
 
+  /** Records how long a new request may wait and be in time, in runs. */
+  offered(priority: number, slackRuns: number, now: number): void {
+    const isObsolete = now - this.#slack.at > SLACK_TTL_MS;
+    if (priority <= this.#slack.priority || isObsolete) {
+      this.#slack = { priority, runs: Math.max(0, slackRuns), at: now };
+    }
+  }
+
   /** Records a target's report of its load. */
   reported({ waiting, slots }: LoadReport): void {
     this.#queuedRuns += waiting / Math.max(1, slots);
@@ -83,12 +102,14 @@
       return;
     }
     const queuedRuns = this.#queuedRuns / this.#reports;
+    const slackRuns = Math.max(MIN_SLACK_RUNS, this.#slack.runs);
     this.#queuedRuns = 0;
     this.#reports = 0;
-    if (queuedRuns > MAX_QUEUED_RUNS) {
-      const factor = Math.max(MAX_DECREASE, MAX_QUEUED_RUNS / queuedRuns);
-      this.#admitted = Math.max(MIN_SHARE, this.#admitted * factor);
-    } else if (queuedRuns < FEW_QUEUED_RUNS) {
+    if (queuedRuns > MAX_QUEUED_SLACK * slackRuns) {
+      const factor = MAX_QUEUED_SLACK * slackRuns / queuedRuns;
+      this.#admitted *= Math.max(MAX_DECREASE, factor);
+      this.#admitted = Math.max(MIN_SHARE, this.#admitted);
+    } else if (queuedRuns < FEW_QUEUED_SLACK * slackRuns) {
       this.#admitted = Math.min(1, this.#admitted * INCREASE);
     }
   }
--- a/packages/placement/src/room/reserved_places.ts
+++ b/packages/placement/src/room/reserved_places.ts
@@ -13,6 +13,9 @@
 /** Time without a request after which a priority is not in use any more. */
 const IN_USE_MS = 5_000;
 
+/** Places that are kept for each more urgent priority. */
+const RESERVED_PLACES = 2;
+
 /** The priorities of the requests that a service lately got on this VM. */
 export class PrioritiesInUse {
   readonly #arrivedAt = new Map<number, number>();
@@ -41,12 +44,15 @@
 
 /**
  * Requests that may be at a target when one is sent there, with `moreUrgent` more
- * urgent priorities in use: one place less for each, but any priority may use all
+ * urgent priorities in use: some places less for each, but any priority may use all
  * slots.
  */
 export function placesFor(
   moreUrgent: number,
   { slots, maxInFlight }: TargetPlaces,
 ): number {
-  return Math.max(Math.min(slots, maxInFlight), maxInFlight - moreUrgent);
+  return Math.max(
+    Math.min(slots, maxInFlight),
+    maxInFlight - RESERVED_PLACES * moreUrgent,
+  );
 }
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -112,9 +112,15 @@
   /** Decides whether a new request is admitted. Call it once for each request. */
   admit(
     request: RoomRequest,
-    { isInTime, now }: { isInTime(): boolean; readonly now: number },
+    { isInTime, slackRuns, now }: {
+      isInTime(): boolean;
+      /** How long it may wait and be in time, in runs. */
+      readonly slackRuns: number;
+      readonly now: number;
+    },
   ): GateDecision {
     const room = this.#services.get(request.service);
+    room?.local.offered(request.priority, slackRuns, now);
     const decision = room?.gate.decide(
       { ...gateRequest(request, now), isInTime },
       this.#moment(request, now),
@@ -193,10 +199,12 @@
     { runMs, now }: { readonly runMs: number; readonly now: number },
   ): RetryTerms {
     const room = this.#services.get(service);
-    if (room === undefined || !room.refusals.isOutOfRoom(now)) {
+    if (room === undefined) {
       return UNRESERVED;
     }
-    if (room.refusals.isClosed(now) || now + runMs > objectiveAt) {
+    const isLate = now + runMs > objectiveAt;
+    const isScarce = room.refusals.isOutOfRoom(now);
+    if (room.refusals.isClosed(now) || isScarce && isLate) {
       return { kind: "hopeless" };
     }
     const moreUrgent = room.priorities.moreUrgent(priority, now);
--- a/packages/placement/src/testing_fleet.ts
+++ b/packages/placement/src/testing_fleet.ts
@@ -238,7 +238,7 @@
 }
 
 /** A deterministic generator of numbers from 0 up to 1. */
-function randomFrom(seed: number): () => number {
+export function randomFrom(seed: number): () => number {
   let state = seed;
   return () => {
     state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
