Test of credit loans runs on a faked clock

Cause: the test counted credit over 2.5 s of real time. On a busy machine the process stalls; the owners' balances reach their maximum meanwhile, and the excess is lost by design (CreditBucket). Ruled out: loss of datagrams on loopback, the pace of loans.

Change: the clock is faked and advances by the 4 ms that the test waited, after the datagrams have arrived. Bounds and quota are as they were.

--- a/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
@@ -5,7 +5,7 @@
  */
 
 import { createSocket } from "node:dgram";
-import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import type { AccountId } from "@poplarthread/ids";
 import { creditOwners, hashText } from "@poplarthread/placement";
 import { loopbackAddress, nextPort } from "../../loopback.ts";
@@ -107,7 +107,19 @@
   await region.start(4);
 });
 
-afterEach(() => region.stop());
+afterEach(async () => {
+  vi.useRealTimers();
+  await region.stop();
+});
+
+/** Advances the faked clock after the datagrams sent before have arrived. */
+async function advance(ms: number): Promise<void> {
+  // One turn of the event loop each to send, to receive, to respond and to receive.
+  for (let turn = 0; turn < 4; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await vi.advanceTimersByTimeAsync(ms);
+}
 
 /** Retries until credit is granted, for `timeoutMs` at most. */
 async function isGranted(
@@ -193,6 +205,9 @@
 test("a region lends unused credit to a region whose callers need it", async () => {
   // All callers of an account are in one region. Without loans that region has only its
   // own share, a third of the quota, and would refuse two thirds of the allowed requests.
+  // On a faked clock: a busy machine stalls the test, and credit beyond the maximum
+  // balance is lost meanwhile.
+  vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "performance"] });
   const port = nextPort();
   const regions = ["a", "b", "c"].map((name, index) =>
     new Region(port, { name, firstAddress: 110 + 10 * index })
@@ -208,7 +223,7 @@
     while (performance.now() < deadline) {
       const credit = await busy!.request(busy!.vms[0]!);
       count += credit.kind === "granted" ? 1 : 0;
-      await new Promise((resolve) => setTimeout(resolve, 4));
+      await advance(4);
     }
     const share = (QUOTA.perSecond * 2.5 + QUOTA.burst) / 3;
     expect(count).toBeGreaterThan(share * 1.4);
