A route, service or account that cannot be read takes no other with it

Cause: the configuration was validated as one document, so one unknown value made all of it unusable and a VM without an earlier one served nothing.

Change: entries of lists are read one by one. A route that cannot be read but says where it is refuses its requests as not run, instead of letting them match a shorter prefix; an account whose keys can be read does the same for its callers. An unknown route type counts as at-most-once. Each finding is a log line and counted. The version, the lists, the callers' limits and two accounts with one key still refuse the whole: no request could be handled, or its sender would be ambiguous.

Measured: tests of the adapter, the gateway and the configuration pass.

--- a/packages/daemon/src/gateway/accounts/admission.ts
+++ b/packages/daemon/src/gateway/accounts/admission.ts
@@ -85,7 +85,12 @@
     }
     switch (identity.kind) {
       case "refused":
-        return refused(identity.reason);
+        return refused(
+          identity.reason,
+          identity.reason === "accounts-unknown"
+            ? ACCOUNTS_UNKNOWN_RETRY_MS
+            : undefined,
+        );
       case "known":
         return {
           kind: "admitted",
--- a/packages/daemon/src/gateway/accounts/client_account.ts
+++ b/packages/daemon/src/gateway/accounts/client_account.ts
@@ -19,6 +19,8 @@
   readonly regions: readonly RegionId[];
   /** Undefined for no limit. */
   readonly quota: Quota | undefined;
+  /** False if only its id and keys could be read: its requests are refused. */
+  readonly isReadable: boolean;
 }
 
 /** The credential that a request's header carries. */
@@ -42,7 +44,7 @@
   }
   | {
     readonly kind: "refused";
-    readonly reason: "unauthenticated" | "not-allowed";
+    readonly reason: "unauthenticated" | "not-allowed" | "accounts-unknown";
   };
 
 /** The accounts of one configuration, indexed by id and key. */
@@ -83,6 +85,9 @@
     if (account === undefined || credential.kind !== "key") {
       return { kind: "refused", reason: "unauthenticated" };
     }
+    if (!account.isReadable) {
+      return { kind: "refused", reason: "accounts-unknown" };
+    }
     const regions = commonRegions(route.regions, account.regions);
     return regions === undefined
       ? { kind: "refused", reason: "not-allowed" }
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -290,7 +290,8 @@
     // The split is advanced last, so that refused requests do not count in it.
     const service = this.#splits.get(route.name)?.split.next();
     if (service === undefined) {
-      refuse({ reason: "no-route" });
+      // The route is there, but which service runs its requests is not known.
+      refuse({ reason: "not-ready", retryAfterMs: NOT_READY_RETRY_MS });
       return;
     }
     const { caller } = admission;
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -197,6 +197,12 @@
     meaning: "A configuration cannot be used; the previous one stays in force.",
     fields: ["reason"],
   },
+  "configuration entry not used": {
+    level: "warn",
+    meaning:
+      "A route, service or account of the configuration cannot be read and is left out, or a route's type is unknown and its requests run at most once.",
+    fields: ["reason"],
+  },
   "zone evacuated": {
     level: "info",
     meaning: "No more requests are sent to targets of a zone.",
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -61,6 +61,8 @@
 const LEAVE_DELAY_MS = 3 * LOOKUP_TTL_MS + 200;
 /** Part of the time until SIGKILL that is reserved for the exit of the process itself. */
 const STOP_MARGIN_MS = 500;
+/** Findings of one version of the configuration that are logged; the metric counts all. */
+const MAX_LOGGED_FINDINGS = 10;
 /** Interval at which a leaving VM checks whether its requests have ended. */
 const STOP_CHECK_INTERVAL_MS = 20;
 
@@ -427,6 +429,7 @@
     switch (event.kind) {
       case "configuration":
         this.#applyConfiguration(event.configuration);
+        this.#logFindings(event.findings);
         return;
       case "unusable-configuration":
         this.#accounts.configurationRejected();
@@ -471,6 +474,13 @@
     }
   }
 
+  #logFindings(findings: readonly string[]): void {
+    this.#metrics.stateChanged("configuration-entry-unused", findings.length);
+    for (const finding of findings.slice(0, MAX_LOGGED_FINDINGS)) {
+      this.#log.write("configuration entry not used", { reason: finding });
+    }
+  }
+
   #applyConfiguration(configuration: RoutingConfiguration): void {
     if (configuration.version <= this.#callerListener.version) {
       return;
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -59,6 +59,8 @@
   | {
     readonly kind: "configuration";
     readonly configuration: RoutingConfiguration;
+    /** Entries that were left out or are only partly understood, each with its place. */
+    readonly findings: readonly string[];
   }
   /** A configuration that cannot be used; the previous one stays in force. */
   | { readonly kind: "unusable-configuration"; readonly reason: string }
