--- a/packages/placement/src/homes/testing_homes.ts
+++ b/packages/placement/src/homes/testing_homes.ts
@@ -80,7 +80,7 @@
   }
 
   /** A caller's request; returns the homes that the VM knows. */
-  request(vm: VmId, name: string, workMs = 300): readonly number[] {
+  request(vm: VmId, name: string, workMs = 100): readonly number[] {
     const object = hashText(name);
     const request = { service: SERVICE, object, workMs };
     const source = this.agents.get(vm)?.source;
@@ -91,7 +91,7 @@
 
   /** The homes that a VM knows, without a query. */
   homesOf(vm: VmId, name: string): readonly number[] {
-    const request = { service: SERVICE, object: hashText(name), workMs: 300 };
+    const request = { service: SERVICE, object: hashText(name), workMs: 100 };
     const lookup = this.agents.get(vm)?.source.lookUp(request, this.now);
     return lookup?.kind === "assigned" ? lookup.targets : [];
   }
