--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -6,6 +6,7 @@
 
 import type { InstanceId, RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import type { QuotaBound, RetryBound } from "@poplarthread/placement";
+import type { Member } from "./ports.ts";
 
 /** Address that a listener binds to. */
 export interface ListenAddress {
@@ -44,9 +45,25 @@
     readonly peers: ListenAddress;
     /** For requests for account credit from other VMs; the port is the same on all VMs. */
     readonly credit: ListenAddress;
+    /** For messages of other VMs about homes of objects; the port is the same on all VMs. */
+    readonly homes: ListenAddress;
     readonly metrics: ListenAddress;
   };
   /** Addresses of a few possible peers, `host:port`, used until peers are known; some may be gone. */
   readonly seeds: readonly string[];
   readonly bounds: GatewayBounds;
 }
+
+/** The VM with the given settings, as it registers itself. */
+export function memberOf(settings: GatewaySettings): Member {
+  const { vm, instance, zone, region, cores, listen } = settings;
+  return {
+    vm,
+    instance,
+    zone,
+    region,
+    callerAddress: `${listen.callers.host}:${listen.callers.port}`,
+    peerAddress: `${listen.peers.host}:${listen.peers.port}`,
+    cores,
+  };
+}
