--- a/packages/daemon/src/gateway/homes/home_exchange.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -6,7 +6,11 @@
  * @module
  */
 
-import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import {
+  createSocket as createUdpSocket,
+  type RemoteInfo,
+  type Socket,
+} from "node:dgram";
 import type { VmId } from "@poplarthread/ids";
 import {
   HOME_TICK_MS,
@@ -42,6 +46,8 @@
   received(kind: HomeMessage["kind"]): void;
   /** Called for a message that is too long to be sent. */
   notSent(message: HomeMessage): void;
+  /** Tests substitute a socket that loses datagrams. */
+  createSocket?: (() => Socket) | undefined;
 }
 
 /** The task; see the module comment. */
@@ -68,7 +74,8 @@
   }
 
   protected override open(): Promise<void> {
-    const socket = this.createSocket();
+    const { createSocket = () => createUdpSocket("udp4") } = this.#options;
+    const socket = createSocket();
     this.#socket = socket;
     this.#isTickScheduled = false;
     socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
@@ -84,11 +91,6 @@
     });
   }
 
-  /** Creates the socket; tests substitute one that loses datagrams. */
-  protected createSocket(): Socket {
-    return createSocket("udp4");
-  }
-
   protected override close(): void {
     this.#socket?.close();
     this.#socket = undefined;
--- a/packages/daemon/src/gateway/homes/home_log.ts
+++ b/packages/daemon/src/gateway/homes/home_log.ts
@@ -34,20 +34,18 @@
     this.#options = options;
   }
 
-  /** This VM has become the owner of a service's homes, or has stopped being it. */
-  ownershipChanged(service: ServiceId, isOwner: boolean): void {
-    const { agent, log, vmsInRegion } = this.#options;
+  /** This VM has become the owner of a service's homes for `term`, or has stopped being it. */
+  ownershipChanged(service: ServiceId, term: OwnerTerm | undefined): void {
+    const { log, vmsInRegion } = this.#options;
     const vms = vmsInRegion();
-    if (isOwner) {
-      const { term } = agent.owned(performance.now())
-        .find((owned) => owned.service === service)!;
+    if (term !== undefined) {
       this.#terms.set(service, { term, moved: 0 });
       log.write("homes owned", { service, term, vms });
       return;
     }
-    const term = this.#terms.get(service)?.term ?? "";
+    const ended = this.#terms.get(service);
     this.#terms.delete(service);
-    log.write("homes not owned", { service, term, vms });
+    log.write("homes not owned", { service, term: ended?.term ?? "", vms });
   }
 
   /** Writes the lines that are due. */
@@ -67,7 +65,7 @@
 
   #summarize(now: number): void {
     const { agent, log } = this.#options;
-    for (const owned of agent.owned(now)) {
+    for (const owned of agent.owned?.(now) ?? []) {
       const { service, term, objects, homes, peakLoad, moved } = owned;
       const movedBefore = this.#terms.get(service)?.moved ?? 0;
       this.#terms.set(service, { term, moved });
--- a/packages/daemon/src/gateway/homes/home_metrics.ts
+++ b/packages/daemon/src/gateway/homes/home_metrics.ts
@@ -33,7 +33,7 @@
       registers,
       collect() {
         this.reset();
-        for (const owned of agent()?.owned(performance.now()) ?? []) {
+        for (const owned of agent()?.owned?.(performance.now()) ?? []) {
           this.set({ service: owned.service }, owned.homes);
         }
       },
--- a/packages/daemon/src/gateway/homes/homes.ts
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -6,6 +6,7 @@
  */
 
 import { randomBytes } from "node:crypto";
+import type { Socket } from "node:dgram";
 import type { ServiceId } from "@poplarthread/ids";
 import type {
   HomeAgentOptions,
@@ -26,13 +27,17 @@
 
 /** Dependencies of {@link Homes}. */
 export interface HomesOptions {
-  readonly settings: Pick<GatewaySettings, "listen">;
+  readonly settings: {
+    readonly listen: Pick<GatewaySettings["listen"], "homes">;
+  };
   readonly vms: VmDirectory;
   readonly log: EventLog;
   readonly metrics: HomeMetrics;
   createAgent(options: HomeAgentOptions): ObservedHomeAgent;
   /** Places the requests of a service that wait for homes. */
   homesKnown(service: ServiceId, now: number): void;
+  /** See {@link HomeExchangeOptions.createSocket}. */
+  readonly createSocket?: () => Socket;
 }
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
@@ -45,20 +50,26 @@
   /** Services whose homes became known, until their waiting requests are placed. */
   readonly #servicesToPlace = new Set<ServiceId>();
   #targets: HomeTargets = new Map();
+  /** The term that the agent created last. */
+  #lastTerm: OwnerTerm | undefined;
 
   constructor(options: HomesOptions) {
-    const { settings, vms, log, metrics, createAgent } = options;
+    const { settings, vms, log, metrics, createAgent, createSocket } = options;
     this.#options = options;
     this.#agent = createAgent({
       self: vms.self,
-      newTerm: () => randomBytes(TERM_BYTES).toString("hex") as OwnerTerm,
+      newTerm: () => this.#newTerm(),
       onOutgoing: () => this.exchange.flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
       onOwnership: (service, isOwner) =>
-        this.#log.ownershipChanged(service, isOwner),
+        this.#log.ownershipChanged(
+          service,
+          isOwner ? this.#lastTerm : undefined,
+        ),
     });
     this.exchange = new HomeExchange({
       listen: settings.listen.homes,
+      createSocket,
       agent: this.#agent,
       isActive: () => this.#isActive,
       addressOf: (vm) => vms.hostOf(vm),
@@ -104,6 +115,11 @@
     }
   }
 
+  #newTerm(): OwnerTerm {
+    this.#lastTerm = randomBytes(TERM_BYTES).toString("hex") as OwnerTerm;
+    return this.#lastTerm;
+  }
+
   get #isActive(): boolean {
     return this.#targets.size > 0;
   }
