--- a/packages/cli/src/request_timeline.ts
+++ b/packages/cli/src/request_timeline.ts
@@ -32,6 +32,7 @@
   "configuration not used",
   "contact lost",
   "contact regained",
+  "homes unanswered",
   "leaving",
   "peer down",
   "started",
--- a/packages/cli/src/request_timeline_test.ts
+++ b/packages/cli/src/request_timeline_test.ts
@@ -57,3 +57,14 @@
     unreadable: 3,
   });
 });
+
+test("a request's lines come with what its VM met with the owner of homes", () => {
+  const lines = [
+    line(15, "homes unanswered", { queries: 3 }),
+    line(16, "homes owned", { service: "portal" }),
+    line(16, "homes owned", { service: "shop" }),
+    ...LINES.slice(0, 1),
+  ];
+  expect(timelineOf("r-1", lines).beliefs)
+    .toEqual(["homes unanswered", "homes owned"]);
+});
