--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -13,6 +13,7 @@
 } from "./connections.ts";
 export type { Route, Service } from "./configuration.ts";
 export { EventLog } from "./events.ts";
+export type { HomeTargets } from "./homes/home_targets.ts";
 export type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
 export { decodeHomeMessage, encodeHomeMessage } from "./homes/home_codec.ts";
 export type {
