--- a/packages/model/src/core_path.ts
+++ b/packages/model/src/core_path.ts
@@ -17,3 +17,9 @@
   const sources = new URL("../../decisions/src/", import.meta.url);
   return fileURLToPath(new URL(file, sources));
 }
+
+/** Path of a source file of the placement package, for example `homes/home_protocol.ts`. */
+export function placementPath(file: string): string {
+  const sources = new URL("../../placement/src/", import.meta.url);
+  return fileURLToPath(new URL(file, sources));
+}
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -19,6 +19,8 @@
 import { type EscrowBounds, escrowModel } from "./escrow_model.ts";
 import { type Exploration, explore } from "./explore.ts";
 import { heldBackModel } from "./held_back_model.ts";
+import * as homeProtocol from "@poplarthread/placement/home-protocol";
+import { type HomesBounds, homesModel, SAFE_HOMES } from "./homes_model.ts";
 import { type LeaseBounds, leaseModel } from "./lease_model.ts";
 import {
   ONE_HOLDER,
@@ -91,6 +93,26 @@
   { steps: 3, renewals: 1, reads: 1, restarts: 0 },
 ];
 
+const HOMES: HomesBounds = {
+  steps: 0,
+  changes: 2,
+  updates: 2,
+  reports: 2,
+  losses: 1,
+  repeats: 0,
+  replacement: undefined,
+  leaves: false,
+};
+
+/** Repeated messages; a restarted owner; two owners; a new owner in time; a target that leaves. */
+const ALL_HOMES: readonly HomesBounds[] = [
+  { ...HOMES, updates: 3, repeats: 1 },
+  { ...HOMES, replacement: "same" },
+  { ...HOMES, replacement: "other" },
+  { ...HOMES, steps: 3, reports: 1, losses: 0, replacement: "other" },
+  { ...HOMES, reports: 1, losses: 0, replacement: "other", leaves: true },
+];
+
 /**
  * The explorations, run one after the other so that the memory of each is freed
  * before the next.
@@ -147,6 +169,9 @@
   ...PLAN_TERMS.map((bounds) => () =>
     explore(planTermModel(bounds), [ONE_USER, ONE_HOLDER])
   ),
+  ...ALL_HOMES.map((bounds) => () =>
+    explore(homesModel(bounds, homeProtocol), SAFE_HOMES)
+  ),
   ...ESCROW.map((bounds) => () =>
     explore(escrowModel(bounds, { rules: DEFAULT_RULES, keepsState: false }))
   ),
--- a/packages/placement/src/homes/home_protocol.ts
+++ b/packages/placement/src/homes/home_protocol.ts
@@ -6,7 +6,9 @@
  */
 
 import type { VmId } from "@poplarthread/ids";
-import type { DemandReport, OwnerTerm } from "./messages.ts";
+import { pairWeight } from "../hash.ts";
+import { MAX_HOMES } from "./home_record.ts";
+import type { DemandReport, ObjectHomes, OwnerTerm } from "./messages.ts";
 
 /**
  * Time in which the VMs tell a new owner what they use: two reports and their way.
@@ -108,6 +110,24 @@
   return homes.filter((home) => !lost.has(home));
 }
 
+/**
+ * An object's homes together with those that a VM used before the owner's term, in
+ * rendezvous order, so that the result does not depend on which was known first.
+ * Surplus ones are dropped later if they are not needed.
+ */
+export function mergeHomes(
+  homes: readonly number[],
+  { object, targets }: ObjectHomes,
+  isTarget: (target: number) => boolean,
+): readonly number[] {
+  const usable = targets.filter((target) => isTarget(target));
+  const merged = [...new Set([...homes, ...usable])]
+    .sort((a, b) => pairWeight(object, b) - pairWeight(object, a))
+    .slice(0, MAX_HOMES);
+  const isKnown = merged.every((home) => homes.includes(home));
+  return isKnown ? homes : merged;
+}
+
 function replaceTerm(followed: FollowedTerm, term: OwnerTerm): FollowedTerm {
   const { owner, replaced } = followed;
   return {
--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -25,8 +25,7 @@
   wantedHomes,
 } from "./home_record.ts";
 import { HomeTargets } from "./home_targets.ts";
-import { mergeHomes } from "./merge_homes.ts";
-import { withoutLost } from "./home_protocol.ts";
+import { mergeHomes, withoutLost } from "./home_protocol.ts";
 import type { HomeQuery, ObjectDemand, ObjectHomes } from "./messages.ts";
 import { ObjectRates } from "./object_rates.ts";
 
@@ -134,18 +133,17 @@
   }
 
   /** Adds homes that a VM uses already to those of the table. */
-  adopt({ object, targets, workMs }: ObjectDemand, now: number): void {
+  adopt(demand: ObjectDemand, now: number): void {
+    const { object, workMs } = demand;
     const known = this.#records.get(object);
-    const usable = targets.filter((target) =>
-      this.targets.has(target) && known?.homes.includes(target) !== true
+    const homes = known?.homes ?? [];
+    const merged = mergeHomes(
+      homes,
+      demand,
+      (target) => this.targets.has(target),
     );
-    if (usable.length === 0) {
-      return;
-    }
-    const record = known ?? this.#add(object, workMs, now);
-    const merged = mergeHomes(record.homes, { object, targets: usable });
-    if (merged.length > record.homes.length) {
-      this.#setHomes(record, merged);
+    if (merged !== homes) {
+      this.#setHomes(known ?? this.#add(object, workMs, now), merged);
     }
   }
 
