--- a/packages/placement/src/homes/home_owner.ts
+++ b/packages/placement/src/homes/home_owner.ts
@@ -29,6 +29,8 @@
 
 /** Interval at which rates are computed and homes are moved and dropped. */
 const SWEEP_MS = 1_000;
+/** Minimum time between two updates with changes; who asks is answered at once. */
+const CHANGES_MS = 300;
 /** Maximum time between two updates, so that VMs learn of a new term. */
 const UPDATE_MS = 1_000;
 
@@ -167,7 +169,7 @@
   #takeUpdates(now: number): readonly HomeMessage[] {
     const { sequence } = this.#table;
     const isChanged = sequence > this.#updatedSequence;
-    if (!isChanged && now - this.#updatedAt < UPDATE_MS) {
+    if (now - this.#updatedAt < (isChanged ? CHANGES_MS : UPDATE_MS)) {
       return [];
     }
     const updates = this.#changes(this.#updatedSequence);
--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -10,6 +10,7 @@
  */
 
 import type { RegionId } from "@poplarthread/ids";
+import { ChangeLog } from "./change_log.ts";
 import type { HomeTarget } from "./home_agent.ts";
 import {
   advanceMove,
@@ -68,7 +69,7 @@
   readonly #records = new Map<number, HomeRecord>();
   readonly #rates = new ObjectRates();
   readonly #crowdedSince = new Map<number, number>();
-  #sequence = 0;
+  readonly #changes = new ChangeLog<HomeRecord>();
   #sweptAt: number | undefined;
 
   constructor(options: HomeTableOptions) {
@@ -77,7 +78,7 @@
 
   /** Number of the last change. */
   get sequence(): number {
-    return this.#sequence;
+    return this.#changes.sequence;
   }
 
   /** The homes of an object; undefined if it has none. */
@@ -90,12 +91,8 @@
   changesSince(sequence: number): readonly (ObjectHomes & {
     readonly sequence: number;
   })[] {
-    if (sequence >= this.#sequence) {
-      return [];
-    }
-    return [...this.#records.values()]
-      .filter((record) => record.sequence > sequence)
-      .sort((a, b) => a.sequence - b.sequence)
+    return this.#changes.since(sequence)
+      .filter((record) => this.#records.get(record.object) === record)
       .map(({ object, homes, sequence }) => ({
         object,
         targets: homes,
@@ -212,8 +209,7 @@
     this.#uncount(record);
     record.homes = homes;
     this.#count(record);
-    this.#sequence += 1;
-    record.sequence = this.#sequence;
+    this.#changes.add(record, this.#records.size);
   }
 
   #count(record: HomeRecord): void {
