Decode reports of homes faster; encode an owner's update once

Cause: decoding a report of 60 objects took 0.22 ms, nearly all of it in the spread of one object; an update was encoded again for each VM. Change: the object is built field by field; datagrams are kept for the messages of one sending. Tests of gateway/homes and platform/src/homes_test.ts pass.

--- a/packages/daemon/src/gateway/homes/home_codec.ts
+++ b/packages/daemon/src/gateway/homes/home_codec.ts
@@ -290,8 +290,10 @@
 }
 
 function readDemand(reader: PackedReader): ObjectDemand {
+  // Field by field: a spread is slow, and reports list many objects.
   return {
-    ...readHomes(reader),
+    object: reader.hash(),
+    targets: reader.list(() => reader.hash()),
     requests: reader.amount(),
     workMs: reader.amount(PER_MS),
   };
--- a/packages/daemon/src/gateway/homes/home_exchange.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import type { Buffer } from "node:buffer";
 import {
   createSocket as createUdpSocket,
   type RemoteInfo,
@@ -16,7 +17,6 @@
   HOME_TICK_MS,
   type HomeAgent,
   type HomeMessage,
-  type OutgoingHomeMessage,
 } from "@poplarthread/placement";
 import { Task } from "../../task.ts";
 import type { ListenAddress } from "../settings.ts";
@@ -132,23 +132,32 @@
       return;
     }
     const { agent } = this.#options;
-    agent.takeOutgoing(performance.now()).forEach((one) => this.#send(one));
+    // An owner sends all VMs the same message: it is encoded once.
+    const datagrams = new Map<HomeMessage, Buffer | undefined>();
+    for (const { to, message } of agent.takeOutgoing(performance.now())) {
+      if (!datagrams.has(message)) {
+        datagrams.set(message, this.#encode(message));
+      }
+      this.#send(datagrams.get(message), to);
+    }
   }
 
-  #send({ to, message }: OutgoingHomeMessage): void {
-    const address = this.#options.addressOf(to);
-    if (address === undefined) {
-      // The VM was removed since the agent addressed it; the message counts as lost.
-      return;
-    }
+  #encode(message: HomeMessage): Buffer | undefined {
     const datagram = encodeHomeMessage(message);
     if (datagram === undefined) {
       this.#options.notSent(message);
-      return;
     }
-    const { port } = this.#options.listen;
-    // A datagram that cannot be sent is treated like a lost one.
-    this.#socket?.send(datagram, port, address, () => undefined);
+    return datagram;
+  }
+
+  #send(datagram: Buffer | undefined, to: VmId): void {
+    const { addressOf, listen } = this.#options;
+    const address = addressOf(to);
+    // A VM without an address was removed since the agent addressed it. What cannot be
+    // sent counts as lost.
+    if (datagram !== undefined && address !== undefined) {
+      this.#socket?.send(datagram, listen.port, address, () => undefined);
+    }
   }
 
   #onDatagram(bytes: Buffer, { address, port }: RemoteInfo): void {
