--- a/packages/placement/src/homes/home_coordinator_test.ts
+++ b/packages/placement/src/homes/home_coordinator_test.ts
@@ -228,3 +228,20 @@
   expect(atHome).toBeGreaterThanOrEqual(3);
   expect(atHome).toBeLessThanOrEqual(8);
 });
+
+test("a region that is busier than the others uses their targets", () => {
+  const vms = [...vmsIn("north", 2), ...vmsIn("south", 2)];
+  const south = homeTargets("south", 6);
+  fleet = new HomeFleet(vms, [...homeTargets("north", 6), ...south]);
+  const others = new Set(south.map(({ hash }) => hash));
+  const homesElsewhere = (count: number) =>
+    OBJECTS.slice(0, count)
+      .filter((name) => others.has(fleet.homesOf(vms[0]!.vm, name)[0]!));
+  const request = (count: number) => () =>
+    OBJECTS.slice(0, count).forEach((name) => fleet.request(vms[0]!.vm, name));
+  fleet.run(4_000, request(6));
+  expect(homesElsewhere(6)).toEqual([]);
+  fleet.run(6_000, request(6));
+  fleet.run(2_000, request(24));
+  expect(homesElsewhere(24).length).toBeGreaterThanOrEqual(6);
+});
--- a/packages/placement/src/homes/home_targets.ts
+++ b/packages/placement/src/homes/home_targets.ts
@@ -235,23 +235,29 @@
     return sum(this.#own);
   }
 
-  /** The region's own targets until their load exceeds that of the others, then all. */
+  /**
+   * The region's own targets until their load exceeds that of the others, then all.
+   * As long as each object can have a target of its own, no other region is needed.
+   */
   #candidates(busySlots: number): readonly TargetState[] {
     const own = sum(this.#own);
     if (own.capacity === 0) {
       return this.#all;
     }
     const load = (own.busySlots + busySlots) / own.capacity;
-    return load <= REGION_BOUND * this.#meanLoad(busySlots)
-      ? this.#own
-      : this.#all;
+    const limit = REGION_BOUND * this.#meanLoad(busySlots);
+    const isEnough = own.homes < this.#own.length || load <= limit;
+    return isEnough ? this.#own : this.#all;
   }
 
   /** The mean load of all targets, with the expected load of regions not heard of. */
   #meanLoad(busySlots: number): number {
     const all = sum(this.#all);
     const ours = this.#all.reduce((total, state) => total + state.busySlots, 0);
-    const unheard = this.#remote.expectedSlots(ours, this.#options.region);
+    const unheard = this.#remote.expectedSlots(
+      ours + busySlots,
+      this.#options.region,
+    );
     return (all.busySlots + unheard + busySlots) / Math.max(1, all.capacity);
   }
 
--- a/packages/placement/src/homes/testing_homes.ts
+++ b/packages/placement/src/homes/testing_homes.ts
@@ -89,7 +89,13 @@
     return lookup?.kind === "assigned" ? lookup.targets : [];
   }
 
-  /** The homes that a VM knows, without a query. */
+  /** Asks for one more home of an object. */
+  requestAnother(vm: VmId, name: string, workMs = 100): void {
+    const request = { service: SERVICE, object: hashText(name), workMs };
+    this.agents.get(vm)?.source.requestAnother(request, this.now);
+  }
+
+  /** The homes that a VM knows. */
   homesOf(vm: VmId, name: string): readonly number[] {
     const request = { service: SERVICE, object: hashText(name), workMs: 100 };
     const lookup = this.agents.get(vm)?.source.lookUp(request, this.now);
