Tell what an owner has assigned in its summary line and gauge

Cause: the agent didn't state it, so the line and the gauge were empty. Change: HomeAgent.owned() gives objects, homes, peak load and moves.

--- a/packages/daemon/src/gateway/homes/home_exchange_test.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange_test.ts
@@ -171,6 +171,11 @@
 test("all VMs name the same homes, which one of them has assigned", async () => {
   await startVms();
   await agreement(vms);
+  const gauge = await owner().registry.getSingleMetric(
+    "poplarthread_gateway_owned_homes",
+  )!.get();
+  expect(gauge.values.map(({ labels, value }) => [labels.service, value]))
+    .toEqual([[SERVICE, OBJECTS.length]]);
   const assigned = await Promise.all(
     vms.map(async ({ registry }) =>
       /home_changes_total{change="assigned"} (\d+)/
--- a/packages/daemon/src/gateway/homes/home_log.ts
+++ b/packages/daemon/src/gateway/homes/home_log.ts
@@ -6,9 +6,8 @@
  */
 
 import type { ServiceId } from "@poplarthread/ids";
-import type { OwnerTerm } from "@poplarthread/placement";
+import type { HomeAgent, OwnerTerm } from "@poplarthread/placement";
 import type { EventLog } from "../events.ts";
-import type { ObservedHomeAgent } from "./owned_homes.ts";
 
 /** Minimum time between two summaries, and between two lines about missing answers. */
 const INTERVAL_MS = 10_000;
@@ -16,7 +15,7 @@
 /** Dependencies of {@link HomeLog}. */
 export interface HomeLogOptions {
   readonly log: EventLog;
-  readonly agent: Pick<ObservedHomeAgent, "counts" | "owned">;
+  readonly agent: Pick<HomeAgent, "counts" | "owned">;
   /** Number of VMs of the region that are up. */
   vmsInRegion(): number;
 }
@@ -53,7 +52,7 @@
     const { agent, log } = this.#options;
     if (now >= this.#summaryDueAt) {
       this.#summaryDueAt = now + INTERVAL_MS;
-      this.#summarize(now);
+      this.#summarize();
     }
     const queries = agent.counts.unanswered - this.#unanswered;
     if (queries > 0 && now >= this.#unansweredDueAt) {
@@ -63,9 +62,9 @@
     }
   }
 
-  #summarize(now: number): void {
+  #summarize(): void {
     const { agent, log } = this.#options;
-    for (const owned of agent.owned?.(now) ?? []) {
+    for (const owned of agent.owned()) {
       const { service, term, objects, homes, peakLoad, moved } = owned;
       const movedBefore = this.#terms.get(service)?.moved ?? 0;
       this.#terms.set(service, { term, moved });
--- a/packages/daemon/src/gateway/homes/home_log_test.ts
+++ b/packages/daemon/src/gateway/homes/home_log_test.ts
@@ -6,11 +6,10 @@
 
 import { expect, test } from "vitest";
 import type { ServiceId } from "@poplarthread/ids";
-import type { OwnerTerm } from "@poplarthread/placement";
+import type { OwnedHomes, OwnerTerm } from "@poplarthread/placement";
 import type { Log, LogFields } from "../../log.ts";
 import { EventLog } from "../events.ts";
 import { HomeLog } from "./home_log.ts";
-import type { OwnedHomes } from "./owned_homes.ts";
 
 const SERVICE = "portal" as ServiceId;
 const TERM = "4f2a" as OwnerTerm;
--- a/packages/daemon/src/gateway/homes/home_metrics.ts
+++ b/packages/daemon/src/gateway/homes/home_metrics.ts
@@ -6,8 +6,11 @@
  */
 
 import { Counter, Gauge, type Registry } from "prom-client";
-import type { HomeCounts, HomeMessage } from "@poplarthread/placement";
-import type { ObservedHomeAgent } from "./owned_homes.ts";
+import type {
+  HomeAgent,
+  HomeCounts,
+  HomeMessage,
+} from "@poplarthread/placement";
 
 /** What an owner does with homes. */
 const CHANGES = [
@@ -20,7 +23,7 @@
 /** See the module comment. */
 export class HomeMetrics {
   readonly #received: Counter;
-  #agent: Pick<ObservedHomeAgent, "counts" | "owned"> | undefined;
+  #agent: Pick<HomeAgent, "counts" | "owned"> | undefined;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -33,7 +36,7 @@
       registers,
       collect() {
         this.reset();
-        for (const owned of agent()?.owned?.(performance.now()) ?? []) {
+        for (const owned of agent()?.owned() ?? []) {
           this.set({ service: owned.service }, owned.homes);
         }
       },
@@ -70,7 +73,7 @@
   }
 
   /** Shows the counts of an agent from now on. */
-  follow(agent: Pick<ObservedHomeAgent, "counts" | "owned">): void {
+  follow(agent: Pick<HomeAgent, "counts" | "owned">): void {
     this.#agent = agent;
   }
 
--- a/packages/daemon/src/gateway/homes/homes.ts
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:dgram";
 import type { ServiceId } from "@poplarthread/ids";
 import type {
+  HomeAgent,
   HomeAgentOptions,
   HomeSource,
   OwnerTerm,
@@ -20,7 +21,6 @@
 import { HomeLog } from "./home_log.ts";
 import type { HomeMetrics } from "./home_metrics.ts";
 import type { HomeTargets } from "./home_targets.ts";
-import type { ObservedHomeAgent } from "./owned_homes.ts";
 
 /** Bytes of randomness in the name of a term. */
 const TERM_BYTES = 4;
@@ -33,7 +33,7 @@
   readonly vms: VmDirectory;
   readonly log: EventLog;
   readonly metrics: HomeMetrics;
-  createAgent(options: HomeAgentOptions): ObservedHomeAgent;
+  createAgent(options: HomeAgentOptions): HomeAgent;
   /** Places the requests of a service that wait for homes. */
   homesKnown(service: ServiceId, now: number): void;
   /** See {@link HomeExchangeOptions.createSocket}. */
@@ -45,7 +45,7 @@
   /** The task that exchanges messages; the gateway's supervisor runs it. */
   readonly exchange: HomeExchange;
   readonly #options: HomesOptions;
-  readonly #agent: ObservedHomeAgent;
+  readonly #agent: HomeAgent;
   readonly #log: HomeLog;
   /** Services whose homes became known, until their waiting requests are placed. */
   readonly #servicesToPlace = new Set<ServiceId>();
--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -8,7 +8,12 @@
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
 import type { TargetOwner } from "../target_owners.ts";
 import type { HomeSource } from "./home_source.ts";
-import type { HomeMessage, PriorityDemand, RoomShare } from "./messages.ts";
+import type {
+  HomeMessage,
+  OwnerTerm,
+  PriorityDemand,
+  RoomShare,
+} from "./messages.ts";
 
 /** Interval at which {@link HomeAgent.tick} must be called. */
 export const HOME_TICK_MS = 100;
@@ -29,6 +34,19 @@
   readonly message: HomeMessage;
 }
 
+/** What this VM has assigned as the owner of a service's homes. */
+export interface OwnedHomes {
+  readonly service: ServiceId;
+  readonly term: OwnerTerm;
+  /** Objects that have homes. */
+  readonly objects: number;
+  readonly homes: number;
+  /** Load of the busiest target, as a multiple of the mean; 1 without any load. */
+  readonly peakLoad: number;
+  /** Homes moved so far in this term. */
+  readonly moved: number;
+}
+
 /** Counters for metrics, since the start. */
 export interface HomeCounts {
   /** Homes assigned, added, moved and dropped by this VM as an owner. */
@@ -73,6 +91,8 @@
 export interface HomeAgent {
   readonly source: HomeSource;
   readonly counts: HomeCounts;
+  /** The services whose homes this VM owns. */
+  owned(): readonly OwnedHomes[];
   /** Sets the reachable VMs, including this one. */
   setVms(vms: readonly TargetOwner[], now: number): void;
   /**
--- a/packages/placement/src/homes/home_coordinator.ts
+++ b/packages/placement/src/homes/home_coordinator.ts
@@ -13,6 +13,7 @@
   HomeCounts,
   HomeTarget,
   OutgoingHomeMessage,
+  OwnedHomes,
 } from "./home_agent.ts";
 import type { HomeRequest, HomesLookup, HomeSource } from "./home_source.ts";
 import type { HomeMessage, RoomShare } from "./messages.ts";
@@ -53,6 +54,10 @@
     return counts;
   }
 
+  owned(): readonly OwnedHomes[] {
+    return [...this.#services.values()].flatMap(({ owned }) => owned ?? []);
+  }
+
   setVms(vms: readonly TargetOwner[], now: number): void {
     this.#vms = vms;
     this.#services.forEach((homes) => homes.setVms(vms, now));
--- a/packages/placement/src/homes/home_owner.ts
+++ b/packages/placement/src/homes/home_owner.ts
@@ -6,7 +6,7 @@
  */
 
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
-import type { HomeTarget, ServiceDemand } from "./home_agent.ts";
+import type { HomeTarget, OwnedHomes, ServiceDemand } from "./home_agent.ts";
 import { DemandSums } from "./demand_sums.ts";
 import {
   type CountedReport,
@@ -77,6 +77,16 @@
     return this.#table.counts;
   }
 
+  /** What has been assigned in this term. */
+  get owned(): OwnedHomes {
+    const { service, term } = this.#options;
+    const { homes, peakLoad } = this.#table.targets;
+    const { moved } = this.#table.counts;
+    // All objects in use have changed since the start of the term.
+    const objects = this.#table.changesSince(0).length;
+    return { service, term, objects, homes, peakLoad, moved };
+  }
+
   /** Sets the targets of the service. */
   setTargets(targets: readonly HomeTarget[]): void {
     this.#table.setTargets(targets);
--- a/packages/placement/src/homes/home_targets.ts
+++ b/packages/placement/src/homes/home_targets.ts
@@ -230,6 +230,18 @@
       .map(({ target, busySlots }) => ({ target: target.hash, busySlots }));
   }
 
+  /** Number of homes of the region's objects. */
+  get homes(): number {
+    return this.#all.reduce((total, { homes }) => total + homes, 0);
+  }
+
+  /** Load of the busiest target, as a multiple of the mean; 1 without any load. */
+  get peakLoad(): number {
+    const { busySlots, capacity } = sum(this.#all);
+    const loads = this.#all.map((state) => loadWith(state, 0));
+    return busySlots === 0 ? 1 : Math.max(...loads) * capacity / busySlots;
+  }
+
   /** Load and capacity of the region's own targets. */
   ownLoad(): { readonly busySlots: number; readonly capacity: number } {
     return sum(this.#own);
--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -12,6 +12,7 @@
   HomeAgentOptions,
   HomeTarget,
   OutgoingHomeMessage,
+  OwnedHomes,
 } from "./home_agent.ts";
 import { HomeDirectory } from "./home_directory.ts";
 import { HomeOwner } from "./home_owner.ts";
@@ -58,6 +59,11 @@
       : addCounts(this.#endedCounts, current);
   }
 
+  /** What this VM has assigned as the owner; undefined if it isn't the owner. */
+  get owned(): OwnedHomes | undefined {
+    return this.#owner?.owned;
+  }
+
   /** Sets the service's targets; without any it has no homes by load. */
   setTargets(targets: readonly HomeTarget[], now: number): void {
     this.#targets = targets;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -37,6 +37,7 @@
   type HomeCounts,
   type HomeTarget,
   type OutgoingHomeMessage,
+  type OwnedHomes,
   type ServiceDemand,
 } from "./homes/home_agent.ts";
 export { HomeCoordinator } from "./homes/home_coordinator.ts";
