Send a VM the changes that it missed once for each report

Cause: each part of a report got all missed changes. A VM that learns of a new owner later than that one began reports in several parts that it knows no update yet, and got the whole table for each of them. Change: they are sent to a VM at most once in the time between two updates. Tests: home_owner_test.ts, which fails without the change.

--- a/packages/placement/src/homes/home_owner.ts
+++ b/packages/placement/src/homes/home_owner.ts
@@ -57,6 +57,8 @@
   readonly #options: HomeOwnerOptions;
   readonly #table: HomeTable;
   readonly #reports = new Map<VmId, CountedReport>();
+  /** When VMs were last sent changes that they had missed. */
+  readonly #resentAt = new Map<VmId, number>();
   readonly #demand = new DemandSums();
   readonly #summaries = new SummaryLog();
   #room: readonly RoomShare[] = [];
@@ -124,8 +126,7 @@
       this.#count(report, now);
     }
     const isOwnTerm = report.term === this.#options.term;
-    const applied = isOwnTerm ? report.sequence : 0;
-    return applied < this.#previousSequence ? this.#changes(applied) : [];
+    return this.#missedChanges(from, isOwnTerm ? report.sequence : 0, now);
   }
 
   /** Takes the summary of another region's owner. */
@@ -189,6 +190,20 @@
     return updates;
   }
 
+  /** The parts of a report come at once; its VM needs the changes that it missed once. */
+  #missedChanges(
+    vm: VmId,
+    applied: number,
+    now: number,
+  ): readonly HomeMessage[] {
+    const isRepeated = now - (this.#resentAt.get(vm) ?? -Infinity) < CHANGES_MS;
+    if (applied >= this.#previousSequence || isRepeated) {
+      return [];
+    }
+    this.#resentAt.set(vm, now);
+    return this.#changes(applied);
+  }
+
   /** Updates with all changes after a sequence number, each following the one before. */
   #changes(since: number): readonly HomeMessage[] {
     let after = since;
