A VM that is leaving gives up the homes that it owns

Cause: it added itself to the VMs that are up and so stayed the owner beside the next one until it stopped. Its reports ended, so its rates fell, and its summaries told other regions less load than there was. Change: it follows the next owner, whom it queries and reports to as others do, unless its region has no other VM. It does so once the others know that it is leaving, since those of other zones query it until then. Tests: home_coordinator_test.ts; the first one fails without the change.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -191,8 +191,10 @@
     this.#leaving = true;
     this.#callerListener.send({ kind: "leave" });
     this.#peers.leave();
-    this.#homes.setVms(this.#peers.vms.up(startedAt), startedAt);
     await pause(Math.min(LEAVE_DELAY_MS, stopTimeoutMs));
+    // VMs of other zones learn of it a second later and query this VM until then.
+    const now = performance.now();
+    this.#homes.setVms(this.#peers.vms.up(now), now);
     this.#callerListener.send({ kind: "close-listener" });
     while (
       this.#callerListener.openRequests > 0 &&
--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -93,7 +93,7 @@
   readonly counts: HomeCounts;
   /** The services whose homes this VM owns. */
   owned(): readonly OwnedHomes[];
-  /** Sets the reachable VMs, including this one. */
+  /** Sets the reachable VMs, including this one unless it is leaving. */
   setVms(vms: readonly TargetOwner[], now: number): void;
   /**
    * Sets the targets of all services whose objects get homes by load, without those
--- a/packages/placement/src/homes/home_coordinator_test.ts
+++ b/packages/placement/src/homes/home_coordinator_test.ts
@@ -158,6 +158,32 @@
   });
 });
 
+describe("the owner is leaving", () => {
+  // Guards against a second owner, whose summaries contradict those of the first.
+  test("it follows the next owner and still learns of new homes", () => {
+    serve(2_000);
+    const leaving = ownerOf();
+    const others = vmsBut(leaving);
+    fleet.setVms(others);
+    expect(fleet.agents.get(leaving)!.owned()).toEqual([]);
+    serve(3_000, others);
+    const { vm } = others[0]!;
+    fleet.run(300, () => fleet.request(vm, "new"));
+    fleet.run(300, () => fleet.request(leaving, "new"));
+    expect(fleet.homesOf(leaving, "new")).toEqual(fleet.homesOf(vm, "new"));
+    expectAgreement();
+  });
+
+  // Guards against requests without homes while all VMs of a region leave.
+  test("it stays the owner if no other VM of its region is up", () => {
+    const { agents } = fleet = new HomeFleet(VMS.slice(0, 1), TARGETS);
+    const { vm } = VMS[0]!;
+    fleet.setVms(vmsIn("south", 2));
+    expect(agents.get(vm)!.owned()).toHaveLength(1);
+    expect(fleet.homesOf(vm, "new")).toHaveLength(1);
+  });
+});
+
 // Guards against homes that VMs of both sides use being lost when a cut heals.
 test("after a cut the homes of both owners are merged", () => {
   const halves = [VMS.slice(0, 2), VMS.slice(2)];
--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -75,7 +75,9 @@
   /** Sets the reachable VMs. */
   setVms(vms: readonly TargetOwner[], now: number): void {
     const { self } = this.#options;
-    this.#vms = vms.some(({ vm }) => vm === self.vm) ? vms : [...vms, self];
+    // A VM that is leaving follows the next owner, unless there is none in its region.
+    const hasOwner = vms.some(({ region }) => region === self.region);
+    this.#vms = hasOwner ? vms : [...vms, self];
     this.#owner?.setVms(countByRegion(this.#vms));
     this.#elect(now);
   }
