Count requests for homes only once their quota allows them

Cause: requests were counted on arrival, so those refused with 429 made their objects look busy. Refusals were counted for requests without an object, whose demand was not. Change: demand is counted when a request is about to be placed; Steering.arrived is as before. Refusals are counted for the same requests. Tests: exchange_test.ts.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -191,12 +191,11 @@
     }
     this.#guarded(() => {
       this.#services.wheel.add(this);
-      this.#services.steering.arrived({
-        service: this.service,
-        kind: this.route.name,
-        priority: this.priority,
-        object: this.object,
-      }, this.startedAt);
+      this.#services.steering.arrived(
+        this.service,
+        this.priority,
+        this.startedAt,
+      );
       if (!RequestBody.isPresent(this.request)) {
         this.#bodyComplete();
         return;
@@ -337,6 +336,12 @@
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
     } else if (this.#transition("queue")) {
       this.#isCountedForQuota = true;
+      this.#services.steering.admitted({
+        service: this.service,
+        kind: this.route.name,
+        priority: this.priority,
+        object: this.object,
+      });
       this.#services.queue.add(this, performance.now());
     } else {
       // The caller disconnected while the quota was being checked.
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -10,7 +10,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
-import type { PlacementDecision, Steering } from "@poplarthread/placement";
+import type {
+  PlacementDecision,
+  PlacementDemand,
+  Steering,
+} from "@poplarthread/placement";
 import {
   type AdmissionRefusal,
   type AdmittedCaller,
@@ -111,6 +115,8 @@
   readonly statuses: number[] = [];
   /** Whether the caller's connection was destroyed. */
   isDestroyed = false;
+  /** Objects of the requests that were to be placed. */
+  readonly admitted: (number | undefined)[] = [];
   /** The next decision of the steering. */
   decision: PlacementDecision["kind"] = "send";
   /** Why the caller is no longer admitted; undefined while it is. */
@@ -200,6 +206,7 @@
     const noop = () => undefined;
     return {
       arrived: noop,
+      admitted: ({ object }: PlacementDemand) => this.admitted.push(object),
       sent: noop,
       written: noop,
       ended: noop,
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -115,6 +115,19 @@
     expect(harness.statuses).toEqual([429]);
   });
 
+  // An account far beyond its quota would otherwise make its objects look busy, which
+  // takes homes from the objects of others.
+  test("counts for the homes of objects only within its account's quota", () => {
+    const refused = new ExchangeHarness({ repeat: "idempotent" });
+    refused.exchange.start();
+    refused.onCounted!({ reason: "over-quota", retryAfterMs: 400 });
+    expect(refused.admitted).toEqual([]);
+    const admitted = new ExchangeHarness({ repeat: "idempotent" });
+    admitted.exchange.start();
+    admitted.onCounted!(undefined);
+    expect(admitted.admitted).toHaveLength(1);
+  });
+
   // The caller disconnects during the quota check; a target would work for no caller.
   test("is not sent if its caller disconnects during the quota check", () => {
     const harness = new ExchangeHarness({ repeat: "idempotent" });
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -72,8 +72,8 @@
 export type {
   AttemptResult,
   PlacedVia,
-  PlacementArrival,
   PlacementDecision,
+  PlacementDemand,
   PlacementRefusal,
   PlacementRequest,
   Warmth,
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -28,8 +28,8 @@
   readonly tried: ReadonlySet<TargetId>;
 }
 
-/** The properties of a request that are recorded when it arrives. */
-export type PlacementArrival = Pick<
+/** The properties of a request that the homes of objects are assigned by. */
+export type PlacementDemand = Pick<
   PlacementRequest,
   "service" | "kind" | "priority" | "object"
 >;
--- a/packages/placement/src/request_homes.ts
+++ b/packages/placement/src/request_homes.ts
@@ -6,7 +6,7 @@
  */
 
 import type { HomeRequest, HomeSource } from "./homes/home_source.ts";
-import type { PlacementArrival, PlacementRequest } from "./placement.ts";
+import type { PlacementDemand, PlacementRequest } from "./placement.ts";
 import type { SteeredEntry } from "./target_entries.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
 
@@ -64,21 +64,23 @@
     return { kind: "assigned", usable, preferred: homes[0] };
   }
 
-  /** Records the arrival of a caller's request. */
-  recordDemand(request: PlacementArrival): void {
+  /** Records a request that is to be placed. */
+  recordDemand(request: PlacementDemand): void {
     const wanted = this.#wanted(request);
     if (wanted !== undefined) {
       this.#source!.recordDemand(wanted, request.priority);
     }
   }
 
-  /** Records that a request was refused for lack of room. */
-  recordRefusal({ service, priority }: PlacementRequest): void {
-    this.#source?.recordRefusal(service, priority);
+  /** Records that a request was refused for lack of room, if its demand was recorded. */
+  recordRefusal({ service, object, priority }: PlacementRequest): void {
+    if (object !== undefined) {
+      this.#source?.recordRefusal(service, priority);
+    }
   }
 
   #wanted(
-    { service, kind, object }: PlacementArrival,
+    { service, kind, object }: PlacementDemand,
   ): HomeRequest | undefined {
     return this.#source === undefined || object === undefined
       ? undefined
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -17,8 +17,8 @@
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
-  PlacementArrival,
   PlacementDecision,
+  PlacementDemand,
   PlacementRequest,
 } from "./placement.ts";
 import { RequestHomes } from "./request_homes.ts";
@@ -184,11 +184,14 @@
     return entry === undefined ? 0 : this.roundTrips.to(entry.target);
   }
 
-  /** Records the arrival of a caller's request. */
-  arrived(request: PlacementArrival, now: number): void {
-    const { service, priority } = request;
+  /** Records the arrival of a caller's request for `service`. */
+  arrived(service: ServiceId, priority: number, now: number): void {
     this.#retryBudget(service).arrived(now);
     this.#admission.arrived(service, priority, now);
+  }
+
+  /** Records that a request is to be placed: its account's quota allows it. */
+  admitted(request: PlacementDemand): void {
     this.#homes.recordDemand(request);
   }
 
