Handle received messages about homes within the task

Cause: an error in the agent would have ended the process, not the task. Change: a decoded datagram becomes a message to the task, whose errors go to its supervisor.

--- a/packages/daemon/src/gateway/homes/home_exchange.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -29,7 +29,13 @@
   /** Periodic work is due. */
   | { readonly kind: "tick" }
   /** The agent has messages to send before the next tick. */
-  | { readonly kind: "flush" };
+  | { readonly kind: "flush" }
+  /** Another VM's message has arrived. */
+  | {
+    readonly kind: "received";
+    readonly message: HomeMessage;
+    readonly from: VmId;
+  };
 
 /** Dependencies of {@link HomeExchange}. */
 export interface HomeExchangeOptions {
@@ -96,8 +102,8 @@
     this.#socket = undefined;
   }
 
-  protected override receive({ kind }: HomeExchangeMessage): void {
-    switch (kind) {
+  protected override receive(message: HomeExchangeMessage): void {
+    switch (message.kind) {
       case "activity-changed":
         this.#scheduleTick();
         return;
@@ -108,6 +114,9 @@
       case "flush":
         this.#sendOutgoing();
         return;
+      case "received":
+        this.#receive(message.message, message.from);
+        return;
     }
   }
 
@@ -169,8 +178,12 @@
     }
     const message = decodeHomeMessage(bytes);
     if (message !== undefined) {
-      this.#options.received(message.kind);
-      this.#options.agent.receive(message, from, performance.now());
+      this.send({ kind: "received", message, from });
     }
   }
+
+  #receive(message: HomeMessage, from: VmId): void {
+    this.#options.received(message.kind);
+    this.#options.agent.receive(message, from, performance.now());
+  }
 }
