--- a/packages/placement/src/homes/demand_log.ts
+++ b/packages/placement/src/homes/demand_log.ts
@@ -49,12 +49,6 @@
   #priorities = new Map<number, PriorityCount>();
   #targets = new Map<number, ResponseCount>();
 
-  /** Whether nothing was counted since the last report. */
-  get isEmpty(): boolean {
-    return this.#objects.size === 0 && this.#priorities.size === 0 &&
-      this.#targets.size === 0;
-  }
-
   /** Counts a caller's request. */
   recordDemand({ object, workMs }: HomeRequest, priority: number): void {
     const counted = this.#objects.get(object);
