Weigh the pace of targets only for services with homes by load

Cause: a service whose targets report a pace but not their start was placed by other costs and times than before. Change: reports of such services are used without the pace. Tests: target_feedback_test.ts, which fails without the change.

--- a/packages/placement/src/homes/home_coordinator.ts
+++ b/packages/placement/src/homes/home_coordinator.ts
@@ -114,6 +114,7 @@
       return directory?.isActive ? directory : undefined;
     };
     return {
+      has: (service) => directoryOf(service) !== undefined,
       lookUp: (request: HomeRequest, now) =>
         directoryOf(request.service)?.lookUp(request, now) ?? UNASSIGNED,
       requestAnother: (request, now) =>
--- a/packages/placement/src/homes/home_source.ts
+++ b/packages/placement/src/homes/home_source.ts
@@ -25,6 +25,8 @@
 
 /** Source of homes; see the module comment. Times are milliseconds of the monotonic clock. */
 export interface HomeSource {
+  /** Whether the service's objects get homes by load. */
+  has(service: ServiceId): boolean;
   /** The homes of a request's object; asks the owner if they are not known. */
   lookUp(request: HomeRequest, now: number): HomesLookup;
   /** Asks for one more home, because the request would wait too long at all of them. */
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -5,10 +5,11 @@
  * @module
  */
 
-import type { TargetId } from "@poplarthread/ids";
+import type { ServiceId, TargetId } from "@poplarthread/ids";
 import type { AttemptResult } from "./placement.ts";
 import type { HomeSource } from "./homes/home_source.ts";
 import type { SteeredEntry } from "./target_entries.ts";
+import type { LoadReport } from "./target_load.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
 import type { HashedPair } from "./warm_objects.ts";
 
@@ -132,20 +133,21 @@
     const { target, load, health } = entry;
     const { failed, object } = result;
     const { now, writtenAt } = times;
+    const report = this.#weighed(result.load, target.service);
     health.responded(writtenAt, { now, failed });
-    if (result.load !== undefined) {
-      load.reported(result.load, now);
+    if (report !== undefined) {
+      load.reported(report, now);
     }
     this.#options.homes?.recordResponse(target.service, {
       target: target.hash,
-      pace: result.load?.pace,
+      pace: report?.pace,
       isRefusal: result.isRefusal ?? false,
     });
     if (failed) {
       return;
     }
     const ms = now - writtenAt - this.#known.roundTrips.to(target);
-    this.#recordTimes(entry, result, ms);
+    this.#recordTimes(entry, { ...result, load: report }, ms);
     if (object === undefined) {
       return;
     }
@@ -155,6 +157,16 @@
     }
   }
 
+  /** What is weighed of a target's report: its pace only where homes are by load. */
+  #weighed(
+    load: LoadReport | undefined,
+    service: ServiceId,
+  ): LoadReport | undefined {
+    return load?.pace === undefined || this.#options.homes?.has(service)
+      ? load
+      : { ...load, pace: undefined };
+  }
+
   /** Records a response time without the round trip. */
   #recordTimes(
     { target }: SteeredEntry,
