--- a/packages/bench/src/fleet/ablations.ts
+++ b/packages/bench/src/fleet/ablations.ts
@@ -102,7 +102,7 @@
   },
   "load-reports": {
     file: `${PLACEMENT}/target_feedback.ts`,
-    text: "load.reported(result.load, now);",
+    text: "load.reported(report, now);",
     becomes: "",
   },
   "reports-fade": {
