--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -8,7 +8,12 @@
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
 import type { TargetOwner } from "../target_owners.ts";
 import type { HomeSource } from "./home_source.ts";
-import type { HomeMessage, RoomShare } from "./messages.ts";
+import type {
+  HomeMessage,
+  OwnerTerm,
+  PriorityDemand,
+  RoomShare,
+} from "./messages.ts";
 
 /** Interval at which {@link HomeAgent.tick} must be called. */
 export const HOME_TICK_MS = 100;
@@ -29,6 +34,19 @@
   readonly message: HomeMessage;
 }
 
+/** What this VM has assigned as the owner of a service's homes. */
+export interface OwnedHomes {
+  readonly service: ServiceId;
+  readonly term: OwnerTerm;
+  /** Objects that have homes. */
+  readonly objects: number;
+  readonly homes: number;
+  /** Load of the busiest target, as a multiple of the mean; 1 without any load. */
+  readonly peakLoad: number;
+  /** Homes moved so far in this term. */
+  readonly moved: number;
+}
+
 /** Counters for metrics, since the start. */
 export interface HomeCounts {
   /** Homes assigned, added, moved and dropped by this VM as an owner. */
@@ -40,9 +58,25 @@
   readonly unanswered: number;
 }
 
+/** What the callers of a region ask of a service, and what it can do for them. */
+export interface ServiceDemand {
+  /** Time that the demand covers, in milliseconds. */
+  readonly spanMs: number;
+  /** Demand of all VMs of the region, the most urgent priority first. */
+  readonly priorities: readonly PriorityDemand[];
+  /** Slots of the region's targets, over their mean pace. */
+  readonly capacity: number;
+  /** How many of them are kept busy, also by other regions' callers. */
+  readonly busySlots: number;
+}
+
 /** Options of a {@link HomeAgent}. */
 export interface HomeAgentOptions {
   readonly self: TargetOwner;
+  /** Limit of a target's load, as a multiple of the mean load. */
+  readonly bound?: number;
+  /** Computes the room that this VM, as an owner, tells the others of; none by default. */
+  roomOf?(service: ServiceId, demand: ServiceDemand): readonly RoomShare[];
   /** Creates the name of a new term. */
   newTerm(): string;
   /** Called when queries or other messages wait to be sent before the next tick. */
@@ -57,7 +91,9 @@
 export interface HomeAgent {
   readonly source: HomeSource;
   readonly counts: HomeCounts;
-  /** Sets the reachable VMs, including this one. */
+  /** The services whose homes this VM owns. */
+  owned(): readonly OwnedHomes[];
+  /** Sets the reachable VMs, including this one unless it is leaving. */
   setVms(vms: readonly TargetOwner[], now: number): void;
   /**
    * Sets the targets of all services whose objects get homes by load, without those
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -37,7 +37,10 @@
   type HomeCounts,
   type HomeTarget,
   type OutgoingHomeMessage,
+  type OwnedHomes,
+  type ServiceDemand,
 } from "./homes/home_agent.ts";
+export { HomeCoordinator } from "./homes/home_coordinator.ts";
 export type {
   DemandReport,
   HomeMessage,
@@ -68,7 +71,9 @@
 export { type HashedPair, WarmObjects, type WarmPair } from "./warm_objects.ts";
 export type {
   AttemptResult,
+  PlacedVia,
   PlacementDecision,
+  PlacementDemand,
   PlacementRefusal,
   PlacementRequest,
   Warmth,
