--- a/packages/placement/src/homes/home_coordinator_test.ts
+++ b/packages/placement/src/homes/home_coordinator_test.ts
@@ -80,11 +80,18 @@
   test.each(KINDS)(
     "VMs agree within two reports after each %s of a second was lost",
     (kind) => {
+      serve(2_000);
+      const owner = ownerOf();
+      const other = vmsBut(owner)[0]!.vm;
       fleet.isLost = ({ message }) => message.kind === kind;
+      OBJECTS.slice(0, 6).forEach((name) => fleet.requestAnother(owner, name));
+      OBJECTS.slice(6, 9).forEach((name) => fleet.requestAnother(other, name));
       serve(1_000);
       fleet.isLost = () => false;
       serve(TWO_REPORTS_MS);
       expectAgreement();
+      const extended = homesOn(owner).filter(({ length }) => length > 1);
+      expect(extended.length).toBeGreaterThanOrEqual(6);
     },
   );
 
