--- a/packages/placement/src/homes/home_table_test.ts
+++ b/packages/placement/src/homes/home_table_test.ts
@@ -166,6 +166,9 @@
   play(20, [demandFor(2)]);
   expect(homesOf(1)).toEqual([]);
   expect(homesOf(2)).toHaveLength(1);
+  play(1, [demandFor(1)]);
+  const changed = table.changesSince(0).map(({ object }) => object);
+  expect(changed).toEqual([2, 1]);
 });
 
 test("a crowded target's object gets its new home before it loses the old one", () => {
