Homes of a lost target are chosen after all of them are taken off it

Objects of a restarted target avoided it because its old objects still counted there. A region's summaries count once a full one must have come.

--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -18,6 +18,7 @@
   isUsefulMove,
   MAX_MOVES_PER_SWEEP,
 } from "./home_moves.ts";
+import { mergeHomes, withoutLost } from "./home_protocol.ts";
 import {
   busySlotsOf,
   hasSurplus,
@@ -26,7 +27,6 @@
   wantedHomes,
 } from "./home_record.ts";
 import { HomeTargets } from "./home_targets.ts";
-import { mergeHomes, withoutLost } from "./home_protocol.ts";
 import type { HomeQuery, ObjectDemand, ObjectHomes } from "./messages.ts";
 import { ObjectRates } from "./object_rates.ts";
 
@@ -103,14 +103,16 @@
   /** Sets the targets. Objects whose home is gone or has restarted get another one. */
   setTargets(targets: readonly HomeTarget[]): void {
     const lost = this.targets.set(targets);
-    if (lost.size === 0) {
-      return;
-    }
-    for (const record of this.#records.values()) {
-      if (record.homes.some((home) => lost.has(home))) {
-        this.#reassign(record, lost);
-      }
+    const affected = [...this.#records.values()].filter(({ homes }) =>
+      homes.some((home) => lost.has(home))
+    );
+    for (const record of affected) {
+      record.move = undefined;
+      this.#setHomes(record, withoutLost(record.homes, lost));
     }
+    affected
+      .filter(({ homes }) => homes.length === 0)
+      .forEach((record) => this.#assignFirst(record));
   }
 
   /** The homes of a query's object, which gets one if it has none. */
@@ -124,8 +126,7 @@
       return { object, targets: known.homes };
     }
     const record = known ?? this.#add(object, workMs, now);
-    this.#setHomes(record, this.#chooseFirst(record));
-    this.counts.assigned += 1;
+    this.#assignFirst(record);
     return { object, targets: record.homes };
   }
 
@@ -197,11 +198,12 @@
     return record;
   }
 
-  #chooseFirst(record: HomeRecord): readonly number[] {
+  #assignFirst(record: HomeRecord): void {
     const busySlots = busySlotsOf(record);
     const { object } = record;
     const home = this.targets.choose({ object, busySlots, except: [] });
-    return home === undefined ? [] : [home];
+    this.#setHomes(record, home === undefined ? [] : [home]);
+    this.counts.assigned += 1;
   }
 
   /** Changes an object's homes, and with them the load of the targets. */
@@ -221,15 +223,6 @@
     homes.forEach((home) => this.targets.add(home, -share, -1));
   }
 
-  #reassign(record: HomeRecord, lost: ReadonlySet<number>): void {
-    record.move = undefined;
-    this.#setHomes(record, withoutLost(record.homes, lost));
-    if (record.homes.length === 0) {
-      this.#setHomes(record, this.#chooseFirst(record));
-      this.counts.assigned += 1;
-    }
-  }
-
   #extend(record: HomeRecord, now: number): void {
     if (
       record.homes.length < MAX_HOMES &&
--- a/packages/placement/src/homes/remote_loads.ts
+++ b/packages/placement/src/homes/remote_loads.ts
@@ -11,10 +11,10 @@
 /** A load counts until it has not been confirmed for two full summaries. */
 const LOAD_TTL_MS = 12_000;
 /**
- * A region's summaries lag behind its load while this grows, as after a start; until
- * they have come for this long, the region counts by its number of VMs.
+ * Until a region's summaries have come for this long, it counts by its number of VMs:
+ * a full one may be missing, and after a start they lag behind its load.
  */
-const SETTLE_MS = 3_000;
+const SETTLE_MS = 6_000;
 
 /** The load of one region on one target. */
 interface RemoteLoad {
