--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -78,10 +78,10 @@
   receive(message: HomeMessage, from: VmId, now: number): void {
     switch (message.kind) {
       case "query":
-        this.#send(from, this.#owner?.answer(message.queries, now) ?? []);
+        this.#answer(from, this.#owner?.answer(message.queries, now) ?? []);
         break;
       case "report":
-        this.#send(
+        this.#answer(
           from,
           this.#owner?.receiveReport(message.report, from, now) ?? [],
         );
@@ -202,11 +202,17 @@
   }
 
   #send(to: VmId, messages: readonly HomeMessage[]): void {
-    if (messages.length === 0 || to === this.#options.self.vm) {
-      return;
+    if (to !== this.#options.self.vm) {
+      messages.forEach((message) => this.#outgoing.push({ to, message }));
+    }
+  }
+
+  /** Sends messages before the next tick. */
+  #answer(to: VmId, messages: readonly HomeMessage[]): void {
+    this.#send(to, messages);
+    if (this.#outgoing.length > 0) {
+      this.#options.onOutgoing();
     }
-    messages.forEach((message) => this.#outgoing.push({ to, message }));
-    this.#options.onOutgoing();
   }
 
   /** The owners of the service in the other regions. */
