--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -192,12 +192,11 @@
     }
     this.#guarded(() => {
       this.#services.wheel.add(this);
-      this.#services.steering.arrived({
-        service: this.service,
-        kind: this.route.name,
-        priority: this.priority,
-        object: this.object,
-      }, this.startedAt);
+      this.#services.steering.arrived(
+        this.service,
+        this.priority,
+        this.startedAt,
+      );
       if (!RequestBody.isPresent(this.request)) {
         this.#bodyComplete();
         return;
@@ -348,7 +347,9 @@
   /** Queues the new request, unless its service has no room for it. */
   #admit(now: number): void {
     const { steering, queue } = this.#services;
-    const refusal = steering.admit(this.#placementRequest(), now);
+    const request = this.#placementRequest();
+    steering.admitted(request);
+    const refusal = steering.admit(request, now);
     if (refusal === undefined) {
       queue.add(this, now);
     } else {
--- a/packages/daemon/src/gateway/homes/home_exchange.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -6,13 +6,17 @@
  * @module
  */
 
-import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import type { Buffer } from "node:buffer";
+import {
+  createSocket as createUdpSocket,
+  type RemoteInfo,
+  type Socket,
+} from "node:dgram";
 import type { VmId } from "@poplarthread/ids";
 import {
   HOME_TICK_MS,
   type HomeAgent,
   type HomeMessage,
-  type OutgoingHomeMessage,
 } from "@poplarthread/placement";
 import { Task } from "../../task.ts";
 import type { ListenAddress } from "../settings.ts";
@@ -25,7 +29,13 @@
   /** Periodic work is due. */
   | { readonly kind: "tick" }
   /** The agent has messages to send before the next tick. */
-  | { readonly kind: "flush" };
+  | { readonly kind: "flush" }
+  /** Another VM's message has arrived. */
+  | {
+    readonly kind: "received";
+    readonly message: HomeMessage;
+    readonly from: VmId;
+  };
 
 /** Dependencies of {@link HomeExchange}. */
 export interface HomeExchangeOptions {
@@ -42,6 +52,8 @@
   received(kind: HomeMessage["kind"]): void;
   /** Called for a message that is too long to be sent. */
   notSent(message: HomeMessage): void;
+  /** Tests substitute a socket that loses datagrams. */
+  createSocket?: (() => Socket) | undefined;
 }
 
 /** The task; see the module comment. */
@@ -68,7 +80,8 @@
   }
 
   protected override open(): Promise<void> {
-    const socket = this.createSocket();
+    const { createSocket = () => createUdpSocket("udp4") } = this.#options;
+    const socket = createSocket();
     this.#socket = socket;
     this.#isTickScheduled = false;
     socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
@@ -84,18 +97,13 @@
     });
   }
 
-  /** Creates the socket; tests substitute one that loses datagrams. */
-  protected createSocket(): Socket {
-    return createSocket("udp4");
-  }
-
   protected override close(): void {
     this.#socket?.close();
     this.#socket = undefined;
   }
 
-  protected override receive({ kind }: HomeExchangeMessage): void {
-    switch (kind) {
+  protected override receive(message: HomeExchangeMessage): void {
+    switch (message.kind) {
       case "activity-changed":
         this.#scheduleTick();
         return;
@@ -106,6 +114,9 @@
       case "flush":
         this.#sendOutgoing();
         return;
+      case "received":
+        this.#receive(message.message, message.from);
+        return;
     }
   }
 
@@ -130,23 +141,32 @@
       return;
     }
     const { agent } = this.#options;
-    agent.takeOutgoing(performance.now()).forEach((one) => this.#send(one));
+    // An owner sends all VMs the same message: it is encoded once.
+    const datagrams = new Map<HomeMessage, Buffer | undefined>();
+    for (const { to, message } of agent.takeOutgoing(performance.now())) {
+      if (!datagrams.has(message)) {
+        datagrams.set(message, this.#encode(message));
+      }
+      this.#send(datagrams.get(message), to);
+    }
   }
 
-  #send({ to, message }: OutgoingHomeMessage): void {
-    const address = this.#options.addressOf(to);
-    if (address === undefined) {
-      // The VM was removed since the agent addressed it; the message counts as lost.
-      return;
-    }
+  #encode(message: HomeMessage): Buffer | undefined {
     const datagram = encodeHomeMessage(message);
     if (datagram === undefined) {
       this.#options.notSent(message);
-      return;
     }
-    const { port } = this.#options.listen;
-    // A datagram that cannot be sent is treated like a lost one.
-    this.#socket?.send(datagram, port, address, () => undefined);
+    return datagram;
+  }
+
+  #send(datagram: Buffer | undefined, to: VmId): void {
+    const { addressOf, listen } = this.#options;
+    const address = addressOf(to);
+    // A VM without an address was removed since the agent addressed it. What cannot be
+    // sent counts as lost.
+    if (datagram !== undefined && address !== undefined) {
+      this.#socket?.send(datagram, listen.port, address, () => undefined);
+    }
   }
 
   #onDatagram(bytes: Buffer, { address, port }: RemoteInfo): void {
@@ -158,8 +178,12 @@
     }
     const message = decodeHomeMessage(bytes);
     if (message !== undefined) {
-      this.#options.received(message.kind);
-      this.#options.agent.receive(message, from, performance.now());
+      this.send({ kind: "received", message, from });
     }
   }
+
+  #receive(message: HomeMessage, from: VmId): void {
+    this.#options.received(message.kind);
+    this.#options.agent.receive(message, from, performance.now());
+  }
 }
--- a/packages/daemon/src/gateway/homes/homes.ts
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -6,8 +6,10 @@
  */
 
 import { randomBytes } from "node:crypto";
+import type { Socket } from "node:dgram";
 import type { ServiceId } from "@poplarthread/ids";
 import {
+  type HomeAgent,
   type HomeAgentOptions,
   type HomeSource,
   type OwnerTerm,
@@ -21,20 +23,23 @@
 import { HomeLog } from "./home_log.ts";
 import type { HomeMetrics } from "./home_metrics.ts";
 import type { HomeTargets } from "./home_targets.ts";
-import type { ObservedHomeAgent } from "./owned_homes.ts";
 
 /** Bytes of randomness in the name of a term. */
 const TERM_BYTES = 4;
 
 /** Dependencies of {@link Homes}. */
 export interface HomesOptions {
-  readonly settings: Pick<GatewaySettings, "listen">;
+  readonly settings: {
+    readonly listen: Pick<GatewaySettings["listen"], "homes">;
+  };
   readonly vms: VmDirectory;
   readonly log: EventLog;
   readonly metrics: HomeMetrics;
-  createAgent(options: HomeAgentOptions): ObservedHomeAgent;
+  createAgent(options: HomeAgentOptions): HomeAgent;
   /** Places the requests of a service that wait for homes. */
   homesKnown(service: ServiceId, now: number): void;
+  /** See {@link HomeExchangeOptions.createSocket}. */
+  readonly createSocket?: () => Socket;
 }
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
@@ -42,27 +47,33 @@
   /** The task that exchanges messages; the gateway's supervisor runs it. */
   readonly exchange: HomeExchange;
   readonly #options: HomesOptions;
-  readonly #agent: ObservedHomeAgent;
+  readonly #agent: HomeAgent;
   readonly #log: HomeLog;
   /** Services whose homes became known, until their waiting requests are placed. */
   readonly #servicesToPlace = new Set<ServiceId>();
   #targets: HomeTargets = new Map();
+  /** The term that the agent created last. */
+  #lastTerm: OwnerTerm | undefined;
 
   constructor(options: HomesOptions) {
-    const { settings, vms, log, metrics, createAgent } = options;
+    const { settings, vms, log, metrics, createAgent, createSocket } = options;
     this.#options = options;
     const plans = new RoomPlans();
     this.#agent = createAgent({
       self: vms.self,
-      newTerm: () => randomBytes(TERM_BYTES).toString("hex") as OwnerTerm,
+      newTerm: () => this.#newTerm(),
       roomOf: (service, demand) => plans.roomOf(service, demand),
       onOutgoing: () => this.exchange.flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
       onOwnership: (service, isOwner) =>
-        this.#log.ownershipChanged(service, isOwner),
+        this.#log.ownershipChanged(
+          service,
+          isOwner ? this.#lastTerm : undefined,
+        ),
     });
     this.exchange = new HomeExchange({
       listen: settings.listen.homes,
+      createSocket,
       agent: this.#agent,
       isActive: () => this.#isActive,
       addressOf: (vm) => vms.hostOf(vm),
@@ -113,6 +124,11 @@
     }
   }
 
+  #newTerm(): OwnerTerm {
+    this.#lastTerm = randomBytes(TERM_BYTES).toString("hex") as OwnerTerm;
+    return this.#lastTerm;
+  }
+
   get #isActive(): boolean {
     return this.#targets.size > 0;
   }
--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -10,6 +10,7 @@
  */
 
 import type { RegionId } from "@poplarthread/ids";
+import { ChangeLog } from "./change_log.ts";
 import type { HomeTarget } from "./home_agent.ts";
 import {
   advanceMove,
@@ -17,6 +18,7 @@
   isUsefulMove,
   MAX_MOVES_PER_SWEEP,
 } from "./home_moves.ts";
+import { mergeHomes, withoutLost } from "./home_protocol.ts";
 import {
   busySlotsOf,
   hasSurplus,
@@ -25,8 +27,6 @@
   wantedHomes,
 } from "./home_record.ts";
 import { HomeTargets } from "./home_targets.ts";
-import { mergeHomes } from "./merge_homes.ts";
-import { withoutLost } from "./home_protocol.ts";
 import type { HomeQuery, ObjectDemand, ObjectHomes } from "./messages.ts";
 import { ObjectRates } from "./object_rates.ts";
 
@@ -69,7 +69,7 @@
   readonly #records = new Map<number, HomeRecord>();
   readonly #rates = new ObjectRates();
   readonly #crowdedSince = new Map<number, number>();
-  #sequence = 0;
+  readonly #changes = new ChangeLog<HomeRecord>();
   #sweptAt: number | undefined;
 
   constructor(options: HomeTableOptions) {
@@ -78,7 +78,7 @@
 
   /** Number of the last change. */
   get sequence(): number {
-    return this.#sequence;
+    return this.#changes.sequence;
   }
 
   /** The homes of an object; undefined if it has none. */
@@ -91,12 +91,8 @@
   changesSince(sequence: number): readonly (ObjectHomes & {
     readonly sequence: number;
   })[] {
-    if (sequence >= this.#sequence) {
-      return [];
-    }
-    return [...this.#records.values()]
-      .filter((record) => record.sequence > sequence)
-      .sort((a, b) => a.sequence - b.sequence)
+    return this.#changes.since(sequence)
+      .filter((record) => this.#records.get(record.object) === record)
       .map(({ object, homes, sequence }) => ({
         object,
         targets: homes,
@@ -107,14 +103,16 @@
   /** Sets the targets. Objects whose home is gone or has restarted get another one. */
   setTargets(targets: readonly HomeTarget[]): void {
     const lost = this.targets.set(targets);
-    if (lost.size === 0) {
-      return;
-    }
-    for (const record of this.#records.values()) {
-      if (record.homes.some((home) => lost.has(home))) {
-        this.#reassign(record, lost);
-      }
+    const affected = [...this.#records.values()].filter(({ homes }) =>
+      homes.some((home) => lost.has(home))
+    );
+    for (const record of affected) {
+      record.move = undefined;
+      this.#setHomes(record, withoutLost(record.homes, lost));
     }
+    affected
+      .filter(({ homes }) => homes.length === 0)
+      .forEach((record) => this.#assignFirst(record));
   }
 
   /** The homes of a query's object, which gets one if it has none. */
@@ -128,24 +126,22 @@
       return { object, targets: known.homes };
     }
     const record = known ?? this.#add(object, workMs, now);
-    this.#setHomes(record, this.#chooseFirst(record));
-    this.counts.assigned += 1;
+    this.#assignFirst(record);
     return { object, targets: record.homes };
   }
 
   /** Adds homes that a VM uses already to those of the table. */
-  adopt({ object, targets, workMs }: ObjectDemand, now: number): void {
+  adopt(demand: ObjectDemand, now: number): void {
+    const { object, workMs } = demand;
     const known = this.#records.get(object);
-    const usable = targets.filter((target) =>
-      this.targets.has(target) && known?.homes.includes(target) !== true
+    const homes = known?.homes ?? [];
+    const merged = mergeHomes(
+      homes,
+      demand,
+      (target) => this.targets.has(target),
     );
-    if (usable.length === 0) {
-      return;
-    }
-    const record = known ?? this.#add(object, workMs, now);
-    const merged = mergeHomes(record.homes, { object, targets: usable });
-    if (merged.length > record.homes.length) {
-      this.#setHomes(record, merged);
+    if (merged !== homes) {
+      this.#setHomes(known ?? this.#add(object, workMs, now), merged);
     }
   }
 
@@ -202,11 +198,12 @@
     return record;
   }
 
-  #chooseFirst(record: HomeRecord): readonly number[] {
+  #assignFirst(record: HomeRecord): void {
     const busySlots = busySlotsOf(record);
     const { object } = record;
     const home = this.targets.choose({ object, busySlots, except: [] });
-    return home === undefined ? [] : [home];
+    this.#setHomes(record, home === undefined ? [] : [home]);
+    this.counts.assigned += 1;
   }
 
   /** Changes an object's homes, and with them the load of the targets. */
@@ -214,8 +211,7 @@
     this.#uncount(record);
     record.homes = homes;
     this.#count(record);
-    this.#sequence += 1;
-    record.sequence = this.#sequence;
+    this.#changes.add(record, this.#records.size);
   }
 
   #count(record: HomeRecord): void {
@@ -227,15 +223,6 @@
     homes.forEach((home) => this.targets.add(home, -share, -1));
   }
 
-  #reassign(record: HomeRecord, lost: ReadonlySet<number>): void {
-    record.move = undefined;
-    this.#setHomes(record, withoutLost(record.homes, lost));
-    if (record.homes.length === 0) {
-      this.#setHomes(record, this.#chooseFirst(record));
-      this.counts.assigned += 1;
-    }
-  }
-
   #extend(record: HomeRecord, now: number): void {
     if (
       record.homes.length < MAX_HOMES &&
--- a/packages/placement/src/homes/home_targets.ts
+++ b/packages/placement/src/homes/home_targets.ts
@@ -231,6 +231,18 @@
       .map(({ target, busySlots }) => ({ target: target.hash, busySlots }));
   }
 
+  /** Number of homes of the region's objects. */
+  get homes(): number {
+    return this.#all.reduce((total, { homes }) => total + homes, 0);
+  }
+
+  /** Load of the busiest target, as a multiple of the mean; 1 without any load. */
+  get peakLoad(): number {
+    const { busySlots, capacity } = sum(this.#all);
+    const loads = this.#all.map((state) => loadWith(state, 0));
+    return busySlots === 0 ? 1 : Math.max(...loads) * capacity / busySlots;
+  }
+
   /** Load and capacity of the region's own targets. */
   ownLoad(): { readonly busySlots: number; readonly capacity: number } {
     return sum(this.#own);
@@ -238,35 +250,32 @@
 
   /** Capacity and demand of the other regions. */
   otherRegions(): readonly RegionUse[] {
-    const capacities = new Map<RegionId, number>();
-    for (const { target, capacity } of this.#all) {
-      const before = capacities.get(target.region) ?? 0;
-      capacities.set(target.region, before + capacity);
-    }
-    capacities.delete(this.#options.region);
-    return [...capacities].map(([region, capacitySlots]) => ({
-      capacitySlots,
-      demandSlots: this.#remote.slotsOf(region),
-    }));
+    return this.#remote.usesOfOthers(this.#all, this.#options.region);
   }
 
-  /** The region's own targets until their load exceeds that of the others, then all. */
+  /**
+   * The region's own targets until their load exceeds that of the others, then all.
+   * As long as each object can have a target of its own, no other region is needed.
+   */
   #candidates(busySlots: number): readonly TargetState[] {
     const own = sum(this.#own);
     if (own.capacity === 0) {
       return this.#all;
     }
     const load = (own.busySlots + busySlots) / own.capacity;
-    return load <= REGION_BOUND * this.#meanLoad(busySlots)
-      ? this.#own
-      : this.#all;
+    const limit = REGION_BOUND * this.#meanLoad(busySlots);
+    const isEnough = own.homes < this.#own.length || load <= limit;
+    return isEnough ? this.#own : this.#all;
   }
 
   /** The mean load of all targets, with the expected load of regions not heard of. */
   #meanLoad(busySlots: number): number {
     const all = sum(this.#all);
     const ours = this.#all.reduce((total, state) => total + state.busySlots, 0);
-    const unheard = this.#remote.expectedSlots(ours, this.#options.region);
+    const unheard = this.#remote.expectedSlots(
+      ours + busySlots,
+      this.#options.region,
+    );
     return (all.busySlots + unheard + busySlots) / Math.max(1, all.capacity);
   }
 
--- a/packages/placement/src/homes/remote_loads.ts
+++ b/packages/placement/src/homes/remote_loads.ts
@@ -6,15 +6,16 @@
  */
 
 import type { RegionId } from "@poplarthread/ids";
+import type { RegionUse } from "../room/room_shares.ts";
 import type { TargetShare } from "./messages.ts";
 
 /** A load counts until it has not been confirmed for two full summaries. */
 const LOAD_TTL_MS = 12_000;
 /**
- * A region's summaries lag behind its load while this grows, as after a start; until
- * they have come for this long, the region counts by its number of VMs.
+ * Until a region's summaries have come for this long, it counts by its number of VMs:
+ * a full one may be missing, and after a start they lag behind its load.
  */
-const SETTLE_MS = 3_000;
+const SETTLE_MS = 6_000;
 
 /** The load of one region on one target. */
 interface RemoteLoad {
@@ -98,6 +99,26 @@
     return known !== undefined && known.heardAt - known.heardSince >= SETTLE_MS;
   }
 
+  /** Capacity and demand of all regions but `ownRegion`. */
+  usesOfOthers(
+    targets: readonly {
+      readonly target: { readonly region: RegionId };
+      readonly capacity: number;
+    }[],
+    ownRegion: RegionId,
+  ): readonly RegionUse[] {
+    const capacities = new Map<RegionId, number>();
+    for (const { target, capacity } of targets) {
+      const before = capacities.get(target.region) ?? 0;
+      capacities.set(target.region, before + capacity);
+    }
+    capacities.delete(ownRegion);
+    return [...capacities].map(([region, capacitySlots]) => ({
+      capacitySlots,
+      demandSlots: this.slotsOf(region),
+    }));
+  }
+
   /** Slots that a region's callers keep busy, as far as it has told. */
   slotsOf(region: RegionId): number {
     let heard = 0;
--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -12,6 +12,7 @@
   HomeAgentOptions,
   HomeTarget,
   OutgoingHomeMessage,
+  OwnedHomes,
 } from "./home_agent.ts";
 import { HomeDirectory } from "./home_directory.ts";
 import { HomeOwner } from "./home_owner.ts";
@@ -58,6 +59,11 @@
       : addCounts(this.#endedCounts, current);
   }
 
+  /** What this VM has assigned as the owner; undefined if it isn't the owner. */
+  get owned(): OwnedHomes | undefined {
+    return this.#owner?.owned;
+  }
+
   /** Sets the service's targets; without any it has no homes by load. */
   setTargets(targets: readonly HomeTarget[], now: number): void {
     this.#targets = targets;
@@ -69,7 +75,9 @@
   /** Sets the reachable VMs. */
   setVms(vms: readonly TargetOwner[], now: number): void {
     const { self } = this.#options;
-    this.#vms = vms.some(({ vm }) => vm === self.vm) ? vms : [...vms, self];
+    // A VM that is leaving follows the next owner, unless there is none in its region.
+    const hasOwner = vms.some(({ region }) => region === self.region);
+    this.#vms = hasOwner ? vms : [...vms, self];
     this.#owner?.setVms(countByRegion(this.#vms));
     this.#elect(now);
   }
@@ -78,10 +86,10 @@
   receive(message: HomeMessage, from: VmId, now: number): void {
     switch (message.kind) {
       case "query":
-        this.#send(from, this.#owner?.answer(message.queries, now) ?? []);
+        this.#answer(from, this.#owner?.answer(message.queries, now) ?? []);
         break;
       case "report":
-        this.#send(
+        this.#answer(
           from,
           this.#owner?.receiveReport(message.report, from, now) ?? [],
         );
@@ -202,11 +210,17 @@
   }
 
   #send(to: VmId, messages: readonly HomeMessage[]): void {
-    if (messages.length === 0 || to === this.#options.self.vm) {
-      return;
+    if (to !== this.#options.self.vm) {
+      messages.forEach((message) => this.#outgoing.push({ to, message }));
+    }
+  }
+
+  /** Sends messages before the next tick. */
+  #answer(to: VmId, messages: readonly HomeMessage[]): void {
+    this.#send(to, messages);
+    if (this.#outgoing.length > 0) {
+      this.#options.onOutgoing();
     }
-    messages.forEach((message) => this.#outgoing.push({ to, message }));
-    this.#options.onOutgoing();
   }
 
   /** The owners of the service in the other regions. */
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -37,6 +37,7 @@
   type HomeCounts,
   type HomeTarget,
   type OutgoingHomeMessage,
+  type OwnedHomes,
   type ServiceDemand,
 } from "./homes/home_agent.ts";
 export { HomeCoordinator } from "./homes/home_coordinator.ts";
@@ -80,8 +81,8 @@
 export type {
   AttemptResult,
   PlacedVia,
-  PlacementArrival,
   PlacementDecision,
+  PlacementDemand,
   PlacementRefusal,
   PlacementRequest,
   Warmth,
--- a/packages/placement/src/room/testing_room.ts
+++ b/packages/placement/src/room/testing_room.ts
@@ -7,9 +7,11 @@
 
 import type { AccountId, TargetId } from "@poplarthread/ids";
 import { hashText } from "../hash.ts";
+import type { HomeSource } from "../homes/home_source.ts";
 import type { RoomShare } from "../homes/messages.ts";
 import type { PlacementRequest } from "../placement.ts";
 import { Steering } from "../steering.ts";
+import type { SteeredTarget } from "../target.ts";
 import { requestFor, SERVICE, targetsIn } from "../testing.ts";
 import { randomFrom } from "../testing_fleet.ts";
 import { WaitQueue } from "../wait_queue.ts";
@@ -79,6 +81,7 @@
   readonly #running = new Map<TargetId, number>();
   readonly #queued = new Map<TargetId, (() => void)[]>();
   readonly #vms: { steering: Steering; queue: WaitQueue<Waiting> }[] = [];
+  readonly #homes = assignedHomes(this.#targets);
   readonly #plans = new RoomPlans();
   readonly #counts = new Map<number, { requests: number; refused: number }>();
   readonly #played: Played[] = [];
@@ -116,6 +119,7 @@
       ...options as unknown as ConstructorParameters<typeof Steering>[0],
       retries: { ratio: 0.2, fixed: 20, windowMs: 10_000 },
       roomOf: () => this.#shares,
+      homes: this.#homes,
     });
     steering.setFleetSize(VMS);
     this.#targets.forEach((target) => steering.setTarget(target));
@@ -153,7 +157,7 @@
     };
     const counts = this.#countsOf(kind.priority);
     counts.requests += 1;
-    vm.steering.arrived(request, this.#now);
+    vm.steering.arrived(SERVICE, kind.priority, this.#now);
     const refused = vm.steering.admit(request, this.#now);
     if (refused === undefined) {
       vm.queue.add(request);
@@ -293,6 +297,30 @@
   }
 }
 
+/** Homes of all objects, two for each, spread evenly over the targets. */
+function assignedHomes(targets: readonly SteeredTarget[]): HomeSource {
+  const noop = () => undefined;
+  const homes = new Map<number, readonly number[]>();
+  for (let at = 0; at < OBJECTS; at++) {
+    const pair = [at, at + 1 + Math.floor(at / targets.length)];
+    homes.set(
+      hashText(`o-${at}`),
+      pair.map((one) => targets[one % targets.length]!.hash),
+    );
+  }
+  return {
+    has: () => true,
+    lookUp: ({ object }) => ({
+      kind: "assigned",
+      targets: homes.get(object)!,
+    }),
+    requestAnother: noop,
+    recordDemand: noop,
+    recordResponse: noop,
+    recordRefusal: noop,
+  };
+}
+
 /** Share of the requests with an outcome. */
 export function shareOf(
   played: readonly Played[],
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -12,19 +12,20 @@
 import { Admission, type PlacementMoment } from "./admission.ts";
 import { Candidates } from "./candidates.ts";
 import { DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
-import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import type { RetryBound } from "./fleet_retry_budget.ts";
 import type { HomeSource } from "./homes/home_source.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
-  PlacementArrival,
   PlacementDecision,
+  PlacementDemand,
   PlacementRefused,
   PlacementRequest,
 } from "./placement.ts";
 import type { GateCounts } from "./room/room_gate.ts";
 import { type RetryRequest, type RoomLookup, VmRoom } from "./room/vm_room.ts";
 import { RequestHomes } from "./request_homes.ts";
+import { Retries } from "./retries.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Location, SteeredTarget } from "./target.ts";
@@ -64,15 +65,13 @@
  */
 export class Steering {
   readonly roundTrips: RoundTrips;
-  readonly #options: SteeringOptions;
   readonly #known: TargetKnowledge;
   readonly #homes: RequestHomes;
   readonly #admission: Admission;
   readonly #feedback: TargetFeedback;
-  readonly #retryBudgets = new Map<ServiceId, FleetRetryBudget>();
+  readonly #retries: Retries;
 
   constructor(options: SteeringOptions) {
-    this.#options = options;
     this.roundTrips = new RoundTrips(options.location);
     this.#known = {
       entries: new TargetEntries(options.location),
@@ -83,6 +82,7 @@
       roundTrips: this.roundTrips,
       room: new VmRoom(options.vm, options.roomOf ?? (() => [])),
     };
+    this.#retries = new Retries(this.#known, options.retries);
     this.#homes = new RequestHomes(this.#known, options.homes);
     const candidates = new Candidates(this.#known, {
       homes: this.#homes,
@@ -190,35 +190,27 @@
     return entry === undefined ? 0 : this.roundTrips.to(entry.target);
   }
 
-  /** Records the arrival of a caller's request. */
-  arrived(request: PlacementArrival, now: number): void {
-    const { service, priority } = request;
-    this.#retryBudget(service).arrived(now);
+  /** Records the arrival of a caller's request for `service`. */
+  arrived(service: ServiceId, priority: number, now: number): void {
+    this.#retries.arrived(service, now);
     this.#admission.arrived(service, priority, now);
+  }
+
+  /** Records that a request is to be placed: its account's quota allows it. */
+  admitted(request: PlacementDemand): void {
     this.#homes.recordDemand(request);
   }
 
   /**
-   * Takes one retry from the service's retry budget; false if the budget is used
-   * up, or too little of it is left for a request of this priority.
+   * Takes one retry from the service's retry budget; false if too little is left for
+   * a request of this priority, or it can't succeed.
    */
   takeRetry(
     service: ServiceId,
     now: number,
     retry: RetryRequest = { priority: 0, objectiveAt: Infinity },
   ): boolean {
-    const { room, rates, serviceTimes } = this.#known;
-    const runMs = serviceTimes.meanMs(service);
-    const terms = room.retryTerms(service, retry, { runMs, now });
-    if (terms.kind === "hopeless") {
-      return false;
-    }
-    const isTaken = this.#retryBudget(service)
-      .trySpend(now, rates.totalVms, terms);
-    if (!isTaken) {
-      room.retryDenied(service, retry.priority, now);
-    }
-    return isTaken;
+    return this.#retries.take(service, now, retry);
   }
 
   /** Whether a target of the service that refused a request may get it again. */
@@ -340,13 +332,4 @@
   probesDue(now: number): readonly TargetId[] {
     return this.#feedback.probesDue(now);
   }
-
-  #retryBudget(service: ServiceId): FleetRetryBudget {
-    let budget = this.#retryBudgets.get(service);
-    if (budget === undefined) {
-      budget = new FleetRetryBudget(this.#options.retries);
-      this.#retryBudgets.set(service, budget);
-    }
-    return budget;
-  }
 }
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -5,10 +5,11 @@
  * @module
  */
 
-import type { TargetId } from "@poplarthread/ids";
+import type { ServiceId, TargetId } from "@poplarthread/ids";
 import type { AttemptResult } from "./placement.ts";
 import type { HomeSource } from "./homes/home_source.ts";
 import type { SteeredEntry } from "./target_entries.ts";
+import type { LoadReport } from "./target_load.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
 import type { HashedPair } from "./warm_objects.ts";
 
@@ -129,34 +130,24 @@
     result: Answered,
     times: { readonly now: number; readonly writtenAt: number },
   ): void {
-    const { target, load, health } = entry;
+    const { target, load } = entry;
     const { failed, object } = result;
     const { now, writtenAt } = times;
-    const isRefusal = result.isRefusal ?? false;
-    if (
-      this.#known.room.responded(target, {
-        isRefusal,
-        load: result.load,
-        now,
-      }) && isRefusal
-    ) {
-      health.refused(writtenAt, now);
-    } else {
-      health.responded(writtenAt, { now, failed });
-    }
-    if (result.load !== undefined) {
-      load.reported(result.load, now);
+    const report = this.#weighed(result.load, target.service);
+    this.#recordHealth(entry, result, { now, writtenAt });
+    if (report !== undefined) {
+      load.reported(report, now);
     }
     this.#options.homes?.recordResponse(target.service, {
       target: target.hash,
-      pace: result.load?.pace,
+      pace: report?.pace,
       isRefusal: result.isRefusal ?? false,
     });
     if (failed) {
       return;
     }
     const ms = now - writtenAt - this.#known.roundTrips.to(target);
-    this.#recordTimes(entry, result, ms);
+    this.#recordTimes(entry, { ...result, load: report }, ms);
     if (object === undefined) {
       return;
     }
@@ -166,6 +157,31 @@
     }
   }
 
+  /** What is weighed of a target's report: its pace only where homes are by load. */
+  #weighed(
+    load: LoadReport | undefined,
+    service: ServiceId,
+  ): LoadReport | undefined {
+    return load?.pace === undefined || this.#options.homes?.has(service)
+      ? load
+      : { ...load, pace: undefined };
+  }
+
+  /** A refusal for lack of room is no failure where room is shared. */
+  #recordHealth(
+    { target, health }: SteeredEntry,
+    { load, failed, isRefusal = false }: Answered,
+    { now, writtenAt }: { readonly now: number; readonly writtenAt: number },
+  ): void {
+    const isShared = this.#known.room
+      .responded(target, { isRefusal, load, now });
+    if (isShared && isRefusal) {
+      health.refused(writtenAt, now);
+    } else {
+      health.responded(writtenAt, { now, failed });
+    }
+  }
+
   /** Records a response time without the round trip. */
   #recordTimes(
     { target }: SteeredEntry,
