--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -100,7 +100,8 @@
       return undefined;
     }
     this.#homes.recordRefusal(request);
-    return refusal("overload", decision.retryAfterMs);
+    const { cause, retryAfterMs } = decision;
+    return { ...refusal("overload", retryAfterMs), cause };
   }
 
   /** Whether a response is expected within the latency objective. */
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -10,6 +10,7 @@
   ServiceId,
   TargetId,
 } from "@poplarthread/ids";
+import type { GateCause } from "./room/room_gate.ts";
 import type { LoadReport } from "./target_load.ts";
 
 /** The properties of a request that its placement depends on. */
@@ -85,6 +86,8 @@
 export interface PlacementRefused {
   readonly kind: "refuse";
   readonly reason: PlacementRefusal;
+  /** Why it was refused on arrival; undefined if it was refused later. */
+  readonly cause?: GateCause;
   readonly retryAfterMs: number;
 }
 
