homes: pass on the loads of full targets

Cause: a VM sends a target a request every few seconds and sees its queue only then. Change: VMs pass loads that they observe to the owner of homes, at each tick and only of targets that are full or were so before; the owner passes them to the VMs of its region. Steering applies them like reports to itself. Tests of placement, gateway/homes and bench/fleet pass (155).

--- a/packages/bench/src/fleet/emulated_homes.ts
+++ b/packages/bench/src/fleet/emulated_homes.ts
@@ -51,6 +51,8 @@
       newTerm: () => `${vm}-${startedAt}-${this.#terms++}` as OwnerTerm,
       onOutgoing: () => this.#flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
+      onLoads: (_service, loads) =>
+        this.#path?.steering.recordPeerLoads(loads, options.loop.now),
       onOwnership: (service, isOwner) => {
         if (isOwner) {
           this.owned.add(service);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -136,6 +136,8 @@
       metrics: this.#metrics.homes,
       createAgent: (options) => new HomeCoordinator(options),
       homesKnown: (service, now) => this.#requestPath.homesKnown(service, now),
+      loadsReported: (loads, now) =>
+        this.#requestPath.steering.recordPeerLoads(loads, now),
     });
     this.#requestPath = this.#createRequestPath(settings);
     this.#probes = new TargetProbes({
--- a/packages/daemon/src/gateway/homes/home_codec.ts
+++ b/packages/daemon/src/gateway/homes/home_codec.ts
@@ -13,6 +13,7 @@
   HomeQuery,
   ObjectDemand,
   ObjectHomes,
+  ObservedLoad,
   OwnerTerm,
   PriorityDemand,
   RoomShare,
@@ -56,6 +57,7 @@
       namesEarlierHomes: z.boolean(),
     }),
   }),
+  z.object({ method: z.literal("home-loads"), params: z.object({ service }) }),
   z.object({
     method: z.literal("home-summary"),
     params: z.object({ service, region }),
@@ -116,6 +118,8 @@
         params: { service, number, term, sequence, namesEarlierHomes },
       };
     }
+    case "loads":
+      return { method: "home-loads", params: { service } };
     case "summary": {
       const { region } = message;
       return { method: "home-summary", params: { service, region } };
@@ -136,6 +140,9 @@
     case "report":
       writeReport(writer, message.report);
       break;
+    case "loads":
+      writer.list(message.loads, (load) => writeObserved(writer, load));
+      break;
     case "summary":
       writer.list(message.loads, (load) => writeLoad(writer, load));
       break;
@@ -162,6 +169,10 @@
       const report = { number, term, sequence, namesEarlierHomes, ...counted };
       return { kind: "report", service, report };
     }
+    case "home-loads": {
+      const loads = reader.list(() => readObserved(reader));
+      return { kind: "loads", ...head.params, loads };
+    }
     case "home-summary": {
       const loads = reader.list(() => readLoad(reader));
       return { kind: "summary", ...head.params, loads };
@@ -215,6 +226,34 @@
   };
 }
 
+function writeObserved(
+  writer: PackedWriter,
+  { target, requests, pace }: ObservedLoad,
+): void {
+  writer.hash(target);
+  writer.amount(requests);
+  writePace(writer, pace);
+}
+
+function readObserved(reader: PackedReader): ObservedLoad {
+  return {
+    target: reader.hash(),
+    requests: reader.amount(),
+    pace: readPace(reader),
+  };
+}
+
+function writePace(writer: PackedWriter, pace: number | undefined): void {
+  writer.list(
+    pace === undefined ? [] : [pace],
+    (known) => writer.amount(known, PER_UNIT),
+  );
+}
+
+function readPace(reader: PackedReader): number | undefined {
+  return reader.list(() => reader.amount(PER_UNIT))[0];
+}
+
 function writeLoad(
   writer: PackedWriter,
   { target, busySlots }: TargetShare,
@@ -266,10 +305,7 @@
   observation: TargetObservation,
 ): void {
   writer.hash(observation.target);
-  writer.list(
-    observation.pace === undefined ? [] : [observation.pace],
-    (pace) => writer.amount(pace, PER_UNIT),
-  );
+  writePace(writer, observation.pace);
   writer.amount(observation.refusedShare, PER_UNIT);
   writer.amount(observation.requests);
 }
@@ -277,7 +313,7 @@
 function readObservation(reader: PackedReader): TargetObservation {
   return {
     target: reader.hash(),
-    pace: reader.list(() => reader.amount(PER_UNIT))[0],
+    pace: readPace(reader),
     refusedShare: reader.share(PER_UNIT),
     requests: reader.amount(),
   };
--- a/packages/daemon/src/gateway/homes/home_codec_test.ts
+++ b/packages/daemon/src/gateway/homes/home_codec_test.ts
@@ -83,6 +83,18 @@
       ),
     }),
   }),
+  fc.record({
+    kind: fc.constant("loads" as const),
+    service,
+    loads: fc.array(
+      fc.record({
+        target: hash,
+        requests: count,
+        pace: fc.option(load, { nil: undefined }),
+      }),
+      many,
+    ),
+  }),
   fc.record({
     kind: fc.constant("summary" as const),
     service,
--- a/packages/daemon/src/gateway/homes/home_exchange_test.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange_test.ts
@@ -69,6 +69,7 @@
       metrics: new HomeMetrics(this.registry),
       createAgent: (options) => new HomeCoordinator(options),
       homesKnown: () => undefined,
+      loadsReported: () => undefined,
       createSocket: () => this.#socket(),
     });
   }
--- a/packages/daemon/src/gateway/homes/homes.ts
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -11,6 +11,7 @@
 import type {
   HomeAgentOptions,
   HomeSource,
+  ObservedLoad,
   OwnerTerm,
 } from "@poplarthread/placement";
 import type { EventLog } from "../events.ts";
@@ -36,6 +37,8 @@
   createAgent(options: HomeAgentOptions): ObservedHomeAgent;
   /** Places the requests of a service that wait for homes. */
   homesKnown(service: ServiceId, now: number): void;
+  /** Applies loads that targets have reported to other VMs. */
+  loadsReported(loads: readonly ObservedLoad[], now: number): void;
   /** See {@link HomeExchangeOptions.createSocket}. */
   readonly createSocket?: () => Socket;
 }
@@ -61,6 +64,8 @@
       newTerm: () => this.#newTerm(),
       onOutgoing: () => this.exchange.flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
+      onLoads: (_service, loads) =>
+        options.loadsReported(loads, performance.now()),
       onOwnership: (service, isOwner) =>
         this.#log.ownershipChanged(
           service,
--- a/packages/placement/src/homes/demand_log.ts
+++ b/packages/placement/src/homes/demand_log.ts
@@ -35,6 +35,8 @@
   /** Undefined if the target doesn't state it. */
   readonly pace: number | undefined;
   readonly isRefusal: boolean;
+  /** Requests that run or wait there; undefined if the target doesn't state them. */
+  readonly requests?: number | undefined;
 }
 
 /** The parts of a report that are counted here. */
--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -8,7 +8,12 @@
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
 import type { TargetOwner } from "../target_owners.ts";
 import type { HomeSource } from "./home_source.ts";
-import type { HomeMessage, PriorityDemand, RoomShare } from "./messages.ts";
+import type {
+  HomeMessage,
+  ObservedLoad,
+  PriorityDemand,
+  RoomShare,
+} from "./messages.ts";
 
 /** Interval at which {@link HomeAgent.tick} must be called. */
 export const HOME_TICK_MS = 100;
@@ -65,6 +70,8 @@
   onOutgoing(): void;
   /** Called when homes that requests wait for have become known, or are not going to be. */
   onHomes(service: ServiceId): void;
+  /** Called with the loads of targets that VMs of the region have just observed. */
+  onLoads?(service: ServiceId, loads: readonly ObservedLoad[]): void;
   /** Called when this VM becomes the owner of a service in its region, or stops being it. */
   onOwnership(service: ServiceId, isOwner: boolean): void;
 }
--- a/packages/placement/src/homes/home_coordinator.ts
+++ b/packages/placement/src/homes/home_coordinator.ts
@@ -116,7 +116,7 @@
       recordDemand: (request, priority) =>
         directoryOf(request.service)?.demand.recordDemand(request, priority),
       recordResponse: (service, response) =>
-        directoryOf(service)?.demand.recordResponse(response),
+        this.#services.get(service)?.recordResponse(response),
       recordRefusal: (service, priority) =>
         directoryOf(service)?.demand.recordRefusal(priority),
     };
--- a/packages/placement/src/homes/home_source.ts
+++ b/packages/placement/src/homes/home_source.ts
@@ -38,6 +38,8 @@
       readonly target: number;
       readonly pace: number | undefined;
       readonly isRefusal: boolean;
+      /** Requests that run or wait there; undefined if it doesn't state them. */
+      readonly requests?: number | undefined;
     },
   ): void;
   /** Records that a request was refused for lack of room. */
--- a/packages/placement/src/homes/messages.ts
+++ b/packages/placement/src/homes/messages.ts
@@ -91,6 +91,15 @@
   readonly busySlots: number;
 }
 
+/** The load of a target, as it reported it to some VM. */
+export interface ObservedLoad {
+  readonly target: number;
+  /** Requests that run or wait there. */
+  readonly requests: number;
+  /** How long work takes there, as a multiple of the usual time; undefined if it doesn't state it. */
+  readonly pace: number | undefined;
+}
+
 /** A message about one service's homes. */
 export type HomeMessage =
   | {
@@ -115,6 +124,12 @@
     readonly service: ServiceId;
     readonly report: DemandReport;
   }
+  /** Loads that have just been observed: from a VM to the owner, and from the owner to the VMs of the region. */
+  | {
+    readonly kind: "loads";
+    readonly service: ServiceId;
+    readonly loads: readonly ObservedLoad[];
+  }
   /** From the owner of one region to that of another. */
   | {
     readonly kind: "summary";
--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -13,16 +13,19 @@
   HomeTarget,
   OutgoingHomeMessage,
 } from "./home_agent.ts";
+import type { ObservedResponse } from "./demand_log.ts";
 import { HomeDirectory } from "./home_directory.ts";
 import { HomeOwner } from "./home_owner.ts";
 import type { HomeChanges } from "./home_table.ts";
+import { LoadRelay } from "./load_relay.ts";
 import type {
   HomeMessage,
   HomeQuery,
   ObjectHomes,
+  ObservedLoad,
   OwnerTerm,
 } from "./messages.ts";
-import { splitQueries } from "./split_messages.ts";
+import { splitObservedLoads, splitQueries } from "./split_messages.ts";
 
 /** Most objects keep the first target of their order, and none gets a multiple of its share. */
 const DEFAULT_BOUND = 2;
@@ -32,6 +35,7 @@
   readonly directory: HomeDirectory;
   readonly #service: ServiceId;
   readonly #options: HomeAgentOptions;
+  readonly #loads = new LoadRelay();
   #targets: readonly HomeTarget[] = [];
   #vms: readonly TargetOwner[] | undefined;
   #ownerVm: VmId | undefined;
@@ -61,6 +65,7 @@
   /** Sets the service's targets; without any it has no homes by load. */
   setTargets(targets: readonly HomeTarget[], now: number): void {
     this.#targets = targets;
+    this.#loads.setTargets(targets);
     this.directory.setTargets(new Set(targets.map(({ hash }) => hash)));
     this.#owner?.setTargets(targets);
     this.#elect(now);
@@ -74,6 +79,18 @@
     this.#elect(now);
   }
 
+  /** Records what a target's response shows about it. */
+  recordResponse(response: ObservedResponse): void {
+    if (!this.directory.isActive) {
+      return;
+    }
+    this.directory.demand.recordResponse(response);
+    const { target, requests, pace } = response;
+    if (requests !== undefined) {
+      this.#loads.record({ target, requests, pace });
+    }
+  }
+
   /** Takes another VM's message. */
   receive(message: HomeMessage, from: VmId, now: number): void {
     switch (message.kind) {
@@ -89,6 +106,9 @@
       case "update":
         this.directory.receive(message, from, now);
         break;
+      case "loads":
+        this.#receiveLoads(message.loads, from);
+        break;
       case "summary":
         this.#owner?.receiveSummary(message.region, message.loads, now);
         break;
@@ -99,6 +119,7 @@
   tick(now: number): void {
     this.directory.tick(now);
     this.#report(now);
+    this.#passOnLoads(now);
     if (this.#owner !== undefined) {
       const { updates, summaries } = this.#owner.tick(now);
       this.#broadcast(updates, now);
@@ -181,12 +202,37 @@
     }
   }
 
-  #broadcast(updates: readonly HomeMessage[], now: number): void {
+  /** Sends observed loads to the owner, or as the owner to the VMs of the region. */
+  #passOnLoads(now: number): void {
+    const to = this.#ownerVm;
+    if (to === undefined) {
+      return;
+    }
+    const service = this.#service;
+    const messages = splitObservedLoads(this.#loads.take())
+      .map((loads): HomeMessage => ({ kind: "loads", service, loads }));
+    if (this.#owner !== undefined) {
+      this.#broadcast(messages, now);
+    } else {
+      this.#send(to, messages);
+    }
+  }
+
+  #receiveLoads(loads: readonly ObservedLoad[], from: VmId): void {
+    if (this.#owner !== undefined && from !== this.#ownerVm) {
+      loads.forEach((load) => this.#loads.record(load));
+    } else if (from === this.#ownerVm) {
+      this.#loads.note(loads);
+      this.#options.onLoads?.(this.#service, loads);
+    }
+  }
+
+  #broadcast(messages: readonly HomeMessage[], now: number): void {
     const { self } = this.#options;
-    for (const update of updates) {
+    for (const message of messages) {
       for (const { vm, region } of this.#vms ?? []) {
         if (region === self.region) {
-          this.#deliver(vm, update, now);
+          this.#deliver(vm, message, now);
         }
       }
     }
--- a/packages/placement/src/homes/split_messages.ts
+++ b/packages/placement/src/homes/split_messages.ts
@@ -5,7 +5,12 @@
  */
 
 import type { CountedDemand } from "./demand_log.ts";
-import type { HomeQuery, ObjectHomes, TargetShare } from "./messages.ts";
+import type {
+  HomeQuery,
+  ObjectHomes,
+  ObservedLoad,
+  TargetShare,
+} from "./messages.ts";
 
 /** Most of a datagram of 1,400 bytes; the rest is for the other fields. */
 const BODY_BYTES = 1_100;
@@ -35,6 +40,15 @@
   return split(loads, () => HASH_BYTES + NUMBER_BYTES);
 }
 
+/** Splits observed loads; there is no part without loads. */
+export function splitObservedLoads(
+  loads: readonly ObservedLoad[],
+): readonly (readonly ObservedLoad[])[] {
+  return loads.length === 0
+    ? []
+    : split(loads, () => HASH_BYTES + 2 * NUMBER_BYTES);
+}
+
 /** Splits what a report counts; each item is in exactly one part. */
 export function splitReport(counted: CountedDemand): readonly CountedDemand[] {
   const items: CountedDemand[] = [
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -46,6 +46,7 @@
   HomeQuery,
   ObjectDemand,
   ObjectHomes,
+  ObservedLoad,
   OwnerTerm,
   PriorityDemand,
   RoomShare,
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -14,6 +14,7 @@
 import { DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
 import type { HomeSource } from "./homes/home_source.ts";
+import type { ObservedLoad } from "./homes/messages.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
@@ -148,6 +149,21 @@
     this.#known.entries.get(id)?.health.restarted();
   }
 
+  /** Applies loads that targets have just reported to other VMs. */
+  recordPeerLoads(loads: readonly ObservedLoad[], now: number): void {
+    const { entries } = this.#known;
+    for (const { target, requests, pace } of loads) {
+      const id = entries.idOf(target);
+      const entry = id === undefined ? undefined : entries.get(id);
+      entry?.load.reported({
+        running: requests,
+        waiting: 0,
+        slots: entry.target.slots,
+        ...(pace === undefined ? {} : { pace }),
+      }, now);
+    }
+  }
+
   /** Number of targets with a limit in force. */
   get limitedTargets(): number {
     return this.#known.rates.limitedTargets;
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -140,6 +140,7 @@
       target: target.hash,
       pace: result.load?.pace,
       isRefusal: result.isRefusal ?? false,
+      requests: result.load && result.load.running + result.load.waiting,
     });
     if (failed) {
       return;
