--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -19,8 +19,13 @@
   readonly accounts: Accounts;
   readonly peers: Peers;
   readonly log: EventLog;
+  /** Called with the number of entries of a configuration that are not used. */
+  entriesUnused(count: number): void;
 }
 
+/** Findings of one version of the configuration that are logged. */
+const MAX_LOGGED_FINDINGS = 10;
+
 /** See the module comment. */
 export class PlatformEvents {
   readonly #options: PlatformEventsOptions;
@@ -42,6 +47,7 @@
     switch (event.kind) {
       case "configuration":
         this.#applyConfiguration(event.configuration);
+        this.#logFindings(event.findings);
         return;
       case "unusable-configuration":
         accounts.configurationRejected();
@@ -78,6 +84,14 @@
     }
   }
 
+  #logFindings(findings: readonly string[]): void {
+    const { log, entriesUnused } = this.#options;
+    entriesUnused(findings.length);
+    for (const reason of findings.slice(0, MAX_LOGGED_FINDINGS)) {
+      log.write("configuration entry not used", { reason });
+    }
+  }
+
   #applyConfiguration(configuration: RoutingConfiguration): void {
     const { path, callerListener, accounts, log } = this.#options;
     if (configuration.version <= callerListener.version) {
--- a/packages/placement/src/homes/home_owner.ts
+++ b/packages/placement/src/homes/home_owner.ts
@@ -6,7 +6,7 @@
  */
 
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
-import type { HomeTarget, ServiceDemand } from "./home_agent.ts";
+import type { HomeTarget, OwnedHomes, ServiceDemand } from "./home_agent.ts";
 import { DemandSums } from "./demand_sums.ts";
 import {
   type CountedReport,
@@ -57,6 +57,8 @@
   readonly #options: HomeOwnerOptions;
   readonly #table: HomeTable;
   readonly #reports = new Map<VmId, CountedReport>();
+  /** When VMs were last sent changes that they had missed. */
+  readonly #resentAt = new Map<VmId, number>();
   readonly #demand = new DemandSums();
   readonly #summaries = new SummaryLog();
   #room: readonly RoomShare[] = [];
@@ -77,6 +79,16 @@
     return this.#table.counts;
   }
 
+  /** What has been assigned in this term. */
+  get owned(): OwnedHomes {
+    const { service, term } = this.#options;
+    const { homes, peakLoad } = this.#table.targets;
+    const { moved } = this.#table.counts;
+    // All objects in use have changed since the start of the term.
+    const objects = this.#table.changesSince(0).length;
+    return { service, term, objects, homes, peakLoad, moved };
+  }
+
   /** Sets the targets of the service. */
   setTargets(targets: readonly HomeTarget[]): void {
     this.#table.setTargets(targets);
@@ -114,8 +126,7 @@
       this.#count(report, now);
     }
     const isOwnTerm = report.term === this.#options.term;
-    const applied = isOwnTerm ? report.sequence : 0;
-    return applied < this.#previousSequence ? this.#changes(applied) : [];
+    return this.#missedChanges(from, isOwnTerm ? report.sequence : 0, now);
   }
 
   /** Takes the summary of another region's owner. */
@@ -179,6 +190,20 @@
     return updates;
   }
 
+  /** The parts of a report come at once; its VM needs the changes that it missed once. */
+  #missedChanges(
+    vm: VmId,
+    applied: number,
+    now: number,
+  ): readonly HomeMessage[] {
+    const isRepeated = now - (this.#resentAt.get(vm) ?? -Infinity) < CHANGES_MS;
+    if (applied >= this.#previousSequence || isRepeated) {
+      return [];
+    }
+    this.#resentAt.set(vm, now);
+    return this.#changes(applied);
+  }
+
   /** Updates with all changes after a sequence number, each following the one before. */
   #changes(since: number): readonly HomeMessage[] {
     let after = since;
--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -12,6 +12,7 @@
   HomeAgentOptions,
   HomeTarget,
   OutgoingHomeMessage,
+  OwnedHomes,
 } from "./home_agent.ts";
 import type { ObservedResponse } from "./demand_log.ts";
 import { HomeDirectory } from "./home_directory.ts";
@@ -62,6 +63,11 @@
       : addCounts(this.#endedCounts, current);
   }
 
+  /** What this VM has assigned as the owner; undefined if it isn't the owner. */
+  get owned(): OwnedHomes | undefined {
+    return this.#owner?.owned;
+  }
+
   /** Sets the service's targets; without any it has no homes by load. */
   setTargets(targets: readonly HomeTarget[], now: number): void {
     this.#targets = targets;
@@ -74,7 +80,9 @@
   /** Sets the reachable VMs. */
   setVms(vms: readonly TargetOwner[], now: number): void {
     const { self } = this.#options;
-    this.#vms = vms.some(({ vm }) => vm === self.vm) ? vms : [...vms, self];
+    // A VM that is leaving follows the next owner, unless there is none in its region.
+    const hasOwner = vms.some(({ region }) => region === self.region);
+    this.#vms = hasOwner ? vms : [...vms, self];
     this.#owner?.setVms(countByRegion(this.#vms));
     this.#elect(now);
   }
