Keep a connection open to distant homes

Cause: in a region with a tenth of the targets most objects have their homes in other regions.

Change: each VM opens a connection when a home becomes known and refreshes it by a health probe before the idle timeout. The emulator closes idle connections where a scenario says so, and plays the same upkeep.

--- a/packages/bench/src/fleet/emulated_connections.ts
+++ b/packages/bench/src/fleet/emulated_connections.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from "undici";
 import type {
   ConnectionSource,
+  ConnectionTarget,
   TargetConnection,
   TargetResponse,
 } from "@poplarthread/daemon/emulation";
@@ -31,6 +32,8 @@
   /** One-way network delay to a target. */
   delayMs(target: EmulatedTarget): number;
   readonly newConnectionMs: number;
+  /** Time after which an idle connection is closed. */
+  readonly idleTimeoutMs: number;
   /** Called for each attempt that was sent. */
   attemptSent(target: EmulatedTarget): void;
 }
@@ -58,7 +61,8 @@
       connection !== undefined;
       connection = idle.pop()
     ) {
-      if (connection.instance === target.instance && target.isUp) {
+      const isUsable = connection.instance === target.instance && target.isUp;
+      if (isUsable && !this.#isIdleTooLong(connection)) {
         return connection;
       }
     }
@@ -67,6 +71,7 @@
 
   release(connection: TargetConnection): void {
     const emulated = connection as EmulatedConnection;
+    emulated.idleSince = this.#options.loop.now;
     const idle = this.#idle.get(emulated.target);
     if (idle === undefined) {
       this.#idle.set(emulated.target, [emulated]);
@@ -75,6 +80,20 @@
     }
   }
 
+  /** How long the latest idle connection has been idle; undefined if none is open. */
+  idleMs(target: TargetId, now: number): number | undefined {
+    const latest = this.#idle.get(target)?.at(-1);
+    return latest === undefined || this.#isIdleTooLong(latest)
+      ? undefined
+      : now - latest.idleSince;
+  }
+
+  /** Uses an idle connection or a new one for a round trip. */
+  refresh(target: ConnectionTarget): void {
+    const connection = this.take(target);
+    connection.refresh(() => this.release(connection));
+  }
+
   drop(connection: TargetConnection): void {
     connection.destroy();
   }
@@ -82,6 +101,11 @@
   remove(target: TargetId): void {
     this.#idle.delete(target);
   }
+
+  #isIdleTooLong({ idleSince }: EmulatedConnection): boolean {
+    const { loop, idleTimeoutMs } = this.#options;
+    return loop.now - idleSince > idleTimeoutMs;
+  }
 }
 
 /** One connection to an emulated target; serves one request at a time. */
@@ -89,6 +113,8 @@
   readonly target: TargetId;
   /** The instance of the target that it is connected to. */
   readonly instance: number;
+  /** When it was last released. */
+  idleSince = 0;
   readonly #target: EmulatedTarget;
   readonly #options: EmulatedConnectionsOptions;
   readonly #work: ReadonlyMap<string, EmulatedWork>;
@@ -134,6 +160,18 @@
     });
   }
 
+  /** Connects if necessary, and calls `done` after a round trip. */
+  refresh(done: () => void): void {
+    const { loop, newConnectionMs } = this.#options;
+    const connectMs = this.#isOpen ? 0 : 2 * this.#delayMs + newConnectionMs;
+    loop.after(connectMs + 2 * this.#delayMs, () => {
+      if (!this.#isClosed && this.#target.isUp) {
+        this.#isOpen = true;
+        done();
+      }
+    });
+  }
+
   wasTruncated(): boolean {
     return false;
   }
--- a/packages/bench/src/fleet/emulated_homes.ts
+++ b/packages/bench/src/fleet/emulated_homes.ts
@@ -68,6 +68,11 @@
     return this.#agent.source;
   }
 
+  /** Hashes of the targets that are homes of objects in use. */
+  targets(): ReadonlySet<number> {
+    return this.#agent.homes();
+  }
+
   /** Starts to place waiting requests of the VM's request path. */
   start(path: RequestPath): void {
     this.#path = path;
--- a/packages/bench/src/fleet/emulated_vm.ts
+++ b/packages/bench/src/fleet/emulated_vm.ts
@@ -17,6 +17,7 @@
 import {
   anonymousCaller,
   BUSY_TICK_MS,
+  ConnectionUpkeep,
   type Dialect,
   EventLog,
   type GatewayExchange,
@@ -27,6 +28,7 @@
   type Service,
   SILENT_LOG,
   type TargetResponse,
+  UPKEEP_TICK_MS,
 } from "@poplarthread/daemon/emulation";
 import {
   EmulatedConnections,
@@ -80,12 +82,13 @@
     this.vm = options.vm;
     this.zone = options.zone;
     this.region = options.region;
+    const connections = new EmulatedConnections(options, this.#work);
     this.path = new RequestPath({
       steering: options.steering,
       zones: options.zones,
       dialect: EMULATED_DIALECT,
       log: new EventLog(SILENT_LOG),
-      connections: new EmulatedConnections(options, this.#work),
+      connections,
       targetChanged: () => undefined,
       homeTargetsChanged: (targets) => options.homes?.setTargets(targets),
       targetUnresponsive: () => undefined,
@@ -97,6 +100,9 @@
     });
     this.path.targets.setServices(options.services);
     this.homes?.start(this.path);
+    if (this.homes !== undefined) {
+      this.#keepConnections(this.homes, connections);
+    }
     this.#repeat(BUSY_TICK_MS, (now) => void this.path.tick(now));
     this.#repeat(IDLE_TICK_MS, (now) => this.path.idleTick(now));
   }
@@ -176,6 +182,19 @@
     });
   }
 
+  #keepConnections(
+    homes: EmulatedHomes,
+    connections: EmulatedConnections,
+  ): void {
+    const upkeep = new ConnectionUpkeep({
+      homes: () => homes.targets(),
+      targetOf: (hash) => this.path.connectionTarget(hash, 1),
+      idleMs: (target, now) => connections.idleMs(target, now),
+      refresh: (target) => connections.refresh(target),
+    });
+    this.#repeat(UPKEEP_TICK_MS, (now) => upkeep.tick(now));
+  }
+
   #repeat(periodMs: number, run: (now: number) => void): void {
     const { loop } = this.#options;
     loop.after(periodMs, () => {
--- a/packages/bench/src/fleet/scenario.ts
+++ b/packages/bench/src/fleet/scenario.ts
@@ -179,6 +179,8 @@
     caller: z.number().nonnegative(),
     /** Time to set up a connection to a target, beyond one round trip. */
     newConnection: z.number().nonnegative(),
+    /** Time after which an idle connection to a target is closed; never if omitted. */
+    idleTimeout: positive.optional(),
     /** From a change of the platform's list until the VMs receive it. */
     news: z.number().nonnegative(),
     /** From a VM's use of a target until the other VMs of its zone, and of its region, know it is warm. */
--- a/packages/bench/src/fleet/world.ts
+++ b/packages/bench/src/fleet/world.ts
@@ -255,6 +255,7 @@
       target: (id) => this.targets.get(id)!,
       delayMs: ({ placed }) => this.#delayMs(zone, placed.zone),
       newConnectionMs: this.scenario.delaysMs.newConnection,
+      idleTimeoutMs: this.scenario.delaysMs.idleTimeout ?? Infinity,
       attemptSent: () => this.attempts += 1,
     });
     this.vms.set(name, vm);
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -74,6 +74,8 @@
   readonly target: TargetId;
   readonly address: string;
   readonly #client: Client;
+  /** When it was last returned to the pool; undefined while it carries a request. */
+  idleSince: number | undefined;
   #socket: Socket | undefined;
   #isOpen = true;
   #wasReset = false;
@@ -210,6 +212,7 @@
       candidate = idle?.pop()
     ) {
       if (candidate.isOpen && candidate.address === target.address) {
+        candidate.idleSince = undefined;
         return candidate;
       }
       candidate.destroy();
@@ -245,6 +248,7 @@
         connection.destroy();
         return;
       }
+      connection.idleSince = performance.now();
       const idle = this.#idle.get(connection.target);
       if (idle === undefined) {
         this.#idle.set(connection.target, [connection]);
@@ -254,6 +258,18 @@
     });
   }
 
+  /**
+   * How long the latest idle connection to the target has been idle, 0 while one
+   * carries a request; undefined if none is open.
+   */
+  idleMs(id: TargetId, now: number): number | undefined {
+    const idle = this.#idle.get(id)?.at(-1);
+    if (idle?.idleSince !== undefined) {
+      return now - idle.idleSince;
+    }
+    return (this.#open.get(id)?.size ?? 0) > 0 ? 0 : undefined;
+  }
+
   /** Discards a connection whose request got no complete response. */
   drop(connection: Connection): void {
     connection.destroy();
--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -11,6 +11,7 @@
   ConnectionTarget,
   TargetConnection,
 } from "./connections.ts";
+export { ConnectionUpkeep, UPKEEP_TICK_MS } from "./homes/connection_upkeep.ts";
 export type { Route, Service } from "./configuration.ts";
 export { EventLog } from "./events.ts";
 export type { HomeTargets } from "./homes/home_targets.ts";
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -110,6 +110,7 @@
       limitedTargets: this.#requestPath.steering.limitedTargets,
       vmsUp: this.#peers.vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
+      keptConnections: this.#homes.keptConnections,
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
     this.#connections = new Connections({
@@ -136,6 +137,15 @@
       metrics: this.#metrics.homes,
       createAgent: (options) => new HomeCoordinator(options),
       homesKnown: (service, now) => this.#requestPath.homesKnown(service, now),
+      connections: {
+        targetOf: (hash) =>
+          this.#requestPath.connectionTarget(
+            hash,
+            vms.fleetSize(performance.now()),
+          ),
+        idleMs: (target, now) => this.#connections.idleMs(target, now),
+        refresh: (target) => this.#probes.refresh(target),
+      },
       loadsReported: (loads, now) =>
         this.#requestPath.steering.recordPeerLoads(loads, now),
     });
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -34,6 +34,8 @@
   readonly vmsUp: number;
   /** Lines that the log dropped because its reader did not keep up. */
   readonly droppedLines: number;
+  /** Distant targets to which a connection is kept open. */
+  readonly keptConnections: number;
 }
 
 /** See the module's comment. */
@@ -105,6 +107,11 @@
       "Targets that have named a limit for all VMs together",
     );
     gauge("vmsUp", "vms_up", "VMs that are up, this one among them");
+    gauge(
+      "keptConnections",
+      "kept_connections",
+      "Distant homes of objects to which a connection is kept open",
+    );
     gauge(
       "droppedLines",
       "dropped_log_lines",
--- a/packages/daemon/src/gateway/health_prober.ts
+++ b/packages/daemon/src/gateway/health_prober.ts
@@ -2,14 +2,19 @@
  * Probes targets that were taken out of use, to find out whether they are healthy
  * again.
  *
- * Each probe uses a new connection, because the existing ones may be broken.
+ * Each of these probes uses a new connection, because the existing ones may be
+ * broken. Probes of targets in use keep a connection open instead.
  *
  * @module
  */
 
 import type { Dispatcher } from "undici";
 import { ProbeTimeoutError } from "../errors.ts";
-import type { Connections, ConnectionTarget } from "./connections.ts";
+import type {
+  Connection,
+  Connections,
+  ConnectionTarget,
+} from "./connections.ts";
 import type { Dialect, HealthResponse } from "./ports.ts";
 
 /** Response timeout of a probe beyond two round trips. A probe waits for a slot of the target like any request. */
@@ -29,10 +34,24 @@
     this.#options = options;
   }
 
-  /** Probes one target; rejects if it does not respond. */
+  /** Probes one target on a new connection; rejects if it does not respond. */
   probe(target: ConnectionTarget, path: string): Promise<HealthResponse> {
+    const connection = this.#options.connections.create(target);
+    return this.#probe(connection, target, path);
+  }
+
+  /** Probes one target on an idle connection, if there is one, so that it stays open. */
+  refresh(target: ConnectionTarget, path: string): Promise<HealthResponse> {
+    const connection = this.#options.connections.take(target);
+    return this.#probe(connection, target, path);
+  }
+
+  #probe(
+    connection: Connection,
+    target: ConnectionTarget,
+    path: string,
+  ): Promise<HealthResponse> {
     const { connections, dialect } = this.#options;
-    const connection = connections.create(target);
     return new Promise<HealthResponse>((resolve, reject) => {
       const timer = setTimeout(
         () => reject(new ProbeTimeoutError("health probe timed out")),
--- a/packages/daemon/src/gateway/homes/home_exchange_test.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange_test.ts
@@ -70,6 +70,11 @@
       createAgent: (options) => new HomeCoordinator(options),
       homesKnown: () => undefined,
       loadsReported: () => undefined,
+      connections: {
+        targetOf: () => undefined,
+        idleMs: () => undefined,
+        refresh: () => undefined,
+      },
       createSocket: () => this.#socket(),
     });
   }
--- a/packages/daemon/src/gateway/homes/homes.ts
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -18,6 +18,10 @@
 import type { EventLog } from "../events.ts";
 import type { GatewaySettings } from "../settings.ts";
 import type { RankedMember, VmDirectory } from "../vm_directory.ts";
+import {
+  ConnectionUpkeep,
+  type ConnectionUpkeepOptions,
+} from "./connection_upkeep.ts";
 import { HomeExchange } from "./home_exchange.ts";
 import { HomeLog } from "./home_log.ts";
 import type { HomeMetrics } from "./home_metrics.ts";
@@ -39,6 +43,8 @@
   homesKnown(service: ServiceId, now: number): void;
   /** Applies loads that targets have reported to other VMs. */
   loadsReported(loads: readonly ObservedLoad[], now: number): void;
+  /** The connections to targets. */
+  readonly connections: Omit<ConnectionUpkeepOptions, "homes">;
   /** See {@link HomeExchangeOptions.createSocket}. */
   readonly createSocket?: () => Socket;
 }
@@ -50,6 +56,7 @@
   readonly #options: HomesOptions;
   readonly #agent: HomeAgent;
   readonly #log: HomeLog;
+  readonly #upkeep: ConnectionUpkeep;
   /** Services whose homes became known, until their waiting requests are placed. */
   readonly #servicesToPlace = new Set<ServiceId>();
   #targets: HomeTargets = new Map();
@@ -88,6 +95,10 @@
       agent: this.#agent,
       vmsInRegion: () => vms.upInRegion(performance.now()).length,
     });
+    this.#upkeep = new ConnectionUpkeep({
+      homes: () => this.#agent.homes(),
+      ...options.connections,
+    });
     metrics.follow(this.#agent);
   }
 
@@ -96,6 +107,11 @@
     return this.#agent.source;
   }
 
+  /** Number of distant homes to which a connection is kept open. */
+  get keptConnections(): number {
+    return this.#upkeep.size;
+  }
+
   /** Whether a service has homes by load. */
   has(service: ServiceId): boolean {
     return this.#targets.has(service);
@@ -113,9 +129,10 @@
     this.exchange.send({ kind: "activity-changed" });
   }
 
-  /** Periodic work: log lines that are due. */
+  /** Periodic work: connections to refresh and log lines that are due. */
   idleTick(now: number): void {
     if (this.#isActive) {
+      this.#upkeep.tick(now);
       this.#log.write(now);
     }
   }
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -8,7 +8,7 @@
 import type { RegionId, ServiceId, TargetId, ZoneId } from "@poplarthread/ids";
 import type { Steering } from "@poplarthread/placement";
 import { DeadlineWheel } from "../http/deadline_wheel.ts";
-import type { ConnectionSource } from "./connections.ts";
+import type { ConnectionSource, ConnectionTarget } from "./connections.ts";
 import { CrashSuspects, type SuspectedCrash } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
 import {
@@ -27,6 +27,8 @@
 export const BUSY_TICK_MS = 20;
 /** Interval of the target, peer and probe checks, and of the deadline checks while no request waits and no deadline is near. */
 export const IDLE_TICK_MS = 200;
+/** Share of the connections that a target accepts which idle ones of all VMs may take up. */
+const MAX_IDLE_CONNECTIONS_SHARE = 0.25;
 
 /** Options of a request path. */
 export interface RequestPathOptions {
@@ -158,6 +160,24 @@
     this.#queue.placeAwaitingHomes(service, now);
   }
 
+  /**
+   * Where to connect to the target whose id has this hash; undefined if it is not
+   * known, or if it does not accept a connection from each of `vms` several times.
+   */
+  connectionTarget(hash: number, vms: number): ConnectionTarget | undefined {
+    const id = this.steering.targetWithHash(hash);
+    const target = id && this.targets.get(id);
+    const service = id && this.targets.serviceOf(id);
+    return target === undefined || service === undefined ||
+        vms > service.maxConnections * MAX_IDLE_CONNECTIONS_SHARE
+      ? undefined
+      : {
+        id: target.id,
+        address: target.address,
+        roundTripMs: this.steering.roundTripTo(target.id),
+      };
+  }
+
   /** Applies a target's limit that a peer reported. */
   applyPeerLimit(limit: LimitUpdate): void {
     this.#applyLimit(limit, "peer");
--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -6,6 +6,7 @@
 
 import type { TargetId } from "@poplarthread/ids";
 import { messageOf } from "../errors.ts";
+import type { ConnectionTarget } from "./connections.ts";
 import type { EventLog } from "./events.ts";
 import { HealthProber, type HealthProberOptions } from "./health_prober.ts";
 import type { RequestPath } from "./request_path.ts";
@@ -26,6 +27,19 @@
     this.#prober = new HealthProber(options);
   }
 
+  /** Keeps a connection to a target open. */
+  refresh({ id, address, roundTripMs }: ConnectionTarget): void {
+    const { log, path } = this.#options;
+    const healthPath = path().targets.serviceOf(id)?.healthPath;
+    if (healthPath === undefined) {
+      return;
+    }
+    this.#prober.refresh({ id, address, roundTripMs }, healthPath).catch(
+      (err) =>
+        log.write("probe failed", { target: id, reason: messageOf(err) }),
+    );
+  }
+
   /** Starts a probe of one target. */
   probe(id: TargetId): void {
     const { log, path } = this.#options;
--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -111,6 +111,8 @@
   tick(now: number): void;
   /** Removes and returns the messages to send. */
   takeOutgoing(now: number): readonly OutgoingHomeMessage[];
+  /** Hashes of all targets that are homes of objects in use in this VM's region. */
+  homes(): ReadonlySet<number>;
   /** What the owner last said of the service's room; empty if it has room for all. */
   roomOf(service: ServiceId, now: number): readonly RoomShare[];
 }
--- a/packages/placement/src/homes/home_coordinator.ts
+++ b/packages/placement/src/homes/home_coordinator.ts
@@ -58,6 +58,14 @@
     return [...this.#services.values()].flatMap(({ owned }) => owned ?? []);
   }
 
+  homes(): ReadonlySet<number> {
+    const homes = new Set<number>();
+    for (const { directory } of this.#services.values()) {
+      directory.addHomesTo(homes);
+    }
+    return homes;
+  }
+
   setVms(vms: readonly TargetOwner[], now: number): void {
     this.#vms = vms;
     this.#services.forEach((homes) => homes.setVms(vms, now));
--- a/packages/placement/src/homes/home_directory.ts
+++ b/packages/placement/src/homes/home_directory.ts
@@ -104,6 +104,15 @@
     this.#generation += 1;
   }
 
+  /** Adds the hashes of all targets that are homes of known objects. */
+  addHomesTo(homes: Set<number>): void {
+    for (const known of this.#objects.values()) {
+      const lookup = this.#lookupOf(known);
+      lookup?.kind === "assigned" &&
+        lookup.targets.forEach((target) => homes.add(target));
+    }
+  }
+
   /** Follows the VM that owns the service in this region; undefined if there is none. */
   follow(owner: VmId | undefined): void {
     const followed = followOwner(this.#followed, owner);
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -194,6 +194,11 @@
     );
   }
 
+  /** The target whose id has this hash. */
+  targetWithHash(hash: number): TargetId | undefined {
+    return this.#known.entries.idOf(hash);
+  }
+
   /** Round trip to a target in milliseconds, or 0 for an unknown target. */
   roundTripTo(id: TargetId): number {
     const entry = this.#known.entries.get(id);
