homes: keep a region's load nearer to the mean

Cause: with own targets up to 1.3 times the mean, targets of small regions are busy without a gap in bursts while others are half idle. Change: the bound of a region's load is 1.1 times the mean.

--- a/packages/placement/src/homes/home_targets.ts
+++ b/packages/placement/src/homes/home_targets.ts
@@ -15,7 +15,7 @@
 import { RemoteLoads } from "./remote_loads.ts";
 
 /** A region gives objects homes elsewhere once its load exceeds this multiple of the mean. */
-const REGION_BOUND = 1.3;
+const REGION_BOUND = 1.1;
 /** At this load requests seldom wait, so a target takes any object up to it. */
 const FREE_LOAD = 0.25;
 /** Beyond this load requests queue, so that a target takes more only if all have to. */
