placement: no further home while one is unwarmed

Cause: at a start and on slow machines, cold runs make all homes look busy; each request asked for one more home, caches overflowed and the service stayed in cold runs for good. Change: another home is only asked for when all usable homes are warm.

--- a/packages/placement/src/request_homes.ts
+++ b/packages/placement/src/request_homes.ts
@@ -109,7 +109,13 @@
     if (request.tried.size > 0 || request.regions.length > 0) {
       return false;
     }
-    const { serviceTimes, kindTimes } = this.#known;
+    const { serviceTimes, kindTimes, warmObjects } = this.#known;
+    const areWarm = usable.every(({ target }) =>
+      warmObjects.isWarm(request.object!, target.id, now)
+    );
+    if (!areWarm) {
+      return false;
+    }
     const serviceMs = serviceTimes.meanMs(request.service);
     const waits = usable.map(({ target, load }) =>
       load.waitMs(now, { slots: target.slots, serviceMs })
