Limit failed placements of requests that wait for homes by themselves

With an owner that does not answer, six requests that wait for homes ended each pass over the queue, so requests behind them waited although their homes had a free slot, and the reverse. Both kinds have a limit of their own now. The new test fails without the change.

--- a/packages/daemon/src/gateway/request_queue.ts
+++ b/packages/daemon/src/gateway/request_queue.ts
@@ -16,9 +16,15 @@
   tryPlace(now: number, ahead: number): boolean;
 }
 
-/** Number of requests that could not be placed after which the rest of the queue is skipped. */
+/** Requests of a kind that could not be placed after which the others of it are skipped. */
 const MAX_FAILED_PLACEMENTS = 6;
 
+/** Requests of one pass that could not be placed, by what they wait for. */
+interface FailedPlacements {
+  forHomes: number;
+  forCapacity: number;
+}
+
 /** The wait queues of one VM; see the module comment. */
 export class RequestQueue {
   readonly #queues = new Map<ServiceId, WaitQueue<Placeable>>();
@@ -98,19 +104,28 @@
     }
   }
 
+  /**
+   * Requests that wait for homes and those that wait for capacity are limited
+   * separately: neither kind says whether the other can be placed.
+   */
   #placeWaiting(service: ServiceId, now: number, maxFailed: number): void {
     const queue = this.#queues.get(service);
     if (queue === undefined || queue.size === 0) {
       return;
     }
+    const failed: FailedPlacements = { forHomes: 0, forCapacity: 0 };
     let ahead = 0;
     for (const request of queue.inOrder(now)) {
-      if (request.tryPlace(now, ahead)) {
+      const reason = request.awaitsHomes ? "forHomes" : "forCapacity";
+      if (failed[reason] >= maxFailed) {
+        ahead += 1;
+      } else if (request.tryPlace(now, ahead)) {
         ahead += 1;
+        failed[reason] += 1;
       } else {
         queue.remove(request);
       }
-      if (ahead >= maxFailed) {
+      if (Math.min(failed.forHomes, failed.forCapacity) >= maxFailed) {
         return;
       }
     }
--- a/packages/daemon/src/gateway/request_queue_test.ts
+++ b/packages/daemon/src/gateway/request_queue_test.ts
@@ -87,3 +87,21 @@
   expect(others.every(({ placementAttempts }) => placementAttempts === 0))
     .toBe(true);
 });
+
+test("requests that wait for homes do not keep others from being placed, nor the reverse", () => {
+  // An owner that does not answer would hold up requests whose homes are known, and
+  // requests that are done waiting for it would stay behind those that wait for a slot.
+  for (const awaitsHomes of [true, false]) {
+    const stuck = Array.from(
+      { length: 10 },
+      () => new WaitingRequest(0, awaitsHomes),
+    );
+    const ready = new WaitingRequest(1, !awaitsHomes);
+    const queue = queueOf([...stuck, ready]);
+    ready.hasRoom = true;
+    queue.placeWaiting("portal" as ServiceId, 10);
+    expect(queue.size).toBe(stuck.length);
+    const attempts = stuck.map(({ placementAttempts }) => placementAttempts);
+    expect(attempts.reduce((sum, count) => sum + count)).toBeLessThan(10);
+  }
+});
