Keep homes by load when a few targets state no start time

One entry of another version or another writer ended the homes of a whole service, and a change back began them again. Nine tenths of the targets that state their start now give a service homes, eight tenths keep them; targets without a start time cannot be homes.

--- a/packages/daemon/src/gateway/homes/home_target_watch.ts
+++ b/packages/daemon/src/gateway/homes/home_target_watch.ts
@@ -48,7 +48,7 @@
     this.#isOutdated = false;
     this.#dueAt = now + MIN_INTERVAL_MS;
     const { known, zones, changed } = this.#options;
-    const targets = homeTargets(known(), zones());
+    const targets = homeTargets(known(), zones(), this.#last);
     if (!areSameHomeTargets(this.#last, targets)) {
       this.#last = targets;
       changed(targets, now);
--- a/packages/daemon/src/gateway/homes/home_targets.ts
+++ b/packages/daemon/src/gateway/homes/home_targets.ts
@@ -1,8 +1,10 @@
 /**
  * Which services have homes by load, and the targets that can be homes.
  *
- * Only services all of whose targets state when they started have them: a target that
- * comes back under its id could otherwise not be told from one that kept its cache.
+ * Only services whose targets state when they started have them: a target that comes
+ * back under its id could otherwise not be told from one that kept its cache. A few
+ * targets without a start time, such as ones of another version, cannot be homes, but
+ * the others can.
  *
  * @module
  */
@@ -11,6 +13,11 @@
 import { hashText, type HomeTarget } from "@poplarthread/placement";
 import type { RegisteredTarget } from "../ports.ts";
 
+/** Share of a service's targets that have to state their start for it to get homes. */
+const MIN_SHARE_TO_START = 0.9;
+/** Share below which it loses them; lower, so that one target does not switch them. */
+const MIN_SHARE_TO_KEEP = 0.8;
+
 /** Targets that can be homes, by service. */
 export type HomeTargets = ReadonlyMap<ServiceId, readonly HomeTarget[]>;
 
@@ -28,29 +35,63 @@
   readonly evacuated: ReadonlySet<ZoneId>;
 }
 
-/** Computes the targets that can be homes, of all services that have homes by load. */
+/** The known targets of one service. */
+interface ServiceTargets {
+  count: number;
+  /** How many of them state their start. */
+  withStart: number;
+  readonly homes: HomeTarget[];
+}
+
+/**
+ * Computes the targets that can be homes, of all services that have homes by load;
+ * `previous` is the last result.
+ */
 export function homeTargets(
   known: readonly KnownTarget[],
   zones: HomeZones,
+  previous: HomeTargets = new Map(),
 ): HomeTargets {
-  const byService = new Map<ServiceId, HomeTarget[]>();
-  const withoutStart = new Set<ServiceId>();
-  for (const { target, isLeaving } of known) {
-    const { service, zone, startedAt } = target;
-    if (startedAt === undefined) {
-      withoutStart.add(service);
-      continue;
-    }
-    const homes = byService.get(service) ?? [];
-    byService.set(service, homes);
-    const region = zones.regions.get(zone);
-    if (region !== undefined && !isLeaving && !zones.evacuated.has(zone)) {
-      const { slots } = target;
-      homes.push({ hash: hashText(target.id), region, slots, startedAt });
+  const byService = new Map<ServiceId, ServiceTargets>();
+  for (const one of known) {
+    const { service } = one.target;
+    const ofService = byService.get(service) ??
+      { count: 0, withStart: 0, homes: [] };
+    byService.set(service, ofService);
+    addTarget(ofService, one, zones);
+  }
+  const homes = new Map<ServiceId, readonly HomeTarget[]>();
+  for (const [service, ofService] of byService) {
+    if (hasHomes(ofService, previous.has(service))) {
+      homes.set(service, ofService.homes);
     }
   }
-  withoutStart.forEach((service) => byService.delete(service));
-  return byService;
+  return homes;
+}
+
+function addTarget(
+  ofService: ServiceTargets,
+  { target, isLeaving }: KnownTarget,
+  { regions, evacuated }: HomeZones,
+): void {
+  const { id, zone, slots, startedAt } = target;
+  ofService.count += 1;
+  if (startedAt === undefined) {
+    return;
+  }
+  ofService.withStart += 1;
+  const region = regions.get(zone);
+  if (region !== undefined && !isLeaving && !evacuated.has(zone)) {
+    ofService.homes.push({ hash: hashText(id), region, slots, startedAt });
+  }
+}
+
+function hasHomes(
+  { count, withStart }: ServiceTargets,
+  hadHomes: boolean,
+): boolean {
+  const share = hadHomes ? MIN_SHARE_TO_KEEP : MIN_SHARE_TO_START;
+  return withStart >= share * count;
 }
 
 /** Whether two results are the same, whatever the order of their targets. */
--- a/packages/daemon/src/gateway/homes/home_targets_test.ts
+++ b/packages/daemon/src/gateway/homes/home_targets_test.ts
@@ -41,7 +41,7 @@
   return targets.get(service as ServiceId)?.map(({ hash }) => hash);
 }
 
-test("a service has homes by load if all of its targets state their start, the leaving ones included", () => {
+test("a service has homes by load if its targets state their start, the leaving ones included", () => {
   const other = { service: "shop" as ServiceId };
   const withStart = [known("t-1"), known("t-2", {}, true)];
   const withoutStart = known("t-3", { ...other, startedAt: undefined }, true);
@@ -72,6 +72,23 @@
   }]]);
 });
 
+test("a few targets without a start time cannot be homes, and end them only when they are many", () => {
+  // One entry of another version would otherwise end the homes of the whole service,
+  // and with it the caches of all its targets.
+  const mixed = (without: number) =>
+    Array.from(
+      { length: 20 },
+      (_, at) => known(`t-${at}`, at < without ? { startedAt: undefined } : {}),
+    );
+  let targets = homeTargets(mixed(3), ZONES);
+  expect(hashes(targets)).toBeUndefined();
+  const counts = [2, 4, 5, 3].map((without) => {
+    targets = homeTargets(mixed(without), ZONES, targets);
+    return hashes(targets)?.length;
+  });
+  expect(counts).toEqual([18, 16, undefined, undefined]);
+});
+
 test("of many changes in a short time the first and the last are reported, and of none nothing", () => {
   // A rollout changes the list many times a second; homes computed at each change would
   // take up the VM's processor.
