Bind the port for homes only while a service has homes by load

Every deployment bound one port more than before, and a port range of two ports made the VM use one that was not reserved for it.

--- a/packages/daemon/src/gateway/homes/home_exchange.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -1,7 +1,7 @@
 /**
  * Exchanges messages about homes of objects with other VMs: owns the socket, and
- * drives the agent that assigns and follows homes. Does nothing while no service has
- * homes by load.
+ * drives the agent that assigns and follows homes. Does nothing, and binds no port,
+ * while no service has homes by load.
  *
  * @module
  */
@@ -79,22 +79,12 @@
     }
   }
 
-  protected override open(): Promise<void> {
-    const { createSocket = () => createUdpSocket("udp4") } = this.#options;
-    const socket = createSocket();
-    this.#socket = socket;
+  protected override async open(): Promise<void> {
     this.#isTickScheduled = false;
-    socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
-    const { host, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      socket.once("error", reject);
-      socket.bind(port, host, () => {
-        socket.off("error", reject);
-        socket.on("error", (err) => this.fail(err));
-        this.#scheduleTick();
-        resolve();
-      });
-    });
+    if (this.#options.isActive()) {
+      await this.#openSocket();
+      this.#scheduleTick();
+    }
   }
 
   protected override close(): void {
@@ -105,7 +95,7 @@
   protected override receive(message: HomeExchangeMessage): void {
     switch (message.kind) {
       case "activity-changed":
-        this.#scheduleTick();
+        this.#followActivity();
         return;
       case "tick":
         this.#isTickScheduled = false;
@@ -120,6 +110,35 @@
     }
   }
 
+  /** The port is bound only while a service has homes by load. */
+  #followActivity(): void {
+    if (!this.#options.isActive()) {
+      this.close();
+    } else if (this.#socket === undefined) {
+      this.spawn(this.#openSocket());
+    }
+    this.#scheduleTick();
+  }
+
+  /** Datagrams that are sent before the socket is bound are sent afterwards. */
+  #openSocket(): Promise<void> {
+    const { createSocket = () => createUdpSocket("udp4") } = this.#options;
+    const socket = createSocket();
+    this.#socket = socket;
+    socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
+    const { host, port } = this.#options.listen;
+    return new Promise((resolve, reject) => {
+      // Without homes by load the socket may be closed before it is bound.
+      socket.once("close", resolve);
+      socket.once("error", reject);
+      socket.bind(port, host, () => {
+        socket.off("error", reject);
+        socket.on("error", (err) => this.fail(err));
+        resolve();
+      });
+    });
+  }
+
   /** Schedules the next tick, unless no service has homes by load. */
   #scheduleTick(): void {
     if (!this.#isTickScheduled && this.#options.isActive()) {
--- a/packages/daemon/src/gateway/homes/home_exchange_test.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange_test.ts
@@ -159,9 +159,10 @@
   to: TestVm,
 ): Promise<void> {
   const socket = createSocket("udp4");
-  await new Promise<void>((resolve) =>
-    socket.bind(from.port, from.host, resolve)
-  );
+  await new Promise<void>((resolve, reject) => {
+    socket.once("error", reject);
+    socket.bind(from.port, from.host, resolve);
+  });
   for (const bytes of datagrams) {
     await new Promise((resolve) => socket.send(bytes, port, to.host, resolve));
   }
@@ -235,3 +236,16 @@
   expect(vms.map(({ datagrams }) => datagrams)).toEqual([0, 0, 0, 0]);
   expect(vms.flatMap(({ events }) => events)).toEqual([]);
 });
+
+test("the port is bound only while a service has homes by load", async () => {
+  // Another program of a deployment without them may use the port.
+  const use = () => sendFrom({ host: vms[0]!.host, port }, [], vms[0]!);
+  await startVms(new Map());
+  await use();
+  const services = new Map([[SERVICE, TARGETS]]);
+  vms.forEach(({ homes }) => homes.setTargets(services, performance.now()));
+  await agreement(vms);
+  await expect(use()).rejects.toThrow("EADDRINUSE");
+  vms.forEach(({ homes }) => homes.setTargets(new Map(), performance.now()));
+  await use();
+});
