Bound what is kept and sent for objects with homes

A client that names a new object in each request let the owner's table, the copies of all VMs, and the log of changes grow with its rate, and the log kept each object that was dropped. With a table full of others an object gets no homes, which VMs remember for 5 s. An update has at most eight datagrams and leaves later changes to the next. Requests that wait for homes are placed at once when there is no owner any more: no tick came then to end their wait.

--- a/packages/placement/src/homes/change_log.ts
+++ b/packages/placement/src/homes/change_log.ts
@@ -19,6 +19,9 @@
 /** Changes kept beyond two for each record before replaced ones are removed. */
 const MIN_CHANGES = 100;
 
+/** Number of a record without a change; the first change is 1. */
+const REMOVED = 0;
+
 /** See the module comment. */
 export class ChangeLog<T extends Numbered> {
   #changes: Change<T>[] = [];
@@ -29,6 +32,11 @@
     return this.#sequence;
   }
 
+  /** Number of changes that are kept. */
+  get length(): number {
+    return this.#changes.length;
+  }
+
   /** Numbers a change; `records` is the number of all records. */
   add(record: T, records: number): void {
     this.#sequence += 1;
@@ -39,6 +47,11 @@
     }
   }
 
+  /** Removes a record, so that it is not kept for its changes. */
+  remove(record: T): void {
+    record.sequence = REMOVED;
+  }
+
   /** Records changed after the given number, in the order of their last change. */
   since(sequence: number): readonly T[] {
     const records: T[] = [];
--- a/packages/placement/src/homes/home_directory.ts
+++ b/packages/placement/src/homes/home_directory.ts
@@ -6,6 +6,7 @@
  */
 
 import type { VmId } from "@poplarthread/ids";
+import { BoundedObjects, MAX_KNOWN_OBJECTS } from "./bounded_objects.ts";
 import type { DemandLog } from "./demand_log.ts";
 import {
   type FollowedTerm,
@@ -31,6 +32,10 @@
 const EXTEND_INTERVAL_MS = 300;
 /** Homes are dropped when neither a caller nor the owner named them for this time. */
 const UNUSED_TTL_MS = 30_000;
+/** An object that is asked for this long after it became known is in regular use. */
+const REPEAT_MS = 1_000;
+/** Time for which the owner's word holds that an object gets no homes. */
+const NO_HOMES_TTL_MS = 5_000;
 /** Interval at which unused objects are looked for. */
 const CLEAN_INTERVAL_MS = 2_000;
 /** Time for which the owner's word on room holds. */
@@ -47,7 +52,10 @@
   generation: number;
   /** Time of the last request; 0 if no caller asked this VM for the object. */
   workMs: number;
+  addedAt: number;
   usedAt: number;
+  /** Until when the object has no homes, as the owner said. */
+  noHomesUntil: number;
   /** The query that waits for an answer. */
   pending: (HomesLookup & { readonly kind: "pending" }) | undefined;
   queriedAt: number;
@@ -67,7 +75,7 @@
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class HomeDirectory {
   readonly #options: HomeDirectoryOptions;
-  readonly #objects = new Map<number, KnownObject>();
+  readonly #objects = new BoundedObjects<KnownObject>(MAX_KNOWN_OBJECTS);
   readonly #pending = new Set<KnownObject>();
   readonly #reports = new HomeReports();
   #queries: HomeQuery[] = [];
@@ -83,6 +91,11 @@
     this.#options = options;
   }
 
+  /** Number of objects that this VM knows. */
+  get size(): number {
+    return this.#objects.size;
+  }
+
   /** Queries that got no answer in time. */
   get unanswered(): number {
     return this.#unanswered;
@@ -111,14 +124,19 @@
       this.#followed = followed;
       this.#startFullReports();
     }
+    if (owner === undefined) {
+      this.#endPending(Infinity);
+    }
   }
 
   /** The homes of a request's object; see HomeSource. */
   lookUp(request: HomeRequest, now: number): HomesLookup {
     const known = this.#objects.get(request.object) ??
       this.#add(request.object, now);
-    known.usedAt = now;
-    known.workMs = request.workMs;
+    if (known === undefined) {
+      return UNASSIGNED;
+    }
+    this.#use(known, request, now);
     const lookup = this.#lookupOf(known);
     if (lookup !== undefined) {
       return lookup;
@@ -200,11 +218,20 @@
     });
   }
 
+  #use(known: KnownObject, { object, workMs }: HomeRequest, now: number): void {
+    known.usedAt = now;
+    known.workMs = workMs;
+    if (now - known.addedAt >= REPEAT_MS) {
+      this.#objects.keep(object);
+    }
+  }
+
   #ask(known: KnownObject, query: HomeQuery, now: number): HomesLookup {
     if (known.pending !== undefined && now < known.pending.until) {
       return known.pending;
     }
-    if (now - known.queriedAt < QUERY_INTERVAL_MS) {
+    const isTold = now < known.noHomesUntil;
+    if (isTold || now - known.queriedAt < QUERY_INTERVAL_MS) {
       return UNASSIGNED;
     }
     known.queriedAt = now;
@@ -221,18 +248,24 @@
     }
   }
 
-  #add(object: number, now: number): KnownObject {
+  /** Adds an object; undefined if there is no room for it. */
+  #add(object: number, now: number): KnownObject | undefined {
+    if (!this.#objects.makeRoom().hasRoom) {
+      return undefined;
+    }
     const known: KnownObject = {
       homes: [],
       lookup: undefined,
       generation: -1,
       workMs: 0,
+      addedAt: now,
       usedAt: now,
+      noHomesUntil: -Infinity,
       pending: undefined,
       queriedAt: -Infinity,
       extendedAt: -Infinity,
     };
-    this.#objects.set(object, known);
+    this.#objects.add(object, known);
     return known;
   }
 
@@ -257,7 +290,13 @@
     let isAwaited = false;
     for (const { object, targets } of homes) {
       const known = this.#objects.get(object) ?? this.#add(object, now);
+      if (known === undefined) {
+        continue;
+      }
       this.#setHomes(known, targets);
+      known.noHomesUntil = targets.length > 0
+        ? -Infinity
+        : now + NO_HOMES_TTL_MS;
       known.usedAt = now;
       known.pending = undefined;
       isAwaited = this.#pending.delete(known) || isAwaited;
@@ -283,7 +322,7 @@
 
   #startFullReports(): void {
     // Each VM lists what its own callers use; together they list all that is in use.
-    const earlier = [...this.#objects]
+    const earlier = [...this.#objects.entries()]
       .filter(([, { homes, workMs }]) => homes.length > 0 && workMs > 0)
       .map(([object, { homes, workMs }]) => ({
         object,
@@ -299,7 +338,7 @@
       return;
     }
     this.#cleanedAt = now;
-    for (const [object, { usedAt }] of this.#objects) {
+    for (const [object, { usedAt }] of this.#objects.entries()) {
       if (now - usedAt >= UNUSED_TTL_MS) {
         this.#objects.delete(object);
       }
--- a/packages/placement/src/homes/home_directory_test.ts
+++ b/packages/placement/src/homes/home_directory_test.ts
@@ -1,6 +1,7 @@
 import { beforeEach, expect, test, vi } from "vitest";
 import type { VmId } from "@poplarthread/ids";
 import { SERVICE } from "../testing.ts";
+import { HOME_TICK_MS } from "./home_agent.ts";
 import { HomeDirectory } from "./home_directory.ts";
 import type { HomeMessage, ObjectHomes, OwnerTerm } from "./messages.ts";
 
@@ -168,3 +169,31 @@
   );
   expect(directory.takeReports(3_000)).toEqual([]);
 });
+
+// Guards against a query for each request while the owner's table is full.
+test("an object without homes is not asked for again for a while", () => {
+  directory.lookUp(REQUEST, 0);
+  directory.takeQueries();
+  const homes = [{ object: REQUEST.object, targets: [] }];
+  directory.receive(update(homes, { after: 0 }), OWNER, 5);
+  for (let now = 5; now < 4_000; now += 100) {
+    expect(directory.lookUp(REQUEST, now).kind).toBe("unassigned");
+  }
+  expect(directory.takeQueries()).toEqual([]);
+  expect(directory.lookUp(REQUEST, 6_000).kind).toBe("pending");
+});
+
+// Guards against requests that wait for their objective: without an owner there is no
+// tick that ends their wait.
+test("requests do not wait for homes when there is no owner any more", () => {
+  expect(directory.lookUp(REQUEST, 0).kind).toBe("pending");
+  directory.follow(undefined);
+  expect(onHomes).toHaveBeenCalledTimes(1);
+});
+
+test("without an answer requests wait for 15 ms and until the next tick", () => {
+  expect(directory.lookUp(REQUEST, 0).kind).toBe("pending");
+  directory.tick(HOME_TICK_MS);
+  expect(onHomes).toHaveBeenCalledTimes(1);
+  expect(directory.lookUp(REQUEST, HOME_TICK_MS).kind).toBe("unassigned");
+});
--- a/packages/placement/src/homes/home_moves.ts
+++ b/packages/placement/src/homes/home_moves.ts
@@ -9,7 +9,7 @@
  * @module
  */
 
-import type { HomeMove, HomeRecord } from "./home_record.ts";
+import { busySlotsOf, type HomeMove, type HomeRecord } from "./home_record.ts";
 import type { HomeTargets } from "./home_targets.ts";
 
 /** Moves started in one sweep. */
@@ -83,3 +83,15 @@
   const after = targets.loadOf(to) + busySlots / targets.capacityOf(to);
   return after < GAIN_MARGIN * targets.loadOf(from);
 }
+
+/** Objects whose only home is the given target, the heaviest one first. */
+export function movableFrom(
+  from: number,
+  records: Iterable<HomeRecord>,
+): readonly HomeRecord[] {
+  return [...records]
+    .filter(({ homes, move }) =>
+      homes.length === 1 && homes[0] === from && move === undefined
+    )
+    .sort((a, b) => busySlotsOf(b) - busySlotsOf(a));
+}
--- a/packages/placement/src/homes/home_owner.ts
+++ b/packages/placement/src/homes/home_owner.ts
@@ -8,13 +8,14 @@
 import type { RegionId, ServiceId, VmId } from "@poplarthread/ids";
 import type { HomeTarget, OwnedHomes, ServiceDemand } from "./home_agent.ts";
 import { DemandSums } from "./demand_sums.ts";
+import type { HomeChanges } from "./home_changes.ts";
 import {
   type CountedReport,
   hasEarlierHomes,
   isNewReport,
   isRecovering,
 } from "./home_protocol.ts";
-import { type HomeChanges, HomeTable } from "./home_table.ts";
+import { HomeTable } from "./home_table.ts";
 import type {
   DemandReport,
   HomeMessage,
@@ -34,6 +35,11 @@
 /** Maximum time between two updates, so that VMs learn of a new term. */
 const UPDATE_MS = 1_000;
 
+/** Datagrams with changes in one update, each of which goes to all VMs of the region. */
+const MAX_UPDATE_PARTS = 8;
+/** Datagrams with missed changes for one VM at a time. */
+const MAX_MISSED_PARTS = 32;
+
 /** Options of a {@link HomeOwner}. */
 export interface HomeOwnerOptions {
   readonly service: ServiceId;
@@ -84,8 +90,7 @@
     const { service, term } = this.#options;
     const { homes, peakLoad } = this.#table.targets;
     const { moved } = this.#table.counts;
-    // All objects in use have changed since the start of the term.
-    const objects = this.#table.changesSince(0).length;
+    const { size: objects } = this.#table;
     return { service, term, objects, homes, peakLoad, moved };
   }
 
@@ -183,10 +188,10 @@
     if (now - this.#updatedAt < (isChanged ? CHANGES_MS : UPDATE_MS)) {
       return [];
     }
-    const updates = this.#changes(this.#updatedSequence);
+    const updates = this.#changes(this.#updatedSequence, MAX_UPDATE_PARTS);
     this.#updatedAt = now;
     this.#previousSequence = this.#updatedSequence;
-    this.#updatedSequence = sequence;
+    this.#updatedSequence = updates.at(-1)!.sequence;
     return updates;
   }
 
@@ -201,14 +206,17 @@
       return [];
     }
     this.#resentAt.set(vm, now);
-    return this.#changes(applied);
+    return this.#changes(applied, MAX_MISSED_PARTS);
   }
 
-  /** Updates with all changes after a sequence number, each following the one before. */
-  #changes(since: number): readonly HomeMessage[] {
+  /**
+   * Updates with the changes after a sequence number, each following the one before.
+   * Later changes are left for the next updates.
+   */
+  #changes(since: number, maxParts: number) {
     let after = since;
     const parts = splitHomes(this.#table.changesSince(since));
-    return parts.map((part, at) => {
+    return parts.slice(0, maxParts).map((part, at) => {
       const isLast = at === parts.length - 1;
       const sequence = isLast ? this.#table.sequence : part.at(-1)!.sequence;
       const update = { ...this.#updateOf(part), sequence, after };
--- a/packages/placement/src/homes/home_record.ts
+++ b/packages/placement/src/homes/home_record.ts
@@ -30,6 +30,8 @@
   /** Slots counted as busy at each of the homes. */
   share: number;
   usedAt: number;
+  /** Whether a VM has reported requests for the object. */
+  isReported: boolean;
   /** When a home was last added because the others were too busy. */
   extendedAt: number;
   /** Since when the object needs fewer homes than it has. */
@@ -39,6 +41,30 @@
   sequence: number;
 }
 
+/** A record of an object without homes. */
+export function newRecord(
+  { object, workMs, perSecond }: Pick<
+    HomeRecord,
+    "object" | "workMs" | "perSecond"
+  >,
+  now: number,
+): HomeRecord {
+  return {
+    object,
+    homes: [],
+    workMs,
+    perSecond,
+    requests: 0,
+    share: 0,
+    usedAt: now,
+    isReported: false,
+    extendedAt: -Infinity,
+    surplusSince: undefined,
+    move: undefined,
+    sequence: 0,
+  };
+}
+
 /** Slots that the object's requests keep busy on average. */
 export function busySlotsOf(
   { perSecond, workMs }: Pick<HomeRecord, "perSecond" | "workMs">,
--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -10,13 +10,16 @@
  */
 
 import type { RegionId } from "@poplarthread/ids";
+import { BoundedObjects, MAX_OWNED_OBJECTS } from "./bounded_objects.ts";
 import { ChangeLog } from "./change_log.ts";
 import type { HomeTarget } from "./home_agent.ts";
+import { noChanges } from "./home_changes.ts";
 import {
   advanceMove,
   crowdedTargets,
   isUsefulMove,
   MAX_MOVES_PER_SWEEP,
+  movableFrom,
 } from "./home_moves.ts";
 import { mergeHomes, withoutLost } from "./home_protocol.ts";
 import {
@@ -24,6 +27,7 @@
   hasSurplus,
   type HomeRecord,
   MAX_HOMES,
+  newRecord,
   wantedHomes,
 } from "./home_record.ts";
 import { HomeTargets } from "./home_targets.ts";
@@ -48,25 +52,12 @@
   readonly bound: number;
 }
 
-/** Numbers of changes since the start. */
-export interface HomeChanges {
-  assigned: number;
-  added: number;
-  moved: number;
-  dropped: number;
-}
-
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class HomeTable {
   /** The targets with their loads. */
   readonly targets: HomeTargets;
-  readonly counts: HomeChanges = {
-    assigned: 0,
-    added: 0,
-    moved: 0,
-    dropped: 0,
-  };
-  readonly #records = new Map<number, HomeRecord>();
+  readonly counts = noChanges();
+  readonly #records = new BoundedObjects<HomeRecord>(MAX_OWNED_OBJECTS);
   readonly #rates = new ObjectRates();
   readonly #crowdedSince = new Map<number, number>();
   readonly #changes = new ChangeLog<HomeRecord>();
@@ -76,6 +67,11 @@
     this.targets = new HomeTargets(options);
   }
 
+  /** Number of objects in the table. */
+  get size(): number {
+    return this.#records.size;
+  }
+
   /** Number of the last change. */
   get sequence(): number {
     return this.#changes.sequence;
@@ -92,7 +88,6 @@
     readonly sequence: number;
   })[] {
     return this.#changes.since(sequence)
-      .filter((record) => this.#records.get(record.object) === record)
       .map(({ object, homes, sequence }) => ({
         object,
         targets: homes,
@@ -115,7 +110,7 @@
       .forEach((record) => this.#assignFirst(record));
   }
 
-  /** The homes of a query's object, which gets one if it has none. */
+  /** The homes of a query's object, which gets one if it has none and there is room. */
   assign({ object, workMs, wanted }: HomeQuery, now: number): ObjectHomes {
     const known = this.#records.get(object);
     if (known !== undefined && known.homes.length > 0) {
@@ -125,23 +120,28 @@
       }
       return { object, targets: known.homes };
     }
-    const record = known ?? this.#add(object, workMs, now);
-    this.#assignFirst(record);
-    return { object, targets: record.homes };
+    const record = known ?? this.#add({ object, workMs }, now);
+    if (record !== undefined) {
+      this.#assignFirst(record);
+    }
+    return { object, targets: record?.homes ?? [] };
   }
 
   /** Adds homes that a VM uses already to those of the table. */
   adopt(demand: ObjectDemand, now: number): void {
-    const { object, workMs } = demand;
-    const known = this.#records.get(object);
+    const known = this.#records.get(demand.object);
     const homes = known?.homes ?? [];
     const merged = mergeHomes(
       homes,
       demand,
       (target) => this.targets.has(target),
     );
-    if (merged !== homes) {
-      this.#setHomes(known ?? this.#add(object, workMs, now), merged);
+    if (merged === homes) {
+      return;
+    }
+    const record = known ?? this.#add(demand, now);
+    if (record !== undefined) {
+      this.#setHomes(record, merged);
     }
   }
 
@@ -152,7 +152,14 @@
       return;
     }
     this.assign({ object, workMs, wanted: "any" }, now);
-    const record = this.#records.get(object)!;
+    const record = this.#records.get(object);
+    if (record === undefined) {
+      return;
+    }
+    if (record.isReported || requests > 1) {
+      this.#records.keep(object);
+    }
+    record.isReported = true;
     record.requests += requests;
     const gain = 1 - (1 - WORK_GAIN) ** requests;
     record.workMs += gain * (workMs - record.workMs);
@@ -180,21 +187,21 @@
     }
   }
 
-  #add(object: number, workMs: number, now: number): HomeRecord {
-    const record: HomeRecord = {
-      object,
-      homes: [],
-      workMs,
-      perSecond: this.#rates.expected(workMs),
-      requests: 0,
-      share: 0,
-      usedAt: now,
-      extendedAt: -Infinity,
-      surplusSince: undefined,
-      move: undefined,
-      sequence: 0,
-    };
-    this.#records.set(object, record);
+  /** Adds an object; undefined if the table is full of objects in regular use. */
+  #add(
+    { object, workMs }: Pick<HomeRecord, "object" | "workMs">,
+    now: number,
+  ): HomeRecord | undefined {
+    const { hasRoom, dropped } = this.#records.makeRoom();
+    if (dropped !== undefined) {
+      this.#forget(dropped);
+    }
+    if (!hasRoom) {
+      return undefined;
+    }
+    const perSecond = this.#rates.expected(workMs);
+    const record = newRecord({ object, workMs, perSecond }, now);
+    this.#records.add(object, record);
     return record;
   }
 
@@ -252,12 +259,17 @@
     }
   }
 
+  #forget(record: HomeRecord): void {
+    this.#uncount(record);
+    this.#changes.remove(record);
+    this.counts.dropped += record.homes.length;
+  }
+
   /** Drops an object that nobody uses, or a home that it needs no longer. */
   #drop(record: HomeRecord, now: number): void {
     if (now - record.usedAt >= UNUSED_TTL_MS) {
-      this.#uncount(record);
       this.#records.delete(record.object);
-      this.counts.dropped += record.homes.length;
+      this.#forget(record);
       return;
     }
     if (!hasSurplus(record, this.#capacityFor(record))) {
@@ -316,12 +328,7 @@
 
   /** Starts to move the heaviest object whose move helps away from a target. */
   #startMove(from: number, now: number): boolean {
-    const movable = [...this.#records.values()]
-      .filter(({ homes, move }) =>
-        homes.length === 1 && homes[0] === from && move === undefined
-      )
-      .sort((a, b) => busySlotsOf(b) - busySlotsOf(a));
-    for (const record of movable) {
+    for (const record of movableFrom(from, this.#records.values())) {
       const { object } = record;
       const busySlots = busySlotsOf(record);
       const to = this.targets.choose({ object, busySlots, except: [from] });
--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -16,7 +16,7 @@
 } from "./home_agent.ts";
 import { HomeDirectory } from "./home_directory.ts";
 import { HomeOwner } from "./home_owner.ts";
-import type { HomeChanges } from "./home_table.ts";
+import type { HomeChanges } from "./home_changes.ts";
 import type {
   HomeMessage,
   HomeQuery,
