--- a/packages/placement/src/homes/service_homes.ts
+++ b/packages/placement/src/homes/service_homes.ts
@@ -17,7 +17,7 @@
 import type { ObservedResponse } from "./demand_log.ts";
 import { HomeDirectory } from "./home_directory.ts";
 import { HomeOwner } from "./home_owner.ts";
-import type { HomeChanges } from "./home_table.ts";
+import type { HomeChanges } from "./home_changes.ts";
 import { LoadRelay } from "./load_relay.ts";
 import type {
   HomeMessage,
