--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "./prometheus.ts";
 
 /** Bounds of the histogram's buckets: the latency objectives of the deployments are between 0.2 and 0.5 s. */
 const LATENCY_BUCKETS_S = [
