--- a/packages/daemon/src/bounded_output.ts
+++ b/packages/daemon/src/bounded_output.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Writable } from "node:stream";
+import { Writable } from "node:stream";
 
 /**
  * Most bytes to buffer for the reader of the log. When the reader stalls, Node would
@@ -14,11 +14,12 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 
 /** Forwards lines while their reader keeps up, and counts those that it drops. */
-export class BoundedOutput {
+export class BoundedOutput extends Writable {
   readonly #output: Writable;
   #droppedLines = 0;
 
   constructor(output: Writable) {
+    super({ decodeStrings: false });
     this.#output = output;
     // Without a handler, a reader that closes its end would end the daemon.
     output.on("error", () => undefined);
@@ -29,12 +30,16 @@
     return this.#droppedLines;
   }
 
-  /** Forwards a line with its line ending, or drops it. */
-  write(line: string): void {
+  override _write(
+    line: string | Uint8Array,
+    _encoding: string,
+    done: () => void,
+  ): void {
     if (this.#output.writableLength > MAX_BUFFERED_BYTES) {
       this.#droppedLines += 1;
     } else {
       this.#output.write(line);
     }
+    done();
   }
 }
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -6,6 +6,7 @@
 
 import process from "node:process";
 import type { Writable } from "node:stream";
+import winston from "winston";
 import { BoundedOutput } from "./bounded_output.ts";
 
 /** The fields of a log line. The list is closed, so that nothing else can leak into the log. */
@@ -82,55 +83,37 @@
   readonly droppedLines: number;
 }
 
-/** Levels, the most severe first. */
-const LEVELS = ["error", "warn", "info", "debug"] as const;
-
-type Level = typeof LEVELS[number];
-
-/**
- * Creates the log of one daemon; each line names the VM and the instance. Lines above
- * `level` are not written.
- */
+/** Creates the log of one daemon; each line names the VM and the instance. */
 export function createLog(
   options: {
     level: string;
     vm: string;
     instance: string;
     /** Receives the lines; standard error if left out. */
-    stream?: Writable | BoundedOutput;
+    stream?: Writable;
   },
 ): Log {
   const { level, vm, instance, stream = process.stderr } = options;
   const output = stream instanceof BoundedOutput
     ? stream
     : new BoundedOutput(stream);
-  const writerOf = (lineLevel: Level) => {
-    if (LEVELS.indexOf(lineLevel) > LEVELS.indexOf(level as Level)) {
-      return () => undefined;
-    }
-    return (message: string, fields?: LogFields) => {
-      const timestamp = new Date().toISOString();
-      const line = { timestamp, level: lineLevel, message, vm, instance };
-      output.write(`${encodeLine({ ...line, ...fields })}\n`);
-    };
-  };
+  const logger = winston.createLogger({
+    level,
+    defaultMeta: { vm, instance },
+    format: winston.format.combine(
+      winston.format.timestamp(),
+      winston.format.json(),
+    ),
+    transports: [new winston.transports.Stream({ stream: output })],
+  });
   return {
-    error: writerOf("error"),
-    warn: writerOf("warn"),
-    info: writerOf("info"),
-    debug: writerOf("debug"),
-    isDebugEnabled: level === "debug",
+    error: (event, fields) => void logger.error(event, fields),
+    warn: (event, fields) => void logger.warn(event, fields),
+    info: (event, fields) => void logger.info(event, fields),
+    debug: (event, fields) => void logger.debug(event, fields),
+    isDebugEnabled: logger.isDebugEnabled(),
     get droppedLines() {
       return output.droppedLines;
     },
   };
 }
-
-/** A line as JSON, its fields sorted by name. */
-function encodeLine(fields: Readonly<Record<string, unknown>>): string {
-  const line: Record<string, unknown> = {};
-  for (const name of Object.keys(fields).sort()) {
-    line[name] = fields[name];
-  }
-  return JSON.stringify(line);
-}
