--- a/packages/bench/src/fleet/emulated_homes.ts
+++ b/packages/bench/src/fleet/emulated_homes.ts
@@ -55,6 +55,8 @@
       roomOf: (service, demand) => plans.roomOf(service, demand),
       onOutgoing: () => this.#flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
+      onLoads: (_service, loads) =>
+        this.#path?.steering.recordPeerLoads(loads, options.loop.now),
       onOwnership: (service, isOwner) => {
         if (isOwner) {
           this.owned.add(service);
@@ -75,6 +77,11 @@
     return this.#agent.roomOf(service, this.#options.loop.now);
   }
 
+  /** Hashes of the targets that are homes of objects in use. */
+  targets(): ReadonlySet<number> {
+    return this.#agent.homes();
+  }
+
   /** Starts to place waiting requests of the VM's request path. */
   start(path: RequestPath): void {
     this.#path = path;
--- a/packages/daemon/src/gateway/homes/homes.ts
+++ b/packages/daemon/src/gateway/homes/homes.ts
@@ -12,6 +12,7 @@
   type HomeAgent,
   type HomeAgentOptions,
   type HomeSource,
+  type ObservedLoad,
   type OwnerTerm,
   RoomPlans,
   type RoomShare,
@@ -19,6 +20,10 @@
 import type { EventLog } from "../events.ts";
 import type { GatewaySettings } from "../settings.ts";
 import type { RankedMember, VmDirectory } from "../vm_directory.ts";
+import {
+  ConnectionUpkeep,
+  type ConnectionUpkeepOptions,
+} from "./connection_upkeep.ts";
 import { HomeExchange } from "./home_exchange.ts";
 import { HomeLog } from "./home_log.ts";
 import type { HomeMetrics } from "./home_metrics.ts";
@@ -38,6 +43,10 @@
   createAgent(options: HomeAgentOptions): HomeAgent;
   /** Places the requests of a service that wait for homes. */
   homesKnown(service: ServiceId, now: number): void;
+  /** Applies loads that targets have reported to other VMs. */
+  loadsReported(loads: readonly ObservedLoad[], now: number): void;
+  /** The connections to targets. */
+  readonly connections: Omit<ConnectionUpkeepOptions, "homes">;
   /** See {@link HomeExchangeOptions.createSocket}. */
   readonly createSocket?: () => Socket;
 }
@@ -49,6 +58,7 @@
   readonly #options: HomesOptions;
   readonly #agent: HomeAgent;
   readonly #log: HomeLog;
+  readonly #upkeep: ConnectionUpkeep;
   /** Services whose homes became known, until their waiting requests are placed. */
   readonly #servicesToPlace = new Set<ServiceId>();
   #targets: HomeTargets = new Map();
@@ -65,6 +75,8 @@
       roomOf: (service, demand) => plans.roomOf(service, demand),
       onOutgoing: () => this.exchange.flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
+      onLoads: (_service, loads) =>
+        options.loadsReported(loads, performance.now()),
       onOwnership: (service, isOwner) =>
         this.#log.ownershipChanged(
           service,
@@ -87,6 +99,10 @@
       agent: this.#agent,
       vmsInRegion: () => vms.upInRegion(performance.now()).length,
     });
+    this.#upkeep = new ConnectionUpkeep({
+      homes: () => this.#agent.homes(),
+      ...options.connections,
+    });
     metrics.follow(this.#agent);
   }
 
@@ -95,6 +111,11 @@
     return this.#agent.source;
   }
 
+  /** Number of distant homes to which a connection is kept open. */
+  get keptConnections(): number {
+    return this.#upkeep.size;
+  }
+
   /** Whether a service has homes by load. */
   has(service: ServiceId): boolean {
     return this.#targets.has(service);
@@ -117,9 +138,10 @@
     this.exchange.send({ kind: "activity-changed" });
   }
 
-  /** Periodic work: log lines that are due. */
+  /** Periodic work: connections to refresh and log lines that are due. */
   idleTick(now: number): void {
     if (this.#isActive) {
+      this.#upkeep.tick(now);
       this.#log.write(now);
     }
   }
--- a/packages/placement/src/homes/home_coordinator.ts
+++ b/packages/placement/src/homes/home_coordinator.ts
@@ -58,6 +58,14 @@
     return [...this.#services.values()].flatMap(({ owned }) => owned ?? []);
   }
 
+  homes(): ReadonlySet<number> {
+    const homes = new Set<number>();
+    for (const { directory } of this.#services.values()) {
+      directory.addHomesTo(homes);
+    }
+    return homes;
+  }
+
   setVms(vms: readonly TargetOwner[], now: number): void {
     this.#vms = vms;
     this.#services.forEach((homes) => homes.setVms(vms, now));
@@ -122,7 +130,7 @@
       recordDemand: (request, priority) =>
         directoryOf(request.service)?.demand.recordDemand(request, priority),
       recordResponse: (service, response) =>
-        directoryOf(service)?.demand.recordResponse(response),
+        this.#services.get(service)?.recordResponse(response),
       recordRefusal: (service, priority) =>
         directoryOf(service)?.demand.recordRefusal(priority),
     };
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -47,6 +47,7 @@
   HomeQuery,
   ObjectDemand,
   ObjectHomes,
+  ObservedLoad,
   OwnerTerm,
   PriorityDemand,
   RoomShare,
@@ -68,6 +69,7 @@
   type ServiceRoom,
 } from "./room/room_shares.ts";
 export type { GateCause, GateCounts } from "./room/room_gate.ts";
+export type { VmRoom } from "./room/vm_room.ts";
 export { RoundTrips } from "./round_trips.ts";
 export { ServiceTimes } from "./service_times.ts";
 export type { Location, PlacedTarget, SteeredTarget } from "./target.ts";
--- a/packages/placement/src/room/testing_room.ts
+++ b/packages/placement/src/room/testing_room.ts
@@ -123,7 +123,7 @@
     });
     steering.setFleetSize(VMS);
     this.#targets.forEach((target) => steering.setTarget(target));
-    steering.setSharedRoom(new Set([SERVICE]));
+    steering.room.setServices(new Set([SERVICE]));
     return steering;
   }
 
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -14,6 +14,7 @@
 import { DEFAULT_WEIGHTS, type PlacementWeights } from "./choose.ts";
 import type { RetryBound } from "./fleet_retry_budget.ts";
 import type { HomeSource } from "./homes/home_source.ts";
+import type { ObservedLoad } from "./homes/messages.ts";
 import { KindTimes } from "./kind_times.ts";
 import type {
   AttemptResult,
@@ -22,7 +23,6 @@
   PlacementRefused,
   PlacementRequest,
 } from "./placement.ts";
-import type { GateCounts } from "./room/room_gate.ts";
 import { type RetryRequest, type RoomLookup, VmRoom } from "./room/vm_room.ts";
 import { RequestHomes } from "./request_homes.ts";
 import { Retries } from "./retries.ts";
@@ -154,6 +154,21 @@
     this.#known.entries.get(id)?.health.restarted();
   }
 
+  /** Applies loads that targets have just reported to other VMs. */
+  recordPeerLoads(loads: readonly ObservedLoad[], now: number): void {
+    const { entries } = this.#known;
+    for (const { target, requests, pace } of loads) {
+      const id = entries.idOf(target);
+      const entry = id === undefined ? undefined : entries.get(id);
+      entry?.load.reported({
+        running: requests,
+        waiting: 0,
+        slots: entry.target.slots,
+        ...(pace === undefined ? {} : { pace }),
+      }, now);
+    }
+  }
+
   /** Number of targets with a limit in force. */
   get limitedTargets(): number {
     return this.#known.rates.limitedTargets;
@@ -184,6 +199,11 @@
     );
   }
 
+  /** The target whose id has this hash. */
+  targetWithHash(hash: number): TargetId | undefined {
+    return this.#known.entries.idOf(hash);
+  }
+
   /** Round trip to a target in milliseconds, or 0 for an unknown target. */
   roundTripTo(id: TargetId): number {
     const entry = this.#known.entries.get(id);
@@ -218,14 +238,9 @@
     return this.#known.room.mayTryAgain(service, now);
   }
 
-  /** Sets the services whose room is shared among all VMs. */
-  setSharedRoom(services: ReadonlySet<ServiceId>): void {
-    this.#known.room.setServices(services);
-  }
-
-  /** Counters of the services whose room is shared, for metrics. */
-  roomCounts(): ReadonlyMap<ServiceId, GateCounts> {
-    return this.#known.room.counts();
+  /** Decisions on services whose room is shared among all VMs. */
+  get room(): VmRoom {
+    return this.#known.room;
   }
 
   /**
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -142,6 +142,7 @@
       target: target.hash,
       pace: report?.pace,
       isRefusal: result.isRefusal ?? false,
+      requests: result.load && result.load.running + result.load.waiting,
     });
     if (failed) {
       return;
