--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -337,7 +337,7 @@
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
     } else if (this.#transition("queue")) {
       this.#isCountedForQuota = true;
-      this.#admit(performance.now());
+      this.#enqueue(performance.now());
     } else {
       // The caller disconnected while the quota was being checked.
       this.#options.caller.refundQuota();
@@ -345,11 +345,11 @@
   }
 
   /** Queues the new request, unless its service has no room for it. */
-  #admit(now: number): void {
+  #enqueue(now: number): void {
     const { steering, queue } = this.#services;
     const request = this.#placementRequest();
     steering.admitted(request);
-    const refusal = steering.admit(request, now);
+    const refusal = steering.checkRoom(request, now);
     if (refusal === undefined) {
       queue.add(this, now);
     } else {
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -214,7 +214,7 @@
       roundTripTo: () => 1,
       takeRetry: () => true,
       mayTryAgain: () => false,
-      admit: noop,
+      checkRoom: noop,
       place: () => this.#decide(),
     } as unknown as Steering;
   }
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -85,7 +85,7 @@
    * Refuses a new request if the service has no room for it; call it once for each
    * request, before it is placed.
    */
-  admit(
+  checkRoom(
     request: PlacementRequest,
     now: number,
   ): PlacementRefused | undefined {
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -225,11 +225,7 @@
    * Takes one retry from the service's retry budget; false if too little is left for
    * a request of this priority, or it can't succeed.
    */
-  takeRetry(
-    service: ServiceId,
-    now: number,
-    retry: RetryRequest = { priority: 0, objectiveAt: Infinity },
-  ): boolean {
+  takeRetry(service: ServiceId, now: number, retry: RetryRequest): boolean {
     return this.#retries.take(service, now, retry);
   }
 
@@ -247,8 +243,11 @@
    * Refuses a new request if the service has no room for it; call it once for each
    * request, before {@link place}.
    */
-  admit(request: PlacementRequest, now: number): PlacementRefused | undefined {
-    return this.#admission.admit(request, now);
+  checkRoom(
+    request: PlacementRequest,
+    now: number,
+  ): PlacementRefused | undefined {
+    return this.#admission.checkRoom(request, now);
   }
 
   /**
