Do not report to owners which requests targets refused

The share was sent with each report and read by nobody. A target that refuses is short of room for all of its objects; homes that moved away for it would run uncached elsewhere and take more. Each VM weighs refusals when it places a request, as before.

--- a/packages/daemon/src/gateway/homes/home_codec.ts
+++ b/packages/daemon/src/gateway/homes/home_codec.ts
@@ -270,7 +270,6 @@
     observation.pace === undefined ? [] : [observation.pace],
     (pace) => writer.amount(pace, PER_UNIT),
   );
-  writer.amount(observation.refusedShare, PER_UNIT);
   writer.amount(observation.requests);
 }
 
@@ -278,7 +277,6 @@
   return {
     target: reader.hash(),
     pace: reader.list(() => reader.amount(PER_UNIT))[0],
-    refusedShare: reader.share(PER_UNIT),
     requests: reader.amount(),
   };
 }
--- a/packages/daemon/src/gateway/homes/home_codec_test.ts
+++ b/packages/daemon/src/gateway/homes/home_codec_test.ts
@@ -76,7 +76,6 @@
         fc.record({
           target: hash,
           pace: fc.option(load, { nil: undefined }),
-          refusedShare: share,
           requests: count,
         }),
         many,
--- a/packages/daemon/src/gateway/homes/home_split_test.ts
+++ b/packages/daemon/src/gateway/homes/home_split_test.ts
@@ -61,7 +61,6 @@
     source.recordResponse(SERVICE, {
       target,
       pace: 1 + at / 1_000,
-      isRefusal: at % 7 === 0,
     })
   );
 }
--- a/packages/placement/src/homes/demand_log.ts
+++ b/packages/placement/src/homes/demand_log.ts
@@ -24,7 +24,6 @@
 
 interface ResponseCount {
   responses: number;
-  refusals: number;
   paced: number;
   pace: number;
 }
@@ -34,7 +33,6 @@
   readonly target: number;
   /** Undefined if the target doesn't state it. */
   readonly pace: number | undefined;
-  readonly isRefusal: boolean;
 }
 
 /** The parts of a report that are counted here. */
@@ -69,14 +67,13 @@
   }
 
   /** Counts a target's response. */
-  recordResponse({ target, pace, isRefusal }: ObservedResponse): void {
+  recordResponse({ target, pace }: ObservedResponse): void {
     let counted = this.#targets.get(target);
     if (counted === undefined) {
-      counted = { responses: 0, refusals: 0, paced: 0, pace: 0 };
+      counted = { responses: 0, paced: 0, pace: 0 };
       this.#targets.set(target, counted);
     }
     counted.responses += 1;
-    counted.refusals += isRefusal ? 1 : 0;
     if (pace !== undefined) {
       counted.paced += 1;
       counted.pace += pace;
@@ -132,12 +129,11 @@
 
 function observation(
   target: number,
-  { responses, refusals, paced, pace }: ResponseCount,
+  { responses, paced, pace }: ResponseCount,
 ): TargetObservation {
   return {
     target,
     pace: paced === 0 ? undefined : toHundredths(pace / paced),
-    refusedShare: toHundredths(refusals / responses),
     requests: responses,
   };
 }
--- a/packages/placement/src/homes/home_source.ts
+++ b/packages/placement/src/homes/home_source.ts
@@ -39,7 +39,6 @@
     response: {
       readonly target: number;
       readonly pace: number | undefined;
-      readonly isRefusal: boolean;
     },
   ): void;
   /** Records that a request was refused for lack of room. */
--- a/packages/placement/src/homes/home_table_test.ts
+++ b/packages/placement/src/homes/home_table_test.ts
@@ -126,7 +126,6 @@
     table.targets.observe(slow.map(({ hash }) => ({
       target: hash,
       pace: 2.5,
-      refusedShare: 0,
       requests: 6,
     })));
     play(1, demands);
--- a/packages/placement/src/homes/messages.ts
+++ b/packages/placement/src/homes/messages.ts
@@ -52,9 +52,7 @@
   readonly target: number;
   /** Mean time that work takes there, as a multiple of the usual time; undefined if the target doesn't state it. */
   readonly pace: number | undefined;
-  /** Share of the requests that it refused to run, 0 to 1. */
-  readonly refusedShare: number;
-  /** Requests that the share was computed from. */
+  /** Requests that it responded to. */
   readonly requests: number;
 }
 
--- a/packages/placement/src/homes/split_messages.ts
+++ b/packages/placement/src/homes/split_messages.ts
@@ -59,7 +59,7 @@
   { objects, priorities, targets }: CountedDemand,
 ): number {
   const numbers = 2 * objects.length + 4 * priorities.length +
-    3 * targets.length;
+    2 * targets.length;
   const homes = objects.reduce((sum, demand) => sum + bytesOfHomes(demand), 0);
   const observed = (HASH_BYTES + LENGTH_BYTES) * targets.length;
   return homes + observed + NUMBER_BYTES * numbers;
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -141,7 +141,6 @@
     this.#options.homes?.recordResponse(target.service, {
       target: target.hash,
       pace: report?.pace,
-      isRefusal: result.isRefusal ?? false,
     });
     if (failed) {
       return;
