--- a/packages/bench/src/fleet/emulated_homes.ts
+++ b/packages/bench/src/fleet/emulated_homes.ts
@@ -51,6 +51,8 @@
       newTerm: () => `${vm}-${startedAt}-${this.#terms++}` as OwnerTerm,
       onOutgoing: () => this.#flushSoon(),
       onHomes: (service) => this.#placeSoon(service),
+      onLoads: (_service, loads) =>
+        this.#path?.steering.recordPeerLoads(loads, options.loop.now),
       onOwnership: (service, isOwner) => {
         if (isOwner) {
           this.owned.add(service);
@@ -66,6 +68,11 @@
     return this.#agent.source;
   }
 
+  /** Hashes of the targets that are homes of objects in use. */
+  targets(): ReadonlySet<number> {
+    return this.#agent.homes();
+  }
+
   /** Starts to place waiting requests of the VM's request path. */
   start(path: RequestPath): void {
     this.#path = path;
--- a/packages/daemon/src/gateway/homes/home_exchange_test.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange_test.ts
@@ -69,6 +69,12 @@
       metrics: new HomeMetrics(this.registry),
       createAgent: (options) => new HomeCoordinator(options),
       homesKnown: () => undefined,
+      loadsReported: () => undefined,
+      connections: {
+        targetOf: () => undefined,
+        idleMs: () => undefined,
+        refresh: () => undefined,
+      },
       createSocket: () => this.#socket(),
     });
   }
--- a/packages/placement/src/homes/demand_log.ts
+++ b/packages/placement/src/homes/demand_log.ts
@@ -33,6 +33,8 @@
   readonly target: number;
   /** Undefined if the target doesn't state it. */
   readonly pace: number | undefined;
+  /** Requests that run or wait there; undefined if the target doesn't state them. */
+  readonly requests?: number | undefined;
 }
 
 /** The parts of a report that are counted here. */
--- a/packages/placement/src/homes/home_agent.ts
+++ b/packages/placement/src/homes/home_agent.ts
@@ -10,6 +10,7 @@
 import type { HomeSource } from "./home_source.ts";
 import type {
   HomeMessage,
+  ObservedLoad,
   OwnerTerm,
   PriorityDemand,
   RoomShare,
@@ -83,6 +84,8 @@
   onOutgoing(): void;
   /** Called when homes that requests wait for have become known, or are not going to be. */
   onHomes(service: ServiceId): void;
+  /** Called with the loads of targets that VMs of the region have just observed. */
+  onLoads?(service: ServiceId, loads: readonly ObservedLoad[]): void;
   /** Called when this VM becomes the owner of a service in its region, or stops being it. */
   onOwnership(service: ServiceId, isOwner: boolean): void;
 }
@@ -108,6 +111,8 @@
   tick(now: number): void;
   /** Removes and returns the messages to send. */
   takeOutgoing(now: number): readonly OutgoingHomeMessage[];
+  /** Hashes of all targets that are homes of objects in use in this VM's region. */
+  homes(): ReadonlySet<number>;
   /** What the owner last said of the service's room; empty if it has room for all. */
   roomOf(service: ServiceId, now: number): readonly RoomShare[];
 }
--- a/packages/placement/src/homes/home_directory.ts
+++ b/packages/placement/src/homes/home_directory.ts
@@ -16,6 +16,7 @@
 import { MAX_HOMES } from "./home_record.ts";
 import { HomeReports } from "./home_reports.ts";
 import type { HomeRequest, HomesLookup } from "./home_source.ts";
+import { type KnownObject, newKnownObject } from "./known_object.ts";
 import type {
   DemandReport,
   HomeMessage,
@@ -43,25 +44,6 @@
 
 const UNASSIGNED: HomesLookup = { kind: "unassigned" };
 
-/** What the VM knows of one object. */
-interface KnownObject {
-  /** As the owner named them. */
-  homes: readonly number[];
-  /** The lookup result for the targets of the given generation. */
-  lookup: HomesLookup | undefined;
-  generation: number;
-  /** Time of the last request; 0 if no caller asked this VM for the object. */
-  workMs: number;
-  addedAt: number;
-  usedAt: number;
-  /** Until when the object has no homes, as the owner said. */
-  noHomesUntil: number;
-  /** The query that waits for an answer. */
-  pending: (HomesLookup & { readonly kind: "pending" }) | undefined;
-  queriedAt: number;
-  extendedAt: number;
-}
-
 /** Options of a {@link HomeDirectory}. */
 export interface HomeDirectoryOptions {
   /** Answers at once if this VM is the owner; undefined if it isn't. */
@@ -117,6 +99,15 @@
     this.#generation += 1;
   }
 
+  /** Adds the hashes of all targets that are homes of known objects. */
+  addHomesTo(homes: Set<number>): void {
+    for (const known of this.#objects.values()) {
+      const lookup = this.#lookupOf(known);
+      lookup?.kind === "assigned" &&
+        lookup.targets.forEach((target) => homes.add(target));
+    }
+  }
+
   /** Follows the VM that owns the service in this region; undefined if there is none. */
   follow(owner: VmId | undefined): void {
     const followed = followOwner(this.#followed, owner);
@@ -253,18 +244,7 @@
     if (!this.#objects.makeRoom().hasRoom) {
       return undefined;
     }
-    const known: KnownObject = {
-      homes: [],
-      lookup: undefined,
-      generation: -1,
-      workMs: 0,
-      addedAt: now,
-      usedAt: now,
-      noHomesUntil: -Infinity,
-      pending: undefined,
-      queriedAt: -Infinity,
-      extendedAt: -Infinity,
-    };
+    const known = newKnownObject(now);
     this.#objects.add(object, known);
     return known;
   }
--- a/packages/placement/src/homes/home_source.ts
+++ b/packages/placement/src/homes/home_source.ts
@@ -39,6 +39,8 @@
     response: {
       readonly target: number;
       readonly pace: number | undefined;
+      /** Requests that run or wait there; undefined if it doesn't state them. */
+      readonly requests?: number | undefined;
     },
   ): void;
   /** Records that a request was refused for lack of room. */
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -47,6 +47,7 @@
   HomeQuery,
   ObjectDemand,
   ObjectHomes,
+  ObservedLoad,
   OwnerTerm,
   PriorityDemand,
   RoomShare,
--- a/packages/placement/src/request_homes_test.ts
+++ b/packages/placement/src/request_homes_test.ts
@@ -89,6 +89,19 @@
   }
 }
 
+/** A target runs a request for the object, and has it cached from then on. */
+function warm(name: string): void {
+  steering.sent(name as TargetId, 0);
+  steering.ended(name as TargetId, {
+    kind: "answered",
+    failed: false,
+    object: hashText(OBJECT),
+    load: undefined,
+    requestKind: "view",
+    warmth: "warm",
+  }, { now: 10, writtenAt: 0 });
+}
+
 test("a request goes to the preferred home, whichever target that is", () => {
   for (const { id } of TARGETS) {
     assign(id, SECOND);
@@ -105,27 +118,28 @@
 
 test("a home that has the object cached comes before the preferred one that hasn't", () => {
   assign(HOME, SECOND);
-  steering.sent(SECOND as TargetId, 0);
-  steering.ended(SECOND as TargetId, {
-    kind: "answered",
-    failed: false,
-    object: hashText(OBJECT),
-    load: undefined,
-    requestKind: "view",
-    warmth: "warm",
-  }, { now: 10, writtenAt: 0 });
+  warm(SECOND);
   expect(outcome(place({}, 10))).toEqual([SECOND, "second-home"]);
 });
 
 test("a request goes elsewhere while all homes are busy, and another home is asked for", () => {
   assign(HOME, SECOND);
+  [HOME, SECOND].forEach(warm);
   [HOME, SECOND].forEach(fill);
-  const [target, via] = outcome(place());
+  const [target, via] = outcome(place({}, 10));
   expect(via).toBe("other");
   expect([HOME, SECOND]).not.toContain(target);
   expect(source.requestedMore).toBe(1);
 });
 
+test("another home is not asked for while one of them still has to be warmed", () => {
+  assign(HOME, SECOND);
+  warm(HOME);
+  [HOME, SECOND].forEach(fill);
+  expect(outcome(place({}, 10))[1]).toBe("other");
+  expect(source.requestedMore).toBe(0);
+});
+
 test("a home that was tried is not used, and another one is not asked for because of it", () => {
   assign(HOME);
   const tried = new Set([HOME as TargetId]);
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -141,6 +141,7 @@
     this.#options.homes?.recordResponse(target.service, {
       target: target.hash,
       pace: report?.pace,
+      requests: result.load && result.load.running + result.load.waiting,
     });
     if (failed) {
       return;
