--- a/packages/placement/src/request_homes_test.ts
+++ b/packages/placement/src/request_homes_test.ts
@@ -89,8 +89,8 @@
   }
 }
 
-/** A target runs a request for the object, and has it cached from then on. */
-function warm(name: string): void {
+/** A target has just handled a request for the object. */
+function warm(name: string, now: number): void {
   steering.sent(name as TargetId, 0);
   steering.ended(name as TargetId, {
     kind: "answered",
@@ -99,7 +99,7 @@
     load: undefined,
     requestKind: "view",
     warmth: "warm",
-  }, { now: 10, writtenAt: 0 });
+  }, { now, writtenAt: 0 });
 }
 
 test("a request goes to the preferred home, whichever target that is", () => {
@@ -118,13 +118,13 @@
 
 test("a home that has the object cached comes before the preferred one that hasn't", () => {
   assign(HOME, SECOND);
-  warm(SECOND);
+  warm(SECOND, 10);
   expect(outcome(place({}, 10))).toEqual([SECOND, "second-home"]);
 });
 
 test("a request goes elsewhere while all homes are busy, and another home is asked for", () => {
   assign(HOME, SECOND);
-  [HOME, SECOND].forEach(warm);
+  [HOME, SECOND].forEach((name) => warm(name, 10));
   [HOME, SECOND].forEach(fill);
   const [target, via] = outcome(place({}, 10));
   expect(via).toBe("other");
@@ -132,9 +132,9 @@
   expect(source.requestedMore).toBe(1);
 });
 
-test("another home is not asked for while one of them still has to be warmed", () => {
+test("no further home is asked for while one is still to be warmed", () => {
   assign(HOME, SECOND);
-  warm(HOME);
+  warm(HOME, 10);
   [HOME, SECOND].forEach(fill);
   expect(outcome(place({}, 10))[1]).toBe("other");
   expect(source.requestedMore).toBe(0);
