Keep connections open only where requests have no time to connect

Change: by route, twice the round trip and the time on a warm target are compared with four fifths of the latency objective.

--- a/packages/bench/src/fleet/emulated_vm.ts
+++ b/packages/bench/src/fleet/emulated_vm.ts
@@ -61,6 +61,7 @@
   readonly region: RegionId;
   readonly zones: ReadonlyMap<ZoneId, RegionId>;
   readonly services: ReadonlyMap<ServiceId, Service>;
+  readonly routes: readonly Route[];
   /** Undefined if no service has homes by load. */
   readonly homes: EmulatedHomes | undefined;
 }
@@ -99,6 +100,7 @@
       attemptEnded: () => undefined,
     });
     this.path.targets.setServices(options.services);
+    this.path.setRoutes(options.routes);
     this.homes?.start(this.path);
     if (this.homes !== undefined) {
       this.#keepConnections(this.homes, connections);
@@ -188,7 +190,7 @@
   ): void {
     const upkeep = new ConnectionUpkeep({
       homes: () => homes.targets(),
-      targetOf: (hash) => this.path.connectionTarget(hash, 1),
+      targetOf: (hash) => this.path.keptConnection(hash, 1),
       idleMs: (target, now) => connections.idleMs(target, now),
       refresh: (target) => connections.refresh(target),
     });
--- a/packages/bench/src/fleet/world.ts
+++ b/packages/bench/src/fleet/world.ts
@@ -239,6 +239,7 @@
       region,
       zones: this.#regions,
       services: this.#services,
+      routes: [...this.routes.values()],
       loop: this.loop,
       homes,
       steering: this.#createSteering({
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -139,7 +139,7 @@
       homesKnown: (service, now) => this.#requestPath.homesKnown(service, now),
       connections: {
         targetOf: (hash) =>
-          this.#requestPath.connectionTarget(
+          this.#requestPath.keptConnection(
             hash,
             vms.fleetSize(performance.now()),
           ),
--- a/packages/daemon/src/gateway/homes/connection_upkeep.ts
+++ b/packages/daemon/src/gateway/homes/connection_upkeep.ts
@@ -15,8 +15,6 @@
 export const UPKEEP_TICK_MS = 200;
 /** Interval at which the homes are read again. */
 const HOMES_INTERVAL_MS = 1_000;
-/** Connections to nearer targets are established in less time than a request varies by. */
-const MIN_ROUND_TRIP_MS = 20;
 /** Idle time after which a connection is used: below the idle timeout of connections. */
 const MAX_IDLE_MS = 5_000;
 /** Time until a refresh that got no response is repeated. */
@@ -85,12 +83,7 @@
 
   #readHomes(): void {
     const { homes, targetOf } = this.#options;
-    this.#targets = [...homes()].flatMap((hash) => {
-      const target = targetOf(hash);
-      return target !== undefined && target.roundTripMs >= MIN_ROUND_TRIP_MS
-        ? [target]
-        : [];
-    });
+    this.#targets = [...homes()].flatMap((hash) => targetOf(hash) ?? []);
     const kept = new Set(this.#targets.map(({ id }) => id));
     for (const id of this.#refreshedAt.keys()) {
       if (!kept.has(id)) {
--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -100,6 +100,7 @@
     callerListener.send({ kind: "configuration", configuration });
     accounts.configurationApplied();
     path.targets.setServices(configuration.services);
+    path.setRoutes(configuration.routes);
     log.write("configuration in force", { revision: configuration.version });
   }
 }
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -8,6 +8,7 @@
 import type { RegionId, ServiceId, TargetId, ZoneId } from "@poplarthread/ids";
 import type { Steering } from "@poplarthread/placement";
 import { DeadlineWheel } from "../http/deadline_wheel.ts";
+import type { Route } from "./configuration.ts";
 import type { ConnectionSource, ConnectionTarget } from "./connections.ts";
 import { CrashSuspects, type SuspectedCrash } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
@@ -16,6 +17,7 @@
   type GatewayExchangeOptions,
   type GatewayExchangeServices,
 } from "./exchange.ts";
+import { ConnectTimes } from "./homes/connect_times.ts";
 import { HomeTargetWatch } from "./homes/home_target_watch.ts";
 import type { HomeTargets } from "./homes/home_targets.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
@@ -67,6 +69,9 @@
   readonly #wheel = new DeadlineWheel(performance.now());
   readonly #queue: RequestQueue;
   readonly #homeTargets: HomeTargetWatch;
+  readonly #connectTimes = new ConnectTimes((kind) =>
+    this.steering.warmMs(kind)
+  );
   #evacuatedZones: ReadonlySet<ZoneId> = new Set();
 
   constructor(options: RequestPathOptions) {
@@ -161,21 +166,29 @@
   }
 
   /**
-   * Where to connect to the target whose id has this hash; undefined if it is not
-   * known, or if it does not accept a connection from each of `vms` several times.
+   * Where to keep a connection open to the target whose id has this hash; undefined
+   * if requests have time to connect, or if it does not accept several connections
+   * from each of `vms`.
    */
-  connectionTarget(hash: number, vms: number): ConnectionTarget | undefined {
+  keptConnection(hash: number, vms: number): ConnectionTarget | undefined {
     const id = this.steering.targetWithHash(hash);
     const target = id && this.targets.get(id);
     const service = id && this.targets.serviceOf(id);
-    return target === undefined || service === undefined ||
-        vms > service.maxConnections * MAX_IDLE_CONNECTIONS_SHARE
-      ? undefined
-      : {
-        id: target.id,
-        address: target.address,
-        roundTripMs: this.steering.roundTripTo(target.id),
-      };
+    if (
+      target === undefined || service === undefined ||
+      vms > service.maxConnections * MAX_IDLE_CONNECTIONS_SHARE
+    ) {
+      return undefined;
+    }
+    const roundTripMs = this.steering.roundTripTo(target.id);
+    return this.#connectTimes.exceedsObjective(service.id, roundTripMs)
+      ? { id: target.id, address: target.address, roundTripMs }
+      : undefined;
+  }
+
+  /** Sets the routes of a configuration that came into force. */
+  setRoutes(routes: readonly Route[]): void {
+    this.#connectTimes.setRoutes(routes);
   }
 
   /** Applies a target's limit that a peer reported. */
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -199,6 +199,11 @@
     return this.#known.entries.idOf(hash);
   }
 
+  /** Time in milliseconds that a request of this kind takes on a warm target. */
+  warmMs(kind: string): number {
+    return this.#known.kindTimes.warmMs(kind);
+  }
+
   /** Round trip to a target in milliseconds, or 0 for an unknown target. */
   roundTripTo(id: TargetId): number {
     const entry = this.#known.entries.get(id);
