--- a/packages/daemon/src/gateway/homes/home_codec.ts
+++ b/packages/daemon/src/gateway/homes/home_codec.ts
@@ -306,7 +306,6 @@
 ): void {
   writer.hash(observation.target);
   writePace(writer, observation.pace);
-  writer.amount(observation.refusedShare, PER_UNIT);
   writer.amount(observation.requests);
 }
 
@@ -314,7 +313,6 @@
   return {
     target: reader.hash(),
     pace: readPace(reader),
-    refusedShare: reader.share(PER_UNIT),
     requests: reader.amount(),
   };
 }
--- a/packages/placement/src/homes/home_source.ts
+++ b/packages/placement/src/homes/home_source.ts
@@ -39,7 +39,6 @@
     response: {
       readonly target: number;
       readonly pace: number | undefined;
-      readonly isRefusal: boolean;
       /** Requests that run or wait there; undefined if it doesn't state them. */
       readonly requests?: number | undefined;
     },
