--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -103,6 +103,11 @@
   open: { type: "number", meaning: "requests without a final response" },
   lines: { type: "number", meaning: "number of log lines left out" },
   targets: { type: "number", meaning: "number of targets" },
+  cause: {
+    type: "text",
+    meaning:
+      "why a service without room for all refused the request: share (of its priority), account (far above its usual share), late, early-return",
+  },
   placement: {
     type: "text",
     meaning:
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -295,6 +295,7 @@
       "targetMs",
       "targetEnd",
       "placement",
+      "cause",
       "running",
       "waiting",
     ],
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -13,6 +13,7 @@
 import type { Socket } from "node:net";
 import type { AccountId, ServiceId, TargetId } from "@poplarthread/ids";
 import {
+  type GateCause,
   hashText,
   type LoadReport,
   type PlacedVia,
@@ -99,6 +100,8 @@
   readonly priority: number;
   /** Hash of the object that the request concerns; undefined if the route has no affinity. */
   readonly object: number | undefined;
+  /** Why it was refused on arrival for lack of room; undefined if it was not. */
+  refusalCause: GateCause | undefined;
   readonly #services: GatewayExchangeServices;
   readonly #options: GatewayExchangeOptions;
   readonly #req: IncomingMessage;
@@ -353,6 +356,7 @@
     if (refusal === undefined) {
       queue.add(this, now);
     } else {
+      this.refusalCause = refusal.cause;
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
     }
   }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -150,6 +150,7 @@
         this.#requestPath.steering.recordPeerLoads(loads, now),
     });
     this.#requestPath = this.#createRequestPath(settings);
+    this.#metrics.room.follow(this.#requestPath.steering.room);
     this.#probes = new TargetProbes({
       connections: this.#connections,
       dialect: this.#dialect,
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -6,6 +6,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { HomeMetrics } from "./homes/home_metrics.ts";
+import { RoomMetrics } from "./room_metrics.ts";
 
 /** Bounds of the histogram's buckets: the latency objectives of the deployments are between 0.2 and 0.5 s. */
 const LATENCY_BUCKETS_S = [
@@ -43,6 +44,8 @@
   readonly #registry = new Registry();
   /** Metrics of homes by load. */
   readonly homes = new HomeMetrics(this.#registry);
+  /** Metrics of services that have less room than is asked for. */
+  readonly room = new RoomMetrics(this.#registry);
   readonly #requests = this.#counter(
     "poplarthread_gateway_requests_total",
     "Callers' requests by how they ended",
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -57,6 +57,9 @@
       // The age of the data only helps to explain refused, failed or late requests.
       ...(isOnTime ? {} : { newsMs }),
       ...(isOnTime || exchange.account === undefined ? {} : { accountsMs }),
+      ...(exchange.refusalCause === undefined
+        ? {}
+        : { cause: exchange.refusalCause }),
       ...(exchange.retryAfterMs === undefined
         ? {}
         : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
