--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -58,6 +58,7 @@
   /** Number of requests without their final response. */
   readonly open?: number;
   /** How the last target was chosen with regard to the homes of the request's object. */
+  readonly cause?: string;
   readonly placement?: string;
   /** An owner of homes: its term, the VMs of its region, and what it has assigned. */
   readonly term?: string;
