homes: requests wait while their object's home is being warmed

Cause: until the first request for an object ends, each further one ran cold beside it and held a slot for three times as long. Change: a VM that learns the first homes of an object from the owner's broadcast knows that another VM has just asked for it; its own requests wait until the home is warm, at most for the time of a cold run and an update.

--- a/packages/placement/src/homes/home_directory.ts
+++ b/packages/placement/src/homes/home_directory.ts
@@ -51,6 +51,8 @@
   /** The query that waits for an answer. */
   pending: (HomesLookup & { readonly kind: "pending" }) | undefined;
   queriedAt: number;
+  /** When the owner named its first homes because another VM had asked for them. */
+  askedElsewhereAt: number | undefined;
   extendedAt: number;
 }
 
@@ -168,7 +170,9 @@
       this.#startFullReports();
     }
     if (isApplied) {
-      this.#apply(update.homes, now);
+      // The first update of a term has objects that have long been in use.
+      const isRecent = sequence !== undefined && after > 0 && !isNewTerm;
+      this.#apply(update.homes, { now, isRecent });
       this.#room = update.room;
       this.#roomAt = now;
     }
@@ -230,6 +234,7 @@
       usedAt: now,
       pending: undefined,
       queriedAt: -Infinity,
+      askedElsewhereAt: undefined,
       extendedAt: -Infinity,
     };
     this.#objects.set(object, known);
@@ -247,16 +252,25 @@
       const targets = known.homes.filter((home) => this.#targets.has(home));
       known.generation = this.#generation;
       known.lookup = targets.length > 0
-        ? { kind: "assigned", targets }
+        ? {
+          kind: "assigned",
+          targets,
+          askedElsewhereAt: known.askedElsewhereAt,
+        }
         : undefined;
     }
     return known.lookup;
   }
 
-  #apply(homes: readonly ObjectHomes[], now: number): void {
+  #apply(
+    homes: readonly ObjectHomes[],
+    { now, isRecent }: { readonly now: number; readonly isRecent: boolean },
+  ): void {
     let isAwaited = false;
     for (const { object, targets } of homes) {
+      const isNew = !this.#objects.has(object);
       const known = this.#objects.get(object) ?? this.#add(object, now);
+      known.askedElsewhereAt = isNew && isRecent ? now : undefined;
       this.#setHomes(known, targets);
       known.usedAt = now;
       known.pending = undefined;
--- a/packages/placement/src/homes/home_source.ts
+++ b/packages/placement/src/homes/home_source.ts
@@ -20,8 +20,15 @@
   | { readonly kind: "unassigned" }
   /** The owner has been asked; its answer is due by `until`. */
   | { readonly kind: "pending"; readonly until: number }
-  /** Target hashes, the preferred home first. */
-  | { readonly kind: "assigned"; readonly targets: readonly number[] };
+  /**
+   * Target hashes, the preferred home first. `askedElsewhereAt` is when this VM learned
+   * that another one had just asked for the object, whose request then warms the home.
+   */
+  | {
+    readonly kind: "assigned";
+    readonly targets: readonly number[];
+    readonly askedElsewhereAt?: number | undefined;
+  };
 
 /** Source of homes; see the module comment. Times are milliseconds of the monotonic clock. */
 export interface HomeSource {
--- a/packages/placement/src/request_homes.ts
+++ b/packages/placement/src/request_homes.ts
@@ -30,6 +30,9 @@
  */
 const MAX_HOME_WAIT_SHARE = 0.5;
 
+/** Time in which other VMs learn that a target has become warm. */
+const WARM_UPDATE_MS = 300;
+
 /** Looks up homes of objects; none are assigned without a source. */
 export class RequestHomes {
   readonly #known: TargetKnowledge;
@@ -58,6 +61,9 @@
     const homes = found.targets.flatMap((hash) => this.#entryOf(hash, request));
     const usable = homes
       .filter((entry) => this.#known.entries.isUsable(entry, request, now));
+    if (this.#isBeingWarmed(found.askedElsewhereAt, usable, { request, now })) {
+      return { kind: "pending" };
+    }
     if (this.#needsAnother(usable, request, now)) {
       this.#source!.requestAnother(wanted, now);
     }
@@ -97,6 +103,30 @@
     return entry?.target.service === service ? [entry] : [];
   }
 
+  /**
+   * Whether the first request for the object still runs at its home, as far as this
+   * VM knows. A request that ran beside it would take as long, and a slot besides.
+   */
+  #isBeingWarmed(
+    askedAt: number | undefined,
+    usable: readonly SteeredEntry[],
+    { request, now }: {
+      readonly request: PlacementRequest;
+      readonly now: number;
+    },
+  ): boolean {
+    if (askedAt === undefined || usable.length === 0) {
+      return false;
+    }
+    const { kindTimes, warmObjects } = this.#known;
+    const coldMs = kindTimes.warmMs(request.kind) +
+      kindTimes.savedMs(request.kind);
+    return now < askedAt + coldMs + WARM_UPDATE_MS &&
+      !usable.some(({ target }) =>
+        warmObjects.isWarm(request.object!, target.id, now)
+      );
+  }
+
   /**
    * Not after an attempt nor with a restriction to regions: then homes are unusable
    * for this request alone.
