--- a/packages/placement/src/homes/home_directory.ts
+++ b/packages/placement/src/homes/home_directory.ts
@@ -177,7 +177,9 @@
       this.#startFullReports();
     }
     if (isApplied) {
-      this.#apply(update.homes, now);
+      // The first update of a term has objects that have long been in use.
+      const isRecent = sequence !== undefined && after > 0 && !isNewTerm;
+      this.#apply(update.homes, { now, isRecent });
       this.#room = update.room;
       this.#roomAt = now;
     }
@@ -260,19 +262,28 @@
       const targets = known.homes.filter((home) => this.#targets.has(home));
       known.generation = this.#generation;
       known.lookup = targets.length > 0
-        ? { kind: "assigned", targets }
+        ? {
+          kind: "assigned",
+          targets,
+          askedElsewhereAt: known.askedElsewhereAt,
+        }
         : undefined;
     }
     return known.lookup;
   }
 
-  #apply(homes: readonly ObjectHomes[], now: number): void {
+  #apply(
+    homes: readonly ObjectHomes[],
+    { now, isRecent }: { readonly now: number; readonly isRecent: boolean },
+  ): void {
     let isAwaited = false;
     for (const { object, targets } of homes) {
+      const isNew = this.#objects.get(object) === undefined;
       const known = this.#objects.get(object) ?? this.#add(object, now);
       if (known === undefined) {
         continue;
       }
+      known.askedElsewhereAt = isNew && isRecent ? now : undefined;
       this.#setHomes(known, targets);
       known.noHomesUntil = targets.length > 0
         ? -Infinity
--- a/packages/placement/src/homes/known_object.ts
+++ b/packages/placement/src/homes/known_object.ts
@@ -22,6 +22,8 @@
   /** The query that waits for an answer. */
   pending: (HomesLookup & { readonly kind: "pending" }) | undefined;
   queriedAt: number;
+  /** When the owner named its first homes because another VM had asked for them. */
+  askedElsewhereAt: number | undefined;
   extendedAt: number;
 }
 
@@ -37,6 +39,7 @@
     noHomesUntil: -Infinity,
     pending: undefined,
     queriedAt: -Infinity,
+    askedElsewhereAt: undefined,
     extendedAt: -Infinity,
   };
 }
