Room: shares and return times of a past shortage don't outlive it

A VM adjusted its shares only with three reports, each adjustment by the same factor: after a quiet hour the first requests were still refused at a share of 0.1, and at two requests a second for 58 s, with idle targets. The calendar stood still while there was room, so that the next shortage began with a return time of 9.4 s instead of 0.6 s.

Shares end after five seconds without a report, increases follow the time passed, and the calendar's time passes also between shortages.

--- a/packages/placement/src/room/local_room.ts
+++ b/packages/placement/src/room/local_room.ts
@@ -36,6 +36,8 @@
 const SLACK_TTL_MS = 5_000;
 /** Reports from which their mean is meaningful. */
 const MIN_REPORTS = 3;
+/** Time without a report after which nothing is known of the queues. */
+const REPORT_TTL_MS = 5_000;
 /** Factors of one adjustment. */
 const MAX_DECREASE = 0.5;
 const INCREASE = 1.3;
@@ -56,9 +58,12 @@
   #admitted = 1;
   #queuedRuns = 0;
   #reports = 0;
+  #reportedAt = -Infinity;
   /** Slack of the most urgent priority in use. */
   #slack = { priority: Infinity, runs: DEFAULT_SLACK_RUNS, at: -Infinity };
   #adjustedAt: number | undefined;
+  /** When the queues were last judged. */
+  #judgedAt = -Infinity;
   #shares: readonly RoomShare[] = [];
 
   /** Records the arrival of a request. */
@@ -80,7 +85,8 @@
   }
 
   /** Records a target's report of its load. */
-  reported({ waiting, slots }: LoadReport): void {
+  reported({ waiting, slots }: LoadReport, now: number): void {
+    this.#reportedAt = now;
     this.#queuedRuns += waiting / Math.max(1, slots);
     this.#reports += 1;
   }
@@ -91,29 +97,40 @@
     const spanMs = now - this.#adjustedAt;
     if (spanMs >= ADJUST_MS) {
       this.#adjustedAt = now;
-      this.#adjust();
+      this.#adjust(now);
       this.#shares = this.#plan(spanMs, now);
     }
     return this.#shares;
   }
 
-  #adjust(): void {
+  #adjust(now: number): void {
+    if (now - this.#reportedAt > REPORT_TTL_MS) {
+      this.#admitted = 1;
+      this.#clearReports();
+    }
     if (this.#reports < MIN_REPORTS) {
       return;
     }
     const queuedRuns = this.#queuedRuns / this.#reports;
     const slackRuns = Math.max(MIN_SLACK_RUNS, this.#slack.runs);
-    this.#queuedRuns = 0;
-    this.#reports = 0;
+    const steps = Math.max(1, Math.floor((now - this.#judgedAt) / ADJUST_MS));
+    this.#judgedAt = now;
+    this.#clearReports();
     if (queuedRuns > MAX_QUEUED_SLACK * slackRuns) {
       const factor = MAX_QUEUED_SLACK * slackRuns / queuedRuns;
       this.#admitted *= Math.max(MAX_DECREASE, factor);
       this.#admitted = Math.max(MIN_SHARE, this.#admitted);
     } else if (queuedRuns < FEW_QUEUED_SLACK * slackRuns) {
-      this.#admitted = Math.min(1, this.#admitted * INCREASE);
+      // A VM with few requests gets reports for an adjustment less often.
+      this.#admitted = Math.min(1, this.#admitted * INCREASE ** steps);
     }
   }
 
+  #clearReports(): void {
+    this.#queuedRuns = 0;
+    this.#reports = 0;
+  }
+
   #plan(spanMs: number, now: number): readonly RoomShare[] {
     const offers = [...this.#priorities].map(([priority, counts]) => {
       const perSecond = counts.arrived.sum(now) * 1_000 / WINDOW_MS;
@@ -121,6 +138,7 @@
       counts.refused = 0;
       return { priority, perSecond, refusedPerSecond, workMs: 1_000 };
     });
+    this.#returns.advance(spanMs);
     if (this.#admitted === 1) {
       return [];
     }
--- a/packages/placement/src/room/room_shares.ts
+++ b/packages/placement/src/room/room_shares.ts
@@ -122,6 +122,7 @@
    * the time since the last plan, which the room was measured in.
    */
   plan(room: ServiceRoom, spanMs: number): readonly RoomShare[] {
+    this.#returns.advance(spanMs);
     if (!this.#updateShortage(room)) {
       return [];
     }
@@ -141,15 +142,19 @@
 /** Plans when refused requests of one service find room. */
 export class ReturnPlanner {
   readonly #calendars = new Map<number, ReturnCalendar>();
-  /** Time covered by the plans so far, in milliseconds. */
+  /** Time that has passed, in milliseconds. */
   #now = 0;
 
-  /** The shares with return times; `spanMs` is the time since the last plan. */
+  /** Lets time pass, also while there is room for all. */
+  advance(spanMs: number): void {
+    this.#now += spanMs;
+  }
+
+  /** The shares with return times; `spanMs` is the time that refusals were counted in. */
   plan(
     divided: readonly DividedRoom[],
     spanMs: number,
   ): readonly RoomShare[] {
-    this.#now += spanMs;
     return divided.map((one) => this.#share(one, spanMs));
   }
 
--- a/packages/placement/src/room/room_shares_test.ts
+++ b/packages/placement/src/room/room_shares_test.ts
@@ -99,6 +99,24 @@
   expect(changes).toEqual(changes.map(() => true));
 });
 
+test("promises of an earlier shortage don't delay returns in the next one", () => {
+  // If the calendar stood still between shortages, it would be full at the start.
+  const planner = new RoomPlanner();
+  const plan = (perSecond: number, refusedPerSecond: number) =>
+    planner.plan({
+      offers: [{ priority: 0, perSecond, refusedPerSecond, workMs: 1_000 }],
+      capacitySlots: 10,
+    }, 1_000)[0]?.returnMs;
+  const first = plan(12, 0);
+  for (let second = 0; second < 10; second++) {
+    plan(40, 30);
+  }
+  for (let second = 0; second < 20; second++) {
+    plan(1, 0);
+  }
+  expect(plan(12, 0)).toBe(first);
+});
+
 test("refused callers return spread over the room that they are promised", () => {
   // If all refused callers were told the same time, they would come back together,
   // and most of them would be refused again.
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -178,7 +178,7 @@
   ): boolean {
     const room = this.#services.get(service);
     if (load !== undefined) {
-      room?.local.reported(load);
+      room?.local.reported(load, now);
     }
     room?.refusals.responded(id, isRefusal, now);
     return room !== undefined;
