--- a/packages/placement/src/room/room_test.ts
+++ b/packages/placement/src/room/room_test.ts
@@ -13,6 +13,7 @@
   type Played,
   type PlayedKind,
   shareOf,
+  TARGETS,
 } from "./testing_room.ts";
 
 const QUERY = { name: "query", priority: 0, runMs: 250, objectiveMs: 500 };
@@ -138,6 +139,28 @@
   expect(served).toBeGreaterThan(shareOf(postings, "in-time"));
 });
 
+test("while one target refuses all that it gets, the others serve its objects", () => {
+  // It answers at once and looks idle, so that it would get every request for its
+  // objects, and their retries would use up the budget.
+  const broken = new Set<string>();
+  const played = play({
+    untilMs: UNTIL,
+    refusedShare: (now, target) => {
+      if (now >= BURST_AT && broken.size === 0) {
+        broken.add(target);
+      }
+      return broken.has(target) ? 1 : 0;
+    },
+    kinds: [
+      kind(QUERY, { before: 0.25, during: 0.25 }),
+      kind(POSTING, { before: 0.2, during: 0.2 }),
+    ],
+  });
+  // The others have twice the room that is asked for.
+  expect(shareOf(during(played, "query"), "refused"))
+    .toBeLessThan(0.2 / TARGETS);
+});
+
 describe("callers that are refused", () => {
   const kinds = [
     kind(QUERY, { before: 0.3, during: 0.3 }),
--- a/packages/placement/src/room/testing_room.ts
+++ b/packages/placement/src/room/testing_room.ts
@@ -20,7 +20,8 @@
 const STEP_MS = 5;
 const PLAN_MS = 1_000;
 const VMS = 6;
-const TARGETS = 10;
+/** Number of targets. */
+export const TARGETS = 10;
 const SLOTS = 3;
 const TARGET_QUEUE = 9;
 const DEADLINE_MS = 4_000;
@@ -46,8 +47,8 @@
 export interface Play {
   readonly kinds: readonly PlayedKind[];
   readonly untilMs: number;
-  /** Share of its requests that each target refuses. */
-  refusedShare?(now: number): number;
+  /** Share of its requests that a target refuses. */
+  refusedShare?(now: number, target: TargetId): number;
   /** Whether callers send a refused request again, and when. */
   readonly returns?: "told" | "at-once";
 }
@@ -205,7 +206,7 @@
     vm.steering.sent(id, sentAt);
     vm.steering.written(id, sentAt);
     const queued = this.#queuedAt(id);
-    const refusedShare = this.#load.refusedShare?.(sentAt) ?? 0;
+    const refusedShare = this.#load.refusedShare?.(sentAt, id) ?? 0;
     const isRefused = queued.length >= TARGET_QUEUE ||
       this.#random() < refusedShare;
     if (isRefused) {
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -167,7 +167,10 @@
     return Math.max(1, Math.round(places * usableShare));
   }
 
-  /** Records a target's response; true if the service's refusals are not failures. */
+  /**
+   * Records a target's response; true if a refusal is not a failure of this target: it
+   * refuses no more than others do.
+   */
   responded(
     { id, service }: { readonly id: TargetId; readonly service: ServiceId },
     { isRefusal, load, now }: {
@@ -177,11 +180,14 @@
     },
   ): boolean {
     const room = this.#services.get(service);
+    if (room === undefined) {
+      return false;
+    }
     if (load !== undefined) {
-      room?.local.reported(load, now);
+      room.local.reported(load, now);
     }
-    room?.refusals.responded(id, isRefusal, now);
-    return room !== undefined;
+    room.refusals.responded(id, isRefusal, now);
+    return room.refusals.usableShare(id, now) === 1;
   }
 
   /**
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -167,15 +167,15 @@
       : { ...load, pace: undefined };
   }
 
-  /** A refusal for lack of room is no failure where room is shared. */
+  /** Where room is shared, a refusal is a failure only if other targets have room. */
   #recordHealth(
     { target, health }: SteeredEntry,
     { load, failed, isRefusal = false }: Answered,
     { now, writtenAt }: { readonly now: number; readonly writtenAt: number },
   ): void {
-    const isShared = this.#known.room
+    const isRoomShort = this.#known.room
       .responded(target, { isRefusal, load, now });
-    if (isShared && isRefusal) {
+    if (isRoomShort && isRefusal) {
       health.refused(writtenAt, now);
     } else {
       health.responded(writtenAt, { now, failed });
