Room: bounds for unknown priorities and early returns

A less urgent priority that the owner hadn't counted yet was admitted whole while more urgent ones were refused; it now gets the share of the next more urgent one. A caller that returned early could be told a later time than it waits.

--- a/packages/placement/src/room/room_gate.ts
+++ b/packages/placement/src/room/room_gate.ts
@@ -141,7 +141,7 @@
       kind: "refuse",
       cause,
       retryAfterMs: returned.kind === "early"
-        ? returned.dueAt - now
+        ? Math.round(Math.min(returned.dueAt - now, request.maxReturnMs))
         : this.#promise(request, share, now),
     };
   }
@@ -218,11 +218,21 @@
   }
 }
 
+/**
+ * The share of a priority. One that the owner hasn't counted yet gets that of the next
+ * more urgent one; undefined if there is room for all.
+ */
 function shareOf(
   shares: readonly RoomShare[],
   priority: number,
 ): RoomShare | undefined {
-  return shares.find((share) => share.priority === priority);
+  let nearest: RoomShare | undefined;
+  for (const share of shares) {
+    const isNearer = share.priority <= priority &&
+      share.priority >= (nearest?.priority ?? 0);
+    nearest = isNearer ? share : nearest;
+  }
+  return nearest && { ...nearest, priority };
 }
 
 /** Room that must have accrued for a request to be admitted. */
