Exchange: the same target again only after a refusal for lack of room

A target that said another one was meant, or that it is leaving, was cleared as well. Tests of this, and of the refund of a request refused on arrival.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -97,13 +97,13 @@
   switch (end.kind) {
     case "answered":
     case "not-run": {
-      const { load, status, isOtherTarget, isLeaving } = end.response;
+      const { load, status, isOtherTarget } = end.response;
       const failed = end.kind === "not-run" || status >= 500;
       steering.ended(target, {
         kind: "answered",
         load,
         failed,
-        isRefusal: end.kind === "not-run" && !isOtherTarget && !isLeaving,
+        isRefusal: end.kind === "not-run" && isRoomRefusal(end.response),
         object,
         requestKind,
         warmth,
@@ -132,6 +132,13 @@
   }
 }
 
+/** Whether a target that didn't run a request lacked room; another one may be meant, or it may be leaving. */
+export function isRoomRefusal(
+  { isOtherTarget, isLeaving }: TargetResponse,
+): boolean {
+  return !isOtherTarget && !isLeaving;
+}
+
 /** Handles what a response reports about its target besides load: limit, leaving and back-off. */
 function handleNotices(
   services: AttemptReportServices,
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -24,7 +24,11 @@
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
 import type { AdmissionRefusal, AdmittedCaller } from "./accounts/admission.ts";
 import { AttemptRecord } from "./attempt_record.ts";
-import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
+import {
+  type AttemptReportServices,
+  isRoomRefusal,
+  reportAttempt,
+} from "./attempt_report.ts";
 import { CallerResponse, type EndsConnection } from "./caller_response.ts";
 import type { Route } from "./configuration.ts";
 import {
@@ -425,7 +429,7 @@
         return;
       case "not-run":
         this.#attempts.didNotRun();
-        this.#clearRefusal(now);
+        this.#clearRefusal(end.response, now);
         this.#retry(now);
         return;
       case "unreachable":
@@ -470,10 +474,13 @@
   }
 
   /** Allows the target that refused the request once more, where others would refuse it as well. */
-  #clearRefusal(now: number): void {
+  #clearRefusal(response: TargetResponse, now: number): void {
     const target = this.#lastAttempt?.target;
     const { steering } = this.#services;
-    if (target !== undefined && steering.mayTryAgain(this.service, now)) {
+    if (
+      target !== undefined && isRoomRefusal(response) &&
+      steering.mayTryAgain(this.service, now)
+    ) {
       this.#attempts.tried.delete(target);
     }
   }
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -13,6 +13,8 @@
 import type {
   PlacementDecision,
   PlacementDemand,
+  PlacementRefused,
+  PlacementRequest,
   Steering,
 } from "@poplarthread/placement";
 import {
@@ -40,6 +42,7 @@
 export interface FakeResponse {
   readonly status: number;
   readonly notRun?: boolean;
+  readonly isOtherTarget?: boolean;
   /** The response has neither a length nor chunks, and ends with its connection. */
   readonly isUnframed?: boolean;
 }
@@ -121,6 +124,12 @@
   decision: PlacementDecision["kind"] = "send";
   /** Why the caller is no longer admitted; undefined while it is. */
   refusal: AdmissionRefusal | undefined;
+  /** Why the request is refused on arrival; undefined if it isn't. */
+  roomRefusal: PlacementRefused | undefined;
+  /** Whether a target that refused the request may get it again. */
+  mayTryAgain = false;
+  /** Targets that must not receive the request, as of its latest placement. */
+  tried: ReadonlySet<TargetId> = new Set();
   /** Callback that ends the quota check; undefined until the check is requested. */
   onCounted: Parameters<AdmittedCaller["chargeQuota"]>[0] | undefined;
   /** How often the request was uncounted. */
@@ -213,9 +222,12 @@
       markUnreachable: noop,
       roundTripTo: () => 1,
       takeRetry: () => true,
-      mayTryAgain: () => false,
-      checkRoom: noop,
-      place: () => this.#decide(),
+      mayTryAgain: () => this.mayTryAgain,
+      checkRoom: () => this.roomRefusal,
+      place: ({ tried }: PlacementRequest) => {
+        this.tried = new Set(tried);
+        return this.#decide();
+      },
     } as unknown as Steering;
   }
 
@@ -327,7 +339,7 @@
       requestId: REQUEST_ID,
       isStamped: true,
       isNotRun: fake.notRun ?? false,
-      isOtherTarget: false,
+      isOtherTarget: fake.isOtherTarget ?? false,
       isLeaving: false,
       backOffMs: 0,
       limitPerSecond: undefined,
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -57,6 +57,35 @@
     expect(harness.ends).toEqual(["broken"]);
   });
 
+  // Its account would pay for a request that no target ever sees.
+  test("uncounts a request that is refused on arrival", () => {
+    const harness = new ExchangeHarness({ repeat: "at-most-once" });
+    harness.roomRefusal = {
+      kind: "refuse",
+      reason: "overload",
+      retryAfterMs: 100,
+    };
+    harness.start();
+    expect(harness.statuses).toEqual([503]);
+    expect(harness.attempts).toEqual([]);
+    expect(harness.uncounted).toBe(1);
+  });
+
+  // A target that is not the one meant would get the request again.
+  test.each([
+    { name: "lacked room", isOtherTarget: false, tried: 0 },
+    { name: "is another one", isOtherTarget: true, tried: 1 },
+  ])("excludes $tried targets after one that $name", (refusal) => {
+    const harness = new ExchangeHarness({ repeat: "at-most-once" });
+    harness.mayTryAgain = true;
+    harness.start();
+    harness.attempts[0]!.write();
+    const { isOtherTarget } = refusal;
+    harness.attempts[0]!.respond({ status: 503, notRun: true, isOtherTarget });
+    expect(harness.attempts.length).toBe(2);
+    expect(harness.tried.size).toBe(refusal.tried);
+  });
+
   // The code that places one request throws. Uncaught, the exception would end the
   // process, and every caller of the VM would lose its request.
   test("replies 502 and logs the error when its own code throws", () => {
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -86,6 +86,7 @@
   PlacementDecision,
   PlacementDemand,
   PlacementRefusal,
+  PlacementRefused,
   PlacementRequest,
   Warmth,
 } from "./placement.ts";
