Room: callers of a region without targets get room while all are short

A region's capacity was its own targets and what others leave unused: with its targets evacuated and the others at their capacity it was 0, and each of its requests was refused, urgent ones too. Each region now gets at least half of what all get on average; the others give in proportion to what they have above that.

--- a/packages/placement/src/room/room_shares.ts
+++ b/packages/placement/src/room/room_shares.ts
@@ -56,6 +56,12 @@
 /** Share of the admitted requests whose room is promised to returning ones. */
 const RETURN_ROOM_SHARE = 0.5;
 
+/**
+ * Part of what all regions get on average that each one gets: callers of a region
+ * without targets must not starve because all other regions are short as well.
+ */
+const GUARANTEED_PART = 0.5;
+
 /** A region's part in the use of a service. */
 export interface RegionUse {
   /** Capacity of its own targets. */
@@ -67,11 +73,42 @@
 /**
  * Capacity for the callers of region `own`: its own targets, and its part of what
  * the other regions leave unused. Regions that are short divide that in proportion
- * to what they lack.
+ * to what they lack. A region that would get far less than the others gets some of
+ * theirs.
  */
 export function regionCapacity(
   own: RegionUse,
   others: readonly RegionUse[],
+): number {
+  const all = [own, ...others];
+  const capacity = sumOf(all, ({ capacitySlots }) => capacitySlots);
+  const demand = sumOf(all, ({ demandSlots }) => demandSlots);
+  const guaranteedShare = GUARANTEED_PART * Math.min(1, capacity / demand);
+  const surplusOf = (one: RegionUse) => {
+    const rest = all.filter((other) => other !== one);
+    const usable = Math.min(one.demandSlots, localCapacity(one, rest));
+    return usable - guaranteedShare * one.demandSlots;
+  };
+  const missing = sumOf(all, (one) => Math.max(0, -surplusOf(one)));
+  if (demand === 0 || missing === 0) {
+    return localCapacity(own, others);
+  }
+  const surplus = sumOf(all, (one) => Math.max(0, surplusOf(one)));
+  const kept = Math.max(0, surplusOf(own)) * (1 - missing / surplus);
+  return guaranteedShare * own.demandSlots + kept;
+}
+
+function sumOf(
+  regions: readonly RegionUse[],
+  slots: (region: RegionUse) => number,
+): number {
+  return regions.reduce((sum, one) => sum + slots(one), 0);
+}
+
+/** Capacity by what each region has and leaves unused. */
+function localCapacity(
+  own: RegionUse,
+  others: readonly RegionUse[],
 ): number {
   const lacking = lackOf(own);
   if (lacking === 0) {
--- a/packages/placement/src/room/room_shares_test.ts
+++ b/packages/placement/src/room/room_shares_test.ts
@@ -81,6 +81,18 @@
   }));
 });
 
+test("callers of a region without targets get room while all regions are short", () => {
+  // All of them would be refused, urgent ones too, while other regions run requests
+  // that can wait.
+  const full = { capacitySlots: 10, demandSlots: 12 };
+  const evacuated = { capacitySlots: 0, demandSlots: 10 };
+  const given = regionCapacity(evacuated, [full, full]);
+  const mean = 20 / 34;
+  expect(given / evacuated.demandSlots).toBeGreaterThanOrEqual(
+    mean / 2 - ROUNDING,
+  );
+});
+
 test("a demand that varies around the capacity doesn't turn shares on and off", () => {
   // With one threshold, every other update would lift the shares, and callers would
   // be refused and admitted in turn.
