--- a/packages/placement/src/room/room_shares.ts
+++ b/packages/placement/src/room/room_shares.ts
@@ -56,6 +56,12 @@
 /** Share of the admitted requests whose room is promised to returning ones. */
 const RETURN_ROOM_SHARE = 0.5;
 
+/**
+ * Part of what all regions get on average that each one gets: callers of a region
+ * without targets must not starve because all other regions are short as well.
+ */
+const GUARANTEED_PART = 0.5;
+
 /** A region's part in the use of a service. */
 export interface RegionUse {
   /** Capacity of its own targets. */
@@ -67,11 +73,42 @@
 /**
  * Capacity for the callers of region `own`: its own targets, and its part of what
  * the other regions leave unused. Regions that are short divide that in proportion
- * to what they lack.
+ * to what they lack. A region that would get far less than the others gets some of
+ * theirs.
  */
 export function regionCapacity(
   own: RegionUse,
   others: readonly RegionUse[],
+): number {
+  const all = [own, ...others];
+  const capacity = sumOf(all, ({ capacitySlots }) => capacitySlots);
+  const demand = sumOf(all, ({ demandSlots }) => demandSlots);
+  const guaranteedShare = GUARANTEED_PART * Math.min(1, capacity / demand);
+  const surplusOf = (one: RegionUse) => {
+    const rest = all.filter((other) => other !== one);
+    const usable = Math.min(one.demandSlots, localCapacity(one, rest));
+    return usable - guaranteedShare * one.demandSlots;
+  };
+  const missing = sumOf(all, (one) => Math.max(0, -surplusOf(one)));
+  if (demand === 0 || missing === 0) {
+    return localCapacity(own, others);
+  }
+  const surplus = sumOf(all, (one) => Math.max(0, surplusOf(one)));
+  const kept = Math.max(0, surplusOf(own)) * (1 - missing / surplus);
+  return guaranteedShare * own.demandSlots + kept;
+}
+
+function sumOf(
+  regions: readonly RegionUse[],
+  slots: (region: RegionUse) => number,
+): number {
+  return regions.reduce((sum, one) => sum + slots(one), 0);
+}
+
+/** Capacity by what each region has and leaves unused. */
+function localCapacity(
+  own: RegionUse,
+  others: readonly RegionUse[],
 ): number {
   const lacking = lackOf(own);
   if (lacking === 0) {
@@ -122,6 +159,7 @@
    * the time since the last plan, which the room was measured in.
    */
   plan(room: ServiceRoom, spanMs: number): readonly RoomShare[] {
+    this.#returns.advance(spanMs);
     if (!this.#updateShortage(room)) {
       return [];
     }
@@ -141,15 +179,19 @@
 /** Plans when refused requests of one service find room. */
 export class ReturnPlanner {
   readonly #calendars = new Map<number, ReturnCalendar>();
-  /** Time covered by the plans so far, in milliseconds. */
+  /** Time that has passed, in milliseconds. */
   #now = 0;
 
-  /** The shares with return times; `spanMs` is the time since the last plan. */
+  /** Lets time pass, also while there is room for all. */
+  advance(spanMs: number): void {
+    this.#now += spanMs;
+  }
+
+  /** The shares with return times; `spanMs` is the time that refusals were counted in. */
   plan(
     divided: readonly DividedRoom[],
     spanMs: number,
   ): readonly RoomShare[] {
-    this.#now += spanMs;
     return divided.map((one) => this.#share(one, spanMs));
   }
 
--- a/packages/placement/src/room/room_shares_test.ts
+++ b/packages/placement/src/room/room_shares_test.ts
@@ -81,6 +81,18 @@
   }));
 });
 
+test("callers of a region without targets get room while all regions are short", () => {
+  // All of them would be refused, urgent ones too, while other regions run requests
+  // that can wait.
+  const full = { capacitySlots: 10, demandSlots: 12 };
+  const evacuated = { capacitySlots: 0, demandSlots: 10 };
+  const given = regionCapacity(evacuated, [full, full]);
+  const mean = 20 / 34;
+  expect(given / evacuated.demandSlots).toBeGreaterThanOrEqual(
+    mean / 2 - ROUNDING,
+  );
+});
+
 test("a demand that varies around the capacity doesn't turn shares on and off", () => {
   // With one threshold, every other update would lift the shares, and callers would
   // be refused and admitted in turn.
@@ -99,6 +111,24 @@
   expect(changes).toEqual(changes.map(() => true));
 });
 
+test("promises of an earlier shortage don't delay returns in the next one", () => {
+  // If the calendar stood still between shortages, it would be full at the start.
+  const planner = new RoomPlanner();
+  const plan = (perSecond: number, refusedPerSecond: number) =>
+    planner.plan({
+      offers: [{ priority: 0, perSecond, refusedPerSecond, workMs: 1_000 }],
+      capacitySlots: 10,
+    }, 1_000)[0]?.returnMs;
+  const first = plan(12, 0);
+  for (let second = 0; second < 10; second++) {
+    plan(40, 30);
+  }
+  for (let second = 0; second < 20; second++) {
+    plan(1, 0);
+  }
+  expect(plan(12, 0)).toBe(first);
+});
+
 test("refused callers return spread over the room that they are promised", () => {
   // If all refused callers were told the same time, they would come back together,
   // and most of them would be refused again.
