Bound the memory of responses that callers have not taken

Responses up to 256 kB were buffered and larger ones written as fast as the caller's socket allowed, with no bound over all callers: a few hundred slow readers are more than a small VM has.

A budget derived from the VM's memory now decides what is buffered, what is read ahead of a slow caller and when a target is paused; a request whose response has no room is refused before it is sent.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -11,6 +11,7 @@
 import type { ConnectionSource } from "./connections.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
+import type { AttemptSummary } from "./exchange_types.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
 import type { TargetResponse } from "./ports.ts";
 import type { TargetDirectory } from "./target_directory.ts";
@@ -54,6 +55,20 @@
   reportToSteering(services, attempt, report);
 }
 
+/** The details of an attempt for the request log. */
+export function summaryOf(
+  { target, startedAt }: TargetAttempt,
+  end: TargetAttemptEnd,
+  now: number,
+): AttemptSummary {
+  return {
+    target,
+    durationMs: now - startedAt,
+    end: end.kind,
+    load: "response" in end ? end.response.load : undefined,
+  };
+}
+
 function logFailure(
   log: EventLog,
   attempt: TargetAttempt,
--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -5,10 +5,13 @@
  * @module
  */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import type { DeadlineWheel } from "../http/deadline_wheel.ts";
 import { type LocalReplyReason, sendLocalReply } from "./local_reply.ts";
 import type { TargetResponse } from "./ports.ts";
+import { type ResponseHold, SMALL_RESPONSE_BYTES } from "./response_budget.ts";
+import { ResponseDelivery } from "./response_delivery.ts";
 
 /**
  * Whether a response should close the caller's connection. Called right before the
@@ -16,14 +19,79 @@
  */
 export type EndsConnection = (mustEnd: boolean) => boolean;
 
+/** How a response reached its caller. */
+export interface DeliverySummary {
+  /** Undefined if no target's response was begun. */
+  readonly mode: "buffered" | "streamed" | undefined;
+  /** When the complete response was on this VM; undefined if it never was. */
+  readonly answeredAt: number | undefined;
+  /** Whether the response was cut after it had begun. */
+  readonly isCut: boolean;
+  /** Time for which bytes were ready and the caller did not take them, in milliseconds. */
+  readonly heldMs: number;
+  /** The most bytes that were held for the caller. */
+  readonly heldBytes: number;
+}
+
+/** Options of a response. */
+export interface CallerResponseOptions {
+  readonly hold: ResponseHold;
+  readonly wheel: DeadlineWheel;
+  readonly endsConnection: EndsConnection;
+  /** Called when the caller has stopped reading the response. */
+  stalled(): void;
+}
+
+/** Responses up to this size are written at once. */
+const SINGLE_WRITE_BYTES = 65_536;
+
 /** The response to one request; see the module comment. */
 export class CallerResponse {
   readonly #res: ServerResponse;
-  readonly #endsConnection: EndsConnection;
+  readonly #options: CallerResponseOptions;
+  readonly #delivery: ResponseDelivery;
+  #mode: DeliverySummary["mode"];
+  #answeredAt: number | undefined;
+  #isCut = false;
+  #isDelivered = false;
+  #onDelivered: (() => void) | undefined;
 
-  constructor(res: ServerResponse, endsConnection: EndsConnection) {
+  constructor(res: ServerResponse, options: CallerResponseOptions) {
     this.#res = res;
-    this.#endsConnection = endsConnection;
+    this.#options = options;
+    this.#delivery = new ResponseDelivery(res, {
+      hold: options.hold,
+      wheel: options.wheel,
+      delivered: () => this.#delivered(),
+      stalled: () => options.stalled(),
+    });
+  }
+
+  get summary(): DeliverySummary {
+    return {
+      mode: this.#mode,
+      answeredAt: this.#answeredAt,
+      isCut: this.#isCut,
+      heldMs: this.#delivery.heldMs,
+      heldBytes: this.#options.hold.peakBytes,
+    };
+  }
+
+  /** Reserves memory for the response. Called before the request is sent. */
+  reserve(): void {
+    this.#options.hold.reserve();
+  }
+
+  /** Whether a response of which `bytes` have arrived may be buffered further. */
+  mayBuffer(bytes: number): boolean {
+    const { hold } = this.#options;
+    hold.resize(bytes);
+    return hold.mayGrow(SMALL_RESPONSE_BYTES);
+  }
+
+  /** Discards what was buffered of a response that will not be sent. */
+  discard(): void {
+    this.#options.hold.resize(0);
   }
 
   /** Writes the header of a target's response. Returns false if this connection cannot carry the response. */
@@ -32,7 +100,7 @@
     // the gateway added a length or a last chunk, it would look complete to the
     // caller, so it is passed on without framing.
     const isUnframed = !response.isChunked && response.contentLength < 0;
-    const ends = this.#endsConnection(isUnframed);
+    const ends = this.#options.endsConnection(isUnframed);
     if (isUnframed && !ends) {
       return false;
     }
@@ -45,36 +113,52 @@
   }
 
   /** Sends a complete response. Returns false if this connection cannot carry it. */
-  sendComplete(response: TargetResponse, body: Buffer): boolean {
+  sendComplete(response: TargetResponse, body: readonly Buffer[]): boolean {
+    const bytes = body.reduce((sum, { length }) => sum + length, 0);
     const framed = response.isChunked
       ? {
         ...response,
-        rawHeaders: [
-          ...response.rawHeaders,
-          "content-length",
-          String(body.length),
-        ],
+        rawHeaders: [...response.rawHeaders, "content-length", String(bytes)],
       }
       : response;
     if (!this.writeHead(framed)) {
       return false;
     }
-    this.#res.end(body);
+    this.#mode = "buffered";
+    this.#recordAnswer(bytes);
+    if (bytes <= SINGLE_WRITE_BYTES) {
+      this.#endWith(body.length === 1 ? body[0]! : Buffer.concat(body));
+    } else {
+      this.#delivery.end(body);
+    }
     return true;
   }
 
   /** Writes a chunk of a streamed response. If it returns false, wait for `resume` before writing more. */
   writeChunk(chunk: Buffer, resume: () => void): boolean {
-    if (this.#res.write(chunk)) {
-      return true;
-    }
-    this.#res.once("drain", resume);
-    return false;
+    this.#mode = "streamed";
+    return this.#delivery.write(chunk, resume);
   }
 
   /** Ends a streamed response. */
   end(): void {
-    this.#res.end();
+    this.#recordAnswer(this.#delivery.totalBytes);
+    this.#delivery.end();
+  }
+
+  /** Calls `done` once the network has taken the whole response, at once if it has. */
+  whenDelivered(done: () => void): void {
+    if (this.#isDelivered) {
+      done();
+    } else {
+      this.#onDelivered = done;
+    }
+  }
+
+  /** Returns the memory of the response, which is delivered or given up. */
+  close(): void {
+    this.#delivery.close();
+    this.#options.hold.release();
   }
 
   /** Sends a local reply. */
@@ -88,12 +172,33 @@
   ): void {
     sendLocalReply(this.#res, reason, {
       retryAfterMs,
-      closesConnection: this.#endsConnection(leavesBodyUnread),
+      closesConnection: this.#options.endsConnection(leavesBodyUnread),
     });
   }
 
   /** Destroys the connection, so that a partial response does not look complete. */
   destroy(): void {
+    this.#isCut = true;
     this.#res.destroy();
   }
+
+  #recordAnswer(bytes: number): void {
+    this.#answeredAt = performance.now();
+    this.#options.hold.recordSize(bytes);
+  }
+
+  #endWith(body: Buffer): void {
+    this.#res.end(body);
+    if (this.#res.writableLength > 0) {
+      this.#options.hold.resize(body.length);
+      this.#res.once("finish", () => this.#delivered());
+    } else {
+      this.#delivered();
+    }
+  }
+
+  #delivered(): void {
+    this.#isDelivered = true;
+    this.#onDelivered?.();
+  }
 }
--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -14,7 +14,8 @@
 export type { Route, Service } from "./configuration.ts";
 export { EventLog } from "./events.ts";
 export type { HomeTargets } from "./homes/home_targets.ts";
-export type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+export type { GatewayExchange } from "./exchange.ts";
+export type { GatewayExchangeEnd } from "./exchange_types.ts";
 export { decodeHomeMessage, encodeHomeMessage } from "./homes/home_codec.ts";
 export type {
   CallerRequest,
--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -60,6 +60,15 @@
     meaning:
       "time after which the caller may retry, as sent to it, in milliseconds",
   },
+  heldMs: {
+    type: "number",
+    meaning:
+      "time for which a part of the response was ready and its caller did not take it, in milliseconds",
+  },
+  heldBytes: {
+    type: "number",
+    meaning: "the most bytes of the response that were held for its caller",
+  },
   target: { type: "text", meaning: "id of the target" },
   targetMs: {
     type: "number",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -285,6 +285,8 @@
       "accountsMs",
       "newsMs",
       "retryAfterMs",
+      "heldMs",
+      "heldBytes",
       "target",
       "targetMs",
       "targetEnd",
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -9,80 +9,44 @@
  */
 
 import type { Buffer } from "node:buffer";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { AccountId, ServiceId, TargetId } from "@poplarthread/ids";
-import {
-  hashText,
-  type LoadReport,
-  type PlacedVia,
-  type Warmth,
-} from "@poplarthread/placement";
+import type { PlacedVia, Warmth } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
-import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
+import type { Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
-import type { AdmissionRefusal, AdmittedCaller } from "./accounts/admission.ts";
+import type { AdmissionRefusal } from "./accounts/admission.ts";
 import { AttemptRecord } from "./attempt_record.ts";
-import { type AttemptReportServices, reportAttempt } from "./attempt_report.ts";
-import { CallerResponse, type EndsConnection } from "./caller_response.ts";
+import { reportAttempt, summaryOf } from "./attempt_report.ts";
+import { CallerResponse, type DeliverySummary } from "./caller_response.ts";
 import type { Route } from "./configuration.ts";
 import {
   type ExchangePhase,
   type ExchangeStep,
   phaseAfter,
 } from "./exchange_phase.ts";
+import type {
+  AttemptSummary,
+  GatewayExchangeEnd,
+  GatewayExchangeOptions,
+  GatewayExchangeServices,
+} from "./exchange_types.ts";
 import type { LocalReplyReason } from "./local_reply.ts";
 import type { CallerRequest, TargetResponse } from "./ports.ts";
-import type { Placeable, RequestQueue } from "./request_queue.ts";
-import { startAttempt, type StartAttemptServices } from "./start_attempt.ts";
+import type { Placeable } from "./request_queue.ts";
+import { expiryOf, objectOf } from "./request_terms.ts";
+import { startAttempt } from "./start_attempt.ts";
 import type {
   TargetAttempt,
   TargetAttemptEnd,
   TargetAttemptOwner,
 } from "./target_attempt.ts";
 
-/** How an exchange ended, for logs and metrics. */
-export type GatewayExchangeEnd = "answered" | "caller-gone" | LocalReplyReason;
-
-/** Dependencies of an exchange; one object is shared by all exchanges of a VM. */
-export interface GatewayExchangeServices
-  extends AttemptReportServices, StartAttemptServices {
-  readonly wheel: DeadlineWheel;
-  readonly queue: RequestQueue;
-  /** Called once per exchange, when its caller has the final response or has disconnected. */
-  ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
-  /** Called once per attempt. */
-  attemptEnded(end: TargetAttemptEnd["kind"]): void;
-}
-
-/** A request as accepted by the listener. */
-export interface GatewayExchangeOptions {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly request: CallerRequest;
-  readonly route: Route;
-  readonly caller: AdmittedCaller;
-  readonly service: ServiceId;
-  readonly bodyBytes: number;
-  /** Version of the configuration that the request is handled under. */
-  readonly version: number;
-  readonly now: number;
-  readonly endsConnection: EndsConnection;
-}
-
-/** The logged details of an attempt. */
-export interface AttemptSummary {
-  readonly target: TargetId;
-  readonly durationMs: number;
-  readonly end: TargetAttemptEnd["kind"];
-  /** The load that the target reported with its response, if any. */
-  readonly load: LoadReport | undefined;
-}
-
 /** Minimum time left for a retry to be worth spending retry budget: about one service time on a warm target. */
 const MIN_RETRY_TIME_MS = 120;
-/** Part of the caller's deadline reserved for the response to travel back. */
-const RESPONSE_TRANSIT_MS = 5;
+/** Retry-After while this VM has no memory for a response: slow callers free some within about a second. */
+const MEMORY_RETRY_MS = 1_000;
 
 /** The state of one request; see the module comment. */
 export class GatewayExchange
@@ -113,7 +77,9 @@
   #placedVia: PlacedVia | undefined;
   #awaitsHomes = false;
   /** The latest error response of a target; sent to the caller if no retry succeeds. */
-  #failedResponse: { response: TargetResponse; body: Buffer } | undefined;
+  #failedResponse:
+    | { response: TargetResponse; body: readonly Buffer[] }
+    | undefined;
   /** Digest by which repeats of the request are recognized. */
   #digest: string | undefined;
   #firstSentAt: number | undefined;
@@ -127,7 +93,12 @@
     const { request, route, now } = options;
     this.#services = services;
     this.#req = options.req;
-    this.#response = new CallerResponse(options.res, options.endsConnection);
+    this.#response = new CallerResponse(options.res, {
+      hold: services.budget.open(route.name),
+      wheel: services.wheel,
+      endsConnection: options.endsConnection,
+      stalled: () => this.#guarded(() => this.#cut("caller-stalled")),
+    });
     this.#options = options;
     this.request = request;
     this.route = route;
@@ -136,13 +107,8 @@
     this.startedAt = now;
     this.priority = options.caller.rank;
     this.objectiveAt = now + route.latencyObjectiveMs;
-    const timeoutMs = request.deadlineMs === undefined
-      ? route.timeoutMs
-      : Math.min(request.deadlineMs - RESPONSE_TRANSIT_MS, route.timeoutMs);
-    this.expiresAt = now + Math.max(1, timeoutMs);
-    this.object = route.hasAffinity && request.object !== undefined
-      ? hashText(`${route.host}${route.prefix}${request.object}`)
-      : undefined;
+    this.expiresAt = expiryOf(request, route, now);
+    this.object = objectOf(request, route);
   }
 
   /** The client account that sent the request; undefined if callers are not identified. */
@@ -179,6 +145,11 @@
     return this.#retryAfterMs;
   }
 
+  /** The delivery of the response to the caller. */
+  get delivery(): DeliverySummary {
+    return this.#response.summary;
+  }
+
   /** Time until the first attempt, or until now if there was none. */
   get waitedMs(): number {
     return (this.#firstSentAt ?? performance.now()) - this.startedAt;
@@ -268,6 +239,10 @@
     }) ?? false;
   }
 
+  attemptBuffering(attempt: TargetAttempt, bytes: number): boolean {
+    return this.#attempt !== attempt || this.#response.mayBuffer(bytes);
+  }
+
   attemptStreaming(
     attempt: TargetAttempt,
     response: TargetResponse,
@@ -354,7 +329,12 @@
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
       return false;
     }
-    const decision = this.#services.steering.place({
+    const { budget, steering } = this.#services;
+    if (this.#attempts.written === 0 && !budget.admits(this.route.name)) {
+      this.#refuse("memory-used-up", MEMORY_RETRY_MS);
+      return false;
+    }
+    const decision = steering.place({
       service: this.service,
       kind: this.route.name,
       priority: this.priority,
@@ -380,12 +360,7 @@
   }
 
   #reportEnd(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
-    this.#lastAttempt = {
-      target: attempt.target,
-      durationMs: now - attempt.startedAt,
-      end: end.kind,
-      load: "response" in end ? end.response.load : undefined,
-    };
+    this.#lastAttempt = summaryOf(attempt, end, now);
     this.#services.attemptEnded(end.kind);
     reportAttempt(this.#services, attempt, {
       end,
@@ -423,11 +398,14 @@
     }
   }
 
-  #handleResponse(response: TargetResponse, body: Buffer, now: number): void {
+  #handleResponse(
+    response: TargetResponse,
+    body: readonly Buffer[],
+    now: number,
+  ): void {
     if (this.#phase === "streaming") {
       this.#response.end();
-      this.#transition("end");
-      this.#finish("answered");
+      this.#awaitDelivery();
       return;
     }
     if (response.status >= 500 && this.route.repeat === "idempotent") {
@@ -472,6 +450,7 @@
   }
 
   #requeue(now: number): void {
+    this.#response.discard();
     if (this.#transition("queue")) {
       this.#services.queue.add(this, now);
     }
@@ -481,6 +460,7 @@
     const { steering } = this.#services;
     this.#attempts.tried.add(target);
     this.#transition("send");
+    this.#response.reserve();
     this.#firstSentAt ??= now;
     steering.sent(target, now);
     startAttempt(this, this.#services, {
@@ -495,8 +475,8 @@
     });
   }
 
-  #deliver(response: TargetResponse, body: Buffer): void {
-    if (this.#phase === "done") {
+  #deliver(response: TargetResponse, body: readonly Buffer[]): void {
+    if (this.#phase === "done" || this.#phase === "delivering") {
       return;
     }
     if (!this.#response.sendComplete(response, body)) {
@@ -504,8 +484,28 @@
       this.#handleUnframed();
       return;
     }
-    this.#transition("end");
-    this.#finish("answered");
+    this.#awaitDelivery();
+  }
+
+  /** Ends the exchange once the network has taken the response: what is ready is delivered, however late. */
+  #awaitDelivery(): void {
+    this.#services.wheel.delete(this);
+    this.#transition("deliver");
+    this.#response.whenDelivered(() =>
+      this.#guarded(() => {
+        if (this.#transition("end")) {
+          this.#finish("answered");
+        }
+      })
+    );
+  }
+
+  /** Cuts a response that has begun, so that it does not look complete. */
+  #cut(end: GatewayExchangeEnd): void {
+    if (this.#transition("end")) {
+      this.#response.destroy();
+      this.#finish(end);
+    }
   }
 
   /** Handles a response without framing that would close a connection on which pipelined requests still wait. */
@@ -528,14 +528,11 @@
   }
 
   #replyLocally(reason: LocalReplyReason, retryAfterMs?: number): void {
-    const isStreaming = this.#phase === "streaming";
-    if (!this.#transition("end")) {
+    if (this.#phase === "streaming" || this.#phase === "delivering") {
+      this.#cut("broken");
       return;
     }
-    if (isStreaming) {
-      // Part of the response has been sent; it must not look complete.
-      this.#response.destroy();
-      this.#finish("broken");
+    if (!this.#transition("end")) {
       return;
     }
     this.#retryAfterMs = retryAfterMs;
@@ -572,6 +569,7 @@
     this.#services.wheel.delete(this);
     this.#services.queue.remove(this);
     this.#body?.destroy();
+    this.#response.close();
     this.#services.ended(this, end);
   }
 
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -22,9 +22,11 @@
 import type { Connection, Connections } from "./connections.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 import { EventLog } from "./events.ts";
-import { GatewayExchange, type GatewayExchangeEnd } from "./exchange.ts";
+import { GatewayExchange } from "./exchange.ts";
+import type { GatewayExchangeEnd } from "./exchange_types.ts";
 import type { Dialect, TargetResponse } from "./ports.ts";
 import { RequestQueue } from "./request_queue.ts";
+import { ResponseBudget } from "./response_budget.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 
 const SERVICE = "portal" as ServiceId;
@@ -85,6 +87,12 @@
     this.#handler.onData!(Buffer.alloc(bytes));
   }
 
+  /** Ends the response that {@link beginResponse} began. */
+  endResponse(): void {
+    this.hasEnded = true;
+    this.#handler.onComplete!([]);
+  }
+
   /** Breaks the connection. */
   fail(): void {
     this.hasEnded = true;
@@ -121,8 +129,13 @@
   uncounted = 0;
   /** If set, the steering throws this error instead of making a decision. */
   fault: Error | undefined;
+  /** Whether the caller's connection takes no more bytes for now. */
+  isBlocked = false;
+  readonly #drainListeners: (() => void)[] = [];
   readonly #wheel = new DeadlineWheel(performance.now());
   readonly #queue = new RequestQueue();
+  /** Memory for responses; not bounded unless the test sets it. */
+  readonly budget = new ResponseBudget();
 
   constructor({ repeat, isPipelined = false }: ExchangeHarnessOptions) {
     const log = new EventLog(this.#log());
@@ -137,6 +150,7 @@
         get: () => ({ address: "t:1" }),
       } as unknown as TargetDirectory,
       suspects: new CrashSuspects(() => undefined),
+      budget: this.budget,
       log,
       ended: (_exchange, end) => this.ends.push(end),
       attemptEnded: () => undefined,
@@ -196,6 +210,12 @@
     this.#queue.placeAllWaiting(performance.now());
   }
 
+  /** The caller's connection takes everything that was written. */
+  drain(): void {
+    this.isBlocked = false;
+    this.#drainListeners.splice(0).forEach((listener) => listener());
+  }
+
   #steering(): Steering {
     const noop = () => undefined;
     return {
@@ -258,9 +278,10 @@
     };
     return {
       writeHead,
-      write: () => true,
+      write: () => !this.isBlocked,
       end: () => undefined,
-      once: () => undefined,
+      once: (_event: string, listener: () => void) =>
+        this.#drainListeners.push(listener),
       destroy: () => this.isDestroyed = true,
     } as unknown as ServerResponse;
   }
--- a/packages/daemon/src/gateway/exchange_phase.ts
+++ b/packages/daemon/src/gateway/exchange_phase.ts
@@ -20,20 +20,34 @@
   | "sent"
   /** The response is being streamed to the caller. */
   | "streaming"
-  /** The caller has the final response, or has disconnected. */
+  /** The response is complete on this VM, and its caller has yet to take it. */
+  | "delivering"
+  /** The network has taken the final response, or the caller has disconnected. */
   | "done";
 
 /** Step from one phase to another. */
-export type ExchangeStep = "count" | "queue" | "send" | "stream" | "end";
+export type ExchangeStep =
+  | "count"
+  | "queue"
+  | "send"
+  | "stream"
+  | "deliver"
+  | "end";
 
 const TRANSITIONS: Readonly<
   Record<ExchangePhase, Readonly<Partial<Record<ExchangeStep, ExchangePhase>>>>
 > = {
   reading: { count: "counting", end: "done" },
   counting: { queue: "waiting", end: "done" },
-  waiting: { send: "sent", end: "done" },
-  sent: { queue: "waiting", stream: "streaming", end: "done" },
-  streaming: { end: "done" },
+  waiting: { send: "sent", deliver: "delivering", end: "done" },
+  sent: {
+    queue: "waiting",
+    stream: "streaming",
+    deliver: "delivering",
+    end: "done",
+  },
+  streaming: { deliver: "delivering", end: "done" },
+  delivering: { end: "done" },
   done: {},
 };
 
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -228,3 +228,78 @@
     );
   });
 });
+
+describe("a large response", () => {
+  /** Starts an idempotent request and its first attempt. */
+  function sent(): ExchangeHarness {
+    const harness = new ExchangeHarness({ repeat: "idempotent" });
+    harness.start();
+    harness.attempts[0]!.write();
+    return harness;
+  }
+
+  // All of the response is on this VM, its caller reads slowly, and the deadline passes.
+  // A cut would throw away work that is done.
+  test("is delivered after the deadline once it is complete", () => {
+    const harness = sent();
+    harness.isBlocked = true;
+    harness.attempts[0]!.beginResponse(STREAMED_BYTES);
+    harness.attempts[0]!.endResponse();
+    expire(harness);
+    expect(harness.ends).toEqual([]);
+    harness.drain();
+    expect(harness.ends).toEqual(["answered"]);
+    expect(harness.isDestroyed).toBe(false);
+    expect(harness.budget.heldBytes).toBe(0);
+  });
+
+  // The target stops in the middle of a streamed response, or cuts it as unread. What the
+  // caller has got must not look complete.
+  test("destroys the caller's connection if its target breaks off", () => {
+    const harness = sent();
+    harness.attempts[0]!.beginResponse(STREAMED_BYTES);
+    harness.attempts[0]!.fail();
+    expect(harness.isDestroyed).toBe(true);
+    expect(harness.exchange.delivery).toMatchObject({
+      mode: "streamed",
+      isCut: true,
+    });
+  });
+
+  // A caller disconnects during a streamed response. Its target would keep working for
+  // nobody, and the memory would stay taken.
+  test("ends the target's work and frees the memory when its caller disconnects", () => {
+    const harness = sent();
+    harness.isBlocked = true;
+    harness.attempts[0]!.beginResponse(STREAMED_BYTES);
+    harness.exchange.callerClosed();
+    expect(harness.attempts[0]!.isAborted).toBe(true);
+    expect(harness.budget.heldBytes).toBe(0);
+    expect(harness.budget.freeBytes).toBe(harness.budget.totalBytes);
+  });
+
+  // No memory is left for buffering. Buffered all the same, the VM would be killed.
+  test("is streamed at once when the memory is used up, unless it is an error response", () => {
+    const harness = sent();
+    harness.budget.setTotal(0);
+    harness.attempts[0]!.beginResponse(100_000);
+    expect(harness.statuses).toEqual([200]);
+    const failing = sent();
+    failing.budget.setTotal(0);
+    failing.attempts[0]!.respond({ status: 500 }, 100_000);
+    expect(failing.statuses).toEqual([]);
+    expect(failing.attempts).toHaveLength(2);
+  });
+
+  // Not even streaming has room. Sent all the same, the response would have to wait at its
+  // target, which cuts it off.
+  test("is refused as not run before it is sent when there is no room for it", () => {
+    const harness = new ExchangeHarness({ repeat: "idempotent" });
+    harness.budget.open("r").recordSize(90_000);
+    harness.budget.setTotal(0);
+    harness.start();
+    expect(harness.attempts).toEqual([]);
+    expect(harness.ends).toEqual(["memory-used-up"]);
+    expect(harness.statuses).toEqual([503]);
+  });
+});
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,7 +15,8 @@
 import { Connections } from "./connections.ts";
 import { Accounts } from "./accounts/accounts.ts";
 import { EventLog } from "./events.ts";
-import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+import type { GatewayExchange } from "./exchange.ts";
+import type { GatewayExchangeEnd } from "./exchange_types.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { Homes } from "./homes/homes.ts";
 import { LookupListener } from "./lookup_listener.ts";
@@ -26,6 +27,7 @@
 import { PlatformFeed } from "./platform_feed.ts";
 import type { Dialect, PlatformPort } from "./ports.ts";
 import { RelayListener } from "./relay.ts";
+import { ResidentMemory } from "./resident_memory.ts";
 import { RequestLog } from "./request_log.ts";
 import { BUSY_TICK_MS, IDLE_TICK_MS, RequestPath } from "./request_path.ts";
 import { type GatewaySettings, memberOf } from "./settings.ts";
@@ -104,10 +106,8 @@
     this.#requestLog = new RequestLog(this.#log);
     this.#metrics = new GatewayMetrics(() => ({
       openRequests: this.#callerListener.openRequests,
-      waitingRequests: this.#requestPath.waitingRequests,
+      ...this.#requestPath.gauges,
       configurationVersion: this.#callerListener.version,
-      targets: this.#requestPath.targets.size,
-      limitedTargets: this.#requestPath.steering.limitedTargets,
       vmsUp: this.#peers.vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
     }));
@@ -212,7 +212,8 @@
   }
 
   #createRequestPath(settings: GatewaySettings): RequestPath {
-    const { vm, zone, region, zones, bounds } = settings;
+    const { vm, zone, region, zones, bounds, memoryBytes } = settings;
+    const resident = new ResidentMemory();
     return new RequestPath({
       steering: new Steering({
         vm,
@@ -225,6 +226,7 @@
       dialect: this.#dialect,
       log: this.#log,
       connections: this.#connections,
+      memory: { memoryBytes, residentBytes: () => resident.read() },
       targetChanged: (_target, change) =>
         this.#metrics.stateChanged(`target-${change}`),
       homeTargetsChanged: (targets, now) =>
@@ -329,10 +331,10 @@
 
   #onRequestEnd(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
     this.#callerListener.exchangeEnded(exchange);
-    const now = performance.now();
+    const { route: { priority }, delivery } = exchange;
+    const now = delivery.answeredAt ?? performance.now();
     const seconds = (now - exchange.startedAt) / 1_000;
-    const { priority } = exchange.route;
-    this.#metrics.requestEnded(end, { priority, seconds });
+    this.#metrics.requestEnded(end, { priority, seconds, delivery });
     this.#requestLog.requestEnded(exchange, end, {
       now,
       newsMs: this.#feed.ageOf("targets"),
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -5,7 +5,9 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { DeliverySummary } from "./caller_response.ts";
 import { HomeMetrics } from "./homes/home_metrics.ts";
+import type { RequestPathGauges } from "./request_path.ts";
 
 /** Bounds of the histogram's buckets: the latency objectives of the deployments are between 0.2 and 0.5 s. */
 const LATENCY_BUCKETS_S = [
@@ -24,13 +26,9 @@
 ];
 
 /** Values of the gauges at the time of a scrape. */
-export interface GatewayGauges {
+export interface GatewayGauges extends RequestPathGauges {
   readonly openRequests: number;
-  readonly waitingRequests: number;
   readonly configurationVersion: number;
-  readonly targets: number;
-  /** Targets that have stated a limit on the requests of all VMs together. */
-  readonly limitedTargets: number;
   readonly vmsUp: number;
   /** Lines that the log dropped because its reader did not keep up. */
   readonly droppedLines: number;
@@ -46,6 +44,11 @@
     "Callers' requests by how they ended",
     "end",
   );
+  readonly #responses = this.#counter(
+    "poplarthread_gateway_responses_total",
+    "Responses of targets by how they reached their callers: buffered, streamed, or cut after they had begun",
+    "delivery",
+  );
   readonly #attempts = this.#counter(
     "poplarthread_gateway_attempts_total",
     "Sendings of requests to targets by how they ended",
@@ -98,6 +101,16 @@
       "configuration_version",
       "Version of the configuration in force",
     );
+    gauge(
+      "heldResponseBytes",
+      "held_response_bytes",
+      "Bytes of responses that are held until their callers take them",
+    );
+    gauge(
+      "responseBudgetBytes",
+      "response_budget_bytes",
+      "Memory for responses that are held",
+    );
     gauge("targets", "targets", "Targets that are known");
     gauge(
       "limitedTargets",
@@ -115,9 +128,16 @@
   /** Counts a request that got its final response. */
   requestEnded(
     end: string,
-    { priority, seconds }: { priority: number; seconds: number },
+    { priority, seconds, delivery }: {
+      priority: number;
+      seconds: number;
+      delivery: DeliverySummary;
+    },
   ): void {
     this.#requests.inc({ end });
+    if (delivery.mode !== undefined) {
+      this.#responses.inc({ delivery: delivery.isCut ? "cut" : delivery.mode });
+    }
     this.#latency.observe({ priority }, seconds);
   }
 
--- a/packages/daemon/src/gateway/local_reply.ts
+++ b/packages/daemon/src/gateway/local_reply.ts
@@ -22,6 +22,8 @@
   | "no-target"
   /** The response would come too late. */
   | "overload"
+  /** This VM has no memory for the response. */
+  | "memory-used-up"
   /** The deadline passed before the request was sent to a target. */
   | "expired-unsent"
   /** Targets refused the request, and it may not be retried. */
@@ -47,6 +49,7 @@
   "over-quota": 429,
   "no-target": 503,
   "overload": 503,
+  "memory-used-up": 503,
   "expired-unsent": 503,
   "refused-by-targets": 503,
   "timeout": 504,
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -5,7 +5,8 @@
  */
 
 import type { EventLog } from "./events.ts";
-import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+import type { GatewayExchange } from "./exchange.ts";
+import type { GatewayExchangeEnd } from "./exchange_types.ts";
 
 /**
  * Maximum number of lines per second for requests that were answered on time. A VM
@@ -14,6 +15,9 @@
  */
 const MAX_ON_TIME_LINES_PER_S = 200;
 
+/** A response that its caller takes in less time is not reported as held. */
+const MIN_HELD_MS = 250;
+
 /** Writes the request log of one VM. */
 export class RequestLog {
   readonly #log: EventLog;
@@ -42,7 +46,7 @@
       this.#suppressedLines += 1;
       return;
     }
-    const { route, request, lastAttempt: last, placedVia } = exchange;
+    const { route, request, lastAttempt: last, placedVia, delivery } = exchange;
     this.#log.write("request ended", {
       request: request.requestId,
       route: route.name,
@@ -60,6 +64,10 @@
       ...(exchange.retryAfterMs === undefined
         ? {}
         : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
+      ...(delivery.heldMs < MIN_HELD_MS ? {} : {
+        heldMs: Math.round(delivery.heldMs),
+        heldBytes: delivery.heldBytes,
+      }),
       ...(last === undefined ? {} : {
         target: last.target,
         targetMs: Math.round(last.durationMs),
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -11,16 +11,17 @@
 import type { ConnectionSource } from "./connections.ts";
 import { CrashSuspects, type SuspectedCrash } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
-import {
-  GatewayExchange,
-  type GatewayExchangeOptions,
-  type GatewayExchangeServices,
-} from "./exchange.ts";
+import { GatewayExchange } from "./exchange.ts";
+import type {
+  GatewayExchangeOptions,
+  GatewayExchangeServices,
+} from "./exchange_types.ts";
 import { HomeTargetWatch } from "./homes/home_target_watch.ts";
 import type { HomeTargets } from "./homes/home_targets.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
 import type { Dialect, RegisteredTarget } from "./ports.ts";
 import { RequestQueue } from "./request_queue.ts";
+import { budgetBytesFor, ResponseBudget } from "./response_budget.ts";
 import { type TargetChange, TargetDirectory } from "./target_directory.ts";
 
 /** Interval of the deadline and wait queue checks while requests wait or a deadline is near. */
@@ -28,6 +29,17 @@
 /** Interval of the target, peer and probe checks, and of the deadline checks while no request waits and no deadline is near. */
 export const IDLE_TICK_MS = 200;
 
+/** Interval at which the memory for responses is set anew. */
+const BUDGET_INTERVAL_MS = 2_000;
+
+/** Memory of the VM and of its process. */
+export interface VmMemory {
+  /** Memory that the process may use. */
+  readonly memoryBytes: number;
+  /** What the process needs besides responses. */
+  residentBytes(): number;
+}
+
 /** Options of a request path. */
 export interface RequestPathOptions {
   readonly steering: Steering;
@@ -35,6 +47,8 @@
   readonly dialect: Dialect;
   readonly log: EventLog;
   readonly connections: ConnectionSource;
+  /** Bounds the responses that are held for callers; not bounded by default. */
+  readonly memory?: VmMemory;
   /** Called when a target has changed. */
   targetChanged(target: RegisteredTarget, change: TargetChange): void;
   /** Called when the services with homes by load, or the targets that can be homes, have changed. */
@@ -55,6 +69,19 @@
   attemptEnded: GatewayExchangeServices["attemptEnded"];
 }
 
+/** Values of the request path for metrics. */
+export interface RequestPathGauges {
+  /** Requests that wait for a target. */
+  readonly waitingRequests: number;
+  readonly targets: number;
+  /** Targets that have stated a limit on the requests of all VMs together. */
+  readonly limitedTargets: number;
+  /** Bytes of responses that their callers have not taken yet. */
+  readonly heldResponseBytes: number;
+  /** The most bytes that may be held so. */
+  readonly responseBudgetBytes: number;
+}
+
 /** The request path of one VM; see the module comment. Times are milliseconds of the monotonic clock. */
 export class RequestPath {
   readonly steering: Steering;
@@ -65,6 +92,8 @@
   readonly #wheel = new DeadlineWheel(performance.now());
   readonly #queue: RequestQueue;
   readonly #homeTargets: HomeTargetWatch;
+  readonly #budget = new ResponseBudget();
+  #budgetDueAt = 0;
   #evacuatedZones: ReadonlySet<ZoneId> = new Set();
 
   constructor(options: RequestPathOptions) {
@@ -94,6 +123,7 @@
       wheel: this.#wheel,
       steering,
       queue: this.#queue,
+      budget: this.#budget,
       connections,
       targets: this.targets,
       suspects: this.suspects,
@@ -108,9 +138,15 @@
     };
   }
 
-  /** Number of requests that wait for a target. */
-  get waitingRequests(): number {
-    return this.#queue.size;
+  /** Current values for metrics. */
+  get gauges(): RequestPathGauges {
+    return {
+      waitingRequests: this.#queue.size,
+      targets: this.targets.size,
+      limitedTargets: this.steering.limitedTargets,
+      heldResponseBytes: this.#budget.heldBytes,
+      responseBudgetBytes: this.#budget.totalBytes,
+    };
   }
 
   /** Creates the exchange of a caller's request; {@link GatewayExchange.start} starts it. */
@@ -132,6 +168,7 @@
 
   /** Periodic work, due every {@link IDLE_TICK_MS}. */
   idleTick(now: number): void {
+    this.#updateBudget(now);
     this.targets.sweep(now);
     this.#queue.retryAll(now);
     for (const target of this.steering.findUnresponsive(now)) {
@@ -191,6 +228,17 @@
     }
   }
 
+  #updateBudget(now: number): void {
+    const { memory } = this.#options;
+    if (memory === undefined || now < this.#budgetDueAt) {
+      return;
+    }
+    this.#budgetDueAt = now + BUDGET_INTERVAL_MS;
+    const { memoryBytes } = memory;
+    const residentBytes = memory.residentBytes();
+    this.#budget.setTotal(budgetBytesFor({ memoryBytes, residentBytes }));
+  }
+
   /** Applies a target's limit; returns true if it changed. */
   #applyLimit(limit: LimitUpdate, source: "answer" | "peer"): boolean {
     const { target, perSecond } = limit;
--- /dev/null
+++ b/packages/daemon/src/gateway/resident_memory.ts
@@ -0,0 +1,26 @@
+/**
+ * Estimates how much memory the process needs besides the responses it holds.
+ *
+ * @module
+ */
+
+import process from "node:process";
+
+/**
+ * The resident size at the start plus the growth of the JavaScript heap. The resident
+ * size itself would not do: it contains the responses, and stays high after they are
+ * gone, although the allocator uses that memory again.
+ */
+export class ResidentMemory {
+  readonly #offset: number;
+
+  constructor() {
+    const { rss, heapTotal } = process.memoryUsage();
+    this.#offset = rss - heapTotal;
+  }
+
+  /** The current estimate in bytes. */
+  read(): number {
+    return this.#offset + process.memoryUsage().heapTotal;
+  }
+}
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -36,6 +36,8 @@
   readonly region: RegionId;
   /** Number of processor cores. */
   readonly cores: number;
+  /** Memory that the process may use. */
+  readonly memoryBytes: number;
   /** All zones with their regions. */
   readonly zones: ReadonlyMap<ZoneId, RegionId>;
   readonly listen: {
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -12,6 +12,7 @@
 import { InvalidResponseError, NotSentError } from "../errors.ts";
 import type { TargetConnection } from "./connections.ts";
 import type { Dialect, TargetResponse } from "./ports.ts";
+import { SMALL_RESPONSE_BYTES } from "./response_budget.ts";
 
 /** How an attempt ended. */
 export type TargetAttemptEnd =
@@ -19,7 +20,7 @@
   | {
     readonly kind: "answered";
     readonly response: TargetResponse;
-    readonly body: Buffer;
+    readonly body: readonly Buffer[];
   }
   /** The target refused the request before running it. */
   | { readonly kind: "not-run"; readonly response: TargetResponse }
@@ -34,8 +35,10 @@
 export interface TargetAttemptOwner {
   /** Called right before the first byte is sent. Returns false if the request must not be sent. */
   attemptWriting(attempt: TargetAttempt, now: number): boolean;
+  /** Whether a response of which `bytes` have arrived may be buffered further. */
+  attemptBuffering(attempt: TargetAttempt, bytes: number): boolean;
   /**
-   * Called with the first part of a response that is too large to buffer; the rest
+   * Called with the first part of a response that is not buffered further; the rest
    * follows through {@link attemptChunk}. Returns false to pause until `resume`.
    */
   attemptStreaming(
@@ -51,8 +54,8 @@
 
 /**
  * Responses up to this size are buffered until complete, so that a truncated one can
- * be retried instead of reaching the caller in part. Larger ones are streamed. 100
- * concurrent responses buffer at most 26 MB.
+ * be retried instead of reaching the caller in part, as long as the VM has memory
+ * for it. Larger ones are streamed.
  */
 const MAX_BUFFERED_RESPONSE_BYTES = 262_144;
 
@@ -157,7 +160,7 @@
     }
     this.#chunks.push(chunk);
     this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
+    if (this.#mayBuffer(this.#response!)) {
       return true;
     }
     this.#isStreaming = true;
@@ -179,10 +182,7 @@
       this.#end({ kind: "not-run", response });
       return;
     }
-    const body = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
-    this.#end({ kind: "answered", response, body });
+    this.#end({ kind: "answered", response, body: this.#chunks });
   }
 
   onError(err: Error): void {
@@ -195,6 +195,17 @@
     }
   }
 
+  #mayBuffer({ isNotRun, status }: TargetResponse): boolean {
+    const bytes = this.#bufferedBytes;
+    if (bytes > MAX_BUFFERED_RESPONSE_BYTES) {
+      return false;
+    }
+    // A request whose response is an error may go to another target, so no byte of
+    // that response may reach the caller yet.
+    return bytes <= SMALL_RESPONSE_BYTES || isNotRun || status >= 500 ||
+      this.#owner.attemptBuffering(this, bytes);
+  }
+
   #reject(reason: string): void {
     const err = new InvalidResponseError(reason);
     this.#end({ kind: "broke", err });
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -50,6 +50,9 @@
   readonly accountsMs?: number;
   /** Delay before a retry that the response to the caller asked for. */
   readonly retryAfterMs?: number;
+  /** Time for which a caller did not take its response, and the most bytes held meanwhile. */
+  readonly heldMs?: number;
+  readonly heldBytes?: number;
   /** Requests that the target was running and had queued when it responded. */
   readonly running?: number;
   readonly waiting?: number;
