--- a/packages/daemon/src/gateway/resident_memory.ts
+++ b/packages/daemon/src/gateway/resident_memory.ts
@@ -5,6 +5,7 @@
  */
 
 import process from "node:process";
+import { getHeapStatistics } from "node:v8";
 
 /**
  * The resident size at the start plus the growth of the JavaScript heap. The resident
@@ -12,15 +13,14 @@
  * gone, although the allocator uses that memory again.
  */
 export class ResidentMemory {
-  readonly #offset: number;
-
-  constructor() {
-    const { rss, heapTotal } = process.memoryUsage();
-    this.#offset = rss - heapTotal;
-  }
+  readonly #outsideHeapBytes = process.memoryUsage.rss() - heapBytes();
 
   /** The current estimate in bytes. */
   read(): number {
-    return this.#offset + process.memoryUsage().heapTotal;
+    return this.#outsideHeapBytes + heapBytes();
   }
 }
+
+function heapBytes(): number {
+  return getHeapStatistics().total_heap_size;
+}
