Report a target's work as done while its slow caller keeps it paused

A target paused for a caller that reads slowly counted as overdue and kept its slot in the steering. Its work is now reported as done at the first pause; how the delivery goes on says nothing about the target.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -28,9 +28,8 @@
   limitReported(limit: LimitUpdate): void;
 }
 
-/** How an attempt ended, and which request it belongs to. */
-export interface AttemptReport {
-  readonly end: TargetAttemptEnd;
+/** Which request an attempt belongs to. */
+export interface WorkReport {
   readonly now: number;
   /** The caller's request id. */
   readonly request: string;
@@ -44,6 +43,29 @@
   readonly digest: string | undefined;
 }
 
+/** How an attempt ended, and which request it belongs to. */
+export interface AttemptReport extends WorkReport {
+  readonly end: TargetAttemptEnd;
+}
+
+/**
+ * Reports that a target has done its work though its response is not complete yet: the
+ * target is paused because the caller reads slowly. How long that lasts, and how it ends,
+ * says nothing about the target.
+ */
+export function reportWorkDone(
+  services: AttemptReportServices,
+  attempt: TargetAttempt,
+  report: WorkReport,
+): void {
+  const { response, isWorkReported } = attempt;
+  if (response !== undefined && !isWorkReported) {
+    attempt.isWorkReported = true;
+    const end = { kind: "answered", response, body: [] } as const;
+    reportToSteering(services, attempt, { ...report, end });
+  }
+}
+
 /** Reports the end of an attempt to all receivers. */
 export function reportAttempt(
   services: AttemptReportServices,
@@ -52,7 +74,9 @@
 ): void {
   logFailure(services.log, attempt, report);
   releaseConnection(services.connections, attempt, report.end);
-  reportToSteering(services, attempt, report);
+  if (!attempt.isWorkReported) {
+    reportToSteering(services, attempt, report);
+  }
 }
 
 /** The details of an attempt for the request log. */
--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -127,7 +127,9 @@
     this.#mode = "buffered";
     this.#recordAnswer(bytes);
     if (bytes <= SINGLE_WRITE_BYTES) {
-      this.#endWith(body.length === 1 ? body[0]! : Buffer.concat(body));
+      this.#delivery.endWith(
+        body.length === 1 ? body[0]! : Buffer.concat(body),
+      );
     } else {
       this.#delivery.end(body);
     }
@@ -187,16 +189,6 @@
     this.#options.hold.recordSize(bytes);
   }
 
-  #endWith(body: Buffer): void {
-    this.#res.end(body);
-    if (this.#res.writableLength > 0) {
-      this.#options.hold.resize(body.length);
-      this.#res.once("finish", () => this.#delivered());
-    } else {
-      this.#delivered();
-    }
-  }
-
   #delivered(): void {
     this.#isDelivered = true;
     this.#onDelivered?.();
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -18,8 +18,13 @@
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
 import type { AdmissionRefusal } from "./accounts/admission.ts";
 import { AttemptRecord } from "./attempt_record.ts";
-import { reportAttempt, summaryOf } from "./attempt_report.ts";
-import { CallerResponse, type DeliverySummary } from "./caller_response.ts";
+import {
+  reportAttempt,
+  reportWorkDone,
+  summaryOf,
+  type WorkReport,
+} from "./attempt_report.ts";
+import { CallerResponse } from "./caller_response.ts";
 import type { Route } from "./configuration.ts";
 import {
   type ExchangePhase,
@@ -28,6 +33,7 @@
 } from "./exchange_phase.ts";
 import type {
   AttemptSummary,
+  ExchangeSummary,
   GatewayExchangeEnd,
   GatewayExchangeOptions,
   GatewayExchangeServices,
@@ -121,38 +127,20 @@
     return this.#req.socket;
   }
 
-  /** Number of attempts that were written to a target. */
-  get attempts(): number {
-    return this.#attempts.written;
-  }
-
-  /** The attempt that ended most recently. */
-  get lastAttempt(): AttemptSummary | undefined {
-    return this.#lastAttempt;
-  }
-
-  /** How the target of the last attempt was chosen; undefined if there was none, or the request has no object. */
-  get placedVia(): PlacedVia | undefined {
-    return this.#placedVia;
-  }
-
   get awaitsHomes(): boolean {
     return this.#awaitsHomes;
   }
 
-  /** The Retry-After sent to the caller; undefined if none was sent. */
-  get retryAfterMs(): number | undefined {
-    return this.#retryAfterMs;
-  }
-
-  /** The delivery of the response to the caller. */
-  get delivery(): DeliverySummary {
-    return this.#response.summary;
-  }
-
-  /** Time until the first attempt, or until now if there was none. */
-  get waitedMs(): number {
-    return (this.#firstSentAt ?? performance.now()) - this.startedAt;
+  /** What the request has met so far. */
+  get summary(): ExchangeSummary {
+    return {
+      attempts: this.#attempts.written,
+      lastAttempt: this.#lastAttempt,
+      placedVia: this.#placedVia,
+      retryAfterMs: this.#retryAfterMs,
+      delivery: this.#response.summary,
+      waitedMs: (this.#firstSentAt ?? performance.now()) - this.startedAt,
+    };
   }
 
   /** Starts handling the request, unless its caller has already disconnected. */
@@ -259,7 +247,7 @@
       this.#transition("stream");
       // This response has been partly sent, so the earlier error response must not follow.
       this.#failedResponse = undefined;
-      return this.#response.writeChunk(firstChunk, () => attempt.resume());
+      return this.#stream(attempt, firstChunk);
     }) ?? true;
   }
 
@@ -267,9 +255,7 @@
     if (this.#attempt !== attempt || this.#phase !== "streaming") {
       return true;
     }
-    return this.#guarded(() =>
-      this.#response.writeChunk(chunk, () => attempt.resume())
-    ) ?? true;
+    return this.#guarded(() => this.#stream(attempt, chunk)) ?? true;
   }
 
   attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
@@ -359,18 +345,32 @@
     }
   }
 
+  /** Passes a chunk on; while the caller does not take more, its target is paused and free for others. */
+  #stream(attempt: TargetAttempt, chunk: Buffer): boolean {
+    const goesOn = this.#response.writeChunk(chunk, () => attempt.resume());
+    if (!goesOn) {
+      const now = performance.now();
+      reportWorkDone(this.#services, attempt, this.#report(now));
+      this.#services.queue.placeWaiting(this.service, now);
+    }
+    return goesOn;
+  }
+
   #reportEnd(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
     this.#lastAttempt = summaryOf(attempt, end, now);
     this.#services.attemptEnded(end.kind);
-    reportAttempt(this.#services, attempt, {
-      end,
+    reportAttempt(this.#services, attempt, { ...this.#report(now), end });
+  }
+
+  #report(now: number): WorkReport {
+    return {
       now,
       request: this.request.requestId,
       requestKind: this.route.name,
       object: this.object,
       warmth: this.#warmth,
       digest: this.#digest,
-    });
+    };
   }
 
   #handleAttemptEnd(end: TargetAttemptEnd, now: number): void {
@@ -489,6 +489,7 @@
 
   /** Ends the exchange once the network has taken the response: what is ready is delivered, however late. */
   #awaitDelivery(): void {
+    this.#body?.destroy();
     this.#services.wheel.delete(this);
     this.#transition("deliver");
     this.#response.whenDelivered(() =>
@@ -588,20 +589,21 @@
   }
 
   #handleFault(err: unknown): void {
-    this.#services.log.write("exchange failed", {
-      request: this.request.requestId,
-      reason: err instanceof Error ? err.stack ?? err.message : messageOf(err),
-    });
+    this.#logFault(
+      err instanceof Error ? err.stack ?? err.message : messageOf(err),
+    );
     try {
       this.#replyLocally("broken");
     } catch (secondErr) {
       // The response header was already written, so no error can be sent: close the connection.
-      this.#services.log.write("exchange failed", {
-        request: this.request.requestId,
-        reason: messageOf(secondErr),
-      });
+      this.#logFault(messageOf(secondErr));
       this.#response.destroy();
       this.#finish("broken");
     }
   }
+
+  #logFault(reason: string): void {
+    const request = this.request.requestId;
+    this.#services.log.write("exchange failed", { request, reason });
+  }
 }
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -71,19 +71,16 @@
 
   /** Sends a complete response with a body of `bytes`. */
   respond(response: FakeResponse, bytes = 4): void {
-    const raw = [Buffer.from(JSON.stringify(response))];
-    this.#handler.onHeaders!(response.status, raw, () => undefined, "");
-    this.#handler.onData!(Buffer.alloc(bytes));
+    this.beginResponse(bytes, response);
     if (!this.isAborted) {
-      this.hasEnded = true;
-      this.#handler.onComplete!([]);
+      this.endResponse();
     }
   }
 
   /** Begins a response with `bytes` of its body, without ending it. */
-  beginResponse(bytes: number): void {
-    const raw = [Buffer.from(JSON.stringify({ status: 200 }))];
-    this.#handler.onHeaders!(200, raw, () => undefined, "");
+  beginResponse(bytes: number, response: FakeResponse = { status: 200 }): void {
+    const raw = [Buffer.from(JSON.stringify(response))];
+    this.#handler.onHeaders!(response.status, raw, () => undefined, "");
     this.#handler.onData!(Buffer.alloc(bytes));
   }
 
@@ -125,6 +122,8 @@
   refusal: AdmissionRefusal | undefined;
   /** Callback that ends the quota check; undefined until the check is requested. */
   onCounted: Parameters<AdmittedCaller["chargeQuota"]>[0] | undefined;
+  /** Ends of attempts as reported to the steering. */
+  readonly reportedEnds: string[] = [];
   /** How often the request was uncounted. */
   uncounted = 0;
   /** If set, the steering throws this error instead of making a decision. */
@@ -222,7 +221,8 @@
       arrived: noop,
       sent: noop,
       written: noop,
-      ended: noop,
+      ended: (_target: TargetId, { kind }: { kind: string }) =>
+        this.reportedEnds.push(kind),
       markUnreachable: noop,
       roundTripTo: () => 1,
       takeRetry: () => true,
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -260,7 +260,7 @@
     harness.attempts[0]!.beginResponse(STREAMED_BYTES);
     harness.attempts[0]!.fail();
     expect(harness.isDestroyed).toBe(true);
-    expect(harness.exchange.delivery).toMatchObject({
+    expect(harness.exchange.summary.delivery).toMatchObject({
       mode: "streamed",
       isCut: true,
     });
@@ -278,6 +278,19 @@
     expect(harness.budget.freeBytes).toBe(harness.budget.totalBytes);
   });
 
+  // A caller reads nothing and there is no memory to read ahead: its target is paused for
+  // long. That must not count as the target's silence, nor keep its slot from others.
+  test("counts its target's work as done while the target is paused", () => {
+    const harness = sent();
+    harness.budget.setTotal(STREAMED_BYTES);
+    harness.isBlocked = true;
+    harness.attempts[0]!.beginResponse(STREAMED_BYTES);
+    expect(harness.reportedEnds).toEqual(["answered"]);
+    harness.attempts[0]!.fail();
+    expect(harness.reportedEnds).toEqual(["answered"]);
+    expect(harness.ends).toEqual(["broken"]);
+  });
+
   // No memory is left for buffering. Buffered all the same, the VM would be killed.
   test("is streamed at once when the memory is used up, unless it is an error response", () => {
     const harness = sent();
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -6,11 +6,11 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ServiceId, TargetId } from "@poplarthread/ids";
-import type { LoadReport } from "@poplarthread/placement";
+import type { LoadReport, PlacedVia } from "@poplarthread/placement";
 import type { DeadlineWheel } from "../http/deadline_wheel.ts";
 import type { AdmittedCaller } from "./accounts/admission.ts";
 import type { AttemptReportServices } from "./attempt_report.ts";
-import type { EndsConnection } from "./caller_response.ts";
+import type { DeliverySummary, EndsConnection } from "./caller_response.ts";
 import type { Route } from "./configuration.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import type { LocalReplyReason } from "./local_reply.ts";
@@ -55,6 +55,22 @@
   readonly endsConnection: EndsConnection;
 }
 
+/** What a request has met, for logs and metrics. */
+export interface ExchangeSummary {
+  /** Number of attempts that were written to a target. */
+  readonly attempts: number;
+  /** The attempt that ended most recently. */
+  readonly lastAttempt: AttemptSummary | undefined;
+  /** How the target of the last attempt was chosen; undefined if there was none, or the request has no object. */
+  readonly placedVia: PlacedVia | undefined;
+  /** The Retry-After sent to the caller; undefined if none was sent. */
+  readonly retryAfterMs: number | undefined;
+  /** The delivery of the response to the caller. */
+  readonly delivery: DeliverySummary;
+  /** Time until the first attempt, or until now if there was none. */
+  readonly waitedMs: number;
+}
+
 /** The logged details of an attempt. */
 export interface AttemptSummary {
   readonly target: TargetId;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -331,7 +331,7 @@
 
   #onRequestEnd(exchange: GatewayExchange, end: GatewayExchangeEnd): void {
     this.#callerListener.exchangeEnded(exchange);
-    const { route: { priority }, delivery } = exchange;
+    const { route: { priority }, summary: { delivery } } = exchange;
     const now = delivery.answeredAt ?? performance.now();
     const seconds = (now - exchange.startedAt) / 1_000;
     this.#metrics.requestEnded(end, { priority, seconds, delivery });
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -46,7 +46,8 @@
       this.#suppressedLines += 1;
       return;
     }
-    const { route, request, lastAttempt: last, placedVia, delivery } = exchange;
+    const { route, request, summary } = exchange;
+    const { lastAttempt: last, placedVia, retryAfterMs, delivery } = summary;
     this.#log.write("request ended", {
       request: request.requestId,
       route: route.name,
@@ -54,16 +55,16 @@
       service: exchange.service,
       object: request.object ?? "",
       end,
-      attempts: exchange.attempts,
+      attempts: summary.attempts,
       durationMs: Math.round(now - exchange.startedAt),
-      waitedMs: Math.round(exchange.waitedMs),
+      waitedMs: Math.round(summary.waitedMs),
       ...(exchange.account === undefined ? {} : { account: exchange.account }),
       // The age of the data only helps to explain refused, failed or late requests.
       ...(isOnTime ? {} : { newsMs }),
       ...(isOnTime || exchange.account === undefined ? {} : { accountsMs }),
-      ...(exchange.retryAfterMs === undefined
+      ...(retryAfterMs === undefined
         ? {}
-        : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
+        : { retryAfterMs: Math.round(retryAfterMs) }),
       ...(delivery.heldMs < MIN_HELD_MS ? {} : {
         heldMs: Math.round(delivery.heldMs),
         heldBytes: delivery.heldBytes,
--- a/packages/daemon/src/gateway/response_delivery.ts
+++ b/packages/daemon/src/gateway/response_delivery.ts
@@ -77,6 +77,19 @@
     this.#flush();
   }
 
+  /** Writes a small response whole. */
+  endWith(body: Buffer): void {
+    this.#hasAllBytes = true;
+    this.#totalBytes = body.length;
+    this.#res.end(body);
+    if (this.#res.writableLength > 0) {
+      this.#block(body.length, "finish");
+      this.#options.hold.resize(body.length);
+    } else {
+      this.#options.delivered();
+    }
+  }
+
   /** Stops delivering, at the end or because the caller has disconnected. */
   close(): void {
     this.#isClosed = true;
@@ -112,7 +125,7 @@
     while (this.#queue.length > 0 && !this.#isBlocked) {
       const chunk = this.#takeChunk();
       if (!this.#res.write(chunk)) {
-        this.#block(chunk.length);
+        this.#block(chunk.length, "drain");
       }
     }
     this.#options.hold.resize(this.#queuedBytes + this.#unsentBytes);
@@ -139,7 +152,8 @@
     return count === 1 ? chunks[0]! : Buffer.concat(chunks, bytes);
   }
 
-  #block(unsentBytes: number): void {
+  /** Waits until the network has taken what was written, as `event` tells. */
+  #block(unsentBytes: number, event: "drain" | "finish"): void {
     const now = performance.now();
     this.#unsentBytes = unsentBytes;
     this.#blockedAt = now;
@@ -147,7 +161,7 @@
       this.#watch(now);
     }
     this.#progressAt = now;
-    this.#res.once("drain", () => this.#unblock());
+    this.#res.once(event, () => this.#unblock());
   }
 
   #unblock(): void {
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -72,6 +72,8 @@
   readonly target: TargetId;
   readonly connection: TargetConnection;
   readonly startedAt = performance.now();
+  /** Whether the target's work has been reported as done before the end of the attempt. */
+  isWorkReported = false;
   readonly #owner: TargetAttemptOwner;
   readonly #options: TargetAttemptOptions;
   #writtenAt: number | undefined;
@@ -96,6 +98,11 @@
     return this.#writtenAt;
   }
 
+  /** The header of the response; undefined before it has arrived. */
+  get response(): TargetResponse | undefined {
+    return this.#response;
+  }
+
   /** Abandons the attempt and destroys its connection, so that the target stops its work. */
   abandon(): void {
     if (this.#hasEnded) {
