--- a/packages/daemon/src/gateway/response_budget.ts
+++ b/packages/daemon/src/gateway/response_budget.ts
@@ -24,6 +24,8 @@
 
 /** Share of the VM's memory for the process and the responses; the rest is for kernel buffers and fragmentation. */
 const USABLE_MEMORY_SHARE = 0.75;
+/** Memory for each byte held: chunks are smaller than what is allocated for them, and copied when they are joined. */
+const MEMORY_PER_BYTE = 1.5;
 /** Budget of a process that leaves none: some streams at a time. */
 const MIN_BUDGET_BYTES = 32 * STREAM_BYTES;
 
@@ -32,10 +34,8 @@
   readonly memoryBytes: number;
   readonly residentBytes: number;
 }): number {
-  return Math.max(
-    MIN_BUDGET_BYTES,
-    memoryBytes * USABLE_MEMORY_SHARE - residentBytes,
-  );
+  const usableBytes = memoryBytes * USABLE_MEMORY_SHARE - residentBytes;
+  return Math.max(MIN_BUDGET_BYTES, usableBytes / MEMORY_PER_BYTE);
 }
 
 /** Decides which responses may take memory; see the module comment. */
