Resume paused responses outside of another response's parsing

A response that ended freed memory inside undici's parser, and resuming a paused response from there failed an assertion: the ended exchange was never reported as ended, and the paused one was never read again. The resumption is now deferred to the next turn of the event loop.

--- a/packages/daemon/src/gateway/response_delivery.ts
+++ b/packages/daemon/src/gateway/response_delivery.ts
@@ -66,7 +66,8 @@
       return true;
     }
     this.#resume = resume;
-    this.#options.hold.pause(() => this.#resumeTarget());
+    // Memory becomes free while undici parses another response, and its parsers do not nest.
+    this.#options.hold.pause(() => setImmediate(() => this.#resumeTarget()));
     return false;
   }
 
