Reset the connection under a cut response without a length

Its caller takes the end of the connection for the end of the response, and a destroyed socket ends in an orderly way, so a part looked complete. Such a connection is now reset. The new test failed before, and passes.

--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -53,6 +53,8 @@
   #mode: DeliverySummary["mode"];
   #answeredAt: number | undefined;
   #isCut = false;
+  /** Whether the end of the connection is the end of the response. */
+  #isUnframed = false;
   #isDelivered = false;
   #onDelivered: (() => void) | undefined;
 
@@ -107,6 +109,7 @@
     const headers = ends
       ? [...response.rawHeaders, "connection", "close"]
       : response.rawHeaders;
+    this.#isUnframed = isUnframed;
     this.#res.useChunkedEncodingByDefault = !isUnframed;
     this.#res.writeHead(response.status, headers);
     return true;
@@ -181,6 +184,11 @@
   /** Destroys the connection, so that a partial response does not look complete. */
   destroy(): void {
     this.#isCut = true;
+    if (this.#isUnframed) {
+      // Closed in the usual way, the connection would seem to end the response. The reset
+      // alone would wait for the caller to take what was written; `destroy` does not.
+      this.#res.socket?.resetAndDestroy();
+    }
     this.#res.destroy();
   }
 
