--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -171,6 +171,18 @@
         harness.openAttempt.respond({ status: 503, notRun: true });
       }
     },
+    (harness) => {
+      if (harness.openAttempt?.isWritten) {
+        harness.openAttempt.beginResponse(100_000);
+      }
+    },
+    (harness) => {
+      if (harness.openAttempt?.isWritten) {
+        harness.openAttempt.respond({ status: 500 }, 100_000);
+      }
+    },
+    (harness) => harness.isBlocked = true,
+    (harness) => harness.drain(),
     (harness) => harness.openAttempt?.fail(),
     (harness) => harness.attempts[0]?.fail(),
     expire,
@@ -196,12 +208,17 @@
         fc.array(event, { maxLength: 12 }),
         (repeat, isPipelined, events) => {
           const harness = new ExchangeHarness({ repeat, isPipelined });
+          harness.budget.setTotal(1e6);
+          harness.budget.open("r").recordSize(90_000);
           harness.start();
           events.forEach((apply) => apply(harness));
           expire(harness);
+          harness.drain();
           expect(harness.statuses.length).toBeLessThanOrEqual(1);
           expect(harness.ends).toHaveLength(1);
           expect(harness.openAttempt).toBeUndefined();
+          expect(harness.budget.heldBytes).toBe(0);
+          expect(harness.budget.freeBytes).toBe(1e6);
           if (harness.ends[0] === "answered") {
             expect(harness.statuses).toHaveLength(1);
           }
