--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -301,6 +301,12 @@
       "An internal error of the gateway ended a request with status 502, or by closing the connection if the response had begun.",
     fields: ["request", "reason"],
   },
+  "memory not read": {
+    level: "warn",
+    meaning:
+      "The system did not tell the size of the process; a usual size is assumed when memory for responses is set.",
+    fields: ["reason"],
+  },
   "lines thinned": {
     level: "info",
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -213,7 +213,7 @@
 
   #createRequestPath(settings: GatewaySettings): RequestPath {
     const { vm, zone, region, zones, bounds, memoryBytes } = settings;
-    const resident = new ResidentMemory();
+    const resident = new ResidentMemory(this.#log);
     return new RequestPath({
       steering: new Steering({
         vm,
