--- a/packages/daemon/src/gateway/emulation.ts
+++ b/packages/daemon/src/gateway/emulation.ts
@@ -15,7 +15,8 @@
 export type { Route, Service } from "./configuration.ts";
 export { EventLog } from "./events.ts";
 export type { HomeTargets } from "./homes/home_targets.ts";
-export type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+export type { GatewayExchange } from "./exchange.ts";
+export type { GatewayExchangeEnd } from "./exchange_types.ts";
 export { decodeHomeMessage, encodeHomeMessage } from "./homes/home_codec.ts";
 export type {
   CallerRequest,
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -9,86 +9,56 @@
  */
 
 import type { Buffer } from "node:buffer";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { AccountId, ServiceId, TargetId } from "@poplarthread/ids";
 import {
   type GateCause,
-  hashText,
-  type LoadReport,
   type PlacedVia,
   type PlacementRequest,
   type Warmth,
 } from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
-import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
+import type { Expiring } from "../http/deadline_wheel.ts";
 import { type BodyListener, RequestBody } from "../http/request_body.ts";
-import type { AdmissionRefusal, AdmittedCaller } from "./accounts/admission.ts";
+import type { AdmissionRefusal } from "./accounts/admission.ts";
 import { AttemptRecord } from "./attempt_record.ts";
 import {
-  type AttemptReportServices,
   isRoomRefusal,
   reportAttempt,
+  reportWorkDone,
+  summaryOf,
+  type WorkReport,
 } from "./attempt_report.ts";
-import { CallerResponse, type EndsConnection } from "./caller_response.ts";
+import { CallerResponse } from "./caller_response.ts";
 import type { Route } from "./configuration.ts";
 import {
   type ExchangePhase,
   type ExchangeStep,
   phaseAfter,
 } from "./exchange_phase.ts";
+import type {
+  AttemptSummary,
+  ExchangeSummary,
+  GatewayExchangeEnd,
+  GatewayExchangeOptions,
+  GatewayExchangeServices,
+} from "./exchange_types.ts";
 import type { LocalReplyReason } from "./local_reply.ts";
 import type { CallerRequest, TargetResponse } from "./ports.ts";
-import type { Placeable, RequestQueue } from "./request_queue.ts";
-import { startAttempt, type StartAttemptServices } from "./start_attempt.ts";
+import type { Placeable } from "./request_queue.ts";
+import { expiryOf, objectOf } from "./request_terms.ts";
+import { startAttempt } from "./start_attempt.ts";
 import type {
   TargetAttempt,
   TargetAttemptEnd,
   TargetAttemptOwner,
 } from "./target_attempt.ts";
 
-/** How an exchange ended, for logs and metrics. */
-export type GatewayExchangeEnd = "answered" | "caller-gone" | LocalReplyReason;
-
-/** Dependencies of an exchange; one object is shared by all exchanges of a VM. */
-export interface GatewayExchangeServices
-  extends AttemptReportServices, StartAttemptServices {
-  readonly wheel: DeadlineWheel;
-  readonly queue: RequestQueue;
-  /** Called once per exchange, when its caller has the final response or has disconnected. */
-  ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
-  /** Called once per attempt. */
-  attemptEnded(end: TargetAttemptEnd["kind"]): void;
-}
-
-/** A request as accepted by the listener. */
-export interface GatewayExchangeOptions {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly request: CallerRequest;
-  readonly route: Route;
-  readonly caller: AdmittedCaller;
-  readonly service: ServiceId;
-  readonly bodyBytes: number;
-  /** Version of the configuration that the request is handled under. */
-  readonly version: number;
-  readonly now: number;
-  readonly endsConnection: EndsConnection;
-}
-
-/** The logged details of an attempt. */
-export interface AttemptSummary {
-  readonly target: TargetId;
-  readonly durationMs: number;
-  readonly end: TargetAttemptEnd["kind"];
-  /** The load that the target reported with its response, if any. */
-  readonly load: LoadReport | undefined;
-}
-
 /** Minimum time left for a retry to be worth spending retry budget: about one service time on a warm target. */
 const MIN_RETRY_TIME_MS = 120;
-/** Part of the caller's deadline reserved for the response to travel back. */
-const RESPONSE_TRANSIT_MS = 5;
+/** Retry-After while this VM has no memory for a response: slow callers free some within about a second. */
+const MEMORY_RETRY_MS = 1_000;
 
 /** The state of one request; see the module comment. */
 export class GatewayExchange
@@ -121,7 +91,9 @@
   #placedVia: PlacedVia | undefined;
   #awaitsHomes = false;
   /** The latest error response of a target; sent to the caller if no retry succeeds. */
-  #failedResponse: { response: TargetResponse; body: Buffer } | undefined;
+  #failedResponse:
+    | { response: TargetResponse; body: readonly Buffer[] }
+    | undefined;
   /** Digest by which repeats of the request are recognized. */
   #digest: string | undefined;
   #firstSentAt: number | undefined;
@@ -135,7 +107,12 @@
     const { request, route, now } = options;
     this.#services = services;
     this.#req = options.req;
-    this.#response = new CallerResponse(options.res, options.endsConnection);
+    this.#response = new CallerResponse(options.res, {
+      hold: services.budget.open(route.name),
+      wheel: services.wheel,
+      endsConnection: options.endsConnection,
+      stalled: () => this.#guarded(() => this.#cut("caller-stalled")),
+    });
     this.#options = options;
     this.request = request;
     this.route = route;
@@ -144,13 +121,8 @@
     this.startedAt = now;
     this.priority = options.caller.rank;
     this.objectiveAt = now + route.latencyObjectiveMs;
-    const timeoutMs = request.deadlineMs === undefined
-      ? route.timeoutMs
-      : Math.min(request.deadlineMs - RESPONSE_TRANSIT_MS, route.timeoutMs);
-    this.expiresAt = now + Math.max(1, timeoutMs);
-    this.object = route.hasAffinity && request.object !== undefined
-      ? hashText(`${route.host}${route.prefix}${request.object}`)
-      : undefined;
+    this.expiresAt = expiryOf(request, route, now);
+    this.object = objectOf(request, route);
   }
 
   /** The client account that sent the request; undefined if callers are not identified. */
@@ -163,33 +135,20 @@
     return this.#req.socket;
   }
 
-  /** Number of attempts that were written to a target. */
-  get attempts(): number {
-    return this.#attempts.written;
-  }
-
-  /** The attempt that ended most recently. */
-  get lastAttempt(): AttemptSummary | undefined {
-    return this.#lastAttempt;
-  }
-
-  /** How the target of the last attempt was chosen; undefined if there was none, or the request has no object. */
-  get placedVia(): PlacedVia | undefined {
-    return this.#placedVia;
-  }
-
   get awaitsHomes(): boolean {
     return this.#awaitsHomes;
   }
 
-  /** The Retry-After sent to the caller; undefined if none was sent. */
-  get retryAfterMs(): number | undefined {
-    return this.#retryAfterMs;
-  }
-
-  /** Time until the first attempt, or until now if there was none. */
-  get waitedMs(): number {
-    return (this.#firstSentAt ?? performance.now()) - this.startedAt;
+  /** What the request has met so far. */
+  get summary(): ExchangeSummary {
+    return {
+      attempts: this.#attempts.written,
+      lastAttempt: this.#lastAttempt,
+      placedVia: this.#placedVia,
+      retryAfterMs: this.#retryAfterMs,
+      delivery: this.#response.summary,
+      waitedMs: (this.#firstSentAt ?? performance.now()) - this.startedAt,
+    };
   }
 
   /** Starts handling the request, unless its caller has already disconnected. */
@@ -275,6 +234,10 @@
     }) ?? false;
   }
 
+  attemptBuffering(attempt: TargetAttempt, bytes: number): boolean {
+    return this.#attempt !== attempt || this.#response.mayBuffer(bytes);
+  }
+
   attemptStreaming(
     attempt: TargetAttempt,
     response: TargetResponse,
@@ -291,7 +254,7 @@
       this.#transition("stream");
       // This response has been partly sent, so the earlier error response must not follow.
       this.#failedResponse = undefined;
-      return this.#response.writeChunk(firstChunk, () => attempt.resume());
+      return this.#stream(attempt, firstChunk);
     }) ?? true;
   }
 
@@ -299,9 +262,7 @@
     if (this.#attempt !== attempt || this.#phase !== "streaming") {
       return true;
     }
-    return this.#guarded(() =>
-      this.#response.writeChunk(chunk, () => attempt.resume())
-    ) ?? true;
+    return this.#guarded(() => this.#stream(attempt, chunk)) ?? true;
   }
 
   attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
@@ -390,7 +351,12 @@
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
       return false;
     }
-    const decision = this.#services.steering
+    const { budget, steering } = this.#services;
+    if (this.#attempts.written === 0 && !budget.admits(this.route.name)) {
+      this.#refuse("memory-used-up", MEMORY_RETRY_MS);
+      return false;
+    }
+    const decision = steering
       .place(this.#placementRequest(), { now, ahead });
     this.#awaitsHomes = decision.kind === "wait" && decision.for === "homes";
     switch (decision.kind) {
@@ -407,23 +373,32 @@
     }
   }
 
+  /** Passes a chunk on; while the caller does not take more, its target is paused and free for others. */
+  #stream(attempt: TargetAttempt, chunk: Buffer): boolean {
+    const goesOn = this.#response.writeChunk(chunk, () => attempt.resume());
+    if (!goesOn) {
+      const now = performance.now();
+      reportWorkDone(this.#services, attempt, this.#report(now));
+      this.#services.queue.placeWaiting(this.service, now);
+    }
+    return goesOn;
+  }
+
   #reportEnd(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
-    this.#lastAttempt = {
-      target: attempt.target,
-      durationMs: now - attempt.startedAt,
-      end: end.kind,
-      load: "response" in end ? end.response.load : undefined,
-    };
+    this.#lastAttempt = summaryOf(attempt, end, now);
     this.#services.attemptEnded(end.kind);
-    reportAttempt(this.#services, attempt, {
-      end,
+    reportAttempt(this.#services, attempt, { ...this.#report(now), end });
+  }
+
+  #report(now: number): WorkReport {
+    return {
       now,
       request: this.request.requestId,
       requestKind: this.route.name,
       object: this.object,
       warmth: this.#warmth,
       digest: this.#digest,
-    });
+    };
   }
 
   #handleAttemptEnd(end: TargetAttemptEnd, now: number): void {
@@ -452,11 +427,14 @@
     }
   }
 
-  #handleResponse(response: TargetResponse, body: Buffer, now: number): void {
+  #handleResponse(
+    response: TargetResponse,
+    body: readonly Buffer[],
+    now: number,
+  ): void {
     if (this.#phase === "streaming") {
       this.#response.end();
-      this.#transition("end");
-      this.#finish("answered");
+      this.#awaitDelivery();
       return;
     }
     if (response.status >= 500 && this.route.repeat === "idempotent") {
@@ -513,6 +491,7 @@
   }
 
   #requeue(now: number): void {
+    this.#response.discard();
     if (this.#transition("queue")) {
       this.#services.queue.add(this, now);
     }
@@ -522,6 +501,7 @@
     const { steering } = this.#services;
     this.#attempts.tried.add(target);
     this.#transition("send");
+    this.#response.reserve();
     this.#firstSentAt ??= now;
     steering.sent(target, now);
     startAttempt(this, this.#services, {
@@ -536,8 +516,8 @@
     });
   }
 
-  #deliver(response: TargetResponse, body: Buffer): void {
-    if (this.#phase === "done") {
+  #deliver(response: TargetResponse, body: readonly Buffer[]): void {
+    if (this.#phase === "done" || this.#phase === "delivering") {
       return;
     }
     if (!this.#response.sendComplete(response, body)) {
@@ -545,8 +525,29 @@
       this.#handleUnframed();
       return;
     }
-    this.#transition("end");
-    this.#finish("answered");
+    this.#awaitDelivery();
+  }
+
+  /** Ends the exchange once the network has taken the response: what is ready is delivered, however late. */
+  #awaitDelivery(): void {
+    this.#body?.destroy();
+    this.#services.wheel.delete(this);
+    this.#transition("deliver");
+    this.#response.whenDelivered(() =>
+      this.#guarded(() => {
+        if (this.#transition("end")) {
+          this.#finish("answered");
+        }
+      })
+    );
+  }
+
+  /** Cuts a response that has begun, so that it does not look complete. */
+  #cut(end: GatewayExchangeEnd): void {
+    if (this.#transition("end")) {
+      this.#response.destroy();
+      this.#finish(end);
+    }
   }
 
   /** Handles a response without framing that would close a connection on which pipelined requests still wait. */
@@ -569,14 +570,11 @@
   }
 
   #replyLocally(reason: LocalReplyReason, retryAfterMs?: number): void {
-    const isStreaming = this.#phase === "streaming";
-    if (!this.#transition("end")) {
+    if (this.#phase === "streaming" || this.#phase === "delivering") {
+      this.#cut("broken");
       return;
     }
-    if (isStreaming) {
-      // Part of the response has been sent; it must not look complete.
-      this.#response.destroy();
-      this.#finish("broken");
+    if (!this.#transition("end")) {
       return;
     }
     this.#retryAfterMs = retryAfterMs;
@@ -613,6 +611,7 @@
     this.#services.wheel.delete(this);
     this.#services.queue.remove(this);
     this.#body?.destroy();
+    this.#response.close();
     this.#services.ended(this, end);
   }
 
@@ -631,20 +630,21 @@
   }
 
   #handleFault(err: unknown): void {
-    this.#services.log.write("exchange failed", {
-      request: this.request.requestId,
-      reason: err instanceof Error ? err.stack ?? err.message : messageOf(err),
-    });
+    this.#logFault(
+      err instanceof Error ? err.stack ?? err.message : messageOf(err),
+    );
     try {
       this.#replyLocally("broken");
     } catch (secondErr) {
       // The response header was already written, so no error can be sent: close the connection.
-      this.#services.log.write("exchange failed", {
-        request: this.request.requestId,
-        reason: messageOf(secondErr),
-      });
+      this.#logFault(messageOf(secondErr));
       this.#response.destroy();
       this.#finish("broken");
     }
   }
+
+  #logFault(reason: string): void {
+    const request = this.request.requestId;
+    this.#services.log.write("exchange failed", { request, reason });
+  }
 }
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -28,9 +28,11 @@
 import type { Connection, Connections } from "./connections.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 import { EventLog } from "./events.ts";
-import { GatewayExchange, type GatewayExchangeEnd } from "./exchange.ts";
+import { GatewayExchange } from "./exchange.ts";
+import type { GatewayExchangeEnd } from "./exchange_types.ts";
 import type { Dialect, TargetResponse } from "./ports.ts";
 import { RequestQueue } from "./request_queue.ts";
+import { ResponseBudget } from "./response_budget.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 
 const SERVICE = "portal" as ServiceId;
@@ -76,22 +78,25 @@
 
   /** Sends a complete response with a body of `bytes`. */
   respond(response: FakeResponse, bytes = 4): void {
-    const raw = [Buffer.from(JSON.stringify(response))];
-    this.#handler.onHeaders!(response.status, raw, () => undefined, "");
-    this.#handler.onData!(Buffer.alloc(bytes));
+    this.beginResponse(bytes, response);
     if (!this.isAborted) {
-      this.hasEnded = true;
-      this.#handler.onComplete!([]);
+      this.endResponse();
     }
   }
 
   /** Begins a response with `bytes` of its body, without ending it. */
-  beginResponse(bytes: number): void {
-    const raw = [Buffer.from(JSON.stringify({ status: 200 }))];
-    this.#handler.onHeaders!(200, raw, () => undefined, "");
+  beginResponse(bytes: number, response: FakeResponse = { status: 200 }): void {
+    const raw = [Buffer.from(JSON.stringify(response))];
+    this.#handler.onHeaders!(response.status, raw, () => undefined, "");
     this.#handler.onData!(Buffer.alloc(bytes));
   }
 
+  /** Ends the response that {@link beginResponse} began. */
+  endResponse(): void {
+    this.hasEnded = true;
+    this.#handler.onComplete!([]);
+  }
+
   /** Breaks the connection. */
   fail(): void {
     this.hasEnded = true;
@@ -132,12 +137,19 @@
   tried: ReadonlySet<TargetId> = new Set();
   /** Callback that ends the quota check; undefined until the check is requested. */
   onCounted: Parameters<AdmittedCaller["chargeQuota"]>[0] | undefined;
+  /** Ends of attempts as reported to the steering. */
+  readonly reportedEnds: string[] = [];
   /** How often the request was uncounted. */
   uncounted = 0;
   /** If set, the steering throws this error instead of making a decision. */
   fault: Error | undefined;
+  /** Whether the caller's connection takes no more bytes for now. */
+  isBlocked = false;
+  readonly #drainListeners: (() => void)[] = [];
   readonly #wheel = new DeadlineWheel(performance.now());
   readonly #queue = new RequestQueue();
+  /** Memory for responses; not bounded unless the test sets it. */
+  readonly budget = new ResponseBudget();
 
   constructor({ repeat, isPipelined = false }: ExchangeHarnessOptions) {
     const log = new EventLog(this.#log());
@@ -152,6 +164,7 @@
         get: () => ({ address: "t:1" }),
       } as unknown as TargetDirectory,
       suspects: new CrashSuspects(() => undefined),
+      budget: this.budget,
       log,
       ended: (_exchange, end) => this.ends.push(end),
       attemptEnded: () => undefined,
@@ -211,6 +224,12 @@
     this.#queue.placeAllWaiting(performance.now());
   }
 
+  /** The caller's connection takes everything that was written. */
+  drain(): void {
+    this.isBlocked = false;
+    this.#drainListeners.splice(0).forEach((listener) => listener());
+  }
+
   #steering(): Steering {
     const noop = () => undefined;
     return {
@@ -218,7 +237,8 @@
       admitted: ({ object }: PlacementDemand) => this.admitted.push(object),
       sent: noop,
       written: noop,
-      ended: noop,
+      ended: (_target: TargetId, { kind }: { kind: string }) =>
+        this.reportedEnds.push(kind),
       markUnreachable: noop,
       roundTripTo: () => 1,
       takeRetry: () => true,
@@ -279,9 +299,10 @@
     };
     return {
       writeHead,
-      write: () => true,
+      write: () => !this.isBlocked,
       end: () => undefined,
-      once: () => undefined,
+      once: (_event: string, listener: () => void) =>
+        this.#drainListeners.push(listener),
       destroy: () => this.isDestroyed = true,
     } as unknown as ServerResponse;
   }
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -5,7 +5,8 @@
  */
 
 import type { EventLog } from "./events.ts";
-import type { GatewayExchange, GatewayExchangeEnd } from "./exchange.ts";
+import type { GatewayExchange } from "./exchange.ts";
+import type { GatewayExchangeEnd } from "./exchange_types.ts";
 
 /**
  * Maximum number of lines per second for requests that were answered on time. A VM
@@ -14,6 +15,9 @@
  */
 const MAX_ON_TIME_LINES_PER_S = 200;
 
+/** A response that its caller takes in less time is not reported as held. */
+const MIN_HELD_MS = 250;
+
 /** Writes the request log of one VM. */
 export class RequestLog {
   readonly #log: EventLog;
@@ -42,7 +46,8 @@
       this.#suppressedLines += 1;
       return;
     }
-    const { route, request, lastAttempt: last, placedVia } = exchange;
+    const { route, request, summary } = exchange;
+    const { lastAttempt: last, placedVia, retryAfterMs, delivery } = summary;
     this.#log.write("request ended", {
       request: request.requestId,
       route: route.name,
@@ -50,9 +55,9 @@
       service: exchange.service,
       object: request.object ?? "",
       end,
-      attempts: exchange.attempts,
+      attempts: summary.attempts,
       durationMs: Math.round(now - exchange.startedAt),
-      waitedMs: Math.round(exchange.waitedMs),
+      waitedMs: Math.round(summary.waitedMs),
       ...(exchange.account === undefined ? {} : { account: exchange.account }),
       // The age of the data only helps to explain refused, failed or late requests.
       ...(isOnTime ? {} : { newsMs }),
@@ -60,9 +65,13 @@
       ...(exchange.refusalCause === undefined
         ? {}
         : { cause: exchange.refusalCause }),
-      ...(exchange.retryAfterMs === undefined
+      ...(retryAfterMs === undefined
         ? {}
-        : { retryAfterMs: Math.round(exchange.retryAfterMs) }),
+        : { retryAfterMs: Math.round(retryAfterMs) }),
+      ...(delivery.heldMs < MIN_HELD_MS ? {} : {
+        heldMs: Math.round(delivery.heldMs),
+        heldBytes: delivery.heldBytes,
+      }),
       ...(last === undefined ? {} : {
         target: last.target,
         targetMs: Math.round(last.durationMs),
