homes: bound the number of further homes

Cause: further homes that requests ask for when all are busy overflowed the targets' caches on slow machines; all runs were then cold, for good. Change: the owner adds them only up to half of the objects, or one for each target if that is more. Tests of placement by homes.

--- a/packages/placement/src/homes/home_record.ts
+++ b/packages/placement/src/homes/home_record.ts
@@ -18,6 +18,12 @@
   readonly startedAt: number;
 }
 
+/**
+ * Share of the objects that may get a further home because others are too busy. Caches
+ * overflow with too many, and then all runs are cold.
+ */
+const MAX_FURTHER_SHARE = 0.5;
+
 /** An object in the owner's table. Times are milliseconds of the monotonic clock. */
 export interface HomeRecord {
   readonly object: number;
@@ -58,3 +64,13 @@
   const needed = wantedHomes(busySlotsOf(record) / SURPLUS_MARGIN, capacity);
   return length > 1 && record.move === undefined && needed < length;
 }
+
+/** Whether caches have room for one more home besides the first ones of the objects. */
+export function hasRoomForFurther(
+  records: ReadonlyMap<number, Pick<HomeRecord, "homes">>,
+  targets: number,
+): boolean {
+  let further = -records.size;
+  records.forEach(({ homes }) => further += homes.length);
+  return further < Math.max(targets, records.size * MAX_FURTHER_SHARE);
+}
--- a/packages/placement/src/homes/home_table.ts
+++ b/packages/placement/src/homes/home_table.ts
@@ -21,6 +21,7 @@
 import { mergeHomes, withoutLost } from "./home_protocol.ts";
 import {
   busySlotsOf,
+  hasRoomForFurther,
   hasSurplus,
   type HomeRecord,
   MAX_HOMES,
@@ -71,6 +72,7 @@
   readonly #crowdedSince = new Map<number, number>();
   readonly #changes = new ChangeLog<HomeRecord>();
   #sweptAt: number | undefined;
+  #targetCount = 0;
 
   constructor(options: HomeTableOptions) {
     this.targets = new HomeTargets(options);
@@ -103,6 +105,7 @@
   /** Sets the targets. Objects whose home is gone or has restarted get another one. */
   setTargets(targets: readonly HomeTarget[]): void {
     const lost = this.targets.set(targets);
+    this.#targetCount = targets.length;
     const affected = [...this.#records.values()].filter(({ homes }) =>
       homes.some((home) => lost.has(home))
     );
@@ -226,6 +229,7 @@
   #extend(record: HomeRecord, now: number): void {
     if (
       record.homes.length < MAX_HOMES &&
+      hasRoomForFurther(this.#records, this.#targetCount) &&
       now - record.extendedAt >= EXTEND_INTERVAL_MS
     ) {
       record.extendedAt = now;
