--- a/packages/placement/src/room/refusal_rates.ts
+++ b/packages/placement/src/room/refusal_rates.ts
@@ -1,7 +1,7 @@
 /**
  * How much of what it got a service, or one of its targets, lately refused to run.
  *
- * While a service is out of room, a target that refuses requests is not ill: it
+ * While a service is out of room, a target that refuses requests is not failing: it
  * answers, and runs what it accepts. If its refusals counted as failures, its objects
  * would move to targets that run them uncached, which takes more of the room that is
  * already short. A target that refuses much while others don't is avoided.
