--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -185,13 +185,13 @@
 
   #hasCapacity(
     { target, load }: SteeredEntry,
-    { priority }: PlacementRequest,
+    { kind, priority }: PlacementRequest,
     now: number,
   ): boolean {
     const maxInFlight = target.slots +
       Math.round(target.slots * MAX_QUEUED_PER_SLOT);
     const places = this.#known.room
-      .placesAt(target, { priority, maxInFlight, now });
+      .placesAt(target, { kind, priority, maxInFlight, now });
     // The estimate of other VMs' requests decays to fractions of a request.
     // Rounding ignores less than half a request.
     return Math.round(load.inFlight(now)) < places;
--- a/packages/placement/src/room/reserved_places.ts
+++ b/packages/placement/src/room/reserved_places.ts
@@ -10,26 +10,48 @@
  * @module
  */
 
-/** Time without a request after which a priority is not in use any more. */
+/** Time without a request after which a kind is not in use any more. */
 const IN_USE_MS = 5_000;
 
-/** Places that are kept for each more urgent priority. */
+/** Places that are kept for each more urgent kind. */
 const RESERVED_PLACES = 2;
 
-/** The priorities of the requests that a service lately got on this VM. */
+/** The priority that requests of a kind lately had. */
+interface KindInUse {
+  readonly priority: number;
+  readonly at: number;
+}
+
+/** A request whose place in the order of urgency is asked for. */
+export interface RankedRequest {
+  /** Undefined to compare it with requests of all kinds. */
+  readonly kind?: string;
+  readonly priority: number;
+}
+
+/**
+ * The priorities of the kinds of request that a service lately got on this VM.
+ * Requests of one kind leave each other no places, whatever their accounts' rank:
+ * most of them would then wait on their VMs for slots that are free.
+ */
 export class PrioritiesInUse {
-  readonly #arrivedAt = new Map<number, number>();
+  readonly #kinds = new Map<string, KindInUse>();
 
   /** Records the arrival of a request. */
-  arrived(priority: number, now: number): void {
-    this.#arrivedAt.set(priority, now);
+  arrived(
+    { kind, priority }: Required<RankedRequest>,
+    now: number,
+  ): void {
+    this.#kinds.set(kind, { priority, at: now });
   }
 
-  /** Number of more urgent priorities in use. */
-  moreUrgent(priority: number, now: number): number {
+  /** Number of more urgent kinds in use. */
+  moreUrgent({ kind, priority }: RankedRequest, now: number): number {
     let count = 0;
-    for (const [other, at] of this.#arrivedAt) {
-      count += other < priority && now - at <= IN_USE_MS ? 1 : 0;
+    for (const [other, inUse] of this.#kinds) {
+      const isMoreUrgent = other !== kind && inUse.priority < priority &&
+        now - inUse.at <= IN_USE_MS;
+      count += isMoreUrgent ? 1 : 0;
     }
     return count;
   }
@@ -44,7 +66,7 @@
 
 /**
  * Requests that may be at a target when one is sent there, with `moreUrgent` more
- * urgent priorities in use: some places less for each, but any priority may use all
+ * urgent kinds in use: some places less for each, but any priority may use all
  * slots.
  */
 export function placesFor(
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -105,7 +105,6 @@
   /** Records the arrival of a caller's request. */
   arrived(service: ServiceId, priority: number, now: number): void {
     const room = this.#services.get(service);
-    room?.priorities.arrived(priority, now);
     room?.local.arrived(priority, now);
   }
 
@@ -120,6 +119,7 @@
     },
   ): GateDecision {
     const room = this.#services.get(request.service);
+    room?.priorities.arrived(request, now);
     room?.local.offered(request.priority, slackRuns, now);
     const decision = room?.gate.decide(
       { ...gateRequest(request, now), isInTime },
@@ -143,14 +143,15 @@
     );
   }
 
-  /** Requests that may be at a target when one of `priority` is sent there. */
+  /** Requests that may be at a target when one of this kind and priority is sent there. */
   placesAt(
     target: {
       readonly id: TargetId;
       readonly service: ServiceId;
       readonly slots: number;
     },
-    { priority, maxInFlight, now }: {
+    { kind, priority, maxInFlight, now }: {
+      readonly kind: string;
       readonly priority: number;
       readonly maxInFlight: number;
       readonly now: number;
@@ -160,7 +161,7 @@
     if (room === undefined) {
       return maxInFlight;
     }
-    const moreUrgent = room.priorities.moreUrgent(priority, now);
+    const moreUrgent = room.priorities.moreUrgent({ kind, priority }, now);
     const { slots } = target;
     const places = placesFor(moreUrgent, { slots, maxInFlight });
     const usableShare = room.refusals.usableShare(target.id, now);
@@ -213,7 +214,7 @@
     if (room.refusals.isClosed(now) || isScarce && isLate) {
       return { kind: "hopeless" };
     }
-    const moreUrgent = room.priorities.moreUrgent(priority, now);
+    const moreUrgent = room.priorities.moreUrgent({ priority }, now);
     const reservedShare = room.retries.shareFor(priority, { moreUrgent, now });
     return { kind: "allowed", reservedShare };
   }
