Requests wait for a run that warms their home only if that ends sooner

Cause: a request that came right after the first one for its object waited for the cold run, the news of it and a warm run: longer than its own cold run. Change: the two are compared; the test of the wait moves to a moment at which waiting is right, another holds the rule.

--- a/packages/placement/src/request_homes.ts
+++ b/packages/placement/src/request_homes.ts
@@ -105,8 +105,8 @@
 
   /**
    * Whether the first request for the object still runs at its home, as far as this
-   * VM knows, and a request that ran beside it would be late. It would take as long
-   * as the first one, and a slot besides.
+   * VM knows, and a request that ran beside it would be late and end later than one
+   * that waits for it.
    */
   #isBeingWarmed(
     askedAt: number | undefined,
@@ -123,7 +123,10 @@
     const coldMs = kindTimes.warmMs(request.kind) +
       kindTimes.savedMs(request.kind);
     const isInTimeBeside = now + coldMs <= (request.objectiveAt ?? -Infinity);
-    return !isInTimeBeside && now < askedAt + coldMs + WARM_UPDATE_MS &&
+    const warmAt = askedAt + coldMs + WARM_UPDATE_MS;
+    const endsSoonerBeside = now + coldMs <= warmAt +
+        kindTimes.warmMs(request.kind);
+    return !isInTimeBeside && !endsSoonerBeside && now < warmAt &&
       !usable.some(({ target }) =>
         warmObjects.isWarm(request.object!, target.id, now)
       );
