--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -331,6 +331,7 @@
       service: this.service,
       kind: this.route.name,
       priority: this.priority,
+      routePriority: this.route.priority,
       object: this.object,
       account: this.account,
       regions: this.#options.caller.regions,
@@ -473,7 +474,11 @@
     const isAllowed = this.#attempts.written < this.route.maxAttempts &&
       this.expiresAt - now > MIN_RETRY_TIME_MS &&
       (this.#body?.available ?? true) &&
-      steering.takeRetry(this.service, now, this);
+      steering.takeRetry(this.service, now, {
+        priority: this.priority,
+        routePriority: this.route.priority,
+        objectiveAt: this.objectiveAt,
+      });
     if (isAllowed) {
       this.#requeue(now);
     } else {
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -185,7 +185,7 @@
 
   #hasCapacity(
     { target, load }: SteeredEntry,
-    { kind, priority }: PlacementRequest,
+    { kind, priority: rank, routePriority: priority = rank }: PlacementRequest,
     now: number,
   ): boolean {
     const maxInFlight = target.slots +
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -20,6 +20,8 @@
   readonly kind: string;
   /** Priority rank of its route; 0 is the most urgent. */
   readonly priority: number;
+  /** Priority of its route, whatever its account's; by default that of the request. */
+  readonly routePriority?: number;
   /**
    * Hash of the object that the request concerns; undefined if targets cache
    * nothing for it.
--- a/packages/placement/src/room/reserved_places.ts
+++ b/packages/placement/src/room/reserved_places.ts
@@ -16,7 +16,7 @@
 /** Places that are kept for each more urgent kind. */
 const RESERVED_PLACES = 2;
 
-/** The priority that requests of a kind lately had. */
+/** The priority of a kind of request, that is, of its route. */
 interface KindInUse {
   readonly priority: number;
   readonly at: number;
@@ -26,6 +26,7 @@
 export interface RankedRequest {
   /** Undefined to compare it with requests of all kinds. */
   readonly kind?: string;
+  /** Priority of its route. */
   readonly priority: number;
 }
 
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -28,6 +28,8 @@
   readonly service: ServiceId;
   readonly kind: string;
   readonly priority: number;
+  /** Priority of its route; by default that of the request. */
+  readonly routePriority?: number;
   readonly object: number | undefined;
   readonly account?: AccountId | undefined;
   /** When the timeout of its caller or of its route expires. */
@@ -37,6 +39,8 @@
 /** A retry that a request asks for. */
 export interface RetryRequest {
   readonly priority: number;
+  /** Priority of its route; by default that of the request. */
+  readonly routePriority?: number;
   /** When its latency objective expires. */
   readonly objectiveAt: number;
 }
@@ -119,7 +123,8 @@
     },
   ): GateDecision {
     const room = this.#services.get(request.service);
-    room?.priorities.arrived(request, now);
+    const { kind, priority, routePriority = priority } = request;
+    room?.priorities.arrived({ kind, priority: routePriority }, now);
     room?.local.offered(request.priority, slackRuns, now);
     const decision = room?.gate.decide(
       { ...gateRequest(request, now), isInTime },
@@ -202,7 +207,7 @@
   /** The terms of a retry that takes about `runMs`. */
   retryTerms(
     service: ServiceId,
-    { priority, objectiveAt }: RetryRequest,
+    { priority, routePriority = priority, objectiveAt }: RetryRequest,
     { runMs, now }: { readonly runMs: number; readonly now: number },
   ): RetryTerms {
     const room = this.#services.get(service);
@@ -214,7 +219,8 @@
     if (room.refusals.isClosed(now) || isScarce && isLate) {
       return { kind: "hopeless" };
     }
-    const moreUrgent = room.priorities.moreUrgent({ priority }, now);
+    const moreUrgent = room.priorities
+      .moreUrgent({ priority: routePriority }, now);
     const reservedShare = room.retries.shareFor(priority, { moreUrgent, now });
     return { kind: "allowed", reservedShare };
   }
