Admission reads a request's objective in one place

Two methods had the same fallback to the deadline. No behaviour changes. Measured: tests of placement pass (160), types and linter are clean.

--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -90,9 +90,8 @@
     now: number,
   ): PlacementRefused | undefined {
     const runMs = this.#known.serviceTimes.meanMs(request.service);
-    const objectiveAt = request.objectiveAt ?? request.deadlineAt;
     const decision = this.#known.room.admit(request, {
-      slackRuns: (objectiveAt - now) / runMs - 1,
+      slackRuns: (objectiveOf(request) - now) / runMs - 1,
       isInTime: () => this.#isInTime(request, now),
       now,
     });
@@ -111,8 +110,7 @@
       ? compared.choice?.expectedMs ?? 0
       : 0;
     const runMs = this.#known.serviceTimes.meanMs(request.service);
-    const objectiveAt = request.objectiveAt ?? request.deadlineAt;
-    return now + expectedMs + runMs <= objectiveAt;
+    return now + expectedMs + runMs <= objectiveOf(request);
   }
 
   /** Records that a request was assigned to a target. */
@@ -236,6 +234,11 @@
   }
 }
 
+/** When the latency objective expires; with the deadline where there is none. */
+function objectiveOf({ objectiveAt, deadlineAt }: PlacementRequest): number {
+  return objectiveAt ?? deadlineAt;
+}
+
 function refusal(
   reason: PlacementRefusal,
   waitMs: number,
