A VM's log tells that it reaches no target

A VM that lost its links to all targets logged the same as one whose targets had all failed: attempts that broke, connections refused, 'no-target'.

TargetReach raises doubt when three targets fail within a second. The VM then asks four others, spread over the zones, on new connections; connections that were open before prove nothing, as they may live on while new ones are refused. Events 'reach in doubt', 'targets not reached', 'targets reached', and a gauge. Nothing is decided by it yet.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -183,6 +183,23 @@
     meaning: "A probe found an unresponsive target healthy again.",
     fields: ["target"],
   },
+  "reach in doubt": {
+    level: "info",
+    meaning:
+      "Several targets failed within a second: this VM checks on new connections whether others respond.",
+    fields: [],
+  },
+  "targets not reached": {
+    level: "warn",
+    meaning:
+      "No checked target responded on a new connection: this VM is cut off from all targets, and what it sees of them says nothing about their health.",
+    fields: [],
+  },
+  "targets reached": {
+    level: "info",
+    meaning: "A checked target responded on a new connection.",
+    fields: [],
+  },
   "target asks for rest": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,7 +5,11 @@
  * @module
  */
 
-import { HomeCoordinator, Steering } from "@poplarthread/placement";
+import {
+  HomeCoordinator,
+  type ReachState,
+  Steering,
+} from "@poplarthread/placement";
 import { messageOf } from "../errors.ts";
 import type { Log } from "../log.ts";
 import { PacedTimer } from "../paced_timer.ts";
@@ -14,7 +18,7 @@
 import { CallerListener } from "./caller_listener.ts";
 import { Connections } from "./connections.ts";
 import { Accounts } from "./accounts/accounts.ts";
-import { EventLog } from "./events.ts";
+import { EventLog, type EventName } from "./events.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import type { GatewayExchangeEnd } from "./exchange_types.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -64,6 +68,13 @@
 /** Interval at which a leaving VM checks whether its requests have ended. */
 const STOP_CHECK_INTERVAL_MS = 20;
 
+/** The log event for each state of this VM's links to the targets. */
+const REACH_EVENTS = {
+  "reached": "targets reached",
+  "in-doubt": "reach in doubt",
+  "cut-off": "targets not reached",
+} as const satisfies Record<ReachState, EventName>;
+
 /** Starts a gateway; resolves when its listeners are up. */
 export async function startGateway(
   settings: GatewaySettings,
@@ -111,6 +122,7 @@
       vmsUp: this.#peers.vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
       keptConnections: this.#homes.keptConnections,
+      targetsReached: Number(!this.#requestPath.steering.isCutOff),
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
     this.#connections = new Connections({
@@ -156,6 +168,7 @@
       dialect: this.#dialect,
       log: this.#log,
       path: () => this.#requestPath,
+      isLoopDelayed: () => this.#loopDelay.isDelayed(performance.now()),
     });
     this.#callerListener = this.#createCallerListener();
     this.#accounts = new Accounts({
@@ -239,6 +252,7 @@
         onWarmPair: (pair) => this.#peers.beacon.send({ kind: "warmed", pair }),
         homes: this.#homes.source,
         roomOf: (service, now) => this.#homes.roomOf(service, now),
+        onReachChanged: (state) => this.#onReachChanged(state),
       }),
       zones,
       dialect: this.#dialect,
@@ -251,6 +265,7 @@
         this.#homes.setTargets(targets, now),
       targetUnresponsive: () => this.#metrics.stateChanged("target-silent"),
       probe: (target) => this.#probes.probe(target),
+      checkReach: (target) => this.#probes.checkReach(target),
       requestQueued: () => this.#timer.scheduleWithin(BUSY_TICK_MS),
       publishLimit: (update) =>
         this.#peers.beacon.send({ kind: "limit", update }),
@@ -361,6 +376,13 @@
     });
   }
 
+  #onReachChanged(state: ReachState): void {
+    this.#metrics.stateChanged(`reach-${state}`);
+    this.#log.write(REACH_EVENTS[state], {});
+    // The steering is in the middle of recording a failure.
+    queueMicrotask(() => this.#requestPath.checkReach(performance.now()));
+  }
+
   #setVms(up: readonly RankedMember[], now: number): void {
     this.#requestPath.steering.setVms(up);
     this.#homes.setVms(up, now);
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -30,6 +30,7 @@
 export interface GatewayGauges extends RequestPathGauges {
   readonly openRequests: number;
   readonly configurationVersion: number;
+  readonly targetsReached: number;
   readonly vmsUp: number;
   /** Lines that the log dropped because its reader did not keep up. */
   readonly droppedLines: number;
@@ -122,6 +123,11 @@
       "limited_targets",
       "Targets that have named a limit for all VMs together",
     );
+    gauge(
+      "targetsReached",
+      "targets_reached",
+      "1 while this VM reaches targets, 0 while it is cut off from all of them",
+    );
     gauge("vmsUp", "vms_up", "VMs that are up, this one among them");
     gauge(
       "keptConnections",
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -61,6 +61,8 @@
   targetUnresponsive(target: TargetId): void;
   /** Probes a target that was taken out of use. */
   probe(target: TargetId): void;
+  /** Checks whether a target responds on a new connection, and reports that to the steering; not at all by default. */
+  checkReach?(target: TargetId): void;
   /** Called when a request is queued: {@link RequestPath.tick} is then due in {@link BUSY_TICK_MS}. */
   requestQueued?(): void;
   /** Sends peers the limit that a target reported, or lifted. */
@@ -188,6 +190,15 @@
     for (const target of this.steering.probesDue(now)) {
       this.#options.probe(target);
     }
+    this.checkReach(now);
+  }
+
+  /** Starts the checks that are due because this VM may reach no targets. */
+  checkReach(now: number): void {
+    const { checkReach } = this.#options;
+    if (checkReach !== undefined) {
+      this.steering.reachChecksDue(now).forEach((target) => checkReach(target));
+    }
   }
 
   /** Applies the platform's complete list of targets. */
--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -5,7 +5,8 @@
  */
 
 import type { TargetId } from "@poplarthread/ids";
-import { messageOf } from "../errors.ts";
+import type { ReachCheck } from "@poplarthread/placement";
+import { messageOf, ProbeTimeoutError } from "../errors.ts";
 import type { ConnectionTarget } from "./connections.ts";
 import type { EventLog } from "./events.ts";
 import { HealthProber, type HealthProberOptions } from "./health_prober.ts";
@@ -15,6 +16,8 @@
 export interface TargetProbesOptions extends HealthProberOptions {
   readonly log: EventLog;
   path(): RequestPath;
+  /** Whether the event loop is delayed, so that timeouts prove nothing. */
+  isLoopDelayed(): boolean;
 }
 
 /** See the module comment. */
@@ -66,4 +69,29 @@
         log.write("probe failed", { target: id, reason: messageOf(err) }),
     );
   }
+
+  /** Checks whether a target responds on a new connection, whatever it responds. */
+  checkReach(id: TargetId): void {
+    const { isLoopDelayed, log, path } = this.#options;
+    const { steering, targets } = path();
+    const target = targets.get(id);
+    const healthPath = targets.serviceOf(id)?.healthPath;
+    if (target === undefined || healthPath === undefined) {
+      steering.reachChecked("unknown");
+      return;
+    }
+    const { address } = target;
+    const roundTripMs = steering.roundTripTo(id);
+    this.#prober.probe({ id, address, roundTripMs }, healthPath).then(
+      () => steering.reachChecked("responded"),
+      (err) => {
+        log.write("probe failed", { target: id, reason: messageOf(err) });
+        steering.reachChecked(isLoopDelayed() ? "unknown" : reachCheckOf(err));
+      },
+    );
+  }
+}
+
+function reachCheckOf(err: unknown): ReachCheck {
+  return err instanceof ProbeTimeoutError ? "timed-out" : "failed";
 }
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -76,6 +76,7 @@
 export { type HealthState, TargetHealth } from "./target_health.ts";
 export type { ReportedLimit } from "./target_limits.ts";
 export { type LoadReport, TargetLoad } from "./target_load.ts";
+export type { ReachCheck, ReachState } from "./target_reach.ts";
 export { ownerOf, type TargetOwner } from "./target_owners.ts";
 export { type SplitPart, WeightedSplit } from "./weighted_split.ts";
 export { type QueuedRequest, WaitQueue } from "./wait_queue.ts";
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -35,6 +35,12 @@
 import type { ReportedLimit } from "./target_limits.ts";
 import type { TargetOwner } from "./target_owners.ts";
 import { TargetRates } from "./target_rates.ts";
+import {
+  type ReachCheck,
+  type ReachState,
+  TargetReach,
+} from "./target_reach.ts";
+import { spreadOverZones } from "./zone_spread.ts";
 import { type HashedPair, WarmObjects } from "./warm_objects.ts";
 
 /** Configuration of {@link Steering}. */
@@ -57,6 +63,8 @@
   readonly initialCandidates?: number;
   /** Assigned homes of objects; without it, homes follow from the rendezvous order. */
   readonly homes?: HomeSource;
+  /** Called when this VM begins or ceases to doubt that it reaches targets. */
+  onReachChanged?(state: ReachState): void;
 }
 
 /**
@@ -70,6 +78,9 @@
   readonly #admission: Admission;
   readonly #feedback: TargetFeedback;
   readonly #retries: Retries;
+  readonly #reach: TargetReach;
+  /** Number of rounds of reach checks so far, so that each takes other targets. */
+  #checkRounds = 0;
 
   constructor(options: SteeringOptions) {
     this.roundTrips = new RoundTrips(options.location);
@@ -98,6 +109,36 @@
       onWarmPair: (pair) => options.onWarmPair?.(pair),
       homes: options.homes,
     });
+    this.#reach = new TargetReach((state) => options.onReachChanged?.(state));
+  }
+
+  /** Whether this VM reaches no targets at all. */
+  get isCutOff(): boolean {
+    return this.#reach.isCutOff;
+  }
+
+  /** Targets that should be checked now for whether this VM reaches any. */
+  reachChecksDue(now: number): readonly TargetId[] {
+    const count = this.#reach.takeDueChecks(now);
+    if (count === 0) {
+      return [];
+    }
+    this.#checkRounds += 1;
+    const targets = this.#known.entries.all().map(({ target }) => target);
+    const picked = spreadOverZones(targets, {
+      count,
+      round: this.#checkRounds,
+      last: this.#reach.recentlyFailed,
+    });
+    for (let missing = picked.length; missing < count; missing++) {
+      this.#reach.checked("failed");
+    }
+    return picked.map(({ id }) => id);
+  }
+
+  /** Records the result of a check of {@link reachChecksDue}. */
+  reachChecked(check: ReachCheck): void {
+    this.#reach.checked(check);
   }
 
   /** Sets the reachable VMs, including this one. */
@@ -294,9 +335,20 @@
    */
   ended(id: TargetId, result: AttemptResult, times: AttemptTimes): void {
     const entry = this.#known.entries.get(id);
-    if (entry !== undefined) {
-      this.#feedback.ended(entry, result, times);
+    if (entry === undefined) {
+      return;
     }
+    switch (result.kind) {
+      case "answered":
+        this.#reach.responded(times.now);
+        break;
+      case "broke":
+        this.#recordFailure(id, times.now);
+        break;
+      case "abandoned":
+        break;
+    }
+    this.#feedback.ended(entry, result, times);
   }
 
   /**
@@ -319,9 +371,11 @@
   /** Marks the target unreachable: no connection could be established. */
   markUnreachable(id: TargetId, now: number): void {
     const entry = this.#known.entries.get(id);
-    if (entry !== undefined) {
-      this.#feedback.markUnreachable(entry, now);
+    if (entry === undefined) {
+      return;
     }
+    this.#recordFailure(id, now);
+    this.#feedback.markUnreachable(entry, now);
   }
 
   /**
@@ -344,11 +398,17 @@
    * unresponsive since the last call.
    */
   findUnresponsive(now: number): readonly TargetId[] {
-    return this.#feedback.findUnresponsive(now);
+    const unresponsive = this.#feedback.findUnresponsive(now);
+    unresponsive.forEach((id) => this.#recordFailure(id, now));
+    return unresponsive;
   }
 
   /** Targets that should be probed now. Schedules the next probe of each. */
   probesDue(now: number): readonly TargetId[] {
     return this.#feedback.probesDue(now);
   }
+
+  #recordFailure(id: TargetId, now: number): void {
+    this.#reach.failed(id, { now, known: this.#known.entries.size });
+  }
 }
--- a/packages/placement/src/target_entries.ts
+++ b/packages/placement/src/target_entries.ts
@@ -41,6 +41,16 @@
     return this.#idsByHash.get(hash);
   }
 
+  /** Number of known targets. */
+  get size(): number {
+    return this.#idsByHash.size;
+  }
+
+  /** All known targets. */
+  all(): readonly SteeredEntry[] {
+    return [...this.#idsByHash.values()].map((id) => this.#index.get(id)!);
+  }
+
   /** Sets the reachable VMs, including this one. */
   setVms(vms: readonly TargetOwner[]): void {
     this.#index.setVms(vms);
--- /dev/null
+++ b/packages/placement/src/target_reach_test.ts
@@ -0,0 +1,123 @@
+/**
+ * When a VM concludes that it is cut off from all targets.
+ *
+ * @module
+ */
+
+import { expect, test } from "vitest";
+import type { TargetId } from "@poplarthread/ids";
+import {
+  type ReachCheck,
+  type ReachState,
+  TargetReach,
+} from "./target_reach.ts";
+
+const KNOWN = 40;
+
+interface Setup {
+  readonly reach: TargetReach;
+  readonly states: readonly ReachState[];
+  /** Fails `count` targets at `now`. */
+  fail(count: number, now: number): void;
+  /** Gives all due checks this result; returns their number. */
+  check(result: ReachCheck, now: number): number;
+}
+
+function setUp(known = KNOWN): Setup {
+  const states: ReachState[] = [];
+  const reach = new TargetReach((state) => states.push(state));
+  return {
+    reach,
+    states,
+    fail: (count, now) => {
+      for (let index = 0; index < count; index++) {
+        reach.failed(`t-${index}` as TargetId, { now, known });
+      }
+    },
+    check: (result, now) => {
+      const due = reach.takeDueChecks(now);
+      for (let index = 0; index < due; index++) {
+        reach.checked(result);
+      }
+      return due;
+    },
+  };
+}
+
+test("a VM whose targets all refuse connections is cut off once the checked ones failed", () => {
+  const { fail, check, reach, states } = setUp();
+  fail(3, 100);
+  expect(reach.isCutOff).toBe(false);
+  expect(check("failed", 100)).toBe(4);
+  expect(states).toEqual(["in-doubt", "cut-off"]);
+});
+
+test("two failed targets raise no doubt", () => {
+  const { fail, check } = setUp();
+  fail(2, 100);
+  expect(check("failed", 100)).toBe(0);
+});
+
+test("targets that fail one after the other, seconds apart, raise no doubt", () => {
+  const { reach, states } = setUp();
+  for (let index = 0; index < 10; index++) {
+    reach.failed(`t-${index}` as TargetId, { now: index * 600, known: KNOWN });
+  }
+  expect(states).toEqual([]);
+});
+
+test("a VM with a single target can be cut off", () => {
+  const { fail, check, reach } = setUp(1);
+  fail(1, 100);
+  check("failed", 100);
+  expect(reach.isCutOff).toBe(true);
+});
+
+test("a lost zone does not make a VM look cut off: one checked target responds", () => {
+  const { fail, reach, states } = setUp();
+  fail(5, 100);
+  expect(reach.takeDueChecks(100)).toBe(4);
+  reach.checked("failed");
+  reach.checked("responded");
+  reach.checked("failed");
+  reach.checked("failed");
+  expect(states).toEqual(["in-doubt", "reached"]);
+});
+
+test("connections that live on while new ones are refused do not hide the cut", () => {
+  const { fail, check, reach } = setUp();
+  fail(3, 100);
+  reach.responded(101);
+  check("failed", 102);
+  reach.responded(103);
+  expect(reach.isCutOff).toBe(true);
+});
+
+test("checks that time out at busy targets prove nothing while other responses arrive", () => {
+  const { fail, reach, states } = setUp();
+  fail(3, 100);
+  reach.takeDueChecks(100);
+  reach.responded(400);
+  for (let index = 0; index < 4; index++) {
+    reach.checked("timed-out");
+  }
+  expect(states).toEqual(["in-doubt", "reached"]);
+});
+
+test("a VM that is too busy to tell does not count as cut off", () => {
+  const { fail, check, states } = setUp();
+  fail(3, 100);
+  check("unknown", 100);
+  expect(states).toEqual(["in-doubt", "reached"]);
+});
+
+test("a VM that is cut off checks again at intervals until a target responds", () => {
+  const { fail, check, states } = setUp();
+  fail(3, 100);
+  check("failed", 100);
+  expect(check("failed", 300)).toBe(0);
+  expect(check("failed", 600)).toBe(2);
+  expect(check("unknown", 1_100)).toBe(2);
+  expect(check("responded", 1_600)).toBe(2);
+  expect(states).toEqual(["in-doubt", "cut-off", "reached"]);
+});
