--- a/packages/daemon/src/gateway/accounts/admission.ts
+++ b/packages/daemon/src/gateway/accounts/admission.ts
@@ -170,6 +170,15 @@
   };
 }
 
+/** The caller of a request that another VM has counted against the account's quota. */
+export function withoutQuota(caller: AdmittedCaller): AdmittedCaller {
+  return {
+    ...caller,
+    chargeQuota: (done) => done(undefined),
+    refundQuota: () => undefined,
+  };
+}
+
 function refused(reason: LocalReplyReason, retryAfterMs?: number): Admission {
   return { kind: "refused", refusal: refusal(reason, retryAfterMs) };
 }
--- a/packages/daemon/src/gateway/attempt_record.ts
+++ b/packages/daemon/src/gateway/attempt_record.ts
@@ -17,12 +17,17 @@
 export class AttemptRecord {
   /** Targets that the request must not be sent to again. */
   readonly tried = new Set<TargetId>();
-  #written = 0;
+  #written: number;
   #failedConnects = 0;
   #mayHaveRun = false;
   /** Whether the target of an attempt before the last one may have run the request. */
   #mayHaveRunBefore = false;
 
+  /** `earlier`: attempts of the VM that forwarded the request. */
+  constructor(earlier = 0) {
+    this.#written = earlier;
+  }
+
   /** Number of attempts that were written to a target. */
   get written(): number {
     return this.#written;
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -11,7 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { AccountId, ServiceId } from "@poplarthread/ids";
+import type { AccountId, ServiceId, VmId } from "@poplarthread/ids";
 import { hashText, WeightedSplit } from "@poplarthread/placement";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
@@ -19,6 +19,7 @@
   AdmissionControl,
   type AdmissionRefusal,
   type AdmittedCaller,
+  withoutQuota,
 } from "./accounts/admission.ts";
 import { AccountIndex } from "./accounts/client_account.ts";
 import {
@@ -28,6 +29,12 @@
 } from "./configuration.ts";
 import type { CreditOutcome } from "./accounts/credit_exchange.ts";
 import type { GatewayExchange } from "./exchange.ts";
+import {
+  decodeForwarded,
+  FORWARDED_HEADER,
+  type ForwardedRequest,
+  withoutHeader,
+} from "./forwarding/forwarded_request.ts";
 import { type LocalReplyReason, sendLocalReply } from "./local_reply.ts";
 import type { CallerRequest, Dialect } from "./ports.ts";
 import type { RequestPath } from "./request_path.ts";
@@ -65,10 +72,14 @@
 /** Options of the listener. */
 export interface CallerListenerOptions {
   readonly listen: ListenAddress;
+  /** Where other VMs forward requests to. */
+  readonly forwarding: ListenAddress;
   readonly dialect: Dialect;
   /** Seed of the starting points in weighted splits, so that VMs do not all start with the same service. */
   readonly seed: string;
   readonly path: RequestPath;
+  /** The VM at an IP address; undefined if it is not known. */
+  vmAt(host: string): VmId | undefined;
   /** Whether the event loop is delayed, so that input is read long after it arrived. */
   isLoopDelayed(): boolean;
   /** Whether this VM knows of every key revocation older than the allowed delay. */
@@ -107,6 +118,20 @@
   readonly accounts: AccountIndex | undefined;
 }
 
+/** What an exchange is made of. */
+interface ExchangeParts {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly connection: CallerConnection;
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly caller: AdmittedCaller;
+  readonly service: ServiceId;
+  readonly compiled: CompiledConfiguration;
+  /** Undefined if the request comes from its caller. */
+  readonly info?: ForwardedRequest;
+}
+
 /** Why a request was refused before an exchange was created, and its Retry-After. */
 type Refusal = Pick<AdmissionRefusal, "reason"> & Partial<AdmissionRefusal>;
 
@@ -123,6 +148,8 @@
   readonly #connections = new Map<Socket, CallerConnection>();
   #splits = new Map<string, RouteSplit>();
   #server: Server | undefined;
+  /** Accepts the requests that other VMs forward. */
+  #forwardingServer: Server | undefined;
   #compiled: CompiledConfiguration | undefined;
   #isLeaving = false;
   #openRequests = 0;
@@ -153,7 +180,23 @@
     return this.#compiled?.accounts;
   }
 
-  protected override open(): Promise<void> {
+  protected override async open(): Promise<void> {
+    const server = this.#createServer((req, res) =>
+      this.#handleRequest(req, res)
+    );
+    const forwardingServer = this.#createServer((req, res) =>
+      this.#handleForwarded(req, res)
+    );
+    this.#server = server;
+    this.#forwardingServer = forwardingServer;
+    const { listen: callers, forwarding } = this.#options;
+    await this.#listenOn(forwardingServer, forwarding);
+    await this.#listenOn(server, callers);
+  }
+
+  #createServer(
+    handle: (req: IncomingMessage, res: ServerResponse) => void,
+  ): Server {
     const server = createServer({
       maxHeaderSize: DEFAULT_HEADER_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -162,14 +205,16 @@
       // The route's timeout limits the time for reading a body.
       requestTimeout: 0,
       noDelay: true,
-    }, (req, res) => this.#handleRequest(req, res));
+    }, handle);
     server.on("connection", (socket) => this.#handleConnection(socket));
     server.on(
       "clientError",
       (err, socket) => this.#handleClientError(err, socket as Socket),
     );
-    this.#server = server;
-    const { host, port } = this.#options.listen;
+    return server;
+  }
+
+  #listenOn(server: Server, { host, port }: ListenAddress): Promise<void> {
     return listen(
       server,
       { host, port, backlog: MAX_PENDING_CONNECTIONS },
@@ -180,9 +225,12 @@
   }
 
   protected override close(): void {
-    this.#server?.close();
-    this.#server?.closeAllConnections();
+    for (const server of [this.#server, this.#forwardingServer]) {
+      server?.close();
+      server?.closeAllConnections();
+    }
     this.#server = undefined;
+    this.#forwardingServer = undefined;
   }
 
   protected override receive(message: CallerListenerMessage): void {
@@ -194,8 +242,10 @@
         this.#isLeaving = true;
         return;
       case "close-listener":
-        this.#server?.close();
-        this.#server?.closeIdleConnections();
+        for (const server of [this.#server, this.#forwardingServer]) {
+          server?.close();
+          server?.closeIdleConnections();
+        }
         return;
     }
   }
@@ -218,8 +268,10 @@
       splits.set(route.name, this.#splitOf(route));
     }
     this.#splits = splits;
-    const server = this.#server;
-    if (server !== undefined) {
+    for (const server of [this.#server, this.#forwardingServer]) {
+      if (server === undefined) {
+        continue;
+      }
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_GRACE_MS;
       server.headersTimeout = limits.headerTimeoutMs;
       // Node reads this property for each new connection; its types declare it only as an option.
@@ -277,6 +329,18 @@
       refuse({ reason: "not-ready", retryAfterMs: NOT_READY_RETRY_MS });
       return;
     }
+    this.#admit({ req, res, connection, request, compiled }, { refuse });
+  }
+
+  /** Starts the exchange of a request that may run, or refuses it. */
+  #admit(
+    parts: Omit<ExchangeParts, "route" | "caller" | "service">,
+    { refuse, info }: {
+      refuse: (refusal: Refusal) => void;
+      info?: ForwardedRequest;
+    },
+  ): void {
+    const { compiled, request } = parts;
     const route = compiled.index.find(request.host, request.path);
     if (route === undefined) {
       refuse({ reason: "no-route" });
@@ -295,34 +359,77 @@
       return;
     }
     const { caller } = admission;
-    this.#startExchange({
-      req,
-      res,
-      connection,
-      request,
-      route,
-      caller,
-      service,
-      compiled,
+    this.#startExchange(
+      info === undefined
+        ? { ...parts, route, caller, service }
+        : { ...parts, route, caller: withoutQuota(caller), service, info },
+    );
+  }
+
+  /**
+   * Handles a request that another VM forwards. That VM has counted it against its
+   * account's quota; everything else is decided here.
+   */
+  #handleForwarded(req: IncomingMessage, res: ServerResponse): void {
+    res.sendDate = false;
+    const connection = this.#connections.get(req.socket);
+    if (connection === undefined || connection.isEnding) {
+      return;
+    }
+    const info = decodeForwarded(req.headers[FORWARDED_HEADER]);
+    const compiled = this.#compiled;
+    const request = info && this.#options.dialect.readRequest(req, {
+      hasAccounts: compiled?.accounts !== undefined,
     });
+    if (
+      info === undefined || request === undefined ||
+      request.kind === "malformed"
+    ) {
+      this.#refuse(res, { reason: "malformed" }, {
+        connection,
+        isForPeer: true,
+      });
+      return;
+    }
+    const forwarded: CallerRequest = {
+      ...request,
+      rawHeaders: withoutHeader(request.rawHeaders, FORWARDED_HEADER),
+      deadlineMs: info.elapsedMs + info.remainingMs,
+      credential: info.credential,
+    };
+    const refuse = (refusal: Refusal) =>
+      this.#refuse(res, refusal, {
+        connection,
+        request: forwarded,
+        isForPeer: true,
+      });
+    if (
+      compiled === undefined || compiled.configuration.version < info.version
+    ) {
+      refuse({ reason: "not-ready", retryAfterMs: NOT_READY_RETRY_MS });
+      return;
+    }
+    if (this.#options.path.steering.isCutOff) {
+      refuse({ reason: "no-target", retryAfterMs: NOT_READY_RETRY_MS });
+      return;
+    }
+    this.#admit(
+      { req, res, connection, request: forwarded, compiled },
+      { refuse, info },
+    );
   }
 
-  #startExchange(parts: {
-    readonly req: IncomingMessage;
-    readonly res: ServerResponse;
-    readonly connection: CallerConnection;
-    readonly request: CallerRequest;
-    readonly route: Route;
-    readonly caller: AdmittedCaller;
-    readonly service: ServiceId;
-    readonly compiled: CompiledConfiguration;
-  }): void {
-    const { connection, compiled, ...options } = parts;
+  #startExchange(parts: ExchangeParts): void {
+    const { connection, compiled, info, ...options } = parts;
     const exchange = this.#options.path.exchange({
       ...options,
       bodyBytes: compiled.configuration.limits.bodyBytes,
       version: compiled.configuration.version,
-      now: performance.now(),
+      now: performance.now() - (info?.elapsedMs ?? 0),
+      forwarded: info && {
+        from: this.#options.vmAt(options.req.socket.remoteAddress ?? ""),
+        attempts: info.attempts,
+      },
       endsConnection: (mustEnd) => {
         const ends = connection.latestExchange === exchange &&
           (mustEnd || this.#isLeaving);
@@ -344,9 +451,10 @@
   #refuse(
     res: ServerResponse,
     { reason, retryAfterMs }: Refusal,
-    { connection, request }: {
+    { connection, request, isForPeer = false }: {
       connection: CallerConnection;
       request?: CallerRequest;
+      isForPeer?: boolean;
     },
   ): void {
     // An unread body cannot be told apart from a following request.
@@ -354,7 +462,7 @@
       request.contentLength > 0;
     connection.isEnding ||= closesConnection;
     connection.latestExchange = undefined;
-    sendLocalReply(res, reason, { retryAfterMs, closesConnection });
+    sendLocalReply(res, reason, { retryAfterMs, closesConnection, isForPeer });
     this.#options.refused(request, reason);
   }
 
--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -38,6 +38,8 @@
   readonly hold: ResponseHold;
   readonly wheel: DeadlineWheel;
   readonly endsConnection: EndsConnection;
+  /** Whether the response goes to another VM, which forwarded the request. */
+  readonly isForPeer?: boolean;
   /** Called when the caller has stopped reading the response. */
   stalled(): void;
 }
@@ -178,6 +180,7 @@
     sendLocalReply(this.#res, reason, {
       retryAfterMs,
       closesConnection: this.#options.endsConnection(leavesBodyUnread),
+      isForPeer: this.#options.isForPeer ?? false,
     });
   }
 
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -1,5 +1,5 @@
 /**
- * Pooled HTTP connections to targets. Each connection has an undici client of its
+ * Pooled HTTP connections to targets, or to other VMs. Each connection has an undici client of its
  * own, so that it is always known which request uses which connection.
  *
  * @module
@@ -30,22 +30,22 @@
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
 
 /** The target to connect to. */
-export interface ConnectionTarget {
-  readonly id: TargetId;
+export interface ConnectionTarget<Id extends string = TargetId> {
+  readonly id: Id;
   /** `host:port`. */
   readonly address: string;
   readonly roundTripMs: number;
 }
 
 /** Receives connection events. */
-export interface ConnectionListener {
+export interface ConnectionListener<Id extends string = TargetId> {
   /** Connecting to the target took `ms`. */
-  connected(target: TargetId, ms: number): void;
+  connected(target: Id, ms: number): void;
 }
 
 /** The interface of a connection that an attempt uses. */
-export interface TargetConnection {
-  readonly target: TargetId;
+export interface TargetConnection<Id extends string = TargetId> {
+  readonly target: Id;
   /** Sends a request; the handler receives its events. */
   dispatch(
     req: Dispatcher.DispatchOptions,
@@ -58,20 +58,21 @@
 }
 
 /** Provides connections for attempts. */
-export interface ConnectionSource {
+export interface ConnectionSource<Id extends string = TargetId> {
   /** Returns an idle connection or a new one. */
-  take(target: ConnectionTarget): TargetConnection;
+  take(target: ConnectionTarget<Id>): TargetConnection<Id>;
   /** Returns a connection to the pool after a complete response. */
-  release(connection: TargetConnection): void;
+  release(connection: TargetConnection<Id>): void;
   /** Discards a connection whose request got no complete response. */
-  drop(connection: TargetConnection): void;
+  drop(connection: TargetConnection<Id>): void;
   /** Removes a target that is gone, and closes its idle connections. */
-  remove(target: TargetId): void;
+  remove(target: Id): void;
 }
 
 /** A connection to a target; carries one request at a time. */
-export class Connection implements TargetConnection {
-  readonly target: TargetId;
+export class Connection<Id extends string = TargetId>
+  implements TargetConnection<Id> {
+  readonly target: Id;
   readonly address: string;
   readonly #client: Client;
   /** When it was last returned to the pool; undefined while it carries a request. */
@@ -82,10 +83,10 @@
   /** Whether the target has closed its side. */
   #hasEnded = false;
 
-  constructor(target: ConnectionTarget, options: {
+  constructor(target: ConnectionTarget<Id>, options: {
     localAddress: string;
-    listener: ConnectionListener;
-    onClosed: (connection: Connection) => void;
+    listener: ConnectionListener<Id>;
+    onClosed: (connection: Connection<Id>) => void;
   }) {
     this.target = target.id;
     this.address = target.address;
@@ -146,11 +147,11 @@
 }
 
 /** Creates undici's connect function, which limits and measures the time to connect. */
-function createConnector(
-  target: ConnectionTarget,
+function createConnector<Id extends string>(
+  target: ConnectionTarget<Id>,
   options: {
     localAddress: string;
-    listener: ConnectionListener;
+    listener: ConnectionListener<Id>;
     /** Called when connecting starts. */
     onSocket: (socket: Socket) => void;
     onReset: () => void;
@@ -192,19 +193,22 @@
 }
 
 /** The pool of connections, by target. */
-export class Connections {
+export class Connections<Id extends string = TargetId>
+  implements ConnectionSource<Id> {
   readonly #localAddress: string;
-  readonly #listener: ConnectionListener;
-  readonly #idle = new Map<TargetId, Connection[]>();
-  readonly #open = new Map<TargetId, Set<Connection>>();
+  readonly #listener: ConnectionListener<Id>;
+  readonly #idle = new Map<Id, Connection<Id>[]>();
+  readonly #open = new Map<Id, Set<Connection<Id>>>();
 
-  constructor(options: { localAddress: string; listener: ConnectionListener }) {
+  constructor(
+    options: { localAddress: string; listener: ConnectionListener<Id> },
+  ) {
     this.#localAddress = options.localAddress;
     this.#listener = options.listener;
   }
 
   /** Returns the most recently used idle connection, or a new one. */
-  take(target: ConnectionTarget): Connection {
+  take(target: ConnectionTarget<Id>): Connection<Id> {
     const idle = this.#idle.get(target.id);
     for (
       let candidate = idle?.pop();
@@ -221,7 +225,7 @@
   }
 
   /** Creates a connection. */
-  create(target: ConnectionTarget): Connection {
+  create(target: ConnectionTarget<Id>): Connection<Id> {
     const connection = new Connection(target, {
       localAddress: this.#localAddress,
       listener: this.#listener,
@@ -242,7 +246,7 @@
    * connection. The connection is therefore reused only after an event-loop tick, when
    * such a close has been noticed.
    */
-  release(connection: Connection): void {
+  release(connection: Connection<Id>): void {
     setImmediate(() => {
       if (!connection.isOpen || !this.#isTracked(connection)) {
         connection.destroy();
@@ -262,7 +266,7 @@
    * How long the latest idle connection to the target has been idle, 0 while one
    * carries a request; undefined if none is open.
    */
-  idleMs(id: TargetId, now: number): number | undefined {
+  idleMs(id: Id, now: number): number | undefined {
     const idle = this.#idle.get(id)?.at(-1);
     if (idle?.idleSince !== undefined) {
       return now - idle.idleSince;
@@ -271,13 +275,13 @@
   }
 
   /** Discards a connection whose request got no complete response. */
-  drop(connection: Connection): void {
+  drop(connection: Connection<Id>): void {
     connection.destroy();
     this.#closed(connection);
   }
 
   /** Removes a target that is gone: closes its idle connections now, and busy ones when they are returned. */
-  remove(id: TargetId): void {
+  remove(id: Id): void {
     for (const connection of this.#idle.get(id) ?? []) {
       connection.destroy();
     }
@@ -293,11 +297,11 @@
     this.#idle.clear();
   }
 
-  #isTracked(connection: Connection): boolean {
+  #isTracked(connection: Connection<Id>): boolean {
     return this.#open.get(connection.target)?.has(connection) ?? false;
   }
 
-  #closed(connection: Connection): void {
+  #closed(connection: Connection<Id>): void {
     this.#open.get(connection.target)?.delete(connection);
     const idle = this.#idle.get(connection.target);
     const index = idle?.indexOf(connection) ?? -1;
--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -75,6 +75,14 @@
     meaning: "duration of the last attempt, in milliseconds",
   },
   targetEnd: { type: "text", meaning: "how the last attempt ended" },
+  via: {
+    type: "text",
+    meaning: "the VM that the request was forwarded to",
+  },
+  from: {
+    type: "text",
+    meaning: "the VM that forwarded the request to this one",
+  },
   running: {
     type: "number",
     meaning: "requests running at the target when it responded",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -200,6 +200,12 @@
     meaning: "A checked target responded on a new connection.",
     fields: [],
   },
+  "request not forwarded": {
+    level: "warn",
+    meaning:
+      "Another VM did not respond to a request that this VM, which reaches no target, forwarded to it.",
+    fields: ["request", "peer", "end", "durationMs", "reason"],
+  },
   "target asks for rest": {
     level: "warn",
     meaning:
@@ -313,6 +319,8 @@
       "target",
       "targetMs",
       "targetEnd",
+      "via",
+      "from",
       "placement",
       "cause",
       "running",
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -11,7 +11,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import type { AccountId, ServiceId, TargetId } from "@poplarthread/ids";
+import type { AccountId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import {
   type GateCause,
   type PlacedVia,
@@ -44,9 +44,15 @@
   GatewayExchangeOptions,
   GatewayExchangeServices,
 } from "./exchange_types.ts";
-import type { LocalReplyReason } from "./local_reply.ts";
+import { type LocalReplyReason, promisesNotRun } from "./local_reply.ts";
 import type { CallerRequest, TargetResponse } from "./ports.ts";
 import type { Placeable } from "./request_queue.ts";
+import type { ForwardAttempt } from "./forwarding/forwarding.ts";
+import { readPeerReply } from "./forwarding/forwarded_request.ts";
+import {
+  isWorthForwardingAgain,
+  RequestForwards,
+} from "./forwarding/request_forwards.ts";
 import { expiryOf, objectOf } from "./request_terms.ts";
 import { startAttempt } from "./start_attempt.ts";
 import type {
@@ -80,12 +86,14 @@
   readonly #options: GatewayExchangeOptions;
   readonly #req: IncomingMessage;
   readonly #response: CallerResponse;
-  readonly #attempts = new AttemptRecord();
+  readonly #attempts: AttemptRecord;
   #phase: ExchangePhase = "reading";
   /** Whether the request has been counted against its account's quota. */
   #isCountedForQuota = false;
   #body: RequestBody | undefined;
-  #attempt: TargetAttempt | undefined;
+  #attempt: TargetAttempt | ForwardAttempt | undefined;
+  /** Undefined unless the request is forwarded to other VMs. */
+  #forwards: RequestForwards | undefined;
   /** Whether the target of the current attempt was expected to hold the object in its cache. */
   #warmth: Warmth = "unknown";
   #placedVia: PlacedVia | undefined;
@@ -111,9 +119,11 @@
       hold: services.budget.open(route.name),
       wheel: services.wheel,
       endsConnection: options.endsConnection,
+      isForPeer: options.forwarded !== undefined,
       stalled: () => this.#guarded(() => this.#cut("caller-stalled")),
     });
     this.#options = options;
+    this.#attempts = new AttemptRecord(options.forwarded?.attempts);
     this.request = request;
     this.route = route;
     this.service = options.service;
@@ -145,6 +155,8 @@
       attempts: this.#attempts.written,
       lastAttempt: this.#lastAttempt,
       placedVia: this.#placedVia,
+      forwardedTo: this.#forwards?.latest,
+      forwardedFrom: this.#options.forwarded?.from,
       retryAfterMs: this.#retryAfterMs,
       delivery: this.#response.summary,
       waitedMs: (this.#firstSentAt ?? performance.now()) - this.startedAt,
@@ -158,11 +170,10 @@
     }
     this.#guarded(() => {
       this.#services.wheel.add(this);
-      this.#services.steering.arrived(
-        this.service,
-        this.priority,
-        this.startedAt,
-      );
+      this.#services.steering.arrived(this.service, this.priority, {
+        now: this.startedAt,
+        isForwarded: this.#options.forwarded !== undefined,
+      });
       if (!RequestBody.isPresent(this.request)) {
         this.#bodyComplete();
         return;
@@ -223,15 +234,10 @@
   }
 
   attemptWriting(attempt: TargetAttempt, now: number): boolean {
-    if (this.#attempt !== attempt) {
-      return false;
-    }
-    return this.#guarded(() => {
-      this.#attempts.writing();
-      this.#body?.markSendStarted();
-      this.#services.steering.written(attempt.target, now);
-      return true;
-    }) ?? false;
+    return this.#writing(
+      attempt,
+      () => this.#services.steering.written(attempt.target, now),
+    );
   }
 
   attemptBuffering(attempt: TargetAttempt, bytes: number): boolean {
@@ -243,26 +249,12 @@
     response: TargetResponse,
     firstChunk: Buffer,
   ): boolean {
-    if (this.#attempt !== attempt) {
-      return true;
-    }
-    return this.#guarded(() => {
-      if (!this.#response.writeHead(response)) {
-        this.#replyLocally("broken");
-        return true;
-      }
-      this.#transition("stream");
-      // This response has been partly sent, so the earlier error response must not follow.
-      this.#failedResponse = undefined;
-      return this.#stream(attempt, firstChunk);
-    }) ?? true;
+    const goesOn = this.#beginStream(attempt, response, firstChunk);
+    return goesOn || this.#pauseStream(attempt);
   }
 
   attemptChunk(attempt: TargetAttempt, chunk: Buffer): boolean {
-    if (this.#attempt !== attempt || this.#phase !== "streaming") {
-      return true;
-    }
-    return this.#guarded(() => this.#stream(attempt, chunk)) ?? true;
+    return this.#continueStream(attempt, chunk) || this.#pauseStream(attempt);
   }
 
   attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void {
@@ -277,6 +269,21 @@
     });
   }
 
+  #writing(
+    attempt: TargetAttempt | ForwardAttempt,
+    report: () => void,
+  ): boolean {
+    if (this.#attempt !== attempt) {
+      return false;
+    }
+    return this.#guarded(() => {
+      this.#attempts.writing();
+      this.#body?.markSendStarted();
+      report();
+      return true;
+    }) ?? false;
+  }
+
   #bodyComplete(): void {
     if (!this.#transition("count")) {
       return;
@@ -317,7 +324,10 @@
     const { steering, queue } = this.#services;
     const request = this.#placementRequest();
     steering.admitted(request);
-    const refusal = steering.checkRoom(request, now);
+    // A VM that is cut off knows nothing of the room: the VM that gets the request checks it.
+    const refusal = steering.isCutOff
+      ? undefined
+      : steering.checkRoom(request, now);
     if (refusal === undefined) {
       queue.add(this, now);
     } else {
@@ -357,6 +367,9 @@
       this.#refuse("memory-used-up", MEMORY_RETRY_MS);
       return false;
     }
+    if (this.#forward(now)) {
+      return false;
+    }
     const decision = steering
       .place(this.#placementRequest(), { now, ahead });
     this.#awaitsHomes = decision.kind === "wait" && decision.for === "homes";
@@ -374,15 +387,146 @@
     }
   }
 
-  /** Passes a chunk on; while the caller does not take more, its target is paused and free for others. */
-  #stream(attempt: TargetAttempt, chunk: Buffer): boolean {
-    const goesOn = this.#response.writeChunk(chunk, () => attempt.resume());
-    if (!goesOn) {
+  /** Forwards the request if this VM reaches no target; returns false if it is not to be forwarded. */
+  #forward(now: number): boolean {
+    const { forwarding } = this.#services;
+    const isForwardable = forwarding !== undefined &&
+      this.#options.forwarded === undefined && (this.#body?.available ?? true);
+    if (!isForwardable) {
+      return false;
+    }
+    this.#forwards ??= new RequestForwards(forwarding, {
+      request: this.request,
+      method: this.#req.method!,
+      url: this.#req.url!,
+      regions: this.#options.caller.regions,
+    });
+    const peer = this.#forwards.next(now);
+    if (peer === undefined) {
+      return false;
+    }
+    this.#transition("send");
+    this.#response.reserve();
+    this.#firstSentAt ??= now;
+    this.#forwards.start(this.#forwardOwner(), peer, {
+      body: this.#body?.content ?? null,
+      info: {
+        version: this.version,
+        elapsedMs: now - this.startedAt,
+        remainingMs: Math.max(1, Math.floor(this.expiresAt - now)),
+        attempts: this.#attempts.written,
+      },
+      started: (attempt) => this.#attempt = attempt,
+    });
+    return true;
+  }
+
+  #forwardOwner(): TargetAttemptOwner<VmId> {
+    return {
+      attemptWriting: (attempt) => this.#writing(attempt, () => undefined),
+      attemptBuffering: (attempt, bytes) =>
+        this.#attempt !== attempt || this.#response.mayBuffer(bytes),
+      attemptStreaming: (attempt, response, firstChunk) =>
+        this.#beginStream(attempt, response, firstChunk),
+      attemptChunk: (attempt, chunk) => this.#continueStream(attempt, chunk),
+      attemptEnded: (attempt, end) =>
+        this.#guarded(() => {
+          const now = performance.now();
+          this.#services.forwarding?.ended(attempt, end, now);
+          if (this.#attempt === attempt) {
+            this.#attempt = undefined;
+            this.#handleForwardEnd(end, now);
+          }
+        }),
+    };
+  }
+
+  #handleForwardEnd(end: TargetAttemptEnd, now: number): void {
+    switch (end.kind) {
+      case "answered":
+        this.#handlePeerResponse(end.response, end.body, now);
+        return;
+      case "not-run":
+        this.#handlePeerResponse(end.response, [], now);
+        return;
+      case "unreachable":
+        this.#requeue(now);
+        return;
+      case "broke":
+        this.#handleBroken(now);
+        return;
+      case "abandoned":
+        return;
+    }
+  }
+
+  /** Handles what another VM returned: a target's response, which is final, or a reply of its own. */
+  #handlePeerResponse(
+    response: TargetResponse,
+    body: readonly Buffer[],
+    now: number,
+  ): void {
+    const reply = readPeerReply(response.rawHeaders);
+    if (reply === undefined) {
+      this.#handleFinalResponse(response, body);
+      return;
+    }
+    if (promisesNotRun(reply.reason)) {
+      this.#attempts.didNotRun();
+    }
+    if (isWorthForwardingAgain(reply.reason)) {
+      this.#requeue(now);
+    } else {
+      this.#refuse(reply.reason, reply.retryAfterMs);
+    }
+  }
+
+  /** Begins to pass a response on; returns false to pause it. */
+  #beginStream(
+    attempt: TargetAttempt | ForwardAttempt,
+    response: TargetResponse,
+    firstChunk: Buffer,
+  ): boolean {
+    if (this.#attempt !== attempt) {
+      return true;
+    }
+    return this.#guarded(() => {
+      if (!this.#response.writeHead(response)) {
+        this.#replyLocally("broken");
+        return true;
+      }
+      this.#transition("stream");
+      // This response has been partly sent, so the earlier error response must not follow.
+      this.#failedResponse = undefined;
+      return this.#writeChunk(attempt, firstChunk);
+    }) ?? true;
+  }
+
+  #continueStream(
+    attempt: TargetAttempt | ForwardAttempt,
+    chunk: Buffer,
+  ): boolean {
+    if (this.#attempt !== attempt || this.#phase !== "streaming") {
+      return true;
+    }
+    return this.#guarded(() => this.#writeChunk(attempt, chunk)) ?? true;
+  }
+
+  #writeChunk(
+    attempt: TargetAttempt | ForwardAttempt,
+    chunk: Buffer,
+  ): boolean {
+    return this.#response.writeChunk(chunk, () => attempt.resume());
+  }
+
+  /** While the caller does not take more, the target is paused and free for others. */
+  #pauseStream(attempt: TargetAttempt): false {
+    this.#guarded(() => {
       const now = performance.now();
       reportWorkDone(this.#services, attempt, this.#report(now));
       this.#services.queue.placeWaiting(this.service, now);
-    }
-    return goesOn;
+    });
+    return false;
   }
 
   #reportEnd(attempt: TargetAttempt, end: TargetAttemptEnd, now: number): void {
@@ -433,18 +577,28 @@
     body: readonly Buffer[],
     now: number,
   ): void {
-    if (this.#phase === "streaming") {
-      this.#response.end();
-      this.#awaitDelivery();
-      return;
-    }
-    if (response.status >= 500 && this.route.repeat === "idempotent") {
+    if (
+      response.status >= 500 && this.#phase !== "streaming" &&
+      this.route.repeat === "idempotent"
+    ) {
       this.#failedResponse = { response, body };
       this.#attempts.failed();
       this.#retry(now);
       return;
     }
-    this.#deliver(response, body);
+    this.#handleFinalResponse(response, body);
+  }
+
+  #handleFinalResponse(
+    response: TargetResponse,
+    body: readonly Buffer[],
+  ): void {
+    if (this.#phase === "streaming") {
+      this.#response.end();
+      this.#awaitDelivery();
+    } else {
+      this.#deliver(response, body);
+    }
   }
 
   #handleBroken(now: number): void {
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ServiceId, TargetId } from "@poplarthread/ids";
+import type { ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import type { LoadReport, PlacedVia } from "@poplarthread/placement";
 import type { DeadlineWheel } from "../http/deadline_wheel.ts";
 import type { AdmittedCaller } from "./accounts/admission.ts";
@@ -13,6 +13,7 @@
 import type { DeliverySummary, EndsConnection } from "./caller_response.ts";
 import type { Route } from "./configuration.ts";
 import type { GatewayExchange } from "./exchange.ts";
+import type { Forwarding } from "./forwarding/forwarding.ts";
 import type { LocalReplyReason } from "./local_reply.ts";
 import type { CallerRequest } from "./ports.ts";
 import type { RequestQueue } from "./request_queue.ts";
@@ -34,6 +35,8 @@
   readonly wheel: DeadlineWheel;
   readonly queue: RequestQueue;
   readonly budget: ResponseBudget;
+  /** Undefined where requests are not forwarded to other VMs. */
+  readonly forwarding?: Forwarding | undefined;
   /** Called once per exchange, when its caller has the final response or has disconnected. */
   ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
   /** Called once per attempt. */
@@ -53,6 +56,16 @@
   readonly version: number;
   readonly now: number;
   readonly endsConnection: EndsConnection;
+  /** Undefined if the request comes from its caller. */
+  readonly forwarded?: ForwardedExchange | undefined;
+}
+
+/** What an exchange knows of the VM that forwarded its request. */
+export interface ForwardedExchange {
+  /** Undefined if it is not known. */
+  readonly from: VmId | undefined;
+  /** Attempts already made. */
+  readonly attempts: number;
 }
 
 /** What a request has met, for logs and metrics. */
@@ -63,6 +76,10 @@
   readonly lastAttempt: AttemptSummary | undefined;
   /** How the target of the last attempt was chosen; undefined if there was none, or the request has no object. */
   readonly placedVia: PlacedVia | undefined;
+  /** The VM that the request was last forwarded to, if any. */
+  readonly forwardedTo: VmId | undefined;
+  /** The VM that forwarded the request to this one, if any. */
+  readonly forwardedFrom: VmId | undefined;
   /** The Retry-After sent to the caller; undefined if none was sent. */
   readonly retryAfterMs: number | undefined;
   /** The delivery of the response to the caller. */
--- /dev/null
+++ b/packages/daemon/src/gateway/forwarding/forwarded_request.ts
@@ -0,0 +1,133 @@
+/**
+ * What one VM tells another in the header of a request that it forwards, and what the
+ * other one tells it in the header of a reply of its own.
+ *
+ * @module
+ */
+
+import type { KeyDigest } from "@poplarthread/ids";
+import * as z from "zod";
+import type { Credential } from "../accounts/client_account.ts";
+import {
+  isLocalReplyReason,
+  LOCAL_REPLY_HEADER,
+  type LocalReplyReason,
+} from "../local_reply.ts";
+
+/** On a request from another VM: a {@link ForwardedRequest} as JSON. */
+export const FORWARDED_HEADER = "poplarthread-forwarded";
+
+/** What the forwarding VM knows of the request besides its headers and body. */
+export interface ForwardedRequest {
+  /** Version of the configuration in force on the forwarding VM. */
+  readonly version: number;
+  /** Time since the request arrived at the forwarding VM. */
+  readonly elapsedMs: number;
+  /** Time left until its deadline. */
+  readonly remainingMs: number;
+  /** Attempts already made: the limit on attempts holds over both VMs. */
+  readonly attempts: number;
+  /** The sender's credential, which was not among the headers for targets. */
+  readonly credential: Credential;
+}
+
+const credentialSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("none") }),
+  z.object({ kind: z.literal("key"), digest: z.string() }),
+  z.object({ kind: z.literal("several") }),
+  z.object({ kind: z.literal("other-scheme") }),
+]);
+
+const schema = z.object({
+  version: z.number(),
+  elapsedMs: z.number().min(0),
+  remainingMs: z.number().positive(),
+  attempts: z.number().int().min(0),
+  credential: credentialSchema,
+});
+
+/** Encodes the header's value. */
+export function encodeForwarded(request: ForwardedRequest): string {
+  return JSON.stringify(request);
+}
+
+/** Decodes the header's value; undefined if it is missing or invalid. */
+export function decodeForwarded(
+  value: string | readonly string[] | undefined,
+): ForwardedRequest | undefined {
+  if (typeof value !== "string") {
+    return undefined;
+  }
+  const parsed = schema.safeParse(parseJson(value));
+  if (!parsed.success) {
+    return undefined;
+  }
+  const { credential, ...request } = parsed.data;
+  return {
+    ...request,
+    credential: credential.kind === "key"
+      ? { kind: "key", digest: credential.digest as KeyDigest }
+      : credential,
+  };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** A reply that the other VM made itself. */
+export interface PeerReply {
+  readonly reason: LocalReplyReason;
+  /** When the caller may come back; undefined if the other VM did not say. */
+  readonly retryAfterMs: number | undefined;
+}
+
+/**
+ * Reads the other VM's own reply; undefined for a target's response. `rawHeaders` has names
+ * in lower case and values alternating.
+ */
+export function readPeerReply(
+  rawHeaders: readonly string[],
+): PeerReply | undefined {
+  const reason = valueOf(rawHeaders, LOCAL_REPLY_HEADER);
+  if (reason === undefined) {
+    return undefined;
+  }
+  const retryAfter = valueOf(rawHeaders, "retry-after");
+  return {
+    // Another version of the program may give a reason that this one doesn't know, and
+    // `broken` promises nothing.
+    reason: isLocalReplyReason(reason) ? reason : "broken",
+    retryAfterMs: retryAfter === undefined
+      ? undefined
+      : 1_000 * Number(retryAfter),
+  };
+}
+
+function valueOf(
+  rawHeaders: readonly string[],
+  name: string,
+): string | undefined {
+  const at = rawHeaders.findIndex((one, index) =>
+    index % 2 === 0 && one === name
+  );
+  return at < 0 ? undefined : rawHeaders[at + 1];
+}
+
+/** Headers without one of them; names and values alternating. */
+export function withoutHeader(
+  rawHeaders: readonly string[],
+  name: string,
+): readonly string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index] !== name) {
+      kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+    }
+  }
+  return kept;
+}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
   type ReachState,
   Steering,
 } from "@poplarthread/placement";
+import type { VmId } from "@poplarthread/ids";
 import { messageOf } from "../errors.ts";
 import type { Log } from "../log.ts";
 import { PacedTimer } from "../paced_timer.ts";
@@ -21,6 +22,7 @@
 import { EventLog, type EventName } from "./events.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import type { GatewayExchangeEnd } from "./exchange_types.ts";
+import { Forwarding } from "./forwarding/forwarding.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { Homes } from "./homes/homes.ts";
 import { LookupListener } from "./lookup_listener.ts";
@@ -94,6 +96,8 @@
   readonly #requestLog: RequestLog;
   readonly #metrics: GatewayMetrics;
   readonly #connections: Connections;
+  /** Connections to other VMs, for requests that are forwarded to them. */
+  readonly #peerConnections: Connections<VmId>;
   readonly #requestPath: RequestPath;
   readonly #loopDelay = new LoopDelay(performance.now() + BUSY_TICK_MS);
   readonly #peers: Peers;
@@ -132,6 +136,10 @@
           this.#requestPath.recordConnectTime(target, ms),
       },
     });
+    this.#peerConnections = new Connections<VmId>({
+      localAddress: settings.listen.callers.host,
+      listener: { connected: () => undefined },
+    });
     this.#peers = new Peers({
       settings,
       self: memberOf(settings),
@@ -239,21 +247,24 @@
     this.#feed.close();
     await this.#supervisor.stop();
     this.#connections.close();
+    this.#peerConnections.close();
   }
 
   #createRequestPath(settings: GatewaySettings): RequestPath {
     const { vm, zone, region, zones, bounds, memoryBytes } = settings;
     const resident = new ResidentMemory(this.#log);
+    const steering = new Steering({
+      vm,
+      location: { zone, region },
+      retries: bounds.retries,
+      onWarmPair: (pair) => this.#peers.beacon.send({ kind: "warmed", pair }),
+      homes: this.#homes.source,
+      roomOf: (service, now) => this.#homes.roomOf(service, now),
+      onReachChanged: (state) => this.#onReachChanged(state),
+    });
     return new RequestPath({
-      steering: new Steering({
-        vm,
-        location: { zone, region },
-        retries: bounds.retries,
-        onWarmPair: (pair) => this.#peers.beacon.send({ kind: "warmed", pair }),
-        homes: this.#homes.source,
-        roomOf: (service, now) => this.#homes.roomOf(service, now),
-        onReachChanged: (state) => this.#onReachChanged(state),
-      }),
+      steering,
+      forwarding: this.#createForwarding(settings, steering),
       zones,
       dialect: this.#dialect,
       log: this.#log,
@@ -276,9 +287,29 @@
     });
   }
 
+  #createForwarding(
+    settings: GatewaySettings,
+    steering: Steering,
+  ): Forwarding {
+    const { vms } = this.#peers;
+    return new Forwarding({
+      self: vms.self,
+      port: settings.listen.forwarding.port,
+      dialect: this.#dialect,
+      log: this.#log,
+      roundTrips: steering.roundTrips,
+      connections: this.#peerConnections,
+      isCutOff: () => steering.isCutOff,
+      peers: () => vms.peersWithTargets(performance.now()),
+      attemptEnded: (end) => this.#metrics.forwardEnded(end),
+    });
+  }
+
   #createCallerListener(): CallerListener {
     return new CallerListener({
       listen: this.#settings.listen.callers,
+      forwarding: this.#settings.listen.forwarding,
+      vmAt: (host) => this.#peers.vms.vmAt(host),
       dialect: this.#dialect,
       seed: this.#settings.vm,
       path: this.#requestPath,
@@ -379,8 +410,9 @@
   #onReachChanged(state: ReachState): void {
     this.#metrics.stateChanged(`reach-${state}`);
     this.#log.write(REACH_EVENTS[state], {});
+    this.#peers.setCutOff(state === "cut-off");
     // The steering is in the middle of recording a failure.
-    queueMicrotask(() => this.#requestPath.checkReach(performance.now()));
+    queueMicrotask(() => this.#requestPath.reachChanged(performance.now()));
   }
 
   #setVms(up: readonly RankedMember[], now: number): void {
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -60,6 +60,11 @@
     "Sendings of requests to targets by how they ended",
     "end",
   );
+  readonly #forwards = this.#counter(
+    "poplarthread_gateway_forwards_total",
+    "Forwardings of requests to other VMs, while this one reaches no target, by how they ended",
+    "end",
+  );
   readonly #stateChanges = this.#counter(
     "poplarthread_gateway_belief_changes_total",
     "Changes of what this VM believes of targets, peers and the platform",
@@ -166,6 +171,11 @@
     this.#attempts.inc({ end });
   }
 
+  /** Counts a request that was forwarded to another VM. */
+  forwardEnded(end: string): void {
+    this.#forwards.inc({ end });
+  }
+
   /** Counts `count` state changes of one kind, of targets or peers. */
   stateChanged(change: string, count = 1): void {
     this.#stateChanges.inc({ change }, count);
--- a/packages/daemon/src/gateway/local_reply.ts
+++ b/packages/daemon/src/gateway/local_reply.ts
@@ -65,13 +65,39 @@
   return STATUS_CODES[reason];
 }
 
-/** Sends a local reply; `closesConnection` if it is the last on the caller's connection. */
+/** On a reply to a request from another VM: the {@link LocalReplyReason}. */
+export const LOCAL_REPLY_HEADER = "poplarthread-local-reply";
+
+/** Whether `text` is the reason of a local reply. */
+export function isLocalReplyReason(text: string): text is LocalReplyReason {
+  return Object.hasOwn(STATUS_CODES, text);
+}
+
+/** Whether the status code of a local reply promises that the request has not run and never will. */
+export function promisesNotRun(reason: LocalReplyReason): boolean {
+  const status = STATUS_CODES[reason];
+  return status !== 502 && status !== 504;
+}
+
+/** How a local reply is sent. */
+export interface LocalReplyOptions {
+  readonly retryAfterMs: number | undefined;
+  /** Whether it is the last on its connection. */
+  readonly closesConnection: boolean;
+  /** Whether the request was forwarded by another VM, which learns the reason. */
+  readonly isForPeer?: boolean;
+}
+
+/** Sends a local reply. */
 export function sendLocalReply(
   res: ServerResponse,
   reason: LocalReplyReason,
-  options: { retryAfterMs: number | undefined; closesConnection: boolean },
+  options: LocalReplyOptions,
 ): void {
   const headers = ["content-length", "0"];
+  if (options.isForPeer) {
+    headers.push(LOCAL_REPLY_HEADER, reason);
+  }
   if (options.retryAfterMs !== undefined) {
     headers.push("retry-after", (options.retryAfterMs / 1_000).toFixed(3));
   }
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -375,6 +375,7 @@
         crashes,
         ages: Object.fromEntries(vms.map(({ vm, ageMs }) => [vm, ageMs])),
         leaving: vms.filter(({ isLeaving }) => isLeaving).map(({ vm }) => vm),
+        cutOff: vms.filter(({ isCutOff }) => isCutOff).map(({ vm }) => vm),
       }));
     }
     return reports;
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -21,6 +21,8 @@
 export interface Heartbeat extends CommonFields {
   readonly member: Member;
   readonly isLeaving: boolean;
+  /** The VM reaches no target. Older versions of the program don't send this field. */
+  readonly isCutOff?: boolean;
 }
 
 /** A delegate's report on the VMs of its zone. */
@@ -29,6 +31,8 @@
   readonly ages: Readonly<Record<VmId, number>>;
   /** Those of them that are leaving. */
   readonly leaving: readonly VmId[];
+  /** Those of them that reach no target. Older versions of the program don't send this field. */
+  readonly cutOff?: readonly VmId[];
 }
 
 /** A VM's update on warm targets. */
@@ -67,7 +71,8 @@
 
 /** Whether `params` is a zone report. */
 export function isZoneReport(params: CommonFields): params is ZoneReport {
-  const { ages, leaving } = params as Partial<ZoneReport>;
+  const { ages, leaving, cutOff = [] } = params as Partial<ZoneReport>;
   return typeof ages === "object" && Array.isArray(leaving) &&
+    Array.isArray(cutOff) &&
     Object.values(ages).every((age) => typeof age === "number");
 }
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -39,6 +39,7 @@
   readonly #changes = new VmChanges();
   #hasMembers = false;
   #isLeaving = false;
+  #isCutOff = false;
 
   constructor(options: PeersOptions) {
     this.#options = options;
@@ -56,6 +57,15 @@
     this.beacon.send({ kind: "beat" });
   }
 
+  /** Tells the other VMs whether this one reaches no target. */
+  setCutOff(isCutOff: boolean): void {
+    if (isCutOff !== this.#isCutOff) {
+      this.#isCutOff = isCutOff;
+      this.vms.setCutOff(isCutOff);
+      this.beacon.send({ kind: "beat" });
+    }
+  }
+
   /** Periodic work: marks VMs as down whose heartbeats are missing. */
   sweep(now: number): void {
     this.vms.sweep(now);
@@ -90,6 +100,7 @@
       localState: () => ({
         member: self,
         isLeaving: this.#isLeaving,
+        isCutOff: this.#isCutOff,
         seen: feed().seen,
       }),
       heartbeatReceived: (heartbeat) => this.#onHeartbeat(heartbeat),
@@ -98,9 +109,9 @@
   }
 
   #onHeartbeat(heartbeat: Heartbeat): void {
-    const { member, isLeaving, crashes } = heartbeat;
+    const { member, isLeaving, isCutOff = false, crashes } = heartbeat;
     const now = performance.now();
-    if (this.vms.recordHeartbeat(member, { now, isLeaving })) {
+    if (this.vms.recordHeartbeat(member, { now, isLeaving, isCutOff })) {
       this.beacon.send({ kind: "greet", member });
     }
     this.#publishChanges(now);
@@ -109,12 +120,13 @@
   }
 
   #onZoneReport(report: ZoneReport): void {
-    const { ages, leaving } = report;
+    const { ages, leaving, cutOff = [] } = report;
     const now = performance.now();
     for (const [name, ageMs] of Object.entries(ages)) {
       const vm = name as VmId;
       const isLeaving = leaving.includes(vm);
-      this.vms.recordStatus({ vm, ageMs, isLeaving }, now);
+      const isCutOff = cutOff.includes(vm);
+      this.vms.recordStatus({ vm, ageMs, isLeaving, isCutOff }, now);
     }
     this.#publishChanges(now);
     this.#applyUpdates(report, now);
--- a/packages/daemon/src/gateway/request_log.ts
+++ b/packages/daemon/src/gateway/request_log.ts
@@ -48,6 +48,7 @@
     }
     const { route, request, summary } = exchange;
     const { lastAttempt: last, placedVia, retryAfterMs, delivery } = summary;
+    const { forwardedTo, forwardedFrom } = summary;
     this.#log.write("request ended", {
       request: request.requestId,
       route: route.name,
@@ -72,6 +73,8 @@
         heldMs: Math.round(delivery.heldMs),
         heldBytes: delivery.heldBytes,
       }),
+      ...(forwardedTo === undefined ? {} : { via: forwardedTo }),
+      ...(forwardedFrom === undefined ? {} : { from: forwardedFrom }),
       ...(last === undefined ? {} : {
         target: last.target,
         targetMs: Math.round(last.durationMs),
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -22,6 +22,7 @@
 import type { HomeTargets } from "./homes/home_targets.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
 import type { Dialect, RegisteredTarget } from "./ports.ts";
+import type { Forwarding } from "./forwarding/forwarding.ts";
 import { RequestQueue } from "./request_queue.ts";
 import { budgetBytesFor, ResponseBudget } from "./response_budget.ts";
 import { type TargetChange, TargetDirectory } from "./target_directory.ts";
@@ -51,6 +52,8 @@
   readonly dialect: Dialect;
   readonly log: EventLog;
   readonly connections: ConnectionSource;
+  /** Forwards requests to other VMs while this one reaches no target; not at all by default. */
+  readonly forwarding?: Forwarding;
   /** Bounds the responses that are held for callers; not bounded by default. */
   readonly memory?: VmMemory;
   /** Called when a target has changed. */
@@ -136,6 +139,7 @@
       steering,
       queue: this.#queue,
       budget: this.#budget,
+      forwarding: options.forwarding,
       connections,
       targets: this.targets,
       suspects: this.suspects,
@@ -193,6 +197,12 @@
     this.checkReach(now);
   }
 
+  /** Handles a change of whether this VM reaches targets. */
+  reachChanged(now: number): void {
+    this.checkReach(now);
+    this.#queue.retryAll(now);
+  }
+
   /** Starts the checks that are due because this VM may reach no targets. */
   checkReach(now: number): void {
     const { checkReach } = this.#options;
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -49,6 +49,8 @@
     readonly credit: ListenAddress;
     /** For messages of other VMs about homes of objects; the port is the same on all VMs. */
     readonly homes: ListenAddress;
+    /** For requests that other VMs forward; the port is the same on all VMs. */
+    readonly forwarding: ListenAddress;
     readonly metrics: ListenAddress;
   };
   /** Addresses of a few possible peers, `host:port`, used until peers are known; some may be gone. */
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -1,5 +1,5 @@
 /**
- * One attempt to send a request to one target. It tracks exactly whether a byte of
+ * One attempt to send a request to one target, or to another VM. It tracks exactly whether a byte of
  * the request may have reached the network, and accepts a response only if it is
  * complete and belongs to the request.
  *
@@ -32,24 +32,24 @@
   | { readonly kind: "abandoned" };
 
 /** Receives the events of an attempt. */
-export interface TargetAttemptOwner {
+export interface TargetAttemptOwner<Id extends string = TargetId> {
   /** Called right before the first byte is sent. Returns false if the request must not be sent. */
-  attemptWriting(attempt: TargetAttempt, now: number): boolean;
+  attemptWriting(attempt: TargetAttempt<Id>, now: number): boolean;
   /** Whether a response of which `bytes` have arrived may be buffered further. */
-  attemptBuffering(attempt: TargetAttempt, bytes: number): boolean;
+  attemptBuffering(attempt: TargetAttempt<Id>, bytes: number): boolean;
   /**
    * Called with the first part of a response that is not buffered further; the rest
    * follows through {@link attemptChunk}. Returns false to pause until `resume`.
    */
   attemptStreaming(
-    attempt: TargetAttempt,
+    attempt: TargetAttempt<Id>,
     response: TargetResponse,
     firstChunk: Buffer,
   ): boolean;
   /** Called for each further chunk of a streamed response. Returns false to pause until `resume`. */
-  attemptChunk(attempt: TargetAttempt, chunk: Buffer): boolean;
+  attemptChunk(attempt: TargetAttempt<Id>, chunk: Buffer): boolean;
   /** Called exactly once, as the last event. */
-  attemptEnded(attempt: TargetAttempt, end: TargetAttemptEnd): void;
+  attemptEnded(attempt: TargetAttempt<Id>, end: TargetAttemptEnd): void;
 }
 
 /**
@@ -60,22 +60,23 @@
 const MAX_BUFFERED_RESPONSE_BYTES = 262_144;
 
 /** Options of an attempt. */
-export interface TargetAttemptOptions {
-  readonly target: TargetId;
+export interface TargetAttemptOptions<Id extends string = TargetId> {
+  readonly target: Id;
   readonly requestId: string;
-  readonly connection: TargetConnection;
+  readonly connection: TargetConnection<Id>;
   readonly dialect: Dialect;
 }
 
 /** Handles undici's events for one attempt; see the module comment. */
-export class TargetAttempt implements Dispatcher.DispatchHandler {
-  readonly target: TargetId;
-  readonly connection: TargetConnection;
+export class TargetAttempt<Id extends string = TargetId>
+  implements Dispatcher.DispatchHandler {
+  readonly target: Id;
+  readonly connection: TargetConnection<Id>;
   readonly startedAt = performance.now();
   /** Whether the target's work has been reported as done before the end of the attempt. */
   isWorkReported = false;
-  readonly #owner: TargetAttemptOwner;
-  readonly #options: TargetAttemptOptions;
+  readonly #owner: TargetAttemptOwner<Id>;
+  readonly #options: TargetAttemptOptions<Id>;
   #writtenAt: number | undefined;
   #hasEnded = false;
   #isAbandoned = false;
@@ -86,13 +87,21 @@
   #bufferedBytes = 0;
   #isStreaming = false;
 
-  constructor(owner: TargetAttemptOwner, options: TargetAttemptOptions) {
+  constructor(
+    owner: TargetAttemptOwner<Id>,
+    options: TargetAttemptOptions<Id>,
+  ) {
     this.#owner = owner;
     this.#options = options;
     this.target = options.target;
     this.connection = options.connection;
   }
 
+  /** The caller's id of the request. */
+  get requestId(): string {
+    return this.#options.requestId;
+  }
+
   /** When the first byte was written; undefined if none can have been. */
   get writtenAt(): number | undefined {
     return this.#writtenAt;
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -55,6 +55,8 @@
   /** When it was last seen alive or first listed. */
   knownAt: number;
   isLeaving: boolean;
+  /** It reaches no target. */
+  isCutOff: boolean;
 }
 
 /** State of one VM of a zone in reports to other zones. */
@@ -63,6 +65,8 @@
   /** Time since its last heartbeat. */
   readonly ageMs: number;
   readonly isLeaving: boolean;
+  /** It reaches no target; false by default. */
+  readonly isCutOff?: boolean;
 }
 
 /** What changed about a VM. */
@@ -76,6 +80,7 @@
   readonly #vmsByHost = new Map<string, Set<VmId>>();
   readonly #onChange: (member: Member, change: VmChange) => void;
   #selfLeaving = false;
+  #selfCutOff = false;
 
   constructor(options: {
     self: Member;
@@ -95,6 +100,11 @@
     this.#selfLeaving = true;
   }
 
+  /** Sets whether this VM reaches no target. */
+  setCutOff(isCutOff: boolean): void {
+    this.#selfCutOff = isCutOff;
+  }
+
   /** Adds the VMs that are registered in the platform's store; they may have stopped long ago. */
   addRegistered(members: readonly Member[], now: number): void {
     for (const member of members) {
@@ -108,6 +118,7 @@
           lastSeenAt: -Infinity,
           knownAt: now,
           isLeaving: false,
+          isCutOff: false,
         });
       } else if (known.lastSeenAt === -Infinity || !this.#isInZone(known)) {
         this.#add({ ...known, member: withHash(member) });
@@ -116,9 +127,10 @@
   }
 
   /** Records a heartbeat of a VM; true if the VM, or this instance of it, was not up before. */
-  recordHeartbeat(member: Member, { now, isLeaving }: {
+  recordHeartbeat(member: Member, { now, isLeaving, isCutOff = false }: {
     now: number;
     isLeaving: boolean;
+    isCutOff?: boolean;
   }): boolean {
     if (member.vm === this.#self.vm) {
       return false;
@@ -131,6 +143,7 @@
       lastSeenAt: now,
       knownAt: now,
       isLeaving,
+      isCutOff,
     });
     if (isLeaving && !(known?.isLeaving && wasUp)) {
       this.#onChange(member, "leaving");
@@ -163,7 +176,10 @@
   }
 
   /** Records the state of a VM from another zone's report. */
-  recordStatus({ vm, ageMs, isLeaving }: VmStatus, now: number): void {
+  recordStatus(
+    { vm, ageMs, isLeaving, isCutOff = false }: VmStatus,
+    now: number,
+  ): void {
     const known = this.#entries.get(vm);
     // A VM whose row was not read yet is skipped: it is reported again within two seconds.
     if (known === undefined || this.#isInZone(known)) {
@@ -174,6 +190,7 @@
     known.lastSeenAt = Math.max(known.lastSeenAt, now - ageMs);
     known.knownAt = Math.max(known.knownAt, known.lastSeenAt);
     known.isLeaving = isLeaving;
+    known.isCutOff = isCutOff;
     if (!this.#isAlive(known, now)) {
       return;
     }
@@ -240,6 +257,7 @@
       vm: this.#self.vm,
       ageMs: 0,
       isLeaving: this.#selfLeaving,
+      isCutOff: this.#selfCutOff,
     }];
     for (const entry of this.#entries.values()) {
       if (this.#isInZone(entry) && this.#isAlive(entry, now)) {
@@ -247,6 +265,7 @@
           vm: entry.member.vm,
           ageMs: Math.round(now - entry.lastSeenAt),
           isLeaving: entry.isLeaving,
+          isCutOff: entry.isCutOff,
         });
       }
     }
@@ -314,15 +333,36 @@
     return fallbacksFor(this.#self, this.up(now));
   }
 
-  /** Addresses for a caller: those of its region if there are enough, else all. */
+  /** Other VMs that are up and reach targets. */
+  peersWithTargets(now: number): readonly Member[] {
+    return this.up(now).filter(({ vm }) =>
+      vm !== this.#self.vm && !this.#isCutOff(vm)
+    );
+  }
+
+  /**
+   * Addresses for a caller: those of its region if there are enough, else all. VMs that
+   * reach no target are left out while enough others of the region are up: they can only
+   * forward requests to these.
+   */
   addressesFor(request: LookupRequest, now: number): readonly string[] {
     const up = this.up(now);
     const inRegion = up.filter(({ region }) => region === request.region);
-    const selected = inRegion.length >= MIN_ADDRESSES_IN_REGION ? inRegion : up;
+    const withTargets = inRegion.filter(({ vm }) => !this.#isCutOff(vm));
+    const selected =
+      [withTargets, inRegion].find(({ length }) =>
+        length >= MIN_ADDRESSES_IN_REGION
+      ) ?? up;
     return selected.slice(0, MAX_ADDRESSES)
       .map(({ callerAddress }) => callerAddress);
   }
 
+  #isCutOff(vm: VmId): boolean {
+    return vm === this.#self.vm
+      ? this.#selfCutOff
+      : this.#entries.get(vm)?.isCutOff ?? false;
+  }
+
   #isInZone({ member }: Entry): boolean {
     return member.zone === this.#self.zone;
   }
--- a/packages/daemon/src/gateway/vm_directory_test.ts
+++ b/packages/daemon/src/gateway/vm_directory_test.ts
@@ -46,6 +46,23 @@
     expect(addresses(vms, "north", 100)).toEqual(["n-1:80", "n-2:80"]);
   });
 
+  test("leaves out a VM that reaches no target while enough others are up", () => {
+    const { vms } = directory();
+    const cutOff = { ...UP, isCutOff: true };
+    vms.recordHeartbeat(member("n-2", "north"), { now: 0, ...cutOff });
+    vms.recordHeartbeat(member("n-3", "north"), { now: 0, ...UP });
+    expect(addresses(vms, "north", 100)).toEqual(["n-1:80", "n-3:80"]);
+    expect(vms.peersWithTargets(100).map(({ vm }) => vm)).toEqual(["n-3"]);
+    vms.recordHeartbeat(member("n-3", "north"), { now: 200, ...cutOff });
+    expect(addresses(vms, "north", 300)).toEqual([
+      "n-1:80",
+      "n-2:80",
+      "n-3:80",
+    ]);
+    vms.recordHeartbeat(member("n-2", "north"), { now: 400, ...UP });
+    expect(addresses(vms, "north", 500)).toEqual(["n-1:80", "n-2:80"]);
+  });
+
   test("no longer returns a VM that is unresponsive or leaving", () => {
     const { vms, changes } = directory();
     vms.recordHeartbeat(member("n-2", "north"), { now: 0, ...UP });
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -42,6 +42,9 @@
   /** Duration of the last attempt, and how it ended. */
   readonly targetMs?: number;
   readonly targetEnd?: string;
+  /** The VM that a request was forwarded to, and the one that forwarded it. */
+  readonly via?: string;
+  readonly from?: string;
   /** The client account that sent a request. */
   readonly account?: string;
   /** First characters of the digest of an account key. */
--- a/packages/placement/src/room/testing_room.ts
+++ b/packages/placement/src/room/testing_room.ts
@@ -158,7 +158,7 @@
     };
     const counts = this.#countsOf(kind.priority);
     counts.requests += 1;
-    vm.steering.arrived(SERVICE, kind.priority, this.#now);
+    vm.steering.arrived(SERVICE, kind.priority, { now: this.#now });
     const refused = vm.steering.checkRoom(request, this.#now);
     if (refused === undefined) {
       vm.queue.add(request);
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -109,7 +109,12 @@
       onWarmPair: (pair) => options.onWarmPair?.(pair),
       homes: options.homes,
     });
-    this.#reach = new TargetReach((state) => options.onReachChanged?.(state));
+    this.#reach = new TargetReach((state) => {
+      if (state === "cut-off") {
+        this.#feedback.forgetFailures();
+      }
+      options.onReachChanged?.(state);
+    });
   }
 
   /** Whether this VM reaches no targets at all. */
@@ -256,9 +261,18 @@
     return entry === undefined ? 0 : this.roundTrips.to(entry.target);
   }
 
-  /** Records the arrival of a caller's request for `service`. */
-  arrived(service: ServiceId, priority: number, now: number): void {
-    this.#retries.arrived(service, now);
+  /**
+   * Records the arrival of a caller's request for `service`. A request that another VM
+   * forwarded has raised the retry budget there.
+   */
+  arrived(
+    service: ServiceId,
+    priority: number,
+    { now, isForwarded = false }: { now: number; isForwarded?: boolean },
+  ): void {
+    if (!isForwarded) {
+      this.#retries.arrived(service, now);
+    }
     this.#admission.arrived(service, priority, now);
   }
 
@@ -375,7 +389,9 @@
       return;
     }
     this.#recordFailure(id, now);
-    this.#feedback.markUnreachable(entry, now);
+    if (!this.isCutOff) {
+      this.#feedback.markUnreachable(entry, now);
+    }
   }
 
   /**
@@ -398,6 +414,9 @@
    * unresponsive since the last call.
    */
   findUnresponsive(now: number): readonly TargetId[] {
+    if (this.isCutOff) {
+      return [];
+    }
     const unresponsive = this.#feedback.findUnresponsive(now);
     unresponsive.forEach((id) => this.#recordFailure(id, now));
     return unresponsive;
--- a/packages/placement/src/target_feedback.ts
+++ b/packages/placement/src/target_feedback.ts
@@ -81,6 +81,15 @@
     }
   }
 
+  /** Uses all targets again: that they failed says nothing about them. */
+  forgetFailures(): void {
+    for (const entry of this.#known.entries.all()) {
+      entry.health.forgetFailures();
+    }
+    this.#withPendingRequests.clear();
+    this.#unhealthy.clear();
+  }
+
   /** Marks the target unreachable: no connection could be established. */
   markUnreachable(entry: SteeredEntry, now: number): void {
     entry.health.markUnreachable(now);
--- a/packages/placement/src/target_health.ts
+++ b/packages/placement/src/target_health.ts
@@ -190,6 +190,13 @@
     this.#failureShareAt = now;
   }
 
+  /** Forgets failures and pending requests that say nothing about the target. */
+  forgetFailures(): void {
+    this.#pendingSentAt.length = 0;
+    this.#lastFailureShare = 0;
+    this.#markInUse();
+  }
+
   #markInUse(): void {
     this.#state = "in-use";
   }
