A VM that is cut off accuses no request of crashing targets

When a VM's links are reset, its attempts break and their targets then refuse connections, which is what a crash looks like. It told all VMs, and a request that broke on three targets would have been held back for 30 s everywhere. An unreachable target now counts as crashed 300 ms later, if the VM still reaches targets; the test of a cut VM fails without that. A VM that is cut off also leaves the demand for homes and the check of the room to the VM that gets the request.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -162,7 +162,7 @@
       steering.ended(target, { kind: "abandoned" }, times);
       if (!(end.err instanceof NotSentError)) {
         steering.markUnreachable(target, now);
-        suspects.targetCrashed(target, now);
+        suspects.targetUnreachable(target, now);
       }
       return;
     case "abandoned":
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -13,6 +13,7 @@
 import { createHash } from "node:crypto";
 import type { Buffer } from "node:buffer";
 import type { TargetId } from "@poplarthread/ids";
+import type { ReachState } from "@poplarthread/placement";
 
 /** Number of crashed targets after which a request is held back. One or two can coincide with any request while targets fail for other reasons. */
 const MIN_CRASHES = 3;
@@ -20,6 +21,8 @@
 const CRASH_TTL_MS = 30_000;
 /** Maximum time from a broken attempt to the crash it is linked to. The crash is detected when the next request or probe fails to connect to the target. */
 const CRASH_WINDOW_MS = 1_500;
+/** Time after which further targets would have become unreachable if this VM were cut off. */
+const SETTLE_MS = 300;
 /** Maximum number of digests kept, about 100 bytes each. */
 const MAX_DIGESTS = 2_000;
 /** Length of a digest in base64 characters: enough to distinguish some thousand requests. */
@@ -40,6 +43,9 @@
   /** Time of recently broken attempts, by target and digest, until a crash of the target is detected. */
   readonly #recentFailures = new Map<TargetId, Map<string, number>>();
 
+  /** Targets that became unreachable, until it is settled whether they crashed. */
+  readonly #unreachableSince = new Map<TargetId, number>();
+
   /** `publish` sends a crash report to the other VMs. */
   constructor(publish: (crash: SuspectedCrash) => void) {
     this.#publish = publish;
@@ -69,6 +75,39 @@
     this.#recentFailures.set(target, recent);
   }
 
+  /**
+   * Records that no connection to a target could be established. That is a crash only
+   * if this VM reaches other targets, which {@link settleUnreachable} tells.
+   */
+  targetUnreachable(target: TargetId, now: number): void {
+    if (!this.#unreachableSince.has(target)) {
+      this.#unreachableSince.set(target, now);
+    }
+  }
+
+  /**
+   * Takes targets that became unreachable a while ago for crashed, or forgets them if this
+   * VM has turned out to be cut off from all targets. Must be called regularly.
+   */
+  settleUnreachable(reach: ReachState, now: number): void {
+    switch (reach) {
+      case "in-doubt":
+        return;
+      case "cut-off":
+        this.#unreachableSince.clear();
+        this.#recentFailures.clear();
+        return;
+      case "reached":
+        break;
+    }
+    for (const [target, since] of this.#unreachableSince) {
+      if (now - since >= SETTLE_MS) {
+        this.#unreachableSince.delete(target);
+        this.targetCrashed(target, since);
+      }
+    }
+  }
+
   /** Links a crash of a target to the attempts that broke on it shortly before. */
   targetCrashed(target: TargetId, now: number): void {
     for (const [digest, brokeAt] of this.#recentFailures.get(target) ?? []) {
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -66,3 +66,36 @@
     expect(suspects.heldBackMs(digest, 5_000)).toBe(0);
   });
 });
+
+describe("a request that breaks on targets that then cannot be reached", () => {
+  function breakOnAll(suspects: CrashSuspects): string {
+    const digest = suspects.digestOf("GET", "/read/a", undefined);
+    for (const target of targets) {
+      suspects.attemptBroke(digest, target, 0);
+      suspects.targetUnreachable(target, 10);
+    }
+    return digest;
+  }
+
+  test("is held back if this VM reaches other targets", () => {
+    const published: SuspectedCrash[] = [];
+    const suspects = new CrashSuspects((crash) => published.push(crash));
+    const digest = breakOnAll(suspects);
+    suspects.settleUnreachable("reached", 200);
+    expect(published).toEqual([]);
+    suspects.settleUnreachable("reached", 400);
+    expect(published.length).toBe(3);
+    expect(suspects.heldBackMs(digest, 400)).toBeGreaterThan(1_000);
+  });
+
+  test("is not held back by any VM if this VM lost its own links", () => {
+    const published: SuspectedCrash[] = [];
+    const suspects = new CrashSuspects((crash) => published.push(crash));
+    const digest = breakOnAll(suspects);
+    suspects.settleUnreachable("in-doubt", 400);
+    suspects.settleUnreachable("cut-off", 600);
+    suspects.settleUnreachable("reached", 1_000);
+    expect(published).toEqual([]);
+    expect(suspects.heldBackMs(digest, 1_000)).toBe(0);
+  });
+});
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -322,12 +322,14 @@
   /** Queues the new request, unless its service has no room for it. */
   #enqueue(now: number): void {
     const { steering, queue } = this.#services;
+    if (steering.isCutOff) {
+      // Demand and room are for the VM that the request is forwarded to.
+      queue.add(this, now);
+      return;
+    }
     const request = this.#placementRequest();
     steering.admitted(request);
-    // A VM that is cut off knows nothing of the room: the VM that gets the request checks it.
-    const refusal = steering.isCutOff
-      ? undefined
-      : steering.checkRoom(request, now);
+    const refusal = steering.checkRoom(request, now);
     if (refusal === undefined) {
       queue.add(this, now);
     } else {
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -195,6 +195,11 @@
       this.#options.probe(target);
     }
     this.checkReach(now);
+    const { checkReach } = this.#options;
+    this.suspects.settleUnreachable(
+      checkReach === undefined ? "reached" : this.steering.reach,
+      now,
+    );
   }
 
   /** Handles a change of whether this VM reaches targets. */
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -117,6 +117,11 @@
     });
   }
 
+  /** Whether this VM reaches targets. */
+  get reach(): ReachState {
+    return this.#reach.state;
+  }
+
   /** Whether this VM reaches no targets at all. */
   get isCutOff(): boolean {
     return this.#reach.isCutOff;
--- a/packages/placement/src/target_reach.ts
+++ b/packages/placement/src/target_reach.ts
@@ -60,6 +60,10 @@
     this.#onChange = onChange;
   }
 
+  get state(): ReachState {
+    return this.#state;
+  }
+
   get isCutOff(): boolean {
     return this.#state === "cut-off";
   }
