--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -83,6 +83,12 @@
     type: "text",
     meaning: "the VM that forwarded the request to this one",
   },
+  era: {
+    type: "number",
+    meaning:
+      "the store's history: rises by one when the store is restored from a copy",
+  },
+  table: { type: "text", meaning: "table of the platform's store" },
   running: {
     type: "number",
     meaning: "requests running at the target when it responded",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -78,6 +78,18 @@
     meaning: "The platform's store or a relay responds again.",
     fields: ["subject"],
   },
+  "store restored": {
+    level: "warn",
+    meaning:
+      "The platform's store came back from a copy: what was written shortly before is gone, and versions are given out again.",
+    fields: ["era"],
+  },
+  "store history gone": {
+    level: "info",
+    meaning:
+      "The platform's store does not have the version that this VM has read up to: all rows are read again.",
+    fields: ["table"],
+  },
   "relay left alone": {
     level: "info",
     meaning:
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -90,6 +90,11 @@
   readonly rows: readonly StoredRow[];
   /** The newest version of the store. */
   readonly version: number;
+  /**
+   * The store's history that the versions belong to. It rises when the store is restored
+   * from a copy: versions then go back and are given out again.
+   */
+  readonly era: number;
   /** More rows follow on the next page. */
   readonly isTruncated: boolean;
 }
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -21,6 +21,7 @@
 class FakeStore {
   readonly rows = new Map<string, StoredRow>();
   version = 0;
+  era = 1;
   calls = 0;
   pageSize = 1_000;
   /** How the store treats calls. */
@@ -44,6 +45,7 @@
     return {
       rows: rows.slice(0, this.pageSize),
       version: this.version,
+      era: this.era,
       isTruncated: rows.length > this.pageSize,
     };
   }
@@ -53,7 +55,7 @@
     { version, waitMs, signal }: ChangesRequest,
   ): Promise<RowsPage> {
     await this.#receiveCall(signal);
-    if (version < this.historyFrom) {
+    if (version < this.historyFrom || version > this.version) {
       throw new HistoryGoneError("gone");
     }
     const changed = () =>
@@ -62,7 +64,12 @@
     if (changed().length === 0) {
       await this.#nextChange(waitMs, signal);
     }
-    return { rows: changed(), version: this.version, isTruncated: false };
+    return {
+      rows: changed(),
+      version: this.version,
+      era: this.era,
+      isTruncated: false,
+    };
   }
 
   async #receiveCall(signal: AbortSignal | undefined): Promise<void> {
--- a/packages/daemon/src/json_call.ts
+++ b/packages/daemon/src/json_call.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Agent, request } from "node:http";
+import { type Agent, type IncomingHttpHeaders, request } from "node:http";
 
 /** The call timed out, or its response cannot be used. */
 export class JsonCallError extends Error {
@@ -28,6 +28,7 @@
 /** A response. */
 export interface JsonResponse {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   /** The parsed JSON; undefined unless the status is 200. */
   readonly body: unknown;
 }
@@ -67,14 +68,14 @@
       res.on("error", fail);
       res.on("end", () => {
         clearTimeout(timer);
-        const status = res.statusCode ?? 0;
+        const { statusCode: status = 0, headers } = res;
         if (status !== 200) {
-          resolve({ status, body: undefined });
+          resolve({ status, headers, body: undefined });
           return;
         }
         try {
           const text = Buffer.concat(chunks).toString("utf8");
-          resolve({ status, body: JSON.parse(text) });
+          resolve({ status, headers, body: JSON.parse(text) });
         } catch {
           reject(new JsonCallError("The response body is not JSON"));
         }
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -45,6 +45,9 @@
   /** The VM that a request was forwarded to, and the one that forwarded it. */
   readonly via?: string;
   readonly from?: string;
+  /** History and table of the platform's store. */
+  readonly era?: number;
+  readonly table?: string;
   /** The client account that sent a request. */
   readonly account?: string;
   /** First characters of the digest of an account key. */
