Failing tests: changes after the store was restored from a copy are missed

A region of six VMs in virtual time. Either the store is away for two seconds and comes back from a copy, and a target that leaves two seconds later is unknown to five of six VMs after config_apply_s; or it comes back at once and its versions overtake the old ones, and all six miss it.

--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -38,6 +38,7 @@
 export { EventLog } from "./events.ts";
 export { createLog, type Log } from "../log.ts";
 export { messageOf } from "../errors.ts";
+export { pause } from "../pause.ts";
 export { callJson, type JsonCall } from "../json_call.ts";
 export {
   dropConnectionHeaders,
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -72,6 +72,19 @@
     };
   }
 
+  /** Rows and version, to be restored later. */
+  copy() {
+    return { rows: new Map(this.rows), version: this.version };
+  }
+
+  /** Goes back to a copy: its versions are given out again. */
+  restore({ rows, version }: ReturnType<FakeStore["copy"]>): void {
+    this.rows.clear();
+    rows.forEach((row, key) => this.rows.set(key, row));
+    this.version = version;
+    this.era += 1;
+  }
+
   async #receiveCall(signal: AbortSignal | undefined): Promise<void> {
     this.calls += 1;
     if (this.mode === "refuses") {
@@ -487,3 +500,49 @@
     expect(vm.rows.has("t-1")).toBe(true);
   });
 });
+
+describe("a store that is restored from a copy", () => {
+  /** `config_apply_s` of the users, the shortest of their bounds for changes. */
+  const APPLY_MS = 2_500;
+
+  /** A region of six VMs, of which the first reads the store for the others, ten changes after `copy` was made. */
+  async function startRegion() {
+    const all = Array.from({ length: 6 }, (_, at) => new Vm(`vm-${at}`, store));
+    all.forEach((vm, at) => {
+      vm.relays = all.slice(0, at);
+      vm.fallbacks = all.slice(at + 1, at + 3);
+    });
+    await vi.advanceTimersByTimeAsync(2_000);
+    const copy = store.copy();
+    for (let at = 0; at < 10; at++) {
+      store.write("t-0", `ready ${at}`);
+    }
+    await vi.advanceTimersByTimeAsync(2_000);
+    return { all, copy };
+  }
+
+  test("passes on what is written after an outage, though it has lower versions", async () => {
+    const { all, copy } = await startRegion();
+    store.mode = "refuses";
+    await vi.advanceTimersByTimeAsync(2_000);
+    store.restore(copy);
+    store.mode = "answers";
+    await vi.advanceTimersByTimeAsync(2_000);
+    store.write("t-1", "leaving");
+    await vi.advanceTimersByTimeAsync(APPLY_MS);
+    expect(all.map(({ rows }) => rows.get("t-1")))
+      .toEqual(all.map(() => "leaving"));
+  });
+
+  test("hides no change when its versions have overtaken those from before", async () => {
+    const { all, copy } = await startRegion();
+    store.restore(copy);
+    store.write("t-1", "leaving");
+    for (let at = 0; at < 20; at++) {
+      store.write("t-2", `ready ${at}`);
+    }
+    await vi.advanceTimersByTimeAsync(APPLY_MS);
+    expect(all.map(({ rows }) => rows.get("t-1")))
+      .toEqual(all.map(() => "leaving"));
+  });
+});
