Versions of the store are compared within one history only

What callers saw: changes of the configuration not in force 2.5 s and more after their acknowledgement, and requests at targets that had said that they leave.

Cause: the store came back from a copy, and its versions went back. A VM that read on got 410 and asked for all rows, but since it counted the store as lost, it took them from another VM, with the versions of before, and got 410 again. Once the new versions had overtaken the old ones, reads after an old version succeeded and left out what lay between. The class: a number that is ordered within one history is compared with one of another.

The fix: a version is ordered only within its era, which all answers of the store name. A copy has an era; relay requests and responses, heartbeats and zone reports carry it. An answer of another era than the copy's leads to a full read; rows of an earlier era than the latest one known are left alone; a relay behind its requester reads the store. 410 counts as contact with the store, so that it is read and no fallback.

Ruled out: refusals (the calls turned down were 410s: VMs asked again at once and for all tables alike), and missing calls (20 calls a second succeeded).

--- a/packages/daemon/src/gateway/change_sources.ts
+++ b/packages/daemon/src/gateway/change_sources.ts
@@ -86,6 +86,11 @@
     }
   }
 
+  /** The store has answered this VM: no fallback takes its place. */
+  storeAnswered(): void {
+    this.#usesFallbackUntil = -Infinity;
+  }
+
   /** Stops querying a VM until `until`. */
   backOff({ vm }: Member, until: number): void {
     this.#backOffUntil.set(vm, until);
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -360,7 +360,7 @@
     return encodeNotification("heartbeat", params);
   }
 
-  #zoneReports({ seen }: Omit<Heartbeat, "crashes">): readonly Buffer[] {
+  #zoneReports({ seen, era }: Omit<Heartbeat, "crashes">): readonly Buffer[] {
     const crashes = [
       ...this.#localCrashes.current(),
       ...this.#forwardedCrashes.current(),
@@ -372,6 +372,7 @@
       const vms = statuses.slice(at, at + MAX_VMS_PER_REPORT);
       reports.push(encodeNotification("zone", {
         seen,
+        era,
         crashes,
         ages: Object.fromEntries(vms.map(({ vm, ageMs }) => [vm, ageMs])),
         leaving: vms.filter(({ isLeaving }) => isLeaving).map(({ vm }) => vm),
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -13,6 +13,8 @@
 export interface CommonFields {
   /** The newest version of each subject of the platform that the sender has seen. */
   readonly seen: Readonly<Record<WatchedSubject, number>>;
+  /** The store's history that these versions belong to. Older versions of the program don't send this field. */
+  readonly era?: number;
   /** Recent crashes of targets and the requests that may have caused them. */
   readonly crashes: readonly SuspectedCrash[];
 }
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -101,7 +101,7 @@
         member: self,
         isLeaving: this.#isLeaving,
         isCutOff: this.#isCutOff,
-        seen: feed().seen,
+        ...feed().seen,
       }),
       heartbeatReceived: (heartbeat) => this.#onHeartbeat(heartbeat),
       zoneReportReceived: (report) => this.#onZoneReport(report),
@@ -152,13 +152,13 @@
     }
   }
 
-  #applyUpdates({ seen, crashes }: CommonFields, now: number): void {
+  #applyUpdates({ seen, era = 0, crashes }: CommonFields, now: number): void {
     const { path, feed } = this.#options;
     for (const crash of crashes) {
       path().suspects.recordCrash(crash, now);
     }
     for (const [subject, version] of Object.entries(seen)) {
-      feed().hint(subject as WatchedSubject, version);
+      feed().hint(subject as WatchedSubject, { era, version });
     }
   }
 }
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -16,6 +16,7 @@
   WATCHED_SUBJECTS,
   type WatchedSubject,
 } from "./ports.ts";
+import type { StoreVersion } from "./row_copy.ts";
 import { RelayClient, type RelayRequest, type RelayResponse } from "./relay.ts";
 import { SubjectWatch } from "./subject_watch.ts";
 
@@ -33,6 +34,14 @@
     readonly reason?: string;
   };
 
+/** The newest versions that a VM has seen. */
+export interface SeenVersions {
+  /** The latest history of the store; see {@link StoreVersion}. */
+  readonly era: number;
+  /** The newest version of each subject in that history; 0 if none is known. */
+  readonly seen: Readonly<Record<WatchedSubject, number>>;
+}
+
 /** Options of a {@link PlatformFeed}. */
 export interface PlatformFeedOptions extends ChangeSourcesOptions {
   readonly platform: PlatformPort;
@@ -61,19 +70,21 @@
   }
 
   /** A peer reports a version that this VM may have missed. */
-  hint(subject: WatchedSubject, version: number): void {
-    this.#watches.get(subject)?.hint(version);
+  hint(subject: WatchedSubject, seen: StoreVersion): void {
+    this.#watches.get(subject)?.hint(seen);
   }
 
-  /** The newest version of each subject that this VM has seen. */
-  get seen(): Readonly<Record<WatchedSubject, number>> {
-    const newest = (subject: WatchedSubject) =>
-      this.#watches.get(subject)!.newest;
-    return {
-      operator: newest("operator"),
-      targets: newest("targets"),
-      members: newest("members"),
-    };
+  /** The latest history of the store, and the newest version of each subject in it, that this VM has seen. */
+  get seen(): SeenVersions {
+    const newest = WATCHED_SUBJECTS.map((subject) =>
+      [subject, this.#watches.get(subject)!.newest] as const
+    );
+    const era = Math.max(...newest.map(([, seen]) => seen.era));
+    const versions = newest.map(([subject, seen]) => [
+      subject,
+      seen.era === era ? seen.version : 0,
+    ]);
+    return { era, seen: Object.fromEntries(versions) };
   }
 
   /** Time since the store last confirmed the rows of a subject, in milliseconds. */
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -102,6 +102,13 @@
 /** The store's history no longer reaches back to the requested version; all rows must be read again. */
 export class HistoryGoneError extends Error {
   override readonly name = "HistoryGoneError";
+  /** The store's present history; see {@link RowsPage.era}. */
+  readonly era: number;
+
+  constructor(message: string, era: number) {
+    super(message);
+    this.era = era;
+  }
 }
 
 /** Request for the changes of a subject. */
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -36,6 +36,8 @@
 export interface RelayRequest {
   /** Only changes after this version are returned; -1 if no rows are known. */
   readonly version: number;
+  /** The store's history that the version belongs to, as far as the requesting VM knows. */
+  readonly era: number;
   /** Longest wait for changes. */
   readonly waitMs: number;
   /** The relay must not respond early because its rows become stale: the requesting VM has lost the store, too. */
@@ -75,11 +77,15 @@
 const paramsSchema = z.object({
   subject: z.enum(WATCHED_SUBJECTS),
   version: z.number(),
+  /** Left out by older versions of the program. */
+  era: z.number().default(0),
   waitMs: z.number().min(0).max(30_000),
   isPatient: z.boolean(),
 });
 
 const responseSchema = z.object({
+  /** Left out by older versions of the program. */
+  era: z.number().default(0),
   isWhole: z.boolean(),
   rows: z.array(z.object({
     key: z.string(),
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -13,7 +13,7 @@
 const HOST = loopbackAddress(77);
 const PORT = 17_720;
 const RELAY = memberNamed("vm-1", { peerAddress: `${HOST}:${PORT}` });
-const REQUEST = { version: 3, waitMs: 100, isPatient: false };
+const REQUEST = { version: 3, era: 2, waitMs: 100, isPatient: false };
 
 let client: RelayClient;
 let listener: RelayListener;
@@ -36,6 +36,7 @@
 
 test("a response arrives unchanged, including bytes that are not text", async () => {
   response = {
+    era: 2,
     isWhole: false,
     rows: [
       { key: "a", value: Buffer.from([0xff, 0x00]), version: 4 },
@@ -82,6 +83,7 @@
   // A reset counts as a close, too.
   await new Promise((resolve) => socket.on("close", resolve));
   response = {
+    era: 2,
     isWhole: true,
     rows: [],
     position: 1,
--- a/packages/daemon/src/gateway/row_copy.ts
+++ b/packages/daemon/src/gateway/row_copy.ts
@@ -9,8 +9,16 @@
 /** Removed rows that are kept. A VM that missed more removals gets all rows again. */
 const MAX_REMOVED_ROWS = 1_000;
 
+/** A version of one of the store's histories; see {@link RowsPage.era}. */
+export interface StoreVersion {
+  readonly era: number;
+  readonly version: number;
+}
+
 /** The changes after a version. Sent to other VMs as JSON. */
 export interface RowChanges {
+  /** The history that the versions belong to. */
+  readonly era: number;
   /** A full snapshot: rows that are not listed do not exist. */
   readonly isWhole: boolean;
   /** Rows in the order of their versions, removed ones included. */
@@ -27,6 +35,7 @@
   /** Removals up to this version are no longer kept. */
   #removalsSince = 0;
   #position: number | undefined;
+  #era: number | undefined;
   #newest = 0;
   /**
    * Computed changes by the version that they follow; cleared when the rows change.
@@ -44,6 +53,11 @@
     return this.#position;
   }
 
+  /** The store's history that the rows belong to; undefined if none were read. */
+  get era(): number | undefined {
+    return this.#era;
+  }
+
   /** Version of the newest row seen. */
   get newest(): number {
     return this.#newest;
@@ -55,8 +69,12 @@
   }
 
   /** Replaces all rows by a full snapshot. */
-  replace({ rows, version }: Pick<RowsPage, "rows" | "version">): void {
+  replace({ rows, version, era }: Omit<RowsPage, "isTruncated">): void {
     this.#changesCache.clear();
+    if (era !== this.#era) {
+      this.#era = era;
+      this.#newest = 0;
+    }
     this.#rows.clear();
     this.#removed.clear();
     this.#removalsSince = version;
@@ -64,27 +82,37 @@
     rows.forEach((row) => this.#apply(row));
   }
 
-  /** Applies changes after the position. */
+  /** Applies changes after the position, of the same history. */
   advance({ rows, version }: Pick<RowsPage, "rows" | "version">): void {
     this.#changesCache.clear();
     rows.forEach((row) => this.#apply(row));
     this.#position = Math.max(version, this.#position ?? 0);
   }
 
-  /** The changes after `version`; undefined if the position is unknown. */
-  changesAfter(version: number): RowChanges | undefined {
-    if (this.#position === undefined) {
+  /**
+   * The changes after a version, or a full snapshot if it belongs to another history;
+   * undefined if the position is unknown.
+   */
+  changesAfter(after: StoreVersion): RowChanges | undefined {
+    if (this.#position === undefined || this.#era === undefined) {
       return undefined;
     }
+    const version = after.era === this.#era ? after.version : -1;
     let changes = this.#changesCache.get(version);
     if (changes === undefined) {
-      changes = this.#computeChanges(version, this.#position);
+      changes = this.#computeChanges(version, {
+        era: this.#era,
+        version: this.#position,
+      });
       this.#changesCache.set(version, changes);
     }
     return changes;
   }
 
-  #computeChanges(version: number, position: number): RowChanges {
+  #computeChanges(
+    version: number,
+    { era, version: position }: StoreVersion,
+  ): RowChanges {
     const isWhole = version < this.#removalsSince;
     // A row beyond the position, seen while the rows were read page by page, is left
     // out until the position has reached it: a VM that requests changes after the
@@ -94,7 +122,7 @@
     const rows = [...this.#rows.values(), ...this.#removed.values()]
       .filter(isDue)
       .toSorted((a, b) => a.version - b.version);
-    return { isWhole, rows, position };
+    return { era, isWhole, rows, position };
   }
 
   #apply(row: StoredRow): void {
--- a/packages/daemon/src/gateway/row_copy_test.ts
+++ b/packages/daemon/src/gateway/row_copy_test.ts
@@ -21,8 +21,12 @@
 
 /** Updates `copy` from `source`, as a VM does with the changes of its relay. */
 function follow(copy: RowCopy, source: RowCopy): void {
-  const changes = source.changesAfter(copy.position ?? -1)!;
-  const page = { rows: changes.rows, version: changes.position };
+  const changes = source.changesAfter({
+    era: copy.era ?? 0,
+    version: copy.position ?? -1,
+  })!;
+  const { era, rows, position: version } = changes;
+  const page = { era, rows, version };
   if (changes.isWhole) {
     copy.replace(page);
   } else {
@@ -34,7 +38,7 @@
   fc.assert(fc.property(history, (steps) => {
     const source = new RowCopy();
     const copy = new RowCopy();
-    source.replace({ rows: [], version: 0 });
+    source.replace({ rows: [], version: 0, era: 0 });
     steps.forEach(({ key, isRemoved, follows }, at) => {
       const version = at + 1;
       const value = isRemoved ? undefined : Buffer.from(String(at));
@@ -55,7 +59,11 @@
   // removals that are no longer kept, it would keep sending to targets that are gone.
   const source = new RowCopy();
   const value = Buffer.from("x");
-  source.replace({ rows: [{ key: "old", value, version: 1 }], version: 1 });
+  source.replace({
+    rows: [{ key: "old", value, version: 1 }],
+    version: 1,
+    era: 0,
+  });
   const copy = new RowCopy();
   follow(copy, source);
   source.advance({
@@ -73,7 +81,7 @@
 });
 
 test("there are no changes before the first read", () => {
-  expect(new RowCopy().changesAfter(0)).toBeUndefined();
+  expect(new RowCopy().changesAfter({ era: 0, version: 0 })).toBeUndefined();
 });
 
 test("changes after the same version are computed once", () => {
@@ -81,13 +89,35 @@
   // all rows each time, that would take the processor time that callers' requests need.
   const source = new RowCopy();
   const value = Buffer.from("x");
-  source.replace({ rows: [], version: 0 });
+  source.replace({ rows: [], version: 0, era: 0 });
   source.advance({ rows: [{ key: "a", value, version: 1 }], version: 1 });
-  const first = source.changesAfter(0)!;
-  expect(source.changesAfter(0)!.rows).toBe(first.rows);
+  const first = source.changesAfter({ era: 0, version: 0 })!;
+  expect(source.changesAfter({ era: 0, version: 0 })!.rows).toBe(first.rows);
   source.advance({ rows: [{ key: "b", value, version: 2 }], version: 2 });
-  expect(source.changesAfter(0)!.rows.map(({ key }) => key)).toEqual([
+  expect(
+    source.changesAfter({ era: 0, version: 0 })!.rows.map(({ key }) => key),
+  ).toEqual([
     "a",
     "b",
   ]);
 });
+
+test("a copy of another history of the store gets all rows", () => {
+  // The store was restored from a copy and gives versions out again, so that a version of
+  // before says nothing about the rows of now.
+  const source = new RowCopy();
+  const value = Buffer.from("x");
+  source.replace({
+    rows: [{ key: "a", value, version: 3 }],
+    version: 3,
+    era: 2,
+  });
+  expect(source.changesAfter({ era: 1, version: 9 })).toMatchObject({
+    era: 2,
+    isWhole: true,
+    position: 3,
+  });
+  expect(source.newest).toBe(3);
+  source.replace({ rows: [], version: 1, era: 3 });
+  expect(source.newest).toBe(0);
+});
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -23,7 +23,7 @@
   type WatchedSubject,
 } from "./ports.ts";
 import type { RelayRequest, RelayResponse } from "./relay.ts";
-import { RowCopy } from "./row_copy.ts";
+import { RowCopy, type StoreVersion } from "./row_copy.ts";
 import { SuspensionWatch } from "./suspension_watch.ts";
 
 /**
@@ -109,6 +109,8 @@
   readonly #subject: WatchedSubject;
   readonly #options: SubjectWatchOptions;
   readonly #copy = new RowCopy();
+  /** The latest history of the store that any response or other VM has told of. */
+  #latestEra = 0;
   readonly #sources: ChangeSources;
   readonly #closed = new AbortController();
   /** Wakes requests of peers that wait for changes. */
@@ -138,9 +140,10 @@
     this.#options = options;
   }
 
-  /** Version of the newest row seen. */
-  get newest(): number {
-    return this.#copy.newest;
+  /** Version of the newest row seen; 0 if the rows belong to an earlier history than the latest one. */
+  get newest(): StoreVersion {
+    const era = this.#latestEra;
+    return { era, version: this.#copy.era === era ? this.#copy.newest : 0 };
   }
 
   /** Time since the store last confirmed that no change is missing. */
@@ -168,19 +171,26 @@
     }
   }
 
-  /** A peer reports that it has seen a row of `version`. */
-  hint(version: number): void {
-    if (version <= this.newest || this.#missedChangeTimer !== undefined) {
+  /** A peer reports the newest row that it has seen. */
+  hint(seen: StoreVersion): void {
+    this.#latestEra = Math.max(this.#latestEra, seen.era);
+    if (!this.#isBehind(seen) || this.#missedChangeTimer !== undefined) {
       return;
     }
     this.#missedChangeTimer = setTimeout(() => {
       this.#missedChangeTimer = undefined;
-      if (version > this.newest) {
+      if (this.#isBehind(seen)) {
         this.#callAbort.abort();
       }
     }, MISSED_CHANGE_TIMEOUT_MS);
   }
 
+  /** Whether the copy lacks a row. */
+  #isBehind({ era, version }: StoreVersion): boolean {
+    const ownEra = this.#copy.era ?? 0;
+    return era > ownEra || (era === ownEra && version > this.#copy.newest);
+  }
+
   /**
    * Response to a peer's request, as soon as there are changes or a confirmation, or the
    * wait is over; undefined if the rows have not been read.
@@ -191,8 +201,10 @@
     const receivedAt = performance.now();
     const steadyReceivedAt = this.#steadyNow;
     const waitUntil = receivedAt + request.waitMs;
+    this.#learnEra(request.era);
     for (;;) {
-      const changes = this.#copy.changesAfter(request.version);
+      const isOutdated = (this.#copy.era ?? 0) < request.era;
+      const changes = isOutdated ? undefined : this.#copy.changesAfter(request);
       const now = performance.now();
       if (changes === undefined) {
         if (
@@ -237,6 +249,15 @@
     this.#wakeWaiters();
   }
 
+  /** Calls the store at once if it was restored from a copy since the rows were read. */
+  #learnEra(era: number): void {
+    if (era > this.#latestEra) {
+      this.#latestEra = era;
+      this.#copy.requireFullRead();
+      this.#callAbort.abort();
+    }
+  }
+
   /** The monotonic clock plus the time for which this VM was suspended. */
   get #steadyNow(): number {
     return performance.now() + this.#suspension.suspendedMs;
@@ -295,6 +316,7 @@
     const requestedAt = this.#steadyNow;
     const response = await this.#options.queryRelay(relay, {
       version: this.#copy.position ?? -1,
+      era: this.#copy.era ?? 0,
       // A fallback that has lost the store, too, could hold the request for the whole
       // wait, and this VM would notice the store's return late.
       waitMs: isFallback && this.#isLost
@@ -304,6 +326,11 @@
       signal: this.#callAbort.signal,
     });
     this.#queriedRelay = undefined;
+    if (response.era < this.#latestEra) {
+      const reason = "its rows are from before the store was restored";
+      this.#backOff(relay, STALE_BACK_OFF_MS, reason);
+      return;
+    }
     const now = performance.now();
     const isFresh =
       response.ageMs < CHANGE_WAIT_MS[this.#subject] + STALE_MARGIN_MS;
@@ -320,6 +347,7 @@
     this.#apply(response.isWhole, {
       rows: response.rows,
       version: response.position,
+      era: response.era,
     });
     this.#recordKnownSince(
       knownSinceReport(response, { requestedAt, respondedAt: this.#steadyNow }),
@@ -372,6 +400,10 @@
         : CHANGE_WAIT_MS[this.#subject],
       signal: this.#callAbort.signal,
     });
+    if (page.era !== this.#copy.era) {
+      // The changes follow a version of another history.
+      throw new HistoryGoneError("the store was restored", page.era);
+    }
     this.#succeeded(performance.now());
     this.#apply(false, page);
     this.#recordRead(startedAt);
@@ -383,13 +415,16 @@
   async #readAll(): Promise<void> {
     const startedAt = this.#steadyNow;
     const rows: StoredRow[] = [];
-    let version: number | undefined;
+    let first: RowsPage | undefined;
     let from: string | undefined;
     for (;;) {
       const page = await this.#options.store.list(this.#subject, from);
       // With the version of the first page, changes between pages are read again
       // by the next call for changes.
-      version ??= page.version;
+      first ??= page;
+      if (page.era !== first.era || page.era < this.#latestEra) {
+        throw new HistoryGoneError("the store was restored", page.era);
+      }
       rows.push(...page.rows);
       if (!page.isTruncated || page.rows.length === 0) {
         break;
@@ -397,7 +432,8 @@
       from = `${page.rows.at(-1)!.key}\0`;
     }
     this.#succeeded(performance.now());
-    this.#apply(true, { rows, version });
+    const { version, era } = first;
+    this.#apply(true, { rows, version, era });
     this.#recordRead(startedAt);
   }
 
@@ -410,7 +446,12 @@
     this.#knownSince = laterKnownSince(this.#knownSince, since);
   }
 
-  #apply(isWhole: boolean, page: Pick<RowsPage, "rows" | "version">): void {
+  #apply(isWhole: boolean, page: Omit<RowsPage, "isTruncated">): void {
+    const { era: eraBefore } = this.#copy;
+    this.#latestEra = Math.max(this.#latestEra, page.era);
+    if (eraBefore !== undefined && page.era > eraBefore) {
+      this.#noteRestored();
+    }
     if (isWhole) {
       this.#copy.replace(page);
     } else {
@@ -422,12 +463,30 @@
     }
   }
 
+  /** The listener must know before it gets the rows: those written shortly before are missing. */
+  #noteRestored(): void {
+    this.#restoredAt = performance.now();
+    const { listener } = this.#options;
+    listener.connectivityChanged(true, "the store was restored from a copy");
+    listener.connectivityChanged(false);
+  }
+
   /**
    * Must be called before the rows are applied: the listener has to know of the store's
    * return first, because rows that are missing right after it may have merely expired.
    */
   #succeeded(confirmedAt: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
+    this.#regained();
+  }
+
+  /** The store answers, though without rows: it is to be read, in place of other VMs. */
+  #storeAnswered(): void {
+    this.#sources.storeAnswered();
+    this.#regained();
+  }
+
+  #regained(): void {
     this.#retryMs = MIN_RETRY_MS;
     if (this.#isLost) {
       this.#isLost = false;
@@ -447,7 +506,9 @@
       return;
     }
     if (err instanceof HistoryGoneError) {
+      this.#latestEra = Math.max(this.#latestEra, err.era);
       this.#copy.requireFullRead();
+      this.#storeAnswered();
       // Without the pause, a store that keeps no history would be read in a busy loop.
       await pause(CHANGE_BATCH_MS, this.#closed.signal);
       return;
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -56,7 +56,7 @@
   ): Promise<RowsPage> {
     await this.#receiveCall(signal);
     if (version < this.historyFrom || version > this.version) {
-      throw new HistoryGoneError("gone");
+      throw new HistoryGoneError("gone", this.era);
     }
     const changed = () =>
       [...this.rows.values()].filter((row) => row.version > version)
@@ -223,7 +223,7 @@
     await vi.advanceTimersByTimeAsync(1_100);
     store.mode = "answers";
     store.write("t-1", "ready");
-    vm.watch.hint(store.version);
+    vm.watch.hint(store);
     await vi.advanceTimersByTimeAsync(400);
     expect(vm.rows.has("t-1")).toBe(true);
   });
