What a restored store has lost stays known until it is written again

RestoredRows keeps, in each VM and for each subject, the rows of before that the restored ones are older than by their contents (version of the configuration, run and number of a target's entry), those that are missing, and removals, until the row is written again. Missing targets are kept for two seconds, as after an outage. A VM whose row is missing writes it again, at a random time so that a fleet's writes spread over seconds. Relays pass the store's rows on as they are.

--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -13,6 +13,7 @@
   type Member,
   type PlatformEvent,
   type PlatformPort,
+  type StoredRow,
   WATCHED_SUBJECTS,
   type WatchedSubject,
 } from "./ports.ts";
@@ -23,6 +24,9 @@
 /** Pause before another attempt to write the VM's row. */
 const REGISTER_RETRY_MS = 400;
 
+/** Mean time between the writes of two VMs whose rows the store has lost. */
+const REGISTER_INTERVAL_MS = 10;
+
 /** A change of the platform, or of the connectivity to it. */
 export type FeedEvent =
   | PlatformEvent
@@ -55,6 +59,8 @@
   readonly #client = new RelayClient();
   readonly #watches: ReadonlyMap<WatchedSubject, SubjectWatch>;
   readonly #closed = new AbortController();
+  /** Undefined until {@link start}. */
+  #self: Member | undefined;
 
   constructor(options: PlatformFeedOptions) {
     this.#options = options;
@@ -66,6 +72,7 @@
   /** Follows all subjects until {@link close}, and registers `self`. */
   start(self: Member): void {
     this.#watches.forEach((watch) => void watch.run());
+    this.#self = self;
     void this.#register(self);
   }
 
@@ -124,6 +131,7 @@
       queryRelay: (relay, request) =>
         this.#client.requestChanges(relay, subject, request),
       listener: {
+        restored: (rows) => this.#onRestored(subject, rows),
         rowsChanged: (rows) => platform.decode(subject, rows).forEach(listener),
         connectivityChanged: (isLost, reason) =>
           listener({
@@ -138,6 +146,25 @@
     });
   }
 
+  #onRestored(
+    subject: WatchedSubject,
+    rows: ReadonlyMap<string, StoredRow>,
+  ): void {
+    const self = this.#self;
+    if (subject === "members" && self !== undefined && !rows.has(self.vm)) {
+      void this.#registerAgain(self, rows.size);
+    }
+  }
+
+  /** Writes the row that the store has lost, at a random time so that not all VMs write at once. */
+  async #registerAgain(self: Member, members: number): Promise<void> {
+    await pause(
+      Math.random() * members * REGISTER_INTERVAL_MS,
+      this.#closed.signal,
+    );
+    await this.#register(self);
+  }
+
   async #register(self: Member): Promise<void> {
     const { signal } = this.#closed;
     while (!signal.aborted) {
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -135,6 +135,8 @@
     subject: WatchedSubject,
     rows: ReadonlyMap<string, StoredRow>,
   ): readonly PlatformEvent[];
+  /** Whether a row was written before another one with its key, by their contents; false if that cannot be told. */
+  isOlder(subject: WatchedSubject, row: StoredRow, than: StoredRow): boolean;
   /** Writes the row that registers the local VM. */
   register(member: Member): Promise<void>;
   close(): void;
--- a/packages/daemon/src/gateway/row_copy.ts
+++ b/packages/daemon/src/gateway/row_copy.ts
@@ -32,6 +32,8 @@
   readonly #rows = new Map<string, StoredRow>();
   /** Versions at which rows were removed, oldest first. */
   readonly #removed = new Map<string, StoredRow>();
+  /** The removed rows as they were last. */
+  readonly #lastRows = new Map<string, StoredRow>();
   /** Removals up to this version are no longer kept. */
   #removalsSince = 0;
   #position: number | undefined;
@@ -48,6 +50,11 @@
     return this.#rows;
   }
 
+  /** Rows that were removed since the last full snapshot, as they were last. */
+  get lastRows(): ReadonlyMap<string, StoredRow> {
+    return this.#lastRows;
+  }
+
   /** Version up to which all changes are included; undefined if all rows must be read. */
   get position(): number | undefined {
     return this.#position;
@@ -77,6 +84,7 @@
     }
     this.#rows.clear();
     this.#removed.clear();
+    this.#lastRows.clear();
     this.#removalsSince = version;
     this.#position = version;
     rows.forEach((row) => this.#apply(row));
@@ -128,15 +136,21 @@
   #apply(row: StoredRow): void {
     this.#newest = Math.max(this.#newest, row.version);
     this.#removed.delete(row.key);
+    this.#lastRows.delete(row.key);
     if (row.value !== undefined) {
       this.#rows.set(row.key, row);
       return;
     }
+    const last = this.#rows.get(row.key);
+    if (last !== undefined) {
+      this.#lastRows.set(row.key, last);
+    }
     this.#rows.delete(row.key);
     this.#removed.set(row.key, row);
     if (this.#removed.size > MAX_REMOVED_ROWS) {
       const [oldest] = this.#removed.values();
       this.#removed.delete(oldest!.key);
+      this.#lastRows.delete(oldest!.key);
       this.#removalsSince = oldest!.version;
     }
   }
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -23,6 +23,7 @@
   type WatchedSubject,
 } from "./ports.ts";
 import type { RelayRequest, RelayResponse } from "./relay.ts";
+import { RestoredRows } from "./restored_rows.ts";
 import { RowCopy, type StoreVersion } from "./row_copy.ts";
 import { SuspensionWatch } from "./suspension_watch.ts";
 
@@ -87,8 +88,21 @@
 /** Reports of the same return of the store differ by less than this. */
 const SAME_RECOVERY_TOLERANCE_MS = 1_000;
 
+/**
+ * How long a row is used that a restored store lacks. Targets that are alive are listed
+ * again within two seconds; operators write again what they wrote, and a zone that is
+ * evacuated without need for some seconds does less harm than one that is used too early.
+ */
+const MISSING_ROWS_MS: Readonly<Record<WatchedSubject, number>> = {
+  operator: 10_000,
+  targets: 2_000,
+  members: 10_000,
+};
+
 /** Receives the rows of the subject and the state of the connection. */
 export interface SubjectListener {
+  /** The store was restored from a copy and has these rows; called before they are used. */
+  restored(rows: ReadonlyMap<string, StoredRow>): void;
   /** Called with all rows, by key, after each change. */
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
   /** Neither the store nor a relay responds (`isLost`), or one does again. */
@@ -99,7 +113,7 @@
 
 /** Options of a {@link SubjectWatch}. */
 export interface SubjectWatchOptions extends ChangeSourcesOptions {
-  readonly store: Pick<PlatformPort, "list" | "changes">;
+  readonly store: Pick<PlatformPort, "list" | "changes" | "isOlder">;
   queryRelay(relay: Member, request: RelayRequest): Promise<RelayResponse>;
   readonly listener: SubjectListener;
 }
@@ -109,6 +123,8 @@
   readonly #subject: WatchedSubject;
   readonly #options: SubjectWatchOptions;
   readonly #copy = new RowCopy();
+  readonly #restoredRows: RestoredRows;
+  #restoredRowsTimer: NodeJS.Timeout | undefined;
   /** The latest history of the store that any response or other VM has told of. */
   #latestEra = 0;
   readonly #sources: ChangeSources;
@@ -136,6 +152,10 @@
 
   constructor(subject: WatchedSubject, options: SubjectWatchOptions) {
     this.#subject = subject;
+    this.#restoredRows = new RestoredRows({
+      missingMs: MISSING_ROWS_MS[subject],
+      isOlder: (row, than) => options.store.isOlder(subject, row, than),
+    });
     this.#sources = new ChangeSources(options);
     this.#options = options;
   }
@@ -244,6 +264,7 @@
 
   close(): void {
     clearTimeout(this.#missedChangeTimer);
+    clearTimeout(this.#restoredRowsTimer);
     this.#closed.abort();
     this.#callAbort.abort();
     this.#wakeWaiters();
@@ -450,25 +471,43 @@
     const { era: eraBefore } = this.#copy;
     this.#latestEra = Math.max(this.#latestEra, page.era);
     if (eraBefore !== undefined && page.era > eraBefore) {
-      this.#noteRestored();
-    }
-    if (isWhole) {
+      this.#replaceByRestored(page);
+    } else if (isWhole) {
       this.#copy.replace(page);
     } else {
       this.#copy.advance(page);
     }
     this.#wakeWaiters();
     if (isWhole || page.rows.length > 0) {
-      this.#options.listener.rowsChanged(this.#copy.rows);
+      this.#publishRows();
     }
   }
 
-  /** The listener must know before it gets the rows: those written shortly before are missing. */
-  #noteRestored(): void {
+  /** Replaces the copy after the store was restored, and keeps what the store has lost. */
+  #replaceByRestored(page: Omit<RowsPage, "isTruncated">): void {
+    const before = {
+      rows: new Map(this.#copy.rows),
+      removed: new Map(this.#copy.lastRows),
+    };
+    this.#copy.replace(page);
     this.#restoredAt = performance.now();
-    const { listener } = this.#options;
-    listener.connectivityChanged(true, "the store was restored from a copy");
-    listener.connectivityChanged(false);
+    this.#restoredRows.restored(this.#copy.rows, before, this.#restoredAt);
+    this.#options.listener.restored(this.#copy.rows);
+  }
+
+  /** Passes the rows on to the listener, now and when a row is no longer kept after a restore. */
+  #publishRows(): void {
+    const now = performance.now();
+    const rows = this.#restoredRows.merge(this.#copy.rows, now);
+    this.#options.listener.rowsChanged(rows);
+    clearTimeout(this.#restoredRowsTimer);
+    const { dueAt } = this.#restoredRows;
+    if (dueAt !== undefined) {
+      this.#restoredRowsTimer = setTimeout(
+        () => this.#publishRows(),
+        dueAt - now,
+      );
+    }
   }
 
   /**
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -85,6 +85,10 @@
     this.era += 1;
   }
 
+  isOlder(): boolean {
+    return false;
+  }
+
   async #receiveCall(signal: AbortSignal | undefined): Promise<void> {
     this.calls += 1;
     if (this.mode === "refuses") {
@@ -142,6 +146,7 @@
         connectivityChanged: (isLost) =>
           this.connectivity.push(isLost ? "lost" : "regained"),
         relaySkipped: () => undefined,
+        restored: () => undefined,
       },
     });
     vms.push(this);
