--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -370,13 +370,14 @@
     const reports: Buffer[] = [];
     for (let at = 0; at < statuses.length; at += MAX_VMS_PER_REPORT) {
       const vms = statuses.slice(at, at + MAX_VMS_PER_REPORT);
+      const cutOff = vms.filter(({ isCutOff }) => isCutOff);
       reports.push(encodeNotification("zone", {
         seen,
         era,
         crashes,
         ages: Object.fromEntries(vms.map(({ vm, ageMs }) => [vm, ageMs])),
         leaving: vms.filter(({ isLeaving }) => isLeaving).map(({ vm }) => vm),
-        cutOff: vms.filter(({ isCutOff }) => isCutOff).map(({ vm }) => vm),
+        ...(cutOff.length === 0 ? {} : { cutOff: cutOff.map(({ vm }) => vm) }),
       }));
     }
     return reports;
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -100,7 +100,7 @@
       localState: () => ({
         member: self,
         isLeaving: this.#isLeaving,
-        isCutOff: this.#isCutOff,
+        ...(this.#isCutOff ? { isCutOff: true } : {}),
         ...feed().seen,
       }),
       heartbeatReceived: (heartbeat) => this.#onHeartbeat(heartbeat),
