Servers for requests and forwards of a request in modules of their own

The exchange and the listener for callers had grown by what forwarding brought; no change of behaviour. Tests of forwarding, cut VMs, exchanges and requests pass.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -4,16 +4,10 @@
  * @module
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { AccountId, ServiceId, VmId } from "@poplarthread/ids";
 import { hashText, WeightedSplit } from "@poplarthread/placement";
-import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import {
   AdmissionControl,
@@ -22,6 +16,7 @@
   withoutQuota,
 } from "./accounts/admission.ts";
 import { AccountIndex } from "./accounts/client_account.ts";
+import { CallerServers } from "./caller_servers.ts";
 import {
   type Route,
   RouteIndex,
@@ -30,29 +25,14 @@
 import type { CreditOutcome } from "./accounts/credit_exchange.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import {
-  decodeForwarded,
-  FORWARDED_HEADER,
   type ForwardedRequest,
-  withoutHeader,
+  readForwarded,
 } from "./forwarding/forwarded_request.ts";
 import { type LocalReplyReason, sendLocalReply } from "./local_reply.ts";
 import type { CallerRequest, Dialect } from "./ports.ts";
 import type { RequestPath } from "./request_path.ts";
 import type { ListenAddress } from "./settings.ts";
 
-// Defaults until a configuration is known.
-const DEFAULT_HEADER_BYTES = 16_384;
-const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-/**
- * Time that a connection is kept beyond the idle timeout, so that a request in
- * transit when the timeout passes does not meet a closed connection.
- */
-const IDLE_GRACE_MS = 1_000;
-/** Interval at which Node checks connections for header timeouts. */
-const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
-/** Listen backlog: after a fault, all clients of a zone may reconnect at once. */
-const MAX_PENDING_CONNECTIONS = 1_024;
 /** Interval at which a connection with malformed input is checked for pending responses before it is closed. */
 const PENDING_CHECK_INTERVAL_MS = 20;
 /** Retry-After while no configuration is known. Reading it from the store takes about 10 to 100 ms. */
@@ -145,11 +125,9 @@
 export class CallerListener extends Task<CallerListenerMessage> {
   readonly #options: CallerListenerOptions;
   readonly #admission: AdmissionControl;
+  readonly #servers: CallerServers;
   readonly #connections = new Map<Socket, CallerConnection>();
   #splits = new Map<string, RouteSplit>();
-  #server: Server | undefined;
-  /** Accepts the requests that other VMs forward. */
-  #forwardingServer: Server | undefined;
   #compiled: CompiledConfiguration | undefined;
   #isLeaving = false;
   #openRequests = 0;
@@ -157,6 +135,11 @@
   constructor(options: CallerListenerOptions) {
     super("callers");
     this.#options = options;
+    this.#servers = new CallerServers({
+      connected: (socket) => this.#handleConnection(socket),
+      clientError: (err, socket) => this.#handleClientError(err, socket),
+      acceptFailed: (err) => options.acceptFailed(err),
+    });
     this.#admission = new AdmissionControl({
       accounts: () => this.#compiled?.accounts,
       knowsRevocations: () => options.knowsRevocations(),
@@ -181,56 +164,19 @@
   }
 
   protected override async open(): Promise<void> {
-    const server = this.#createServer((req, res) =>
-      this.#handleRequest(req, res)
-    );
-    const forwardingServer = this.#createServer((req, res) =>
-      this.#handleForwarded(req, res)
-    );
-    this.#server = server;
-    this.#forwardingServer = forwardingServer;
-    const { listen: callers, forwarding } = this.#options;
-    await this.#listenOn(forwardingServer, forwarding);
-    await this.#listenOn(server, callers);
-  }
-
-  #createServer(
-    handle: (req: IncomingMessage, res: ServerResponse) => void,
-  ): Server {
-    const server = createServer({
-      maxHeaderSize: DEFAULT_HEADER_BYTES,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS + IDLE_GRACE_MS,
-      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
-      // The route's timeout limits the time for reading a body.
-      requestTimeout: 0,
-      noDelay: true,
-    }, handle);
-    server.on("connection", (socket) => this.#handleConnection(socket));
-    server.on(
-      "clientError",
-      (err, socket) => this.#handleClientError(err, socket as Socket),
+    const { listen, forwarding } = this.#options;
+    await this.#servers.add(
+      forwarding,
+      (req, res) => this.#handleForwarded(req, res),
     );
-    return server;
-  }
-
-  #listenOn(server: Server, { host, port }: ListenAddress): Promise<void> {
-    return listen(
-      server,
-      { host, port, backlog: MAX_PENDING_CONNECTIONS },
-      // If a connection cannot be accepted, for example for lack of file descriptors,
-      // the others must survive; restarting this task would close them.
-      (err) => this.#options.acceptFailed(err),
+    await this.#servers.add(
+      listen,
+      (req, res) => this.#handleRequest(req, res),
     );
   }
 
   protected override close(): void {
-    for (const server of [this.#server, this.#forwardingServer]) {
-      server?.close();
-      server?.closeAllConnections();
-    }
-    this.#server = undefined;
-    this.#forwardingServer = undefined;
+    this.#servers.close();
   }
 
   protected override receive(message: CallerListenerMessage): void {
@@ -242,10 +188,7 @@
         this.#isLeaving = true;
         return;
       case "close-listener":
-        for (const server of [this.#server, this.#forwardingServer]) {
-          server?.close();
-          server?.closeIdleConnections();
-        }
+        this.#servers.stopAccepting();
         return;
     }
   }
@@ -268,16 +211,7 @@
       splits.set(route.name, this.#splitOf(route));
     }
     this.#splits = splits;
-    for (const server of [this.#server, this.#forwardingServer]) {
-      if (server === undefined) {
-        continue;
-      }
-      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_GRACE_MS;
-      server.headersTimeout = limits.headerTimeoutMs;
-      // Node reads this property for each new connection; its types declare it only as an option.
-      (server as Server & { maxHeaderSize?: number }).maxHeaderSize =
-        limits.headerBytes;
-    }
+    this.#servers.setLimits(limits);
   }
 
   #splitOf(route: Route): RouteSplit {
@@ -376,31 +310,22 @@
     if (connection === undefined || connection.isEnding) {
       return;
     }
-    const info = decodeForwarded(req.headers[FORWARDED_HEADER]);
     const compiled = this.#compiled;
-    const request = info && this.#options.dialect.readRequest(req, {
+    const forwarded = readForwarded(req, this.#options.dialect, {
       hasAccounts: compiled?.accounts !== undefined,
     });
-    if (
-      info === undefined || request === undefined ||
-      request.kind === "malformed"
-    ) {
+    if (forwarded === undefined) {
       this.#refuse(res, { reason: "malformed" }, {
         connection,
         isForPeer: true,
       });
       return;
     }
-    const forwarded: CallerRequest = {
-      ...request,
-      rawHeaders: withoutHeader(request.rawHeaders, FORWARDED_HEADER),
-      deadlineMs: info.elapsedMs + info.remainingMs,
-      credential: info.credential,
-    };
+    const { request, info } = forwarded;
     const refuse = (refusal: Refusal) =>
       this.#refuse(res, refusal, {
         connection,
-        request: forwarded,
+        request,
         isForPeer: true,
       });
     if (
@@ -414,7 +339,7 @@
       return;
     }
     this.#admit(
-      { req, res, connection, request: forwarded, compiled },
+      { req, res, connection, request, compiled },
       { refuse, info },
     );
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -0,0 +1,111 @@
+/**
+ * The HTTP servers that accept requests: one for callers, one for the VMs that forward
+ * theirs.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { listen } from "../listen.ts";
+import type { CallerLimits } from "./configuration.ts";
+import type { ListenAddress } from "./settings.ts";
+
+// Defaults until a configuration is known.
+const DEFAULT_HEADER_BYTES = 16_384;
+const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/**
+ * Time that a connection is kept beyond the idle timeout, so that a request in
+ * transit when the timeout passes does not meet a closed connection.
+ */
+const IDLE_GRACE_MS = 1_000;
+/** Interval at which Node checks connections for header timeouts. */
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+/** Listen backlog: after a fault, all clients of a zone may reconnect at once. */
+const MAX_PENDING_CONNECTIONS = 1_024;
+
+/** Handles one request. */
+export type RequestHandler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+) => void;
+
+/** Receives the events of all servers. */
+export interface CallerServersListener {
+  connected(socket: Socket): void;
+  /** Input did not become a request. */
+  clientError(err: Error & { code?: string }, socket: Socket): void;
+  /** A connection could not be accepted. */
+  acceptFailed(err: Error): void;
+}
+
+/** See the module comment. */
+export class CallerServers {
+  readonly #listener: CallerServersListener;
+  readonly #servers: Server[] = [];
+
+  constructor(listener: CallerServersListener) {
+    this.#listener = listener;
+  }
+
+  /** Starts a server; resolves when it listens. */
+  add(address: ListenAddress, handle: RequestHandler): Promise<void> {
+    const server = createServer({
+      maxHeaderSize: DEFAULT_HEADER_BYTES,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS + IDLE_GRACE_MS,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      // The route's timeout limits the time for reading a body.
+      requestTimeout: 0,
+      noDelay: true,
+    }, handle);
+    const { connected, clientError, acceptFailed } = this.#listener;
+    server.on("connection", connected);
+    server.on(
+      "clientError",
+      (err, socket) => clientError(err, socket as Socket),
+    );
+    this.#servers.push(server);
+    const { host, port } = address;
+    return listen(
+      server,
+      { host, port, backlog: MAX_PENDING_CONNECTIONS },
+      // If a connection cannot be accepted, for example for lack of file descriptors,
+      // the others must survive; restarting this task would close them.
+      (err) => acceptFailed(err),
+    );
+  }
+
+  /** Applies the limits of a configuration. */
+  setLimits(limits: CallerLimits): void {
+    for (const server of this.#servers) {
+      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_GRACE_MS;
+      server.headersTimeout = limits.headerTimeoutMs;
+      // Node reads this property for each new connection; its types declare it only as an option.
+      (server as Server & { maxHeaderSize?: number }).maxHeaderSize =
+        limits.headerBytes;
+    }
+  }
+
+  /** Accepts no more connections and closes idle ones. */
+  stopAccepting(): void {
+    for (const server of this.#servers) {
+      server.close();
+      server.closeIdleConnections();
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const server of this.#servers.splice(0)) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+}
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -11,7 +11,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import type { AccountId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
+import type { AccountId, ServiceId, TargetId } from "@poplarthread/ids";
 import {
   type GateCause,
   type PlacedVia,
@@ -44,13 +44,12 @@
   GatewayExchangeOptions,
   GatewayExchangeServices,
 } from "./exchange_types.ts";
-import { type LocalReplyReason, promisesNotRun } from "./local_reply.ts";
+import type { LocalReplyReason } from "./local_reply.ts";
 import type { CallerRequest, TargetResponse } from "./ports.ts";
 import type { Placeable } from "./request_queue.ts";
 import type { ForwardAttempt } from "./forwarding/forwarding.ts";
-import { readPeerReply } from "./forwarding/forwarded_request.ts";
 import {
-  isWorthForwardingAgain,
+  type ForwardingExchange,
   RequestForwards,
 } from "./forwarding/request_forwards.ts";
 import { expiryOf, objectOf } from "./request_terms.ts";
@@ -402,15 +401,13 @@
       method: this.#req.method!,
       url: this.#req.url!,
       regions: this.#options.caller.regions,
-    });
+    }, this.#forwardingExchange());
     const peer = this.#forwards.next(now);
     if (peer === undefined) {
       return false;
     }
-    this.#transition("send");
-    this.#response.reserve();
-    this.#firstSentAt ??= now;
-    this.#forwards.start(this.#forwardOwner(), peer, {
+    this.#beginAttempt(now);
+    this.#forwards.start(peer, {
       body: this.#body?.content ?? null,
       info: {
         version: this.version,
@@ -423,66 +420,30 @@
     return true;
   }
 
-  #forwardOwner(): TargetAttemptOwner<VmId> {
+  /** This exchange as the attempts to forward its request use it. */
+  #forwardingExchange(): ForwardingExchange {
     return {
-      attemptWriting: (attempt) => this.#writing(attempt, () => undefined),
-      attemptBuffering: (attempt, bytes) =>
+      writing: (attempt) => this.#writing(attempt, () => undefined),
+      mayBuffer: (attempt, bytes) =>
         this.#attempt !== attempt || this.#response.mayBuffer(bytes),
-      attemptStreaming: (attempt, response, firstChunk) =>
+      beginStream: (attempt, response, firstChunk) =>
         this.#beginStream(attempt, response, firstChunk),
-      attemptChunk: (attempt, chunk) => this.#continueStream(attempt, chunk),
-      attemptEnded: (attempt, end) =>
+      continueStream: (attempt, chunk) => this.#continueStream(attempt, chunk),
+      ended: (attempt, handle) =>
         this.#guarded(() => {
-          const now = performance.now();
-          this.#services.forwarding?.ended(attempt, end, now);
           if (this.#attempt === attempt) {
             this.#attempt = undefined;
-            this.#handleForwardEnd(end, now);
+            handle(performance.now());
           }
         }),
+      responded: (response, body) => this.#handleFinalResponse(response, body),
+      didNotRun: () => this.#attempts.didNotRun(),
+      requeue: (now) => this.#requeue(now),
+      broke: (now) => this.#handleBroken(now),
+      refuse: ({ reason, retryAfterMs }) => this.#refuse(reason, retryAfterMs),
     };
   }
 
-  #handleForwardEnd(end: TargetAttemptEnd, now: number): void {
-    switch (end.kind) {
-      case "answered":
-        this.#handlePeerResponse(end.response, end.body, now);
-        return;
-      case "not-run":
-        this.#handlePeerResponse(end.response, [], now);
-        return;
-      case "unreachable":
-        this.#requeue(now);
-        return;
-      case "broke":
-        this.#handleBroken(now);
-        return;
-      case "abandoned":
-        return;
-    }
-  }
-
-  /** Handles what another VM returned: a target's response, which is final, or a reply of its own. */
-  #handlePeerResponse(
-    response: TargetResponse,
-    body: readonly Buffer[],
-    now: number,
-  ): void {
-    const reply = readPeerReply(response.rawHeaders);
-    if (reply === undefined) {
-      this.#handleFinalResponse(response, body);
-      return;
-    }
-    if (promisesNotRun(reply.reason)) {
-      this.#attempts.didNotRun();
-    }
-    if (isWorthForwardingAgain(reply.reason)) {
-      this.#requeue(now);
-    } else {
-      this.#refuse(reply.reason, reply.retryAfterMs);
-    }
-  }
-
   /** Begins to pass a response on; returns false to pause it. */
   #beginStream(
     attempt: TargetAttempt | ForwardAttempt,
@@ -658,12 +619,16 @@
     }
   }
 
-  #send(target: TargetId, now: number): void {
-    const { steering } = this.#services;
-    this.#attempts.tried.add(target);
+  #beginAttempt(now: number): void {
     this.#transition("send");
     this.#response.reserve();
     this.#firstSentAt ??= now;
+  }
+
+  #send(target: TargetId, now: number): void {
+    const { steering } = this.#services;
+    this.#attempts.tried.add(target);
+    this.#beginAttempt(now);
     steering.sent(target, now);
     startAttempt(this, this.#services, {
       target,
--- a/packages/daemon/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarded_request.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { IncomingMessage } from "node:http";
 import type { KeyDigest } from "@poplarthread/ids";
 import * as z from "zod";
 import type { Credential } from "../accounts/client_account.ts";
@@ -14,6 +15,8 @@
   type LocalReplyReason,
 } from "../local_reply.ts";
 
+import type { CallerRequest, Dialect } from "../ports.ts";
+
 /** On a request from another VM: a {@link ForwardedRequest} as JSON. */
 export const FORWARDED_HEADER = "poplarthread-forwarded";
 
@@ -52,7 +55,7 @@
 }
 
 /** Decodes the header's value; undefined if it is missing or invalid. */
-export function decodeForwarded(
+function decodeForwarded(
   value: string | readonly string[] | undefined,
 ): ForwardedRequest | undefined {
   if (typeof value !== "string") {
@@ -79,6 +82,30 @@
   }
 }
 
+/** Reads a request that another VM forwards; undefined if it is malformed. */
+export function readForwarded(
+  req: IncomingMessage,
+  dialect: Dialect,
+  options: { readonly hasAccounts: boolean },
+):
+  | { readonly request: CallerRequest; readonly info: ForwardedRequest }
+  | undefined {
+  const info = decodeForwarded(req.headers[FORWARDED_HEADER]);
+  const request = info && dialect.readRequest(req, options);
+  if (info === undefined || request?.kind !== "request") {
+    return undefined;
+  }
+  return {
+    info,
+    request: {
+      ...request,
+      rawHeaders: withoutHeader(request.rawHeaders, FORWARDED_HEADER),
+      deadlineMs: info.elapsedMs + info.remainingMs,
+      credential: info.credential,
+    },
+  };
+}
+
 /** A reply that the other VM made itself. */
 export interface PeerReply {
   readonly reason: LocalReplyReason;
--- a/packages/daemon/src/gateway/forwarding/request_forwards.ts
+++ b/packages/daemon/src/gateway/forwarding/request_forwards.ts
@@ -7,11 +7,17 @@
 import type { Buffer } from "node:buffer";
 import type { Readable } from "node:stream";
 import type { RegionId, VmId } from "@poplarthread/ids";
-import type { Member } from "../ports.ts";
-import type { TargetAttemptOwner } from "../target_attempt.ts";
-import type { LocalReplyReason } from "../local_reply.ts";
-import type { CallerRequest } from "../ports.ts";
-import type { ForwardedRequest } from "./forwarded_request.ts";
+import { type LocalReplyReason, promisesNotRun } from "../local_reply.ts";
+import type { CallerRequest, Member, TargetResponse } from "../ports.ts";
+import type {
+  TargetAttemptEnd,
+  TargetAttemptOwner,
+} from "../target_attempt.ts";
+import {
+  type ForwardedRequest,
+  type PeerReply,
+  readPeerReply,
+} from "./forwarded_request.ts";
 import type { ForwardAttempt, Forwarding } from "./forwarding.ts";
 
 /** VMs that one request is forwarded to at most. */
@@ -26,16 +32,50 @@
   readonly regions: readonly RegionId[];
 }
 
+/** The exchange of a forwarded request, as the attempts to forward it use it. */
+export interface ForwardingExchange {
+  /** Called right before the first byte is sent. Returns false if the request must not be sent. */
+  writing(attempt: ForwardAttempt): boolean;
+  /** Whether a response of which `bytes` have arrived may be buffered further. */
+  mayBuffer(attempt: ForwardAttempt, bytes: number): boolean;
+  /** Begins to pass a response on; returns false to pause it. */
+  beginStream(
+    attempt: ForwardAttempt,
+    response: TargetResponse,
+    firstChunk: Buffer,
+  ): boolean;
+  /** Passes on a further chunk; returns false to pause. */
+  continueStream(attempt: ForwardAttempt, chunk: Buffer): boolean;
+  /** Runs `handle` if the attempt is still the current one, which ends. */
+  ended(attempt: ForwardAttempt, handle: (now: number) => void): void;
+  /** Another VM has returned a target's response, which is final. */
+  responded(response: TargetResponse, body: readonly Buffer[]): void;
+  /** Another VM has promised that the request did not run there. */
+  didNotRun(): void;
+  /** The request is to be placed or forwarded again. */
+  requeue(now: number): void;
+  /** The request may have run, and no complete response arrived. */
+  broke(now: number): void;
+  /** The request gets a reply for the reason for which another VM refused it. */
+  refuse(reply: PeerReply): void;
+}
+
 /** See the module comment. */
-export class RequestForwards {
+export class RequestForwards implements TargetAttemptOwner<VmId> {
   readonly #forwarding: Forwarding;
   readonly #request: ForwardableRequest;
+  readonly #exchange: ForwardingExchange;
   readonly #tried = new Set<VmId>();
   #latest: VmId | undefined;
 
-  constructor(forwarding: Forwarding, request: ForwardableRequest) {
+  constructor(
+    forwarding: Forwarding,
+    request: ForwardableRequest,
+    exchange: ForwardingExchange,
+  ) {
     this.#forwarding = forwarding;
     this.#request = request;
+    this.#exchange = exchange;
   }
 
   /** The VM that the request was last forwarded to; undefined if it was not. */
@@ -52,7 +92,7 @@
   }
 
   /** Forwards the request to `peer`. */
-  start(owner: TargetAttemptOwner<VmId>, peer: Member, options: {
+  start(peer: Member, options: {
     readonly body: Buffer | Readable | null;
     readonly info: Omit<ForwardedRequest, "credential">;
     /** Called with the attempt before anything is sent. */
@@ -60,11 +100,76 @@
   }): void {
     this.#tried.add(peer.vm);
     this.#latest = peer.vm;
-    this.#forwarding.start(owner, peer, { ...this.#request, ...options });
+    this.#forwarding.start(this, peer, { ...this.#request, ...options });
+  }
+
+  attemptWriting(attempt: ForwardAttempt): boolean {
+    return this.#exchange.writing(attempt);
+  }
+
+  attemptBuffering(attempt: ForwardAttempt, bytes: number): boolean {
+    return this.#exchange.mayBuffer(attempt, bytes);
+  }
+
+  attemptStreaming(
+    attempt: ForwardAttempt,
+    response: TargetResponse,
+    firstChunk: Buffer,
+  ): boolean {
+    return this.#exchange.beginStream(attempt, response, firstChunk);
+  }
+
+  attemptChunk(attempt: ForwardAttempt, chunk: Buffer): boolean {
+    return this.#exchange.continueStream(attempt, chunk);
+  }
+
+  attemptEnded(attempt: ForwardAttempt, end: TargetAttemptEnd): void {
+    this.#forwarding.ended(attempt, end, performance.now());
+    this.#exchange.ended(attempt, (now) => this.#handleEnd(end, now));
+  }
+
+  #handleEnd(end: TargetAttemptEnd, now: number): void {
+    switch (end.kind) {
+      case "answered":
+        this.#handleResponse(end.response, end.body, now);
+        return;
+      case "not-run":
+        this.#handleResponse(end.response, [], now);
+        return;
+      case "unreachable":
+        this.#exchange.requeue(now);
+        return;
+      case "broke":
+        this.#exchange.broke(now);
+        return;
+      case "abandoned":
+        return;
+    }
+  }
+
+  /** Handles what another VM returned: a target's response, or a reply of its own. */
+  #handleResponse(
+    response: TargetResponse,
+    body: readonly Buffer[],
+    now: number,
+  ): void {
+    const reply = readPeerReply(response.rawHeaders);
+    if (reply === undefined) {
+      this.#exchange.responded(response, body);
+      return;
+    }
+    if (promisesNotRun(reply.reason)) {
+      this.#exchange.didNotRun();
+    }
+    if (isWorthForwardingAgain(reply.reason)) {
+      this.#exchange.requeue(now);
+    } else {
+      this.#exchange.refuse(reply);
+    }
   }
 }
 
 /** Whether another VM may be able to serve a request that one VM replied to itself. */
-export function isWorthForwardingAgain(reason: LocalReplyReason): boolean {
+function isWorthForwardingAgain(reason: LocalReplyReason): boolean {
   return reason === "not-ready" || reason === "no-target";
 }
