Forwarding costs nothing while a VM reaches targets

Each request made the objects for forwarding it, also where it was not forwarded; now only on a VM that is cut off. Reach checks leave out targets that leave and those of evacuated zones, which may refuse connections and prove nothing.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -390,10 +390,12 @@
 
   /** Forwards the request if this VM reaches no target; returns false if it is not to be forwarded. */
   #forward(now: number): boolean {
-    const { forwarding } = this.#services;
-    const isForwardable = forwarding !== undefined &&
-      this.#options.forwarded === undefined && (this.#body?.available ?? true);
-    if (!isForwardable) {
+    const { forwarding, steering } = this.#services;
+    if (forwarding === undefined || !steering.isCutOff) {
+      return false;
+    }
+    const isFromCaller = this.#options.forwarded === undefined;
+    if (!isFromCaller || !(this.#body?.available ?? true)) {
       return false;
     }
     this.#forwards ??= new RequestForwards(forwarding, {
--- a/packages/daemon/src/gateway/forwarding/forwarding.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarding.ts
@@ -44,8 +44,6 @@
   readonly log: EventLog;
   readonly roundTrips: RoundTrips;
   readonly connections: ConnectionSource<VmId>;
-  /** Whether this VM reaches no target. */
-  isCutOff(): boolean;
   /** Other VMs that are up and reach targets. */
   peers(): readonly Member[];
   /** Called once per attempt. */
@@ -76,10 +74,9 @@
     this.#choice = new PeerChoice(options.self);
   }
 
-  /** The VM to forward a request to; undefined if this VM reaches targets itself, or no other one does. */
+  /** The VM to forward a request to; undefined if no other one reaches targets. */
   peerFor(demand: PeerDemand, now: number): Member | undefined {
-    const { isCutOff, peers } = this.#options;
-    return isCutOff() ? this.#choice.next(peers(), demand, now) : undefined;
+    return this.#choice.next(this.#options.peers(), demand, now);
   }
 
   /** Forwards a request to `peer`; `owner` receives the attempt's events. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -299,7 +299,6 @@
       log: this.#log,
       roundTrips: steering.roundTrips,
       connections: this.#peerConnections,
-      isCutOff: () => steering.isCutOff,
       peers: () => vms.peersWithTargets(performance.now()),
       attemptEnded: (end) => this.#metrics.forwardEnded(end),
     });
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -134,8 +134,7 @@
       return [];
     }
     this.#checkRounds += 1;
-    const targets = this.#known.entries.all().map(({ target }) => target);
-    const picked = spreadOverZones(targets, {
+    const picked = spreadOverZones(this.#known.entries.inService(), {
       count,
       round: this.#checkRounds,
       last: this.#reach.recentlyFailed,
--- a/packages/placement/src/target_entries.ts
+++ b/packages/placement/src/target_entries.ts
@@ -51,6 +51,14 @@
     return [...this.#idsByHash.values()].map((id) => this.#index.get(id)!);
   }
 
+  /** Known targets that may get requests: neither leaving nor in an evacuated zone. */
+  inService(): readonly SteeredTarget[] {
+    return this.all().map(({ target }) => target)
+      .filter(({ isLeaving, zone }) =>
+        !isLeaving && !this.#evacuated.has(zone)
+      );
+  }
+
   /** Sets the reachable VMs, including this one. */
   setVms(vms: readonly TargetOwner[]): void {
     this.#index.setVms(vms);
