Targets that no VM reaches are refused at once, as before

What callers would have seen, with all targets down: each request tried five targets, up to 200 ms each, before it was refused, since a cut VM took no target out of use; and a returning target was found by two checks each half second among all of them. Failures are forgotten and not learned from only while other VMs reach targets; otherwise targets are marked and probed one by one as before, and the first probe that is answered ends the cut.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -260,6 +260,8 @@
       onWarmPair: (pair) => this.#peers.beacon.send({ kind: "warmed", pair }),
       homes: this.#homes.source,
       roomOf: (service, now) => this.#homes.roomOf(service, now),
+      othersReachTargets: () =>
+        this.#peers.vms.peersWithTargets(performance.now()).length > 0,
       onReachChanged: (state) => this.#onReachChanged(state),
     });
     return new RequestPath({
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -63,6 +63,8 @@
   readonly initialCandidates?: number;
   /** Assigned homes of objects; without it, homes follow from the rendezvous order. */
   readonly homes?: HomeSource;
+  /** Whether other VMs reach targets; none do by default. */
+  othersReachTargets?(): boolean;
   /** Called when this VM begins or ceases to doubt that it reaches targets. */
   onReachChanged?(state: ReachState): void;
 }
@@ -79,6 +81,7 @@
   readonly #feedback: TargetFeedback;
   readonly #retries: Retries;
   readonly #reach: TargetReach;
+  readonly #othersReachTargets: () => boolean;
   /** Number of rounds of reach checks so far, so that each takes other targets. */
   #checkRounds = 0;
 
@@ -110,11 +113,12 @@
       homes: options.homes,
     });
     this.#reach = new TargetReach((state) => {
-      if (state === "cut-off") {
+      if (this.#isCutOffAlone) {
         this.#feedback.forgetFailures();
       }
       options.onReachChanged?.(state);
     });
+    this.#othersReachTargets = () => options.othersReachTargets?.() ?? false;
   }
 
   /** Whether this VM reaches targets. */
@@ -393,7 +397,7 @@
       return;
     }
     this.#recordFailure(id, now);
-    if (!this.isCutOff) {
+    if (!this.#isCutOffAlone) {
       this.#feedback.markUnreachable(entry, now);
     }
   }
@@ -407,6 +411,7 @@
     { now, coldMs }: { now: number; coldMs: number },
   ): void {
     const entry = this.#known.entries.get(id);
+    this.#reach.proven();
     if (coldMs > 0) {
       this.#known.rates.markCold(id, now + coldMs);
     }
@@ -418,7 +423,7 @@
    * unresponsive since the last call.
    */
   findUnresponsive(now: number): readonly TargetId[] {
-    if (this.isCutOff) {
+    if (this.#isCutOffAlone) {
       return [];
     }
     const unresponsive = this.#feedback.findUnresponsive(now);
@@ -431,6 +436,11 @@
     return this.#feedback.probesDue(now);
   }
 
+  /** Whether failures say nothing about targets: this VM reaches none, and others do. */
+  get #isCutOffAlone(): boolean {
+    return this.isCutOff && this.#othersReachTargets();
+  }
+
   #recordFailure(id: TargetId, now: number): void {
     this.#reach.failed(id, { now, known: this.#known.entries.size });
   }
--- /dev/null
+++ b/packages/placement/src/steering_reach_test.ts
@@ -0,0 +1,54 @@
+/**
+ * What a VM that reaches no target does with what it sees of them.
+ *
+ * @module
+ */
+
+import { expect, test } from "vitest";
+import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
+import { Steering } from "./steering.ts";
+import { requestFor, targetsIn } from "./testing.ts";
+
+const TARGETS = targetsIn("north", 6);
+
+/** A VM that fails to connect to any target, and whose checks fail. */
+function cutOffVm(othersReachTargets: boolean): Steering {
+  const steering = new Steering({
+    vm: "vm-north" as VmId,
+    location: { region: "north" as RegionId, zone: "north-1" as ZoneId },
+    retries: { ratio: 0.2, fixed: 50, windowMs: 10_000 },
+    othersReachTargets: () => othersReachTargets,
+  });
+  TARGETS.forEach((target) => steering.setTarget(target));
+  TARGETS.forEach(({ id }) => steering.markUnreachable(id, 0));
+  steering.reachChecksDue(0).forEach(() => steering.reachChecked("failed"));
+  expect(steering.isCutOff).toBe(true);
+  TARGETS.forEach(({ id }) => steering.markUnreachable(id, 100));
+  return steering;
+}
+
+function place(steering: Steering, now: number) {
+  return steering.place(requestFor("a", { now }), { now, ahead: 0 });
+}
+
+test("targets that other VMs reach stay in use", () => {
+  const steering = cutOffVm(true);
+  expect(place(steering, 200).kind).toBe("send");
+  expect(steering.probesDue(2_000)).toEqual([]);
+});
+
+test("requests for targets that no VM reaches are refused at once", () => {
+  const steering = cutOffVm(false);
+  expect(place(steering, 200)).toMatchObject({
+    kind: "refuse",
+    reason: "no-target",
+  });
+});
+
+test("of targets that no VM reaches, the first one that answers its probe is used", () => {
+  const steering = cutOffVm(false);
+  expect(steering.probesDue(2_000).length).toBe(TARGETS.length);
+  steering.probeSucceeded(TARGETS[4]!.id, { now: 2_100, coldMs: 0 });
+  expect(place(steering, 2_200)).toMatchObject({ target: TARGETS[4]!.id });
+  expect(steering.isCutOff).toBe(false);
+});
--- a/packages/placement/src/target_reach.ts
+++ b/packages/placement/src/target_reach.ts
@@ -95,6 +95,11 @@
     this.#respondedAt = now;
   }
 
+  /** Records a response on a connection that was opened to find out whether its target responds. */
+  proven(): void {
+    this.#reach();
+  }
+
   /** Number of targets to check now; the result of each goes to {@link checked}. */
   takeDueChecks(now: number): number {
     if (this.#state === "reached" || this.#pendingChecks > 0) {
