A request that targets refused at another VM is not forwarded once more

What was found: the other VM replied 'no-target' also when its targets had refused the request, and the cut VM, which takes that for a VM without targets, forwarded the request to the next one without asking the retry budget. It says 'refused-by-targets' then. The test counted two arrivals before, and one now.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -707,10 +707,23 @@
     }
     this.#retryAfterMs = retryAfterMs;
     const leavesBodyUnread = this.#body !== undefined && !this.#body.complete;
-    this.#response.replyLocally(reason, { retryAfterMs, leavesBodyUnread });
+    this.#response.replyLocally(this.#reasonForPeer(reason), {
+      retryAfterMs,
+      leavesBodyUnread,
+    });
     this.#finish(reason);
   }
 
+  /** A VM that forwarded the request must not forward it once more if targets here refused it. */
+  #reasonForPeer(reason: LocalReplyReason): LocalReplyReason {
+    const { forwarded } = this.#options;
+    const hasReachedTargets = forwarded !== undefined &&
+      this.#attempts.written > forwarded.attempts;
+    return hasReachedTargets && reason === "no-target"
+      ? "refused-by-targets"
+      : reason;
+  }
+
   /**
    * Moves to the next phase; returns false if the current phase does not allow the
    * step. Every phase but `streaming` abandons the current attempt: otherwise its
