A VM that is cut off refuses what it cannot forward

The caller of such an order can't tell whether it ran.

Cause: being cut off was a reason to forward and none not to send. With no VM to forward to, a request took the usual path. Connections that are accepted and then reset mark no target, so each request was written to a link known to be lost.

Ruled out: a cut that isn't noticed ("targets not reached" six seconds before), and a sound VM that is passed over.

Now such requests are refused with 503 and the last VM's Retry-After, or half a second, unless targets respond on connections that were open before.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -64,6 +64,8 @@
 const MIN_RETRY_TIME_MS = 120;
 /** Retry-After while this VM has no memory for a response: slow callers free some within about a second. */
 const MEMORY_RETRY_MS = 1_000;
+/** Retry-After while neither this VM nor another one reaches targets: both check that twice a second. */
+const NO_LINKS_RETRY_MS = 500;
 
 /** The state of one request; see the module comment. */
 export class GatewayExchange
@@ -371,6 +373,13 @@
     if (this.#forward(now)) {
       return false;
     }
+    if (steering.losesRequests(now)) {
+      this.#giveUp(
+        "no-target",
+        this.#forwards?.retryAfterMs ?? NO_LINKS_RETRY_MS,
+      );
+      return false;
+    }
     const decision = steering
       .place(this.#placementRequest(), { now, ahead });
     this.#awaitsHomes = decision.kind === "wait" && decision.for === "homes";
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -243,6 +243,7 @@
       roundTripTo: () => 1,
       takeRetry: () => true,
       mayTryAgain: () => this.mayTryAgain,
+      losesRequests: () => false,
       checkRoom: () => this.roomRefusal,
       place: ({ tried }: PlacementRequest) => {
         this.tried = new Set(tried);
--- a/packages/daemon/src/gateway/forwarding/request_forwards.ts
+++ b/packages/daemon/src/gateway/forwarding/request_forwards.ts
@@ -67,6 +67,8 @@
   readonly #exchange: ForwardingExchange;
   readonly #tried = new Set<VmId>();
   #latest: VmId | undefined;
+  /** When the caller may come back, as the VM said that refused the request last. */
+  #retryAfterMs: number | undefined;
 
   constructor(
     forwarding: Forwarding,
@@ -83,6 +85,11 @@
     return this.#latest;
   }
 
+  /** When the caller may come back; undefined if no VM has said so. */
+  get retryAfterMs(): number | undefined {
+    return this.#retryAfterMs;
+  }
+
   /** The VM to forward the request to now; undefined if it is not to be forwarded. */
   next(now: number): Member | undefined {
     const { regions } = this.#request;
@@ -161,6 +168,7 @@
     if (promisesNotRun(reply.reason)) {
       this.#exchange.didNotRun();
     }
+    this.#retryAfterMs = reply.retryAfterMs;
     if (isWorthForwardingAgain(reply.reason)) {
       this.#exchange.requeue(now);
     } else {
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -131,6 +131,11 @@
     return this.#reach.isCutOff;
   }
 
+  /** Whether no target would respond to a request that this VM sent now. */
+  losesRequests(now: number): boolean {
+    return this.#reach.losesRequests(now);
+  }
+
   /** Targets that should be checked now for whether this VM reaches any. */
   reachChecksDue(now: number): readonly TargetId[] {
     const count = this.#reach.takeDueChecks(now);
--- a/packages/placement/src/target_reach.ts
+++ b/packages/placement/src/target_reach.ts
@@ -43,6 +43,8 @@
 /** Targets that a VM that is cut off checks, and the interval of these checks. */
 const RECHECKED_TARGETS = 2;
 const RECHECK_INTERVAL_MS = 500;
+/** How long a response shows that requests on connections that were open before still arrive. */
+const OPEN_CONNECTIONS_PROOF_MS = 1_000;
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class TargetReach {
@@ -51,6 +53,7 @@
   /** When each target last failed. */
   readonly #failedAt = new Map<TargetId, number>();
   #doubtedAt = -Infinity;
+  #cutOffAt = -Infinity;
   #respondedAt = -Infinity;
   #checkedAt = -Infinity;
   #pendingChecks = 0;
@@ -69,6 +72,17 @@
     return this.#state === "cut-off";
   }
 
+  /**
+   * Whether no target would respond to a request sent now: not on a new connection, nor
+   * on one that was open before.
+   */
+  losesRequests(now: number): boolean {
+    const provenAt = this.#respondedAt > this.#cutOffAt
+      ? this.#respondedAt
+      : -Infinity;
+    return this.isCutOff && now - provenAt > OPEN_CONNECTIONS_PROOF_MS;
+  }
+
   /** Targets that failed recently; to be checked last. */
   get recentlyFailed(): ReadonlySet<TargetId> {
     return new Set(this.#failedAt.keys());
@@ -145,6 +159,7 @@
     if (this.#timedOut > 0 && this.#respondedAt > this.#doubtedAt) {
       this.#reach();
     } else {
+      this.#cutOffAt = this.#checkedAt;
       this.#enter("cut-off");
     }
   }
--- a/packages/placement/src/target_reach_test.ts
+++ b/packages/placement/src/target_reach_test.ts
@@ -136,3 +136,26 @@
   expect(check("responded", 1_600)).toBe(2);
   expect(states).toEqual(["in-doubt", "cut-off", "reached"]);
 });
+
+test("a VM that is cut off loses requests until a target responds", () => {
+  // Guards against requests that are sent over links that are known to be lost.
+  const { fail, check, reach } = setUp();
+  reach.responded(90);
+  fail(3, 100);
+  expect(reach.losesRequests(100)).toBe(false);
+  check("failed", 100);
+  expect(reach.losesRequests(110)).toBe(true);
+  check("responded", 700);
+  expect(reach.losesRequests(710)).toBe(false);
+});
+
+test("a VM that is cut off uses the connections that were open before while targets respond on them", () => {
+  // Guards against refusals while targets only accept no further connections.
+  const { fail, check, reach } = setUp();
+  fail(3, 100);
+  check("failed", 100);
+  reach.responded(200);
+  expect(reach.isCutOff).toBe(true);
+  expect(reach.losesRequests(300)).toBe(false);
+  expect(reach.losesRequests(1_300)).toBe(true);
+});
