Failed probes raise doubt whether a VM reaches targets

Cause: it had doubts in time, but was too busy to tell whether its checks failed ("targets reached" 14 ms after "reach in doubt", while "processor short"). By then all its targets were out of use, so no request was sent that could fail, and only failed requests raised doubt. Probes of the targets failed all the while.

Now failed probes count while no target has responded for two seconds. While any responds, as after the loss of a zone, they count as little as before, so that no checks are added. The unit test fails without it.

Read elsewhere: a VM that never had a response, and whose targets fall silent on open connections, has no failed probe either; open.

--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -45,7 +45,7 @@
 
   /** Starts a probe of one target. */
   probe(id: TargetId): void {
-    const { log, path } = this.#options;
+    const { isLoopDelayed, log, path } = this.#options;
     const { steering, targets } = path();
     const target = targets.get(id);
     const healthPath = targets.serviceOf(id)?.healthPath;
@@ -65,8 +65,12 @@
           log.write("target answers again", { target: id });
         }
       },
-      (err) =>
-        log.write("probe failed", { target: id, reason: messageOf(err) }),
+      (err) => {
+        log.write("probe failed", { target: id, reason: messageOf(err) });
+        if (!isLoopDelayed()) {
+          steering.probeFailed(id, performance.now());
+        }
+      },
     );
   }
 
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -423,6 +423,11 @@
     entry?.health.probeSucceeded(now);
   }
 
+  /** Records that the probe of a target that is out of use failed. */
+  probeFailed(id: TargetId, now: number): void {
+    this.#reach.probeFailed(id, { now, known: this.#known.entries.size });
+  }
+
   /**
    * Checks all targets with pending requests and returns those that have become
    * unresponsive since the last call.
--- a/packages/placement/src/target_reach.ts
+++ b/packages/placement/src/target_reach.ts
@@ -38,6 +38,8 @@
 const MIN_FAILED_TARGETS = 3;
 /** A VM with few requests, or whose targets limit theirs, may notice one failure a second. */
 const FAILURE_WINDOW_MS = 5_000;
+/** Failed probes count only this long after the last response. */
+const PROBE_DOUBT_MS = 2_000;
 /** Targets that are checked when there is doubt: enough to include a sound one while a zone is down. */
 const CHECKED_TARGETS = 4;
 /** Targets that a VM that is cut off checks, and the interval of these checks. */
@@ -104,6 +106,20 @@
     }
   }
 
+  /**
+   * Records that a target that is out of use failed its probe. While any target
+   * responds, the others are at fault; a VM whose targets are all out of use sends no
+   * requests that could fail.
+   */
+  probeFailed(
+    target: TargetId,
+    { now, known }: { now: number; known: number },
+  ) {
+    if (now - this.#respondedAt > PROBE_DOUBT_MS) {
+      this.failed(target, { now, known });
+    }
+  }
+
   /** Records a response on any connection. */
   responded(now: number): void {
     this.#respondedAt = now;
@@ -134,6 +150,7 @@
     this.#pendingChecks = Math.max(0, this.#pendingChecks - 1);
     switch (check) {
       case "responded":
+        this.#respondedAt = Math.max(this.#respondedAt, this.#checkedAt);
         this.#reach();
         return;
       case "unknown":
--- a/packages/placement/src/target_reach_test.ts
+++ b/packages/placement/src/target_reach_test.ts
@@ -159,3 +159,22 @@
   expect(reach.losesRequests(300)).toBe(false);
   expect(reach.losesRequests(1_300)).toBe(true);
 });
+
+test("failed probes raise doubt while no target responds", () => {
+  // Guards against a VM that was too busy to check its links when it lost them, and that sends nothing since.
+  const { fail, check, reach, states } = setUp();
+  reach.responded(50);
+  fail(3, 100);
+  check("unknown", 100);
+  expect(states).toEqual(["in-doubt", "reached"]);
+  const failProbes = (now: number) =>
+    ["t-1", "t-2", "t-3"].forEach((id) =>
+      reach.probeFailed(id as TargetId, { now, known: KNOWN })
+    );
+  failProbes(1_000);
+  expect(reach.state).toBe("reached");
+  failProbes(2_500);
+  expect(reach.state).toBe("in-doubt");
+  check("failed", 2_500);
+  expect(reach.isCutOff).toBe(true);
+});
