A VM that the store refused for a while reads it again

Rows get older, and others use no such relay.

Cause: the five seconds for which a refused VM asks a fallback began anew with each response that arrived after their end, and a request to a fallback is open nearly all the time.

Evidence: in virtual time, a store that refuses one VM for two seconds gets 0 calls from it in the minute after (the new test; more than 30 asked). Ruled out: a store that refuses again (no "contact lost"), and followers that prolong the exclusion (the answering VM itself says isSecondHand).

Now only a refusal by the store begins such a period.

--- a/packages/daemon/src/gateway/change_sources.ts
+++ b/packages/daemon/src/gateway/change_sources.ts
@@ -31,6 +31,8 @@
   readonly #excludedUntil = new Map<VmId, number>();
   /** Until then other VMs are queried in place of the store, which refused this VM. */
   #usesFallbackUntil = -Infinity;
+  /** The store has refused this VM since it last began to use fallbacks. */
+  #isRefused = false;
   /** The fallback that was selected last. */
   #fallback: Member | undefined;
 
@@ -81,11 +83,19 @@
   fallbackResponded(isConfirmedSince: boolean, now: number): void {
     if (!isConfirmedSince) {
       this.#usesFallbackUntil = -Infinity;
-    } else if (!this.isRelayed(now)) {
+    } else if (this.#isRefused) {
+      // A response that arrives after the period must not begin the next one: the store
+      // would not be called again.
+      this.#isRefused = false;
       this.#usesFallbackUntil = now + FALLBACK_PERIOD_MS;
     }
   }
 
+  /** The store has refused this VM, or did not respond to it. */
+  storeFailed(): void {
+    this.#isRefused = true;
+  }
+
   /** The store has answered this VM: no fallback takes its place. */
   storeAnswered(): void {
     this.#usesFallbackUntil = -Infinity;
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -556,6 +556,7 @@
       // Aborted because a peer reported a newer version: called again at once.
       return;
     }
+    this.#sources.storeFailed();
     if (!this.#isLost) {
       this.#isLost = true;
       this.#lostAt = performance.now();
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -387,6 +387,26 @@
     expect(first.rows.has("t-1")).toBe(true);
   });
 
+  test("that the store refused for a while reads it again", async () => {
+    // Guards against a VM that gets old rows from others for good, and that others pass over as a relay.
+    const refusing = new FakeStore();
+    refusing.write("t-0", "ready");
+    const first = new Vm("vm-1", refusing);
+    const second = new Vm("vm-2", store);
+    first.fallbacks = [second];
+    await vi.advanceTimersByTimeAsync(2_000);
+    refusing.mode = "refuses";
+    await vi.advanceTimersByTimeAsync(2_000);
+    refusing.mode = "answers";
+    await vi.advanceTimersByTimeAsync(RECOVERY_MS);
+    const before = refusing.calls;
+    refusing.version = 10;
+    refusing.write("t-1", "ready");
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(refusing.calls - before).toBeGreaterThan(30);
+    expect(first.rows.has("t-1")).toBe(true);
+  });
+
   test("that the store refused is replaced by the next one", async () => {
     // The store refuses the two VMs that rank highest in their region. If all 20 others
     // called the store instead, that would be twenty times the calls.
