A request that targets respond to is not held back for their crashes

Cause, inferred before and shown now: a popular read runs on several targets at any time. When three of them fall together it looks like a request that crashes each of its targets, and is held back for all callers.

Ruled out: other refusals without an attempt, whose Retry-After is below two seconds.

A success within the ten seconds before a crash, or since, clears the request, locally and in what is reported. Why that works: what crashes each target that begins to run it never succeeds, and a popular request succeeds all the time on the targets that remain. Weighed: to count crashes that happen together once. It would let a request with repeats at once crash some nine targets before it is held back, and needs the clocks of several VMs.

--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -138,6 +138,9 @@
     case "not-run": {
       const { load, status, isOtherTarget } = end.response;
       const failed = end.kind === "not-run" || status >= 500;
+      if (!failed) {
+        suspects.attemptSucceeded(digest, now);
+      }
       steering.ended(target, {
         kind: "answered",
         load,
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -7,6 +7,10 @@
  * last request. A request whose attempts broke on several crashed targets is held
  * back for a while on all VMs, which send each other crash reports.
  *
+ * A popular request runs on several targets at any time, and breaks on all of them
+ * when they fall together, with their zone for example. It crashes none of them if
+ * others respond to it.
+ *
  * @module
  */
 
@@ -19,6 +23,8 @@
 const MIN_CRASHES = 3;
 /** How long a crash counts and a request is held back. */
 const CRASH_TTL_MS = 30_000;
+/** How long a success shows that a request does not crash its targets. */
+const SUCCESS_TTL_MS = 10_000;
 /** Maximum time from a broken attempt to the crash it is linked to. The crash is detected when the next request or probe fails to connect to the target. */
 const CRASH_WINDOW_MS = 1_500;
 /** Time after which further targets would have become unreachable if this VM were cut off. */
@@ -40,6 +46,9 @@
   /** Time of the latest crash, by digest and target, so that each target counts once. */
   readonly #crashes = new Map<string, Map<TargetId, number>>();
 
+  /** When a target last responded with success to a request, by digest. */
+  readonly #succeededAt = new Map<string, number>();
+
   /** Time of recently broken attempts, by target and digest, until a crash of the target is detected. */
   readonly #recentFailures = new Map<TargetId, Map<string, number>>();
 
@@ -60,6 +69,16 @@
     return hash.digest("base64").slice(0, DIGEST_CHARACTERS);
   }
 
+  /** Records that a target has responded to the request with success. */
+  attemptSucceeded(digest: string | undefined, now: number): void {
+    if (digest === undefined) {
+      return;
+    }
+    this.#succeededAt.delete(digest);
+    this.#succeededAt.set(digest, now);
+    dropOldest(this.#succeededAt);
+  }
+
   /** Records that an attempt of this VM broke. This alone proves no crash: connections are reset for many reasons. */
   attemptBroke(
     digest: string | undefined,
@@ -111,7 +130,8 @@
   /** Links a crash of a target to the attempts that broke on it shortly before. */
   targetCrashed(target: TargetId, now: number): void {
     for (const [digest, brokeAt] of this.#recentFailures.get(target) ?? []) {
-      if (now - brokeAt < CRASH_WINDOW_MS) {
+      const isSuspect = !this.#isCleared(digest, brokeAt);
+      if (isSuspect && now - brokeAt < CRASH_WINDOW_MS) {
         this.recordCrash({ digest, target }, now);
         this.#publish({ digest, target });
       }
@@ -125,10 +145,7 @@
     this.#crashes.delete(digest);
     targets.set(target, now);
     this.#crashes.set(digest, targets);
-    if (this.#crashes.size > MAX_DIGESTS) {
-      const [oldest] = this.#crashes.keys();
-      this.#crashes.delete(oldest!);
-    }
+    dropOldest(this.#crashes);
   }
 
   /** How much longer the request is held back; 0 if it may run. */
@@ -137,8 +154,24 @@
     if (targets === undefined || targets.size < MIN_CRASHES) {
       return 0;
     }
-    const times = [...targets.values()].toSorted((a, b) => b - a);
-    const decidingAt = times[MIN_CRASHES - 1]!;
+    const times = [...targets.values()]
+      .filter((crashedAt) => !this.#isCleared(digest, crashedAt))
+      .toSorted((a, b) => b - a);
+    const decidingAt = times[MIN_CRASHES - 1] ?? -Infinity;
     return Math.max(0, decidingAt + CRASH_TTL_MS - now);
   }
+
+  /** Whether a target has responded to the request shortly before a crash, or since. */
+  #isCleared(digest: string, crashedAt: number): boolean {
+    const succeededAt = this.#succeededAt.get(digest) ?? -Infinity;
+    return crashedAt - succeededAt < SUCCESS_TTL_MS;
+  }
+}
+
+/** Keeps the latest {@link MAX_DIGESTS} entries. */
+function dropOldest(byDigest: Map<string, unknown>): void {
+  if (byDigest.size > MAX_DIGESTS) {
+    const [oldest] = byDigest.keys();
+    byDigest.delete(oldest!);
+  }
 }
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -99,3 +99,41 @@
     expect(suspects.heldBackMs(digest, 1_000)).toBe(0);
   });
 });
+
+describe("a popular request", () => {
+  // Guards against a hold-back of all its callers after a zone was lost.
+  function fallTogether(suspects: CrashSuspects, now: number): string {
+    const digest = suspects.digestOf("GET", "/read/popular", undefined);
+    for (const target of targets) {
+      suspects.attemptBroke(digest, target, now);
+      suspects.targetCrashed(target, now + 100);
+    }
+    return digest;
+  }
+
+  test("is not held back when targets that ran it fall together", () => {
+    const published: SuspectedCrash[] = [];
+    const suspects = new CrashSuspects((crash) => published.push(crash));
+    const digest = suspects.digestOf("GET", "/read/popular", undefined);
+    suspects.attemptSucceeded(digest, 900);
+    fallTogether(suspects, 1_000);
+    expect(published).toEqual([]);
+    expect(suspects.heldBackMs(digest, 1_200)).toBe(0);
+  });
+
+  test("is no longer held back once another target responds to it", () => {
+    const suspects = new CrashSuspects(() => undefined);
+    const digest = fallTogether(suspects, 1_000);
+    expect(suspects.heldBackMs(digest, 1_200)).toBeGreaterThan(1_000);
+    suspects.attemptSucceeded(digest, 1_300);
+    expect(suspects.heldBackMs(digest, 1_400)).toBe(0);
+  });
+
+  test("is held back if it begins to crash targets later", () => {
+    const suspects = new CrashSuspects(() => undefined);
+    const digest = suspects.digestOf("GET", "/read/popular", undefined);
+    suspects.attemptSucceeded(digest, 0);
+    fallTogether(suspects, 20_000);
+    expect(suspects.heldBackMs(digest, 20_200)).toBeGreaterThan(1_000);
+  });
+});
