Requests left unanswered until their deadlines raise doubt

What callers see: a VM that was started behind silent links to all targets lets each request wait for its deadline and ends it with 504, for as long as the cut lasts; it neither forwards nor refuses.

Cause: a target counts as unresponsive after 1.35 times the longest usual response, which is 2.7 s until there is a sample. Requests with deadlines of two seconds are abandoned before, and an abandoned request counted for nothing.

Now an attempt that is abandoned after 1.3 s or more, on a target that has responded to nothing since, is a failure as far as this VM's links are concerned. That only starts checks; the health of the target is judged as before.

--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -373,6 +373,9 @@
         this.#recordFailure(id, times.now);
         break;
       case "abandoned":
+        if (entry.health.wasSilent(times)) {
+          this.#recordFailure(id, times.now);
+        }
         break;
     }
     this.#feedback.ended(entry, result, times);
--- a/packages/placement/src/steering_reach_test.ts
+++ b/packages/placement/src/steering_reach_test.ts
@@ -52,3 +52,21 @@
   expect(place(steering, 2_200)).toMatchObject({ target: TARGETS[4]!.id });
   expect(steering.isCutOff).toBe(false);
 });
+
+test("requests that targets left unanswered until their deadlines raise doubt", () => {
+  // Guards against a VM that knows no response times yet and waits for silent targets.
+  const steering = new Steering({
+    vm: "vm-north" as VmId,
+    location: { region: "north" as RegionId, zone: "north-1" as ZoneId },
+    retries: { ratio: 0.2, fixed: 50, windowMs: 10_000 },
+  });
+  TARGETS.forEach((target) => steering.setTarget(target));
+  const abandon = (now: number) =>
+    TARGETS.slice(0, 3).forEach(({ id }) =>
+      steering.ended(id, { kind: "abandoned" }, { now, writtenAt: 100 })
+    );
+  abandon(500);
+  expect(steering.reach).toBe("reached");
+  abandon(2_000);
+  expect(steering.reach).toBe("in-doubt");
+});
--- a/packages/placement/src/target_health.ts
+++ b/packages/placement/src/target_health.ts
@@ -145,6 +145,17 @@
     return true;
   }
 
+  /** Whether the target has responded to nothing since a request was written to it long ago; false if it was not written. */
+  wasSilent(
+    { writtenAt, now }: {
+      readonly writtenAt: number | undefined;
+      readonly now: number;
+    },
+  ): boolean {
+    return writtenAt !== undefined && this.#lastResponseAt < writtenAt &&
+      now - writtenAt >= MIN_UNRESPONSIVE_MS;
+  }
+
   /** The target accepts no requests from this VM until `until`. */
   backOff(until: number): void {
     this.#backOffUntil = Math.max(this.#backOffUntil, until);
