A VM that let one forwarded request wait is used again after its next heartbeat

Cause: a forwarded request waited for a target whose link was silent, for two seconds, as the only one under way. The VM that it was forwarded to counted as unresponsive and got nothing for three seconds; no other VM was up.

Ruled out: the other VM cut off, in doubt or down.

Now its next heartbeat, which a frozen or dead VM doesn't send, ends the back-off.

--- a/packages/daemon/src/gateway/forwarding/forwarding.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarding.ts
@@ -46,6 +46,8 @@
   readonly connections: ConnectionSource<VmId>;
   /** Other VMs that are up and reach targets. */
   peers(): readonly Member[];
+  /** When a VM sent its last heartbeat; -Infinity if it is down. */
+  lastSeenAt(vm: VmId): number;
   /** Called once per attempt. */
   attemptEnded(end: TargetAttemptEnd["kind"]): void;
 }
@@ -71,7 +73,10 @@
 
   constructor(options: ForwardingOptions) {
     this.#options = options;
-    this.#choice = new PeerChoice(options.self);
+    this.#choice = new PeerChoice(
+      options.self,
+      (vm) => options.lastSeenAt(vm),
+    );
   }
 
   /** The VM to forward a request to; undefined if no other one reaches targets. */
--- a/packages/daemon/src/gateway/forwarding/peer_choice.ts
+++ b/packages/daemon/src/gateway/forwarding/peer_choice.ts
@@ -8,7 +8,10 @@
 import type { Location } from "@poplarthread/placement";
 import type { Member } from "../ports.ts";
 
-/** How long a VM that failed a forwarded request gets no others: until its heartbeats would be missed. */
+/**
+ * How long a VM that failed a forwarded request gets no others: until its next heartbeat,
+ * as the request may have waited for its target, or until its heartbeats would be missed.
+ */
 const BACK_OFF_MS = 3_000;
 
 /** The request to choose a VM for. */
@@ -26,12 +29,15 @@
  */
 export class PeerChoice {
   readonly #from: Location;
-  readonly #backOffUntil = new Map<VmId, number>();
+  readonly #lastSeenAt: (vm: VmId) => number;
+  /** When each VM last failed a forwarded request. */
+  readonly #failedAt = new Map<VmId, number>();
   #turn = 0;
 
-  /** `from` is the location of the local VM. */
-  constructor(from: Location) {
+  /** `from` is the location of the local VM; `lastSeenAt` returns when a VM sent its last heartbeat. */
+  constructor(from: Location, lastSeenAt: (vm: VmId) => number) {
     this.#from = from;
+    this.#lastSeenAt = lastSeenAt;
   }
 
   /** The VM to use among `peers`, which are up and reach targets; undefined if there is none. */
@@ -41,7 +47,7 @@
     now: number,
   ): Member | undefined {
     const usable = peers.filter(({ vm, region }) =>
-      !tried.has(vm) && now >= (this.#backOffUntil.get(vm) ?? 0) &&
+      !tried.has(vm) && !this.#isBackedOff(vm, now) &&
       (regions.length === 0 || regions.includes(region))
     );
     const near = usable.filter(({ region }) => region === this.#from.region);
@@ -50,8 +56,13 @@
     return candidates[this.#turn % candidates.length];
   }
 
-  /** Uses the VM no more for a while: it did not respond. */
+  /** Does not use the VM until it shows that it is alive: it did not respond. */
   backOff(vm: VmId, now: number): void {
-    this.#backOffUntil.set(vm, now + BACK_OFF_MS);
+    this.#failedAt.set(vm, now);
+  }
+
+  #isBackedOff(vm: VmId, now: number): boolean {
+    const failedAt = this.#failedAt.get(vm) ?? -Infinity;
+    return now < failedAt + BACK_OFF_MS && this.#lastSeenAt(vm) <= failedAt;
   }
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -308,6 +308,7 @@
       roundTrips: steering.roundTrips,
       connections: this.#peerConnections,
       peers: () => vms.peersWithTargets(performance.now()),
+      lastSeenAt: (vm) => vms.lastSeenAt(vm),
       attemptEnded: (end) => this.#metrics.forwardEnded(end),
     });
   }
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -171,6 +171,11 @@
     return !wasUp;
   }
 
+  /** When another VM sent its last heartbeat; -Infinity if it is unknown or down. */
+  lastSeenAt(vm: VmId): number {
+    return this.#entries.get(vm)?.lastSeenAt ?? -Infinity;
+  }
+
   /** IP address of another known VM; undefined for an unknown one. */
   hostOf(vm: VmId): string | undefined {
     const entry = this.#entries.get(vm);
