--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -11,6 +11,7 @@
   rankedAbove,
   relaysFor,
 } from "@poplarthread/placement";
+import { membersForLookup } from "./lookup_members.ts";
 import type { LookupRequest, Member } from "./ports.ts";
 
 /**
@@ -37,10 +38,6 @@
 const FLEET_RETENTION_MS = 20_000;
 /** Delegates of a zone: two, so that the zone does not seem down while one of them is partitioned. */
 const DELEGATES_PER_ZONE = 2;
-/** With fewer VMs in a caller's region, a look-up returns all VMs: a caller needs another VM to use when one fails. */
-const MIN_ADDRESSES_IN_REGION = 2;
-/** Look-ups leave out VMs that lack processor time while at least this share of a region's VMs have enough. */
-const MIN_SHARE_WITH_TIME = 1 / 3;
 /** Addresses that one look-up returns. */
 const MAX_ADDRESSES = 64;
 
@@ -366,27 +363,12 @@
     );
   }
 
-  /**
-   * Addresses for a caller: those of its region if there are enough, else all. VMs that
-   * reach no target are left out while enough others of the region are up: they can only
-   * forward requests to these. So are VMs that lack processor time, unless many do: the
-   * others could not take all their callers.
-   */
+  /** Addresses for a caller; see {@link membersForLookup}. */
   addressesFor(request: LookupRequest, now: number): readonly string[] {
-    const up = this.up(now);
-    const inRegion = up.filter(({ region }) => region === request.region);
-    const withTargets = inRegion.filter(({ vm }) => !this.#isCutOff(vm));
-    const withTime = withTargets.filter(({ vm }) => !this.#isOverloaded(vm));
-    const preferred =
-      withTime.length >= withTargets.length * MIN_SHARE_WITH_TIME
-        ? withTime
-        : withTargets;
-    const selected =
-      [preferred, withTargets, inRegion].find(({ length }) =>
-        length >= MIN_ADDRESSES_IN_REGION
-      ) ?? up;
-    return selected.slice(0, MAX_ADDRESSES)
-      .map(({ callerAddress }) => callerAddress);
+    return membersForLookup(this.up(now), request.region, {
+      isCutOff: (vm) => this.#isCutOff(vm),
+      isOverloaded: (vm) => this.#isOverloaded(vm),
+    }).slice(0, MAX_ADDRESSES).map(({ callerAddress }) => callerAddress);
   }
 
   #isCutOff(vm: VmId): boolean {
