Log and metrics tell why a VM stays behind the operator

Callers saw requests handled by an earlier configuration on all VMs, and the record cannot say why: a configuration that was read and not put in force left no line, responses of the store that were dropped left none, and a refused request told the revision only. Now `configuration passed over` and `store response not used` tell the second and third hypothesis of docs/incidents/all-vms-behind.md, `operatorMs`, `era` and `storeVersion` of `request refused` and three gauges tell the first from the fourth: old rows against rows that the store has just confirmed.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -20,6 +20,20 @@
     type: "number",
     meaning: "version of the configuration that was in force on this VM",
   },
+  offered: {
+    type: "number",
+    meaning: "version of the configuration that was not put in force",
+  },
+  storeVersion: {
+    type: "number",
+    meaning:
+      "version of the store's newest row of the operator that this VM has read",
+  },
+  operatorMs: {
+    type: "number",
+    meaning:
+      "age of this VM's copy of what operators wrote, in milliseconds: time since the store last confirmed it",
+  },
   service: { type: "text", meaning: "service of the route, or of the target" },
   object: {
     type: "text",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -101,6 +101,12 @@
       "The platform's store does not have the version that this VM has read up to: all rows are read again.",
     fields: ["table"],
   },
+  "store response not used": {
+    level: "warn",
+    meaning:
+      "A response of the platform's store belongs to another history than this VM expects: its rows are not used. One line for each such history in a row.",
+    fields: ["subject", "era"],
+  },
   "relay left alone": {
     level: "info",
     meaning:
@@ -116,7 +122,13 @@
   "configuration in force": {
     level: "info",
     meaning: "A version of the configuration came into force on this VM.",
-    fields: ["revision"],
+    fields: ["revision", "era", "storeVersion"],
+  },
+  "configuration passed over": {
+    level: "warn",
+    meaning:
+      "A configuration was read whose version is not higher than the one in force, which stays in force.",
+    fields: ["revision", "offered", "era", "storeVersion"],
   },
   "configuration not used": {
     level: "warn",
@@ -308,7 +320,14 @@
     level: "info",
     meaning:
       "A request was refused before it was accepted for a target; it has no line `request ended`.",
-    fields: ["request", "reason", "revision"],
+    fields: [
+      "request",
+      "reason",
+      "revision",
+      "era",
+      "storeVersion",
+      "operatorMs",
+    ],
     optional: ["key", "accountsMs"],
   },
   "attempt failed": {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -128,6 +128,9 @@
       openRequests: this.#callerListener.openRequests,
       ...this.#requestPath.gauges,
       configurationVersion: this.#callerListener.version,
+      storeEra: this.#feed.seenOf("operator").era,
+      operatorRowsSeconds: this.#feed.ageOf("operator") / 1_000,
+      targetRowsSeconds: this.#feed.ageOf("targets") / 1_000,
       vmsUp: this.#peers.vms.up(performance.now()).length,
       droppedLines: this.#log.dropped,
       keptConnections: this.#homes.keptConnections,
@@ -197,6 +200,7 @@
       accounts: this.#accounts,
       peers: this.#peers,
       log: this.#log,
+      operatorRowsSeen: () => this.#feed.seenOf("operator"),
       entriesUnused: (count) =>
         this.#metrics.stateChanged("configuration-entry-unused", count),
     });
@@ -329,11 +333,15 @@
       acceptFailed: (err) =>
         this.#log.write("connection not accepted", { reason: messageOf(err) }),
       refused: (request, reason) => {
+        const { era, version } = this.#feed.seenOf("operator");
         this.#metrics.requestRefused(reason);
         this.#log.write("request refused", {
           request: request?.requestId ?? "",
           reason,
           revision: this.#callerListener.version,
+          era,
+          storeVersion: version,
+          operatorMs: this.#feed.ageOf("operator"),
           ...this.#accounts.logFieldsOf(request),
         });
       },
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -30,6 +30,11 @@
 export interface GatewayGauges extends RequestPathGauges {
   readonly openRequests: number;
   readonly configurationVersion: number;
+  /** The history of the store that the operator's rows belong to. */
+  readonly storeEra: number;
+  /** Times since the store last confirmed the rows. */
+  readonly operatorRowsSeconds: number;
+  readonly targetRowsSeconds: number;
   readonly targetsReached: number;
   readonly processorShort: number;
   readonly vmsUp: number;
@@ -113,6 +118,21 @@
       "configuration_version",
       "Version of the configuration in force",
     );
+    gauge(
+      "storeEra",
+      "store_era",
+      "History of the platform's store that the operator's rows belong to",
+    );
+    gauge(
+      "operatorRowsSeconds",
+      "operator_rows_age_seconds",
+      "Time since the store last confirmed the operator's rows",
+    );
+    gauge(
+      "targetRowsSeconds",
+      "target_rows_age_seconds",
+      "Time since the store last confirmed the targets' rows",
+    );
     gauge(
       "heldResponseBytes",
       "held_response_bytes",
--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -11,6 +11,7 @@
 import type { Peers } from "./peers.ts";
 import type { FeedEvent } from "./platform_feed.ts";
 import type { RequestPath } from "./request_path.ts";
+import type { StoreVersion } from "./row_copy.ts";
 
 /** The parts that follow the platform. */
 export interface PlatformEventsOptions {
@@ -19,6 +20,8 @@
   readonly accounts: Accounts;
   readonly peers: Peers;
   readonly log: EventLog;
+  /** The history and newest version of the operator's rows that were read. */
+  operatorRowsSeen(): StoreVersion;
   /** Called with the number of entries of a configuration that are not used. */
   entriesUnused(count: number): void;
 }
@@ -94,13 +97,24 @@
 
   #applyConfiguration(configuration: RoutingConfiguration): void {
     const { path, callerListener, accounts, log } = this.#options;
+    const { era, version: storeVersion } = this.#options.operatorRowsSeen();
     if (configuration.version <= callerListener.version) {
+      log.write("configuration passed over", {
+        revision: callerListener.version,
+        offered: configuration.version,
+        era,
+        storeVersion,
+      });
       return;
     }
     callerListener.send({ kind: "configuration", configuration });
     accounts.configurationApplied();
     path.targets.setServices(configuration.services);
     path.setRoutes(configuration.routes);
-    log.write("configuration in force", { revision: configuration.version });
+    log.write("configuration in force", {
+      revision: configuration.version,
+      era,
+      storeVersion,
+    });
   }
 }
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -94,6 +94,11 @@
     return { era, seen: Object.fromEntries(versions) };
   }
 
+  /** The latest history of a subject's rows, and their newest version in it. */
+  seenOf(subject: WatchedSubject): StoreVersion {
+    return this.#watches.get(subject)!.newest;
+  }
+
   /** Time since the store last confirmed the rows of a subject, in milliseconds. */
   ageOf(subject: WatchedSubject): number {
     return Math.round(this.#watches.get(subject)!.ageMs);
@@ -140,6 +145,8 @@
             isLost,
             ...(reason === undefined ? {} : { reason }),
           }),
+        responseNotUsed: (era) =>
+          log.write("store response not used", { subject, era }),
         relaySkipped: (relay, reason) =>
           log.write("relay left alone", { subject, peer: relay.vm, reason }),
       },
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -109,6 +109,8 @@
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
   /** Neither the store nor a relay responds (`isLost`), or one does again. */
   connectivityChanged(isLost: boolean, reason?: string): void;
+  /** A response of the store is not used because it belongs to another history than expected. */
+  responseNotUsed(era: number): void;
   /** A relay is not used for a while. */
   relaySkipped(relay: Member, reason: string): void;
 }
@@ -129,6 +131,8 @@
   #restoredRowsTimer: NodeJS.Timeout | undefined;
   /** The latest history of the store that any response or other VM has told of. */
   #latestEra = 0;
+  /** The history of the store's latest response if that was not used. */
+  #unusedEra: number | undefined;
   readonly #sources: ChangeSources;
   readonly #closed = new AbortController();
   /** Wakes requests of peers that wait for changes. */
@@ -433,6 +437,7 @@
     });
     if (page.era !== this.#copy.era) {
       // The changes follow a version of another history.
+      this.#reportUnused(page.era);
       throw new HistoryGoneError("the store was restored", page.era);
     }
     this.#succeeded(performance.now());
@@ -454,6 +459,7 @@
       // by the next call for changes.
       first ??= page;
       if (page.era !== first.era || page.era < this.#latestEra) {
+        this.#reportUnused(page.era);
         throw new HistoryGoneError("the store was restored", page.era);
       }
       rows.push(...page.rows);
@@ -468,7 +474,15 @@
     this.#recordRead(startedAt);
   }
 
+  #reportUnused(era: number): void {
+    if (era !== this.#unusedEra) {
+      this.#unusedEra = era;
+      this.#options.listener.responseNotUsed(era);
+    }
+  }
+
   #recordRead(startedAt: number): void {
+    this.#unusedEra = undefined;
     const endedAt = this.#steadyNow;
     this.#recordKnownSince(knownSinceRead({ startedAt, endedAt }));
   }
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -146,6 +146,7 @@
         connectivityChanged: (isLost) =>
           this.connectivity.push(isLost ? "lost" : "regained"),
         relaySkipped: () => undefined,
+        responseNotUsed: () => undefined,
         restored: () => undefined,
       },
     });
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -45,8 +45,13 @@
   /** The VM that a request was forwarded to, and the one that forwarded it. */
   readonly via?: string;
   readonly from?: string;
-  /** History and table of the platform's store. */
+  /** Version of the configuration that was not put in force. */
+  readonly offered?: number;
+  /** Time since the platform last confirmed what operators wrote. */
+  readonly operatorMs?: number;
+  /** History, newest row and table of the platform's store. */
   readonly era?: number;
+  readonly storeVersion?: number;
   readonly table?: string;
   /** The client account that sent a request. */
   readonly account?: string;
