A call without a response is repeated on a new connection

Callers saw requests handled by an earlier configuration, and targets used that leave, for seconds after all open connections had fallen silent at once. A VM noticed at the timeout of its waiting call (2 s with the store, 1.75 s with a relay), then called over the next idle connection, which was silent too, or left its relay alone for three seconds and did the same with the next one and the store.

JsonClient serves both clients: a call without a response closes the idle connections and is repeated once on a new one, without a wait for changes. If that is answered, the calls that wait on earlier connections are repeated too, so that the subject with a wait of 5 s learns with the others. A server that doesn't answer the repeated call gets no further repeated calls until it answers: one more call per waiting call at a loss, none in calm times.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -89,6 +89,13 @@
     meaning: "The platform's store or a relay responds again.",
     fields: ["subject"],
   },
+  "connections silent": {
+    level: "warn",
+    meaning:
+      "Open connections to the platform's store, or to another VM that passes its changes on, carried nothing any more, while a new one did: the calls on them are repeated.",
+    fields: [],
+    optional: ["peer"],
+  },
   "store restored": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -39,7 +39,7 @@
 export { createLog, type Log } from "../log.ts";
 export { messageOf } from "../errors.ts";
 export { pause } from "../pause.ts";
-export { callJson, type JsonCall } from "../json_call.ts";
+export { type JsonCall, JsonClient } from "../json_client.ts";
 export {
   dropConnectionHeaders,
   HOP_BY_HOP_HEADERS,
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -56,7 +56,7 @@
 /** See the module's comment. */
 export class PlatformFeed {
   readonly #options: PlatformFeedOptions;
-  readonly #client = new RelayClient();
+  readonly #client: RelayClient;
   readonly #watches: ReadonlyMap<WatchedSubject, SubjectWatch>;
   readonly #closed = new AbortController();
   /** Undefined until {@link start}. */
@@ -64,6 +64,9 @@
 
   constructor(options: PlatformFeedOptions) {
     this.#options = options;
+    this.#client = new RelayClient(({ vm }) =>
+      options.log.write("connections silent", { peer: vm })
+    );
     this.#watches = new Map(
       WATCHED_SUBJECTS.map((subject) => [subject, this.#watch(subject)]),
     );
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -6,7 +6,6 @@
  */
 
 import {
-  Agent,
   createServer,
   type IncomingMessage,
   type Server,
@@ -20,7 +19,7 @@
 import * as z from "zod";
 import type { FreshnessReport } from "@poplarthread/coordination/freshness";
 import { messageOf } from "../errors.ts";
-import { callJson, JsonCallError } from "../json_call.ts";
+import { JsonCallError, JsonClient } from "../json_client.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import {
@@ -76,7 +75,12 @@
 /** How long an idle connection is kept: longer than a VM uses another relay in between. */
 const KEEP_ALIVE_MS = 60_000;
 /** Added to the requested wait for the timeout of a call: covers round trips in the region and a busy VM. */
-const RESPONSE_MARGIN_MS = 500;
+const RESPONSE_MARGIN_MS = 300;
+/**
+ * Timeout of the repeated call, which does not wait for changes. Until it is over, a
+ * relay that has lost power keeps the VMs that use it from others.
+ */
+const REPEAT_TIMEOUT_MS = 350;
 
 const paramsSchema = z.object({
   subject: z.enum(WATCHED_SUBJECTS),
@@ -162,7 +166,14 @@
 
 /** Requests changes from relays. */
 export class RelayClient {
-  readonly #agent = new Agent({ keepAlive: true });
+  /** By the address of the relay. */
+  readonly #clients = new Map<string, JsonClient>();
+  readonly #onSilentConnections: (relay: Member) => void;
+
+  /** `onSilentConnections`: a relay responded on a new connection, but not on earlier ones. */
+  constructor(onSilentConnections: (relay: Member) => void) {
+    this.#onSilentConnections = onSilentConnections;
+  }
 
   /** Rejects if the relay does not respond or has not read the subject yet. */
   async requestChanges(
@@ -171,17 +182,20 @@
     request: RelayRequest,
   ): Promise<RelayResponse> {
     const { signal, ...params } = request;
-    const [host, port] = relay.peerAddress.split(":");
-    const { body } = await callJson({
-      agent: this.#agent,
-      host: host!,
-      port: Number(port),
+    const encode = (waitMs: number) =>
+      JSON.stringify(
+        createJSONRPCRequest(1, METHOD, { subject, ...params, waitMs }),
+      );
+    const { body } = await this.#clientOf(relay).call({
       method: "POST",
       path: "/",
-      body: JSON.stringify(
-        createJSONRPCRequest(1, METHOD, { subject, ...params }),
-      ),
+      body: encode(request.waitMs),
       timeoutMs: request.waitMs + RESPONSE_MARGIN_MS,
+      repeat: {
+        path: "/",
+        body: encode(0),
+        timeoutMs: REPEAT_TIMEOUT_MS,
+      },
       ...(signal === undefined ? {} : { signal }),
     });
     if (!isJSONRPCResponse(body)) {
@@ -196,7 +210,23 @@
   }
 
   close(): void {
-    this.#agent.destroy();
+    this.#clients.forEach((client) => client.close());
+  }
+
+  #clientOf(relay: Member): JsonClient {
+    const { peerAddress } = relay;
+    const known = this.#clients.get(peerAddress);
+    if (known !== undefined) {
+      return known;
+    }
+    const [host, port] = peerAddress.split(":");
+    const client = new JsonClient({
+      host: host!,
+      port: Number(port),
+      onSilentConnections: () => this.#onSilentConnections(relay),
+    });
+    this.#clients.set(peerAddress, client);
+    return client;
   }
 }
 
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -27,7 +27,7 @@
 
 beforeEach(async () => {
   response = undefined;
-  client = new RelayClient();
+  client = new RelayClient(() => undefined);
   listener = new RelayListener({
     listen: { host: HOST, port: PORT },
     handler: () => Promise.resolve(response),
