The store's latest read decides which history is current, not its number

Callers saw a whole fleet stay at an earlier configuration, for good: a store whose era is lower than one seen before was never used again (each response dropped, a call a second, all subjects, all VMs). One VM that told of a higher era was enough: all others took the number over from heartbeats or requests, and no VM that had to read all rows again did so. An era that couldn't be read (missing, twice in one answer, no number) gave 0 or NaN, which equals nothing. And versions that went back while the era stayed were missed until overtaken.

Cause: one number that was learned once and only rose stood before every read, and it was learned from anybody.

Now `store_history.ts` decides, by the time of reads: responses of the store are linearizable, so a read that began after another one had ended is the later one. Relays already tell the start and the end of the read that they pass on (durations only), so a follower orders its relays' rows in the same way, and makes no call for it. Numbers decide only between reads that overlap. What other VMs tell without rows is a claim: the VM that reads the store itself ends its wait once, the next read decides, and a refuted claim is left alone until the store names it (`store history refuted`). A first read that began before a claim is dropped once. A lower history is treated like a restore (`store history adopted`, with `era` and `eraBefore`; `store restored` has both as well). An answer without a readable era belongs to the history that was named last (`store era unreadable`, one line).

Versions that go back in one era are told by a list below the position, or by a relay's later read below it. Relays then name a `numbering`, an optional field of requests and responses, 0 in all other cases; earlier builds ignore it.

Left: versions that go back in one era and are overtaken before any VM reads the store; a VM that is away while an era is left and taken again with higher versions than it had.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -100,7 +100,15 @@
   era: {
     type: "number",
     meaning:
-      "the store's history: rises by one when the store is restored from a copy",
+      "the store's history: another number each time when the store is restored from a copy, usually one higher",
+  },
+  eraBefore: {
+    type: "number",
+    meaning: "the store's history that was used before",
+  },
+  claimed: {
+    type: "number",
+    meaning: "the store's history, as another VM named it",
   },
   table: { type: "text", meaning: "table of the platform's store" },
   running: {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -93,7 +93,26 @@
     level: "warn",
     meaning:
       "The platform's store came back from a copy: what was written shortly before is gone, and versions are given out again.",
+    fields: ["era", "eraBefore"],
+  },
+  "store era unreadable": {
+    level: "warn",
+    meaning:
+      "A response of the platform's store does not name its history, or not as one number: it counts as one of the history named last. One line until a response names it again.",
     fields: ["era"],
+    optional: ["reason"],
+  },
+  "store history adopted": {
+    level: "warn",
+    meaning:
+      "This VM uses the rows of another history of the platform's store from now on, read from the store or a relay; what the store has lost is kept for a while. If its number is lower than before, or the same, the store does not count its histories on.",
+    fields: ["subject", "era", "eraBefore"],
+  },
+  "store history refuted": {
+    level: "warn",
+    meaning:
+      "Another VM named a history of the platform's store that a later read does not have: it is left alone until the store names it.",
+    fields: ["subject", "claimed", "era"],
   },
   "store history gone": {
     level: "info",
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -36,6 +36,7 @@
   ListenAddress,
 } from "./settings.ts";
 export { EventLog } from "./events.ts";
+export { NamedHistory } from "./store_history.ts";
 export { createLog, type Log } from "../log.ts";
 export { messageOf } from "../errors.ts";
 export { pause } from "../pause.ts";
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -40,7 +40,7 @@
 
 /** The newest versions that a VM has seen. */
 export interface SeenVersions {
-  /** The latest history of the store; see {@link StoreVersion}. */
+  /** The history of the store that was read last; see {@link StoreVersion}. */
   readonly era: number;
   /** The newest version of each subject in that history; 0 if none is known. */
   readonly seen: Readonly<Record<WatchedSubject, number>>;
@@ -81,12 +81,15 @@
     this.#watches.get(subject)?.hint(seen);
   }
 
-  /** The latest history of the store, and the newest version of each subject in it, that this VM has seen. */
+  /** The history of the store that this VM read last, and the newest version of each subject in it. */
   get seen(): SeenVersions {
     const newest = WATCHED_SUBJECTS.map((subject) =>
       [subject, this.#watches.get(subject)!.newest] as const
     );
-    const era = Math.max(...newest.map(([, seen]) => seen.era));
+    const lastRead = WATCHED_SUBJECTS.toSorted((a, b) =>
+      this.readAgeOf(a) - this.readAgeOf(b)
+    )[0]!;
+    const { era } = this.#watches.get(lastRead)!.newest;
     const versions = newest.map(([subject, seen]) => [
       subject,
       seen.era === era ? seen.version : 0,
@@ -94,7 +97,7 @@
     return { era, seen: Object.fromEntries(versions) };
   }
 
-  /** The latest history of a subject's rows, and their newest version in it. */
+  /** The history of a subject's rows, and their newest version in it. */
   seenOf(subject: WatchedSubject): StoreVersion {
     return this.#watches.get(subject)!.newest;
   }
@@ -136,7 +139,10 @@
       queryRelay: (relay, request) =>
         this.#client.requestChanges(relay, subject, request),
       listener: {
-        restored: (rows) => this.#onRestored(subject, rows),
+        restored: (rows, change) => {
+          log.write("store history adopted", { subject, ...change });
+          this.#onRestored(subject, rows);
+        },
         rowsChanged: (rows) => platform.decode(subject, rows).forEach(listener),
         connectivityChanged: (isLost, reason) =>
           listener({
@@ -147,6 +153,8 @@
           }),
         responseNotUsed: (era) =>
           log.write("store response not used", { subject, era }),
+        claimRefuted: (claimed, era) =>
+          log.write("store history refuted", { subject, claimed, era }),
         relaySkipped: (relay, reason) =>
           log.write("relay left alone", { subject, peer: relay.vm, reason }),
       },
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -91,8 +91,9 @@
   /** The newest version of the store. */
   readonly version: number;
   /**
-   * The store's history that the versions belong to. It rises when the store is restored
-   * from a copy: versions then go back and are given out again.
+   * The store's history that the versions belong to. It changes when the store is restored
+   * from a copy: versions then go back and are given out again. It usually rises, but
+   * must not be relied on to do so.
    */
   readonly era: number;
   /** More rows follow on the next page. */
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -18,7 +18,11 @@
   JSONRPCServer,
 } from "json-rpc-2.0";
 import * as z from "zod";
-import type { FreshnessReport } from "@poplarthread/coordination/freshness";
+import {
+  type FreshnessReport,
+  knownSinceReport,
+  type RequestTimes,
+} from "@poplarthread/coordination/freshness";
 import { messageOf } from "../errors.ts";
 import { callJson, JsonCallError } from "../json_call.ts";
 import { listen } from "../listen.ts";
@@ -30,6 +34,7 @@
   type WatchedSubject,
 } from "./ports.ts";
 import type { RowChanges } from "./row_copy.ts";
+import type { HistoryRead } from "./store_history.ts";
 import type { ListenAddress } from "./settings.ts";
 
 /** One VM's request for changes. */
@@ -38,6 +43,8 @@
   readonly version: number;
   /** The store's history that the version belongs to, as far as the requesting VM knows. */
   readonly era: number;
+  /** Which of several numberings within that history; left out by older versions of the program. */
+  readonly numbering?: number;
   /** Longest wait for changes. */
   readonly waitMs: number;
   /** The relay must not respond early because its rows become stale: the requesting VM has lost the store, too. */
@@ -61,6 +68,22 @@
   readonly isSecondHand: boolean;
   /** The responding VM has lost the store. The requesting VM should query others, which may reach it. */
   readonly isLost: boolean;
+  /** Which of several numberings within its history the position belongs to; left out by older versions of the program. */
+  readonly numbering?: number;
+}
+
+/** Ages are reported in whole milliseconds. */
+const AGE_ROUNDING_MS = 1;
+
+/** The read of the store that a response passes on; `times` are the requesting VM's. */
+export function relayedRead(
+  response: RelayResponse,
+  times: RequestTimes,
+): HistoryRead {
+  const { era, position: version, numbering = 0 } = response;
+  const startedAt = knownSinceReport(response, times);
+  const endedAt = times.respondedAt - response.ageMs + AGE_ROUNDING_MS;
+  return { era, version, numbering, startedAt, endedAt };
 }
 
 /** Handles a peer's request; undefined if this VM has not read the subject yet. */
@@ -83,6 +106,7 @@
   version: z.number(),
   /** Left out by older versions of the program. */
   era: z.number().default(0),
+  numbering: z.number().optional(),
   waitMs: z.number().min(0).max(30_000),
   isPatient: z.boolean(),
   /** Left out by older versions of the program. */
@@ -107,6 +131,7 @@
   isSecondHand: z.boolean(),
   /** Left out by older versions of the program. */
   isLost: z.boolean().default(false),
+  numbering: z.number().optional(),
 });
 
 /** Serves peers' requests for changes. */
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -7,7 +7,12 @@
 import { connect } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { loopbackAddress } from "../loopback.ts";
-import { RelayClient, RelayListener, type RelayResponse } from "./relay.ts";
+import {
+  RelayClient,
+  RelayListener,
+  type RelayRequest,
+  type RelayResponse,
+} from "./relay.ts";
 import { memberNamed } from "./testing.ts";
 
 const HOST = loopbackAddress(77);
@@ -21,16 +26,34 @@
   mayReplace: true,
 };
 
+const RESPONSE: RelayResponse = {
+  era: 2,
+  isWhole: true,
+  rows: [],
+  position: 6,
+  ageMs: 12,
+  readAgeMs: 1_200,
+  heldMs: 40,
+  isSecondHand: false,
+  isLost: false,
+  regainedMs: undefined,
+};
+
 let client: RelayClient;
 let listener: RelayListener;
 let response: RelayResponse | undefined;
+let handled: (request: RelayRequest) => void;
 
 beforeEach(async () => {
   response = undefined;
+  handled = () => undefined;
   client = new RelayClient();
   listener = new RelayListener({
     listen: { host: HOST, port: PORT },
-    handler: () => Promise.resolve(response),
+    handler: (_subject, request) => {
+      handled(request);
+      return Promise.resolve(response);
+    },
   });
   await listener.start({ failed: () => undefined });
 });
@@ -61,6 +84,17 @@
   );
 });
 
+test("the numbering of versions arrives, also if it is left out", async () => {
+  const received: RelayRequest[] = [];
+  handled = (request) => received.push(request);
+  response = { ...RESPONSE, numbering: 2 ** 47 };
+  const request = { ...REQUEST, numbering: 7 };
+  const { numbering } = await client.requestChanges(RELAY, "targets", request);
+  await client.requestChanges(RELAY, "targets", REQUEST);
+  expect(numbering).toBe(2 ** 47);
+  expect(received.map((each) => each.numbering)).toEqual([7, undefined]);
+});
+
 test("a VM that has not read the subject yet responds with an error", async () => {
   await expect(client.requestChanges(RELAY, "targets", REQUEST))
     .rejects.toThrow("nothing read yet");
--- a/packages/daemon/src/gateway/row_copy.ts
+++ b/packages/daemon/src/gateway/row_copy.ts
@@ -75,6 +75,12 @@
     this.#position = undefined;
   }
 
+  /** Replaces all rows by the first full snapshot of another history. */
+  begin(page: Omit<RowsPage, "isTruncated">): void {
+    this.#newest = 0;
+    this.replace(page);
+  }
+
   /** Replaces all rows by a full snapshot. */
   replace({ rows, version, era }: Omit<RowsPage, "isTruncated">): void {
     this.#changesCache.clear();
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -8,7 +8,6 @@
 import {
   freshnessReport,
   knownSinceRead,
-  knownSinceReport,
   laterKnownSince,
 } from "@poplarthread/coordination/freshness";
 import { messageOf } from "../errors.ts";
@@ -22,9 +21,14 @@
   type StoredRow,
   type WatchedSubject,
 } from "./ports.ts";
-import type { RelayRequest, RelayResponse } from "./relay.ts";
+import { relayedRead, type RelayRequest, type RelayResponse } from "./relay.ts";
 import { RestoredRows } from "./restored_rows.ts";
-import { RowCopy, type StoreVersion } from "./row_copy.ts";
+import { type RowChanges, RowCopy, type StoreVersion } from "./row_copy.ts";
+import {
+  type HistoryRead,
+  type ReadVerdict,
+  StoreHistory,
+} from "./store_history.ts";
 import { SuspensionWatch } from "./suspension_watch.ts";
 
 /**
@@ -101,16 +105,24 @@
   members: 10_000,
 };
 
+/** The store's history that is used from now on, and the one used before. */
+export interface HistoryChange {
+  readonly era: number;
+  readonly eraBefore: number;
+}
+
 /** Receives the rows of the subject and the state of the connection. */
 export interface SubjectListener {
   /** The store was restored from a copy and has these rows; called before they are used. */
-  restored(rows: ReadonlyMap<string, StoredRow>): void;
+  restored(rows: ReadonlyMap<string, StoredRow>, change: HistoryChange): void;
   /** Called with all rows, by key, after each change. */
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
   /** Neither the store nor a relay responds (`isLost`), or one does again. */
   connectivityChanged(isLost: boolean, reason?: string): void;
   /** A response of the store is not used because it belongs to another history than expected. */
   responseNotUsed(era: number): void;
+  /** Another VM named a history that the store does not have. */
+  claimRefuted(claimed: number, era: number): void;
   /** A relay is not used for a while. */
   relaySkipped(relay: Member, reason: string): void;
 }
@@ -129,8 +141,7 @@
   readonly #copy = new RowCopy();
   readonly #restoredRows: RestoredRows;
   #restoredRowsTimer: NodeJS.Timeout | undefined;
-  /** The latest history of the store that any response or other VM has told of. */
-  #latestEra = 0;
+  readonly #history = new StoreHistory();
   /** The history of the store's latest response if that was not used. */
   #unusedEra: number | undefined;
   readonly #sources: ChangeSources;
@@ -166,10 +177,9 @@
     this.#options = options;
   }
 
-  /** Version of the newest row seen; 0 if the rows belong to an earlier history than the latest one. */
+  /** Version of the newest row seen, in the history that the rows belong to. */
   get newest(): StoreVersion {
-    const era = this.#latestEra;
-    return { era, version: this.#copy.era === era ? this.#copy.newest : 0 };
+    return { era: this.#history.era, version: this.#copy.newest };
   }
 
   /** Time since the store last confirmed that no change is missing. */
@@ -199,22 +209,34 @@
 
   /** A peer reports the newest row that it has seen. */
   hint(seen: StoreVersion): void {
-    this.#latestEra = Math.max(this.#latestEra, seen.era);
-    if (!this.#isBehind(seen) || this.#missedChangeTimer !== undefined) {
+    const isClaim = this.#history.claim(seen.era, this.#steadyNow);
+    if (
+      (!isClaim && !this.#isBehind(seen)) ||
+      this.#missedChangeTimer !== undefined
+    ) {
       return;
     }
     this.#missedChangeTimer = setTimeout(() => {
       this.#missedChangeTimer = undefined;
       if (this.#isBehind(seen)) {
         this.#callAbort.abort();
+      } else if (this.#history.isReadDue) {
+        this.#readNow();
       }
     }, MISSED_CHANGE_TIMEOUT_MS);
   }
 
-  /** Whether the copy lacks a row. */
-  #isBehind({ era, version }: StoreVersion): boolean {
-    const ownEra = this.#copy.era ?? 0;
-    return era > ownEra || (era === ownEra && version > this.#copy.newest);
+  /** Whether the copy lacks a row of its history. */
+  #isBehind(seen: StoreVersion): boolean {
+    return this.#history.claimVersion(seen, this.#steadyNow) &&
+      seen.version > this.#copy.newest;
+  }
+
+  /** Ends a call of the store that waits for changes. A relay has its own news of histories. */
+  #readNow(): void {
+    if (this.#queriedRelay === undefined) {
+      this.#callAbort.abort();
+    }
   }
 
   /**
@@ -227,10 +249,13 @@
     const receivedAt = performance.now();
     const steadyReceivedAt = this.#steadyNow;
     const waitUntil = receivedAt + request.waitMs;
-    this.#learnEra(request.era);
+    if (this.#history.claim(request.era, steadyReceivedAt)) {
+      this.#readNow();
+    }
     for (;;) {
-      const isOutdated = (this.#copy.era ?? 0) < request.era;
-      const changes = isOutdated ? undefined : this.#copy.changesAfter(request);
+      const isOutdated = this.#history.era < request.era &&
+        this.#history.isOpen(request.era);
+      const changes = isOutdated ? undefined : this.#changesFor(request);
       const now = performance.now();
       if (changes === undefined) {
         if (
@@ -264,12 +289,20 @@
             : undefined,
           isSecondHand,
           isLost: this.#isLost,
+          numbering: this.#history.numbering,
         };
       }
       await this.#waitForWake(Math.min(waitUntil, staleAt) - now);
     }
   }
 
+  #changesFor(request: RelayRequest): RowChanges | undefined {
+    const isKnown = this.#history.isKnown(request, this.#copy.position ?? 0);
+    return this.#copy.changesAfter(
+      isKnown ? request : { era: request.era, version: -1 },
+    );
+  }
+
   close(): void {
     clearTimeout(this.#missedChangeTimer);
     clearTimeout(this.#restoredRowsTimer);
@@ -278,15 +311,6 @@
     this.#wakeWaiters();
   }
 
-  /** Calls the store at once if it was restored from a copy since the rows were read. */
-  #learnEra(era: number): void {
-    if (era > this.#latestEra) {
-      this.#latestEra = era;
-      this.#copy.requireFullRead();
-      this.#callAbort.abort();
-    }
-  }
-
   /** The monotonic clock plus the time for which this VM was suspended. */
   get #steadyNow(): number {
     return performance.now() + this.#suspension.suspendedMs;
@@ -346,8 +370,9 @@
     const mayReplace = !isFallback && !this.#isLost &&
       this.#sources.mayReplaceLost(performance.now());
     const response = await this.#options.queryRelay(relay, {
-      version: this.#copy.position ?? -1,
-      era: this.#copy.era ?? 0,
+      version: this.#history.isWholeDue ? -1 : this.#copy.position ?? -1,
+      era: this.#history.era,
+      numbering: this.#history.numbering,
       // A fallback that has lost the store, too, could hold the request for the whole
       // wait, and this VM would notice the store's return late.
       waitMs: isFallback && this.#isLost
@@ -358,7 +383,14 @@
       signal: this.#callAbort.signal,
     });
     this.#queriedRelay = undefined;
-    if (response.era < this.#latestEra) {
+    const respondedAt = this.#steadyNow;
+    const { isWhole, rows } = response;
+    const read = relayedRead(response, { requestedAt, respondedAt });
+    const verdict = this.#history.judge(read, { isOwn: false, isWhole });
+    if (this.#history.isWholeDue) {
+      return;
+    }
+    if (verdict === "unused") {
       const reason = "its rows are from before the store was restored";
       this.#backOff(relay, STALE_BACK_OFF_MS, reason);
       return;
@@ -376,14 +408,8 @@
     if (isConfirmation) {
       this.#succeeded(now - response.ageMs);
     }
-    this.#apply(response.isWhole, {
-      rows: response.rows,
-      version: response.position,
-      era: response.era,
-    });
-    this.#recordKnownSince(
-      knownSinceReport(response, { requestedAt, respondedAt: this.#steadyNow }),
-    );
+    this.#apply({ ...read, rows }, { isWhole, verdict });
+    this.#recordKnownSince(read.startedAt);
     if (response.isLost && mayReplace) {
       this.#sources.replaceLost(relay, now + LOST_RELAY_MS);
       this.#options.listener.relaySkipped(relay, "it has lost the store");
@@ -430,18 +456,19 @@
     const startedAt = this.#steadyNow;
     const page = await this.#options.store.changes(this.#subject, {
       version: this.#copy.position!,
-      waitMs: this.#isLost || performance.now() >= this.#staleAt
+      waitMs: this.#isLost || this.#history.isReadDue ||
+          performance.now() >= this.#staleAt
         ? RECONNECT_WAIT_MS
         : CHANGE_WAIT_MS[this.#subject],
       signal: this.#callAbort.signal,
     });
     if (page.era !== this.#copy.era) {
       // The changes follow a version of another history.
-      this.#reportUnused(page.era);
-      throw new HistoryGoneError("the store was restored", page.era);
+      this.#rejectRead(page.era);
     }
     this.#succeeded(performance.now());
-    this.#apply(false, page);
+    const read = { ...page, startedAt, endedAt: this.#steadyNow };
+    this.#apply(read, { isWhole: false, verdict: "current" });
     this.#recordRead(startedAt);
     if (page.rows.length > 0) {
       await pause(CHANGE_BATCH_MS, this.#closed.signal);
@@ -458,9 +485,8 @@
       // With the version of the first page, changes between pages are read again
       // by the next call for changes.
       first ??= page;
-      if (page.era !== first.era || page.era < this.#latestEra) {
-        this.#reportUnused(page.era);
-        throw new HistoryGoneError("the store was restored", page.era);
+      if (page.era !== first.era) {
+        this.#rejectRead(page.era);
       }
       rows.push(...page.rows);
       if (!page.isTruncated || page.rows.length === 0) {
@@ -468,12 +494,24 @@
       }
       from = `${page.rows.at(-1)!.key}\0`;
     }
-    this.#succeeded(performance.now());
     const { version, era } = first;
-    this.#apply(true, { rows, version, era });
+    const read = { era, version, startedAt, endedAt: this.#steadyNow };
+    const isWhole = true;
+    const verdict = this.#history.judge(read, { isOwn: true, isWhole });
+    if (verdict === "unused") {
+      this.#rejectRead(era);
+    }
+    this.#succeeded(performance.now());
+    this.#apply({ ...read, rows }, { isWhole, verdict });
     this.#recordRead(startedAt);
   }
 
+  /** All rows are read again: those read are not of the history in use. */
+  #rejectRead(era: number): never {
+    this.#reportUnused(era);
+    throw new HistoryGoneError("the store was restored", era);
+  }
+
   #reportUnused(era: number): void {
     if (era !== this.#unusedEra) {
       this.#unusedEra = era;
@@ -491,32 +529,46 @@
     this.#knownSince = laterKnownSince(this.#knownSince, since);
   }
 
-  #apply(isWhole: boolean, page: Omit<RowsPage, "isTruncated">): void {
-    const { era: eraBefore } = this.#copy;
-    this.#latestEra = Math.max(this.#latestEra, page.era);
-    if (eraBefore !== undefined && page.era > eraBefore) {
-      this.#replaceByRestored(page);
+  #apply(
+    read: HistoryRead & Pick<RowsPage, "rows">,
+    { isWhole, verdict }: {
+      readonly isWhole: boolean;
+      readonly verdict: Exclude<ReadVerdict, "unused">;
+    },
+  ): void {
+    const eraBefore = this.#history.era;
+    for (const claimed of this.#history.use(read, verdict)) {
+      this.#options.listener.claimRefuted(claimed, read.era);
+    }
+    if (verdict === "new-history") {
+      this.#replaceByRestored(read, eraBefore);
     } else if (isWhole) {
-      this.#copy.replace(page);
+      this.#copy.replace(read);
     } else {
-      this.#copy.advance(page);
+      this.#copy.advance(read);
     }
     this.#wakeWaiters();
-    if (isWhole || page.rows.length > 0) {
+    if (isWhole || read.rows.length > 0) {
       this.#publishRows();
     }
   }
 
   /** Replaces the copy after the store was restored, and keeps what the store has lost. */
-  #replaceByRestored(page: Omit<RowsPage, "isTruncated">): void {
+  #replaceByRestored(
+    page: Omit<RowsPage, "isTruncated">,
+    eraBefore: number,
+  ): void {
     const before = {
       rows: new Map(this.#copy.rows),
       removed: new Map(this.#copy.lastRows),
     };
-    this.#copy.replace(page);
+    this.#copy.begin(page);
     this.#restoredAt = performance.now();
     this.#restoredRows.restored(this.#copy.rows, before, this.#restoredAt);
-    this.#options.listener.restored(this.#copy.rows);
+    this.#options.listener.restored(this.#copy.rows, {
+      era: page.era,
+      eraBefore,
+    });
   }
 
   /** Passes the rows on to the listener, now and when a row is no longer kept after a restore. */
@@ -569,7 +621,6 @@
       return;
     }
     if (err instanceof HistoryGoneError) {
-      this.#latestEra = Math.max(this.#latestEra, err.era);
       this.#copy.requireFullRead();
       this.#storeAnswered();
       // Without the pause, a store that keeps no history would be read in a busy loop.
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -147,6 +147,7 @@
           this.connectivity.push(isLost ? "lost" : "regained"),
         relaySkipped: () => undefined,
         responseNotUsed: () => undefined,
+        claimRefuted: () => undefined,
         restored: () => undefined,
       },
     });
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -51,6 +51,8 @@
   readonly operatorMs?: number;
   /** History, newest row and table of the platform's store. */
   readonly era?: number;
+  readonly eraBefore?: number;
+  readonly claimed?: number;
   readonly storeVersion?: number;
   readonly table?: string;
   /** The client account that sent a request. */
