A relay's response whose ages lie in the future is not used

Callers would be served by rows that only seem fresh: the time up to which rows are complete, that of the store's return and, now, those that order histories only rise, so one negative age in a relay's response stands for a time in the future, and nothing true reaches it until it has passed: an hour for an age of minus one hour.

Cause: the schema of responses takes any number. Now an age below 0 is refused like any other response that cannot be read. Honest VMs never send one: all four are differences of times that this VM has already seen.

Evidence: four tests (one for each field) failed before, they pass now.

--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -113,6 +113,9 @@
   mayReplace: z.boolean().default(false),
 });
 
+/** The times that they stand for only rise, so that one in the future would hold back all later ones. */
+const age = z.number().min(0);
+
 const responseSchema = z.object({
   /** Left out by older versions of the program. */
   era: z.number().default(0),
@@ -124,10 +127,10 @@
     version: z.number(),
   })),
   position: z.number(),
-  ageMs: z.number(),
-  readAgeMs: z.number(),
-  heldMs: z.number(),
-  regainedMs: z.number().optional(),
+  ageMs: age,
+  readAgeMs: age,
+  heldMs: age,
+  regainedMs: age.optional(),
   isSecondHand: z.boolean(),
   /** Left out by older versions of the program. */
   isLost: z.boolean().default(false),
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -95,6 +95,15 @@
   expect(received.map((each) => each.numbering)).toEqual([7, undefined]);
 });
 
+test.each(["ageMs", "readAgeMs", "heldMs", "regainedMs"])(
+  "a response whose %s lies in the future is not used",
+  async (field) => {
+    response = { ...RESPONSE, [field]: -3_600_000 };
+    await expect(client.requestChanges(RELAY, "targets", REQUEST))
+      .rejects.toThrow(field);
+  },
+);
+
 test("a VM that has not read the subject yet responds with an error", async () => {
   await expect(client.requestChanges(RELAY, "targets", REQUEST))
     .rejects.toThrow("nothing read yet");
