A VM that is gone goes down though a report dated its heartbeat ahead

Callers would be named a VM that is gone, and its share of limits would be kept for it: a zone report with a negative age puts the VM's last heartbeat into the future, and later reports don't lower it.

Cause: the time of the last heartbeat only rises and was taken from any number. Now it is never later than the report's receipt.

Evidence: the test has an age of minus one hour; the VM was up 9 s later before, and is down now.

--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -207,7 +207,9 @@
     }
     const wasUp = this.#isAlive(known, now);
     const wasLeaving = known.isLeaving;
-    known.lastSeenAt = Math.max(known.lastSeenAt, now - ageMs);
+    // A time in the future would keep the VM up: it is not replaced by earlier ones.
+    const seenAt = now - Math.max(0, ageMs);
+    known.lastSeenAt = Math.max(known.lastSeenAt, seenAt);
     known.knownAt = Math.max(known.knownAt, known.lastSeenAt);
     known.isLeaving = isLeaving;
     known.isCutOff = isCutOff;
--- a/packages/daemon/src/gateway/vm_directory_test.ts
+++ b/packages/daemon/src/gateway/vm_directory_test.ts
@@ -137,6 +137,14 @@
     expect(changes).toEqual(["s-1 up", "s-2 up", "s-2 down"]);
   });
 
+  test("go down also after a report of a heartbeat in the future", () => {
+    const { vms } = directory();
+    vms.addRegistered([member("s-1", "south")], 0);
+    vms.recordStatus(report("s-1", -3_600_000), 1_000);
+    vms.sweep(10_000);
+    expect(vms.up(10_000).map(({ vm }) => vm)).toEqual(["n-1"]);
+  });
+
   test("stay up until their zone notices the loss of its delegates", () => {
     // A zone loses all its delegates at once. Its other VMs notice after 3.2 s and then
     // report. If the last reports were not valid that long, the whole zone would seem
