A VM whose targets rest finds out by the others that it is cut off

Traced in its log: three targets had asked it for two seconds of rest, one limited its requests, one or two were leaving; the others refused its connections. It refused all callers with overload until the rest was over, though other VMs reached targets, and only then met a third failure.

Cause: doubt needed three failed targets of all that are known, also while fewer may get requests. Now those that leave, rest or are at their limit don't count: they show nothing of this VM's links. With doubt, four targets are checked on new connections as before, and only if none responds the VM is cut off.

The test fails without the change ('reached' where 'in-doubt' is asked).

--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -428,7 +428,7 @@
 
   /** Records that the probe of a target that is out of use failed. */
   probeFailed(id: TargetId, now: number): void {
-    this.#reach.probeFailed(id, { now, known: this.#known.entries.size });
+    this.#reach.probeFailed(id, { now, known: this.#countTried(now) });
   }
 
   /**
@@ -455,6 +455,17 @@
   }
 
   #recordFailure(id: TargetId, now: number): void {
-    this.#reach.failed(id, { now, known: this.#known.entries.size });
+    this.#reach.failed(id, { now, known: this.#countTried(now) });
+  }
+
+  /** Number of targets that may get requests now or have failed; the others show nothing of this VM's links. */
+  #countTried(now: number): number {
+    const { recentlyFailed } = this.#reach;
+    const { entries, rates } = this.#known;
+    const tried = entries.all().filter((entry) =>
+      recentlyFailed.has(entry.target.id) ||
+      (entries.isInUse(entry, now) && rates.isWithinLimit(entry.target, now))
+    );
+    return Math.max(1, tried.length);
   }
 }
--- a/packages/placement/src/steering_reach_test.ts
+++ b/packages/placement/src/steering_reach_test.ts
@@ -70,3 +70,19 @@
   abandon(2_000);
   expect(steering.reach).toBe("in-doubt");
 });
+
+test("failures of all targets that neither leave nor ask for rest raise doubt", () => {
+  // Guards against a VM that refuses its callers until the rest of its targets is over, and then finds out that it is cut off.
+  const steering = new Steering({
+    vm: "vm-north" as VmId,
+    location: { region: "north" as RegionId, zone: "north-1" as ZoneId },
+    retries: { ratio: 0.2, fixed: 50, windowMs: 10_000 },
+  });
+  TARGETS.forEach((target) => steering.setTarget(target));
+  TARGETS.slice(2, 5).forEach(({ id }) => steering.backOff(id, 2_000));
+  steering.setTarget({ ...TARGETS[5]!, isLeaving: true });
+  steering.markUnreachable(TARGETS[0]!.id, 100);
+  expect(steering.reach).toBe("reached");
+  steering.markUnreachable(TARGETS[1]!.id, 200);
+  expect(steering.reach).toBe("in-doubt");
+});
--- a/packages/placement/src/target_entries.ts
+++ b/packages/placement/src/target_entries.ts
@@ -94,6 +94,14 @@
     return entry;
   }
 
+  /** Whether requests may be sent to the target now, whatever their route. */
+  isInUse({ target, health }: SteeredEntry, now: number): boolean {
+    return !target.isLeaving &&
+      health.state === "in-use" &&
+      health.backOffMs(now) === 0 &&
+      !this.#evacuated.has(target.zone);
+  }
+
   /** Whether the request may be sent to the target now. */
   isUsable(
     entry: SteeredEntry,
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -72,7 +72,13 @@
   /** Whether this VM may send to the target now. */
   allows(target: SteeredTarget, now: number): boolean {
     return this.#allowedWhileCold(target, now) &&
-      (!this.#limits.has(target.id) || this.#allowedWithinLimit(target, now));
+      this.isWithinLimit(target, now);
+  }
+
+  /** Whether the limit that the target reported, if any, lets this VM send now. */
+  isWithinLimit(target: SteeredTarget, now: number): boolean {
+    return !this.#limits.has(target.id) ||
+      this.#allowedWithinLimit(target, now);
   }
 
   /** Records that a request was sent to the target. */
