Idle connections are not used once a target's are silent

Callers got 504 for requests sent more than 4 s after all open connections had fallen silent: each request took the next idle connection of a target, all of them silent, and waited on it until its deadline, though probes on new connections had long shown that the target answers. Only the connection of the request was closed.

A target that is found silent loses its idle connections, a connection that is dropped after 0.8 s takes those along that have been idle since before it was taken (one that responded since is proven), and when three targets that fall silent raise doubt whether this VM reaches any, idle ones to all targets are closed that have carried nothing for 0.8 s: otherwise each target of many costs a request.

--- a/packages/bench/src/fleet/emulated_connections.ts
+++ b/packages/bench/src/fleet/emulated_connections.ts
@@ -98,6 +98,13 @@
     connection.destroy();
   }
 
+  closeIdle(target: TargetId): void {
+    this.#idle.delete(target);
+  }
+
+  /** No connection of the emulated world falls silent. */
+  closeDoubtful(): void {}
+
   remove(target: TargetId): void {
     this.#idle.delete(target);
   }
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -26,6 +26,11 @@
 const MAX_IDLE_TIMEOUT_MS = 8_000;
 /** Margin below the idle timeout that the target names. The target names whole seconds, and a request in transit must not meet the target's close. */
 const IDLE_MARGIN_MS = 1_500;
+/**
+ * A request without a response for this long may have been sent on a silent connection:
+ * many times what a target takes for short requests, and less than a health probe waits.
+ */
+const DOUBTFUL_AFTER_MS = 800;
 /** Maximum size of a response header. */
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
 
@@ -65,6 +70,10 @@
   release(connection: TargetConnection<Id>): void;
   /** Discards a connection whose request got no complete response. */
   drop(connection: TargetConnection<Id>): void;
+  /** Closes the idle connections to a target that does not respond: they may be silent while new ones work. */
+  closeIdle(target: Id): void;
+  /** Closes the idle connections to all targets that have carried no response lately: so many targets do not respond that all connections may be silent. */
+  closeDoubtful(): void;
   /** Removes a target that is gone, and closes its idle connections. */
   remove(target: Id): void;
 }
@@ -77,6 +86,8 @@
   readonly #client: Client;
   /** When it was last returned to the pool; undefined while it carries a request. */
   idleSince: number | undefined;
+  /** When it was taken for its latest request. */
+  takenAt = performance.now();
   #socket: Socket | undefined;
   #isOpen = true;
   #wasReset = false;
@@ -217,6 +228,7 @@
     ) {
       if (candidate.isOpen && candidate.address === target.address) {
         candidate.idleSince = undefined;
+        candidate.takenAt = performance.now();
         return candidate;
       }
       candidate.destroy();
@@ -274,10 +286,27 @@
     return (this.#open.get(id)?.size ?? 0) > 0 ? 0 : undefined;
   }
 
-  /** Discards a connection whose request got no complete response. */
+  /**
+   * Discards a connection whose request got no complete response. Open connections may
+   * fall silent all at once, so those that have carried no response since are not used
+   * again either.
+   */
   drop(connection: Connection<Id>): void {
+    const { target, takenAt } = connection;
     connection.destroy();
     this.#closed(connection);
+    if (performance.now() - takenAt > DOUBTFUL_AFTER_MS) {
+      this.#closeIdleSince(target, takenAt);
+    }
+  }
+
+  closeIdle(target: Id): void {
+    this.#closeIdleSince(target, performance.now());
+  }
+
+  closeDoubtful(): void {
+    const since = performance.now() - DOUBTFUL_AFTER_MS;
+    [...this.#idle.keys()].forEach((id) => this.#closeIdleSince(id, since));
   }
 
   /** Removes a target that is gone: closes its idle connections now, and busy ones when they are returned. */
@@ -301,6 +330,16 @@
     return this.#open.get(connection.target)?.has(connection) ?? false;
   }
 
+  /** Closes the connections that have been idle since `since` or longer. */
+  #closeIdleSince(target: Id, since: number): void {
+    [...this.#idle.get(target) ?? []]
+      .filter(({ idleSince }) => idleSince! <= since)
+      .forEach((connection) => {
+        connection.destroy();
+        this.#closed(connection);
+      });
+  }
+
   #closed(connection: Connection<Id>): void {
     this.#open.get(connection.target)?.delete(connection);
     const idle = this.#idle.get(connection.target);
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -187,10 +187,7 @@
     this.#updateBudget(now);
     this.targets.sweep(now);
     this.#queue.retryAll(now);
-    for (const target of this.steering.findUnresponsive(now)) {
-      this.#options.targetUnresponsive(target);
-      this.#options.log.write("target silent", { target });
-    }
+    this.#findUnresponsive(now);
     for (const target of this.steering.probesDue(now)) {
       this.#options.probe(target);
     }
@@ -202,6 +199,20 @@
     );
   }
 
+  /** Takes out the targets that do not respond, and closes connections to them: these may be silent while new ones work. */
+  #findUnresponsive(now: number): void {
+    const { connections, targetUnresponsive, log } = this.#options;
+    const unresponsive = this.steering.findUnresponsive(now);
+    for (const target of unresponsive) {
+      connections.closeIdle(target);
+      targetUnresponsive(target);
+      log.write("target silent", { target });
+    }
+    if (unresponsive.length > 0 && this.steering.reach === "in-doubt") {
+      connections.closeDoubtful();
+    }
+  }
+
   /** Handles a change of whether this VM reaches targets. */
   reachChanged(now: number): void {
     this.checkReach(now);
