What is written after a restore counts, whatever number it bears

Seen: a target that says that it leaves, with a number that goes on from the copy that the store came back from, got 12 of 20 requests 2.5 s later, and would for 30 s; the same if it had said so before the VM read the store again. A zone that was evacuated anew before that read got 20 of 20.

Cause: a row of the restored store was compared with what was known before by the number in its contents alone, whether it came with the copy or was written since. A removed row was held in the same way.

Rows that this VM has read are now remembered by version and digest, 32 a key: a restored row among them is the copy's, and outdated if another one is known. The operator's stay unused until written again, others for 30 s as before. Any other row was written since. If it is older by its contents it comes into use after a second without a further write, 1.5 s after the first one at the latest, since writers may also write again, in order, all that was lost. 'restored rows held' logs what is kept.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -131,6 +131,8 @@
     meaning:
       "another VM or its instance; several instances, separated by spaces, if they changed together",
   },
+  rows: { type: "number", meaning: "number of rows" },
+  keys: { type: "text", meaning: "keys of rows, separated by spaces" },
   subject: {
     type: "text",
     meaning:
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -101,6 +101,12 @@
       "The platform's store does not have the version that this VM has read up to: all rows are read again.",
     fields: ["table"],
   },
+  "restored rows held": {
+    level: "warn",
+    meaning:
+      "The platform's store came back from a copy in which rows are outdated or missing, or back though they were removed: what this VM knew before stays in use until they are written again, or for a while. The first ten are named.",
+    fields: ["subject", "era", "rows", "keys"],
+  },
   "store response not used": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -27,6 +27,9 @@
 /** Mean time between the writes of two VMs whose rows the store has lost. */
 const REGISTER_INTERVAL_MS = 10;
 
+/** Keys that one log line names. */
+const MAX_LOGGED_KEYS = 10;
+
 /** A change of the platform, or of the connectivity to it. */
 export type FeedEvent =
   | PlatformEvent
@@ -136,7 +139,10 @@
       queryRelay: (relay, request) =>
         this.#client.requestChanges(relay, subject, request),
       listener: {
-        restored: (rows) => this.#onRestored(subject, rows),
+        restored: (rows, held) => {
+          this.#logHeld(subject, held);
+          this.#onRestored(subject, rows);
+        },
         rowsChanged: (rows) => platform.decode(subject, rows).forEach(listener),
         connectivityChanged: (isLost, reason) =>
           listener({
@@ -153,6 +159,17 @@
     });
   }
 
+  #logHeld(subject: WatchedSubject, held: readonly string[]): void {
+    if (held.length > 0) {
+      this.#options.log.write("restored rows held", {
+        subject,
+        era: this.seenOf(subject).era,
+        rows: held.length,
+        keys: held.slice(0, MAX_LOGGED_KEYS).join(" "),
+      });
+    }
+  }
+
   #onRestored(
     subject: WatchedSubject,
     rows: ReadonlyMap<string, StoredRow>,
--- a/packages/daemon/src/gateway/restored_rows.ts
+++ b/packages/daemon/src/gateway/restored_rows.ts
@@ -4,20 +4,27 @@
  * A store that is restored from a copy lacks what was written since the copy was made,
  * until operators and targets have written it again. Read as they are, its rows would end
  * evacuations, use targets again that are leaving or gone, and remove targets that have
- * just started. So rows of before stay in use until they are written again.
+ * just started. So rows of before stay in use until something is written in their place.
+ *
+ * The row that was written last counts, also if its contents bear a lower number than
+ * what was known: its writer may go on from the copy. It comes into use a moment later,
+ * since the writer may also write again, in order, all that was lost.
  *
  * @module
  */
 
 import type { StoredRow } from "./ports.ts";
+import { SeenRows } from "./seen_rows.ts";
 
 /** A row that is used in place of the restored one. */
 interface HeldRow {
   /** Undefined if the row was removed. */
   readonly row: StoredRow | undefined;
-  /** Version of the restored row; undefined if there is none. */
-  readonly restoredVersion: number | undefined;
+  /** The store's row; undefined if there is none. */
+  readonly current: StoredRow | undefined;
   readonly until: number;
+  /** When a row that is older by its contents was first found to be written since the restore. */
+  readonly settlingSince: number | undefined;
 }
 
 /** The rows before the store was restored. */
@@ -31,26 +38,44 @@
 export interface RestoredRowsOptions {
   /** How long a row is kept that the restored store lacks, in milliseconds. */
   readonly missingMs: number;
+  /** Longest time for which an outdated row of the copy is not used in place of a later one. */
+  readonly outdatedMs: number;
   /** Whether a row was written before another one with its key, by their contents. */
   isOlder(row: StoredRow, than: StoredRow): boolean;
 }
 
-/** Longest time for which a restored row that is outdated is not used: its writer may be gone. */
-const OUTDATED_MS = 30_000;
+/** How long a row that was removed is not used again if the copy has it: its writer may be gone. */
+const REMOVED_MS = 30_000;
+/** After this time without a further write, a row counts though it is older by its contents. */
+const SETTLE_MS = 1_000;
+/** The same from the first such write on; well below the bound of 2.5 s within which changes must be in force. */
+const MAX_SETTLE_MS = 1_500;
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class RestoredRows {
   readonly #options: RestoredRowsOptions;
+  readonly #seen = new SeenRows();
   readonly #held = new Map<string, HeldRow>();
 
   constructor(options: RestoredRowsOptions) {
     this.#options = options;
   }
 
-  /** When the next row is no longer held; undefined if none is held. */
+  /** When the next row is no longer held; undefined if none is, or only until it is written again. */
   get dueAt(): number | undefined {
     const times = [...this.#held.values()].map(({ until }) => until);
-    return times.length === 0 ? undefined : Math.min(...times);
+    const dueAt = Math.min(...times);
+    return Number.isFinite(dueAt) ? dueAt : undefined;
+  }
+
+  /** Keys of the rows that are held. */
+  get heldKeys(): readonly string[] {
+    return [...this.#held.keys()];
+  }
+
+  /** Rows were read. Must be called after {@link restored} for those of the restored store. */
+  rowsRead(rows: readonly StoredRow[]): void {
+    rows.forEach((row) => this.#seen.add(row));
   }
 
   /** The store was restored and has these rows now. */
@@ -61,13 +86,17 @@
   ): void {
     const known = this.#effectiveRows(before.rows);
     const removed = new Map(before.removed);
-    for (const [key, { row }] of this.#held) {
+    for (const [key, { row, current, settlingSince }] of this.#held) {
       const last = before.rows.get(key);
       if (row === undefined && last !== undefined) {
         removed.set(key, last);
       }
+      const hasLastWrite = settlingSince !== undefined &&
+        isSameRow(rows.get(key), current);
+      if (!hasLastWrite) {
+        this.#held.delete(key);
+      }
     }
-    this.#held.clear();
     this.#holdKnown(rows, known, now);
     this.#holdRemoved(rows, removed, now);
   }
@@ -78,7 +107,11 @@
     now: number,
   ): ReadonlyMap<string, StoredRow> {
     for (const [key, held] of this.#held) {
-      if (now >= held.until || this.#isWrittenAgain(rows.get(key), held)) {
+      const current = rows.get(key);
+      if (!isSameRow(current, held.current)) {
+        this.#writtenSince(key, current, now);
+      }
+      if (now >= (this.#held.get(key)?.until ?? Infinity)) {
         this.#held.delete(key);
       }
     }
@@ -107,13 +140,18 @@
     known: ReadonlyMap<string, StoredRow>,
     now: number,
   ): void {
-    const { isOlder, missingMs } = this.#options;
+    const { isOlder, missingMs, outdatedMs } = this.#options;
     for (const [key, row] of known) {
-      const restored = rows.get(key);
-      if (restored === undefined) {
-        this.#hold(key, row, { restored, until: now + missingMs });
-      } else if (isOlder(restored, row)) {
-        this.#hold(key, row, { restored, until: now + OUTDATED_MS });
+      const current = rows.get(key);
+      if (this.#held.has(key) || isSameRow(current, row)) {
+        continue;
+      }
+      if (current === undefined) {
+        this.#hold(key, { row, current, until: now + missingMs });
+      } else if (this.#seen.has(current)) {
+        this.#hold(key, { row, current, until: now + outdatedMs });
+      } else if (isOlder(current, row)) {
+        this.#settle(key, { row, current, since: now, now });
       }
     }
   }
@@ -124,29 +162,68 @@
     now: number,
   ): void {
     for (const [key, last] of removed) {
-      const restored = rows.get(key);
-      if (restored !== undefined && !this.#options.isOlder(last, restored)) {
-        this.#hold(key, undefined, { restored, until: now + OUTDATED_MS });
+      const current = rows.get(key);
+      const row = undefined;
+      if (
+        current === undefined || this.#held.has(key) ||
+        this.#options.isOlder(last, current)
+      ) {
+        continue;
+      }
+      if (this.#seen.has(current) || isSameRow(current, last)) {
+        this.#hold(key, { row, current, until: now + REMOVED_MS });
+      } else {
+        this.#settle(key, { row, current, since: now, now });
       }
     }
   }
 
-  #hold(
+  /** The row in the store is another one than at its restore, or than at the last look. */
+  #writtenSince(
     key: string,
-    row: StoredRow | undefined,
-    { restored, until }: { restored: StoredRow | undefined; until: number },
+    current: StoredRow | undefined,
+    now: number,
   ): void {
-    this.#held.set(key, { row, restoredVersion: restored?.version, until });
+    const { row, settlingSince } = this.#held.get(key)!;
+    if (
+      current === undefined || row === undefined ||
+      !this.#options.isOlder(current, row)
+    ) {
+      this.#held.delete(key);
+      return;
+    }
+    this.#settle(key, { row, current, since: settlingSince ?? now, now });
   }
 
-  #isWrittenAgain(
-    current: StoredRow | undefined,
-    { row, restoredVersion }: HeldRow,
-  ): boolean {
-    if (current?.version === restoredVersion) {
-      return false;
-    }
-    return current === undefined || row === undefined ||
-      !this.#options.isOlder(current, row);
+  #hold(key: string, held: Omit<HeldRow, "settlingSince">): void {
+    this.#held.set(key, { ...held, settlingSince: undefined });
+  }
+
+  /** Keeps a row only until its writer has had the time to write again what was lost. */
+  #settle(
+    key: string,
+    { row, current, since, now }: {
+      row: StoredRow | undefined;
+      current: StoredRow;
+      since: number;
+      now: number;
+    },
+  ): void {
+    const until = Math.min(now + SETTLE_MS, since + MAX_SETTLE_MS);
+    this.#held.set(key, { row, current, until, settlingSince: since });
+  }
+}
+
+/** Compares the bytes, too: after a restore of the store, another row may have the same version. */
+function isSameRow(
+  one: StoredRow | undefined,
+  other: StoredRow | undefined,
+): boolean {
+  if (one === other) {
+    return true;
   }
+  const values = [one?.value, other?.value];
+  return one?.version === other?.version &&
+    values.every((value) => value !== undefined) &&
+    values[0]!.equals(values[1]!);
 }
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -100,11 +100,26 @@
   targets: 2_000,
   members: 10_000,
 };
+/**
+ * Longest time for which a row is used though the restored store has an outdated one. A
+ * target may be gone, but what operators wrote counts until they write again.
+ */
+const OUTDATED_ROWS_MS: Readonly<Record<WatchedSubject, number>> = {
+  operator: Infinity,
+  targets: 30_000,
+  members: 30_000,
+};
 
 /** Receives the rows of the subject and the state of the connection. */
 export interface SubjectListener {
-  /** The store was restored from a copy and has these rows; called before they are used. */
-  restored(rows: ReadonlyMap<string, StoredRow>): void;
+  /**
+   * The store was restored from a copy and has these rows; called before they are used.
+   * For the keys in `held`, what was known before stays in use.
+   */
+  restored(
+    rows: ReadonlyMap<string, StoredRow>,
+    held: readonly string[],
+  ): void;
   /** Called with all rows, by key, after each change. */
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
   /** Neither the store nor a relay responds (`isLost`), or one does again. */
@@ -160,6 +175,7 @@
     this.#subject = subject;
     this.#restoredRows = new RestoredRows({
       missingMs: MISSING_ROWS_MS[subject],
+      outdatedMs: OUTDATED_ROWS_MS[subject],
       isOlder: (row, than) => options.store.isOlder(subject, row, than),
     });
     this.#sources = new ChangeSources(options);
@@ -501,6 +517,7 @@
     } else {
       this.#copy.advance(page);
     }
+    this.#restoredRows.rowsRead(page.rows);
     this.#wakeWaiters();
     if (isWhole || page.rows.length > 0) {
       this.#publishRows();
@@ -516,7 +533,8 @@
     this.#copy.replace(page);
     this.#restoredAt = performance.now();
     this.#restoredRows.restored(this.#copy.rows, before, this.#restoredAt);
-    this.#options.listener.restored(this.#copy.rows);
+    const { heldKeys } = this.#restoredRows;
+    this.#options.listener.restored(this.#copy.rows, heldKeys);
   }
 
   /** Passes the rows on to the listener, now and when a row is no longer kept after a restore. */
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -53,6 +53,10 @@
   readonly era?: number;
   readonly storeVersion?: number;
   readonly table?: string;
+  /** Number of rows. */
+  readonly rows?: number;
+  /** Keys of rows, separated by spaces. */
+  readonly keys?: string;
   /** The client account that sent a request. */
   readonly account?: string;
   /** First characters of the digest of an account key. */
