A configuration written after a restore is put in force, whatever its version

Seen: versions 2 and 3 of the configuration are written and lost, the store comes back from a copy with 1, the operator writes another one as 2 or as 3: its new route gave 404 2.5 s later and for good, also if it was written before the VM read the store again or after a second restore. A route that it limited to another region still got 20 of 20 requests to targets of the wrong region.

Cause: two guards stood in a row. What restored_rows.ts let pass was passed over by platform_events.ts, which only took versions higher than the one in force, in whatever history of the store.

Now versions are compared within one history. Between histories restored_rows.ts alone decides: outdated rows of the copy don't get past it. A configuration with a lower or equal version that comes into force is logged as 'configuration goes on from a copy'; one that is written again as it was changes nothing.

Tests that passed before and hold the other side: versions written again in order take no VM back for 0.25 s, a lower or equal version without a restore stays passed over, a fleet that starts from the copy follows what is written then.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -24,6 +24,10 @@
     type: "number",
     meaning: "version of the configuration that was not put in force",
   },
+  previous: {
+    type: "number",
+    meaning: "version of the configuration that was in force before",
+  },
   storeVersion: {
     type: "number",
     meaning:
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -130,10 +130,16 @@
     meaning: "A version of the configuration came into force on this VM.",
     fields: ["revision", "era", "storeVersion"],
   },
+  "configuration goes on from a copy": {
+    level: "warn",
+    meaning:
+      "A configuration that was written after the store was restored from a copy comes into force, though its version is not higher than that of the one before.",
+    fields: ["revision", "previous", "era", "storeVersion"],
+  },
   "configuration passed over": {
     level: "warn",
     meaning:
-      "A configuration was read whose version is not higher than the one in force, which stays in force.",
+      "A configuration was read whose version is not higher than the one in force, of the same history of the store; the one in force stays in force.",
     fields: ["revision", "offered", "era", "storeVersion"],
   },
   "configuration not used": {
--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isDeepStrictEqual } from "node:util";
 import type { Accounts } from "./accounts/accounts.ts";
 import type { CallerListener } from "./caller_listener.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
@@ -22,6 +23,8 @@
   readonly log: EventLog;
   /** The history and newest version of the operator's rows that were read. */
   operatorRowsSeen(): StoreVersion;
+  /** The store's history that the operator's rows in use belong to. */
+  operatorRowsEra(): number;
   /** Called with the number of entries of a configuration that are not used. */
   entriesUnused(count: number): void;
 }
@@ -33,6 +36,9 @@
 export class PlatformEvents {
   readonly #options: PlatformEventsOptions;
   #hasTargets = false;
+  #inForce: RoutingConfiguration | undefined;
+  /** The store's history in which the configuration in force was read last. */
+  #configurationEra: number | undefined;
 
   constructor(options: PlatformEventsOptions) {
     this.#options = options;
@@ -98,15 +104,34 @@
   #applyConfiguration(configuration: RoutingConfiguration): void {
     const { path, callerListener, accounts, log } = this.#options;
     const { era, version: storeVersion } = this.#options.operatorRowsSeen();
-    if (configuration.version <= callerListener.version) {
+    const rowsEra = this.#options.operatorRowsEra();
+    const previous = callerListener.version;
+    const isNotHigher = configuration.version <= previous;
+    if (isNotHigher && rowsEra === this.#configurationEra) {
       log.write("configuration passed over", {
-        revision: callerListener.version,
+        revision: previous,
         offered: configuration.version,
         era,
         storeVersion,
       });
       return;
     }
+    this.#configurationEra = rowsEra;
+    if (isDeepStrictEqual(configuration, this.#inForce)) {
+      // Written again as it was.
+      return;
+    }
+    if (isNotHigher) {
+      // What the restored store lost doesn't bind its operator. Rows of the copy that
+      // are outdated don't get here.
+      log.write("configuration goes on from a copy", {
+        revision: configuration.version,
+        previous,
+        era,
+        storeVersion,
+      });
+    }
+    this.#inForce = configuration;
     callerListener.send({ kind: "configuration", configuration });
     accounts.configurationApplied();
     path.targets.setServices(configuration.services);
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -102,6 +102,11 @@
     return this.#watches.get(subject)!.newest;
   }
 
+  /** The store's history that a subject's rows in use belong to; 0 if none were read. */
+  rowsEraOf(subject: WatchedSubject): number {
+    return this.#watches.get(subject)!.rowsEra;
+  }
+
   /** Time since the store last confirmed the rows of a subject, in milliseconds. */
   ageOf(subject: WatchedSubject): number {
     return Math.round(this.#watches.get(subject)!.ageMs);
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -188,6 +188,11 @@
     return { era, version: this.#copy.era === era ? this.#copy.newest : 0 };
   }
 
+  /** The store's history that the rows belong to; 0 if none were read. */
+  get rowsEra(): number {
+    return this.#copy.era ?? 0;
+  }
+
   /** Time since the store last confirmed that no change is missing. */
   get ageMs(): number {
     return performance.now() - this.#confirmedAt;
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -47,6 +47,8 @@
   readonly from?: string;
   /** Version of the configuration that was not put in force. */
   readonly offered?: number;
+  /** Version of the configuration that was in force before. */
+  readonly previous?: number;
   /** Time since the platform last confirmed what operators wrote. */
   readonly operatorMs?: number;
   /** History, newest row and table of the platform's store. */
