A VM that has just started doesn't go back to the copy of a restored store

A row that a VM has not read counts as written since the restore. A VM that started after the copy was made has not read the copy's earlier rows either: it gave up what it knew for an outdated row after 1.5 s.

Rows up to the store's version at the VM's first read may be the copy's: what is known stays in use for as long as for rows that the copy lacks, 10 s for the operator's and 2 s for targets, within which writers write again. Which of the two such a row is can't be told from it, so it is not held for longer.

The new test failed (the earlier row was used before its time) and passes.

--- a/packages/daemon/src/gateway/restored_rows.ts
+++ b/packages/daemon/src/gateway/restored_rows.ts
@@ -56,6 +56,8 @@
   readonly #options: RestoredRowsOptions;
   readonly #seen = new SeenRows();
   readonly #held = new Map<string, HeldRow>();
+  /** Version of the store at the first read: which rows there were before isn't known. */
+  #firstVersion: number | undefined;
 
   constructor(options: RestoredRowsOptions) {
     this.#options = options;
@@ -73,8 +75,9 @@
     return [...this.#held.keys()];
   }
 
-  /** Rows were read. Must be called after {@link restored} for those of the restored store. */
-  rowsRead(rows: readonly StoredRow[]): void {
+  /** Rows were read, up to `version` of the store. Must be called after {@link restored} for those of the restored store. */
+  rowsRead(rows: readonly StoredRow[], version = 0): void {
+    this.#firstVersion ??= version;
     rows.forEach((row) => this.#seen.add(row));
   }
 
@@ -151,7 +154,7 @@
       } else if (this.#seen.has(current)) {
         this.#hold(key, { row, current, until: now + outdatedMs });
       } else if (isOlder(current, row)) {
-        this.#settle(key, { row, current, since: now, now });
+        this.#holdUnseen(key, { row, current, now });
       }
     }
   }
@@ -173,11 +176,28 @@
       if (this.#seen.has(current) || isSameRow(current, last)) {
         this.#hold(key, { row, current, until: now + REMOVED_MS });
       } else {
-        this.#settle(key, { row, current, since: now, now });
+        this.#holdUnseen(key, { row, current, now });
       }
     }
   }
 
+  /** Keeps a row in place of one that this VM hasn't read: written since the restore, or before this VM's start. */
+  #holdUnseen(
+    key: string,
+    { row, current, now }: {
+      row: StoredRow | undefined;
+      current: StoredRow;
+      now: number;
+    },
+  ): void {
+    if (current.version <= (this.#firstVersion ?? 0)) {
+      const until = now + this.#options.missingMs;
+      this.#hold(key, { row, current, until });
+    } else {
+      this.#settle(key, { row, current, since: now, now });
+    }
+  }
+
   /** The row in the store is another one than at its restore, or than at the last look. */
   #writtenSince(
     key: string,
--- a/packages/daemon/src/gateway/restored_rows_test.ts
+++ b/packages/daemon/src/gateway/restored_rows_test.ts
@@ -127,6 +127,15 @@
     .toEqual({ a: "4" });
 });
 
+test("a row of the copy from before this VM's first read is not used while its writer may write it again", () => {
+  const restored = create(Infinity);
+  restored.rowsRead([row("a", 5, 9)], 10);
+  const copy = rowsOf(row("a", 3, 4));
+  restored.restored(copy, { rows: rowsOf(row("a", 5, 9)), removed: NONE }, 0);
+  expect(contents(restored.merge(copy, MISSING_MS - 1))).toEqual({ a: "5" });
+  expect(contents(restored.merge(copy, MISSING_MS))).toEqual({ a: "3" });
+});
+
 test("rows that are written again in order take nothing back", () => {
   const restored = restoredWithOutdated();
   expect(contents(restored.merge(rowsOf(row("a", 4, 5)), 5_000)))
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -522,7 +522,7 @@
     } else {
       this.#copy.advance(page);
     }
-    this.#restoredRows.rowsRead(page.rows);
+    this.#restoredRows.rowsRead(page.rows, page.version);
     this.#wakeWaiters();
     if (isWhole || page.rows.length > 0) {
       this.#publishRows();
