Forwarded requests compare versions within one history of the store

A VM refuses a request that another one forwards under a higher version of the configuration, since it may not know that version yet. After a restore the operator may go on from the copy with lower versions: then a VM that doesn't reach the store stands above all others, and each of them answered 503 to what it forwarded, for good.

The request now names the history that the sender's rows belong to. Within one history versions are compared as before. A sender of an earlier history is never ahead; one of a later history may be, unless the version is the same. Requests without a history, of an older program, are compared as before.

--- a/packages/bench/src/fleet/emulated_vm.ts
+++ b/packages/bench/src/fleet/emulated_vm.ts
@@ -148,6 +148,7 @@
       service: request.service,
       bodyBytes: 0,
       version: 1,
+      era: 1,
       now: this.#options.loop.now,
       endsConnection: () => false,
     });
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -25,7 +25,9 @@
 import type { CreditOutcome } from "./accounts/credit_exchange.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import {
+  type ConfigurationAge,
   type ForwardedRequest,
+  isBehind,
   readForwarded,
 } from "./forwarding/forwarded_request.ts";
 import { type LocalReplyReason, sendLocalReply } from "./local_reply.ts";
@@ -67,6 +69,8 @@
   vmAt(host: string): VmId | undefined;
   /** Whether the event loop is delayed, so that input is read long after it arrived. */
   isLoopDelayed(): boolean;
+  /** The store's history that the operator's rows in use belong to. */
+  operatorRowsEra(): number;
   /** Whether this VM knows of every key revocation older than the allowed delay. */
   knowsRevocations(): boolean;
   /** Requests quota credit for one request of an account. */
@@ -355,9 +359,7 @@
         request,
         isForPeer: true,
       });
-    if (
-      compiled === undefined || compiled.configuration.version < info.version
-    ) {
+    if (compiled === undefined || isBehind(this.#age(compiled), info)) {
       refuse({ reason: "not-ready", retryAfterMs: NOT_READY_RETRY_MS });
       return;
     }
@@ -371,12 +373,17 @@
     );
   }
 
+  #age({ configuration }: CompiledConfiguration): ConfigurationAge {
+    const era = this.#options.operatorRowsEra();
+    return { version: configuration.version, era };
+  }
+
   #startExchange(parts: ExchangeParts): void {
     const { connection, compiled, info, ...options } = parts;
     const exchange = this.#options.path.exchange({
       ...options,
       bodyBytes: compiled.configuration.limits.bodyBytes,
-      version: compiled.configuration.version,
+      ...this.#age(compiled),
       now: performance.now() - (info?.elapsedMs ?? 0),
       forwarded: info && {
         from: this.#options.vmAt(options.req.socket.remoteAddress ?? ""),
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -74,6 +74,7 @@
   readonly route: Route;
   readonly service: ServiceId;
   readonly version: number;
+  readonly #era: number;
   readonly startedAt: number;
   readonly expiresAt: number;
   /** When the route's latency objective is missed. */
@@ -129,6 +130,7 @@
     this.route = route;
     this.service = options.service;
     this.version = options.version;
+    this.#era = options.era;
     this.startedAt = now;
     this.priority = options.caller.rank;
     this.objectiveAt = now + route.latencyObjectiveMs;
@@ -422,6 +424,7 @@
       body: this.#body?.content ?? null,
       info: {
         version: this.version,
+        era: this.#era,
         elapsedMs: now - this.startedAt,
         remainingMs: Math.max(1, Math.floor(this.expiresAt - now)),
         attempts: this.#attempts.written,
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -198,6 +198,7 @@
       service: SERVICE,
       bodyBytes: 1_000,
       version: 1,
+      era: 1,
       now: performance.now(),
       endsConnection: (mustEnd) => mustEnd && !isPipelined,
     });
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -54,6 +54,8 @@
   readonly bodyBytes: number;
   /** Version of the configuration that the request is handled under. */
   readonly version: number;
+  /** The store's history that the operator's rows belonged to at that time. */
+  readonly era: number;
   readonly now: number;
   readonly endsConnection: EndsConnection;
   /** Undefined if the request comes from its caller. */
--- a/packages/daemon/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarded_request.ts
@@ -24,6 +24,8 @@
 export interface ForwardedRequest {
   /** Version of the configuration in force on the forwarding VM. */
   readonly version: number;
+  /** The store's history that the operator's rows there belong to; 0 if not given. */
+  readonly era: number;
   /** Time since the request arrived at the forwarding VM. */
   readonly elapsedMs: number;
   /** Time left until its deadline. */
@@ -43,12 +45,32 @@
 
 const schema = z.object({
   version: z.number(),
+  /** Left out by older versions of the program. */
+  era: z.number().default(0),
   elapsedMs: z.number().min(0),
   remainingMs: z.number().positive(),
   attempts: z.number().int().min(0),
   credential: credentialSchema,
 });
 
+/** The version of a configuration, and the history of the store that the rows belong to. */
+export type ConfigurationAge = Pick<ForwardedRequest, "version" | "era">;
+
+/**
+ * Whether a VM may stand at an earlier configuration than the one that forwards a request
+ * to it. Versions are ordered within one history of the store: after a restore from a
+ * copy the operator may go on with lower ones.
+ */
+export function isBehind(
+  own: ConfigurationAge,
+  sender: ConfigurationAge,
+): boolean {
+  if (sender.era === 0 || own.era === sender.era) {
+    return own.version < sender.version;
+  }
+  return own.era < sender.era && own.version !== sender.version;
+}
+
 /** Encodes the header's value. */
 export function encodeForwarded(request: ForwardedRequest): string {
   return JSON.stringify(request);
