Restores of the store are counted where rows are replaced

Whether a lower version of the configuration may come into force was told by the era of the operator's rows. The count of the restores that these rows have been through tells it without relying on how histories are named.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -201,7 +201,7 @@
       peers: this.#peers,
       log: this.#log,
       operatorRowsSeen: () => this.#feed.seenOf("operator"),
-      operatorRowsEra: () => this.#feed.rowsEraOf("operator"),
+      operatorRowsRestores: () => this.#feed.restoresOf("operator"),
       entriesUnused: (count) =>
         this.#metrics.stateChanged("configuration-entry-unused", count),
     });
--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -23,8 +23,8 @@
   readonly log: EventLog;
   /** The history and newest version of the operator's rows that were read. */
   operatorRowsSeen(): StoreVersion;
-  /** The store's history that the operator's rows in use belong to. */
-  operatorRowsEra(): number;
+  /** How many times the operator's rows were replaced by those of a restored store. */
+  operatorRowsRestores(): number;
   /** Called with the number of entries of a configuration that are not used. */
   entriesUnused(count: number): void;
 }
@@ -37,8 +37,8 @@
   readonly #options: PlatformEventsOptions;
   #hasTargets = false;
   #inForce: RoutingConfiguration | undefined;
-  /** The store's history in which the configuration in force was read last. */
-  #configurationEra: number | undefined;
+  /** How many restores there had been when the configuration in force was read last. */
+  #inForceRestores = 0;
 
   constructor(options: PlatformEventsOptions) {
     this.#options = options;
@@ -104,10 +104,10 @@
   #applyConfiguration(configuration: RoutingConfiguration): void {
     const { path, callerListener, accounts, log } = this.#options;
     const { era, version: storeVersion } = this.#options.operatorRowsSeen();
-    const rowsEra = this.#options.operatorRowsEra();
+    const restores = this.#options.operatorRowsRestores();
     const previous = callerListener.version;
     const isNotHigher = configuration.version <= previous;
-    if (isNotHigher && rowsEra === this.#configurationEra) {
+    if (isNotHigher && restores === this.#inForceRestores) {
       log.write("configuration passed over", {
         revision: previous,
         offered: configuration.version,
@@ -116,7 +116,7 @@
       });
       return;
     }
-    this.#configurationEra = rowsEra;
+    this.#inForceRestores = restores;
     if (isDeepStrictEqual(configuration, this.#inForce)) {
       // Written again as it was.
       return;
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -107,6 +107,11 @@
     return this.#watches.get(subject)!.rowsEra;
   }
 
+  /** How many times a subject's rows were replaced by those of a restored store. */
+  restoresOf(subject: WatchedSubject): number {
+    return this.#watches.get(subject)!.restores;
+  }
+
   /** Time since the store last confirmed the rows of a subject, in milliseconds. */
   ageOf(subject: WatchedSubject): number {
     return Math.round(this.#watches.get(subject)!.ageMs);
@@ -144,7 +149,7 @@
       queryRelay: (relay, request) =>
         this.#client.requestChanges(relay, subject, request),
       listener: {
-        restored: (rows, held) => {
+        restored: (rows, { held }) => {
           this.#logHeld(subject, held);
           this.#onRestored(subject, rows);
         },
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -114,11 +114,11 @@
 export interface SubjectListener {
   /**
    * The store was restored from a copy and has these rows; called before they are used.
-   * For the keys in `held`, what was known before stays in use.
+   * For the keys that are held, what was known before stays in use.
    */
   restored(
     rows: ReadonlyMap<string, StoredRow>,
-    held: readonly string[],
+    change: { readonly held: readonly string[] },
   ): void;
   /** Called with all rows, by key, after each change. */
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
@@ -144,6 +144,7 @@
   readonly #copy = new RowCopy();
   readonly #restoredRows: RestoredRows;
   #restoredRowsTimer: NodeJS.Timeout | undefined;
+  #restores = 0;
   /** The latest history of the store that any response or other VM has told of. */
   #latestEra = 0;
   /** The history of the store's latest response if that was not used. */
@@ -193,6 +194,11 @@
     return this.#copy.era ?? 0;
   }
 
+  /** How many times the rows were replaced by those of a restored store. */
+  get restores(): number {
+    return this.#restores;
+  }
+
   /** Time since the store last confirmed that no change is missing. */
   get ageMs(): number {
     return performance.now() - this.#confirmedAt;
@@ -538,8 +544,9 @@
     this.#copy.replace(page);
     this.#restoredAt = performance.now();
     this.#restoredRows.restored(this.#copy.rows, before, this.#restoredAt);
-    const { heldKeys } = this.#restoredRows;
-    this.#options.listener.restored(this.#copy.rows, heldKeys);
+    this.#restores += 1;
+    const { heldKeys: held } = this.#restoredRows;
+    this.#options.listener.restored(this.#copy.rows, { held });
   }
 
   /** Passes the rows on to the listener, now and when a row is no longer kept after a restore. */
