Six VMs behind one relay follow what goes on from the copy of a store

Two tests in virtual time: a row with a lower number than what was known is in use on all VMs 2.5 s after it was written, and rows that are written again in order take no VM back at any of 80 moments.

--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -10,6 +10,7 @@
   type ChangesRequest,
   HistoryGoneError,
   type Member,
+  type PlatformPort,
   type RowsPage,
   type StoredRow,
 } from "./ports.ts";
@@ -26,6 +27,7 @@
   pageSize = 1_000;
   /** How the store treats calls. */
   mode: "answers" | "refuses" | "hangs" = "answers";
+  isOlder: PlatformPort["isOlder"] = () => false;
   /** History before this version is gone. */
   historyFrom = 0;
   readonly #waiters = new Set<() => void>();
@@ -85,10 +87,6 @@
     this.era += 1;
   }
 
-  isOlder(): boolean {
-    return false;
-  }
-
   async #receiveCall(signal: AbortSignal | undefined): Promise<void> {
     this.calls += 1;
     if (this.mode === "refuses") {
@@ -584,4 +582,45 @@
     expect(all.map(({ rows }) => rows.get("t-1")))
       .toEqual(all.map(() => "leaving"));
   });
+
+  /** A region whose store comes back from the copy after an outage; rows bear rising numbers. */
+  async function restoredRegion() {
+    const numberIn = ({ value }: StoredRow) =>
+      Number(/\d+/.exec(String(value))?.[0] ?? -1);
+    store.isOlder = (_subject, row, than) => numberIn(row) < numberIn(than);
+    const { all, copy } = await startRegion();
+    store.mode = "refuses";
+    await vi.advanceTimersByTimeAsync(2_000);
+    store.restore(copy);
+    store.mode = "answers";
+    await vi.advanceTimersByTimeAsync(2_000);
+    return all;
+  }
+
+  /** The different texts of a row on the VMs. */
+  function textsOn(all: readonly Vm[]): readonly (string | undefined)[] {
+    return [...new Set(all.map(({ rows }) => rows.get("t-0")))];
+  }
+
+  test("passes on in time what goes on from the copy with a lower number", async () => {
+    const all = await restoredRegion();
+    expect(textsOn(all)).toEqual(["ready 9"]);
+    store.write("t-0", "leaving 3");
+    await vi.advanceTimersByTimeAsync(APPLY_MS);
+    expect(textsOn(all)).toEqual(["leaving 3"]);
+  });
+
+  test("takes no VM back while rows are written again in order", async () => {
+    const all = await restoredRegion();
+    const texts: (readonly (string | undefined)[])[] = [];
+    store.write("t-0", "ready 8");
+    for (let ms = 0; ms < 4_000; ms += 50) {
+      if (ms === 700) {
+        store.write("t-0", "ready 9");
+      }
+      await vi.advanceTimersByTimeAsync(50);
+      texts.push(textsOn(all));
+    }
+    expect(new Set(texts.flat())).toEqual(new Set(["ready 9"]));
+  });
 });
