An evacuation that a restored store lacks is over when it is taken back

Seen: the copy lacks an evacuation, the operator takes it back: the zone stayed evacuated for up to 10 s, since the row was missing before and after.

A removal in the changes of the restored store is something that was written: what is kept in place of the missing row ends with it. The new test failed (0 of 1 'zone taken back' after 2.5 s) and passes. A store that reports no removal of a row that it lacks leaves it at 10 s.

--- a/packages/daemon/src/gateway/restored_rows.ts
+++ b/packages/daemon/src/gateway/restored_rows.ts
@@ -78,7 +78,14 @@
   /** Rows were read, up to `version` of the store. Must be called after {@link restored} for those of the restored store. */
   rowsRead(rows: readonly StoredRow[], version = 0): void {
     this.#firstVersion ??= version;
-    rows.forEach((row) => this.#seen.add(row));
+    for (const row of rows) {
+      this.#seen.add(row);
+      const held = this.#held.get(row.key);
+      if (row.value === undefined && held && held.current === undefined) {
+        // The store lacked it already; its writer has removed it again.
+        this.#held.delete(row.key);
+      }
+    }
   }
 
   /** The store was restored and has these rows now. */
