--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -24,6 +24,10 @@
     type: "number",
     meaning: "version of the configuration that was not put in force",
   },
+  previous: {
+    type: "number",
+    meaning: "version of the configuration that was in force before",
+  },
   storeVersion: {
     type: "number",
     meaning:
@@ -139,6 +143,8 @@
     meaning:
       "another VM or its instance; several instances, separated by spaces, if they changed together",
   },
+  rows: { type: "number", meaning: "number of rows" },
+  keys: { type: "text", meaning: "keys of rows, separated by spaces" },
   subject: {
     type: "text",
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -201,6 +201,7 @@
       peers: this.#peers,
       log: this.#log,
       operatorRowsSeen: () => this.#feed.seenOf("operator"),
+      operatorRowsRestores: () => this.#feed.restoresOf("operator"),
       entriesUnused: (count) =>
         this.#metrics.stateChanged("configuration-entry-unused", count),
     });
@@ -326,6 +327,7 @@
       seed: this.#settings.vm,
       path: this.#requestPath,
       isLoopDelayed: () => this.#loopDelay.isDelayed(performance.now()),
+      operatorRowsEra: () => this.#feed.rowsEraOf("operator"),
       knowsRevocations: () => this.#accounts.knowsRevocations(),
       requestCredit: (account, done) =>
         this.#accounts.requestCredit(account, done),
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -27,6 +27,9 @@
 /** Mean time between the writes of two VMs whose rows the store has lost. */
 const REGISTER_INTERVAL_MS = 10;
 
+/** Keys that one log line names. */
+const MAX_LOGGED_KEYS = 10;
+
 /** A change of the platform, or of the connectivity to it. */
 export type FeedEvent =
   | PlatformEvent
@@ -105,6 +108,16 @@
     return this.#watches.get(subject)!.newest;
   }
 
+  /** The store's history that a subject's rows in use belong to; 0 if none were read. */
+  rowsEraOf(subject: WatchedSubject): number {
+    return this.#watches.get(subject)!.rowsEra;
+  }
+
+  /** How many times a subject's rows were replaced by those of a restored store. */
+  restoresOf(subject: WatchedSubject): number {
+    return this.#watches.get(subject)!.restores;
+  }
+
   /** Time since the store last confirmed the rows of a subject, in milliseconds. */
   ageOf(subject: WatchedSubject): number {
     return Math.round(this.#watches.get(subject)!.ageMs);
@@ -142,8 +155,9 @@
       queryRelay: (relay, request) =>
         this.#client.requestChanges(relay, subject, request),
       listener: {
-        restored: (rows, change) => {
+        restored: (rows, { held, ...change }) => {
           log.write("store history adopted", { subject, ...change });
+          this.#logHeld(subject, held);
           this.#onRestored(subject, rows);
         },
         rowsChanged: (rows) => platform.decode(subject, rows).forEach(listener),
@@ -164,6 +178,17 @@
     });
   }
 
+  #logHeld(subject: WatchedSubject, held: readonly string[]): void {
+    if (held.length > 0) {
+      this.#options.log.write("restored rows held", {
+        subject,
+        era: this.seenOf(subject).era,
+        rows: held.length,
+        keys: held.slice(0, MAX_LOGGED_KEYS).join(" "),
+      });
+    }
+  }
+
   #onRestored(
     subject: WatchedSubject,
     rows: ReadonlyMap<string, StoredRow>,
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -104,6 +104,15 @@
   targets: 2_000,
   members: 10_000,
 };
+/**
+ * Longest time for which a row is used though the restored store has an outdated one. A
+ * target may be gone, but what operators wrote counts until they write again.
+ */
+const OUTDATED_ROWS_MS: Readonly<Record<WatchedSubject, number>> = {
+  operator: Infinity,
+  targets: 30_000,
+  members: 30_000,
+};
 
 /** The store's history that is used from now on, and the one used before. */
 export interface HistoryChange {
@@ -113,8 +122,14 @@
 
 /** Receives the rows of the subject and the state of the connection. */
 export interface SubjectListener {
-  /** The store was restored from a copy and has these rows; called before they are used. */
-  restored(rows: ReadonlyMap<string, StoredRow>, change: HistoryChange): void;
+  /**
+   * The store was restored from a copy and has these rows; called before they are used.
+   * For the keys that are held, what was known before stays in use.
+   */
+  restored(
+    rows: ReadonlyMap<string, StoredRow>,
+    change: HistoryChange & { readonly held: readonly string[] },
+  ): void;
   /** Called with all rows, by key, after each change. */
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
   /** Neither the store nor a relay responds (`isLost`), or one does again. */
@@ -142,6 +157,7 @@
   readonly #restoredRows: RestoredRows;
   #restoredRowsTimer: NodeJS.Timeout | undefined;
   readonly #history = new StoreHistory();
+  #restores = 0;
   /** The history of the store's latest response if that was not used. */
   #unusedEra: number | undefined;
   readonly #sources: ChangeSources;
@@ -171,6 +187,7 @@
     this.#subject = subject;
     this.#restoredRows = new RestoredRows({
       missingMs: MISSING_ROWS_MS[subject],
+      outdatedMs: OUTDATED_ROWS_MS[subject],
       isOlder: (row, than) => options.store.isOlder(subject, row, than),
     });
     this.#sources = new ChangeSources(options);
@@ -182,6 +199,16 @@
     return { era: this.#history.era, version: this.#copy.newest };
   }
 
+  /** The store's history that the rows belong to; 0 if none were read. */
+  get rowsEra(): number {
+    return this.#copy.era ?? 0;
+  }
+
+  /** How many times the rows were replaced by those of a restored store. */
+  get restores(): number {
+    return this.#restores;
+  }
+
   /** Time since the store last confirmed that no change is missing. */
   get ageMs(): number {
     return performance.now() - this.#confirmedAt;
@@ -547,6 +574,7 @@
     } else {
       this.#copy.advance(read);
     }
+    this.#restoredRows.rowsRead(read.rows, read.version);
     this.#wakeWaiters();
     if (isWhole || read.rows.length > 0) {
       this.#publishRows();
@@ -565,9 +593,12 @@
     this.#copy.begin(page);
     this.#restoredAt = performance.now();
     this.#restoredRows.restored(this.#copy.rows, before, this.#restoredAt);
+    this.#restores += 1;
+    const { heldKeys: held } = this.#restoredRows;
     this.#options.listener.restored(this.#copy.rows, {
       era: page.era,
       eraBefore,
+      held,
     });
   }
 
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -47,6 +47,8 @@
   readonly from?: string;
   /** Version of the configuration that was not put in force. */
   readonly offered?: number;
+  /** Version of the configuration that was in force before. */
+  readonly previous?: number;
   /** Time since the platform last confirmed what operators wrote. */
   readonly operatorMs?: number;
   /** History, newest row and table of the platform's store. */
@@ -55,6 +57,10 @@
   readonly claimed?: number;
   readonly storeVersion?: number;
   readonly table?: string;
+  /** Number of rows. */
+  readonly rows?: number;
+  /** Keys of rows, separated by spaces. */
+  readonly keys?: string;
   /** The client account that sent a request. */
   readonly account?: string;
   /** First characters of the digest of an account key. */
