A removal from before a VM started no longer counts as a change it missed

What it cost: a VM that starts after the last change of a subject was a removal reads no row with that version.

Cause: the newest row was compared, not the version up to which all is known.

--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -255,8 +255,10 @@
 
   /** Whether the copy lacks a row of its history. */
   #isBehind(seen: StoreVersion): boolean {
+    const { newest, position = 0 } = this.#copy;
+    // A removal from before the first read is in the position alone.
     return this.#history.claimVersion(seen, this.#steadyNow) &&
-      seen.version > this.#copy.newest;
+      seen.version > Math.max(newest, position);
   }
 
   /** Ends a call of the store that waits for changes. A relay has its own news of histories. */
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -233,6 +233,22 @@
     expect(vm.rows.has("t-1")).toBe(true);
   });
 
+  test("is not called again for a removal from before this VM started", async () => {
+    store.write("t-1", "ready");
+    const peer = new Vm("vm-1", store);
+    await vi.advanceTimersByTimeAsync(10);
+    store.write("t-1", undefined);
+    await vi.advanceTimersByTimeAsync(2_000);
+    const vm = new Vm("vm-2", store);
+    await vi.advanceTimersByTimeAsync(10);
+    const before = store.calls;
+    for (let at = 0; at < 10; at++) {
+      vm.watch.hint(peer.watch.newest);
+      await vi.advanceTimersByTimeAsync(500);
+    }
+    expect(store.calls - before).toBeLessThanOrEqual(10);
+  });
+
   test("is read completely if its history is gone", async () => {
     const vm = new Vm("vm-1", store);
     await vi.advanceTimersByTimeAsync(10);
