A change that cannot be applied takes no other with it and is not lost

What callers would see: if one event of a read could not be applied, the others of that read were not, either: a configuration after an odd evacuation was never in force, since its row is decoded once, and the log told of a lost store. No such row is known; the path was read for what could keep a fleet behind, and one odd row would do that to all VMs at once.

Cause: an error of the listener ran through the read of the store. The position had moved on by then, the rows were not passed on again before the subject's next change, and the VM took the store for lost and asked others.

Fix: an error while rows are applied is one of the rows: each event is delivered by itself, those that failed are tried again each second, and "rows not applied" says why. The timer that ends what is kept after a restore of the store and that of the retry are one: each passes all rows on.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -139,6 +139,12 @@
       "A response of the platform's store belongs to another history than this VM expects: its rows are not used. One line for each such history in a row.",
     fields: ["subject", "era"],
   },
+  "rows not applied": {
+    level: "error",
+    meaning:
+      "Rows of the platform's store were read, but applying them failed: parts of them may not be in force. They are applied again each second; one line for each reason in a row.",
+    fields: ["subject", "reason"],
+  },
   "relay left alone": {
     level: "info",
     meaning:
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -62,6 +62,8 @@
   readonly #client: RelayClient;
   readonly #watches: ReadonlyMap<WatchedSubject, SubjectWatch>;
   readonly #closed = new AbortController();
+  /** Events that the listener could not handle: some are not decoded again. */
+  readonly #unhandled = new Map<WatchedSubject, readonly PlatformEvent[]>();
   /** Undefined until {@link start}. */
   #self: Member | undefined;
 
@@ -160,7 +162,10 @@
           this.#logHeld(subject, held);
           this.#onRestored(subject, rows);
         },
-        rowsChanged: (rows) => platform.decode(subject, rows).forEach(listener),
+        rowsChanged: (rows) =>
+          this.#deliver(subject, platform.decode(subject, rows)),
+        rowsNotApplied: (reason) =>
+          log.write("rows not applied", { subject, reason }),
         connectivityChanged: (isLost, reason) =>
           listener({
             kind: "contact",
@@ -178,6 +183,27 @@
     });
   }
 
+  /** Each event is delivered, whatever becomes of the others; throws if one could not be handled. */
+  #deliver(subject: WatchedSubject, events: readonly PlatformEvent[]): void {
+    const kinds = new Set(events.map(({ kind }) => kind));
+    const earlier = (this.#unhandled.get(subject) ?? [])
+      .filter(({ kind }) => !kinds.has(kind));
+    const unhandled: PlatformEvent[] = [];
+    const reasons: string[] = [];
+    for (const event of [...earlier, ...events]) {
+      try {
+        this.#options.listener(event);
+      } catch (err) {
+        unhandled.push(event);
+        reasons.push(`${event.kind}: ${messageOf(err)}`);
+      }
+    }
+    this.#unhandled.set(subject, unhandled);
+    if (reasons.length > 0) {
+      throw new Error(reasons.join("; "));
+    }
+  }
+
   #logHeld(subject: WatchedSubject, held: readonly string[]): void {
     if (held.length > 0) {
       this.#options.log.write("restored rows held", {
--- a/packages/daemon/src/gateway/store_history_fleet_test.ts
+++ b/packages/daemon/src/gateway/store_history_fleet_test.ts
@@ -172,6 +172,7 @@
         connectivityChanged: () => undefined,
         relaySkipped: () => undefined,
         responseNotUsed: (era) => this.unused.push(era),
+        rowsNotApplied: () => undefined,
         claimRefuted: (claimed) => this.refuted.push(claimed),
         restored: (_rows, { era }) => this.adopted.push(era),
       },
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -51,6 +51,8 @@
 /** Bounds of the pause after a failed call, which doubles each time: the store bills the calls that it refuses, too. */
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 1_000;
+/** Pause after which rows are passed on again that could not be applied. */
+const APPLY_RETRY_MS = 1_000;
 /** Pause after a change, so that changes that come together cost one call: VMs that start together register within some hundred milliseconds. */
 const CHANGE_BATCH_MS = 150;
 /**
@@ -130,8 +132,10 @@
     rows: ReadonlyMap<string, StoredRow>,
     change: HistoryChange & { readonly held: readonly string[] },
   ): void;
-  /** Called with all rows, by key, after each change. */
+  /** Called with all rows, by key, after each change; again if it throws. */
   rowsChanged(rows: ReadonlyMap<string, StoredRow>): void;
+  /** {@link rowsChanged} has thrown; not called for the same reason in a row. */
+  rowsNotApplied(reason: string): void;
   /** Neither the store nor a relay responds (`isLost`), or one does again. */
   connectivityChanged(isLost: boolean, reason?: string): void;
   /** A response of the store is not used because it belongs to another history than expected. */
@@ -155,7 +159,9 @@
   readonly #options: SubjectWatchOptions;
   readonly #copy = new RowCopy();
   readonly #restoredRows: RestoredRows;
-  #restoredRowsTimer: NodeJS.Timeout | undefined;
+  #publishTimer: NodeJS.Timeout | undefined;
+  /** Why the listener could not apply the rows that it got last. */
+  #notApplied: string | undefined;
   readonly #history = new StoreHistory();
   #restores = 0;
   /** The history of the store's latest response if that was not used. */
@@ -334,7 +340,7 @@
 
   close(): void {
     clearTimeout(this.#missedChangeTimer);
-    clearTimeout(this.#restoredRowsTimer);
+    clearTimeout(this.#publishTimer);
     this.#closed.abort();
     this.#callAbort.abort();
     this.#wakeWaiters();
@@ -604,18 +610,35 @@
     });
   }
 
-  /** Passes the rows on to the listener, now and when a row is no longer kept after a restore. */
+  /** Passes the rows on to the listener: now, when a row is no longer kept after a restore, and again if they were not applied. */
   #publishRows(): void {
     const now = performance.now();
     const rows = this.#restoredRows.merge(this.#copy.rows, now);
-    this.#options.listener.rowsChanged(rows);
-    clearTimeout(this.#restoredRowsTimer);
-    const { dueAt } = this.#restoredRows;
-    if (dueAt !== undefined) {
-      this.#restoredRowsTimer = setTimeout(
-        () => this.#publishRows(),
-        dueAt - now,
-      );
+    const isApplied = this.#passOn(rows);
+    clearTimeout(this.#publishTimer);
+    const dueAt = Math.min(
+      this.#restoredRows.dueAt ?? Infinity,
+      isApplied ? Infinity : now + APPLY_RETRY_MS,
+    );
+    if (dueAt < Infinity) {
+      this.#publishTimer = setTimeout(() => this.#publishRows(), dueAt - now);
+    }
+  }
+
+  /** An error of the listener is not one of the store: the rows are up to date, and other VMs may have them. */
+  #passOn(rows: ReadonlyMap<string, StoredRow>): boolean {
+    const { listener } = this.#options;
+    try {
+      listener.rowsChanged(rows);
+      this.#notApplied = undefined;
+      return true;
+    } catch (err) {
+      const reason = messageOf(err);
+      if (reason !== this.#notApplied) {
+        this.#notApplied = reason;
+        listener.rowsNotApplied(reason);
+      }
+      return false;
     }
   }
 
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -123,6 +123,8 @@
   rows = new Map<string, string>();
   /** Changes of connectivity, "lost" or "regained". */
   readonly connectivity: string[] = [];
+  /** How many times its listener still fails to apply rows. */
+  failures = 0;
   /** Relays cannot be reached, as in a network partition. */
   areRelaysUnreachable = false;
 
@@ -137,6 +139,9 @@
       queryRelay: (relay, request) => this.#query(relay, request),
       listener: {
         rowsChanged: (rows) => {
+          if (this.failures-- > 0) {
+            throw new Error("odd row");
+          }
           this.rows = new Map(
             [...rows.values()].map(({ key, value }) => [key, String(value)]),
           );
@@ -145,6 +150,7 @@
           this.connectivity.push(isLost ? "lost" : "regained"),
         relaySkipped: () => undefined,
         responseNotUsed: () => undefined,
+        rowsNotApplied: () => undefined,
         claimRefuted: () => undefined,
         restored: () => undefined,
       },
@@ -233,6 +239,21 @@
     expect(vm.rows.has("t-1")).toBe(true);
   });
 
+  test("is not taken for lost when a change cannot be applied, which is tried again", async () => {
+    const vm = new Vm("vm-1", store);
+    const follower = new Vm("vm-2", store);
+    follower.relays = [vm];
+    await vi.advanceTimersByTimeAsync(2_000);
+    vm.failures = 2;
+    follower.failures = 1;
+    store.write("t-1", "ready");
+    await vi.advanceTimersByTimeAsync(2_100);
+    expect([vm, follower].map(({ rows }) => rows.get("t-1")))
+      .toEqual(["ready", "ready"]);
+    expect(vm.connectivity).toEqual([]);
+    expect(follower.connectivity).toEqual([]);
+  });
+
   test("is not called again for a removal from before this VM started", async () => {
     store.write("t-1", "ready");
     const peer = new Vm("vm-1", store);
