A configuration read while the listener for callers restarts is put in force

What callers would see: accounts, keys and limits of the earlier version on that VM until the next one is written, while the log says that the new one is in force.

Cause: a task that is not running drops its messages, and the row is not decoded again. Fix: applying it fails as long as the listener does not run, so that it is tried again a second later. One VM, not a fleet.

A configuration of a lower number counts only after a restore that the one in force was not read after. So what is applied later keeps the number of restores of its read, and a try that failed notes nothing as in force: else one that goes on from a copy would be passed over, at its second try, or after one that was read before the restore and applied after it.

--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -39,6 +39,13 @@
   #inForce: RoutingConfiguration | undefined;
   /** How many restores there had been when the configuration in force was read last. */
   #inForceRestores = 0;
+  /** A configuration that is to be applied again, and how many restores there had been when it was read. */
+  #deferred:
+    | {
+      readonly configuration: RoutingConfiguration;
+      readonly restores: number;
+    }
+    | undefined;
 
   constructor(options: PlatformEventsOptions) {
     this.#options = options;
@@ -104,7 +111,9 @@
   #applyConfiguration(configuration: RoutingConfiguration): void {
     const { path, callerListener, accounts, log } = this.#options;
     const { era, version: storeVersion } = this.#options.operatorRowsSeen();
-    const restores = this.#options.operatorRowsRestores();
+    const restores = this.#deferred?.configuration === configuration
+      ? this.#deferred.restores
+      : this.#options.operatorRowsRestores();
     const previous = callerListener.version;
     const isNotHigher = configuration.version <= previous;
     if (isNotHigher && restores === this.#inForceRestores) {
@@ -116,11 +125,18 @@
       });
       return;
     }
-    this.#inForceRestores = restores;
     if (isDeepStrictEqual(configuration, this.#inForce)) {
       // Written again as it was.
+      this.#inForceRestores = restores;
       return;
     }
+    if (!callerListener.running) {
+      // It drops messages while it restarts.
+      this.#deferred = { configuration, restores };
+      throw new Error("The listener for callers is not running");
+    }
+    this.#inForceRestores = restores;
+    this.#deferred = undefined;
     if (isNotHigher) {
       // What the restored store lost doesn't bind its operator. Rows of the copy that
       // are outdated don't get here.
