VMs that read the return of an earlier history use relays again

When the store comes back under a number that it had before, each VM that reads it by itself draws its own numbering. A VM with another one than its relay used the relay's rows only if their read began after the VM's own latest one had ended. It never did: after each refusal the VM read the store itself, and its long call ended last. So it left all relays alone for good, with the line "its rows are from before the store was restored" every second, and read the store in their place. Changes arrived, but the calls were those of many VMs.

A whole read that overlaps the VM's own and differs only in its numbering is used now, so that a region comes to the numbering of its relay. If the relay's read was the earlier one after all, what the VM knew is held meanwhile, and the relay's next read counts as later.

--- a/packages/daemon/src/gateway/store_history.ts
+++ b/packages/daemon/src/gateway/store_history.ts
@@ -205,16 +205,18 @@
     if (isSame && (!isBehind || (!isWhole && !isLater))) {
       return "current";
     }
+    const isOverlapping = read.endedAt > latest.startedAt;
+    // VMs that have read the same return by themselves tell it apart by different
+    // numberings. A VM that kept its own would read the store forever.
+    const isOtherwiseNumbered = latest.era === read.era && !isSame;
     if (!isWhole) {
-      this.#isWholeDue = isLater;
+      this.#isWholeDue = isLater || (isOverlapping && isOtherwiseNumbered);
       return "unused";
     }
-    if (isLater) {
-      return "new-history";
-    }
-    const isOverlapping = read.endedAt > latest.startedAt;
     const isHigher = read.era > latest.era && !this.#left.has(read.era);
-    return isOverlapping && isHigher ? "new-history" : "unused";
+    return isLater || (isOverlapping && (isHigher || isOtherwiseNumbered))
+      ? "new-history"
+      : "unused";
   }
 
   /** Whether a later history was claimed while the read was under way: the response may have been delayed. */
--- a/packages/daemon/src/gateway/store_history_fleet_test.ts
+++ b/packages/daemon/src/gateway/store_history_fleet_test.ts
@@ -383,6 +383,27 @@
   });
 });
 
+test.each([1, 2, 3, 4, 5, 6])(
+  "VMs that have read the return of an earlier history by themselves use relays again (seed %i)",
+  async (seed) => {
+    // Guards against VMs that leave relays alone for good, each calling the store in their place.
+    vi.spyOn(Math, "random").mockImplementation(seededRandom(seed));
+    await startFleet(22);
+    const { store, vms } = fleet;
+    await vi.advanceTimersByTimeAsync(DISRUPTION_MS);
+    const copy = await fleet.ageCopy(10);
+    await store.replace(store.copy(), 6);
+    await vi.advanceTimersByTimeAsync(6_000);
+    await store.replace(copy, 5);
+    await vi.advanceTimersByTimeAsync(DISRUPTION_MS);
+    const before = vms.map(({ calls }) => calls);
+    await vi.advanceTimersByTimeAsync(2_000);
+    const callers = vms.filter(({ calls }, at) => calls > before[at]!);
+    expect(callers.map(({ member }) => member.vm)).toHaveLength(3);
+    expect(await fleet.lateFor("written")).toEqual([]);
+  },
+);
+
 test("a late response of an earlier history is not used by a VM that has just started", async () => {
   await startFleet(3);
   const { store } = fleet;
--- a/packages/daemon/src/gateway/store_history_test.ts
+++ b/packages/daemon/src/gateway/store_history_test.ts
@@ -56,6 +56,17 @@
     expect(historyAt(5).judge(readOf(5, later), RELAYED)).toBe("new-history");
   });
 
+  test("that overlaps is used if it only numbers the same history otherwise", () => {
+    const history = historyAt(5);
+    const read = { numbering: 7, startedAt: 105, endedAt: 115 };
+    const changes = { ...RELAYED, isWhole: false };
+    expect(history.judge(readOf(5, read), changes)).toBe("unused");
+    expect(history.isWholeDue).toBe(true);
+    expect(history.judge(readOf(5, read), RELAYED)).toBe("new-history");
+    const earlier = { ...read, startedAt: 80, endedAt: 100 };
+    expect(history.judge(readOf(5, earlier), RELAYED)).toBe("unused");
+  });
+
   test("with changes that end below the version in use calls for all rows", () => {
     const history = historyAt(5);
     const read = readOf(5, { version: 5, startedAt: 110, endedAt: 120 });
