A relay that is gone is replaced by one VM, not by all that use it

When the first relay of a region was gone at once (its connections refused), the next VM called the store and waited a second for a change, beyond the time at which its rows became stale. All VMs that had come to it for their changes then got "its rows are stale" at the same moment, and each of them called the store.

Evidence (virtual time, no failure of the store): 48 calls within 2.5 s with 23 VMs in a region and 134 with 66 (the test, before); less than 10 now at both sizes.

A call for changes now ends before the caller's rows become stale, early enough for a round trip to a store in another region. A VM that has just read the store waits as long as before, so that calm times cost no call more.

--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -485,10 +485,9 @@
     const startedAt = this.#steadyNow;
     const page = await this.#options.store.changes(this.#subject, {
       version: this.#copy.position!,
-      waitMs: this.#isLost || this.#history.isReadDue ||
-          performance.now() >= this.#staleAt
+      waitMs: this.#isLost || this.#history.isReadDue
         ? RECONNECT_WAIT_MS
-        : CHANGE_WAIT_MS[this.#subject],
+        : this.#waitBeforeStale(),
       signal: this.#callAbort.signal,
     });
     if (page.era !== this.#copy.era) {
@@ -504,6 +503,16 @@
     }
   }
 
+  /**
+   * How long a call waits for changes: until its rows become stale, or the VMs that use
+   * this one as their relay would all call the store as well.
+   */
+  #waitBeforeStale(): number {
+    const leftMs = this.#staleAt - PENDING_READ_WAIT_MS - performance.now();
+    const waitMs = Math.min(CHANGE_WAIT_MS[this.#subject], Math.floor(leftMs));
+    return Math.max(RECONNECT_WAIT_MS, waitMs);
+  }
+
   async #readAll(): Promise<void> {
     const startedAt = this.#steadyNow;
     const rows: StoredRow[] = [];
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -125,8 +125,15 @@
   readonly connectivity: string[] = [];
   /** Relays cannot be reached, as in a network partition. */
   areRelaysUnreachable = false;
-
-  constructor(name: string, store: FakeStore) {
+  readonly #goneRelay: () => void;
+
+  /** `goneRelay` throws if its first relay is gone. */
+  constructor(
+    name: string,
+    store: FakeStore,
+    goneRelay: () => void = () => undefined,
+  ) {
+    this.#goneRelay = goneRelay;
     this.member = memberNamed(name);
     this.watch = new SubjectWatch("targets", {
       store,
@@ -160,8 +167,14 @@
     }
     const queried = [...this.relays, ...this.fallbacks]
       .find(({ member }) => member === relay)!;
+    if (queried === this.relays[0]) {
+      this.#goneRelay();
+    }
     const response = await queried.watch.changesAfter(request);
     await pause(1);
+    if (queried === this.relays[0]) {
+      this.#goneRelay();
+    }
     if (response === undefined) {
       throw new Error("nothing read yet");
     }
@@ -352,6 +365,35 @@
     expect(await callsWith(60)).toBeLessThanOrEqual(alone + 2);
   });
 
+  test.each([22, 65])(
+    "that is gone is replaced by one VM, not by all %i that use it",
+    async (others) => {
+      // Guards against a relay in whose place all VMs of the region call the store, because the next one waits for changes until its rows are stale.
+      let isGone = false;
+      const gone = () => {
+        if (isGone) {
+          throw new Error("connection refused");
+        }
+      };
+      const first = new Vm("vm-1", store);
+      const users = Array.from(
+        { length: others },
+        (_, at) => new Vm(`vm-${at + 2}`, store, gone),
+      );
+      users.forEach((vm, at) => vm.relays = [first, ...users.slice(0, at)]);
+      const lateCalls: number[] = [];
+      for (let round = 0; round < 10; round++) {
+        isGone = false;
+        await vi.advanceTimersByTimeAsync(5_000 + round * 100);
+        isGone = true;
+        const before = store.calls;
+        await vi.advanceTimersByTimeAsync(2_500);
+        lateCalls.push(store.calls - before);
+      }
+      expect(Math.max(...lateCalls)).toBeLessThan(10);
+    },
+  );
+
   test("that cannot be reached is skipped", async () => {
     const first = new Vm("vm-1", store);
     const vm = new Vm("vm-2", store);
