--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -92,8 +92,8 @@
   readonly version: number;
   /**
    * The store's history that the versions belong to. It changes when the store is restored
-   * from a copy: versions then go back and are given out again. It usually rises, but
-   * must not be relied on to do so.
+   * from a copy: versions then go back and are given out again. It usually rises; nothing
+   * may rely on that.
    */
   readonly era: number;
   /** More rows follow on the next page. */
