Rows of the store are compared by one function

Both the adapter and the rows kept after a restore had a comparison of version and bytes. They differed only for removed rows, which neither compares: the adapter looks at the configuration in use, the other at rows that exist.

Behaviour as before: 308 tests of the gateway, the store's client and the adapter's rows pass.

--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -45,3 +45,4 @@
   dropConnectionHeaders,
   HOP_BY_HOP_HEADERS,
 } from "../http/hop_by_hop.ts";
+export { isSameRow } from "./stored_row.ts";
--- a/packages/daemon/src/gateway/restored_rows.ts
+++ b/packages/daemon/src/gateway/restored_rows.ts
@@ -15,6 +15,7 @@
 
 import type { StoredRow } from "./ports.ts";
 import { SeenRows } from "./seen_rows.ts";
+import { isSameRow } from "./stored_row.ts";
 
 /** A row that is used in place of the restored one. */
 interface HeldRow {
@@ -240,17 +241,3 @@
     this.#held.set(key, { row, current, until, settlingSince: since });
   }
 }
-
-/** Compares the bytes, too: after a restore of the store, another row may have the same version. */
-function isSameRow(
-  one: StoredRow | undefined,
-  other: StoredRow | undefined,
-): boolean {
-  if (one === other) {
-    return true;
-  }
-  const values = [one?.value, other?.value];
-  return one?.version === other?.version &&
-    values.every((value) => value !== undefined) &&
-    values[0]!.equals(values[1]!);
-}
