One accessor for the history of a subject's rows

rowsEra read from the copy what newest names as well: a read that is used sets the copy's history and that of StoreHistory together, and both are 0 before the first one. Forwarded requests take it from there.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -327,7 +327,7 @@
       seed: this.#settings.vm,
       path: this.#requestPath,
       isLoopDelayed: () => this.#loopDelay.isDelayed(performance.now()),
-      operatorRowsEra: () => this.#feed.rowsEraOf("operator"),
+      operatorRowsEra: () => this.#feed.seenOf("operator").era,
       knowsRevocations: () => this.#accounts.knowsRevocations(),
       requestCredit: (account, done) =>
         this.#accounts.requestCredit(account, done),
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -110,11 +110,6 @@
     return this.#watches.get(subject)!.newest;
   }
 
-  /** The store's history that a subject's rows in use belong to; 0 if none were read. */
-  rowsEraOf(subject: WatchedSubject): number {
-    return this.#watches.get(subject)!.rowsEra;
-  }
-
   /** How many times a subject's rows were replaced by those of a restored store. */
   restoresOf(subject: WatchedSubject): number {
     return this.#watches.get(subject)!.restores;
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -200,16 +200,11 @@
     this.#options = options;
   }
 
-  /** Version of the newest row seen, in the history that the rows belong to. */
+  /** Version of the newest row seen, in the history that the rows belong to; era 0 if none were read. */
   get newest(): StoreVersion {
     return { era: this.#history.era, version: this.#copy.newest };
   }
 
-  /** The store's history that the rows belong to; 0 if none were read. */
-  get rowsEra(): number {
-    return this.#copy.era ?? 0;
-  }
-
   /** How many times the rows were replaced by those of a restored store. */
   get restores(): number {
     return this.#restores;
