Log and metrics tell which crashes count against a request

Counted, discarded and reported crashes and requests that are held back left no line and no metric, and a held request ended as refused-by-targets like others, so that the three hypotheses could not be told apart. Now: crash counted, crash not counted (with the reason), crash reported, request held back; the end held-back; the gauge poplarthread_gateway_held_back_requests. No decision is changed.

--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -40,9 +40,42 @@
   readonly target: TargetId;
 }
 
+/** Why a crash does not count against a request whose attempt broke on the target. */
+export type UncountedReason =
+  /** The attempt broke too long before the crash was noticed. */
+  | "late"
+  /** A target has responded to the same request shortly before, or since. */
+  | "succeeded"
+  /** This VM turned out to reach no targets. */
+  | "no-links";
+
+/** What the tracker has found out. */
+export type CrashFinding =
+  | { readonly kind: "counted"; readonly crash: SuspectedCrash }
+  | {
+    readonly kind: "uncounted";
+    readonly crash: SuspectedCrash;
+    readonly reason: UncountedReason;
+  }
+  /** Another VM has counted a crash that this one did not know. */
+  | { readonly kind: "reported"; readonly crash: SuspectedCrash }
+  | {
+    readonly kind: "held-back";
+    readonly digest: string;
+    readonly forMs: number;
+  };
+
+/** Options of {@link CrashSuspects}. */
+export interface CrashSuspectsOptions {
+  /** Sends a crash report to the other VMs. */
+  publish(crash: SuspectedCrash): void;
+  /** Called with each finding, for log and metrics; not at all by default. */
+  found?(finding: CrashFinding): void;
+}
+
 /** The crash tracker of one VM; see the module comment. Times are milliseconds of the monotonic clock. */
 export class CrashSuspects {
-  readonly #publish: (crash: SuspectedCrash) => void;
+  readonly #options: CrashSuspectsOptions;
   /** Time of the latest crash, by digest and target, so that each target counts once. */
   readonly #crashes = new Map<string, Map<TargetId, number>>();
 
@@ -55,9 +88,14 @@
   /** Targets that became unreachable, until it is settled whether they crashed. */
   readonly #unreachableSince = new Map<TargetId, number>();
 
-  /** `publish` sends a crash report to the other VMs. */
-  constructor(publish: (crash: SuspectedCrash) => void) {
-    this.#publish = publish;
+  constructor(options: CrashSuspectsOptions) {
+    this.#options = options;
+  }
+
+  /** Number of requests that are held back. */
+  countHeldBack(now: number): number {
+    return [...this.#crashes.keys()]
+      .filter((digest) => this.heldBackMs(digest, now) > 0).length;
   }
 
   /** Returns a digest of method, URL and body, which is equal for repeats of a request. */
@@ -113,6 +151,9 @@
       case "in-doubt":
         return;
       case "cut-off":
+        for (const target of this.#unreachableSince.keys()) {
+          this.#discard(target, "no-links");
+        }
         this.#unreachableSince.clear();
         this.#recentFailures.clear();
         return;
@@ -130,22 +171,50 @@
   /** Links a crash of a target to the attempts that broke on it shortly before. */
   targetCrashed(target: TargetId, now: number): void {
     for (const [digest, brokeAt] of this.#recentFailures.get(target) ?? []) {
-      const isSuspect = !this.#isCleared(digest, brokeAt);
-      if (isSuspect && now - brokeAt < CRASH_WINDOW_MS) {
-        this.recordCrash({ digest, target }, now);
-        this.#publish({ digest, target });
+      const crash = { digest, target };
+      if (this.#isCleared(digest, brokeAt)) {
+        this.#found({ kind: "uncounted", crash, reason: "succeeded" });
+      } else if (now - brokeAt >= CRASH_WINDOW_MS) {
+        this.#found({ kind: "uncounted", crash, reason: "late" });
+      } else {
+        this.#found({ kind: "counted", crash });
+        this.#record(crash, now);
+        this.#options.publish(crash);
       }
     }
     this.#recentFailures.delete(target);
   }
 
-  /** Records a crash that was detected by this VM or reported by another one. */
-  recordCrash({ digest, target }: SuspectedCrash, now: number): void {
+  /** Records a crash that another VM reported. */
+  recordReport(crash: SuspectedCrash, now: number): void {
+    const { digest, target } = crash;
+    if (!this.#crashes.get(digest)?.has(target)) {
+      this.#found({ kind: "reported", crash });
+    }
+    this.#record(crash, now);
+  }
+
+  #record({ digest, target }: SuspectedCrash, now: number): void {
+    const wasHeldBack = this.heldBackMs(digest, now) > 0;
     const targets = this.#crashes.get(digest) ?? new Map<TargetId, number>();
     this.#crashes.delete(digest);
     targets.set(target, now);
     this.#crashes.set(digest, targets);
     dropOldest(this.#crashes);
+    const forMs = this.heldBackMs(digest, now);
+    if (!wasHeldBack && forMs > 0) {
+      this.#found({ kind: "held-back", digest, forMs });
+    }
+  }
+
+  #discard(target: TargetId, reason: UncountedReason): void {
+    for (const digest of this.#recentFailures.get(target)?.keys() ?? []) {
+      this.#found({ kind: "uncounted", crash: { digest, target }, reason });
+    }
+  }
+
+  #found(finding: CrashFinding): void {
+    this.#options.found?.(finding);
   }
 
   /** How much longer the request is held back; 0 if it may run. */
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -17,8 +17,8 @@
     // takes down the service target by target.
     const vms: CrashSuspects[] = [];
     const publish = (crash: SuspectedCrash) =>
-      vms.forEach((vm) => vm.recordCrash(crash, 0));
-    vms.push(new CrashSuspects(publish), new CrashSuspects(publish));
+      vms.forEach((vm) => vm.recordReport(crash, 0));
+    vms.push(new CrashSuspects({ publish }), new CrashSuspects({ publish }));
     const digest = vms[0]!.digestOf("GET", "/read/a", undefined);
     targets.forEach((target, index) => {
       const vm = vms[index % 2]!;
@@ -33,7 +33,7 @@
   });
 
   test("is distinguished from others by method, path and body", () => {
-    const suspects = new CrashSuspects(() => undefined);
+    const suspects = new CrashSuspects({ publish: () => undefined });
     const digests = new Set([
       suspects.digestOf("GET", "/a", undefined),
       suspects.digestOf("POST", "/a", undefined),
@@ -48,7 +48,7 @@
   test("is not held back while its targets do not crash", () => {
     // A network fault resets every second connection. A popular page is affected by
     // many of these resets; if it were held back for them, no one could read it.
-    const suspects = new CrashSuspects(() => undefined);
+    const suspects = new CrashSuspects({ publish: () => undefined });
     const digest = suspects.digestOf("GET", "/read/a", undefined);
     for (const target of targets) {
       suspects.attemptBroke(digest, target, 0);
@@ -57,7 +57,7 @@
   });
 
   test("is not linked to a crash much later", () => {
-    const suspects = new CrashSuspects(() => undefined);
+    const suspects = new CrashSuspects({ publish: () => undefined });
     const digest = suspects.digestOf("GET", "/read/a", undefined);
     for (const target of targets) {
       suspects.attemptBroke(digest, target, 0);
@@ -79,7 +79,9 @@
 
   test("is held back if this VM reaches other targets", () => {
     const published: SuspectedCrash[] = [];
-    const suspects = new CrashSuspects((crash) => published.push(crash));
+    const suspects = new CrashSuspects({
+      publish: (crash) => published.push(crash),
+    });
     const digest = breakOnAll(suspects);
     suspects.settleUnreachable("reached", 200);
     expect(published).toEqual([]);
@@ -90,7 +92,9 @@
 
   test("is not held back by any VM if this VM lost its own links", () => {
     const published: SuspectedCrash[] = [];
-    const suspects = new CrashSuspects((crash) => published.push(crash));
+    const suspects = new CrashSuspects({
+      publish: (crash) => published.push(crash),
+    });
     const digest = breakOnAll(suspects);
     suspects.settleUnreachable("in-doubt", 400);
     suspects.settleUnreachable("cut-off", 600);
@@ -113,7 +117,9 @@
 
   test("is not held back when targets that ran it fall together", () => {
     const published: SuspectedCrash[] = [];
-    const suspects = new CrashSuspects((crash) => published.push(crash));
+    const suspects = new CrashSuspects({
+      publish: (crash) => published.push(crash),
+    });
     const digest = suspects.digestOf("GET", "/read/popular", undefined);
     suspects.attemptSucceeded(digest, 900);
     fallTogether(suspects, 1_000);
@@ -122,7 +128,7 @@
   });
 
   test("is no longer held back once another target responds to it", () => {
-    const suspects = new CrashSuspects(() => undefined);
+    const suspects = new CrashSuspects({ publish: () => undefined });
     const digest = fallTogether(suspects, 1_000);
     expect(suspects.heldBackMs(digest, 1_200)).toBeGreaterThan(1_000);
     suspects.attemptSucceeded(digest, 1_300);
@@ -130,7 +136,7 @@
   });
 
   test("is held back if it begins to crash targets later", () => {
-    const suspects = new CrashSuspects(() => undefined);
+    const suspects = new CrashSuspects({ publish: () => undefined });
     const digest = suspects.digestOf("GET", "/read/popular", undefined);
     suspects.attemptSucceeded(digest, 0);
     fallTogether(suspects, 20_000);
--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -43,6 +43,11 @@
     type: "text",
     meaning: "the object that the request concerns, as named by its caller",
   },
+  digest: {
+    type: "text",
+    meaning: "what repeats of a request have in common, as a hash",
+  },
+  forMs: { type: "number", meaning: "how long, in milliseconds" },
   end: { type: "text", meaning: "how the request or attempt ended" },
   reason: { type: "text", meaning: "the reason, as text" },
   attempts: {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -257,6 +257,30 @@
       "A target is unresponsive: it has not responded for longer than its queue explains. It gets no requests and is probed.",
     fields: ["target"],
   },
+  "crash counted": {
+    level: "warn",
+    meaning:
+      "A target crashed on which an attempt of this request had broken; the other VMs are told.",
+    fields: ["digest", "target"],
+  },
+  "crash not counted": {
+    level: "info",
+    meaning:
+      "A target may have crashed on which an attempt of this request had broken, but that does not count against the request: it broke too long before (`late`), a target responded to it (`succeeded`), or this VM reaches no targets (`no-links`).",
+    fields: ["digest", "target", "reason"],
+  },
+  "crash reported": {
+    level: "info",
+    meaning:
+      "Another VM counted a crash of a target against this request, of which this VM did not know.",
+    fields: ["digest", "target"],
+  },
+  "request held back": {
+    level: "warn",
+    meaning:
+      "Several targets crashed under this request: repeats of it are refused for a while (`held-back` in `request ended`).",
+    fields: ["digest", "forMs"],
+  },
   "target answers again": {
     level: "info",
     meaning: "A probe found an unresponsive target healthy again.",
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -301,7 +301,7 @@
       this.startedAt,
     );
     if (heldMs > 0) {
-      this.#replyLocally("refused-by-targets", heldMs);
+      this.#replyLocally("held-back", heldMs);
       return;
     }
     this.#options.caller.chargeQuota((refusal) =>
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -163,7 +163,7 @@
       targets: {
         get: () => ({ address: "t:1" }),
       } as unknown as TargetDirectory,
-      suspects: new CrashSuspects(() => undefined),
+      suspects: new CrashSuspects({ publish: () => undefined }),
       budget: this.budget,
       log,
       ended: (_exchange, end) => this.ends.push(end),
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -293,6 +293,7 @@
       requestQueued: () => this.#timer.scheduleWithin(BUSY_TICK_MS),
       publishLimit: (update) =>
         this.#peers.beacon.send({ kind: "limit", update }),
+      crashFindingMade: (finding) => this.#metrics.stateChanged(finding),
       publishCrash: (crash) =>
         this.#peers.beacon.send({ kind: "crash", crash }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -149,6 +149,11 @@
       "limited_targets",
       "Targets that have named a limit for all VMs together",
     );
+    gauge(
+      "heldBackRequests",
+      "held_back_requests",
+      "Requests that are held back because targets crashed under them",
+    );
     gauge(
       "targetsReached",
       "targets_reached",
--- a/packages/daemon/src/gateway/local_reply.ts
+++ b/packages/daemon/src/gateway/local_reply.ts
@@ -30,6 +30,8 @@
   | "expired-unsent"
   /** Targets refused the request, and it may not be retried. */
   | "refused-by-targets"
+  /** Targets crashed under this request. */
+  | "held-back"
   /** The deadline passed after the request was sent to a target. */
   | "timeout"
   /** A target may have run the request, but no complete response arrived. */
@@ -55,6 +57,7 @@
   "memory-used-up": 503,
   "expired-unsent": 503,
   "refused-by-targets": 503,
+  "held-back": 503,
   "timeout": 504,
   "broken": 502,
   "no-route": 404,
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -168,7 +168,7 @@
   #applyUpdates({ seen, era = 0, crashes }: CommonFields, now: number): void {
     const { path, feed } = this.#options;
     for (const crash of crashes) {
-      path().suspects.recordCrash(crash, now);
+      path().suspects.recordReport(crash, now);
     }
     for (const [subject, version] of Object.entries(seen)) {
       feed().hint(subject as WatchedSubject, { era, version });
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -11,6 +11,7 @@
 import type { Route } from "./configuration.ts";
 import type { ConnectionSource, ConnectionTarget } from "./connections.ts";
 import { CrashSuspects, type SuspectedCrash } from "./crash_suspects.ts";
+import { CrashFindings } from "./crash_findings.ts";
 import type { EventLog } from "./events.ts";
 import { GatewayExchange } from "./exchange.ts";
 import type {
@@ -72,6 +73,8 @@
   publishLimit(limit: LimitUpdate): void;
   /** Sends peers a target crash that a request may have caused. */
   publishCrash(crash: SuspectedCrash): void;
+  /** Called with a name for each finding on requests that may crash targets; not at all by default. */
+  crashFindingMade?(finding: string): void;
   /** Called once per exchange, when its caller has the final response or has disconnected. */
   ended: GatewayExchangeServices["ended"];
   /** Called once per attempt. */
@@ -85,6 +88,8 @@
   readonly targets: number;
   /** Targets that have stated a limit on the requests of all VMs together. */
   readonly limitedTargets: number;
+  /** Requests that are held back because they crash targets. */
+  readonly heldBackRequests: number;
   /** Bytes of responses that their callers have not taken yet. */
   readonly heldResponseBytes: number;
   /** The most bytes that may be held so. */
@@ -132,7 +137,14 @@
       onChange: (target, change) => this.#targetChanged(target, change),
       onFirstList: (targets) => this.#logFirstList(targets),
     });
-    this.suspects = new CrashSuspects((crash) => options.publishCrash(crash));
+    const findings = new CrashFindings(
+      log,
+      (change) => options.crashFindingMade?.(change),
+    );
+    this.suspects = new CrashSuspects({
+      publish: (crash) => options.publishCrash(crash),
+      found: (finding) => findings.record(finding),
+    });
     this.#services = {
       dialect,
       wheel: this.#wheel,
@@ -160,6 +172,7 @@
       waitingRequests: this.#queue.size,
       targets: this.targets.size,
       limitedTargets: this.steering.limitedTargets,
+      heldBackRequests: this.suspects.countHeldBack(performance.now()),
       heldResponseBytes: this.#budget.heldBytes,
       responseBudgetBytes: this.#budget.totalBytes,
     };
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -31,6 +31,9 @@
   readonly targets?: number;
   /** Back-off that a target asked of this VM. */
   readonly restMs?: number;
+  /** What repeats of a request have in common, as a hash. */
+  readonly digest?: string;
+  readonly forMs?: number;
   /** Limit of a target on the requests per second of all VMs together. */
   readonly perSecond?: number;
   /** Where an update came from: a response of the target, or a peer. */
