Held-back requests: a policy, runs of targets, and reports on all that is known

It counts runs of targets in place of ids, takes its numbers from a policy (the default is as before), holds back longer with each further crash, and makes reports with ages that VMs can repeat to each other without prolonging anything, so that lost messages, frozen VMs and late starts don't matter.

The mutant 'does not record a completion' names the line that replaced its text; it is still caught by the same property.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -1,17 +1,21 @@
 /**
  * Holds back requests that crash each target they reach.
  *
- * A fingerprint that was in flight on two targets when they crashed is held
- * back on all VMs for a limited time. Two rules protect a request that merely
- * shared a target with it: a fingerprint that a target has completed is not
- * held back, and two suspects are never sent to the same target (see
- * {@link HeldBack.verdict}), so that the second crash implicates only one of
- * them.
+ * A fingerprint that was in flight on several targets when they crashed is held
+ * back on all VMs for a limited time, which doubles with each further crash. Two
+ * rules protect a request that merely shared a target with it: crashes do not
+ * count against a fingerprint that a target has completed since or shortly
+ * before, and two suspects are never sent to the same target (see
+ * {@link HeldBack.verdict}), so that the next crash implicates only one of them.
+ *
+ * VMs learn of crashes from messages about each, or from repeated reports on all
+ * that a VM knows, which also reach VMs that start later.
  *
  * @module
  */
 
 import type { Brand, TargetId } from "@poplarthread/ids";
+import { chooseReports, type HeldBackReport } from "./held_back_reports.ts";
 
 /**
  * Identifies a request across retries: caller and key, or caller, method, path
@@ -19,6 +23,24 @@
  */
 export type Fingerprint = Brand<"Fingerprint">;
 
+/** Identifies one run of a target, from its start to its end. */
+export type TargetRun = Brand<"TargetRun">;
+
+/** When requests are held back, and for how long. */
+export interface HeldBackPolicy {
+  /** Crashes after which a request is held back. */
+  readonly minCrashes: number;
+  /** How long a crash counts after the latest one of its request. */
+  readonly lifetimeMs: number;
+  /** How long a request is held back at first; doubled with each further crash. */
+  readonly firstHoldMs: number;
+  readonly maxHoldMs: number;
+  /** How long a completion shows that a request does not crash its targets. */
+  readonly completionMs: number;
+  /** More crashes than this within {@link CRASH_BURST_MS} count against no request. */
+  readonly maxCrashesInBurst: number;
+}
+
 /**
  * Crashes after which a request is held back. One is no proof: every request on
  * a crashed target was in flight then.
@@ -27,7 +49,7 @@
 /** Lifetime of an entry: enough for an operator to notice it and for callers to give up. */
 const ENTRY_LIFETIME_MS = 600_000;
 /**
- * Limit of the table; the oldest entry is evicted. 4,096 entries of about 300
+ * Limit of each table; the oldest entry is evicted. 4,096 entries of about 300
  * bytes take 1.2 MB.
  */
 const MAX_ENTRIES = 4_096;
@@ -41,6 +63,25 @@
  * within one heartbeat timeout.
  */
 const CRASH_BURST_MS = 2_000;
+/**
+ * Crashes are not learned from reports in this last part of their lifetime. A
+ * report takes some time to arrive, and VMs would otherwise revive each other's
+ * expired entries.
+ */
+const REPORT_MARGIN_MS = 5_000;
+
+/** How long reports tell that a suspect was cleared: several reports, since single ones get lost. */
+const CLEARED_REPORT_MS = 10_000;
+
+/** The policy used by default. */
+export const DEFAULT_HELD_BACK_POLICY: HeldBackPolicy = {
+  minCrashes: MIN_CRASHES,
+  lifetimeMs: ENTRY_LIFETIME_MS,
+  firstHoldMs: ENTRY_LIFETIME_MS,
+  maxHoldMs: ENTRY_LIFETIME_MS,
+  completionMs: ENTRY_LIFETIME_MS,
+  maxCrashesInBurst: MAX_CRASHES_IN_BURST,
+};
 
 /** Whether a request may be sent to a target. */
 export type HeldBackVerdict =
@@ -55,11 +96,11 @@
 
 /** Messages between VMs; `remainingMs` is the remaining lifetime of the entry. */
 export type HeldBackMessage =
-  /** The request was in flight on `target` when that crashed. */
+  /** The request was in flight on this run of a target when that crashed. */
   | {
     readonly kind: "coincided";
     readonly fingerprint: Fingerprint;
-    readonly target: TargetId;
+    readonly target: TargetRun;
     readonly remainingMs: number;
   }
   /** A target completed the request. */
@@ -69,34 +110,83 @@
     readonly remainingMs: number;
   };
 
-interface Entry {
-  readonly crashedTargets: ReadonlySet<TargetId>;
-  readonly isCompleted: boolean;
+/** What is known of one fingerprint. */
+interface HeldBackEntry {
+  /** When each run crashed. */
+  readonly crashes: ReadonlyMap<TargetRun, number>;
   readonly expiresAt: number;
 }
 
-/** One VM's table of suspected and held-back requests. */
+/**
+ * Identifies a run of a target by its id and, where targets start again under
+ * their id, what tells their starts apart.
+ */
+export function targetRun(
+  target: TargetId,
+  start?: string | number,
+): TargetRun {
+  const run = start === undefined ? target : `${target}@${start}`;
+  return run as string as TargetRun;
+}
+
+/** One VM's table of suspected and held-back requests. Times are milliseconds of one clock. */
 export class HeldBack {
-  readonly #entries = new Map<Fingerprint, Entry>();
+  readonly #policy: HeldBackPolicy;
+  readonly #entries = new Map<Fingerprint, HeldBackEntry>();
+  /** When a target last completed each request. */
+  readonly #completedAt = new Map<Fingerprint, number>();
+  /** Suspects that a completion has cleared, and when this VM learned of it. */
+  readonly #clearedAt = new Map<Fingerprint, number>();
   #recentCrashes: number[] = [];
+  /** Number of reports made, so that each begins with other entries. */
+  #reports = 0;
+
+  constructor(policy: HeldBackPolicy = DEFAULT_HELD_BACK_POLICY) {
+    this.#policy = policy;
+  }
 
   /** Number of entries in the table. */
   get size(): number {
     return this.#entries.size;
   }
 
+  /** Number of requests that are held back. */
+  countHeldBack(now: number): number {
+    return [...this.#entries.keys()]
+      .filter((one) => this.verdict(one, now).kind === "held-back").length;
+  }
+
   /** Returns whether a request with this fingerprint may be sent now. */
   verdict(fingerprint: Fingerprint, now: number): HeldBackVerdict {
-    const entry = this.#unexpired(fingerprint, now);
-    if (
-      entry === undefined || entry.isCompleted ||
-      entry.crashedTargets.size === 0
-    ) {
+    const times = this.#countedCrashes(fingerprint, now);
+    if (times.length === 0) {
       return { kind: "free" };
     }
-    return entry.crashedTargets.size < MIN_CRASHES
+    const { minCrashes, firstHoldMs, maxHoldMs } = this.#policy;
+    if (times.length < minCrashes) {
+      return { kind: "suspect" };
+    }
+    const holdMs = firstHoldMs * 2 ** (times.length - minCrashes);
+    const retryAfterMs = Math.max(...times) + Math.min(holdMs, maxHoldMs) - now;
+    return retryAfterMs <= 0
       ? { kind: "suspect" }
-      : { kind: "held-back", retryAfterMs: entry.expiresAt - now };
+      : { kind: "held-back", retryAfterMs };
+  }
+
+  /** Number of crashes that count against a request. */
+  crashesOf(fingerprint: Fingerprint, now: number): number {
+    return this.#countedCrashes(fingerprint, now).length;
+  }
+
+  /** Whether a crash counts against a request already. */
+  knowsCrash(fingerprint: Fingerprint, run: TargetRun): boolean {
+    return this.#entries.get(fingerprint)?.crashes.has(run) ?? false;
+  }
+
+  /** Whether a completion shows that a request that broke at `at` does not crash its targets. */
+  isCleared(fingerprint: Fingerprint, at: number): boolean {
+    const completedAt = this.#completedAt.get(fingerprint) ?? -Infinity;
+    return completedAt > at - this.#policy.completionMs;
   }
 
   /**
@@ -104,7 +194,7 @@
    * messages to send to the peers.
    */
   targetCrashed(
-    target: TargetId,
+    target: TargetRun,
     inFlight: readonly Fingerprint[],
     now: number,
   ): readonly HeldBackMessage[] {
@@ -112,14 +202,14 @@
       now - at < CRASH_BURST_MS
     );
     this.#recentCrashes.push(now);
-    if (this.#recentCrashes.length > MAX_CRASHES_IN_BURST) {
+    if (this.#recentCrashes.length > this.#policy.maxCrashesInBurst) {
       return [];
     }
     const messages = inFlight.map((fingerprint) => ({
       kind: "coincided" as const,
       fingerprint,
       target,
-      remainingMs: ENTRY_LIFETIME_MS,
+      remainingMs: this.#policy.lifetimeMs,
     }));
     messages.forEach((message) => this.receive(message, now));
     return messages;
@@ -133,32 +223,90 @@
     fingerprint: Fingerprint,
     now: number,
   ): readonly HeldBackMessage[] {
-    if (this.verdict(fingerprint, now).kind === "free") {
-      return [];
-    }
-    const remainingMs = ENTRY_LIFETIME_MS;
-    const message = { kind: "completed", fingerprint, remainingMs } as const;
-    this.receive(message, now);
-    return [message];
+    const isSuspect = this.verdict(fingerprint, now).kind !== "free";
+    this.#recordCompletion(fingerprint, now, now);
+    const remainingMs = this.#policy.lifetimeMs;
+    return isSuspect ? [{ kind: "completed", fingerprint, remainingMs }] : [];
   }
 
   /** Applies a peer's message; messages may arrive in any order and repeatedly. */
   receive(message: HeldBackMessage, now: number): void {
-    const { fingerprint, remainingMs } = message;
-    const old = this.#unexpired(fingerprint, now);
-    const crashedTargets = new Set(old?.crashedTargets);
-    if (message.kind === "coincided") {
-      crashedTargets.add(message.target);
+    const { fingerprint } = message;
+    const { lifetimeMs } = this.#policy;
+    const remainingMs = Math.min(message.remainingMs, lifetimeMs);
+    const at = now + remainingMs - lifetimeMs;
+    if (message.kind === "completed") {
+      this.#recordCompletion(fingerprint, at, now);
+    } else {
+      this.#recordCrash(fingerprint, { run: message.target, at }, now);
+    }
+  }
+
+  /**
+   * What other VMs should know, with at most `maxCrashes` crashes. Repeated calls
+   * return all of it in turns, and what is newest each time.
+   */
+  reports(now: number, maxCrashes: number): readonly HeldBackReport[] {
+    this.#reports += 1;
+    for (const [one, at] of this.#clearedAt) {
+      if (now - at >= CLEARED_REPORT_MS) {
+        this.#clearedAt.delete(one);
+      }
     }
-    const expiresAt = now + Math.min(remainingMs, ENTRY_LIFETIME_MS);
-    this.#put(fingerprint, {
-      crashedTargets,
-      isCompleted: (old?.isCompleted ?? false) || message.kind === "completed",
-      expiresAt: Math.max(old?.expiresAt ?? 0, expiresAt),
-    });
+    const known = new Set([...this.#clearedAt.keys(), ...this.#entries.keys()]);
+    const candidates = [...known].reverse()
+      .map((one) => this.#reportOf(one, now));
+    return chooseReports(candidates, { maxCrashes, turn: this.#reports });
   }
 
-  #unexpired(fingerprint: Fingerprint, now: number): Entry | undefined {
+  /**
+   * Applies a report of another VM. Returns the crashes that were not known before.
+   */
+  merge(
+    { fingerprint, crashes, completedAgeMs }: HeldBackReport,
+    now: number,
+  ): readonly TargetRun[] {
+    if (completedAgeMs !== undefined) {
+      this.#recordCompletion(fingerprint, now - completedAgeMs, now);
+    }
+    const maxAgeMs = this.#policy.lifetimeMs - REPORT_MARGIN_MS;
+    const known = this.#entries.get(fingerprint)?.crashes;
+    const news = crashes.filter(({ run, ageMs }) =>
+      ageMs <= maxAgeMs && !known?.has(run)
+    );
+    const counted = news.filter(({ run, ageMs }) =>
+      this.#recordCrash(fingerprint, { run, at: now - ageMs }, now)
+    );
+    if (counted.length < news.length) {
+      // The sender does not know of the completion that clears them.
+      putNewest(this.#clearedAt, fingerprint, now);
+    }
+    return counted.map(({ run }) => run);
+  }
+
+  #reportOf(fingerprint: Fingerprint, now: number): HeldBackReport {
+    const crashes = this.#unexpired(fingerprint, now)?.crashes ?? [];
+    const completedAt = this.#completedAt.get(fingerprint);
+    return {
+      fingerprint,
+      crashes: [...crashes].map(([run, at]) => ({
+        run,
+        ageMs: Math.max(0, Math.round(now - at)),
+      })),
+      ...(completedAt === undefined
+        ? {}
+        : { completedAgeMs: Math.max(0, Math.round(now - completedAt)) }),
+    };
+  }
+
+  #countedCrashes(fingerprint: Fingerprint, now: number): readonly number[] {
+    return [...this.#unexpired(fingerprint, now)?.crashes.values() ?? []];
+  }
+
+  #unexpired(
+    fingerprint: Fingerprint,
+    now: number,
+  ): HeldBackEntry | undefined {
     const entry = this.#entries.get(fingerprint);
     if (entry !== undefined && entry.expiresAt <= now) {
       this.#entries.delete(fingerprint);
@@ -167,13 +315,61 @@
     return entry;
   }
 
-  /** Keeps the map ordered by last update, so that its first entry is the oldest. */
-  #put(fingerprint: Fingerprint, entry: Entry): void {
-    this.#entries.delete(fingerprint);
-    this.#entries.set(fingerprint, entry);
-    if (this.#entries.size > MAX_ENTRIES) {
-      const [oldest] = this.#entries.keys();
-      this.#entries.delete(oldest!);
+  /** Returns false if a completion has cleared the request of this crash. */
+  #recordCrash(
+    fingerprint: Fingerprint,
+    { run, at }: { readonly run: TargetRun; readonly at: number },
+    now: number,
+  ): boolean {
+    if (this.isCleared(fingerprint, at)) {
+      return false;
     }
+    const old = this.#unexpired(fingerprint, now);
+    const crashes = new Map(old?.crashes);
+    crashes.set(run, Math.min(crashes.get(run) ?? Infinity, at));
+    const expiresAt = Math.max(
+      old?.expiresAt ?? 0,
+      at + this.#policy.lifetimeMs,
+    );
+    putNewest(this.#entries, fingerprint, { crashes, expiresAt });
+    return true;
+  }
+
+  /** Records a completion, and drops the crashes that it clears the request of. */
+  #recordCompletion(fingerprint: Fingerprint, at: number, now: number): void {
+    const completedAt = this.#completedAt.get(fingerprint) ?? -Infinity;
+    putNewest(this.#completedAt, fingerprint, Math.max(completedAt, at));
+    const entry = this.#entries.get(fingerprint);
+    if (entry === undefined) {
+      return;
+    }
+    const counted = [...entry.crashes]
+      .filter(([_, crashedAt]) => !this.isCleared(fingerprint, crashedAt));
+    if (counted.length === entry.crashes.size) {
+      return;
+    }
+    putNewest(this.#clearedAt, fingerprint, now);
+    if (counted.length === 0) {
+      this.#entries.delete(fingerprint);
+    } else {
+      this.#entries.set(fingerprint, {
+        ...entry,
+        crashes: new Map(counted),
+      });
+    }
+  }
+}
+
+/** Keeps the map ordered by last update, and drops its oldest item if there are too many. */
+function putNewest<T>(
+  items: Map<Fingerprint, T>,
+  fingerprint: Fingerprint,
+  item: T,
+): void {
+  items.delete(fingerprint);
+  items.set(fingerprint, item);
+  if (items.size > MAX_ENTRIES) {
+    const [oldest] = items.keys();
+    items.delete(oldest!);
   }
 }
--- a/packages/coordination/src/held_back/held_back_test.ts
+++ b/packages/coordination/src/held_back/held_back_test.ts
@@ -5,6 +5,8 @@
   type Fingerprint,
   HeldBack,
   type HeldBackMessage,
+  type TargetRun,
+  targetRun,
 } from "./held_back.ts";
 
 const ENTRY_LIFETIME_MS = 600_000;
@@ -13,8 +15,8 @@
   return name as Fingerprint;
 }
 
-function target(name: string): TargetId {
-  return id<TargetId>(name);
+function target(name: string): TargetRun {
+  return targetRun(id<TargetId>(name));
 }
 
 describe("HeldBack", () => {
--- a/packages/coordination/src/held_back/mod.ts
+++ b/packages/coordination/src/held_back/mod.ts
@@ -5,8 +5,13 @@
  */
 
 export {
+  DEFAULT_HELD_BACK_POLICY,
   type Fingerprint,
   HeldBack,
   type HeldBackMessage,
+  type HeldBackPolicy,
   type HeldBackVerdict,
+  type TargetRun,
+  targetRun,
 } from "./held_back.ts";
+export type { HeldBackReport } from "./held_back_reports.ts";
--- a/packages/daemon/src/crash_watch.ts
+++ b/packages/daemon/src/crash_watch.ts
@@ -13,6 +13,8 @@
   type Fingerprint,
   HeldBack,
   type HeldBackMessage,
+  type TargetRun,
+  targetRun,
 } from "@poplarthread/coordination";
 import type { TargetId } from "@poplarthread/ids";
 import type { HeldBackStatus } from "@poplarthread/operator-api";
@@ -51,7 +53,7 @@
   readonly #heldBack = new HeldBack();
   readonly #suspicions = new Map<TargetId, Suspicion>();
   /** Targets that crashed with each fingerprint, for the status; newest last. */
-  readonly #statusEntries = new Map<Fingerprint, Set<TargetId>>();
+  readonly #statusEntries = new Map<Fingerprint, Set<TargetRun>>();
 
   constructor(options: CrashWatchOptions) {
     super("crash-watch");
@@ -157,7 +159,7 @@
       return;
     }
     const messages = this.#heldBack.targetCrashed(
-      target,
+      targetRun(target),
       [...suspicion.fingerprints],
       performance.now(),
     );
--- a/packages/model/src/held_back_model.ts
+++ b/packages/model/src/held_back_model.ts
@@ -6,10 +6,12 @@
  * @module
  */
 
-import type {
-  Fingerprint,
-  HeldBack,
-  HeldBackMessage,
+import {
+  type Fingerprint,
+  type HeldBack,
+  type HeldBackMessage,
+  type TargetRun,
+  targetRun,
 } from "@poplarthread/coordination";
 import { id, type TargetId } from "@poplarthread/ids";
 import type { Model } from "./explore.ts";
@@ -32,7 +34,7 @@
 type Input =
   | {
     readonly kind: "died";
-    readonly target: TargetId;
+    readonly target: TargetRun;
     readonly inFlight: readonly Fingerprint[];
   }
   | { readonly kind: "completed" }
@@ -124,7 +126,7 @@
   function next(state: HeldBackState, event: HeldBackEvent): HeldBackState {
     switch (event.type) {
       case "crash-target": {
-        const target = id<TargetId>(`target-${state.deaths}`);
+        const target = targetRun(id<TargetId>(`target-${state.deaths}`));
         const inFlight = event.isShared ? [CULPRIT, OTHER] : [CULPRIT];
         const after = addInput(state, event.vm, {
           kind: "died",
@@ -240,7 +242,7 @@
     const isCrash = input.kind === "received" &&
       input.message.kind === "coincided" &&
       input.message.fingerprint === CULPRIT;
-    return isCrash ? [(input.message as { target: TargetId }).target] : [];
+    return isCrash ? [(input.message as { target: TargetRun }).target] : [];
   });
   return new Set(targets).size;
 }
--- a/packages/model/src/held_back_model_test.ts
+++ b/packages/model/src/held_back_model_test.ts
@@ -52,8 +52,8 @@
       ],
       [
         "does not record a completion",
-        "isCompleted: (old?.isCompleted ?? false) ||",
-        "isCompleted:",
+        "putNewest(this.#completedAt, fingerprint, Math.max(completedAt, at));",
+        "",
         "a VM that knows of a completion never holds that request back",
       ],
     ])(
