--- a/packages/bench/src/fleet/emulated_vm.ts
+++ b/packages/bench/src/fleet/emulated_vm.ts
@@ -95,7 +95,7 @@
       targetUnresponsive: () => undefined,
       probe: (target) => this.#probe(target),
       publishLimit: () => undefined,
-      publishCrash: () => undefined,
+      publishSuspects: () => undefined,
       ended: (exchange) => this.#ended(exchange),
       attemptEnded: () => undefined,
     });
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -24,6 +24,12 @@
   return err instanceof Error ? err.message : String(err);
 }
 
+/** Whether an error says that nobody accepts connections at an address. */
+export function isRefusedConnection(err: unknown): boolean {
+  return (err as Partial<NodeJS.ErrnoException> | null)?.code ===
+    "ECONNREFUSED";
+}
+
 /** Connecting to a target timed out. */
 export class ConnectTimeoutError extends Error {
   override readonly name = "ConnectTimeoutError";
--- a/packages/daemon/src/gateway/attempt_report.ts
+++ b/packages/daemon/src/gateway/attempt_report.ts
@@ -5,9 +5,17 @@
  * @module
  */
 
+import type {
+  Fingerprint,
+  TargetRun,
+} from "@poplarthread/coordination/held_back";
 import type { Steering, Warmth } from "@poplarthread/placement";
 import type { TargetId } from "@poplarthread/ids";
-import { NotSentError } from "../errors.ts";
+import {
+  InvalidResponseError,
+  isRefusedConnection,
+  NotSentError,
+} from "../errors.ts";
 import type { ConnectionSource } from "./connections.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import type { EventLog } from "./events.ts";
@@ -23,6 +31,8 @@
   readonly targets: TargetDirectory;
   readonly connections: ConnectionSource;
   readonly suspects: CrashSuspects;
+  /** Checks whether the present run of a target still exists, and reports that to the suspects. */
+  checkRun(target: TargetId): void;
   readonly log: EventLog;
   /** Called with the request limit that a target reported in a response, or lifted. */
   limitReported(limit: LimitUpdate): void;
@@ -39,8 +49,10 @@
   readonly requestKind: string;
   /** Whether the target was expected to hold the object in its cache. */
   readonly warmth: Warmth;
-  /** Digest that is equal for repeats of the request; see {@link CrashSuspects.digestOf}. */
-  readonly digest: string | undefined;
+  /** What repeats of the request have in common; none if it is not known yet. */
+  readonly fingerprints: readonly Fingerprint[];
+  /** The run of the target; undefined if the target was not known. */
+  readonly run: TargetRun | undefined;
 }
 
 /** How an attempt ended, and which request it belongs to. */
@@ -62,7 +74,7 @@
   if (response !== undefined && !isWorkReported) {
     attempt.isWorkReported = true;
     const end = { kind: "answered", response, body: [] } as const;
-    reportToSteering(services, attempt, { ...report, end });
+    reportWork(services, attempt, { ...report, end });
   }
 }
 
@@ -75,10 +87,20 @@
   logFailure(services.log, attempt, report);
   releaseConnection(services.connections, attempt, report.end);
   if (!attempt.isWorkReported) {
-    reportToSteering(services, attempt, report);
+    reportWork(services, attempt, report);
   }
 }
 
+/** Reports what an attempt says about its target and its request. */
+function reportWork(
+  services: AttemptReportServices,
+  attempt: TargetAttempt,
+  report: AttemptReport,
+): void {
+  reportToSuspects(services, attempt, report);
+  reportToSteering(services, attempt, report);
+}
+
 /** The details of an attempt for the request log. */
 export function summaryOf(
   { target, startedAt }: TargetAttempt,
@@ -129,18 +151,15 @@
 function reportToSteering(
   services: AttemptReportServices,
   { target, writtenAt }: TargetAttempt,
-  { end, now, digest, object, requestKind, warmth }: AttemptReport,
+  { end, now, object, requestKind, warmth }: AttemptReport,
 ): void {
-  const { steering, suspects } = services;
+  const { steering } = services;
   const times = { now, writtenAt };
   switch (end.kind) {
     case "answered":
     case "not-run": {
       const { load, status, isOtherTarget } = end.response;
       const failed = end.kind === "not-run" || status >= 500;
-      if (!failed) {
-        suspects.attemptSucceeded(digest, now);
-      }
       steering.ended(target, {
         kind: "answered",
         load,
@@ -159,13 +178,11 @@
     }
     case "broke":
       steering.ended(target, { kind: "broke" }, times);
-      suspects.attemptBroke(digest, target, now);
       return;
     case "unreachable":
       steering.ended(target, { kind: "abandoned" }, times);
       if (!(end.err instanceof NotSentError)) {
         steering.markUnreachable(target, now);
-        suspects.targetUnreachable(target, now);
       }
       return;
     case "abandoned":
@@ -174,6 +191,49 @@
   }
 }
 
+/** Tells the tracker of requests that crash targets what an attempt says about the run of its target. */
+function reportToSuspects(
+  { suspects, targets, checkRun }: AttemptReportServices,
+  attempt: TargetAttempt,
+  { end, now, fingerprints, run }: AttemptReport,
+): void {
+  const { target, writtenAt, response } = attempt;
+  if (run === undefined) {
+    return;
+  }
+  switch (end.kind) {
+    case "answered":
+    case "not-run":
+      if (end.response.isOtherTarget) {
+        suspects.runEnded(run, "gone", now);
+        return;
+      }
+      suspects.runResponded(run, writtenAt ?? now);
+      if (end.kind === "answered" && end.response.status < 500) {
+        suspects.attemptSucceeded(fingerprints, now);
+      }
+      return;
+    case "broke":
+      suspects.attemptUnanswered(fingerprints, run, now);
+      if (
+        response === undefined && !(end.err instanceof InvalidResponseError)
+      ) {
+        checkRun(target);
+      }
+      return;
+    case "unreachable":
+      if (isRefusedConnection(end.err) && !targets.isLeaving(target)) {
+        suspects.runRefused(run, now);
+      }
+      return;
+    case "abandoned":
+      if (writtenAt !== undefined && response === undefined) {
+        suspects.attemptUnanswered(fingerprints, run, now);
+      }
+      return;
+  }
+}
+
 /** Whether a target that didn't run a request lacked room; another one may be meant, or it may be leaving. */
 export function isRoomRefusal(
   { isOtherTarget, isLeaving }: TargetResponse,
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -388,6 +388,7 @@
       forwarded: info && {
         from: this.#options.vmAt(options.req.socket.remoteAddress ?? ""),
         attempts: info.attempts,
+        caller: info.caller,
       },
       endsConnection: (mustEnd) => {
         const ends = connection.latestExchange === exchange &&
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -4,46 +4,51 @@
  * A request may crash every target that starts to run it, while its caller keeps
  * resending it. If it were always sent on, it would take down the targets of a
  * service one after the other; the symptom is targets that restart after the same
- * last request. A request whose attempts broke on several crashed targets is held
- * back for a while on all VMs, which send each other crash reports.
- *
- * A popular request runs on several targets at any time, and breaks on all of them
- * when they fall together, with their zone for example. It crashes none of them if
- * others respond to it.
+ * last request. A crash counts against a request if an attempt of it got no response
+ * from a run of a target that then ended. What follows from that, on all VMs alike,
+ * is decided by {@link HeldBack}.
  *
  * @module
  */
 
-import { createHash } from "node:crypto";
-import type { Buffer } from "node:buffer";
-import type { TargetId } from "@poplarthread/ids";
+import {
+  type Fingerprint,
+  HeldBack,
+  type HeldBackPolicy,
+  type HeldBackReport,
+  type TargetRun,
+} from "@poplarthread/coordination/held_back";
 import type { ReachState } from "@poplarthread/placement";
+import { type RunEnd, UnansweredAttempts } from "./unanswered_attempts.ts";
 
-/** Number of crashed targets after which a request is held back. One or two can coincide with any request while targets fail for other reasons. */
-const MIN_CRASHES = 3;
-/** How long a crash counts and a request is held back. */
-const CRASH_TTL_MS = 30_000;
-/** How long a success shows that a request does not crash its targets. */
-const SUCCESS_TTL_MS = 10_000;
-/** Maximum time from a broken attempt to the crash it is linked to. The crash is detected when the next request or probe fails to connect to the target. */
-const CRASH_WINDOW_MS = 1_500;
+/**
+ * Three crashes: one or two can coincide with any request while targets fail for other
+ * reasons. A completion counts for a short time only, so that a request is held back
+ * that begins to crash its targets later. There is no burst: targets of a zone that
+ * fall together are told from a request by its completions elsewhere.
+ */
+const POLICY: HeldBackPolicy = {
+  minCrashes: 3,
+  lifetimeMs: 1_200_000,
+  firstHoldMs: 60_000,
+  maxHoldMs: 600_000,
+  completionMs: 10_000,
+  maxCrashesInBurst: Infinity,
+};
 /** Time after which further targets would have become unreachable if this VM were cut off. */
 const SETTLE_MS = 300;
-/** Maximum number of digests kept, about 100 bytes each. */
-const MAX_DIGESTS = 2_000;
-/** Length of a digest in base64 characters: enough to distinguish some thousand requests. */
-const DIGEST_CHARACTERS = 12;
+/** Retry-After of a request while it is not settled whether targets crashed under it. */
+const UNSETTLED_RETRY_MS = 1_000;
 
-/** A crash report, as VMs send it to each other. */
+/** A crash of a target under a request. */
 export interface SuspectedCrash {
-  readonly digest: string;
-  readonly target: TargetId;
+  /** What repeats of the request have in common. */
+  readonly digest: Fingerprint;
+  readonly target: TargetRun;
 }
 
 /** Why a crash does not count against a request whose attempt broke on the target. */
 export type UncountedReason =
-  /** The attempt broke too long before the crash was noticed. */
-  | "late"
   /** A target has responded to the same request shortly before, or since. */
   | "succeeded"
   /** This VM turned out to reach no targets. */
@@ -61,14 +66,16 @@
   | { readonly kind: "reported"; readonly crash: SuspectedCrash }
   | {
     readonly kind: "held-back";
-    readonly digest: string;
+    readonly digest: Fingerprint;
     readonly forMs: number;
   };
 
 /** Options of {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
-  /** Sends a crash report to the other VMs. */
-  publish(crash: SuspectedCrash): void;
+  /** Sends the reports to the other VMs, soon. */
+  publish(): void;
+  /** Whether this VM reaches targets; that it does, by default. */
+  reach?(): ReachState;
   /** Called with each finding, for log and metrics; not at all by default. */
   found?(finding: CrashFinding): void;
 }
@@ -76,17 +83,8 @@
 /** The crash tracker of one VM; see the module comment. Times are milliseconds of the monotonic clock. */
 export class CrashSuspects {
   readonly #options: CrashSuspectsOptions;
-  /** Time of the latest crash, by digest and target, so that each target counts once. */
-  readonly #crashes = new Map<string, Map<TargetId, number>>();
-
-  /** When a target last responded with success to a request, by digest. */
-  readonly #succeededAt = new Map<string, number>();
-
-  /** Time of recently broken attempts, by target and digest, until a crash of the target is detected. */
-  readonly #recentFailures = new Map<TargetId, Map<string, number>>();
-
-  /** Targets that became unreachable, until it is settled whether they crashed. */
-  readonly #unreachableSince = new Map<TargetId, number>();
+  readonly #heldBack = new HeldBack(POLICY);
+  readonly #unanswered = new UnansweredAttempts();
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
@@ -94,153 +92,181 @@
 
   /** Number of requests that are held back. */
   countHeldBack(now: number): number {
-    return [...this.#crashes.keys()]
-      .filter((digest) => this.heldBackMs(digest, now) > 0).length;
-  }
-
-  /** Returns a digest of method, URL and body, which is equal for repeats of a request. */
-  digestOf(method: string, url: string, body: Buffer | undefined): string {
-    const hash = createHash("sha1").update(`${method} ${url}\n`);
-    if (body !== undefined) {
-      hash.update(body);
-    }
-    return hash.digest("base64").slice(0, DIGEST_CHARACTERS);
+    return this.#heldBack.countHeldBack(now);
   }
 
   /** Records that a target has responded to the request with success. */
-  attemptSucceeded(digest: string | undefined, now: number): void {
-    if (digest === undefined) {
-      return;
+  attemptSucceeded(fingerprints: readonly Fingerprint[], now: number): void {
+    const messages = fingerprints.flatMap((fingerprint) =>
+      this.#heldBack.completed(fingerprint, now)
+    );
+    if (messages.length > 0) {
+      this.#options.publish();
     }
-    this.#succeededAt.delete(digest);
-    this.#succeededAt.set(digest, now);
-    dropOldest(this.#succeededAt);
   }
 
-  /** Records that an attempt of this VM broke. This alone proves no crash: connections are reset for many reasons. */
-  attemptBroke(
-    digest: string | undefined,
-    target: TargetId,
+  /**
+   * Records that an attempt of this VM ended without a response. This alone proves no
+   * crash: connections are reset for many reasons.
+   */
+  attemptUnanswered(
+    fingerprints: readonly Fingerprint[],
+    run: TargetRun,
     now: number,
   ): void {
-    if (digest === undefined) {
-      return;
+    const hasEnded = this.#unanswered.add(run, { fingerprints, at: now });
+    if (hasEnded) {
+      this.#countCrash(run, { fingerprints, at: now }, now);
     }
-    const recent = this.#recentFailures.get(target) ??
-      new Map<string, number>();
-    recent.set(digest, now);
-    this.#recentFailures.set(target, recent);
+  }
+
+  /** Records that a run has responded to something that was sent at `sentAt`. */
+  runResponded(run: TargetRun, sentAt: number): void {
+    this.#unanswered.responded(run, sentAt);
   }
 
   /**
-   * Records that no connection to a target could be established. That is a crash only
-   * if this VM reaches other targets, which {@link settleUnreachable} tells.
+   * Records that the address of a run refused a connection. The run has ended if this
+   * VM reaches other targets, which {@link settle} tells.
    */
-  targetUnreachable(target: TargetId, now: number): void {
-    if (!this.#unreachableSince.has(target)) {
-      this.#unreachableSince.set(target, now);
+  runRefused(run: TargetRun, now: number): void {
+    if (this.#reach !== "cut-off") {
+      this.#unanswered.refused(run, now);
+    }
+  }
+
+  /** Records that a run responds to nothing, on a new connection either. */
+  runSilent(run: TargetRun): void {
+    if (this.#reach !== "cut-off") {
+      this.#unanswered.silent(run);
+    }
+  }
+
+  /** Records that a run has ended. */
+  runEnded(run: TargetRun, end: RunEnd, now: number): void {
+    for (const attempt of this.#unanswered.ended(run, end, now)) {
+      this.#countCrash(run, attempt, now);
     }
   }
 
   /**
-   * Takes targets that became unreachable a while ago for crashed, or forgets them if this
-   * VM has turned out to be cut off from all targets. Must be called regularly.
+   * Takes runs whose addresses have refused connections for a while for ended, or
+   * forgets that if this VM has turned out to be cut off from all targets. Must be
+   * called regularly.
    */
-  settleUnreachable(reach: ReachState, now: number): void {
-    switch (reach) {
+  settle(now: number): void {
+    this.#unanswered.sweep(now);
+    switch (this.#reach) {
       case "in-doubt":
         return;
       case "cut-off":
-        for (const target of this.#unreachableSince.keys()) {
-          this.#discard(target, "no-links");
+        for (
+          const [target, { fingerprints }] of this.#unanswered.forgetRefusals()
+        ) {
+          this.#foundUncounted(fingerprints, target, "no-links");
         }
-        this.#unreachableSince.clear();
-        this.#recentFailures.clear();
         return;
       case "reached":
-        break;
-    }
-    for (const [target, since] of this.#unreachableSince) {
-      if (now - since >= SETTLE_MS) {
-        this.#unreachableSince.delete(target);
-        this.targetCrashed(target, since);
-      }
+        for (const run of this.#unanswered.refusedFor(SETTLE_MS, now)) {
+          this.runEnded(run, "gone", now);
+        }
+        return;
     }
   }
 
-  /** Links a crash of a target to the attempts that broke on it shortly before. */
-  targetCrashed(target: TargetId, now: number): void {
-    for (const [digest, brokeAt] of this.#recentFailures.get(target) ?? []) {
-      const crash = { digest, target };
-      if (this.#isCleared(digest, brokeAt)) {
-        this.#found({ kind: "uncounted", crash, reason: "succeeded" });
-      } else if (now - brokeAt >= CRASH_WINDOW_MS) {
-        this.#found({ kind: "uncounted", crash, reason: "late" });
-      } else {
-        this.#found({ kind: "counted", crash });
-        this.#record(crash, now);
-        this.#options.publish(crash);
-      }
+  /** What other VMs should know, with at most `maxCrashes` crashes. */
+  reports(now: number, maxCrashes: number): readonly HeldBackReport[] {
+    return this.#heldBack.reports(now, maxCrashes);
+  }
+
+  /** Applies a report of another VM. */
+  merge(report: HeldBackReport, now: number): void {
+    const digest = report.fingerprint;
+    const wasHeldBack = this.#isHeldBack(digest, now);
+    for (const target of this.#heldBack.merge(report, now)) {
+      this.#options.found?.({ kind: "reported", crash: { digest, target } });
     }
-    this.#recentFailures.delete(target);
+    this.#announceHold(digest, wasHeldBack, now);
   }
 
-  /** Records a crash that another VM reported. */
-  recordReport(crash: SuspectedCrash, now: number): void {
-    const { digest, target } = crash;
-    if (!this.#crashes.get(digest)?.has(target)) {
-      this.#found({ kind: "reported", crash });
+  /** Whether a target has crashed under the request: an attempt that breaks is then not repeated. */
+  isSuspect(fingerprints: readonly Fingerprint[], now: number): boolean {
+    return fingerprints.some((fingerprint) =>
+      this.#heldBack.verdict(fingerprint, now).kind !== "free"
+    );
+  }
+
+  /** How much longer the request is held back; 0 if it may run. */
+  heldBackMs(fingerprints: readonly Fingerprint[], now: number): number {
+    return Math.max(
+      0,
+      ...fingerprints.map((fingerprint) => this.#heldMs(fingerprint, now)),
+    );
+  }
+
+  #heldMs(fingerprint: Fingerprint, now: number): number {
+    const verdict = this.#heldBack.verdict(fingerprint, now);
+    if (verdict.kind === "held-back") {
+      return verdict.retryAfterMs;
     }
-    this.#record(crash, now);
-  }
-
-  #record({ digest, target }: SuspectedCrash, now: number): void {
-    const wasHeldBack = this.heldBackMs(digest, now) > 0;
-    const targets = this.#crashes.get(digest) ?? new Map<TargetId, number>();
-    this.#crashes.delete(digest);
-    targets.set(target, now);
-    this.#crashes.set(digest, targets);
-    dropOldest(this.#crashes);
-    const forMs = this.heldBackMs(digest, now);
-    if (!wasHeldBack && forMs > 0) {
-      this.#found({ kind: "held-back", digest, forMs });
+    if (this.#reach !== "reached") {
+      return 0;
     }
+    const unsettled = this.#unanswered.countSuspected(fingerprint);
+    const crashes = this.#heldBack.crashesOf(fingerprint, now) + unsettled;
+    return unsettled === 0 || crashes < POLICY.minCrashes
+      ? 0
+      : UNSETTLED_RETRY_MS;
   }
 
-  #discard(target: TargetId, reason: UncountedReason): void {
-    for (const digest of this.#recentFailures.get(target)?.keys() ?? []) {
-      this.#found({ kind: "uncounted", crash: { digest, target }, reason });
+  #countCrash(
+    target: TargetRun,
+    { fingerprints, at }: {
+      readonly fingerprints: readonly Fingerprint[];
+      readonly at: number;
+    },
+    now: number,
+  ): void {
+    for (const digest of fingerprints) {
+      if (this.#heldBack.knowsCrash(digest, target)) {
+        continue;
+      }
+      if (this.#heldBack.isCleared(digest, at)) {
+        this.#foundUncounted([digest], target, "succeeded");
+        continue;
+      }
+      const wasHeldBack = this.#isHeldBack(digest, now);
+      this.#options.found?.({ kind: "counted", crash: { digest, target } });
+      this.#heldBack.targetCrashed(target, [digest], now);
+      this.#announceHold(digest, wasHeldBack, now);
+      this.#options.publish();
     }
   }
 
-  #found(finding: CrashFinding): void {
-    this.#options.found?.(finding);
+  #isHeldBack(digest: Fingerprint, now: number): boolean {
+    return this.#heldBack.verdict(digest, now).kind === "held-back";
   }
 
-  /** How much longer the request is held back; 0 if it may run. */
-  heldBackMs(digest: string, now: number): number {
-    const targets = this.#crashes.get(digest);
-    if (targets === undefined || targets.size < MIN_CRASHES) {
-      return 0;
+  #announceHold(digest: Fingerprint, wasHeldBack: boolean, now: number): void {
+    const verdict = this.#heldBack.verdict(digest, now);
+    if (!wasHeldBack && verdict.kind === "held-back") {
+      const forMs = verdict.retryAfterMs;
+      this.#options.found?.({ kind: "held-back", digest, forMs });
     }
-    const times = [...targets.values()]
-      .filter((crashedAt) => !this.#isCleared(digest, crashedAt))
-      .toSorted((a, b) => b - a);
-    const decidingAt = times[MIN_CRASHES - 1] ?? -Infinity;
-    return Math.max(0, decidingAt + CRASH_TTL_MS - now);
   }
 
-  /** Whether a target has responded to the request shortly before a crash, or since. */
-  #isCleared(digest: string, crashedAt: number): boolean {
-    const succeededAt = this.#succeededAt.get(digest) ?? -Infinity;
-    return crashedAt - succeededAt < SUCCESS_TTL_MS;
+  #foundUncounted(
+    digests: readonly Fingerprint[],
+    target: TargetRun,
+    reason: UncountedReason,
+  ): void {
+    for (const digest of digests) {
+      const crash = { digest, target };
+      this.#options.found?.({ kind: "uncounted", crash, reason });
+    }
   }
-}
 
-/** Keeps the latest {@link MAX_DIGESTS} entries. */
-function dropOldest(byDigest: Map<string, unknown>): void {
-  if (byDigest.size > MAX_DIGESTS) {
-    const [oldest] = byDigest.keys();
-    byDigest.delete(oldest!);
+  get #reach(): ReachState {
+    return this.#options.reach?.() ?? "reached";
   }
 }
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -11,6 +11,10 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import type {
+  Fingerprint,
+  TargetRun,
+} from "@poplarthread/coordination/held_back";
 import type { AccountId, ServiceId, TargetId } from "@poplarthread/ids";
 import {
   type GateCause,
@@ -52,6 +56,7 @@
   type ForwardingExchange,
   RequestForwards,
 } from "./forwarding/request_forwards.ts";
+import { fingerprintsOf } from "./request_fingerprints.ts";
 import { expiryOf, objectOf } from "./request_terms.ts";
 import { startAttempt } from "./start_attempt.ts";
 import type {
@@ -104,8 +109,10 @@
   #failedResponse:
     | { response: TargetResponse; body: readonly Buffer[] }
     | undefined;
-  /** Digest by which repeats of the request are recognized. */
-  #digest: string | undefined;
+  /** What repeats of the request have in common. */
+  #fingerprints: readonly Fingerprint[] = [];
+  /** The run of the target that the current attempt was sent to. */
+  #run: TargetRun | undefined;
   #firstSentAt: number | undefined;
   #retryAfterMs: number | undefined;
   #lastAttempt: AttemptSummary | undefined;
@@ -291,17 +298,16 @@
     if (!this.#transition("count")) {
       return;
     }
-    this.#digest = this.#services.suspects.digestOf(
-      this.#req.method!,
-      this.#req.url!,
-      this.#body?.buffered,
-    );
-    const heldMs = this.#services.suspects.heldBackMs(
-      this.#digest,
-      this.startedAt,
-    );
-    if (heldMs > 0) {
-      this.#replyLocally("held-back", heldMs);
+    this.#fingerprints = fingerprintsOf({
+      host: this.request.host,
+      method: this.#req.method!,
+      url: this.#req.url!,
+      object: this.request.object,
+      body: this.#body?.buffered,
+      bodyBytes: this.request.contentLength,
+      caller: this.#callerIdentity,
+    });
+    if (this.#isHeldBack(performance.now())) {
       return;
     }
     this.#options.caller.chargeQuota((refusal) =>
@@ -309,6 +315,22 @@
     );
   }
 
+  /** Refuses the request if it is held back, since it crashes its targets. */
+  #isHeldBack(now: number): boolean {
+    const heldMs = this.#services.suspects.heldBackMs(this.#fingerprints, now);
+    if (heldMs > 0) {
+      this.#giveUp("held-back", heldMs);
+    }
+    return heldMs > 0;
+  }
+
+  /** Tells callers apart: the account, or else the address. */
+  get #callerIdentity(): string {
+    const { forwarded, caller } = this.#options;
+    return caller.account ?? forwarded?.caller ??
+      this.socket.remoteAddress ?? "";
+  }
+
   /** Handles the result of counting the request against its account's quota. */
   #quotaChecked(refusal: AdmissionRefusal | undefined): void {
     if (refusal !== undefined) {
@@ -367,6 +389,9 @@
       this.#giveUp(refusal.reason, refusal.retryAfterMs);
       return false;
     }
+    if (this.#isHeldBack(now)) {
+      return false;
+    }
     const { budget, steering } = this.#services;
     if (this.#attempts.written === 0 && !budget.admits(this.route.name)) {
       this.#refuse("memory-used-up", MEMORY_RETRY_MS);
@@ -428,6 +453,7 @@
         elapsedMs: now - this.startedAt,
         remainingMs: Math.max(1, Math.floor(this.expiresAt - now)),
         attempts: this.#attempts.written,
+        caller: this.#callerIdentity,
       },
       started: (attempt) => this.#attempt = attempt,
     });
@@ -519,7 +545,8 @@
       requestKind: this.route.name,
       object: this.object,
       warmth: this.#warmth,
-      digest: this.#digest,
+      fingerprints: this.#fingerprints,
+      run: this.#run,
     };
   }
 
@@ -584,7 +611,11 @@
       return;
     }
     this.#attempts.failed();
-    this.#retry(now);
+    if (this.#services.suspects.isSuspect(this.#fingerprints, now)) {
+      this.#giveUp("broken", undefined);
+    } else {
+      this.#retry(now);
+    }
   }
 
   /** Allows the target that refused the request once more, where others would refuse it as well. */
@@ -644,6 +675,7 @@
     this.#attempts.tried.add(target);
     this.#beginAttempt(now);
     steering.sent(target, now);
+    this.#run = this.#services.targets.runOf(target);
     startAttempt(this, this.#services, {
       target,
       request: this.request,
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -162,8 +162,10 @@
       connections: this.#connections(),
       targets: {
         get: () => ({ address: "t:1" }),
+        runOf: () => undefined,
       } as unknown as TargetDirectory,
       suspects: new CrashSuspects({ publish: () => undefined }),
+      checkRun: () => undefined,
       budget: this.budget,
       log,
       ended: (_exchange, end) => this.ends.push(end),
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -68,6 +68,8 @@
   readonly from: VmId | undefined;
   /** Attempts already made. */
   readonly attempts: number;
+  /** What tells its caller apart from others; undefined if an older version of the program does not say. */
+  readonly caller: string | undefined;
 }
 
 /** What a request has met, for logs and metrics. */
--- a/packages/daemon/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarded_request.ts
@@ -32,6 +32,8 @@
   readonly remainingMs: number;
   /** Attempts already made: the limit on attempts holds over both VMs. */
   readonly attempts: number;
+  /** What tells the caller apart from others. Older versions of the program don't send this field. */
+  readonly caller?: string | undefined;
   /** The sender's credential, which was not among the headers for targets. */
   readonly credential: Credential;
 }
@@ -50,6 +52,7 @@
   elapsedMs: z.number().min(0),
   remainingMs: z.number().positive(),
   attempts: z.number().int().min(0),
+  caller: z.string().optional(),
   credential: credentialSchema,
 });
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -294,8 +294,8 @@
       publishLimit: (update) =>
         this.#peers.beacon.send({ kind: "limit", update }),
       crashFindingMade: (finding) => this.#metrics.stateChanged(finding),
-      publishCrash: (crash) =>
-        this.#peers.beacon.send({ kind: "crash", crash }),
+      checkRun: (target) => this.#probes.checkRun(target),
+      publishSuspects: () => this.#peers.beacon.send({ kind: "beat" }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
     });
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -13,10 +13,9 @@
  */
 
 import { createSocket, type Socket } from "node:dgram";
+import type { HeldBackReport } from "@poplarthread/coordination/held_back";
 import type { HashedPair } from "@poplarthread/placement";
 import { Task } from "../task.ts";
-import { CrashReports } from "./crash_reports.ts";
-import type { SuspectedCrash } from "./crash_suspects.ts";
 import {
   decodeLimits,
   LIMIT_UPDATE_INTERVAL_MS,
@@ -25,6 +24,7 @@
 } from "./limit_updates.ts";
 import {
   encodeNotification,
+  encodeSuspect,
   hasCommonFields,
   type Heartbeat,
   isHeartbeat,
@@ -41,8 +41,10 @@
 const HEARTBEAT_MS = 1_000;
 /** One zone report to VMs of other regions per this many heartbeats. */
 const HEARTBEATS_PER_REMOTE_REPORT = 2;
-/** Crashes in one zone report: fewer than in a heartbeat, since the report also lists VMs. */
-const MAX_CRASHES_PER_ZONE_REPORT = 4;
+/** Crashes in one heartbeat, each about 30 bytes, so that a datagram stays below 1,400 bytes. */
+const MAX_CRASHES_PER_HEARTBEAT = 16;
+/** Crashes in one zone report: fewer, since the report also lists VMs. */
+const MAX_CRASHES_PER_ZONE_REPORT = 6;
 /**
  * Intervals of warm-target updates within the zone and to the region's other zones. A
  * request takes 250 to 600 ms longer on a target that is cold for its object, so older
@@ -91,15 +93,14 @@
   | { readonly kind: "heartbeat" }
   /** Sends a heartbeat and warm pairs to a peer whose first heartbeat has just arrived. */
   | { readonly kind: "greet"; readonly member: Member }
-  /** This VM has seen a crash; reported to all VMs. */
-  | { readonly kind: "crash"; readonly crash: SuspectedCrash }
-  /** Another VM of the zone has seen a crash; reported to other zones if this VM is a delegate. */
-  | { readonly kind: "pass-on"; readonly crash: SuspectedCrash }
   /** A target has set, changed or lifted its limit; published to all VMs soon. */
   | { readonly kind: "limit"; readonly update: LimitUpdate }
   /** Publishes pending limit updates. */
   | { readonly kind: "publish-limits" };
 
+/** Contents of a heartbeat, except suspects. */
+type LocalState = Omit<Heartbeat, "crashes" | "suspects">;
+
 /** Options of a {@link PeerBeacon}. */
 export interface PeerBeaconOptions {
   readonly listen: ListenAddress;
@@ -119,8 +120,10 @@
   limitsReceived(updates: readonly LimitUpdate[]): void;
   /** VMs of the zone that are up or leaving, including this one. */
   zoneVmStatuses(): readonly VmStatus[];
-  /** Contents of this VM's heartbeat, except crashes. */
-  localState(): Omit<Heartbeat, "crashes">;
+  /** Reports on requests that may crash targets, with at most `maxCrashes` crashes. */
+  suspects(maxCrashes: number): readonly HeldBackReport[];
+  /** Contents of this VM's heartbeat, except suspects. */
+  localState(): LocalState;
   heartbeatReceived(heartbeat: Heartbeat): void;
   zoneReportReceived(report: ZoneReport): void;
 }
@@ -129,10 +132,6 @@
 export class PeerBeacon extends Task<PeerBeaconMessage> {
   readonly #options: PeerBeaconOptions;
   #socket: Socket | undefined;
-  /** Crashes that this VM has seen. */
-  #localCrashes = new CrashReports();
-  /** Crashes that others of the zone have seen. Reported to other zones only: within the zone, VMs would repeat each other's reports for ever. */
-  #forwardedCrashes = new CrashReports();
   readonly #zoneWarm = new WarmUpdates();
   readonly #regionWarm = new WarmUpdates();
   /** Heartbeats until the next zone report to VMs of other regions. */
@@ -183,13 +182,6 @@
       case "greet":
         this.#greet(message.member);
         return;
-      case "crash":
-        this.#localCrashes.add(message.crash);
-        this.#beat(this.#options.reportRecipients());
-        return;
-      case "pass-on":
-        this.#forwardedCrashes.add(message.crash);
-        return;
       case "warmed":
         this.#zoneWarm.add(message.pair);
         this.#regionWarm.add(message.pair);
@@ -355,17 +347,20 @@
   #heartbeat(state = this.#options.localState()): Buffer {
     const params: Heartbeat = {
       ...state,
-      crashes: this.#localCrashes.current(),
+      ...this.#suspects(MAX_CRASHES_PER_HEARTBEAT),
     };
     return encodeNotification("heartbeat", params);
   }
 
-  #zoneReports({ seen, era }: Omit<Heartbeat, "crashes">): readonly Buffer[] {
-    const crashes = [
-      ...this.#localCrashes.current(),
-      ...this.#forwardedCrashes.current(),
-    ]
-      .slice(-MAX_CRASHES_PER_ZONE_REPORT);
+  #suspects(
+    maxCrashes: number,
+  ): Pick<Heartbeat, "crashes" | "suspects"> {
+    const suspects = this.#options.suspects(maxCrashes).map(encodeSuspect);
+    return { crashes: [], ...(suspects.length === 0 ? {} : { suspects }) };
+  }
+
+  #zoneReports({ seen, era }: LocalState): readonly Buffer[] {
+    const suspects = this.#suspects(MAX_CRASHES_PER_ZONE_REPORT);
     const statuses = this.#options.zoneVmStatuses();
     const reports: Buffer[] = [];
     for (let at = 0; at < statuses.length; at += MAX_VMS_PER_REPORT) {
@@ -378,7 +373,7 @@
       reports.push(encodeNotification("zone", {
         seen,
         era,
-        crashes,
+        ...suspects,
         ages,
         leaving: vms.filter(({ isLeaving }) => isLeaving).map(({ vm }) => vm),
         ...(cutOff.length === 0 ? {} : { cutOff: cutOff.map(({ vm }) => vm) }),
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -8,11 +8,21 @@
 import { createSocket, type Socket } from "node:dgram";
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import type { RegionId, TargetId, VmId } from "@poplarthread/ids";
+import {
+  type Fingerprint,
+  type HeldBackReport,
+  targetRun,
+} from "@poplarthread/coordination/held_back";
 import type { HashedPair } from "@poplarthread/placement";
 import { loopbackAddress } from "../loopback.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
 import { PeerBeacon } from "./peer_beacon.ts";
-import type { Heartbeat, ZoneReport } from "./peer_messages.ts";
+import {
+  decodeSuspects,
+  encodeSuspect,
+  type Heartbeat,
+  type ZoneReport,
+} from "./peer_messages.ts";
 import type { Member } from "./ports.ts";
 import { memberNamed } from "./testing.ts";
 import { decodePairs, encodePairs } from "./warm_updates.ts";
@@ -35,6 +45,8 @@
 let receivedLimits: LimitUpdate[];
 let isDelegate: boolean;
 let areOverloaded: boolean;
+/** What is known of requests that may crash targets. */
+let suspects: readonly HeldBackReport[];
 let zonePeers: readonly Member[];
 let farMember: Member;
 
@@ -73,6 +85,7 @@
   receivedLimits = [];
   isDelegate = true;
   areOverloaded = false;
+  suspects = [];
   zonePeers = [member("vm-2", PORTS.near)];
   farMember = member("vm-3", PORTS.far);
   near = await peer(PORTS.near, (params) => sent.near.push(params));
@@ -87,6 +100,7 @@
     warmPairs: () => Array.from({ length: 2_000 }, (_, at) => pair(at)),
     warmReceived: (pairs) => receivedWarm.push(...pairs),
     limitsReceived: (updates) => receivedLimits.push(...updates),
+    suspects: (maxCrashes) => chosen(suspects, maxCrashes),
     zoneVmStatuses: () =>
       Array.from({ length: 45 }, (_, at) => ({
         vm: `front-tbilisi-saburtalo-${at}` as VmId,
@@ -117,7 +131,25 @@
   return { object: 4_000_000_000, target };
 }
 
-const CRASH = { digest: "abc", target: "t-1" as TargetId };
+/** Reports with names of usual length, and more of them than fit into a datagram. */
+function manySuspects(): readonly HeldBackReport[] {
+  return Array.from({ length: 20 }, (_, at) => ({
+    fingerprint: `fingerprnt${at}+caller` as Fingerprint,
+    crashes: [1, 2, 3].map((run) => ({
+      run: targetRun(`i-59bdf42${at}${run}` as TargetId, "1x2y3z4"),
+      ageMs: 123_456 + run,
+    })),
+    completedAgeMs: 234_567,
+  }));
+}
+
+/** The first reports that have at most `maxCrashes` crashes together. */
+function chosen(
+  reports: readonly HeldBackReport[],
+  maxCrashes: number,
+): readonly HeldBackReport[] {
+  return reports.slice(0, Math.floor(maxCrashes / 3));
+}
 
 async function until(isDue: () => boolean): Promise<void> {
   await vi.waitFor(() => expect(isDue()).toBe(true));
@@ -161,23 +193,40 @@
   await until(() => sent.far.length === 6);
 });
 
-test("a crash is reported for a limited time", async () => {
-  // Each heartbeat that reports a crash restarts the time for which it counts. Reported
-  // for ever, it would hold back a popular page for the rest of the day.
-  beacon.send({ kind: "crash", crash: CRASH });
-  await until(() => sent.near.length === 1);
-  expect(sent.near[0]!.crashes).toEqual([CRASH]);
-  vi.advanceTimersByTime(10_000);
-  beacon.send({ kind: "beat" });
-  await until(() => sent.near.at(-1)!.crashes.length === 0);
-});
+describe("requests that may crash targets", () => {
+  test("are reported to the zone and to other zones, within one datagram each", async () => {
+    suspects = manySuspects();
+    areOverloaded = true;
+    beacon.send({ kind: "beat" });
+    await until(() => sent.near.length === 1 && sent.far.length === 2);
+    for (const { suspects: encoded = [] } of [...sent.near, ...sent.far]) {
+      const reports = decodeSuspects(encoded);
+      expect(reports.length).toBeGreaterThan(0);
+      expect(suspects).toEqual(expect.arrayContaining([...reports]));
+    }
+  });
 
-test("a crash that another VM has seen is reported to other zones only", async () => {
-  beacon.send({ kind: "pass-on", crash: CRASH });
-  beacon.send({ kind: "beat" });
-  await until(() => sent.near.length === 1 && sent.far.length === 2);
-  expect(sent.near[0]!.crashes).toEqual([]);
-  expect(sent.far[0]!.crashes).toEqual([CRASH]);
+  test("are reported to a VM that has just started", async () => {
+    // Guards against VMs that let such a request through because they started later.
+    suspects = manySuspects();
+    isDelegate = false;
+    beacon.send({ kind: "greet", member: member("vm-2", PORTS.near) });
+    await until(() => sent.near.length === 1);
+    expect(sent.near[0]!.suspects!.length).toBeGreaterThan(0);
+  });
+
+  test("are not reported if there are none", async () => {
+    beacon.send({ kind: "beat" });
+    await until(() => sent.near.length === 1 && sent.far.length === 2);
+    expect(sent.near[0]!.suspects).toBeUndefined();
+    expect(sent.far[0]!.suspects).toBeUndefined();
+  });
+
+  test("are left out if a report cannot be read", () => {
+    const [encoded] = manySuspects().map(encodeSuspect);
+    const unreadable = [[], ["a"], ["a", -1], ["a", null, {}], "a"] as never[];
+    expect(decodeSuspects([...unreadable, encoded!]).length).toBe(1);
+  });
 });
 
 describe("a warm target", () => {
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -5,8 +5,13 @@
  */
 
 import { Buffer } from "node:buffer";
+import type {
+  Fingerprint,
+  HeldBackReport,
+  TargetRun,
+} from "@poplarthread/coordination/held_back";
 import type { VmId } from "@poplarthread/ids";
-import type { SuspectedCrash } from "./crash_suspects.ts";
+import * as z from "zod";
 import type { Member, WatchedSubject } from "./ports.ts";
 
 /** Fields of both heartbeats and zone reports. */
@@ -15,8 +20,48 @@
   readonly seen: Readonly<Record<WatchedSubject, number>>;
   /** The store's history that these versions belong to. Older versions of the program don't send this field. */
   readonly era?: number;
-  /** Recent crashes of targets and the requests that may have caused them. */
-  readonly crashes: readonly SuspectedCrash[];
+  /** Always empty; versions of the program before `suspects` take no message without it. */
+  readonly crashes: readonly [];
+  /** Requests that may crash targets. Older versions of the program don't send this field. */
+  readonly suspects?: readonly EncodedSuspect[];
+}
+
+/** A {@link HeldBackReport}: the fingerprint, the age of its completion or null, and the run and age of each crash. */
+export type EncodedSuspect = readonly (string | number | null)[];
+
+const suspectSchema = z.tuple([z.string(), z.number().min(0).nullable()])
+  .rest(z.union([z.string(), z.number().min(0)]));
+
+/** Encodes a report in few bytes. */
+export function encodeSuspect(
+  { fingerprint, crashes, completedAgeMs }: HeldBackReport,
+): EncodedSuspect {
+  const pairs = crashes.flatMap(({ run, ageMs }) => [run, ageMs]);
+  return [fingerprint, completedAgeMs ?? null, ...pairs];
+}
+
+/** Decodes reports; those that cannot be read are left out. */
+export function decodeSuspects(
+  suspects: readonly EncodedSuspect[],
+): readonly HeldBackReport[] {
+  return suspects.flatMap((encoded) => {
+    const parsed = suspectSchema.safeParse(encoded);
+    return parsed.success ? [decodeSuspect(parsed.data)] : [];
+  });
+}
+
+function decodeSuspect(
+  [fingerprint, completedAgeMs, ...pairs]: z.infer<typeof suspectSchema>,
+): HeldBackReport {
+  const crashes: { run: TargetRun; ageMs: number }[] = [];
+  for (let at = 0; at + 1 < pairs.length; at += 2) {
+    crashes.push({ run: pairs[at] as TargetRun, ageMs: Number(pairs[at + 1]) });
+  }
+  return {
+    fingerprint: fingerprint as Fingerprint,
+    crashes: crashes.filter(({ ageMs }) => Number.isFinite(ageMs)),
+    ...(completedAgeMs === null ? {} : { completedAgeMs }),
+  };
 }
 
 /** A VM's heartbeat. */
@@ -66,8 +111,8 @@
   if (typeof params !== "object" || params === null) {
     return false;
   }
-  const { seen, crashes } = params as Partial<CommonFields>;
-  return typeof seen === "object" && Array.isArray(crashes);
+  const { seen, suspects = [] } = params as Partial<CommonFields>;
+  return typeof seen === "object" && Array.isArray(suspects);
 }
 
 /** Whether `params` is a heartbeat. */
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -10,7 +10,12 @@
 import type { EventLog } from "./events.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { PeerBeacon } from "./peer_beacon.ts";
-import type { CommonFields, Heartbeat, ZoneReport } from "./peer_messages.ts";
+import {
+  type CommonFields,
+  decodeSuspects,
+  type Heartbeat,
+  type ZoneReport,
+} from "./peer_messages.ts";
 import type { PlatformFeed } from "./platform_feed.ts";
 import type { Member, WatchedSubject } from "./ports.ts";
 import type { RequestPath } from "./request_path.ts";
@@ -104,6 +109,8 @@
       warmReceived: (pairs) => this.#onWarmPairs(pairs),
       limitsReceived: (updates) =>
         updates.forEach((update) => path().applyPeerLimit(update)),
+      suspects: (maxCrashes) =>
+        path().suspects.reports(performance.now(), maxCrashes),
       zoneVmStatuses: () => vms.zoneVmStatuses(performance.now()),
       localState: () => ({
         member: self,
@@ -118,14 +125,13 @@
   }
 
   #onHeartbeat(heartbeat: Heartbeat): void {
-    const { member, crashes, ...state } = heartbeat;
+    const { member, ...state } = heartbeat;
     const now = performance.now();
     if (this.vms.recordHeartbeat(member, { ...state, now })) {
       this.beacon.send({ kind: "greet", member });
     }
     this.#publishChanges(now);
     this.#applyUpdates(heartbeat, now);
-    crashes.forEach((crash) => this.beacon.send({ kind: "pass-on", crash }));
   }
 
   #onZoneReport(report: ZoneReport): void {
@@ -165,11 +171,14 @@
     }
   }
 
-  #applyUpdates({ seen, era = 0, crashes }: CommonFields, now: number): void {
+  #applyUpdates(
+    { seen, era = 0, suspects = [] }: CommonFields,
+    now: number,
+  ): void {
     const { path, feed } = this.#options;
-    for (const crash of crashes) {
-      path().suspects.recordReport(crash, now);
-    }
+    decodeSuspects(suspects).forEach((report) =>
+      path().suspects.merge(report, now)
+    );
     for (const [subject, version] of Object.entries(seen)) {
       feed().hint(subject as WatchedSubject, { era, version });
     }
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -6,11 +6,11 @@
  */
 
 import type { RegionId, ServiceId, TargetId, ZoneId } from "@poplarthread/ids";
-import type { Steering } from "@poplarthread/placement";
+import type { ReachState, Steering } from "@poplarthread/placement";
 import { DeadlineWheel } from "../http/deadline_wheel.ts";
 import type { Route } from "./configuration.ts";
 import type { ConnectionSource, ConnectionTarget } from "./connections.ts";
-import { CrashSuspects, type SuspectedCrash } from "./crash_suspects.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
 import { CrashFindings } from "./crash_findings.ts";
 import type { EventLog } from "./events.ts";
 import { GatewayExchange } from "./exchange.ts";
@@ -26,7 +26,12 @@
 import type { Forwarding } from "./forwarding/forwarding.ts";
 import { RequestQueue } from "./request_queue.ts";
 import { budgetBytesFor, ResponseBudget } from "./response_budget.ts";
-import { type TargetChange, TargetDirectory } from "./target_directory.ts";
+import {
+  runOf,
+  type TargetChange,
+  TargetDirectory,
+} from "./target_directory.ts";
+import type { RunEnd } from "./unanswered_attempts.ts";
 
 /** Interval of the deadline and wait queue checks while requests wait or a deadline is near. */
 export const BUSY_TICK_MS = 20;
@@ -71,8 +76,10 @@
   requestQueued?(): void;
   /** Sends peers the limit that a target reported, or lifted. */
   publishLimit(limit: LimitUpdate): void;
-  /** Sends peers a target crash that a request may have caused. */
-  publishCrash(crash: SuspectedCrash): void;
+  /** Checks whether the present run of a target still exists, and reports that to the suspects; not at all by default. */
+  checkRun?(target: TargetId): void;
+  /** Sends peers soon what is known of requests that crash targets. */
+  publishSuspects(): void;
   /** Called with a name for each finding on requests that may crash targets; not at all by default. */
   crashFindingMade?(finding: string): void;
   /** Called once per exchange, when its caller has the final response or has disconnected. */
@@ -133,7 +140,7 @@
       steering,
       zones: options.zones,
       onKnownChanged: () => this.#homeTargets.markOutdated(),
-      onRunEnded: (target) => connections.remove(target),
+      onRunEnded: (run, end) => this.#runEnded(run, end),
       onChange: (target, change) => this.#targetChanged(target, change),
       onFirstList: (targets) => this.#logFirstList(targets),
     });
@@ -142,7 +149,8 @@
       (change) => options.crashFindingMade?.(change),
     );
     this.suspects = new CrashSuspects({
-      publish: (crash) => options.publishCrash(crash),
+      publish: () => options.publishSuspects(),
+      reach: () => this.#reach,
       found: (finding) => findings.record(finding),
     });
     this.#services = {
@@ -155,6 +163,7 @@
       connections,
       targets: this.targets,
       suspects: this.suspects,
+      checkRun: (target) => options.checkRun?.(target),
       log,
       ended: (exchange, end) => options.ended(exchange, end),
       attemptEnded: (end) => options.attemptEnded(end),
@@ -205,11 +214,20 @@
       this.#options.probe(target);
     }
     this.checkReach(now);
-    const { checkReach } = this.#options;
-    this.suspects.settleUnreachable(
-      checkReach === undefined ? "reached" : this.steering.reach,
-      now,
-    );
+    this.suspects.settle(now);
+  }
+
+  get #reach(): ReachState {
+    return this.#options.checkReach === undefined
+      ? "reached"
+      : this.steering.reach;
+  }
+
+  #runEnded(run: RegisteredTarget, end: RunEnd): void {
+    this.#options.connections.remove(run.id);
+    if (!run.isLeaving) {
+      this.suspects.runEnded(runOf(run), end, performance.now());
+    }
   }
 
   /** Takes out the targets that do not respond, and closes connections to them: these may be silent while new ones work. */
@@ -351,9 +369,6 @@
   }
 
   #targetChanged(target: RegisteredTarget, change: TargetChange): void {
-    if (change === "gone" || change === "restarted") {
-      this.suspects.targetCrashed(target.id, performance.now());
-    }
     this.#options.targetChanged(target, change);
     this.#options.log.write(`target ${change}`, {
       target: target.id,
--- a/packages/daemon/src/gateway/target_directory.ts
+++ b/packages/daemon/src/gateway/target_directory.ts
@@ -5,11 +5,16 @@
  * @module
  */
 
+import {
+  type TargetRun,
+  targetRun,
+} from "@poplarthread/coordination/held_back";
 import type { RegionId, ServiceId, TargetId, ZoneId } from "@poplarthread/ids";
 import { hashText, type Steering } from "@poplarthread/placement";
 import type { Service } from "./configuration.ts";
 import type { KnownTarget } from "./homes/home_targets.ts";
 import type { RegisteredTarget } from "./ports.ts";
+import type { RunEnd } from "./unanswered_attempts.ts";
 
 /**
  * Entries of living targets that expired during an outage of the store are back within
@@ -32,7 +37,7 @@
   readonly steering: Steering;
   readonly zones: ReadonlyMap<ZoneId, RegionId>;
   /** A target is gone or has restarted: connections to its previous run are useless. */
-  onRunEnded(target: TargetId): void;
+  onRunEnded(run: RegisteredTarget, end: RunEnd): void;
   onChange(target: RegisteredTarget, what: TargetChange): void;
   /** The known targets, or what is known of one, have changed. */
   onKnownChanged(): void;
@@ -49,6 +54,14 @@
   | "gone"
   | "back";
 
+/** The run of a target that an entry belongs to: targets start again under their id, or under a new one. */
+export function runOf(
+  { id, startedAt, address }: RegisteredTarget,
+): TargetRun {
+  const start = hashText(`${startedAt ?? ""} ${address}`);
+  return targetRun(id, start.toString(36));
+}
+
 /** Keeps the targets of {@link Steering} in sync with the platform's list. */
 export class TargetDirectory {
   readonly #options: TargetDirectoryOptions;
@@ -81,6 +94,18 @@
     }));
   }
 
+  /** The present run of a target; undefined if it is not known. */
+  runOf(id: TargetId): TargetRun | undefined {
+    const target = this.#known.get(id);
+    return target && runOf(target);
+  }
+
+  /** Whether the target is leaving; false if it is not known. */
+  isLeaving(id: TargetId): boolean {
+    const target = this.#known.get(id);
+    return target !== undefined && this.#isLeaving(target);
+  }
+
   /** The service of a target in the configuration in force. */
   serviceOf(id: TargetId): Service | undefined {
     const target = this.#known.get(id);
@@ -162,8 +187,8 @@
       this.#known.delete(id);
       this.#options.onKnownChanged();
       this.#options.steering.removeTarget(id);
-      this.#options.onRunEnded(id);
       if (target !== undefined) {
+        this.#options.onRunEnded(target, "gone");
         this.#options.onChange(target, "gone");
       }
     }
@@ -201,7 +226,7 @@
       this.#announcedLeaving.delete(target.id);
       steering.restarted(target.id);
       steering.markCold(target.id, now + this.#coldMs(target));
-      onRunEnded(target.id);
+      onRunEnded(known, "replaced");
       onChange(target, "restarted");
     } else if (target.isLeaving && !known.isLeaving) {
       onChange(target, "leaving");
--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -6,11 +6,21 @@
 
 import type { TargetId } from "@poplarthread/ids";
 import type { ReachCheck } from "@poplarthread/placement";
-import { messageOf, ProbeTimeoutError } from "../errors.ts";
+import {
+  ConnectTimeoutError,
+  isRefusedConnection,
+  messageOf,
+  ProbeTimeoutError,
+} from "../errors.ts";
 import type { ConnectionTarget } from "./connections.ts";
 import type { EventLog } from "./events.ts";
 import { HealthProber, type HealthProberOptions } from "./health_prober.ts";
+import type { HealthResponse, RegisteredTarget } from "./ports.ts";
 import type { RequestPath } from "./request_path.ts";
+import { runOf } from "./target_directory.ts";
+
+/** Checks of runs that are open at once; with more, a network fault is likelier than as many crashes. */
+const MAX_RUN_CHECKS = 8;
 
 /** Dependencies of {@link TargetProbes}. */
 export interface TargetProbesOptions extends HealthProberOptions {
@@ -24,6 +34,8 @@
 export class TargetProbes {
   readonly #options: TargetProbesOptions;
   readonly #prober: HealthProber;
+  /** Targets whose run is being checked. */
+  readonly #runChecks = new Set<TargetId>();
 
   constructor(options: TargetProbesOptions) {
     this.#options = options;
@@ -52,13 +64,9 @@
     if (target === undefined || healthPath === undefined) {
       return;
     }
-    const { address } = target;
-    const roundTripMs = steering.roundTripTo(id);
-    this.#prober.probe({ id, address, roundTripMs }, healthPath).then(
+    this.#probe(target, healthPath).then(
       (health) => {
-        const isSameTarget = health.target === undefined ||
-          health.target === id;
-        if (health.isHealthy && isSameTarget) {
+        if (health.isHealthy && isSameTarget(health, id)) {
           // The target may have restarted since; its entry in the store shows that only later.
           const coldMs = health.coldMs;
           steering.probeSucceeded(id, { now: performance.now(), coldMs });
@@ -74,6 +82,56 @@
     );
   }
 
+  /** Checks whether the run of a target still exists on which an attempt broke. */
+  checkRun(id: TargetId): void {
+    const { log, path } = this.#options;
+    const { targets } = path();
+    const target = targets.get(id);
+    const healthPath = targets.serviceOf(id)?.healthPath;
+    if (
+      target === undefined || healthPath === undefined ||
+      this.#runChecks.has(id) || this.#runChecks.size >= MAX_RUN_CHECKS
+    ) {
+      return;
+    }
+    this.#runChecks.add(id);
+    this.#probe(target, healthPath)
+      .catch((err) =>
+        log.write("probe failed", { target: id, reason: messageOf(err) })
+      )
+      .finally(() => this.#runChecks.delete(id));
+  }
+
+  /** Probes a target on a new connection, and tells the suspects what that says about its run. */
+  async #probe(
+    target: RegisteredTarget,
+    healthPath: string,
+  ): Promise<HealthResponse> {
+    const { path, isLoopDelayed } = this.#options;
+    const { id, address, isLeaving } = target;
+    const { steering, suspects } = path();
+    const run = runOf(target);
+    const roundTripMs = steering.roundTripTo(id);
+    const sentAt = performance.now();
+    try {
+      const health = await this.#prober
+        .probe({ id, address, roundTripMs }, healthPath);
+      if (isSameTarget(health, id)) {
+        suspects.runResponded(run, sentAt);
+      } else {
+        suspects.runEnded(run, "gone", performance.now());
+      }
+      return health;
+    } catch (err) {
+      if (isRefusedConnection(err) && !isLeaving) {
+        suspects.runRefused(run, performance.now());
+      } else if (isSilence(err) && !isLoopDelayed()) {
+        suspects.runSilent(run);
+      }
+      throw err;
+    }
+  }
+
   /** Checks whether a target responds on a new connection, whatever it responds. */
   checkReach(id: TargetId): void {
     const { isLoopDelayed, log, path } = this.#options;
@@ -84,9 +142,7 @@
       steering.reachChecked("unknown");
       return;
     }
-    const { address } = target;
-    const roundTripMs = steering.roundTripTo(id);
-    this.#prober.probe({ id, address, roundTripMs }, healthPath).then(
+    this.#probe(target, healthPath).then(
       () => steering.reachChecked("responded"),
       (err) => {
         log.write("probe failed", { target: id, reason: messageOf(err) });
@@ -96,6 +152,15 @@
   }
 }
 
+/** Whether a response comes from the target that was asked: its address may be another's now. */
+function isSameTarget({ target }: HealthResponse, id: TargetId): boolean {
+  return target === undefined || target === id;
+}
+
+function isSilence(err: unknown): boolean {
+  return err instanceof ProbeTimeoutError || err instanceof ConnectTimeoutError;
+}
+
 function reachCheckOf(err: unknown): ReachCheck {
   return err instanceof ProbeTimeoutError ? "timed-out" : "failed";
 }
