VMs tell each other that a popular request succeeds, also before its crashes

Also tested: repeats between VMs prolong nothing, a VM that starts later learns all from one report, everything is told in turns within a datagram's room.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -242,6 +242,11 @@
     }
   }
 
+  /** Includes the completion of a request in the next reports: others may know of crashes only. */
+  reportCompletion(fingerprint: Fingerprint, now: number): void {
+    putNewest(this.#clearedAt, fingerprint, now);
+  }
+
   /**
    * What other VMs should know, with at most `maxCrashes` crashes. Repeated calls
    * return all of it in turns, and what is newest each time.
@@ -277,10 +282,6 @@
     const counted = news.filter(({ run, ageMs }) =>
       this.#recordCrash(fingerprint, { run, at: now - ageMs }, now)
     );
-    if (counted.length < news.length) {
-      // The sender does not know of the completion that clears them.
-      putNewest(this.#clearedAt, fingerprint, now);
-    }
     return counted.map(({ run }) => run);
   }
 
@@ -322,6 +323,7 @@
     now: number,
   ): boolean {
     if (this.isCleared(fingerprint, at)) {
+      this.reportCompletion(fingerprint, now);
       return false;
     }
     const old = this.#unexpired(fingerprint, now);
@@ -348,7 +350,7 @@
     if (counted.length === entry.crashes.size) {
       return;
     }
-    putNewest(this.#clearedAt, fingerprint, now);
+    this.reportCompletion(fingerprint, now);
     if (counted.length === 0) {
       this.#entries.delete(fingerprint);
     } else {
--- a/packages/coordination/src/held_back/held_back_reports.ts
+++ b/packages/coordination/src/held_back/held_back_reports.ts
@@ -37,7 +37,7 @@
   const rest = all.filter((report) => !first.includes(report));
   const start = rest.length === 0 ? 0 : turn % rest.length;
   const rotated = [...rest.slice(start), ...rest.slice(0, start)];
-  return [...first, ...takeWithin(rotated, maxCrashes - countIn(first))];
+  return [...first, ...takeWithin(rotated, maxCrashes - totalSize(first))];
 }
 
 /** The first reports that have at most `maxCrashes` crashes together. */
@@ -48,7 +48,7 @@
   const taken: HeldBackReport[] = [];
   let left = maxCrashes;
   for (const report of reports) {
-    left -= report.crashes.length;
+    left -= sizeOf(report);
     if (left < 0) {
       break;
     }
@@ -62,6 +62,11 @@
   return { ...report, crashes: newest.slice(0, MAX_CRASHES_IN_REPORT) };
 }
 
-function countIn(reports: readonly HeldBackReport[]): number {
-  return reports.reduce((sum, { crashes }) => sum + crashes.length, 0);
+function totalSize(reports: readonly HeldBackReport[]): number {
+  return reports.reduce((sum, report) => sum + sizeOf(report), 0);
+}
+
+/** A report that only tells of a completion takes as much room as one with a crash. */
+function sizeOf({ crashes }: HeldBackReport): number {
+  return Math.max(1, crashes.length);
 }
--- a/packages/coordination/src/held_back/held_back_test.ts
+++ b/packages/coordination/src/held_back/held_back_test.ts
@@ -2,9 +2,11 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import {
+  DEFAULT_HELD_BACK_POLICY,
   type Fingerprint,
   HeldBack,
   type HeldBackMessage,
+  type HeldBackPolicy,
   type TargetRun,
   targetRun,
 } from "./held_back.ts";
@@ -115,6 +117,69 @@
   });
 });
 
+describe("reports between VMs", () => {
+  const POLICY: HeldBackPolicy = {
+    ...DEFAULT_HELD_BACK_POLICY,
+    minCrashes: 3,
+    firstHoldMs: 60_000,
+    completionMs: 10_000,
+    maxCrashesInBurst: Infinity,
+  };
+  const POISON = fingerprint("poison");
+  const LATENCY_MS = 50;
+  const REPORT_INTERVAL_MS = 1_000;
+  const VMS = 5;
+
+  function crash(vm: HeldBack, times: readonly number[]): void {
+    times.forEach((at) => vm.targetCrashed(target(`t${at}`), [POISON], at));
+  }
+
+  it("tell a VM that starts later all that is known, with its age", () => {
+    // Guards against VMs that let such a request through because they heard no message.
+    const [seer, started] = [new HeldBack(POLICY), new HeldBack(POLICY)];
+    crash(seer, [0, 1_000, 2_000]);
+    seer.reports(30_000, 16).forEach((report) => started.merge(report, 30_000));
+    expect(started.verdict(POISON, 30_000)).toEqual(
+      seer.verdict(POISON, 30_000),
+    );
+  });
+
+  it("do not prolong what they tell, however often VMs repeat it to each other", () => {
+    // Guards against a hold-back for ever: an age that restarts at each hop.
+    const vms = Array.from({ length: VMS }, () => new HeldBack(POLICY));
+    crash(vms[0]!, [0, 1_000, 2_000]);
+    const endsAt = 2_000 + ENTRY_LIFETIME_MS;
+    for (let now = 3_000; now < endsAt + 60_000; now += REPORT_INTERVAL_MS) {
+      vms.forEach((vm) =>
+        vm.reports(now, 16).forEach((report) =>
+          vms.forEach((other) => other.merge(report, now + LATENCY_MS))
+        )
+      );
+    }
+    vms.forEach((vm) => {
+      expect(vm.verdict(POISON, endsAt + VMS * LATENCY_MS).kind).toBe("free");
+      expect(vm.size).toBe(0);
+    });
+  });
+
+  it("fit into the room that they are given, and tell everything in turns", () => {
+    // Guards against one request that is never reported beside many others.
+    const vm = new HeldBack(POLICY);
+    const names = Array.from({ length: 100 }, (_, at) => fingerprint(`r${at}`));
+    vm.targetCrashed(target("t0"), names, 0);
+    crash(vm, [1, 2, 3]);
+    const told = new Set<Fingerprint>();
+    for (let turn = 0; turn < names.length; turn++) {
+      const reports = vm.reports(10, 8);
+      const crashes = reports.flatMap(({ crashes }) => crashes);
+      expect(crashes.length).toBeLessThanOrEqual(8);
+      expect(reports.map((report) => report.fingerprint)).toContain(POISON);
+      reports.forEach((report) => told.add(report.fingerprint));
+    }
+    expect(told.size).toBe(names.length + 1);
+  });
+});
+
 function expected(
   messages: readonly HeldBackMessage[],
   name: Fingerprint,
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -233,14 +233,15 @@
       }
       if (this.#heldBack.isCleared(digest, at)) {
         this.#foundUncounted([digest], target, "succeeded");
+        this.#heldBack.reportCompletion(digest, now);
         continue;
       }
       const wasHeldBack = this.#isHeldBack(digest, now);
       this.#options.found?.({ kind: "counted", crash: { digest, target } });
       this.#heldBack.targetCrashed(target, [digest], now);
       this.#announceHold(digest, wasHeldBack, now);
-      this.#options.publish();
     }
+    this.#options.publish();
   }
 
   #isHeldBack(digest: Fingerprint, now: number): boolean {
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -19,6 +19,7 @@
 import { type EscrowBounds, escrowModel } from "./escrow_model.ts";
 import { type Exploration, explore } from "./explore.ts";
 import { heldBackModel } from "./held_back_model.ts";
+import { heldBackReportsModel } from "./held_back_reports_model.ts";
 import * as homeProtocol from "@poplarthread/placement/home-protocol";
 import { type HomesBounds, homesModel, SAFE_HOMES } from "./homes_model.ts";
 import { type LeaseBounds, leaseModel } from "./lease_model.ts";
@@ -166,6 +167,16 @@
       { vms: 2, sendings: 2, completions: 1, repeats: 1 },
       { HeldBack },
     )),
+  () =>
+    explore(heldBackReportsModel(
+      { vms: 2, sendings: 3, completions: 0, restarts: 1 },
+      { HeldBack },
+    )),
+  () =>
+    explore(heldBackReportsModel(
+      { vms: 2, sendings: 3, completions: 1, restarts: 0 },
+      { HeldBack },
+    )),
   ...PLAN_TERMS.map((bounds) => () =>
     explore(planTermModel(bounds), [ONE_USER, ONE_HOLDER])
   ),
