--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -135,10 +135,10 @@
     }
   }
 
-  /** Records that a run responds to nothing, on a new connection either. */
-  runSilent(run: TargetRun): void {
+  /** Records that a run does not respond on a new connection, which proves no end of it. */
+  runUnresponsive(run: TargetRun): void {
     if (this.#reach !== "cut-off") {
-      this.#unanswered.silent(run);
+      this.#unanswered.unresponsive(run);
     }
   }
 
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -116,7 +116,7 @@
     const { suspects } = tracker();
     RUNS.forEach((run, index) => {
       suspects.attemptUnanswered(FINGERPRINTS, run, 0);
-      suspects[index === 0 ? "runSilent" : "runRefused"](run, 10);
+      suspects[index === 0 ? "runUnresponsive" : "runRefused"](run, 10);
     });
     expect(suspects.heldBackMs(FINGERPRINTS, 20)).toBe(1_000);
     suspects.runResponded(RUN!, 100);
--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -7,7 +7,6 @@
 import type { TargetId } from "@poplarthread/ids";
 import type { ReachCheck } from "@poplarthread/placement";
 import {
-  ConnectTimeoutError,
   isRefusedConnection,
   messageOf,
   ProbeTimeoutError,
@@ -125,8 +124,8 @@
     } catch (err) {
       if (isRefusedConnection(err) && !isLeaving) {
         suspects.runRefused(run, performance.now());
-      } else if (isSilence(err) && !isLoopDelayed()) {
-        suspects.runSilent(run);
+      } else if (!isLoopDelayed()) {
+        suspects.runUnresponsive(run);
       }
       throw err;
     }
@@ -157,10 +156,6 @@
   return target === undefined || target === id;
 }
 
-function isSilence(err: unknown): boolean {
-  return err instanceof ProbeTimeoutError || err instanceof ConnectTimeoutError;
-}
-
 function reachCheckOf(err: unknown): ReachCheck {
   return err instanceof ProbeTimeoutError ? "timed-out" : "failed";
 }
--- a/packages/daemon/src/gateway/unanswered_attempts.ts
+++ b/packages/daemon/src/gateway/unanswered_attempts.ts
@@ -43,14 +43,14 @@
   attempts: Attempt[];
   /** When a connection to it was first refused; undefined after a response. */
   refusedAt: number | undefined;
-  /** Whether it responds to nothing, on a new connection either. */
-  isSilent: boolean;
+  /** Whether it has not responded on a new connection. */
+  isUnresponsive: boolean;
 }
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class UnansweredAttempts {
   readonly #runs = new Map<TargetRun, Run>();
-  /** Runs that refuse connections or are silent. */
+  /** Runs that refuse connections or do not respond on new ones. */
   readonly #suspected = new Set<Run>();
   readonly #endedAt = new Map<TargetRun, number>();
 
@@ -60,7 +60,7 @@
       return true;
     }
     const known = this.#runs.get(run) ??
-      { attempts: [], refusedAt: undefined, isSilent: false };
+      { attempts: [], refusedAt: undefined, isUnresponsive: false };
     known.attempts.push({ ...attempt, isOutlived: false });
     this.#runs.set(run, known);
     return false;
@@ -88,10 +88,10 @@
   }
 
   /** The run does not respond on a new connection. */
-  silent(run: TargetRun): void {
+  unresponsive(run: TargetRun): void {
     const known = this.#runs.get(run);
     if (known !== undefined) {
-      known.isSilent = true;
+      known.isUnresponsive = true;
       this.#suspected.add(known);
     }
   }
@@ -160,7 +160,7 @@
 
   #trust(run: Run): void {
     run.refusedAt = undefined;
-    run.isSilent = false;
+    run.isUnresponsive = false;
     this.#suspected.delete(run);
   }
 
