Retries: a VM that does not know the fleet yet has no part of the fixed number

A VM that had read no list of VMs took itself for the only one and might use the fixed number of the retry bound alone; PROOFS.md said so. 68 VMs that start together, each with ten requests that fail in half a second: 680 retries where 186 are allowed; now the bound holds (limits_test.ts, which failed first).

It is set as soon as the list is read.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -275,6 +275,7 @@
         this.#peers.vms.peersWithTargets(performance.now()).length > 0,
       onReachChanged: (state) => this.#onReachChanged(state),
     });
+    steering.setFleetSize(undefined);
     return new RequestPath({
       steering,
       forwarding: this.#createForwarding(settings, steering),
@@ -410,7 +411,7 @@
 
   #idleTick(now: number): void {
     this.#peers.sweep(now);
-    this.#requestPath.steering.setFleetSize(this.#peers.vms.fleetSize(now));
+    this.#requestPath.steering.setFleetSize(this.#peers.fleetSize(now));
     this.#requestPath.idleTick(now);
     this.#homes.idleTick(now);
   }
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -79,6 +79,11 @@
     this.beacon.send({ kind: "beat" });
   }
 
+  /** Number of VMs that may be running, including this one; undefined until the list of VMs has been read. */
+  fleetSize(now: number): number | undefined {
+    return this.#hasMembers ? this.vms.fleetSize(now) : undefined;
+  }
+
   /** Periodic work: marks VMs as down whose heartbeats are missing. */
   sweep(now: number): void {
     this.vms.sweep(now);
@@ -91,6 +96,7 @@
     // VMs that start later read the list and send their first heartbeats themselves.
     if (!this.#hasMembers) {
       this.#hasMembers = true;
+      this.#options.path().steering.setFleetSize(this.fleetSize(now));
       this.beacon.send({ kind: "beat" });
     }
   }
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -82,6 +82,7 @@
 
 describe("the retry budget", () => {
   const BOUND = { ratio: 0.2, fixed: 50, windowMs: 10_000 };
+  const RETRY = { priority: 0, routePriority: 0 };
   const VMS = 9;
 
   test("holds over all VMs in any window, although each counts on its own", () => {
@@ -120,6 +121,24 @@
     );
   });
 
+  test("holds while VMs that start together do not know of each other yet", () => {
+    // Guards against a fleet in which each VM takes itself for the only one.
+    const vms = Array.from({ length: 68 }, () => steeringIn("north", [], []));
+    const service = "portal" as ServiceId;
+    let retries = 0;
+    let requests = 0;
+    for (const steering of vms) {
+      steering.setFleetSize(undefined);
+      for (let now = 0; now < 500; now += 50) {
+        const retry = { ...RETRY, objectiveAt: now + 1_000 };
+        steering.arrived(service, RETRY.priority, { now, isForwarded: false });
+        requests += 1;
+        retries += steering.takeRetry(service, now, retry) ? 1 : 0;
+      }
+    }
+    expect(retries).toBeLessThanOrEqual(requests * BOUND.ratio + BOUND.fixed);
+  });
+
   test("still holds when every VM restarts within the window", () => {
     const budgets = Array.from(
       { length: 2 * VMS },
--- a/packages/placement/src/retries.ts
+++ b/packages/placement/src/retries.ts
@@ -34,8 +34,9 @@
     if (terms.kind === "hopeless") {
       return false;
     }
-    const isTaken = this.#budget(service)
-      .trySpend(now, rates.totalVms, terms);
+    // The part of a fixed number can't be told while the number of VMs is not known.
+    const vms = rates.isFleetKnown ? rates.totalVms : Infinity;
+    const isTaken = this.#budget(service).trySpend(now, vms, terms);
     if (!isTaken) {
       room.retryDenied(service, retry.priority, now);
     }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -168,8 +168,9 @@
   /**
    * Sets the number of VMs that share the fleet-wide limits. It exceeds the number
    * of reachable VMs while some may be on the other side of a network partition.
+   * Undefined while it is not known, after the start.
    */
-  setFleetSize(vms: number): void {
+  setFleetSize(vms: number | undefined): void {
     this.#known.rates.setFleetSize(vms);
   }
 
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -29,6 +29,7 @@
   readonly #limits = new TargetLimits();
   #reachableVms = 1;
   #fleetSize = 1;
+  #isFleetKnown = true;
 
   constructor(vm: VmId) {
     this.#vm = vm;
@@ -46,9 +47,15 @@
     this.#owners.setVms(vms);
   }
 
-  /** Sets the number of VMs that share the rates, reachable or not. */
-  setFleetSize(vms: number): void {
-    this.#fleetSize = vms;
+  /** Sets the number of VMs that share the rates, reachable or not; undefined if it is not known. */
+  setFleetSize(vms: number | undefined): void {
+    this.#isFleetKnown = vms !== undefined;
+    this.#fleetSize = vms ?? 1;
+  }
+
+  /** Whether this VM knows of the others. */
+  get isFleetKnown(): boolean {
+    return this.#isFleetKnown;
   }
 
   /**
