News of crashes goes into one heartbeat, and leaving targets are not checked

When a zone falls with a hundred requests open that is a hundred of them; now one each 100 ms (peer_beacon_test.ts). A leaving target whose connection broke got a health check, which says nothing.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -296,7 +296,7 @@
         this.#peers.beacon.send({ kind: "limit", update }),
       crashFindingMade: (finding) => this.#metrics.stateChanged(finding),
       checkRun: (target) => this.#probes.checkRun(target),
-      publishSuspects: () => this.#peers.beacon.send({ kind: "beat" }),
+      publishSuspects: () => this.#peers.beacon.send({ kind: "suspects" }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
     });
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -64,6 +64,8 @@
 const REGION_WARM_INTERVAL_PER_VM_MS = 20;
 /** How often a VM with pending updates that doesn't send to other zones checks whether it has become the one that does. */
 const DELEGATE_CHECK_MS = 3_000;
+/** News of several crashes goes into one heartbeat: when a zone falls, many requests break at the same moment. */
+const SUSPECTS_DELAY_MS = 100;
 /** VMs in one zone report; each takes about 35 bytes. */
 const MAX_VMS_PER_REPORT = 25;
 
@@ -76,6 +78,9 @@
 /** Publication of warm-target updates to the zone or to the region's other zones. */
 type WarmPublication = "publish-warm-to-zone" | "publish-warm-to-region";
 
+/** A publication that is scheduled. */
+type Publication = WarmPublication | "publish-limits" | "publish-suspects";
+
 /** Methods for limit updates, as with {@link WarmMethod}. */
 type LimitMethod = "limits" | "zone-limits";
 
@@ -93,6 +98,10 @@
   | { readonly kind: "heartbeat" }
   /** Sends a heartbeat and warm pairs to a peer whose first heartbeat has just arrived. */
   | { readonly kind: "greet"; readonly member: Member }
+  /** There is news of requests that may crash targets; a heartbeat with it is sent to all VMs soon. */
+  | { readonly kind: "suspects" }
+  /** Sends that heartbeat. */
+  | { readonly kind: "publish-suspects" }
   /** A target has set, changed or lifted its limit; published to all VMs soon. */
   | { readonly kind: "limit"; readonly update: LimitUpdate }
   /** Publishes pending limit updates. */
@@ -137,7 +146,7 @@
   /** Heartbeats until the next zone report to VMs of other regions. */
   #heartbeatsToRemoteReport = 0;
   /** Publications that have been scheduled. */
-  readonly #scheduled = new Set<WarmPublication | "publish-limits">();
+  readonly #scheduled = new Set<Publication>();
   readonly #zoneLimits = new LimitUpdates();
   readonly #otherZoneLimits = new LimitUpdates();
   /** Times of the last warm-target updates to the zone and to the region's other zones. */
@@ -182,6 +191,13 @@
       case "greet":
         this.#greet(message.member);
         return;
+      case "suspects":
+        this.#schedule("publish-suspects", SUSPECTS_DELAY_MS);
+        return;
+      case "publish-suspects":
+        this.#scheduled.delete("publish-suspects");
+        this.#beat(this.#options.reportRecipients());
+        return;
       case "warmed":
         this.#zoneWarm.add(message.pair);
         this.#regionWarm.add(message.pair);
@@ -248,7 +264,7 @@
   }
 
   /** Schedules a publication in `ms`, unless one of its kind is scheduled already. */
-  #schedule(kind: WarmPublication | "publish-limits", ms: number): void {
+  #schedule(kind: Publication, ms: number): void {
     if (!this.#scheduled.has(kind)) {
       this.#scheduled.add(kind);
       this.sendAfter(ms, { kind });
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -215,6 +215,16 @@
     expect(sent.near[0]!.suspects!.length).toBeGreaterThan(0);
   });
 
+  test("are reported in one heartbeat if there is much news at once", async () => {
+    // Guards against a storm of heartbeats when a zone falls with many requests open.
+    for (let crash = 0; crash < 50; crash++) {
+      beacon.send({ kind: "suspects" });
+    }
+    await until(() => sent.near.length === 1 && sent.far.length === 2);
+    beacon.send({ kind: "suspects" });
+    await until(() => sent.near.length === 2);
+  });
+
   test("are not reported if there are none", async () => {
     beacon.send({ kind: "beat" });
     await until(() => sent.near.length === 1 && sent.far.length === 2);
--- a/packages/daemon/src/gateway/target_probes.ts
+++ b/packages/daemon/src/gateway/target_probes.ts
@@ -89,7 +89,8 @@
     const healthPath = targets.serviceOf(id)?.healthPath;
     if (
       target === undefined || healthPath === undefined ||
-      this.#runChecks.has(id) || this.#runChecks.size >= MAX_RUN_CHECKS
+      targets.isLeaving(id) || this.#runChecks.has(id) ||
+      this.#runChecks.size >= MAX_RUN_CHECKS
     ) {
       return;
     }
