--- a/packages/coordination/src/held_back/held_back_reports.ts
+++ b/packages/coordination/src/held_back/held_back_reports.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Fingerprint, TargetRun } from "./held_back.ts";
+import type { Fingerprint, TargetRun } from "./held_back_types.ts";
 
 /** What a VM knows of one fingerprint. Ages are as of the time of the report. */
 export interface HeldBackReport {
--- a/packages/coordination/src/held_back/held_back_test.ts
+++ b/packages/coordination/src/held_back/held_back_test.ts
@@ -9,7 +9,7 @@
   type HeldBackPolicy,
   type TargetRun,
   targetRun,
-} from "./held_back.ts";
+} from "./mod.ts";
 
 const ENTRY_LIFETIME_MS = 600_000;
 
--- a/packages/coordination/src/held_back/mod.ts
+++ b/packages/coordination/src/held_back/mod.ts
@@ -4,14 +4,13 @@
  * @module
  */
 
+export { DEFAULT_HELD_BACK_POLICY, HeldBack } from "./held_back.ts";
+export type { HeldBackReport } from "./held_back_reports.ts";
 export {
-  DEFAULT_HELD_BACK_POLICY,
   type Fingerprint,
-  HeldBack,
   type HeldBackMessage,
   type HeldBackPolicy,
   type HeldBackVerdict,
   type TargetRun,
   targetRun,
-} from "./held_back.ts";
-export type { HeldBackReport } from "./held_back_reports.ts";
+} from "./held_back_types.ts";
