Fewer heartbeats and bytes for requests that merely coincided with a crash

Now only a crash that counts sends one out of schedule; that a request succeeded rides on the next one; a single crash is told for ten seconds, several as long as they count.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -52,6 +52,8 @@
  */
 const REPORT_MARGIN_MS = 5_000;
 
+/** How long reports tell of a single crash. */
+const SINGLE_CRASH_REPORT_MS = 10_000;
 /** How long reports tell that a suspect was cleared: several reports, since single ones get lost. */
 const CLEARED_REPORT_MS = 10_000;
 
@@ -201,7 +203,9 @@
         this.#clearedAt.delete(one);
       }
     }
-    const known = new Set([...this.#clearedAt.keys(), ...this.#entries.keys()]);
+    const suspects = [...this.#entries.keys()]
+      .filter((one) => this.#isWorthReporting(one, now));
+    const known = new Set([...this.#clearedAt.keys(), ...suspects]);
     const candidates = [...known].reverse()
       .map((one) => this.#reportOf(one, now));
     return chooseReports(candidates, { maxCrashes, turn: this.#reports });
@@ -228,6 +232,13 @@
     return counted.map(({ run }) => run);
   }
 
+  /** Many requests coincide with one crash; after a while that is no longer news. */
+  #isWorthReporting(fingerprint: Fingerprint, now: number): boolean {
+    const times = this.#countedCrashes(fingerprint, now);
+    return times.length > 1 ||
+      times.some((at) => now - at < SINGLE_CRASH_REPORT_MS);
+  }
+
   #reportOf(fingerprint: Fingerprint, now: number): HeldBackReport {
     const crashes = this.#unexpired(fingerprint, now)?.crashes ?? [];
     const completedAt = this.#completedAt.get(fingerprint);
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -97,12 +97,9 @@
 
   /** Records that a target has responded to the request with success. */
   attemptSucceeded(fingerprints: readonly Fingerprint[], now: number): void {
-    const messages = fingerprints.flatMap((fingerprint) =>
+    fingerprints.forEach((fingerprint) =>
       this.#heldBack.completed(fingerprint, now)
     );
-    if (messages.length > 0) {
-      this.#options.publish();
-    }
   }
 
   /**
@@ -240,8 +237,8 @@
       this.#options.found?.({ kind: "counted", crash: { digest, target } });
       this.#heldBack.targetCrashed(target, [digest], now);
       this.#announceHold(digest, wasHeldBack, now);
+      this.#options.publish();
     }
-    this.#options.publish();
   }
 
   #isHeldBack(digest: Fingerprint, now: number): boolean {
