--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -266,7 +266,7 @@
   "crash not counted": {
     level: "info",
     meaning:
-      "A target may have crashed on which an attempt of this request had broken, but that does not count against the request: it broke too long before (`late`), a target responded to it (`succeeded`), or this VM reaches no targets (`no-links`).",
+      "A target may have crashed on which an attempt of this request had broken, but that does not count against the request: a target responded to it shortly before, or since (`succeeded`), or this VM reaches no targets (`no-links`).",
     fields: ["digest", "target", "reason"],
   },
   "crash reported": {
