Log and metrics tell retries and the number of VMs that share their bound

Now: the events 'retries used up' (first denial of each window, by service) and 'fleet size changed', the counter poplarthread_gateway_retries_total by service and result, the gauge poplarthread_gateway_fleet_vms. The counters by service of rooms and retries are one function.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -177,6 +177,23 @@
     type: "number",
     meaning: "number of VMs of the region that are up, this one included",
   },
+  fleetVms: {
+    type: "number",
+    meaning:
+      "number of VMs by which this one divides the limits of the fleet: those that may be running, this one included; 0 while it knows no list of VMs",
+  },
+  fleetVmsBefore: {
+    type: "number",
+    meaning: "the same number before; 0 after the start",
+  },
+  retries: {
+    type: "number",
+    meaning: "retries of this VM in the window of the retry budget",
+  },
+  requests: {
+    type: "number",
+    meaning: "callers' requests at this VM in the window of the retry budget",
+  },
   objects: { type: "number", meaning: "number of objects that have homes" },
   homes: { type: "number", meaning: "number of homes of these objects" },
   secondHomes: {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -207,6 +207,18 @@
       "Heartbeats of other VMs no longer arrive; look-ups no longer return the VMs.",
     fields: ["peer"],
   },
+  "fleet size changed": {
+    level: "info",
+    meaning:
+      "The number of VMs by which this one divides limits of the whole fleet has changed.",
+    fields: ["fleetVms", "fleetVmsBefore"],
+  },
+  "retries used up": {
+    level: "warn",
+    meaning:
+      "A request is not retried, because this VM has sent its part of the retries that all VMs together may send to the service. One line for each service and window.",
+    fields: ["service", "retries", "requests", "fleetVms"],
+  },
   "peer leaving": {
     level: "info",
     meaning: "Other VMs were asked to stop; look-ups no longer return them.",
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -132,6 +132,7 @@
       operatorRowsSeconds: this.#feed.ageOf("operator") / 1_000,
       targetRowsSeconds: this.#feed.ageOf("targets") / 1_000,
       vmsUp: this.#peers.vms.up(performance.now()).length,
+      fleetVms: this.#peers.fleetSize(performance.now()) ?? 0,
       droppedLines: this.#log.dropped,
       keptConnections: this.#homes.keptConnections,
       targetsReached: Number(!this.#requestPath.steering.isCutOff),
@@ -180,6 +181,7 @@
     });
     this.#requestPath = this.#createRequestPath(settings);
     this.#metrics.room.follow(this.#requestPath.steering.room);
+    this.#metrics.retries.follow(this.#requestPath.steering);
     this.#probes = new TargetProbes({
       connections: this.#connections,
       dialect: this.#dialect,
@@ -274,6 +276,8 @@
       othersReachTargets: () =>
         this.#peers.vms.peersWithTargets(performance.now()).length > 0,
       onReachChanged: (state) => this.#onReachChanged(state),
+      onRetryDenied: ({ vms: fleetVms = 0, ...denial }) =>
+        this.#log.write("retries used up", { ...denial, fleetVms }),
     });
     steering.setFleetSize(undefined);
     return new RequestPath({
@@ -411,7 +415,6 @@
 
   #idleTick(now: number): void {
     this.#peers.sweep(now);
-    this.#requestPath.steering.setFleetSize(this.#peers.fleetSize(now));
     this.#requestPath.idleTick(now);
     this.#homes.idleTick(now);
   }
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -7,6 +7,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { DeliverySummary } from "./caller_response.ts";
 import { HomeMetrics } from "./homes/home_metrics.ts";
+import { RetryMetrics } from "./retry_metrics.ts";
 import { RoomMetrics } from "./room_metrics.ts";
 import type { RequestPathGauges } from "./request_path.ts";
 
@@ -38,6 +39,8 @@
   readonly targetsReached: number;
   readonly processorShort: number;
   readonly vmsUp: number;
+  /** VMs that share the fleet's limits; 0 while their number is not known. */
+  readonly fleetVms: number;
   /** Lines that the log dropped because its reader did not keep up. */
   readonly droppedLines: number;
   /** Distant targets to which a connection is kept open. */
@@ -51,6 +54,8 @@
   readonly homes = new HomeMetrics(this.#registry);
   /** Metrics of services that have less room than is asked for. */
   readonly room = new RoomMetrics(this.#registry);
+  /** Metrics of retries. */
+  readonly retries = new RetryMetrics(this.#registry);
   readonly #requests = this.#counter(
     "poplarthread_gateway_requests_total",
     "Callers' requests by how they ended",
@@ -165,6 +170,11 @@
       "1 while this VM lacks processor time for its callers, else 0",
     );
     gauge("vmsUp", "vms_up", "VMs that are up, this one among them");
+    gauge(
+      "fleetVms",
+      "fleet_vms",
+      "VMs by which this one divides the limits of the fleet: those that may be running, heard of or not; 0 while it knows no list of VMs",
+    );
     gauge(
       "keptConnections",
       "kept_connections",
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -46,6 +46,8 @@
   #isLeaving = false;
   #isCutOff = false;
   #isOverloaded = false;
+  /** Number of VMs that may be running, as logged last. */
+  #fleetSize: number | undefined;
 
   constructor(options: PeersOptions) {
     this.#options = options;
@@ -88,6 +90,7 @@
   sweep(now: number): void {
     this.vms.sweep(now);
     this.#publishChanges(now);
+    this.#updateFleetSize(now);
   }
 
   /** Adds the VMs that are registered in the platform's store. */
@@ -96,11 +99,24 @@
     // VMs that start later read the list and send their first heartbeats themselves.
     if (!this.#hasMembers) {
       this.#hasMembers = true;
-      this.#options.path().steering.setFleetSize(this.fleetSize(now));
+      this.#updateFleetSize(now);
       this.beacon.send({ kind: "beat" });
     }
   }
 
+  #updateFleetSize(now: number): void {
+    const { path, log } = this.#options;
+    const fleetSize = this.fleetSize(now);
+    if (fleetSize !== undefined && fleetSize !== this.#fleetSize) {
+      log.write("fleet size changed", {
+        fleetVms: fleetSize,
+        fleetVmsBefore: this.#fleetSize ?? 0,
+      });
+    }
+    this.#fleetSize = fleetSize;
+    path().steering.setFleetSize(fleetSize);
+  }
+
   #createBeacon(): PeerBeacon {
     const { settings, self, path, feed } = this.#options;
     const { vms } = this;
--- a/packages/daemon/src/gateway/room_metrics.ts
+++ b/packages/daemon/src/gateway/room_metrics.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
-import { Counter, type Registry } from "prom-client";
+import type { Registry } from "prom-client";
 import type { GateCounts, VmRoom } from "@poplarthread/placement";
+import { registerServiceCounter } from "./service_counter.ts";
 
 /** See the module comment. */
 export class RoomMetrics {
@@ -42,26 +43,19 @@
     this.#room = room;
   }
 
-  #counter(registry: Registry, { name, help, label, read }: {
+  #counter(registry: Registry, { read, ...options }: {
     readonly name: string;
     readonly help: string;
     readonly label: string;
     readonly read: (counts: GateCounts) => Readonly<Record<string, number>>;
   }): void {
-    const countsByService = () => this.#room?.counts() ?? new Map();
-    new Counter({
-      name,
-      help,
-      labelNames: ["service", label],
-      registers: [registry],
-      collect() {
-        this.reset();
-        for (const [service, counts] of countsByService()) {
-          for (const [value, count] of Object.entries(read(counts))) {
-            this.inc({ service, [label]: value }, count);
-          }
-        }
-      },
+    registerServiceCounter(registry, {
+      ...options,
+      read: () =>
+        new Map(
+          [...this.#room?.counts() ?? []]
+            .map(([service, counts]) => [service, read(counts)]),
+        ),
     });
   }
 }
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -29,6 +29,12 @@
   /** Number of lines that were not written. */
   readonly lines?: number;
   readonly targets?: number;
+  /** Number of VMs that share the limits of the fleet, now and before. */
+  readonly fleetVms?: number;
+  readonly fleetVmsBefore?: number;
+  /** Retries and requests in the window of a retry budget. */
+  readonly retries?: number;
+  readonly requests?: number;
   /** Back-off that a target asked of this VM. */
   readonly restMs?: number;
   /** What repeats of a request have in common, as a hash. */
--- a/packages/placement/src/fleet_retry_budget.ts
+++ b/packages/placement/src/fleet_retry_budget.ts
@@ -21,6 +21,12 @@
   readonly windowMs: number;
 }
 
+/** What one VM has used of a budget. */
+export interface RetryUse {
+  readonly requests: number;
+  readonly retries: number;
+}
+
 /**
  * Share of the fixed number that is used. A restarted VM does not know what it used
  * before, and may use its part again within the same window.
@@ -48,6 +54,14 @@
     this.#requests.add(now);
   }
 
+  /** Requests and retries of this VM in the window that ends at `now`. */
+  used(now: number): RetryUse {
+    return {
+      requests: this.#requests.sum(now),
+      retries: this.#retries.sum(now),
+    };
+  }
+
   /**
    * Takes one retry from the budget of this VM, one of `vms` VMs; false if no more
    * than `reservedShare` of the budget is left.
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -60,6 +60,7 @@
   type RelayCandidate,
   relaysFor,
 } from "./relays.ts";
+export type { RetryCounts, RetryDenial } from "./retries.ts";
 export { RoomPlans } from "./room/room_plans.ts";
 export {
   type PriorityOffer,
--- a/packages/placement/src/retries.ts
+++ b/packages/placement/src/retries.ts
@@ -6,49 +6,115 @@
  */
 
 import type { ServiceId } from "@poplarthread/ids";
-import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import {
+  FleetRetryBudget,
+  type RetryBound,
+  type RetryUse,
+} from "./fleet_retry_budget.ts";
 import type { RetryRequest } from "./room/vm_room.ts";
 import type { TargetKnowledge } from "./target_knowledge.ts";
 
+/** How often requests of a service have asked for a retry, by result. */
+export interface RetryCounts {
+  readonly taken: number;
+  /** The budget was used up. */
+  readonly denied: number;
+  /** It could not have succeeded. */
+  readonly hopeless: number;
+}
+
+/** A retry that the budget of a service did not allow. */
+export interface RetryDenial extends RetryUse {
+  readonly service: ServiceId;
+  /** VMs that the fixed number is divided by; undefined if their number is not known. */
+  readonly vms: number | undefined;
+}
+
+/** Options of {@link Retries}. */
+export interface RetriesOptions {
+  readonly bound: RetryBound;
+  /** Called with the first denial of each window, for each service. */
+  onDenied?(denial: RetryDenial): void;
+}
+
+/** The retries of one service. */
+class ServiceRetries {
+  readonly budget: FleetRetryBudget;
+  readonly counts = { taken: 0, denied: 0, hopeless: 0 };
+  /** When a denial was last reported. */
+  reportedAt = -Infinity;
+
+  constructor(bound: RetryBound) {
+    this.budget = new FleetRetryBudget(bound);
+  }
+}
+
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class Retries {
   readonly #known: TargetKnowledge;
-  readonly #bound: RetryBound;
-  readonly #budgets = new Map<ServiceId, FleetRetryBudget>();
+  readonly #options: RetriesOptions;
+  readonly #services = new Map<ServiceId, ServiceRetries>();
 
-  constructor(known: TargetKnowledge, bound: RetryBound) {
+  constructor(known: TargetKnowledge, options: RetriesOptions) {
     this.#known = known;
-    this.#bound = bound;
+    this.#options = options;
+  }
+
+  /** Counters by service, for metrics. */
+  counts(): ReadonlyMap<ServiceId, RetryCounts> {
+    return new Map(
+      [...this.#services].map(([name, { counts }]) => [name, counts]),
+    );
   }
 
   /** Records the arrival of a caller's request. */
   arrived(service: ServiceId, now: number): void {
-    this.#budget(service).arrived(now);
+    this.#service(service).budget.arrived(now);
   }
 
   /** Takes one retry; false if the budget doesn't allow it or it can't succeed. */
   take(service: ServiceId, now: number, retry: RetryRequest): boolean {
     const { room, rates, serviceTimes } = this.#known;
+    const { budget, counts } = this.#service(service);
     const runMs = serviceTimes.meanMs(service);
     const terms = room.retryTerms(service, retry, { runMs, now });
     if (terms.kind === "hopeless") {
+      counts.hopeless += 1;
       return false;
     }
     // The part of a fixed number can't be told while the number of VMs is not known.
     const vms = rates.isFleetKnown ? rates.totalVms : Infinity;
-    const isTaken = this.#budget(service).trySpend(now, vms, terms);
-    if (!isTaken) {
+    const isTaken = budget.trySpend(now, vms, terms);
+    if (isTaken) {
+      counts.taken += 1;
+    } else {
+      counts.denied += 1;
       room.retryDenied(service, retry.priority, now);
+      this.#reportDenial(service, now);
     }
     return isTaken;
   }
 
-  #budget(service: ServiceId): FleetRetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      budget = new FleetRetryBudget(this.#bound);
-      this.#budgets.set(service, budget);
+  #reportDenial(name: ServiceId, now: number): void {
+    const { bound: { windowMs }, onDenied } = this.#options;
+    const { rates } = this.#known;
+    const service = this.#service(name);
+    if (now - service.reportedAt >= windowMs) {
+      service.reportedAt = now;
+      onDenied?.({
+        service: name,
+        vms: rates.isFleetKnown ? rates.totalVms : undefined,
+        ...service.budget.used(now),
+      });
+    }
+  }
+
+  #service(name: ServiceId): ServiceRetries {
+    let service = this.#services.get(name);
+    if (service === undefined) {
+      service = new ServiceRetries(this.#options.bound);
+      this.#services.set(name, service);
     }
-    return budget;
+    return service;
   }
 }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -25,7 +25,7 @@
 } from "./placement.ts";
 import { type RetryRequest, type RoomLookup, VmRoom } from "./room/vm_room.ts";
 import { RequestHomes } from "./request_homes.ts";
-import { Retries } from "./retries.ts";
+import { Retries, type RetryCounts, type RetryDenial } from "./retries.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Location, SteeredTarget } from "./target.ts";
@@ -67,6 +67,8 @@
   othersReachTargets?(): boolean;
   /** Called when this VM begins or ceases to doubt that it reaches targets. */
   onReachChanged?(state: ReachState): void;
+  /** Called when a service's retry budget is used up, once in each of its windows. */
+  onRetryDenied?(denial: RetryDenial): void;
 }
 
 /**
@@ -96,7 +98,10 @@
       roundTrips: this.roundTrips,
       room: new VmRoom(options.vm, options.roomOf ?? (() => [])),
     };
-    this.#retries = new Retries(this.#known, options.retries);
+    this.#retries = new Retries(this.#known, {
+      bound: options.retries,
+      onDenied: (denial) => options.onRetryDenied?.(denial),
+    });
     this.#homes = new RequestHomes(this.#known, options.homes);
     const candidates = new Candidates(this.#known, {
       homes: this.#homes,
@@ -303,6 +308,11 @@
     return this.#retries.take(service, now, retry);
   }
 
+  /** How often requests asked for a retry, by service, for metrics. */
+  retryCounts(): ReadonlyMap<ServiceId, RetryCounts> {
+    return this.#retries.counts();
+  }
+
   /** Whether a target of the service that refused a request may get it again. */
   mayTryAgain(service: ServiceId, now: number): boolean {
     return this.#known.room.mayTryAgain(service, now);
