--- /dev/null
+++ b/packages/daemon/src/gateway/fleet_retries_test.ts
@@ -0,0 +1,125 @@
+/**
+ * The retries of all VMs together while they do not hear of each other.
+ *
+ * @module
+ */
+
+import fc from "fast-check";
+import { describe, expect, test } from "vitest";
+import type { RegionId, ZoneId } from "@poplarthread/ids";
+import { FleetRetryBudget } from "@poplarthread/placement";
+import type { Member } from "./ports.ts";
+import { memberNamed } from "./testing.ts";
+import { VmDirectory } from "./vm_directory.ts";
+
+const REGIONS = 3;
+const ZONES_PER_REGION = 2;
+const WINDOW_MS = 10_000;
+/** Interval of heartbeats and of sweeps. */
+const BEAT_MS = 1_000;
+const MINUTE_MS = 60_000;
+
+/** Whether one VM hears of another, both by their number. */
+type Hears = (vm: number, other: number) => boolean;
+
+/** VMs that know of all others, and hear of them at first. */
+class SimulatedFleet {
+  readonly #members: readonly Member[];
+  readonly #directories: readonly VmDirectory[];
+  #now = 0;
+
+  constructor(size: number) {
+    this.#members = Array.from({ length: size }, (_, vm) => memberOf(vm));
+    this.#directories = this.#members.map((self) => {
+      const vms = new VmDirectory({ self, onChange: () => undefined });
+      vms.addRegistered(this.#members, 0);
+      return vms;
+    });
+    this.#beat(() => true);
+  }
+
+  /** The time passes, and each VM hears of those that `hears` names. */
+  run(ms: number, hears: Hears): void {
+    for (const until = this.#now + ms; this.#now < until;) {
+      this.#now += BEAT_MS;
+      this.#beat(hears);
+    }
+  }
+
+  /** The time passes, and no VM runs meanwhile. */
+  pause(ms: number): void {
+    this.#now += ms;
+    this.#directories.forEach((vms) => vms.sweep(this.#now));
+  }
+
+  /** The most retries of the fixed number that all VMs together send now. */
+  countRetries(fixed: number): number {
+    const bound = { ratio: 0.2, fixed, windowMs: WINDOW_MS };
+    return this.#directories.reduce((sum, vms) => {
+      const budget = new FleetRetryBudget(bound);
+      let retries = 0;
+      while (budget.trySpend(this.#now, vms.fleetSize(this.#now))) {
+        retries += 1;
+      }
+      return sum + retries;
+    }, 0);
+  }
+
+  #beat(hears: Hears): void {
+    this.#directories.forEach((vms, at) => {
+      this.#members.forEach((member, other) => {
+        if (at === other || !hears(at, other)) {
+          return;
+        }
+        const isLeaving = false;
+        if (member.zone === vms.self.zone) {
+          vms.recordHeartbeat(member, { now: this.#now, isLeaving });
+        } else {
+          const { vm } = member;
+          vms.recordStatus({ vm, ageMs: 0, isLeaving }, this.#now);
+        }
+      });
+      vms.sweep(this.#now);
+    });
+  }
+}
+
+function memberOf(vm: number): Member {
+  const region = `region-${vm % REGIONS}`;
+  const zone = Math.floor(vm / REGIONS) % ZONES_PER_REGION;
+  return memberNamed(`vm-${vm}`, {
+    region: region as RegionId,
+    zone: `${region}-${zone}` as ZoneId,
+  });
+}
+
+describe("the fixed number of retries holds over all VMs", () => {
+  test("in any order of cuts and pauses", () => {
+    // Guards against VMs that take those they do not hear of for gone.
+    const step = fc.record({
+      ms: fc.integer({ min: 1_000, max: 5 * MINUTE_MS }),
+      groups: fc.array(fc.integer({ min: 0, max: 3 }), {
+        minLength: 12,
+        maxLength: 12,
+      }),
+      isPause: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(step, { minLength: 1, maxLength: 4 }),
+        (steps) => {
+          const fleet = new SimulatedFleet(12);
+          for (const { ms, groups, isPause } of steps) {
+            if (isPause) {
+              fleet.pause(ms);
+            } else {
+              fleet.run(ms, (vm, other) => groups[vm] === groups[other]);
+            }
+            expect(fleet.countRetries(64)).toBeLessThanOrEqual(64);
+          }
+        },
+      ),
+      { numRuns: 20, seed: 51 },
+    );
+  });
+});
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -8,7 +8,7 @@
 import { describe, expect, test } from "vitest";
 import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import { ColdTargets } from "./cold_targets.ts";
-import { FleetRetryBudget } from "./fleet_retry_budget.ts";
+import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
 import { hashText } from "./hash.ts";
 import { ownerOf } from "./target_owners.ts";
 import { requestFor, steeringIn, targetIn } from "./testing.ts";
@@ -80,6 +80,11 @@
   expect(decide(5_000)).not.toBe("send");
 });
 
+/** The budget of a process that was started at `now`. */
+function startedBudget(bound: RetryBound, _now: number): FleetRetryBudget {
+  return new FleetRetryBudget(bound);
+}
+
 describe("the retry budget", () => {
   const BOUND = { ratio: 0.2, fixed: 50, windowMs: 10_000 };
   const RETRY = { priority: 0, routePriority: 0 };
@@ -139,6 +144,39 @@
     expect(retries).toBeLessThanOrEqual(requests * BOUND.ratio + BOUND.fixed);
   });
 
+  test("still holds when every VM is started again and again", () => {
+    // Guards against a fixed number that each process of a VM uses anew.
+    const runsMs = fc.array(fc.integer({ min: 200, max: 12_000 }), {
+      minLength: 2,
+      maxLength: 6,
+    });
+    fc.assert(
+      fc.property(
+        fc.constantFrom({ vms: 9, fixed: 58 }, { vms: 119, fixed: 301 }),
+        runsMs,
+        ({ vms, fixed }, runs) => {
+          const retriesOfOne: number[] = [];
+          let now = 0;
+          for (const runMs of runs) {
+            const budget = startedBudget({ ...BOUND, fixed }, now);
+            for (const end = now + runMs; now < end; now += 100) {
+              while (budget.trySpend(now, vms)) {
+                retriesOfOne.push(now);
+              }
+            }
+          }
+          for (const from of retriesOfOne) {
+            const until = from + BOUND.windowMs;
+            const inWindow = retriesOfOne
+              .filter((at) => at >= from && at < until).length;
+            expect(inWindow * vms).toBeLessThanOrEqual(fixed);
+          }
+        },
+      ),
+      { numRuns: 200, seed: 51 },
+    );
+  });
+
   test("still holds when every VM restarts within the window", () => {
     const budgets = Array.from(
       { length: 2 * VMS },
