Silence is no evidence that a VM has ended: it counts in the fleet for hours

What callers and targets saw: retries beyond the bound over a window, up to the fixed number of the whole fleet from each VM (test: 119 VMs, 301 allowed, 16,065 possible). Cause: the fixed number is divided by the VMs that were heard of in the last 20 seconds. A partition, a pause or a start behind a partition that lasts longer leaves each side alone in its own view, while all sides reach the targets. Fix: a VM that was heard of counts for two hours, longer than regions lose each other. Only the time in which this VM could hear it counts. It counts for 20 seconds if it said that it leaves, or if it is only listed in the store, where VMs stay that ended long ago, and its zone is heard of without it. Elsewhere: rates of cold targets and limits that targets name use the same number. With over half of the fleet lost for good, the survivors use these rates in proportion for two hours, as during a partition. Quotas of accounts keep their 20 seconds: a region's part would be cut for hours when one VM ends. vm_directory_test.ts said that the number returns to 1 after 30 s, which is the fault; it now says that it holds for an hour, and fleet_retries_test.ts that it falls after three, after leaving, and for rows that nobody confirms.

--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -4,13 +4,14 @@
  * @module
  */
 
-import type { RegionId, VmId } from "@poplarthread/ids";
+import type { RegionId, VmId, ZoneId } from "@poplarthread/ids";
 import {
   fallbacksFor,
   hashText,
   rankedAbove,
   relaysFor,
 } from "@poplarthread/placement";
+import { ListeningClock, mayBeRunning } from "./fleet_count.ts";
 import { membersForLookup } from "./lookup_members.ts";
 import type { LookupRequest, Member } from "./ports.ts";
 
@@ -30,12 +31,8 @@
  * more. Look-ups may return a VM that is gone for up to 6 s.
  */
 const REGION_REPORT_TIMEOUT_MS = 5_500;
-/**
- * VMs count as part of the fleet for this long after they were last seen alive or listed.
- * Limits that all VMs share are divided by their number: VMs behind a network partition
- * use their share, too, and so do VMs whose first heartbeat is still to come.
- */
-const FLEET_RETENTION_MS = 20_000;
+/** VMs count as part of a region for this long after they were last seen alive or listed. */
+const REGION_RETENTION_MS = 20_000;
 /** Delegates of a zone: two, so that the zone does not seem down while one of them is partitioned. */
 const DELEGATES_PER_ZONE = 2;
 /** Addresses that one look-up returns. */
@@ -51,8 +48,10 @@
   member: RankedMember;
   /** When it sent its last heartbeat, as far as this VM knows; -Infinity if it is down. */
   lastSeenAt: number;
-  /** When it was last seen alive or first listed. */
+  /** When it was last seen alive or first listed, on the {@link ListeningClock}. */
   knownAt: number;
+  /** Whether it was ever seen alive. */
+  wasHeard: boolean;
   isLeaving: boolean;
   /** It reaches no target. */
   isCutOff: boolean;
@@ -82,6 +81,7 @@
   /** VMs that were ever known at an IP address. */
   readonly #vmsByHost = new Map<string, Set<VmId>>();
   readonly #onChange: (member: Member, change: VmChange) => void;
+  readonly #clock = new ListeningClock();
   #selfLeaving = false;
   #selfCutOff = false;
   #selfOverloaded = false;
@@ -125,7 +125,8 @@
         this.#add({
           member: withHash(member),
           lastSeenAt: -Infinity,
-          knownAt: now,
+          knownAt: this.#clock.at(now),
+          wasHeard: false,
           isLeaving: false,
           isCutOff: false,
           isOverloaded: false,
@@ -155,7 +156,8 @@
     this.#add({
       member: { ...member, hash: known?.member.hash ?? hashText(member.vm) },
       lastSeenAt: now,
-      knownAt: now,
+      knownAt: this.#clock.at(now),
+      wasHeard: true,
       isLeaving,
       isCutOff,
       isOverloaded,
@@ -210,7 +212,8 @@
     // A time in the future would keep the VM up: it is not replaced by earlier ones.
     const seenAt = now - Math.max(0, ageMs);
     known.lastSeenAt = Math.max(known.lastSeenAt, seenAt);
-    known.knownAt = Math.max(known.knownAt, known.lastSeenAt);
+    known.knownAt = Math.max(known.knownAt, this.#clock.at(known.lastSeenAt));
+    known.wasHeard = true;
     known.isLeaving = isLeaving;
     known.isCutOff = isCutOff;
     known.isOverloaded = isOverloaded;
@@ -226,6 +229,7 @@
 
   /** Marks VMs as down whose last heartbeat has become too old. */
   sweep(now: number): void {
+    this.#clock.advance(now);
     for (const entry of this.#entries.values()) {
       if (entry.lastSeenAt !== -Infinity && !this.#isAlive(entry, now)) {
         entry.lastSeenAt = -Infinity;
@@ -299,15 +303,32 @@
 
   /** Number of VMs that share the fleet's limits, including this one. */
   fleetSize(now: number): number {
+    const heardZones = this.#heardZones(now);
+    const clockNow = this.#clock.at(now);
     let size = 1;
-    for (const { knownAt } of this.#entries.values()) {
-      if (now - knownAt < FLEET_RETENTION_MS) {
+    for (
+      const { member, knownAt, wasHeard, isLeaving } of this.#entries.values()
+    ) {
+      const silentMs = clockNow - knownAt;
+      const isZoneHeard = heardZones.has(member.zone);
+      if (mayBeRunning({ silentMs, wasHeard, isLeaving, isZoneHeard })) {
         size += 1;
       }
     }
     return size;
   }
 
+  /** Zones that this VM hears of; its own one if it hears of any. */
+  #heardZones(now: number): ReadonlySet<ZoneId> {
+    const zones = new Set<ZoneId>();
+    for (const entry of this.#entries.values()) {
+      if (this.#isAlive(entry, now)) {
+        zones.add(entry.member.zone);
+      }
+    }
+    return zones.size === 0 ? zones : zones.add(this.#self.zone);
+  }
+
   /** VMs of the region that are up, including this one. */
   upInRegion(now: number): readonly RankedMember[] {
     return this.up(now).filter(({ region }) => region === this.#self.region);
@@ -326,10 +347,11 @@
 
   /** Number of VMs of the region that share its limits, including this one: those that are, or recently were, up or listed. */
   knownInRegion(now: number): number {
+    const clockNow = this.#clock.at(now);
     return 1 +
       [...this.#entries.values()].filter(({ member, knownAt }) =>
         member.region === this.#self.region &&
-        now - knownAt < FLEET_RETENTION_MS
+        clockNow - knownAt < REGION_RETENTION_MS
       ).length;
   }
 
--- a/packages/daemon/src/gateway/vm_directory_test.ts
+++ b/packages/daemon/src/gateway/vm_directory_test.ts
@@ -35,6 +35,8 @@
 }
 
 const UP = { isLeaving: false };
+/** Regions may lose each other for so long. */
+const HOUR_MS = 3_600_000;
 
 describe("a look-up", () => {
   test("returns only VMs with heartbeats, not those that are merely listed", () => {
@@ -183,7 +185,10 @@
     vms.sweep(9_000);
     expect(vms.up(9_000)).toHaveLength(1);
     expect(vms.fleetSize(9_000)).toBe(3);
-    expect(vms.fleetSize(30_000)).toBe(1);
+    for (let now = 10_000; now < HOUR_MS; now += 1_000) {
+      vms.sweep(now);
+    }
+    expect(vms.fleetSize(HOUR_MS)).toBe(3);
   });
 });
 
