A forward without a response counts as all attempts of its request

What targets saw: a request that ran on three targets where its route allows two attempts. Cause: a VM without links to targets counts a forward as one attempt. The VM that handles the request makes the rest of them and says so in its response only; when its process ends or the connection breaks, the first VM takes a retry for a request whose attempts are used up. Fix: without a response the first VM counts as many attempts as the other one may have made. The caller of a read gets 502 at once and may come back; before, it got the response of a third target, when there was time. Where the other VM responds, or no connection to it was opened, nothing changes. Weighed: one attempt for each forward, with all retries decided by the VM that the caller asked. It would need the targets that were tried in both directions, or send the retry to the target that has just refused.

--- a/packages/daemon/src/gateway/attempt_record.ts
+++ b/packages/daemon/src/gateway/attempt_record.ts
@@ -28,7 +28,7 @@
     this.#written = earlier;
   }
 
-  /** Number of attempts that were written to a target. */
+  /** Number of attempts that were written to a target, or may have been. */
   get written(): number {
     return this.#written;
   }
@@ -49,6 +49,11 @@
     this.#mayHaveRun = true;
   }
 
+  /** Records that another VM may have made any number of attempts, up to `limit` in all. */
+  mayHaveReached(limit: number): void {
+    this.#written = Math.max(this.#written, limit);
+  }
+
   /** Records that the target of the last attempt reported not running the request. */
   didNotRun(): void {
     this.#mayHaveRun = this.#mayHaveRunBefore;
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -479,7 +479,11 @@
       responded: (response, body) => this.#handleFinalResponse(response, body),
       didNotRun: () => this.#attempts.didNotRun(),
       requeue: (now) => this.#requeue(now),
-      broke: (now) => this.#handleBroken(now),
+      broke: (now) => {
+        // The other VM does not say how many of the attempts it has made.
+        this.#attempts.mayHaveReached(this.route.maxAttempts);
+        this.#handleBroken(now);
+      },
       refuse: ({ reason, retryAfterMs }) => this.#refuse(reason, retryAfterMs),
     };
   }
