A VM that does not know the fleet yet has no part of targets' rates

What targets would see: a cold target that gets a request from each VM that has just started, where the rate of all VMs together holds (test: 68 of at most 12 in one moment); the same for limits that targets name. Evidence: limits_test.ts, red before (68 requests, 12.5 allowed). Fix: a number of VMs that is not known is infinite, for all that is divided by it; the special case for retries goes. A VM sends to cold or limited targets once it has read the list, to others at once.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -277,8 +277,11 @@
       othersReachTargets: () =>
         this.#peers.vms.peersWithTargets(performance.now()).length > 0,
       onReachChanged: (state) => this.#onReachChanged(state),
-      onRetryDenied: ({ vms: fleetVms = 0, ...denial }) =>
-        this.#log.write("retries used up", { ...denial, fleetVms }),
+      onRetryDenied: ({ vms, ...denial }) =>
+        this.#log.write("retries used up", {
+          ...denial,
+          fleetVms: Number.isFinite(vms) ? vms : 0,
+        }),
     });
     steering.setFleetSize(undefined);
     return new RequestPath({
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -46,6 +46,20 @@
     expect(sentAt.length).toBeGreaterThan(COLD_PER_SECOND * 2);
   });
 
+  test("receive no more than they tolerate while VMs that start together do not know of each other yet", () => {
+    // Guards against VMs that each take themselves for the owner of every target.
+    const now = 500;
+    const target = targetIn("north", "t-0");
+    const sent = Array.from({ length: 68 }, () => {
+      const steering = steeringIn("north", [target], ["north"]);
+      steering.setFleetSize(undefined);
+      steering.markCold(target.id, 10_000);
+      const request = requestFor("a", { now });
+      return steering.place(request, { now, ahead: 0 }).kind === "send";
+    }).filter((isSent) => isSent).length;
+    expect(sent).toBeLessThanOrEqual(MAX_COLD_PER_SECOND);
+  });
+
   test("have one owner, in their region if it has a VM", () => {
     fc.assert(fc.property(
       fc.uniqueArray(fc.stringMatching(/^[a-z]{1,8}$/), { minLength: 1 }),
--- a/packages/placement/src/retries.ts
+++ b/packages/placement/src/retries.ts
@@ -26,8 +26,8 @@
 /** A retry that the budget of a service did not allow. */
 export interface RetryDenial extends RetryUse {
   readonly service: ServiceId;
-  /** VMs that the fixed number is divided by; undefined if their number is not known. */
-  readonly vms: number | undefined;
+  /** VMs that the fixed number is divided by; Infinity if their number is not known. */
+  readonly vms: number;
 }
 
 /** Options of {@link Retries}. */
@@ -87,9 +87,7 @@
       counts.hopeless += 1;
       return false;
     }
-    // The part of a fixed number can't be told while the number of VMs is not known.
-    const vms = rates.isFleetKnown ? rates.totalVms : Infinity;
-    const isTaken = budget.trySpend(now, vms, terms);
+    const isTaken = budget.trySpend(now, rates.totalVms, terms);
     if (isTaken) {
       counts.taken += 1;
     } else {
@@ -108,7 +106,7 @@
       service.reportedAt = now;
       onDenied?.({
         service: name,
-        vms: rates.isFleetKnown ? rates.totalVms : undefined,
+        vms: rates.totalVms,
         ...service.budget.used(now),
       });
     }
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -29,7 +29,6 @@
   readonly #limits = new TargetLimits();
   #reachableVms = 1;
   #fleetSize = 1;
-  #isFleetKnown = true;
 
   constructor(vm: VmId) {
     this.#vm = vm;
@@ -49,18 +48,12 @@
 
   /** Sets the number of VMs that share the rates, reachable or not; undefined if it is not known. */
   setFleetSize(vms: number | undefined): void {
-    this.#isFleetKnown = vms !== undefined;
-    this.#fleetSize = vms ?? 1;
-  }
-
-  /** Whether this VM knows of the others. */
-  get isFleetKnown(): boolean {
-    return this.#isFleetKnown;
+    this.#fleetSize = vms ?? Infinity;
   }
 
   /**
    * Number of VMs that share the rates: the known or the reachable ones, whichever
-   * are more.
+   * are more. Infinity while it is not known, so that this VM has no share.
    */
   get totalVms(): number {
     return Math.max(this.#reachableVms, this.#fleetSize);
