A zone is known once it has been heard of for some seconds

With the first VM of a zone that they heard, all others of the zone counted as gone, until their heartbeats arrived. A zone counts as heard of once one of its VMs has been up for the time in which all zones are reported.

--- a/packages/daemon/src/gateway/fleet_retries_test.ts
+++ b/packages/daemon/src/gateway/fleet_retries_test.ts
@@ -27,6 +27,7 @@
 const OWN_REGION: Hears = (vm, other) => vm % REGIONS === other % REGIONS;
 const OWN_ZONE: Hears = (vm, other) =>
   memberOf(vm).zone === memberOf(other).zone;
+const FIRST_OF_ZONES: Hears = (_, other) => other < REGIONS * ZONES_PER_REGION;
 const TEN: Hears = (vm, other) =>
   Math.floor(vm / 10) === Math.floor(other / 10);
 
@@ -142,6 +143,14 @@
     expect(fleet.countRetries(301)).toBeLessThanOrEqual(301);
   });
 
+  test("when such a cut ends and one VM of each zone is heard first", () => {
+    // Guards against a zone whose VMs count as gone before they can be heard.
+    const fleet = new SimulatedFleet(119, { isHeard: false });
+    fleet.run(MINUTE_MS, NOBODY);
+    fleet.run(BEAT_MS, FIRST_OF_ZONES);
+    expect(fleet.countRetries(301)).toBeLessThanOrEqual(301);
+  });
+
   test("in any order of cuts and pauses", () => {
     // Guards against VMs that take those they do not hear of for gone.
     const step = fc.record({
@@ -183,7 +192,7 @@
   test("once rows of VMs that ended long ago have not been confirmed", () => {
     // Guards against a list that names every VM that ever ran.
     const fleet = new SimulatedFleet(12, { isHeard: false });
-    fleet.run(MINUTE_MS, (_, other) => other < REGIONS * ZONES_PER_REGION);
+    fleet.run(MINUTE_MS, FIRST_OF_ZONES);
     expect(fleet.sizeSeenBy(0)).toBe(6);
   });
 
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -50,8 +50,8 @@
   lastSeenAt: number;
   /** When it was last seen alive or first listed, on the {@link ListeningClock}. */
   knownAt: number;
-  /** Whether it was ever seen alive. */
-  wasHeard: boolean;
+  /** Since when it is up without a pause, on the same clock; undefined if it was never up. */
+  upSince: number | undefined;
   isLeaving: boolean;
   /** It reaches no target. */
   isCutOff: boolean;
@@ -126,7 +126,7 @@
           member: withHash(member),
           lastSeenAt: -Infinity,
           knownAt: this.#clock.at(now),
-          wasHeard: false,
+          upSince: undefined,
           isLeaving: false,
           isCutOff: false,
           isOverloaded: false,
@@ -153,11 +153,12 @@
     const known = this.#entries.get(member.vm);
     const wasUp = known !== undefined && this.#isAlive(known, now) &&
       known.member.instance === member.instance;
+    const clockNow = this.#clock.at(now);
     this.#add({
       member: { ...member, hash: known?.member.hash ?? hashText(member.vm) },
       lastSeenAt: now,
-      knownAt: this.#clock.at(now),
-      wasHeard: true,
+      knownAt: clockNow,
+      upSince: wasUp ? known.upSince : clockNow,
       isLeaving,
       isCutOff,
       isOverloaded,
@@ -213,13 +214,15 @@
     const seenAt = now - Math.max(0, ageMs);
     known.lastSeenAt = Math.max(known.lastSeenAt, seenAt);
     known.knownAt = Math.max(known.knownAt, this.#clock.at(known.lastSeenAt));
-    known.wasHeard = true;
     known.isLeaving = isLeaving;
     known.isCutOff = isCutOff;
     known.isOverloaded = isOverloaded;
     if (!this.#isAlive(known, now)) {
       return;
     }
+    if (!wasUp) {
+      known.upSince = this.#clock.at(now);
+    }
     if (isLeaving && !(wasLeaving && wasUp)) {
       this.#onChange(known.member, "leaving");
     } else if (!wasUp || (wasLeaving && !isLeaving)) {
@@ -307,9 +310,10 @@
     const clockNow = this.#clock.at(now);
     let size = 1;
     for (
-      const { member, knownAt, wasHeard, isLeaving } of this.#entries.values()
+      const { member, knownAt, upSince, isLeaving } of this.#entries.values()
     ) {
       const silentMs = clockNow - knownAt;
+      const wasHeard = upSince !== undefined;
       const isZoneHeard = heardZones.has(member.zone);
       if (mayBeRunning({ silentMs, wasHeard, isLeaving, isZoneHeard })) {
         size += 1;
@@ -318,11 +322,13 @@
     return size;
   }
 
-  /** Zones that this VM hears of; its own one if it hears of any. */
+  /** Zones that this VM has heard of for long enough to know all their VMs that are up; its own one if it hears of any. */
   #heardZones(now: number): ReadonlySet<ZoneId> {
     const zones = new Set<ZoneId>();
+    const since = this.#clock.at(now) - REGION_REPORT_TIMEOUT_MS;
     for (const entry of this.#entries.values()) {
-      if (this.#isAlive(entry, now)) {
+      const { upSince = Infinity } = entry;
+      if (upSince <= since && this.#isAlive(entry, now)) {
         zones.add(entry.member.zone);
       }
     }
