Zones that do not hear of each other keep to their shares of a region's limits

What operators would see: accounts that get twice their quota while the zones of a region are cut off from each other. Cause: VMs that were not heard of for 20 s were left out of the region, so that each zone took itself for the whole of it. Evidence: vm_directory_test.ts, red before (shares of 1 and 1 of one limit after a minute), green now (1/2 and 1/2). Fix: a VM of a zone of which nothing is heard counts for two hours, as in the fleet. One that its own zone does not hear of is left out after 20 s as before: a region has few VMs, and the loss of one would cut its quotas for hours. Counting moves from the directory to fleet_count.ts.

--- a/packages/daemon/src/gateway/fleet_count.ts
+++ b/packages/daemon/src/gateway/fleet_count.ts
@@ -8,6 +8,8 @@
  * @module
  */
 
+import type { ZoneId } from "@poplarthread/ids";
+
 /** Longer than regions lose each other. */
 const SILENT_RETENTION_MS = 2 * 3_600_000;
 /** After evidence of its end: time for heartbeats and zone reports of a VM that has started again. */
@@ -33,22 +35,38 @@
   }
 }
 
-/** What is known of another VM. */
-export interface VmEvidence {
-  /** Time of the {@link ListeningClock} since it was last heard of, or first listed. */
-  readonly silentMs: number;
-  /** Whether it was ever heard of, and not only listed in the platform's store, where VMs stay that ended long ago. */
-  readonly wasHeard: boolean;
+/** What is known of another VM. Times are of the {@link ListeningClock}. */
+export interface KnownVm {
+  readonly member: { readonly zone: ZoneId };
+  /** When it was last heard of, or first listed. */
+  readonly knownAt: number;
+  /** Since when it is up without a pause; undefined if it is only listed in the platform's store, where VMs stay that ended long ago. */
+  readonly upSince: number | undefined;
   /** It said that it leaves. */
   readonly isLeaving: boolean;
-  /** Whether VMs of its zone are heard of, which would report it. */
-  readonly isZoneHeard: boolean;
 }
 
-/** Whether a VM may be running. */
-export function mayBeRunning(
-  { silentMs, wasHeard, isLeaving, isZoneHeard }: VmEvidence,
-): boolean {
-  const isKnownToEnd = isLeaving || (!wasHeard && isZoneHeard);
-  return silentMs < (isKnownToEnd ? ENDED_RETENTION_MS : SILENT_RETENTION_MS);
+/** Options of {@link countRunning}. */
+export interface CountOptions {
+  /** Time of the {@link ListeningClock}. */
+  readonly now: number;
+  /** Zones that are heard of, which would report their VMs. */
+  readonly heardZones: ReadonlySet<ZoneId>;
+  /** Whether a VM counts as ended when its zone does not hear of it, though it may be cut off alone. */
+  readonly isZoneTrusted: boolean;
+}
+
+/** Number of VMs that may be running. */
+export function countRunning(
+  vms: readonly KnownVm[],
+  { now, heardZones, isZoneTrusted }: CountOptions,
+): number {
+  return vms.filter(({ member, knownAt, upSince, isLeaving }) => {
+    const isMissed = heardZones.has(member.zone) &&
+      (isZoneTrusted || upSince === undefined);
+    const retentionMs = isLeaving || isMissed
+      ? ENDED_RETENTION_MS
+      : SILENT_RETENTION_MS;
+    return now - knownAt < retentionMs;
+  }).length;
 }
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -11,7 +11,7 @@
   rankedAbove,
   relaysFor,
 } from "@poplarthread/placement";
-import { ListeningClock, mayBeRunning } from "./fleet_count.ts";
+import { countRunning, type KnownVm, ListeningClock } from "./fleet_count.ts";
 import { membersForLookup } from "./lookup_members.ts";
 import type { LookupRequest, Member } from "./ports.ts";
 
@@ -31,8 +31,6 @@
  * more. Look-ups may return a VM that is gone for up to 6 s.
  */
 const REGION_REPORT_TIMEOUT_MS = 5_500;
-/** VMs count as part of a region for this long after they were last seen alive or listed. */
-const REGION_RETENTION_MS = 20_000;
 /** Delegates of a zone: two, so that the zone does not seem down while one of them is partitioned. */
 const DELEGATES_PER_ZONE = 2;
 /** Addresses that one look-up returns. */
@@ -44,13 +42,11 @@
   readonly hash: number;
 }
 
-interface Entry {
+interface Entry extends KnownVm {
   member: RankedMember;
   /** When it sent its last heartbeat, as far as this VM knows; -Infinity if it is down. */
   lastSeenAt: number;
-  /** When it was last seen alive or first listed, on the {@link ListeningClock}. */
   knownAt: number;
-  /** Since when it is up without a pause, on the same clock; undefined if it was never up. */
   upSince: number | undefined;
   isLeaving: boolean;
   /** It reaches no target. */
@@ -306,20 +302,11 @@
 
   /** Number of VMs that share the fleet's limits, including this one. */
   fleetSize(now: number): number {
-    const heardZones = this.#heardZones(now);
-    const clockNow = this.#clock.at(now);
-    let size = 1;
-    for (
-      const { member, knownAt, upSince, isLeaving } of this.#entries.values()
-    ) {
-      const silentMs = clockNow - knownAt;
-      const wasHeard = upSince !== undefined;
-      const isZoneHeard = heardZones.has(member.zone);
-      if (mayBeRunning({ silentMs, wasHeard, isLeaving, isZoneHeard })) {
-        size += 1;
-      }
-    }
-    return size;
+    return 1 + countRunning([...this.#entries.values()], {
+      now: this.#clock.at(now),
+      heardZones: this.#heardZones(now),
+      isZoneTrusted: false,
+    });
   }
 
   /** Zones that this VM has heard of for long enough to know all their VMs that are up; its own one if it hears of any. */
@@ -351,14 +338,20 @@
     return [...regions.values()];
   }
 
-  /** Number of VMs of the region that share its limits, including this one: those that are, or recently were, up or listed. */
+  /**
+   * Number of VMs of the region that share its limits, including this one. One that its
+   * zone does not hear of is left out: the limits of a region are divided by few VMs, so
+   * that the loss of one would be felt for hours.
+   */
   knownInRegion(now: number): number {
-    const clockNow = this.#clock.at(now);
-    return 1 +
-      [...this.#entries.values()].filter(({ member, knownAt }) =>
-        member.region === this.#self.region &&
-        clockNow - knownAt < REGION_RETENTION_MS
-      ).length;
+    const ofRegion = [...this.#entries.values()].filter(({ member }) =>
+      member.region === this.#self.region
+    );
+    return 1 + countRunning(ofRegion, {
+      now: this.#clock.at(now),
+      heardZones: this.#heardZones(now),
+      isZoneTrusted: true,
+    });
   }
 
   /** VMs that are up, including this one unless it is leaving. */
--- a/packages/daemon/src/gateway/vm_directory_test.ts
+++ b/packages/daemon/src/gateway/vm_directory_test.ts
@@ -192,6 +192,47 @@
   });
 });
 
+describe("VMs of a region share its limits", () => {
+  const zones = ["north-1", "north-2"];
+  const members = zones.flatMap((zone) =>
+    [1, 2].map((index) => ({
+      ...member(`${zone}-${index}`, "north"),
+      zone: zone as ZoneId,
+    }))
+  );
+
+  /** The share of the region's limits that a VM uses after a minute in which it hears only of `heard`. */
+  function shareOf(self: Member, heard: readonly Member[]): number {
+    const vms = new VmDirectory({ self, onChange: () => undefined });
+    vms.addRegistered(members, 0);
+    for (let now = 0; now <= 60_000; now += 1_000) {
+      for (const one of now < 5_000 ? members : heard) {
+        if (one.zone === self.zone) {
+          vms.recordHeartbeat(one, { now, ...UP });
+        } else {
+          vms.recordStatus({ vm: one.vm, ageMs: 0, ...UP }, now);
+        }
+      }
+      vms.sweep(now);
+    }
+    return vms.upInRegion(60_000).length / vms.knownInRegion(60_000);
+  }
+
+  test("while its zones do not hear of each other for a minute", () => {
+    // Guards against quotas that each zone grants as if it were the whole region.
+    const shares = zones.map((zone) => {
+      const ofZone = members.filter((one) => one.zone === zone);
+      return shareOf(ofZone[0]!, ofZone);
+    });
+    expect(shares).toEqual([1 / 2, 1 / 2]);
+  });
+
+  test("without one that its zone has not heard of for a minute", () => {
+    // Guards against quotas that are cut for hours when one VM ends.
+    expect(shareOf(members[0]!, members.slice(0, 3))).toBe(1);
+  });
+});
+
 test("one VM of each zone sends warm-target updates to the other zones of its region, and to no other region", () => {
   const inZone = (vm: string, zone: string, region: string) => ({
     ...member(vm, region),
