--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -132,7 +132,7 @@
       operatorRowsSeconds: this.#feed.ageOf("operator") / 1_000,
       targetRowsSeconds: this.#feed.ageOf("targets") / 1_000,
       vmsUp: this.#peers.vms.up(performance.now()).length,
-      fleetVms: this.#peers.fleetSize(performance.now()) ?? 0,
+      fleetVms: this.#peers.fleetSize ?? 0,
       droppedLines: this.#log.dropped,
       keptConnections: this.#homes.keptConnections,
       targetsReached: Number(!this.#requestPath.steering.isCutOff),
@@ -171,7 +171,7 @@
         targetOf: (hash) =>
           this.#requestPath.keptConnection(
             hash,
-            vms.fleetSize(performance.now()),
+            this.#peers.fleetSize ?? Infinity,
           ),
         idleMs: (target, now) => this.#connections.idleMs(target, now),
         refresh: (target) => this.#probes.refresh(target),
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -46,7 +46,6 @@
   #isLeaving = false;
   #isCutOff = false;
   #isOverloaded = false;
-  /** Number of VMs that may be running, as logged last. */
   #fleetSize: number | undefined;
 
   constructor(options: PeersOptions) {
@@ -81,9 +80,9 @@
     this.beacon.send({ kind: "beat" });
   }
 
-  /** Number of VMs that may be running, including this one; undefined until the list of VMs has been read. */
-  fleetSize(now: number): number | undefined {
-    return this.#hasMembers ? this.vms.fleetSize(now) : undefined;
+  /** Number of VMs that may be running, including this one, as of the last sweep; undefined until the list of VMs has been read. */
+  get fleetSize(): number | undefined {
+    return this.#fleetSize;
   }
 
   /** Periodic work: marks VMs as down whose heartbeats are missing. */
@@ -106,15 +105,18 @@
 
   #updateFleetSize(now: number): void {
     const { path, log } = this.#options;
-    const fleetSize = this.fleetSize(now);
-    if (fleetSize !== undefined && fleetSize !== this.#fleetSize) {
+    if (!this.#hasMembers) {
+      return;
+    }
+    const fleetSize = this.vms.fleetSize(now);
+    if (fleetSize !== this.#fleetSize) {
       log.write("fleet size changed", {
         fleetVms: fleetSize,
         fleetVmsBefore: this.#fleetSize ?? 0,
       });
+      this.#fleetSize = fleetSize;
+      path().steering.setFleetSize(fleetSize);
     }
-    this.#fleetSize = fleetSize;
-    path().steering.setFleetSize(fleetSize);
   }
 
   #createBeacon(): PeerBeacon {
