--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -170,6 +170,7 @@
           { vms: 1, fixed: 50 },
           { vms: 9, fixed: 58 },
           { vms: 119, fixed: 301 },
+          { vms: 195, fixed: 430 },
         ),
         runsMs,
         ({ vms, fixed }, runs) => {
