--- a/packages/daemon/src/gateway/retry_metrics.ts
+++ b/packages/daemon/src/gateway/retry_metrics.ts
@@ -18,11 +18,7 @@
       help:
         "Requests that asked for a retry: taken, denied by the budget, or hopeless",
       label: "result",
-      read: () =>
-        new Map(
-          [...this.#steering?.retryCounts() ?? []]
-            .map(([service, counts]) => [service, { ...counts }]),
-        ),
+      read: () => this.#steering?.retryCounts() ?? new Map(),
     });
   }
 
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -8,7 +8,7 @@
 import { describe, expect, test } from "vitest";
 import type { RegionId, ServiceId, TargetId, VmId } from "@poplarthread/ids";
 import { ColdTargets } from "./cold_targets.ts";
-import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 import { hashText } from "./hash.ts";
 import { ownerOf } from "./target_owners.ts";
 import { requestFor, steeringIn, targetIn } from "./testing.ts";
@@ -94,11 +94,6 @@
   expect(decide(5_000)).not.toBe("send");
 });
 
-/** The budget of a process that was started at `now`. */
-function startedBudget(bound: RetryBound, now: number): FleetRetryBudget {
-  return new FleetRetryBudget(bound, { startedAt: now });
-}
-
 describe("the retry budget", () => {
   const BOUND = { ratio: 0.2, fixed: 50, windowMs: 10_000 };
   const RETRY = { priority: 0, routePriority: 0 };
@@ -177,7 +172,8 @@
           const retriesOfOne: number[] = [];
           let now = 0;
           for (const runMs of runs) {
-            const budget = startedBudget({ ...BOUND, fixed }, now);
+            const bound = { ...BOUND, fixed };
+            const budget = new FleetRetryBudget(bound, { startedAt: now });
             for (const end = now + runMs; now < end; now += 100) {
               while (budget.trySpend(now, vms)) {
                 retriesOfOne.push(now);
--- a/packages/placement/src/retries.ts
+++ b/packages/placement/src/retries.ts
@@ -15,13 +15,16 @@
 import type { TargetKnowledge } from "./target_knowledge.ts";
 
 /** How often requests of a service have asked for a retry, by result. */
-export interface RetryCounts {
-  readonly taken: number;
-  /** The budget was used up. */
-  readonly denied: number;
-  /** It could not have succeeded. */
-  readonly hopeless: number;
-}
+export type RetryCounts = Readonly<
+  Record<
+    | "taken"
+    /** The budget was used up. */
+    | "denied"
+    /** It could not have succeeded. */
+    | "hopeless",
+    number
+  >
+>;
 
 /** A retry that the budget of a service did not allow. */
 export interface RetryDenial extends RetryUse {
@@ -33,8 +36,8 @@
 /** Options of {@link Retries}. */
 export interface RetriesOptions {
   readonly bound: RetryBound;
-  /** When the process started; long ago by default. */
-  readonly startedAt?: number | undefined;
+  /** When the process started. */
+  readonly startedAt: number;
   /** Called with the first denial of each window, for each service. */
   onDenied?(denial: RetryDenial): void;
 }
@@ -47,10 +50,7 @@
   reportedAt = -Infinity;
 
   constructor({ bound, startedAt }: RetriesOptions) {
-    this.budget = new FleetRetryBudget(
-      bound,
-      startedAt === undefined ? {} : { startedAt },
-    );
+    this.budget = new FleetRetryBudget(bound, { startedAt });
   }
 }
 
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -102,7 +102,7 @@
     };
     this.#retries = new Retries(this.#known, {
       bound: options.retries,
-      startedAt: options.startedAt,
+      startedAt: options.startedAt ?? -Infinity,
       onDenied: (denial) => options.onRetryDenied?.(denial),
     });
     this.#homes = new RequestHomes(this.#known, options.homes);
