Log tells what reports on crashing requests leave out, and who may not hear them

Two hypotheses could not be told apart: a report to other zones leaves a request out, or the other VMs do not hear this one. `crash counted` has the crashes known and the number of VMs that may be running and are not heard of, `crash reported` and `request held back` the crashes known; `crash reports without room` says how many requests with several crashes a report left out. No decision changes.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -101,6 +101,12 @@
       .filter((one) => this.verdict(one, now).kind === "held-back").length;
   }
 
+  /** Number of requests under which several targets crashed. */
+  countRepeated(now: number): number {
+    return [...this.#entries.keys()]
+      .filter((one) => this.crashesOf(one, now) > 1).length;
+  }
+
   /** Returns whether a request with this fingerprint may be sent now. */
   verdict(fingerprint: Fingerprint, now: number): HeldBackVerdict {
     const times = this.#countedCrashes(fingerprint, now);
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -56,19 +56,31 @@
 
 /** What the tracker has found out. */
 export type CrashFinding =
-  | { readonly kind: "counted"; readonly crash: SuspectedCrash }
+  | {
+    readonly kind: "counted";
+    readonly crash: SuspectedCrash;
+    /** Crashes under the request that this VM knows of. */
+    readonly crashes: number;
+  }
   | {
     readonly kind: "uncounted";
     readonly crash: SuspectedCrash;
     readonly reason: UncountedReason;
   }
   /** Another VM has counted a crash that this one did not know. */
-  | { readonly kind: "reported"; readonly crash: SuspectedCrash }
+  | {
+    readonly kind: "reported";
+    readonly crash: SuspectedCrash;
+    readonly crashes: number;
+  }
   | {
     readonly kind: "held-back";
     readonly digest: Fingerprint;
     readonly forMs: number;
-  };
+    readonly crashes: number;
+  }
+  /** Reports to other VMs leave out so many requests under which several targets crashed. */
+  | { readonly kind: "without-room"; readonly suspects: number };
 
 /** Options of {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
@@ -85,6 +97,8 @@
   readonly #options: CrashSuspectsOptions;
   readonly #heldBack = new HeldBack(POLICY);
   readonly #unanswered = new UnansweredAttempts();
+  /** Requests with several crashes that the latest reports left out, by the room of the reports. */
+  readonly #leftOut = new Map<number, number>();
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
@@ -173,15 +187,26 @@
 
   /** What other VMs should know, with at most `maxCrashes` crashes. */
   reports(now: number, maxCrashes: number): readonly HeldBackReport[] {
-    return this.#heldBack.reports(now, maxCrashes);
+    const reports = this.#heldBack.reports(now, maxCrashes);
+    const repeated = this.#heldBack.countRepeated(now);
+    const leftOut = repeated -
+      reports.filter(({ crashes }) => crashes.length > 1).length;
+    if (leftOut !== (this.#leftOut.get(maxCrashes) ?? 0)) {
+      this.#leftOut.set(maxCrashes, leftOut);
+      this.#options.found?.({ kind: "without-room", suspects: leftOut });
+    }
+    return reports;
   }
 
   /** Applies a report of another VM. */
   merge(report: HeldBackReport, now: number): void {
     const digest = report.fingerprint;
     const wasHeldBack = this.#isHeldBack(digest, now);
-    for (const target of this.#heldBack.merge(report, now)) {
-      this.#options.found?.({ kind: "reported", crash: { digest, target } });
+    const news = this.#heldBack.merge(report, now);
+    const crashes = this.#heldBack.crashesOf(digest, now);
+    for (const target of news) {
+      const crash = { digest, target };
+      this.#options.found?.({ kind: "reported", crash, crashes });
     }
     this.#announceHold(digest, wasHeldBack, now);
   }
@@ -234,8 +259,10 @@
         continue;
       }
       const wasHeldBack = this.#isHeldBack(digest, now);
-      this.#options.found?.({ kind: "counted", crash: { digest, target } });
       this.#heldBack.targetCrashed(target, [digest], now);
+      const crashes = this.#heldBack.crashesOf(digest, now);
+      const crash = { digest, target };
+      this.#options.found?.({ kind: "counted", crash, crashes });
       this.#announceHold(digest, wasHeldBack, now);
       this.#options.publish();
     }
@@ -249,7 +276,8 @@
     const verdict = this.#heldBack.verdict(digest, now);
     if (!wasHeldBack && verdict.kind === "held-back") {
       const forMs = verdict.retryAfterMs;
-      this.#options.found?.({ kind: "held-back", digest, forMs });
+      const crashes = this.#heldBack.crashesOf(digest, now);
+      this.#options.found?.({ kind: "held-back", digest, forMs, crashes });
     }
   }
 
--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -48,6 +48,19 @@
     meaning: "what repeats of a request have in common, as a hash",
   },
   forMs: { type: "number", meaning: "how long, in milliseconds" },
+  crashes: {
+    type: "number",
+    meaning: "crashes of targets under the request that this VM knows of",
+  },
+  silentVms: {
+    type: "number",
+    meaning:
+      "number of other VMs that may be running and that this one does not hear of",
+  },
+  suspects: {
+    type: "number",
+    meaning: "number of digests under which several targets crashed",
+  },
   end: { type: "text", meaning: "how the request or attempt ended" },
   reason: { type: "text", meaning: "the reason, as text" },
   attempts: {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -272,8 +272,8 @@
   "crash counted": {
     level: "warn",
     meaning:
-      "A target crashed on which an attempt of this request had broken; the other VMs are told.",
-    fields: ["digest", "target"],
+      "A target crashed on which an attempt of this request had broken; the other VMs are told. With `silentVms` above 0, some may not hear it.",
+    fields: ["digest", "target", "crashes", "silentVms"],
   },
   "crash not counted": {
     level: "info",
@@ -285,13 +285,19 @@
     level: "info",
     meaning:
       "Another VM counted a crash of a target against this request, of which this VM did not know.",
-    fields: ["digest", "target"],
+    fields: ["digest", "target", "crashes"],
+  },
+  "crash reports without room": {
+    level: "warn",
+    meaning:
+      "The reports to other VMs had no room for some requests under which several targets crashed; 0 when they have room for all again.",
+    fields: ["suspects"],
   },
   "request held back": {
     level: "warn",
     meaning:
       "Several targets crashed under this request: repeats of it are refused for a while (`held-back` in `request ended`).",
-    fields: ["digest", "forMs"],
+    fields: ["digest", "forMs", "crashes"],
   },
   "target answers again": {
     level: "info",
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -80,6 +80,8 @@
   checkRun?(target: TargetId): void;
   /** Sends peers soon what is known of requests that crash targets. */
   publishSuspects(): void;
+  /** Number of other VMs that may be running and are not heard of; 0 by default. */
+  silentVms?(): number;
   /** Called with a name for each finding on requests that may crash targets; not at all by default. */
   crashFindingMade?(finding: string): void;
   /** Called once per exchange, when its caller has the final response or has disconnected. */
@@ -144,10 +146,11 @@
       onChange: (target, change) => this.#targetChanged(target, change),
       onFirstList: (targets) => this.#logFirstList(targets),
     });
-    const findings = new CrashFindings(
+    const findings = new CrashFindings({
       log,
-      (change) => options.crashFindingMade?.(change),
-    );
+      count: (change) => options.crashFindingMade?.(change),
+      silentVms: () => options.silentVms?.() ?? 0,
+    });
     this.suspects = new CrashSuspects({
       publish: () => options.publishSuspects(),
       reach: () => this.#reach,
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -309,6 +309,17 @@
     });
   }
 
+  /** Number of other VMs that may be running and that this one does not hear of. */
+  silentVms(now: number): number {
+    const silent = [...this.#entries.values()]
+      .filter((entry) => !this.#isAlive(entry, now));
+    return countRunning(silent, {
+      now: this.#clock.at(now),
+      heardZones: this.#heardZones(now),
+      isZoneTrusted: false,
+    });
+  }
+
   /** Zones that this VM has heard of for long enough to know all their VMs that are up; its own one if it hears of any. */
   #heardZones(now: number): ReadonlySet<ZoneId> {
     const zones = new Set<ZoneId>();
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -40,6 +40,9 @@
   /** What repeats of a request have in common, as a hash. */
   readonly digest?: string;
   readonly forMs?: number;
+  readonly crashes?: number;
+  readonly silentVms?: number;
+  readonly suspects?: number;
   /** Limit of a target on the requests per second of all VMs together. */
   readonly perSecond?: number;
   /** Where an update came from: a response of the target, or a peer. */
