--- a/packages/coordination/src/held_back/held_back_test.ts
+++ b/packages/coordination/src/held_back/held_back_test.ts
@@ -144,6 +144,22 @@
     );
   });
 
+  it("tell at once of a request, however many targets it has crashed", () => {
+    // Guards against a request that is left out because it has crashed too many targets.
+    for (const crashes of [3, 4, 6, 7, 12]) {
+      for (const others of [0, 5, 40]) {
+        const [seer, other] = [new HeldBack(POLICY), new HeldBack(POLICY)];
+        crash(seer, Array.from({ length: crashes }, (_, at) => at));
+        const names = Array.from({ length: others }, (_, at) => `r${at}`);
+        seer.targetCrashed(target("t"), names.map(fingerprint), crashes);
+        seer.reports(1_000, 6).forEach((report) => other.merge(report, 1_000));
+        const verdict = other.verdict(POISON, 1_000);
+        expect(verdict, `${crashes} crashes, ${others} other suspects`)
+          .toEqual(seer.verdict(POISON, 1_000));
+      }
+    }
+  });
+
   it("do not prolong what they tell, however often VMs repeat it to each other", () => {
     // Guards against a hold-back for ever: an age that restarts at each hop.
     const vms = Array.from({ length: VMS }, () => new HeldBack(POLICY));
