Reports tell of a request however many targets it has crashed

Cause: a report listed up to seven crashes, a zone report had room for six in all, half of it for the requests with the most crashes, and what did not fit ended the choice. A request with 4 to 6 crashes waited its turn among all suspects, one with 7 was never told to other zones: the more it crashes, the less is heard. Class: a bound on the size of a message that drops what matters most.

Change: a report lists the three newest crashes, which suffice to hold back, and the number of all, which the length of the hold follows from (an older version of the program passes the number over). What doesn't fit is passed over. Requests with several crashes have three quarters of the room, in turns, the newest first every second time; single crashes get at most 0.4 of it, also in turns. A zone report has room for 8, so that both digests of a request fit.

The model of reports has the gateway's room and copies at once now, and asks that the receiver holds back as long as the sender: violated by the former code with 9 copies, holds now; a mutant without the number is caught. Its property 'tells all' binds up to three crashes, the new one binds any number.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -71,6 +71,8 @@
 interface HeldBackEntry {
   /** When each run crashed. */
   readonly crashes: ReadonlyMap<TargetRun, number>;
+  /** Largest number of crashes that another VM has reported; it may not have listed all. */
+  readonly reportedCount: number;
   readonly expiresAt: number;
 }
 
@@ -110,14 +112,15 @@
   /** Returns whether a request with this fingerprint may be sent now. */
   verdict(fingerprint: Fingerprint, now: number): HeldBackVerdict {
     const times = this.#countedCrashes(fingerprint, now);
-    if (times.length === 0) {
+    const count = this.crashesOf(fingerprint, now);
+    if (count === 0) {
       return { kind: "free" };
     }
     const { minCrashes, firstHoldMs, maxHoldMs } = this.#policy;
-    if (times.length < minCrashes) {
+    if (count < minCrashes) {
       return { kind: "suspect" };
     }
-    const holdMs = firstHoldMs * 2 ** (times.length - minCrashes);
+    const holdMs = firstHoldMs * 2 ** (count - minCrashes);
     const retryAfterMs = Math.max(...times) + Math.min(holdMs, maxHoldMs) - now;
     return retryAfterMs <= 0
       ? { kind: "suspect" }
@@ -126,7 +129,8 @@
 
   /** Number of crashes that count against a request. */
   crashesOf(fingerprint: Fingerprint, now: number): number {
-    return this.#countedCrashes(fingerprint, now).length;
+    const entry = this.#unexpired(fingerprint, now);
+    return Math.max(entry?.crashes.size ?? 0, entry?.reportedCount ?? 0);
   }
 
   /** Whether a crash counts against a request already. */
@@ -221,7 +225,7 @@
    * Applies a report of another VM. Returns the crashes that were not known before.
    */
   merge(
-    { fingerprint, crashes, completedAgeMs }: HeldBackReport,
+    { fingerprint, crashes, count = 0, completedAgeMs }: HeldBackReport,
     now: number,
   ): readonly TargetRun[] {
     if (completedAgeMs !== undefined) {
@@ -235,13 +239,16 @@
     const counted = news.filter(({ run, ageMs }) =>
       this.#recordCrash(fingerprint, { run, at: now - ageMs }, now)
     );
+    if (counted.length === news.length) {
+      this.#recordCount(fingerprint, count);
+    }
     return counted.map(({ run }) => run);
   }
 
   /** Many requests coincide with one crash; after a while that is no longer news. */
   #isWorthReporting(fingerprint: Fingerprint, now: number): boolean {
     const times = this.#countedCrashes(fingerprint, now);
-    return times.length > 1 ||
+    return this.crashesOf(fingerprint, now) > 1 ||
       times.some((at) => now - at < SINGLE_CRASH_REPORT_MS);
   }
 
@@ -254,6 +261,7 @@
         run,
         ageMs: Math.max(0, Math.round(now - at)),
       })),
+      count: this.crashesOf(fingerprint, now),
       ...(completedAt === undefined
         ? {}
         : { completedAgeMs: Math.max(0, Math.round(now - completedAt)) }),
@@ -293,10 +301,19 @@
       old?.expiresAt ?? 0,
       at + this.#policy.lifetimeMs,
     );
-    putNewest(this.#entries, fingerprint, { crashes, expiresAt });
+    const reportedCount = old?.reportedCount ?? 0;
+    const entry = { crashes, reportedCount, expiresAt };
+    putNewest(this.#entries, fingerprint, entry);
     return true;
   }
 
+  #recordCount(fingerprint: Fingerprint, count: number): void {
+    const entry = this.#entries.get(fingerprint);
+    if (entry !== undefined && count > entry.reportedCount) {
+      this.#entries.set(fingerprint, { ...entry, reportedCount: count });
+    }
+  }
+
   /** Records a completion, and drops the crashes that it clears the request of. */
   #recordCompletion(fingerprint: Fingerprint, at: number, now: number): void {
     const completedAt = this.#completedAt.get(fingerprint) ?? -Infinity;
@@ -317,6 +334,7 @@
       this.#entries.set(fingerprint, {
         ...entry,
         crashes: new Map(counted),
+        reportedCount: 0,
       });
     }
   }
--- a/packages/coordination/src/held_back/held_back_reports.ts
+++ b/packages/coordination/src/held_back/held_back_reports.ts
@@ -10,37 +10,48 @@
 /** What a VM knows of one fingerprint. Ages are as of the time of the report. */
 export interface HeldBackReport {
   readonly fingerprint: Fingerprint;
-  /** The runs of targets that crashed with the request in flight. */
+  /** The runs of targets that crashed with the request in flight, or the newest of them. */
   readonly crashes: readonly {
     readonly run: TargetRun;
     readonly ageMs: number;
   }[];
+  /** Number of all crashes; that of the listed ones by default. */
+  readonly count?: number;
   /** Time since a target completed the request; undefined if none is known. */
   readonly completedAgeMs?: number;
 }
 
-/** Crashes in one report at most: those are enough for the longest hold. */
-const MAX_CRASHES_IN_REPORT = 7;
+/** Crashes that one report lists at most: enough to hold the request back. Longer holds follow from the number of all. */
+const MAX_CRASHES_IN_REPORT = 3;
+/** Share of the room for requests with several crashes. */
+const REPEATED_SHARE = 0.75;
+/** Largest share for the others, of which there are many when targets crash for other reasons. */
+const OTHERS_SHARE = 0.4;
 
 /**
- * Chooses reports with at most `maxCrashes` crashes among `candidates`, newest
- * first: half of them those with the most crashes, newest first, the others in
- * turns.
+ * Chooses reports with at most `maxCrashes` crashes among `candidates`, newest first.
+ * Requests with several crashes have most of the room; every second time the newest of
+ * them come first. All candidates get their turns.
  */
 export function chooseReports(
   candidates: readonly HeldBackReport[],
   { maxCrashes, turn }: { readonly maxCrashes: number; readonly turn: number },
 ): readonly HeldBackReport[] {
   const all = candidates.map(shortened);
-  const urgent = all.toSorted((a, b) => b.crashes.length - a.crashes.length);
-  const first = takeWithin(urgent, maxCrashes / 2);
-  const rest = all.filter((report) => !first.includes(report));
-  const start = rest.length === 0 ? 0 : turn % rest.length;
-  const rotated = [...rest.slice(start), ...rest.slice(0, start)];
-  return [...first, ...takeWithin(rotated, maxCrashes - totalSize(first))];
+  const repeated = all.filter(({ crashes }) => crashes.length > 1);
+  const others = all.filter(({ crashes }) => crashes.length <= 1);
+  const first = takeWithin(
+    turn % 2 === 0 ? repeated : rotated(repeated, Math.floor(turn / 2)),
+    Math.ceil(maxCrashes * REPEATED_SHARE),
+  );
+  const room = Math.min(
+    maxCrashes - totalSize(first),
+    Math.ceil(maxCrashes * OTHERS_SHARE),
+  );
+  return [...first, ...takeWithin(rotated(others, turn * room), room)];
 }
 
-/** The first reports that have at most `maxCrashes` crashes together. */
+/** The reports in their order that have at most `maxCrashes` crashes together; larger ones are passed over. */
 function takeWithin(
   reports: readonly HeldBackReport[],
   maxCrashes: number,
@@ -48,15 +59,19 @@
   const taken: HeldBackReport[] = [];
   let left = maxCrashes;
   for (const report of reports) {
-    left -= sizeOf(report);
-    if (left < 0) {
-      break;
+    if (sizeOf(report) <= left) {
+      left -= sizeOf(report);
+      taken.push(report);
     }
-    taken.push(report);
   }
   return taken;
 }
 
+function rotated<T>(items: readonly T[], by: number): readonly T[] {
+  const start = items.length === 0 ? 0 : by % items.length;
+  return [...items.slice(start), ...items.slice(0, start)];
+}
+
 function shortened(report: HeldBackReport): HeldBackReport {
   const newest = report.crashes.toSorted((a, b) => a.ageMs - b.ageMs);
   return { ...report, crashes: newest.slice(0, MAX_CRASHES_IN_REPORT) };
--- a/packages/coordination/src/held_back/held_back_test.ts
+++ b/packages/coordination/src/held_back/held_back_test.ts
@@ -160,6 +160,20 @@
     }
   });
 
+  it("tell of each of many requests that crash targets in turns", () => {
+    // Guards against one that is never reported beside others with newer crashes.
+    const [seer, other] = [new HeldBack(POLICY), new HeldBack(POLICY)];
+    const names = Array.from({ length: 20 }, (_, at) => fingerprint(`r${at}`));
+    ["t0", "t1", "t2", "t3", "t4"].forEach((run, at) =>
+      seer.targetCrashed(target(run), names, at)
+    );
+    for (let turn = 0; turn < 2 * names.length; turn++) {
+      seer.reports(10, 8).forEach((report) => other.merge(report, 10));
+    }
+    const verdicts = names.map((name) => other.verdict(name, 10).kind);
+    expect(new Set(verdicts)).toEqual(new Set(["held-back"]));
+  });
+
   it("do not prolong what they tell, however often VMs repeat it to each other", () => {
     // Guards against a hold-back for ever: an age that restarts at each hop.
     const vms = Array.from({ length: VMS }, () => new HeldBack(POLICY));
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -44,7 +44,7 @@
 /** Crashes in one heartbeat, each about 30 bytes, so that a datagram stays below 1,400 bytes. */
 const MAX_CRASHES_PER_HEARTBEAT = 16;
 /** Crashes in one zone report: fewer, since the report also lists VMs. */
-const MAX_CRASHES_PER_ZONE_REPORT = 6;
+const MAX_CRASHES_PER_ZONE_REPORT = 8;
 /**
  * Intervals of warm-target updates within the zone and to the region's other zones. A
  * request takes 250 to 600 ms longer on a target that is cold for its object, so older
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -139,6 +139,7 @@
       run: targetRun(`i-59bdf42${at}${run}` as TargetId, "1x2y3z4"),
       ageMs: 123_456 + run,
     })),
+    count: 12,
     completedAgeMs: 234_567,
   }));
 }
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -26,7 +26,11 @@
   readonly suspects?: readonly EncodedSuspect[];
 }
 
-/** A {@link HeldBackReport}: the fingerprint, the age of its completion or null, and the run and age of each crash. */
+/**
+ * A {@link HeldBackReport}: the fingerprint, the age of its completion or null, the run
+ * and age of each listed crash, and the number of all crashes unless all are listed,
+ * which older versions of the program pass over.
+ */
 export type EncodedSuspect = readonly (string | number | null)[];
 
 const suspectSchema = z.tuple([z.string(), z.number().min(0).nullable()])
@@ -34,10 +38,11 @@
 
 /** Encodes a report in few bytes. */
 export function encodeSuspect(
-  { fingerprint, crashes, completedAgeMs }: HeldBackReport,
+  { fingerprint, crashes, count = 0, completedAgeMs }: HeldBackReport,
 ): EncodedSuspect {
   const pairs = crashes.flatMap(({ run, ageMs }) => [run, ageMs]);
-  return [fingerprint, completedAgeMs ?? null, ...pairs];
+  const rest = count > crashes.length ? [count] : [];
+  return [fingerprint, completedAgeMs ?? null, ...pairs, ...rest];
 }
 
 /** Decodes reports; those that cannot be read are left out. */
@@ -57,9 +62,11 @@
   for (let at = 0; at + 1 < pairs.length; at += 2) {
     crashes.push({ run: pairs[at] as TargetRun, ageMs: Number(pairs[at + 1]) });
   }
+  const count = pairs.length % 2 === 0 ? undefined : Number(pairs.at(-1));
   return {
     fingerprint: fingerprint as Fingerprint,
     crashes: crashes.filter(({ ageMs }) => Number.isFinite(ageMs)),
+    ...(Number.isSafeInteger(count) ? { count: count! } : {}),
     ...(completedAgeMs === null ? {} : { completedAgeMs }),
   };
 }
--- a/packages/model/src/held_back_reports_model.ts
+++ b/packages/model/src/held_back_reports_model.ts
@@ -28,6 +28,8 @@
   /** Number of times that the popular request succeeds. */
   readonly completions: number;
   readonly restarts: number;
+  /** Copies of the culprit that are sent at once, each to a target of its own. */
+  readonly copies: number;
 }
 
 /** An input of one VM. Its table is rebuilt from all its inputs in order. */
@@ -68,11 +70,12 @@
 const POLICY: HeldBackPolicy = {
   ...DEFAULT_HELD_BACK_POLICY,
   minCrashes: MIN_CRASHES,
+  firstHoldMs: 60_000,
   completionMs: 10_000,
   maxCrashesInBurst: Infinity,
 };
-/** Room for all that the model's bounds allow. */
-const MAX_CRASHES = 100;
+/** Room of the gateway's reports to other zones. */
+const MAX_CRASHES = 8;
 const NOW = 0;
 
 /** Builds the model with the class under test. */
@@ -93,6 +96,11 @@
     return tableOf(inputs).verdict(fingerprint, NOW).kind === "held-back";
   }
 
+  function holdMs(inputs: readonly Input[]): number {
+    const verdict = tableOf(inputs).verdict(CULPRIT, NOW);
+    return verdict.kind === "held-back" ? verdict.retryAfterMs : 0;
+  }
+
   function add(
     state: HeldBackReportsState,
     vm: number,
@@ -108,13 +116,17 @@
   ): HeldBackReportsState {
     switch (event.type) {
       case "crash-target": {
-        const run = targetRun(id<TargetId>(`target-${state.crashes}`));
         const inFlight = event.isShared ? [CULPRIT, POPULAR] : [CULPRIT];
-        const after = add(state, event.vm, [{
-          kind: "crashed",
-          run,
-          inFlight,
-        }]);
+        const crashes = Array.from(
+          { length: bounds.copies },
+          (_, copy): Input => ({
+            kind: "crashed",
+            run: targetRun(id<TargetId>(`target-${state.crashes}-${copy}`)),
+            // The popular request shares one of the targets.
+            inFlight: copy === 0 ? inFlight : [CULPRIT],
+          }),
+        );
+        const after = add(state, event.vm, crashes);
         const shared = state.shared + (event.isShared ? 1 : 0);
         return { ...after, crashes: state.crashes + 1, shared };
       }
@@ -187,10 +199,16 @@
         { inputs, latest },
       ) =>
         latest === null ||
+        knownCrashes(inputs[latest.from]!, CULPRIT).size > MIN_CRASHES ||
         isSubset(
           knownCrashes(inputs[latest.from]!, CULPRIT),
           knownCrashes(inputs[latest.to]!, CULPRIT),
         ),
+      "after one report the culprit is held back as long as by its sender": (
+        { inputs, latest },
+      ) =>
+        latest === null ||
+        holdMs(inputs[latest.to]!) >= holdMs(inputs[latest.from]!),
       "one report of a VM that knows of a crash tells that the popular request succeeded":
         ({ inputs, latest }) =>
           latest === null || !isCleared(inputs[latest.from]!) ||
--- a/packages/model/src/held_back_reports_model_test.ts
+++ b/packages/model/src/held_back_reports_model_test.ts
@@ -14,15 +14,20 @@
 
 /** Faults one at a time: all together, the states are too many. */
 const ALL_BOUNDS: readonly HeldBackReportsBounds[] = [
-  { vms: 2, sendings: 3, completions: 0, restarts: 1 },
-  { vms: 2, sendings: 3, completions: 1, restarts: 0 },
+  { vms: 2, sendings: 3, completions: 0, restarts: 1, copies: 1 },
+  { vms: 2, sendings: 3, completions: 1, restarts: 0, copies: 1 },
+  { vms: 2, sendings: 2, completions: 1, restarts: 0, copies: 4 },
+  { vms: 2, sendings: 2, completions: 0, restarts: 1, copies: 9 },
 ];
 const MUTANT_BOUNDS: HeldBackReportsBounds = {
   vms: 2,
   sendings: 4,
   completions: 1,
   restarts: 0,
+  copies: 1,
 };
+/** Copies that crash more targets than a report lists. */
+const COPIES_BOUNDS: HeldBackReportsBounds = { ...MUTANT_BOUNDS, copies: 4 };
 
 describe(
   "model of reports on held-back requests",
@@ -38,6 +43,19 @@
       },
     );
 
+    it("reports a violation when the table does not tell of crashes that a report has no room to list", async () => {
+      const path = corePath("held_back/held_back.ts");
+      const property =
+        "after one report the culprit is held back as long as by its sender";
+      const core = await loadMutant<HeldBackCore>(path, {
+        find: "count: this.crashesOf(fingerprint, now),",
+        replace: "",
+      });
+      const model = heldBackReportsModel(COPIES_BOUNDS, core);
+      const found = explore(model, [property]);
+      expect(found.violation?.property).toBe(property);
+    });
+
     it.each([
       [
         "reports no crashes",
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -169,12 +169,12 @@
     )),
   () =>
     explore(heldBackReportsModel(
-      { vms: 2, sendings: 3, completions: 0, restarts: 1 },
+      { vms: 2, sendings: 3, completions: 0, restarts: 1, copies: 1 },
       { HeldBack },
     )),
   () =>
     explore(heldBackReportsModel(
-      { vms: 2, sendings: 3, completions: 1, restarts: 0 },
+      { vms: 2, sendings: 3, completions: 1, restarts: 0, copies: 1 },
       { HeldBack },
     )),
   ...PLAN_TERMS.map((bounds) => () =>
