VMs that do not hear each other learn of crashing requests from the store

Cause: news of crashes went from VM to VM only. A VM is in touch by its path to the platform, not by its links to other VMs. Class: a rule over all VMs that hangs on links which the rule doesn't ask for.

Single crashes, which coincide with many requests while targets end for other reasons, are written only while some VM that may be running is not heard of for 3.5 s. A request that a success clears stays in the row for ten seconds as cleared. The rows hold digests, no keys.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -14,7 +14,11 @@
  * @module
  */
 
-import { chooseReports, type HeldBackReport } from "./held_back_reports.ts";
+import {
+  chooseReports,
+  type HeldBackReport,
+  shortenReport,
+} from "./held_back_reports.ts";
 import type {
   Fingerprint,
   HeldBackMessage,
@@ -221,6 +225,11 @@
     return chooseReports(candidates, { maxCrashes, turn: this.#reports });
   }
 
+  /** What is known of one request, in as few crashes as suffice to hold it back. */
+  report(fingerprint: Fingerprint, now: number): HeldBackReport {
+    return shortenReport(this.#reportOf(fingerprint, now));
+  }
+
   /**
    * Applies a report of another VM. Returns the crashes that were not known before.
    */
--- a/packages/coordination/src/held_back/held_back_reports.ts
+++ b/packages/coordination/src/held_back/held_back_reports.ts
@@ -37,7 +37,7 @@
   candidates: readonly HeldBackReport[],
   { maxCrashes, turn }: { readonly maxCrashes: number; readonly turn: number },
 ): readonly HeldBackReport[] {
-  const all = candidates.map(shortened);
+  const all = candidates.map(shortenReport);
   const repeated = all.filter(({ crashes }) => crashes.length > 1);
   const others = all.filter(({ crashes }) => crashes.length <= 1);
   const first = takeWithin(
@@ -72,7 +72,8 @@
   return [...items.slice(start), ...items.slice(0, start)];
 }
 
-function shortened(report: HeldBackReport): HeldBackReport {
+/** Leaves out all but the newest crashes. */
+export function shortenReport(report: HeldBackReport): HeldBackReport {
   const newest = report.crashes.toSorted((a, b) => a.ageMs - b.ageMs);
   return { ...report, crashes: newest.slice(0, MAX_CRASHES_IN_REPORT) };
 }
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -37,6 +37,10 @@
 };
 /** Time after which further targets would have become unreachable if this VM were cut off. */
 const SETTLE_MS = 300;
+/** Requests of which the platform's store is told at most. */
+const MAX_RECORDED = 8;
+/** How long a single crash is recorded, and that a request was cleared. */
+const RECENT_MS = 10_000;
 /** Retry-After of a request while it is not settled whether targets crashed under it. */
 const UNSETTLED_RETRY_MS = 1_000;
 
@@ -82,6 +86,16 @@
   /** Reports to other VMs leave out so many requests under which several targets crashed. */
   | { readonly kind: "without-room"; readonly suspects: number };
 
+/** A request of which this VM has counted crashes. */
+interface CountedRequest {
+  /** The crashes known of it, by whomever counted, as of the latest look. */
+  crashes: number;
+  /** When that number changed. */
+  changedAt: number;
+  /** Whether the platform's store holds it. */
+  isRecorded: boolean;
+}
+
 /** Options of {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
   /** Sends the reports to the other VMs, soon. */
@@ -97,6 +111,8 @@
   readonly #options: CrashSuspectsOptions;
   readonly #heldBack = new HeldBack(POLICY);
   readonly #unanswered = new UnansweredAttempts();
+  /** Requests of which this VM has counted crashes, those with the newest last. */
+  readonly #counted = new Map<Fingerprint, CountedRequest>();
   /** Requests with several crashes that the latest reports left out, by the room of the reports. */
   readonly #leftOut = new Map<number, number>();
 
@@ -198,6 +214,36 @@
     return reports;
   }
 
+  /**
+   * What the platform's store should hold: the requests of which this VM itself has
+   * counted crashes, if several targets have crashed. Single crashes, which coincide with
+   * many requests, only if some VMs do not hear this one: they may have counted others.
+   */
+  reportsToRecord(
+    now: number,
+    { isHeardByAll }: { readonly isHeardByAll: boolean },
+  ): readonly HeldBackReport[] {
+    const recorded: Fingerprint[] = [];
+    for (const [digest, request] of this.#counted) {
+      const crashes = this.#heldBack.crashesOf(digest, now);
+      if (crashes !== request.crashes) {
+        request.crashes = crashes;
+        request.changedAt = now;
+      }
+      const isRecent = now - request.changedAt < RECENT_MS;
+      if (crashes <= 1 && !isRecent) {
+        this.#counted.delete(digest);
+        continue;
+      }
+      request.isRecorded ||= crashes > 1 || (crashes === 1 && !isHeardByAll);
+      if (request.isRecorded) {
+        recorded.push(digest);
+      }
+    }
+    return recorded.slice(-MAX_RECORDED)
+      .map((digest) => this.#heldBack.report(digest, now));
+  }
+
   /** Applies a report of another VM. */
   merge(report: HeldBackReport, now: number): void {
     const digest = report.fingerprint;
@@ -260,6 +306,9 @@
       }
       const wasHeldBack = this.#isHeldBack(digest, now);
       this.#heldBack.targetCrashed(target, [digest], now);
+      const isRecorded = this.#counted.get(digest)?.isRecorded ?? false;
+      this.#counted.delete(digest);
+      this.#counted.set(digest, { crashes: 0, changedAt: now, isRecorded });
       const crashes = this.#heldBack.crashesOf(digest, now);
       const crash = { digest, target };
       this.#options.found?.({ kind: "counted", crash, crashes });
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -302,3 +302,52 @@
     expect(suspects.heldBackMs(FINGERPRINTS, 20_200)).toBeGreaterThan(1_000);
   });
 });
+
+describe("requests for the record in the store", () => {
+  const HEARD = { isHeardByAll: true };
+  const UNHEARD = { isHeardByAll: false };
+
+  test("have several crashes, of which this VM counted one", () => {
+    // Guards against a call of each VM for each target that ends.
+    const { suspects } = tracker();
+    const other = tracker().suspects;
+    suspects.attemptUnanswered(FINGERPRINTS, RUNS[0]!, 0);
+    suspects.runEnded(RUNS[0]!, "gone", 100);
+    expect(suspects.reportsToRecord(200, HEARD)).toEqual([]);
+    other.attemptUnanswered(FINGERPRINTS, RUNS[1]!, 0);
+    other.runEnded(RUNS[1]!, "gone", 100);
+    other.reports(200, 16).forEach((report) => suspects.merge(report, 200));
+    const counts = suspects.reportsToRecord(300, HEARD)
+      .map(({ count }) => count);
+    expect(counts).toEqual([2, 2]);
+    const listener = tracker().suspects;
+    suspects.reports(300, 16).forEach((one) => listener.merge(one, 300));
+    expect(listener.reportsToRecord(400, UNHEARD)).toEqual([]);
+  });
+
+  test("have a single crash while some VMs are not heard", () => {
+    // Guards against VMs that do not hear each other and count one crash each.
+    const { suspects } = tracker();
+    suspects.attemptUnanswered(FINGERPRINTS, RUNS[0]!, 0);
+    suspects.runEnded(RUNS[0]!, "gone", 100);
+    expect(suspects.reportsToRecord(200, HEARD).length).toBe(0);
+    expect(suspects.reportsToRecord(400, UNHEARD).length).toBe(2);
+    expect(suspects.reportsToRecord(60_000, UNHEARD)).toEqual([]);
+  });
+
+  test("stay for a while when they are cleared", () => {
+    // Guards against a popular request that other VMs hold back on for a minute.
+    const { suspects } = tracker();
+    const other = tracker().suspects;
+    crashAll(suspects, 0);
+    suspects.reportsToRecord(200, HEARD)
+      .forEach((report) => other.merge(report, 200));
+    expect(other.heldBackMs(FINGERPRINTS, 200)).toBeGreaterThan(0);
+    suspects.attemptSucceeded(FINGERPRINTS, 30_000);
+    const cleared = suspects.reportsToRecord(30_100, HEARD);
+    expect(cleared.map(({ crashes }) => crashes)).toEqual([[], []]);
+    cleared.forEach((report) => other.merge(report, 30_200));
+    expect(other.heldBackMs(FINGERPRINTS, 30_200)).toBe(0);
+    expect(suspects.reportsToRecord(50_000, HEARD)).toEqual([]);
+  });
+});
--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -59,7 +59,7 @@
   },
   suspects: {
     type: "number",
-    meaning: "number of digests under which several targets crashed",
+    meaning: "number of digests of requests that may crash targets",
   },
   end: { type: "text", meaning: "how the request or attempt ended" },
   reason: { type: "text", meaning: "the reason, as text" },
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -287,6 +287,17 @@
       "Another VM counted a crash of a target against this request, of which this VM did not know.",
     fields: ["digest", "target", "crashes"],
   },
+  "crashes recorded": {
+    level: "info",
+    meaning:
+      "The requests that crash targets, as this VM knows of them, were written to the platform's store for VMs that do not hear this one.",
+    fields: ["suspects"],
+  },
+  "crashes not recorded": {
+    level: "warn",
+    meaning: "They could not be written; it is tried again.",
+    fields: ["reason"],
+  },
   "crash reports without room": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { CallerListener } from "./caller_listener.ts";
 import { Connections } from "./connections.ts";
 import { Accounts } from "./accounts/accounts.ts";
+import { CrashRecord } from "./crash_record.ts";
 import { EventLog, type EventName } from "./events.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import type { GatewayExchangeEnd } from "./exchange_types.ts";
@@ -107,6 +108,7 @@
   );
   readonly #peers: Peers;
   readonly #homes: Homes;
+  readonly #crashRecord: CrashRecord;
   readonly #probes: TargetProbes;
   readonly #callerListener: CallerListener;
   readonly #accounts: Accounts;
@@ -182,6 +184,14 @@
     this.#requestPath = this.#createRequestPath(settings);
     this.#metrics.room.follow(this.#requestPath.steering.room);
     this.#metrics.retries.follow(this.#requestPath.steering);
+    this.#crashRecord = new CrashRecord({
+      reports: (now) =>
+        this.#requestPath.suspects.reportsToRecord(now, {
+          isHeardByAll: vms.silentVms(now) === 0,
+        }),
+      write: (reports) => ports.platform.recordCrashes(settings.vm, reports),
+      log: this.#log,
+    });
     this.#probes = new TargetProbes({
       connections: this.#connections,
       dialect: this.#dialect,
@@ -421,6 +431,7 @@
   #idleTick(now: number): void {
     this.#peers.sweep(now);
     this.#requestPath.idleTick(now);
+    this.#crashRecord.tick(now);
     this.#homes.idleTick(now);
   }
 
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -16,6 +16,7 @@
 export type {
   CallerRequest,
   ChangesRequest,
+  CrashReport,
   Dialect,
   HealthResponse,
   LookupRequest,
--- a/packages/daemon/src/gateway/platform_events.ts
+++ b/packages/daemon/src/gateway/platform_events.ts
@@ -79,6 +79,9 @@
       case "members":
         peers.addRegistered(event.members, now);
         return;
+      case "crashes":
+        event.reports.forEach((report) => path.suspects.merge(report, now));
+        return;
       case "contact":
         if (event.subject === "targets") {
           path.targets.connectivityChanged(event.isLost, now);
--- a/packages/daemon/src/gateway/platform_feed_test.ts
+++ b/packages/daemon/src/gateway/platform_feed_test.ts
@@ -70,6 +70,10 @@
     return false;
   }
 
+  recordCrashes(): Promise<void> {
+    return Promise.resolve();
+  }
+
   register(): Promise<void> {
     return Promise.resolve();
   }
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -14,6 +14,7 @@
   VmId,
   ZoneId,
 } from "@poplarthread/ids";
+import type { HeldBackReport } from "@poplarthread/coordination/held_back";
 import type { LoadReport } from "@poplarthread/placement";
 import type { Credential } from "./accounts/client_account.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
@@ -74,7 +75,12 @@
     readonly targets: ReadonlyMap<TargetId, RegisteredTarget>;
   }
   /** All VMs that ever registered; may lack the local one. */
-  | { readonly kind: "members"; readonly members: readonly Member[] };
+  | { readonly kind: "members"; readonly members: readonly Member[] }
+  /** What VMs have recorded of requests that crash targets. Ages are as of the event. */
+  | { readonly kind: "crashes"; readonly reports: readonly CrashReport[] };
+
+/** What a VM knows of a request that crashes targets. */
+export type CrashReport = HeldBackReport;
 
 /** A row of a subject in the platform's store. */
 export interface StoredRow {
@@ -140,6 +146,8 @@
   isOlder(subject: WatchedSubject, row: StoredRow, than: StoredRow): boolean;
   /** Writes the row that registers the local VM. */
   register(member: Member): Promise<void>;
+  /** Records what a VM knows of requests that crash targets, in place of what it recorded before. */
+  recordCrashes(vm: VmId, reports: readonly CrashReport[]): Promise<void>;
   close(): void;
 }
 
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -31,6 +31,8 @@
  * more. Look-ups may return a VM that is gone for up to 6 s.
  */
 const REGION_REPORT_TIMEOUT_MS = 5_500;
+/** Heartbeats later than this are missing: a second old at most, they come with reports each two seconds. */
+const LATE_MS = 3_500;
 /** Delegates of a zone: two, so that the zone does not seem down while one of them is partitioned. */
 const DELEGATES_PER_ZONE = 2;
 /** Addresses that one look-up returns. */
@@ -309,10 +311,10 @@
     });
   }
 
-  /** Number of other VMs that may be running and that this one does not hear of. */
+  /** Number of other VMs that may be running and that this one does not hear of, some of which still count as up. */
   silentVms(now: number): number {
     const silent = [...this.#entries.values()]
-      .filter((entry) => !this.#isAlive(entry, now));
+      .filter(({ lastSeenAt }) => now - lastSeenAt > LATE_MS);
     return countRunning(silent, {
       now: this.#clock.at(now),
       heardZones: this.#heardZones(now),
