Single crashes are recorded at once, and each crash once

Two weaknesses of the record in the store, found by a fleet in virtual time (crashes_fleet_test.ts: 9 and 195 VMs, five partitions, 12 copies at once, datagrams lost).

Cause: a VM wrote a single crash only once it had missed others for 3.5 s, too late for VMs that have just lost each other (195 single VMs: 14 crashes of 12 copies, so 2 late ones); and it wrote again whenever it learned of others' crashes (13 to 35 writes for 12 crashes).

Change: a single crash is written 0.3 s after it was counted, unless more than 12 digests have crashes of the last ten seconds and all VMs are heard: then targets fail together, and each VM would write for each of them. A row lists the crashes that its VM has counted itself and the number of all known ones, so that news of others changes nothing in it.

With the reads of the store taken out of the simulation 8 of 20 fail, with up to 12 late arrivals.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -113,6 +113,13 @@
       .filter((one) => this.crashesOf(one, now) > 1).length;
   }
 
+  /** Number of requests under which a target has crashed in the last `ms`. */
+  countSuspects(now: number, ms: number): number {
+    return [...this.#entries.keys()].filter((one) =>
+      this.#countedCrashes(one, now).some((at) => now - at < ms)
+    ).length;
+  }
+
   /** Returns whether a request with this fingerprint may be sent now. */
   verdict(fingerprint: Fingerprint, now: number): HeldBackVerdict {
     const times = this.#countedCrashes(fingerprint, now);
@@ -225,9 +232,15 @@
     return chooseReports(candidates, { maxCrashes, turn: this.#reports });
   }
 
-  /** What is known of one request, in as few crashes as suffice to hold it back. */
-  report(fingerprint: Fingerprint, now: number): HeldBackReport {
-    return shortenReport(this.#reportOf(fingerprint, now));
+  /** What is known of one request; of the crashes, only some of `runs` are listed. */
+  report(
+    fingerprint: Fingerprint,
+    now: number,
+    runs: ReadonlySet<TargetRun>,
+  ): HeldBackReport {
+    const report = this.#reportOf(fingerprint, now);
+    const crashes = report.crashes.filter(({ run }) => runs.has(run));
+    return shortenReport({ ...report, crashes });
   }
 
   /**
--- a/packages/daemon/src/gateway/crash_record.ts
+++ b/packages/daemon/src/gateway/crash_record.ts
@@ -68,11 +68,10 @@
   }
 }
 
-/** What other VMs conclude from reports, without ages: those only grow. */
+/** What this VM alone can tell: ages only grow, and the number of all crashes follows from all VMs' records. */
 function contentsOf(reports: readonly HeldBackReport[]): string {
-  return JSON.stringify(reports.map(({ fingerprint, crashes, count }) => [
+  return JSON.stringify(reports.map(({ fingerprint, crashes }) => [
     fingerprint,
-    count,
     ...crashes.map(({ run }) => run),
   ]));
 }
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -39,6 +39,10 @@
 const SETTLE_MS = 300;
 /** Requests of which the platform's store is told at most. */
 const MAX_RECORDED = 8;
+/** More requests with recent crashes than this, each with two digests, are due to targets that fail together. */
+const MAX_SUSPECTS_AT_ONCE = 12;
+/** Time in which VMs that hear each other have told of their suspects. */
+const SUSPECTS_KNOWN_MS = 300;
 /** How long a single crash is recorded, and that a request was cleared. */
 const RECENT_MS = 10_000;
 /** Retry-After of a request while it is not settled whether targets crashed under it. */
@@ -88,6 +92,8 @@
 
 /** A request of which this VM has counted crashes. */
 interface CountedRequest {
+  /** The runs whose crashes this VM has counted. */
+  readonly runs: Set<TargetRun>;
   /** The crashes known of it, by whomever counted, as of the latest look. */
   crashes: number;
   /** When that number changed. */
@@ -215,15 +221,17 @@
   }
 
   /**
-   * What the platform's store should hold: the requests of which this VM itself has
-   * counted crashes, if several targets have crashed. Single crashes, which coincide with
-   * many requests, only if some VMs do not hear this one: they may have counted others.
+   * What the platform's store should hold: the crashes that this VM itself has counted,
+   * with the number of all known ones. Single crashes are left out while many requests have some, as targets
+   * then fail for other reasons, unless VMs that may have counted others are not heard.
    */
   reportsToRecord(
     now: number,
     { isHeardByAll }: { readonly isHeardByAll: boolean },
   ): readonly HeldBackReport[] {
-    const recorded: Fingerprint[] = [];
+    const recorded: HeldBackReport[] = [];
+    const areSinglesTold = !isHeardByAll ||
+      this.#heldBack.countSuspects(now, RECENT_MS) <= MAX_SUSPECTS_AT_ONCE;
     for (const [digest, request] of this.#counted) {
       const crashes = this.#heldBack.crashesOf(digest, now);
       if (crashes !== request.crashes) {
@@ -235,13 +243,14 @@
         this.#counted.delete(digest);
         continue;
       }
-      request.isRecorded ||= crashes > 1 || (crashes === 1 && !isHeardByAll);
+      const isSettled = now - request.changedAt >= SUSPECTS_KNOWN_MS;
+      request.isRecorded ||= crashes > 1 ||
+        (crashes === 1 && isSettled && areSinglesTold);
       if (request.isRecorded) {
-        recorded.push(digest);
+        recorded.push(this.#heldBack.report(digest, now, request.runs));
       }
     }
-    return recorded.slice(-MAX_RECORDED)
-      .map((digest) => this.#heldBack.report(digest, now));
+    return recorded.slice(-MAX_RECORDED);
   }
 
   /** Applies a report of another VM. */
@@ -306,9 +315,7 @@
       }
       const wasHeldBack = this.#isHeldBack(digest, now);
       this.#heldBack.targetCrashed(target, [digest], now);
-      const isRecorded = this.#counted.get(digest)?.isRecorded ?? false;
-      this.#counted.delete(digest);
-      this.#counted.set(digest, { crashes: 0, changedAt: now, isRecorded });
+      this.#noteCounted(digest, target, now);
       const crashes = this.#heldBack.crashesOf(digest, now);
       const crash = { digest, target };
       this.#options.found?.({ kind: "counted", crash, crashes });
@@ -317,6 +324,18 @@
     }
   }
 
+  #noteCounted(digest: Fingerprint, run: TargetRun, now: number): void {
+    const { runs = new Set<TargetRun>(), isRecorded = false } =
+      this.#counted.get(digest) ?? {};
+    this.#counted.delete(digest);
+    this.#counted.set(digest, {
+      runs: runs.add(run),
+      crashes: 0,
+      changedAt: now,
+      isRecorded,
+    });
+  }
+
   #isHeldBack(digest: Fingerprint, now: number): boolean {
     return this.#heldBack.verdict(digest, now).kind === "held-back";
   }
