Requests are told apart by the number of their crashes, also where few are listed

What the record needs to know of the fleet is asked for only while there are crashes, not five times a second.

--- a/packages/coordination/src/held_back/held_back_reports.ts
+++ b/packages/coordination/src/held_back/held_back_reports.ts
@@ -38,8 +38,8 @@
   { maxCrashes, turn }: { readonly maxCrashes: number; readonly turn: number },
 ): readonly HeldBackReport[] {
   const all = candidates.map(shortenReport);
-  const repeated = all.filter(({ crashes }) => crashes.length > 1);
-  const others = all.filter(({ crashes }) => crashes.length <= 1);
+  const repeated = all.filter(isRepeated);
+  const others = all.filter((report) => !isRepeated(report));
   const first = takeWithin(
     turn % 2 === 0 ? repeated : rotated(repeated, Math.floor(turn / 2)),
     Math.ceil(maxCrashes * REPEATED_SHARE),
@@ -51,6 +51,11 @@
   return [...first, ...takeWithin(rotated(others, turn * room), room)];
 }
 
+/** Whether several targets crashed under the request. */
+export function isRepeated({ crashes, count = 0 }: HeldBackReport): boolean {
+  return Math.max(crashes.length, count) > 1;
+}
+
 /** The reports in their order that have at most `maxCrashes` crashes together; larger ones are passed over. */
 function takeWithin(
   reports: readonly HeldBackReport[],
--- a/packages/coordination/src/held_back/mod.ts
+++ b/packages/coordination/src/held_back/mod.ts
@@ -5,7 +5,7 @@
  */
 
 export { DEFAULT_HELD_BACK_POLICY, HeldBack } from "./held_back.ts";
-export type { HeldBackReport } from "./held_back_reports.ts";
+export { type HeldBackReport, isRepeated } from "./held_back_reports.ts";
 export {
   type Fingerprint,
   type HeldBackMessage,
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -16,6 +16,7 @@
   HeldBack,
   type HeldBackPolicy,
   type HeldBackReport,
+  isRepeated,
   type TargetRun,
 } from "@poplarthread/coordination/held_back";
 import type { ReachState } from "@poplarthread/placement";
@@ -211,8 +212,7 @@
   reports(now: number, maxCrashes: number): readonly HeldBackReport[] {
     const reports = this.#heldBack.reports(now, maxCrashes);
     const repeated = this.#heldBack.countRepeated(now);
-    const leftOut = repeated -
-      reports.filter(({ crashes }) => crashes.length > 1).length;
+    const leftOut = repeated - reports.filter(isRepeated).length;
     if (leftOut !== (this.#leftOut.get(maxCrashes) ?? 0)) {
       this.#leftOut.set(maxCrashes, leftOut);
       this.#options.found?.({ kind: "without-room", suspects: leftOut });
@@ -227,11 +227,15 @@
    */
   reportsToRecord(
     now: number,
-    { isHeardByAll }: { readonly isHeardByAll: boolean },
+    { isHeardByAll }: { isHeardByAll(): boolean },
   ): readonly HeldBackReport[] {
+    if (this.#counted.size === 0) {
+      return [];
+    }
     const recorded: HeldBackReport[] = [];
-    const areSinglesTold = !isHeardByAll ||
-      this.#heldBack.countSuspects(now, RECENT_MS) <= MAX_SUSPECTS_AT_ONCE;
+    const areSinglesTold =
+      this.#heldBack.countSuspects(now, RECENT_MS) <= MAX_SUSPECTS_AT_ONCE ||
+      !isHeardByAll();
     for (const [digest, request] of this.#counted) {
       const crashes = this.#heldBack.crashesOf(digest, now);
       if (crashes !== request.crashes) {
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -304,8 +304,8 @@
 });
 
 describe("requests for the record in the store", () => {
-  const HEARD = { isHeardByAll: true };
-  const UNHEARD = { isHeardByAll: false };
+  const HEARD = { isHeardByAll: () => true };
+  const UNHEARD = { isHeardByAll: () => false };
 
   test("have several crashes, of which this VM counted one", () => {
     // Guards against a call of each VM for each target that ends.
--- a/packages/daemon/src/gateway/crashes_fleet_test.ts
+++ b/packages/daemon/src/gateway/crashes_fleet_test.ts
@@ -115,7 +115,7 @@
       new CrashRecord({
         reports: (now) =>
           this.#suspects[vm]!.reportsToRecord(now, {
-            isHeardByAll: this.#isHeardByAll(vm),
+            isHeardByAll: () => this.#isHeardByAll(vm),
           }),
         write: (reports) => this.#write(reports),
         log: SILENT_LOG,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -187,7 +187,7 @@
     this.#crashRecord = new CrashRecord({
       reports: (now) =>
         this.#requestPath.suspects.reportsToRecord(now, {
-          isHeardByAll: vms.silentVms(now) === 0,
+          isHeardByAll: () => vms.silentVms(now) === 0,
         }),
       write: (reports) => ports.platform.recordCrashes(settings.vm, reports),
       log: this.#log,
