After a hold, VMs let a request through one by one

What callers see: copies of a request that crashed three targets come to many VMs when its hold of a minute is over, and each of them crashes another target, until the first crash is noticed and told.

Cause: each VM let the request through by itself, any number of copies. Class: a decision of each VM where one of all was meant.

Change: VMs that may be running take turns of two seconds in the order of their names, counted from the end of the hold; a VM lets one copy through in the first half of its turn, the second half is for the news of its crash. Other copies are refused at once with the time until the VM's next turn. Silent VMs keep their places, so that both sides of a partition count alike. A success clears the request for all, as before.

--- a/packages/coordination/src/held_back/held_back.ts
+++ b/packages/coordination/src/held_back/held_back.ts
@@ -122,20 +122,26 @@
 
   /** Returns whether a request with this fingerprint may be sent now. */
   verdict(fingerprint: Fingerprint, now: number): HeldBackVerdict {
-    const times = this.#countedCrashes(fingerprint, now);
     const count = this.crashesOf(fingerprint, now);
     if (count === 0) {
       return { kind: "free" };
     }
+    const retryAfterMs = (this.heldUntil(fingerprint, now) ?? now) - now;
+    return retryAfterMs <= 0
+      ? { kind: "suspect" }
+      : { kind: "held-back", retryAfterMs };
+  }
+
+  /** When the latest hold of a request ends or ended; undefined if it has not been held back. */
+  heldUntil(fingerprint: Fingerprint, now: number): number | undefined {
     const { minCrashes, firstHoldMs, maxHoldMs } = this.#policy;
+    const count = this.crashesOf(fingerprint, now);
     if (count < minCrashes) {
-      return { kind: "suspect" };
+      return undefined;
     }
     const holdMs = firstHoldMs * 2 ** (count - minCrashes);
-    const retryAfterMs = Math.max(...times) + Math.min(holdMs, maxHoldMs) - now;
-    return retryAfterMs <= 0
-      ? { kind: "suspect" }
-      : { kind: "held-back", retryAfterMs };
+    const times = this.#countedCrashes(fingerprint, now);
+    return Math.max(...times) + Math.min(holdMs, maxHoldMs);
   }
 
   /** Number of crashes that count against a request. */
--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -20,6 +20,7 @@
   type TargetRun,
 } from "@poplarthread/coordination/held_back";
 import type { ReachState } from "@poplarthread/placement";
+import { CrashTrials, type TurnPlace } from "./crash_trials.ts";
 import { type RunEnd, UnansweredAttempts } from "./unanswered_attempts.ts";
 
 /**
@@ -107,6 +108,8 @@
 export interface CrashSuspectsOptions {
   /** Sends the reports to the other VMs, soon. */
   publish(): void;
+  /** This VM's place among all VMs; the only one by default. */
+  place?(): TurnPlace;
   /** Whether this VM reaches targets; that it does, by default. */
   reach?(): ReachState;
   /** Called with each finding, for log and metrics; not at all by default. */
@@ -120,6 +123,8 @@
   readonly #unanswered = new UnansweredAttempts();
   /** Requests of which this VM has counted crashes, those with the newest last. */
   readonly #counted = new Map<Fingerprint, CountedRequest>();
+  /** Requests that were held back and may run again, by turns. */
+  readonly #trials = new Map<Fingerprint, CrashTrials>();
   /** Requests with several crashes that the latest reports left out, by the room of the reports. */
   readonly #leftOut = new Map<number, number>();
 
@@ -190,6 +195,11 @@
    */
   settle(now: number): void {
     this.#unanswered.sweep(now);
+    for (const digest of this.#trials.keys()) {
+      if (this.#heldBack.heldUntil(digest, now) === undefined) {
+        this.#trials.delete(digest);
+      }
+    }
     switch (this.#reach) {
       case "in-doubt":
         return;
@@ -277,12 +287,38 @@
     );
   }
 
-  /** How much longer the request is held back; 0 if it may run. */
-  heldBackMs(fingerprints: readonly Fingerprint[], now: number): number {
-    return Math.max(
+  /** How much longer a copy of the request is held back; 0 if it may run. */
+  heldBackMs(
+    fingerprints: readonly Fingerprint[],
+    now: number,
+    copy: object = {},
+  ): number {
+    const heldMs = Math.max(
       0,
       ...fingerprints.map((fingerprint) => this.#heldMs(fingerprint, now)),
     );
+    return heldMs > 0 ? heldMs : this.#trialWaitMs(fingerprints, now, copy);
+  }
+
+  /** How long a copy must wait for its turn after the request was held back. */
+  #trialWaitMs(
+    fingerprints: readonly Fingerprint[],
+    now: number,
+    copy: object,
+  ): number {
+    const [last] = fingerprints
+      .flatMap((digest) => {
+        const heldUntil = this.#heldBack.heldUntil(digest, now);
+        return heldUntil === undefined ? [] : [{ digest, heldUntil }];
+      })
+      .toSorted((a, b) => b.heldUntil - a.heldUntil);
+    if (last === undefined) {
+      return 0;
+    }
+    const trials = this.#trials.get(last.digest) ?? new CrashTrials();
+    this.#trials.set(last.digest, trials);
+    const place = this.#options.place?.() ?? { position: 0, vms: 1 };
+    return trials.waitMs(copy, { now, heldUntil: last.heldUntil, place });
   }
 
   #heldMs(fingerprint: Fingerprint, now: number): number {
--- a/packages/daemon/src/gateway/crashes_fleet_test.ts
+++ b/packages/daemon/src/gateway/crashes_fleet_test.ts
@@ -46,7 +46,6 @@
 const FIRST_COPIES_AT_MS = 1_000;
 /** Longer than `contact_s`, so that copies of later waves are late. */
 const WAVE_MS = 4_300;
-const WAVES = 2;
 const FINGERPRINTS = fingerprintsOf({
   host: "site.example",
   method: "GET",
@@ -89,6 +88,8 @@
   readonly cutAt: number;
   readonly healedAt: number;
   readonly seed: number;
+  /** Copies of each wave; {@link COPIES} by default. */
+  readonly copies?: readonly number[];
 }
 
 /** VMs with their suspects, the links between them, and the store. */
@@ -109,7 +110,10 @@
     this.#random = seededRandom(play.seed);
     const vms = Array.from({ length: play.vms }, (_, vm) => vm);
     this.#suspects = vms.map((vm) =>
-      new CrashSuspects({ publish: () => this.#withNews.add(vm) })
+      new CrashSuspects({
+        publish: () => this.#withNews.add(vm),
+        place: () => ({ position: vm, vms: play.vms }),
+      })
     );
     this.#records = vms.map((vm) =>
       new CrashRecord({
@@ -124,10 +128,11 @@
   }
 
   async run(): Promise<void> {
-    const endsAt = FIRST_COPIES_AT_MS + WAVES * WAVE_MS;
+    const { copies = [COPIES, COPIES] } = this.#play;
+    const endsAt = FIRST_COPIES_AT_MS + copies.length * WAVE_MS;
     for (let at = 0; at < endsAt; at += STEP_MS) {
       if (at >= FIRST_COPIES_AT_MS) {
-        this.#sendWave(at);
+        this.#sendWave(at - FIRST_COPIES_AT_MS, copies);
       }
       this.#exchange(at);
       if (at % TICK_MS === 0) {
@@ -147,9 +152,9 @@
     return this.#arrivals.filter((at) => at > third + CONTACT_MS).length;
   }
 
-  #sendWave(at: number): void {
-    if ((at - FIRST_COPIES_AT_MS) % WAVE_MS === 0) {
-      for (let copy = 0; copy < COPIES; copy++) {
+  #sendWave(sinceFirst: number, copies: readonly number[]): void {
+    if (sinceFirst % WAVE_MS === 0) {
+      for (let copy = 0; copy < copies[sinceFirst / WAVE_MS]!; copy++) {
         this.#sendCopy(Math.floor(this.#random() * this.#play.vms));
       }
     }
@@ -284,3 +289,14 @@
     },
   );
 });
+
+// Guards against copies that come to many VMs, or many to one, when a hold is over.
+test.each([9, 195])("%i VMs let a request through one by one", async (vms) => {
+  const copies = [3, ...Array(18).fill(COPIES)];
+  const whole = { hears: () => true, cutAt: Infinity, healedAt: Infinity };
+  for (const seed of [1, 2, 3]) {
+    const fleet = new SimulatedFleet({ vms, ...whole, seed, copies });
+    await fleet.run();
+    expect(fleet.lateArrivals).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
+  }
+});
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -317,7 +317,8 @@
 
   /** Refuses the request if it is held back, since it crashes its targets. */
   #isHeldBack(now: number): boolean {
-    const heldMs = this.#services.suspects.heldBackMs(this.#fingerprints, now);
+    const { suspects } = this.#services;
+    const heldMs = suspects.heldBackMs(this.#fingerprints, now, this);
     if (heldMs > 0) {
       this.#giveUp("held-back", heldMs);
     }
--- a/packages/daemon/src/gateway/fleet_count.ts
+++ b/packages/daemon/src/gateway/fleet_count.ts
@@ -59,8 +59,16 @@
 /** Number of VMs that may be running. */
 export function countRunning(
   vms: readonly KnownVm[],
-  { now, heardZones, isZoneTrusted }: CountOptions,
+  options: CountOptions,
 ): number {
+  return runningVms(vms, options).length;
+}
+
+/** VMs that may be running. */
+export function runningVms<T extends KnownVm>(
+  vms: readonly T[],
+  { now, heardZones, isZoneTrusted }: CountOptions,
+): readonly T[] {
   return vms.filter(({ member, knownAt, upSince, isLeaving }) => {
     const isMissed = heardZones.has(member.zone) &&
       (isZoneTrusted || upSince === undefined);
@@ -68,5 +76,5 @@
       ? ENDED_RETENTION_MS
       : SILENT_RETENTION_MS;
     return now - knownAt < retentionMs;
-  }).length;
+  });
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -315,6 +315,7 @@
       crashFindingMade: (finding) => this.#metrics.stateChanged(finding),
       checkRun: (target) => this.#probes.checkRun(target),
       silentVms: () => this.#peers.vms.silentVms(performance.now()),
+      placeInTurns: () => this.#peers.vms.placeInTurns(performance.now()),
       publishSuspects: () => this.#peers.beacon.send({ kind: "suspects" }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -12,6 +12,7 @@
 import type { ConnectionSource, ConnectionTarget } from "./connections.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 import { CrashFindings } from "./crash_findings.ts";
+import type { TurnPlace } from "./crash_trials.ts";
 import type { EventLog } from "./events.ts";
 import { GatewayExchange } from "./exchange.ts";
 import type {
@@ -80,6 +81,8 @@
   checkRun?(target: TargetId): void;
   /** Sends peers soon what is known of requests that crash targets. */
   publishSuspects(): void;
+  /** This VM's place when all VMs take turns; the only one by default. */
+  readonly placeInTurns?: () => TurnPlace;
   /** Number of other VMs that may be running and are not heard of; 0 by default. */
   silentVms?(): number;
   /** Called with a name for each finding on requests that may crash targets; not at all by default. */
@@ -153,6 +156,9 @@
     });
     this.suspects = new CrashSuspects({
       publish: () => options.publishSuspects(),
+      ...(options.placeInTurns === undefined
+        ? {}
+        : { place: options.placeInTurns }),
       reach: () => this.#reach,
       found: (finding) => findings.record(finding),
     });
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -11,7 +11,13 @@
   rankedAbove,
   relaysFor,
 } from "@poplarthread/placement";
-import { countRunning, type KnownVm, ListeningClock } from "./fleet_count.ts";
+import type { TurnPlace } from "./crash_trials.ts";
+import {
+  countRunning,
+  type KnownVm,
+  ListeningClock,
+  runningVms,
+} from "./fleet_count.ts";
 import { membersForLookup } from "./lookup_members.ts";
 import type { LookupRequest, Member } from "./ports.ts";
 
@@ -311,6 +317,17 @@
     });
   }
 
+  /** This VM's place when all VMs that may be running take turns. */
+  placeInTurns(now: number): TurnPlace {
+    const others = runningVms([...this.#entries.values()], {
+      now: this.#clock.at(now),
+      heardZones: this.#heardZones(now),
+      isZoneTrusted: false,
+    });
+    const before = others.filter(({ member }) => member.vm < this.#self.vm);
+    return { position: before.length, vms: others.length + 1 };
+  }
+
   /** Number of other VMs that may be running and that this one does not hear of, some of which still count as up. */
   silentVms(now: number): number {
     const silent = [...this.#entries.values()]
