--- a/packages/daemon/src/gateway/crash_suspects.ts
+++ b/packages/daemon/src/gateway/crash_suspects.ts
@@ -20,6 +20,7 @@
   type TargetRun,
 } from "@poplarthread/coordination/held_back";
 import type { ReachState } from "@poplarthread/placement";
+import { CountedCrashes } from "./counted_crashes.ts";
 import { CrashTrials, type TurnPlace } from "./crash_trials.ts";
 import { type RunEnd, UnansweredAttempts } from "./unanswered_attempts.ts";
 
@@ -39,14 +40,6 @@
 };
 /** Time after which further targets would have become unreachable if this VM were cut off. */
 const SETTLE_MS = 300;
-/** Requests of which the platform's store is told at most. */
-const MAX_RECORDED = 8;
-/** More requests with recent crashes than this, each with two digests, are due to targets that fail together. */
-const MAX_SUSPECTS_AT_ONCE = 12;
-/** Time in which VMs that hear each other have told of their suspects. */
-const SUSPECTS_KNOWN_MS = 300;
-/** How long a single crash is recorded, and that a request was cleared. */
-const RECENT_MS = 10_000;
 /** Retry-After of a request while it is not settled whether targets crashed under it. */
 const UNSETTLED_RETRY_MS = 1_000;
 
@@ -92,18 +85,6 @@
   /** Reports to other VMs leave out so many requests under which several targets crashed. */
   | { readonly kind: "without-room"; readonly suspects: number };
 
-/** A request of which this VM has counted crashes. */
-interface CountedRequest {
-  /** The runs whose crashes this VM has counted. */
-  readonly runs: Set<TargetRun>;
-  /** The crashes known of it, by whomever counted, as of the latest look. */
-  crashes: number;
-  /** When that number changed. */
-  changedAt: number;
-  /** Whether the platform's store holds it. */
-  isRecorded: boolean;
-}
-
 /** Options of {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
   /** Sends the reports to the other VMs, soon. */
@@ -121,8 +102,7 @@
   readonly #options: CrashSuspectsOptions;
   readonly #heldBack = new HeldBack(POLICY);
   readonly #unanswered = new UnansweredAttempts();
-  /** Requests of which this VM has counted crashes, those with the newest last. */
-  readonly #counted = new Map<Fingerprint, CountedRequest>();
+  readonly #counted = new CountedCrashes(this.#heldBack);
   /** Requests that were held back and may run again, by turns. */
   readonly #trials = new Map<Fingerprint, CrashTrials>();
   /** Requests with several crashes that the latest reports left out, by the room of the reports. */
@@ -230,41 +210,12 @@
     return reports;
   }
 
-  /**
-   * What the platform's store should hold: the crashes that this VM itself has counted,
-   * with the number of all known ones. Single crashes are left out while many requests have some, as targets
-   * then fail for other reasons, unless VMs that may have counted others are not heard.
-   */
+  /** What the platform's store should hold; see {@link CountedCrashes.reports}. */
   reportsToRecord(
     now: number,
-    { isHeardByAll }: { isHeardByAll(): boolean },
+    options: { isHeardByAll(): boolean },
   ): readonly HeldBackReport[] {
-    if (this.#counted.size === 0) {
-      return [];
-    }
-    const recorded: HeldBackReport[] = [];
-    const areSinglesTold =
-      this.#heldBack.countSuspects(now, RECENT_MS) <= MAX_SUSPECTS_AT_ONCE ||
-      !isHeardByAll();
-    for (const [digest, request] of this.#counted) {
-      const crashes = this.#heldBack.crashesOf(digest, now);
-      if (crashes !== request.crashes) {
-        request.crashes = crashes;
-        request.changedAt = now;
-      }
-      const isRecent = now - request.changedAt < RECENT_MS;
-      if (crashes <= 1 && !isRecent) {
-        this.#counted.delete(digest);
-        continue;
-      }
-      const isSettled = now - request.changedAt >= SUSPECTS_KNOWN_MS;
-      request.isRecorded ||= crashes > 1 ||
-        (crashes === 1 && isSettled && areSinglesTold);
-      if (request.isRecorded) {
-        recorded.push(this.#heldBack.report(digest, now, request.runs));
-      }
-    }
-    return recorded.slice(-MAX_RECORDED);
+    return this.#counted.reports(now, options);
   }
 
   /** Applies a report of another VM. */
@@ -355,7 +306,7 @@
       }
       const wasHeldBack = this.#isHeldBack(digest, now);
       this.#heldBack.targetCrashed(target, [digest], now);
-      this.#noteCounted(digest, target, now);
+      this.#counted.add(digest, target, now);
       const crashes = this.#heldBack.crashesOf(digest, now);
       const crash = { digest, target };
       this.#options.found?.({ kind: "counted", crash, crashes });
@@ -364,18 +315,6 @@
     }
   }
 
-  #noteCounted(digest: Fingerprint, run: TargetRun, now: number): void {
-    const { runs = new Set<TargetRun>(), isRecorded = false } =
-      this.#counted.get(digest) ?? {};
-    this.#counted.delete(digest);
-    this.#counted.set(digest, {
-      runs: runs.add(run),
-      crashes: 0,
-      changedAt: now,
-      isRecorded,
-    });
-  }
-
   #isHeldBack(digest: Fingerprint, now: number): boolean {
     return this.#heldBack.verdict(digest, now).kind === "held-back";
   }
--- a/packages/daemon/src/gateway/crash_suspects_test.ts
+++ b/packages/daemon/src/gateway/crash_suspects_test.ts
@@ -303,6 +303,16 @@
   });
 });
 
+/** A target ends under many requests. */
+function crashUnderMany(suspects: CrashSuspects): void {
+  for (let request = 0; request < 20; request++) {
+    const url = `/read/${request}`;
+    const fingerprints = fingerprintsOf({ ...READ, url });
+    suspects.attemptUnanswered(fingerprints, RUNS[0]!, 0);
+  }
+  suspects.runEnded(RUNS[0]!, "gone", 100);
+}
+
 describe("requests for the record in the store", () => {
   const HEARD = { isHeardByAll: () => true };
   const UNHEARD = { isHeardByAll: () => false };
@@ -337,12 +347,7 @@
   test("have a single crash beside many others only while VMs are not heard", () => {
     // Guards against a call of each VM when a zone falls.
     const { suspects } = tracker();
-    for (let request = 0; request < 20; request++) {
-      const url = `/read/${request}`;
-      const fingerprints = fingerprintsOf({ ...READ, url });
-      suspects.attemptUnanswered(fingerprints, RUNS[0]!, 0);
-    }
-    suspects.runEnded(RUNS[0]!, "gone", 100);
+    crashUnderMany(suspects);
     for (let now = 100; now < 20_000; now += 200) {
       expect(suspects.reportsToRecord(now, HEARD)).toEqual([]);
     }
@@ -351,12 +356,7 @@
   test("have several single crashes while VMs are not heard", () => {
     // Guards against VMs that count one crash each while a zone falls.
     const { suspects } = tracker();
-    for (let request = 0; request < 20; request++) {
-      const url = `/read/${request}`;
-      const fingerprints = fingerprintsOf({ ...READ, url });
-      suspects.attemptUnanswered(fingerprints, RUNS[0]!, 0);
-    }
-    suspects.runEnded(RUNS[0]!, "gone", 100);
+    crashUnderMany(suspects);
     suspects.reportsToRecord(100, UNHEARD);
     expect(suspects.reportsToRecord(500, UNHEARD).length).toBe(8);
   });
