Which VMs may be running is asked in one place

No behaviour changes; the tests of the directory, the fleet's retries, the crashes and crashes_told_test.ts pass (89).

--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -310,29 +310,25 @@
 
   /** Number of VMs that share the fleet's limits, including this one. */
   fleetSize(now: number): number {
-    return 1 + countRunning([...this.#entries.values()], {
-      now: this.#clock.at(now),
-      heardZones: this.#heardZones(now),
-      isZoneTrusted: false,
-    });
+    return 1 + this.#mayBeRunning(now).length;
   }
 
   /** This VM's place when all VMs that may be running take turns. */
   placeInTurns(now: number): TurnPlace {
-    const others = runningVms([...this.#entries.values()], {
-      now: this.#clock.at(now),
-      heardZones: this.#heardZones(now),
-      isZoneTrusted: false,
-    });
+    const others = this.#mayBeRunning(now);
     const before = others.filter(({ member }) => member.vm < this.#self.vm);
     return { position: before.length, vms: others.length + 1 };
   }
 
   /** Number of other VMs that may be running and that this one does not hear of, some of which still count as up. */
   silentVms(now: number): number {
-    const silent = [...this.#entries.values()]
-      .filter(({ lastSeenAt }) => now - lastSeenAt > LATE_MS);
-    return countRunning(silent, {
+    return this.#mayBeRunning(now)
+      .filter(({ lastSeenAt }) => now - lastSeenAt > LATE_MS).length;
+  }
+
+  /** Other VMs that may be running: silence alone is no evidence of an end. */
+  #mayBeRunning(now: number): readonly Entry[] {
+    return runningVms([...this.#entries.values()], {
       now: this.#clock.at(now),
       heardZones: this.#heardZones(now),
       isZoneTrusted: false,
