Log and metrics tell how changes are read, and how late

- call given up: the subject, the relay (none: the store), how long it took, how many bytes had arrived, why.
- change read late: peers knew of a change for a second or more.
- poplarthread_gateway_change_calls_total and _change_bytes_total by source and end.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -106,6 +106,10 @@
     meaning: "the most bytes of the response that were held for its caller",
   },
   target: { type: "text", meaning: "id of the target" },
+  bytes: {
+    type: "number",
+    meaning: "bytes of the response's body that had arrived",
+  },
   targetMs: {
     type: "number",
     meaning: "duration of the last attempt, in milliseconds",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -151,6 +151,19 @@
       "A relay, a VM that passes the store's changes on, is not used for a while: it does not respond, its data is stale, or the store refused it.",
     fields: ["subject", "peer", "reason"],
   },
+  "call given up": {
+    level: "info",
+    meaning:
+      "A call to the platform's store, or to a relay, is given up before its response is complete; what had arrived of it is lost. Calls that ask for changes are made again.",
+    fields: ["subject", "forMs", "bytes", "reason"],
+    optional: ["peer"],
+  },
+  "change read late": {
+    level: "warn",
+    meaning:
+      "Other VMs knew of a change for a second or more before this one had read it.",
+    fields: ["subject", "storeVersion", "forMs"],
+  },
   "own row not written": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -223,6 +223,7 @@
       relays: (except) => vms.relays(performance.now(), except),
       fallbacks: () => vms.fallbacks(performance.now()),
       listener: (event) => this.#platformEvents.handle(event),
+      callEnded: (end, source) => this.#metrics.changes.callEnded(end, source),
     });
     this.#supervisor = this.#createSupervisor();
   }
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -6,6 +6,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { DeliverySummary } from "./caller_response.ts";
+import { ChangeMetrics } from "./change_metrics.ts";
 import { HomeMetrics } from "./homes/home_metrics.ts";
 import { RetryMetrics } from "./retry_metrics.ts";
 import { RoomMetrics } from "./room_metrics.ts";
@@ -54,6 +55,8 @@
   readonly homes = new HomeMetrics(this.#registry);
   /** Metrics of services that have less room than is asked for. */
   readonly room = new RoomMetrics(this.#registry);
+  /** Metrics of reading the platform's changes. */
+  readonly changes = new ChangeMetrics(this.#registry);
   /** Metrics of retries. */
   readonly retries = new RetryMetrics(this.#registry);
   readonly #requests = this.#counter(
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -6,6 +6,7 @@
  */
 
 import { messageOf } from "../errors.ts";
+import type { ExchangeEnd } from "../json_exchange.ts";
 import { pause } from "../pause.ts";
 import type { EventLog } from "./events.ts";
 import type { ChangeSourcesOptions } from "./change_sources.ts";
@@ -49,11 +50,16 @@
   readonly seen: Readonly<Record<WatchedSubject, number>>;
 }
 
+/** Where changes are read. */
+export type ChangeSource = "store" | "relay";
+
 /** Options of a {@link PlatformFeed}. */
 export interface PlatformFeedOptions extends ChangeSourcesOptions {
   readonly platform: PlatformPort;
   readonly log: EventLog;
   listener(event: FeedEvent): void;
+  /** A call to a source of changes has ended. */
+  callEnded(end: ExchangeEnd, source: ChangeSource): void;
 }
 
 /** See the module's comment. */
@@ -138,9 +144,9 @@
 
   close(): void {
     this.#closed.abort();
-    this.#watches.forEach((watch) => watch.close());
     this.#client.close();
     this.#options.platform.close();
+    this.#watches.forEach((watch) => watch.close());
   }
 
   #watch(subject: WatchedSubject): SubjectWatch {
@@ -174,12 +180,40 @@
           log.write("store history refuted", { subject, claimed, era }),
         relayUnresponsive: (relay) =>
           this.#watches.forEach((watch) => watch.leaveRelay(relay)),
+        callEnded: (end, relay) => this.#onCallEnded(subject, end, relay),
+        readLate: (behindMs) =>
+          log.write("change read late", {
+            subject,
+            storeVersion: this.seenOf(subject).version,
+            forMs: behindMs,
+          }),
         relaySkipped: (relay, reason) =>
           log.write("relay left alone", { subject, peer: relay.vm, reason }),
       },
     });
   }
 
+  #onCallEnded(
+    subject: WatchedSubject,
+    end: ExchangeEnd,
+    relay: Member | undefined,
+  ): void {
+    const { log, callEnded } = this.#options;
+    if (this.#closed.signal.aborted) {
+      return;
+    }
+    callEnded(end, relay === undefined ? "store" : "relay");
+    if (end.kind === "given-up") {
+      log.write("call given up", {
+        subject,
+        forMs: Math.round(end.waitedMs),
+        bytes: end.bytes,
+        reason: end.reason,
+        ...(relay === undefined ? {} : { peer: relay.vm }),
+      });
+    }
+  }
+
   /** Each event is delivered, whatever becomes of the others; throws if one could not be handled. */
   #deliver(subject: WatchedSubject, events: readonly PlatformEvent[]): void {
     const kinds = new Set(events.map(({ kind }) => kind));
--- a/packages/daemon/src/gateway/platform_feed_test.ts
+++ b/packages/daemon/src/gateway/platform_feed_test.ts
@@ -128,6 +128,7 @@
     relays: () => relays,
     fallbacks: () => [],
     listener,
+    callEnded: () => undefined,
   });
   feed.start(memberNamed("vm-1"));
 }
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -16,6 +16,7 @@
 } from "@poplarthread/ids";
 import type { HeldBackReport } from "@poplarthread/coordination/held_back";
 import type { LoadReport } from "@poplarthread/placement";
+import type { ExchangeEnd } from "../json_exchange.ts";
 import type { Credential } from "./accounts/client_account.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
 
@@ -126,12 +127,18 @@
   readonly waitMs: number;
   /** Aborts the call. */
   readonly signal: AbortSignal;
+  /** Called when a call has ended. */
+  ended?(end: ExchangeEnd): void;
 }
 
 /** The platform's store as the gateway uses it. Failed calls reject. */
 export interface PlatformPort {
   /** Reads a page of a subject's rows, ordered by key and starting at `from`. */
-  list(subject: WatchedSubject, from: string | undefined): Promise<RowsPage>;
+  list(
+    subject: WatchedSubject,
+    from: string | undefined,
+    options?: Pick<ChangesRequest, "ended">,
+  ): Promise<RowsPage>;
   /** Waits for changes of a subject; rejects with {@link HistoryGoneError} if the history no longer holds them. */
   changes(
     subject: WatchedSubject,
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -23,7 +23,8 @@
   type RequestTimes,
 } from "@poplarthread/coordination/freshness";
 import { messageOf } from "../errors.ts";
-import { JsonCallError, JsonClient } from "../json_client.ts";
+import { JsonClient } from "../json_client.ts";
+import { type ExchangeEnd, JsonCallError } from "../json_exchange.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import {
@@ -52,6 +53,8 @@
   readonly mayReplace: boolean;
   /** Aborts the call. */
   readonly signal?: AbortSignal;
+  /** Called when a request of the call has ended. */
+  ended?(end: ExchangeEnd): void;
 }
 
 /** A VM's response. Sent as JSON. */
@@ -209,7 +212,7 @@
     subject: WatchedSubject,
     request: RelayRequest,
   ): Promise<RelayResponse> {
-    const { signal, ...params } = request;
+    const { signal, ended, ...params } = request;
     const encode = (waitMs: number) =>
       JSON.stringify(
         createJSONRPCRequest(1, METHOD, { subject, ...params, waitMs }),
@@ -225,6 +228,7 @@
         timeoutMs: REPEAT_TIMEOUT_MS,
       },
       ...(signal === undefined ? {} : { signal }),
+      ...(ended === undefined ? {} : { ended }),
     });
     if (!isJSONRPCResponse(body)) {
       throw new JsonCallError(
--- a/packages/daemon/src/gateway/store_history_fleet_test.ts
+++ b/packages/daemon/src/gateway/store_history_fleet_test.ts
@@ -172,6 +172,8 @@
         connectivityChanged: () => undefined,
         relayUnresponsive: () => undefined,
         relaySkipped: () => undefined,
+        callEnded: () => undefined,
+        readLate: () => undefined,
         responseNotUsed: (era) => this.unused.push(era),
         rowsNotApplied: () => undefined,
         claimRefuted: (claimed) => this.refuted.push(claimed),
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -11,8 +11,10 @@
   laterKnownSince,
 } from "@poplarthread/coordination/freshness";
 import { messageOf } from "../errors.ts";
+import { type ExchangeEnd, JsonCallError } from "../json_exchange.ts";
 import { pause } from "../pause.ts";
 import { ChangeSources, type ChangeSourcesOptions } from "./change_sources.ts";
+import { Lag } from "./lag.ts";
 import {
   HistoryGoneError,
   type Member,
@@ -48,6 +50,8 @@
 const RECONNECT_WAIT_MS = 20;
 /** A call that still waits this long after a peer has reported a newer version is aborted: many times the store's usual response time of 4 ms. */
 const MISSED_CHANGE_TIMEOUT_MS = 300;
+/** Rows that were missing for longer are reported: changes must be in force within 2.5 s and more. */
+const LATE_MS = 1_000;
 /** Bounds of the pause after a failed call, which doubles each time: the store bills the calls that it refuses, too. */
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 1_000;
@@ -144,6 +148,10 @@
   claimRefuted(claimed: number, era: number): void;
   /** A relay has not responded. */
   relayUnresponsive(relay: Member): void;
+  /** A call of the store, or of a relay, has ended. */
+  callEnded(end: ExchangeEnd, relay: Member | undefined): void;
+  /** Rows have arrived of which peers knew for `behindMs`. */
+  readLate(behindMs: number): void;
   /** A relay is not used for a while. */
   relaySkipped(relay: Member, reason: string): void;
 }
@@ -173,6 +181,7 @@
   /** Wakes requests of peers that wait for changes. */
   readonly #waiters = new Set<() => void>();
   #callAbort = new AbortController();
+  readonly #lag = new Lag();
   /** The VM that a request is pending at. */
   #queriedRelay: Member | undefined;
   readonly #suspension = new SuspensionWatch();
@@ -240,16 +249,17 @@
   /** A peer reports the newest row that it has seen. */
   hint(seen: StoreVersion): void {
     const isClaim = this.#history.claim(seen.era, this.#steadyNow);
-    if (
-      (!isClaim && !this.#isBehind(seen)) ||
-      this.#missedChangeTimer !== undefined
-    ) {
+    const isBehind = this.#isBehind(seen);
+    if (isBehind) {
+      this.#lag.missed(seen.version, performance.now());
+    }
+    if ((!isClaim && !isBehind) || this.#missedChangeTimer !== undefined) {
       return;
     }
     this.#missedChangeTimer = setTimeout(() => {
       this.#missedChangeTimer = undefined;
       if (this.#isBehind(seen)) {
-        this.#callAbort.abort();
+        this.#callAbort.abort(new JsonCallError("peers know a newer version"));
       } else if (this.#history.isReadDue) {
         this.#readNow();
       }
@@ -259,7 +269,9 @@
   /** Gives up a request that is pending at a VM, which has not responded to others. */
   leaveRelay({ vm }: Member): void {
     if (this.#queriedRelay?.vm === vm) {
-      this.#callAbort.abort();
+      this.#callAbort.abort(
+        new JsonCallError("it has not responded to another call"),
+      );
     }
   }
 
@@ -369,6 +381,9 @@
       : Math.max(this.#staleAt, receivedAt + PENDING_READ_WAIT_MS);
   }
 
+  readonly #storeCallEnded = (end: ExchangeEnd): void =>
+    this.#options.listener.callEnded(end, undefined);
+
   async #fetch(): Promise<void> {
     const now = performance.now();
     const relay = this.#isStoreRetryDue(now)
@@ -420,6 +435,7 @@
       isPatient: this.#isLost,
       mayReplace,
       signal: this.#callAbort.signal,
+      ended: (end) => this.#options.listener.callEnded(end, relay),
     });
     this.#queriedRelay = undefined;
     const respondedAt = this.#steadyNow;
@@ -499,6 +515,7 @@
         ? RECONNECT_WAIT_MS
         : this.#waitBeforeStale(),
       signal: this.#callAbort.signal,
+      ended: this.#storeCallEnded,
     });
     if (page.era !== this.#copy.era) {
       // The changes follow a version of another history.
@@ -529,7 +546,9 @@
     let first: RowsPage | undefined;
     let from: string | undefined;
     for (;;) {
-      const page = await this.#options.store.list(this.#subject, from);
+      const page = await this.#options.store.list(this.#subject, from, {
+        ended: this.#storeCallEnded,
+      });
       // With the version of the first page, changes between pages are read again
       // by the next call for changes.
       first ??= page;
@@ -589,6 +608,7 @@
       this.#options.listener.claimRefuted(claimed, read.era);
     }
     if (verdict === "new-history") {
+      this.#lag.reset();
       this.#replaceByRestored(read, eraBefore);
     } else if (isWhole) {
       this.#copy.replace(read);
@@ -598,10 +618,22 @@
     this.#restoredRows.rowsRead(read.rows, read.version);
     this.#wakeWaiters();
     if (isWhole || read.rows.length > 0) {
+      this.#reportLag();
       this.#publishRows();
     }
   }
 
+  #reportLag(): void {
+    const { newest, position = 0 } = this.#copy;
+    const behindMs = this.#lag.arrived(
+      Math.max(newest, position),
+      performance.now(),
+    );
+    if (behindMs > LATE_MS) {
+      this.#options.listener.readLate(Math.round(behindMs));
+    }
+  }
+
   /** Replaces the copy after the store was restored, and keeps what the store has lost. */
   #replaceByRestored(
     page: Omit<RowsPage, "isTruncated">,
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -157,6 +157,8 @@
           this.connectivity.push(isLost ? "lost" : "regained"),
         relayUnresponsive: () => undefined,
         relaySkipped: () => undefined,
+        callEnded: () => undefined,
+        readLate: () => undefined,
         responseNotUsed: () => undefined,
         rowsNotApplied: () => undefined,
         claimRefuted: () => undefined,
--- a/packages/daemon/src/json_client.ts
+++ b/packages/daemon/src/json_client.ts
@@ -4,19 +4,15 @@
  * @module
  */
 
-import { Agent, type IncomingHttpHeaders, request } from "node:http";
-
-/** The call timed out, or its response cannot be used. */
-export class JsonCallError extends Error {
-  override readonly name = "JsonCallError";
-}
-
-/** No response within the timeout: the connection is silent, or the server. */
-class NoResponseError extends JsonCallError {
-  constructor() {
-    super("Timed out waiting for the JSON response");
-  }
-}
+import { Agent } from "node:http";
+import {
+  type ExchangeEnd,
+  JsonCallError,
+  JsonExchange,
+  type JsonRequest,
+  type JsonResponse,
+  NoResponseError,
+} from "./json_exchange.ts";
 
 /** Another call has found that connections are silent, maybe also the one of this call. */
 class DoubtedConnectionError extends JsonCallError {
@@ -25,14 +21,8 @@
   }
 }
 
-/** What is sent, and how long the response may take. */
-export interface JsonRequest {
-  readonly path: string;
-  /** The request body, as JSON text; none if left out. */
-  readonly body?: string;
-  /** Longest wait for the complete response. */
-  readonly timeoutMs: number;
-}
+/** The call was aborted. */
+class AbortedCallError extends JsonCallError {}
 
 /** A call. Its request may be sent twice. */
 export interface JsonCall extends JsonRequest {
@@ -43,14 +33,8 @@
    */
   readonly repeat?: JsonRequest;
   readonly signal?: AbortSignal;
-}
-
-/** A response. */
-export interface JsonResponse {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  /** The parsed JSON; undefined unless the status is 200. */
-  readonly body: unknown;
+  /** Called when a request of the call has ended. */
+  ended?(end: ExchangeEnd): void;
 }
 
 /** Options of a {@link JsonClient}. */
@@ -61,13 +45,6 @@
   onSilentConnections(): void;
 }
 
-/** A request that was sent and has no response yet. */
-interface PendingRequest {
-  readonly sentAt: number;
-  readonly isRepeat: boolean;
-  fail(err: Error): void;
-}
-
 /**
  * Open connections may fall silent without a reset, all at once, while new ones work. So
  * a call without a response says little of the server: no connection that was idle
@@ -76,7 +53,7 @@
 export class JsonClient {
   readonly #options: JsonClientOptions;
   readonly #agent = new Agent({ keepAlive: true });
-  readonly #pending = new Set<PendingRequest>();
+  readonly #pending = new Set<JsonExchange>();
   /** It has responded, and to each repeated call since. Only then are calls repeated. */
   #isServerUp = false;
 
@@ -86,24 +63,22 @@
 
   /** Resolves with the response; rejects if there is none, or if a status of 200 comes without JSON. */
   async call(call: JsonCall): Promise<JsonResponse> {
-    const { method, signal } = call;
-    signal?.addEventListener("abort", this.#closeIdle);
     try {
-      return await this.#send(call, { method, signal, isRepeat: false });
+      return await this.#send(call, { call, isRepeat: false });
     } catch (err) {
       if (err instanceof DoubtedConnectionError) {
         return await this.#repeat(call);
       }
-      if (!(err instanceof NoResponseError)) {
+      if (
+        !(err instanceof NoResponseError || err instanceof AbortedCallError)
+      ) {
         throw err;
       }
       this.#closeIdle();
-      if (!this.#isServerUp) {
+      if (!this.#isServerUp || call.signal?.aborted) {
         throw err;
       }
       return await this.#repeatAfterSilence(call);
-    } finally {
-      signal?.removeEventListener("abort", this.#closeIdle);
     }
   }
 
@@ -112,11 +87,11 @@
   }
 
   /** Closes the connections that carry no request. */
-  readonly #closeIdle = (): void => {
+  #closeIdle(): void {
     for (const sockets of Object.values(this.#agent.freeSockets)) {
       [...sockets ?? []].forEach((socket) => socket.destroy());
     }
-  };
+  }
 
   async #repeatAfterSilence(call: JsonCall): Promise<JsonResponse> {
     const sentAt = performance.now();
@@ -124,99 +99,54 @@
     this.#options.onSilentConnections();
     [...this.#pending]
       .filter((earlier) => !earlier.isRepeat && earlier.sentAt < sentAt)
-      .forEach((earlier) => earlier.fail(new DoubtedConnectionError()));
+      .forEach((earlier) => earlier.giveUp(new DoubtedConnectionError()));
     return response;
   }
 
   async #repeat(call: JsonCall): Promise<JsonResponse> {
-    const { method, signal, repeat = call } = call;
+    const { repeat = call, signal } = call;
     try {
-      return await this.#send(repeat, { method, signal, isRepeat: true });
+      return await this.#send(repeat, { call, isRepeat: true });
     } catch (err) {
       this.#isServerUp &&= signal?.aborted ?? false;
       throw err;
     }
   }
 
-  #send(
-    { path, body, timeoutMs }: JsonRequest,
-    { method, signal, isRepeat }: {
-      readonly method: JsonCall["method"];
-      readonly signal: AbortSignal | undefined;
-      readonly isRepeat: boolean;
-    },
+  async #send(
+    request: JsonRequest,
+    { call, isRepeat }: { readonly call: JsonCall; readonly isRepeat: boolean },
   ): Promise<JsonResponse> {
-    return new Promise((resolve, reject) => {
-      const { host, port } = this.#options;
-      const req = request({
-        host,
-        port,
-        agent: this.#agent,
-        method,
-        path,
-        ...(signal === undefined ? {} : { signal }),
-        headers: body === undefined ? {} : {
-          "content-type": "application/json",
-          "content-length": Buffer.byteLength(body),
-        },
-      });
-      const pending: PendingRequest = {
-        sentAt: performance.now(),
-        isRepeat,
-        fail: (err) => {
-          settle();
-          reject(err);
-          // Closes the connection: one with a late response may never carry another.
-          req.destroy();
-        },
-      };
-      this.#pending.add(pending);
-      const timer = setTimeout(
-        () => setImmediate(giveUp, pending, this.#pending),
-        timeoutMs,
-      );
-      const settle = () => {
-        clearTimeout(timer);
-        this.#pending.delete(pending);
-      };
-      const fail = (err: Error) => {
-        settle();
-        reject(err);
-      };
-      req.on("error", fail);
-      req.on("response", (res) => {
-        const chunks: Buffer[] = [];
-        res.on("data", (chunk: Buffer) => chunks.push(chunk));
-        res.on("error", fail);
-        res.on("end", () => {
-          settle();
-          this.#isServerUp = true;
-          const { statusCode: status = 0, headers } = res;
-          try {
-            resolve({ status, headers, body: readBody(status, chunks) });
-          } catch {
-            reject(new JsonCallError("The response body is not JSON"));
-          }
-        });
-      });
-      req.end(body);
+    const { method, signal } = call;
+    const { host, port } = this.#options;
+    const exchange = new JsonExchange(request, {
+      host,
+      port,
+      agent: this.#agent,
+      method,
+      isRepeat,
+      ended: (end) => {
+        this.#pending.delete(exchange);
+        this.#isServerUp ||= end.kind === "read";
+        call.ended?.(end);
+      },
     });
+    this.#pending.add(exchange);
+    const abort = () => exchange.giveUp(new AbortedCallError(reasonOf(signal)));
+    signal?.addEventListener("abort", abort);
+    try {
+      if (signal?.aborted) {
+        abort();
+      }
+      return await exchange.response;
+    } finally {
+      signal?.removeEventListener("abort", abort);
+    }
   }
 }
 
-/** Called one event-loop tick after the timeout: a response that came while this process stood still is read first. */
-function giveUp(
-  request: PendingRequest,
-  pending: ReadonlySet<PendingRequest>,
-): void {
-  if (pending.has(request)) {
-    request.fail(new NoResponseError());
-  }
-}
-
-/** The parsed JSON of a response with status 200. */
-function readBody(status: number, chunks: readonly Buffer[]): unknown {
-  return status === 200
-    ? JSON.parse(Buffer.concat(chunks).toString("utf8"))
-    : undefined;
+/** Why the signal was aborted. */
+function reasonOf(signal: AbortSignal | undefined): string {
+  const reason: unknown = signal?.reason;
+  return reason instanceof Error ? reason.message : "The call was aborted";
 }
