A response that is given up on the way no longer ends the VM's process

What callers saw: a target that answers without a length (Connection: close) and takes longer than its route allows ends the VM. The first such request gets 504, then the process exits; the next callers are refused the connection, and all others of that VM lose their requests, at-most-once ones included. A caller that disconnects from such a response does the same.

Cause: a connection was reset without an error. When an attempt is abandoned, undici's abort reports that to the attempt, whose end makes the pool reset the socket, before undici has destroyed the socket with its own error. On close undici takes the end of a connection without an error for the end of the response, and completes a request that it has aborted: assert(!this.aborted), outside of every handler.

Change: a connection that this VM resets is always closed with an error, so the client fails its request and never completes it. Nothing is swallowed: the parser sees the order of events that it sees when the other side breaks off.

A real process (slow_response_test.ts): exited before (ECONNRESET), passes.

--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -35,6 +35,11 @@
   override readonly name = "ConnectTimeoutError";
 }
 
+/** The local VM has reset a connection. */
+export class ConnectionResetError extends Error {
+  override readonly name = "ConnectionResetError";
+}
+
 /** The data received on a connection is not a valid response to the request sent on it. */
 export class InvalidResponseError extends Error {
   override readonly name = "InvalidResponseError";
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -5,10 +5,10 @@
  * @module
  */
 
-import { connect as connectTcp, type Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import type { TargetId } from "@poplarthread/ids";
-import { ConnectTimeoutError } from "../errors.ts";
+import { ConnectionResetError, ConnectTimeoutError } from "../errors.ts";
+import { ResettableSocket } from "./resettable_socket.ts";
 import { Client } from "./undici_client.ts";
 
 /**
@@ -88,7 +88,7 @@
   idleSince: number | undefined;
   /** When it was taken for its latest request. */
   takenAt = performance.now();
-  #socket: Socket | undefined;
+  #socket: ResettableSocket | undefined;
   #isOpen = true;
   #wasReset = false;
   /** Whether the target has closed its side. */
@@ -148,11 +148,12 @@
   /**
    * Closes the connection with a reset. After an ordinary close the kernel would still
    * deliver outstanding data once a network partition has healed, so that a target would
-   * get requests whose callers disconnected long ago.
+   * get requests whose callers disconnected long ago. The error keeps the client from
+   * taking the close for the end of a response without a length.
    */
   destroy(): void {
     this.#isOpen = false;
-    this.#socket?.resetAndDestroy();
+    this.#socket?.reset(new ConnectionResetError("the VM closed it"));
     this.#client.destroy().catch(() => undefined);
   }
 }
@@ -164,7 +165,7 @@
     localAddress: string;
     listener: ConnectionListener<Id>;
     /** Called when connecting starts. */
-    onSocket: (socket: Socket) => void;
+    onSocket: (socket: ResettableSocket) => void;
     onReset: () => void;
     onEnd: () => void;
   },
@@ -172,11 +173,12 @@
   const limitMs = CONNECT_TIMEOUT_MS + 2 * target.roundTripMs;
   return ({ hostname, port }, callback) => {
     const startedAt = performance.now();
-    const socket = connectTcp({
+    const socket = new ResettableSocket();
+    socket.setNoDelay();
+    socket.connect({
       host: hostname,
       port: Number(port),
       localAddress: options.localAddress,
-      noDelay: true,
     });
     options.onSocket(socket);
     const timer = setTimeout(
