A change that is arriving is read to its end

What callers saw: after a change of a large configuration, or many changes in quick succession, VMs with narrow links go on with the old one, for as long as others name newer versions: requests run at the old service, new routes get 404.

Cause: a transfer was given up by a clock that knows nothing of its progress, and began anew. 300 ms after a peer names a newer version, a call was aborted though the rows were on their way; the timeouts of relay and store covered the complete response; a relay whose rows were 1.5 s old was left alone though it was reading the change, and all its VMs read the store at once. Each VM of a region got 490 kB from one relay.

Change, one rule for all of them: what arrives is waited for, what stands still is left.

- A response that has begun (its body, not its header) is given up only after a second without a byte, or after 10 s.
Until then timeouts are as before, so that a silent link is noticed as fast.
- A VM that is behind asks its relay again on a new connection, at once, before it leaves it: a relay says whether it is reading.
It is left if it doesn't respond, has nothing to read for a second, or reads for too long.

--- a/packages/daemon/src/gateway/lag.ts
+++ b/packages/daemon/src/gateway/lag.ts
@@ -1,21 +1,62 @@
 /**
- * How far a VM is behind what other VMs have read.
+ * How far a VM is behind what other VMs have read, and what it does about that.
+ *
+ * A relay or the store may be slow rather than lost: on a narrow link, a large change
+ * takes longer than it takes peers to name it.
  *
  * @module
  */
 
+import type { VmId } from "@poplarthread/ids";
+
+/** What a VM does that lacks a change which peers have. */
+export type LagStep =
+  /** Its source is at work. */
+  | "wait"
+  /** Asks the relay on a new connection: the open one may be silent. */
+  | "ask-again"
+  /** Calls the store again, or leaves the relay. */
+  | "start-over";
+
+/** Time for which a response of the relay shows that it is alive. */
+const RELAY_ALIVE_MS = 500;
+/** Longest time for which a relay is kept that responds, but brings nothing. */
+const RELAY_PATIENCE_MS = 1_000;
+
+/** The situation of a VM that lacks a change. */
+export interface LagState {
+  readonly now: number;
+  /** Whether a response is arriving. */
+  readonly isArriving: boolean;
+  /** The relay that is being asked; undefined if it is the store. */
+  readonly relay: VmId | undefined;
+}
+
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class Lag {
   /** The oldest version that peers have named and this VM lacks, and since when. */
   #missing: { readonly version: number; readonly since: number } | undefined;
+  /** Since when nothing has arrived. */
+  #stuckSince = -Infinity;
+  /** The relay that was last asked on a new connection, and when. */
+  #asked: { readonly relay: VmId; readonly at: number } | undefined;
 
   /** A peer has named a version that this VM lacks. */
   missed(version: number, now: number): void {
-    this.#missing ??= { version, since: now };
+    if (this.#missing === undefined) {
+      this.#missing = { version, since: now };
+      this.#stuckSince = now;
+    }
+  }
+
+  /** The source has made progress with what this VM lacks. */
+  progressed(now: number): void {
+    this.#stuckSince = now;
   }
 
   /** Rows up to `version` have arrived. Returns for how long one was missing, 0 if none was. */
   arrived(version: number, now: number): number {
+    this.#stuckSince = now;
     const missing = this.#missing;
     if (missing === undefined || version < missing.version) {
       return 0;
@@ -28,4 +69,19 @@
   reset(): void {
     this.#missing = undefined;
   }
+
+  nextStep({ now, isArriving, relay }: LagState): LagStep {
+    if (isArriving) {
+      return "wait";
+    }
+    if (relay === undefined || now - this.#stuckSince > RELAY_PATIENCE_MS) {
+      return "start-over";
+    }
+    const asked = this.#asked;
+    if (asked?.relay === relay && now - asked.at < RELAY_ALIVE_MS) {
+      return "wait";
+    }
+    this.#asked = { relay, at: now };
+    return "ask-again";
+  }
 }
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -125,8 +125,10 @@
   readonly version: number;
   /** Longest wait for a change. */
   readonly waitMs: number;
-  /** Aborts the call. */
+  /** Ends the call, unless its response has begun to arrive. */
   readonly signal: AbortSignal;
+  /** Called when the response begins to arrive. */
+  begun?(): void;
   /** Called when a call has ended. */
   ended?(end: ExchangeEnd): void;
 }
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -34,6 +34,7 @@
   type WatchedSubject,
 } from "./ports.ts";
 import type { RowChanges } from "./row_copy.ts";
+import { packRows, unpackRows } from "./packed_rows.ts";
 import type { HistoryRead } from "./store_history.ts";
 import type { ListenAddress } from "./settings.ts";
 
@@ -51,8 +52,12 @@
   readonly isPatient: boolean;
   /** The requesting VM queries others if the relay has lost the store, so that it must say so at once. */
   readonly mayReplace: boolean;
-  /** Aborts the call. */
+  /** Ends the call, unless its response has begun to arrive. */
   readonly signal?: AbortSignal;
+  /** Sends the request again on a new connection, to be answered at once; see {@link JsonCall.repeatSignal}. */
+  readonly repeatSignal?: AbortSignal;
+  /** Called when the response begins to arrive. */
+  begun?(): void;
   /** Called when a request of the call has ended. */
   ended?(end: ExchangeEnd): void;
 }
@@ -70,6 +75,8 @@
   readonly isSecondHand: boolean;
   /** The responding VM has lost the store. The requesting VM should query others, which may reach it. */
   readonly isLost: boolean;
+  /** A response is arriving at the responding VM, which will have more rows soon. */
+  readonly isReading: boolean;
   /** Which of several numberings within its history the position belongs to; left out by older versions of the program. */
   readonly numbering?: number;
 }
@@ -96,11 +103,11 @@
 
 /** The only method. */
 const METHOD = "changes";
-/** Largest body of a request: its four fields take about 150 bytes. */
+/** Largest body of a request: its fields take about 200 bytes. */
 const MAX_REQUEST_BYTES = 4_096;
 /** How long an idle connection is kept: longer than a VM uses another relay in between. */
 const KEEP_ALIVE_MS = 60_000;
-/** Added to the requested wait for the timeout of a call: covers round trips in the region and a busy VM. */
+/** Added to the requested wait for the response to begin: covers round trips in the region and a busy VM. */
 const RESPONSE_MARGIN_MS = 300;
 /**
  * Timeout of the repeated call, which does not wait for changes. Until it is over, a
@@ -118,6 +125,8 @@
   isPatient: z.boolean(),
   /** Left out by older versions of the program. */
   mayReplace: z.boolean().default(false),
+  /** Whether large rows may be sent packed. Left out by older versions of the program. */
+  readsPacked: z.boolean().default(false),
 });
 
 /** The times that they stand for only rise, so that one in the future would hold back all later ones. */
@@ -127,6 +136,8 @@
   /** Left out by older versions of the program. */
   era: z.number().default(0),
   isWhole: z.boolean(),
+  /** Rows that were packed and encoded in base64; none are in `rows` then. */
+  packed: z.string().optional(),
   rows: z.array(z.object({
     key: z.string(),
     /** Base64. */
@@ -141,6 +152,8 @@
   isSecondHand: z.boolean(),
   /** Left out by older versions of the program. */
   isLost: z.boolean().default(false),
+  /** Left out by older versions of the program. */
+  isReading: z.boolean().default(false),
   numbering: z.number().optional(),
 });
 
@@ -154,12 +167,12 @@
     super("relay");
     this.#listen = options.listen;
     this.#rpc.addMethod(METHOD, async (params) => {
-      const { subject, ...request } = paramsSchema.parse(params);
+      const { subject, readsPacked, ...request } = paramsSchema.parse(params);
       const response = await options.handler(subject, request);
       if (response === undefined) {
         throw new Error("nothing read yet");
       }
-      return encodeResponse(response);
+      return encodeResponse(response, readsPacked);
     });
   }
 
@@ -212,11 +225,10 @@
     subject: WatchedSubject,
     request: RelayRequest,
   ): Promise<RelayResponse> {
-    const { signal, ended, ...params } = request;
+    const { signal, repeatSignal, begun, ended, ...fields } = request;
+    const params = { subject, readsPacked: true, ...fields };
     const encode = (waitMs: number) =>
-      JSON.stringify(
-        createJSONRPCRequest(1, METHOD, { subject, ...params, waitMs }),
-      );
+      JSON.stringify(createJSONRPCRequest(1, METHOD, { ...params, waitMs }));
     const { body } = await this.#clientOf(relay).call({
       method: "POST",
       path: "/",
@@ -228,6 +240,8 @@
         timeoutMs: REPEAT_TIMEOUT_MS,
       },
       ...(signal === undefined ? {} : { signal }),
+      ...(repeatSignal === undefined ? {} : { repeatSignal }),
+      ...(begun === undefined ? {} : { begun }),
       ...(ended === undefined ? {} : { ended }),
     });
     if (!isJSONRPCResponse(body)) {
@@ -277,15 +291,39 @@
 
 function encodeResponse(
   response: RelayResponse,
+  isPacked: boolean,
 ): z.input<typeof responseSchema> {
-  const { regainedMs, ...rest } = response;
+  const { regainedMs, rows, ...rest } = response;
+  const packed = isPacked ? packedOf(rows) : undefined;
   return {
     ...rest,
     ...(regainedMs === undefined ? {} : { regainedMs }),
-    rows: encodeRows(response.rows),
+    ...(packed === undefined
+      ? { rows: encodeRows(rows) }
+      : { rows: [], packed }),
   };
 }
 
+/** Rows whose values have fewer bytes are sent as they are. */
+const MIN_PACKED_BYTES = 4_096;
+
+/** Packed rows in base64, undefined if they are small: dozens of VMs get the same ones. */
+const PACKED_ROWS = new WeakMap<readonly StoredRow[], string | undefined>();
+
+function packedOf(rows: readonly StoredRow[]): string | undefined {
+  if (!PACKED_ROWS.has(rows)) {
+    const bytes = rows.reduce(
+      (sum, { value }) => sum + (value?.length ?? 0),
+      0,
+    );
+    const packed = bytes < MIN_PACKED_BYTES
+      ? undefined
+      : packRows(rows).toString("base64");
+    PACKED_ROWS.set(rows, packed);
+  }
+  return PACKED_ROWS.get(rows);
+}
+
 type EncodedRows = z.input<typeof responseSchema>["rows"];
 
 /** Encoded rows: dozens of VMs get the same ones. */
@@ -309,14 +347,16 @@
   if (!parsed.success) {
     throw new JsonCallError(messageOf(parsed.error));
   }
-  const { rows, regainedMs, ...rest } = parsed.data;
+  const { rows, packed, regainedMs, ...rest } = parsed.data;
   return {
     ...rest,
     regainedMs,
-    rows: rows.map(({ key, value, version }) => ({
-      key,
-      version,
-      value: value === undefined ? undefined : Buffer.from(value, "base64"),
-    })),
+    rows: packed === undefined
+      ? rows.map(({ key, value, version }) => ({
+        key,
+        version,
+        value: value === undefined ? undefined : Buffer.from(value, "base64"),
+      }))
+      : unpackRows(Buffer.from(packed, "base64")),
   };
 }
--- a/packages/daemon/src/gateway/relay_test.ts
+++ b/packages/daemon/src/gateway/relay_test.ts
@@ -36,6 +36,7 @@
   heldMs: 40,
   isSecondHand: false,
   isLost: false,
+  isReading: false,
   regainedMs: undefined,
 };
 
@@ -77,6 +78,7 @@
     heldMs: 40,
     isSecondHand: false,
     isLost: true,
+    isReading: false,
     regainedMs: undefined,
   };
   expect(await client.requestChanges(RELAY, "targets", REQUEST)).toEqual(
@@ -84,6 +86,31 @@
   );
 });
 
+test("large rows are packed for a VM that reads them, and sent plainly to one of an older version", async () => {
+  const value = Buffer.alloc(200_000, "a route ");
+  response = { ...RESPONSE, rows: [{ key: "a", value, version: 4 }] };
+  const { rows } = await client.requestChanges(RELAY, "operator", REQUEST);
+  expect(rows).toEqual(response.rows);
+  const received = await Promise.all(
+    [{ readsPacked: true }, {}].map((fields) => rawResponse(fields)),
+  );
+  expect(received[0]!.length).toBeLessThan(value.length / 20);
+  expect(JSON.parse(received[1]!).result.rows).toEqual([
+    { key: "a", version: 4, value: value.toString("base64") },
+  ]);
+});
+
+/** The relay's response to a request with additional fields. */
+async function rawResponse(fields: object): Promise<string> {
+  const params = { subject: "operator", ...REQUEST, ...fields };
+  const body = { jsonrpc: "2.0", id: 1, method: "changes", params };
+  const res = await fetch(`http://${HOST}:${PORT}/`, {
+    method: "POST",
+    body: JSON.stringify(body),
+  });
+  return await res.text();
+}
+
 test("the numbering of versions arrives, also if it is left out", async () => {
   const received: RelayRequest[] = [];
   handled = (request) => received.push(request);
@@ -142,6 +169,7 @@
     heldMs: 40,
     isSecondHand: false,
     isLost: true,
+    isReading: false,
     regainedMs: 5,
   };
   expect(await client.requestChanges(RELAY, "members", REQUEST)).toEqual(
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -46,9 +46,11 @@
 };
 /** Rows are stale when their last confirmation is older than a call's wait plus this: twice the slowest response of a slow store. */
 const STALE_MARGIN_MS = 500;
+/** The same while a response is arriving: a relay on a narrow link needs some time for a large change, and its VMs together would need more. */
+const READING_MARGIN_MS = 1_500;
 /** How long the first call waits after failed ones or after stale rows of a relay: short, to learn soon that the store responds. */
 const RECONNECT_WAIT_MS = 20;
-/** A call that still waits this long after a peer has reported a newer version is aborted: many times the store's usual response time of 4 ms. */
+/** A call that still waits this long after a peer has reported a newer version is doubted: many times the store's usual response time of 4 ms. */
 const MISSED_CHANGE_TIMEOUT_MS = 300;
 /** Rows that were missing for longer are reported: changes must be in force within 2.5 s and more. */
 const LATE_MS = 1_000;
@@ -181,7 +183,11 @@
   /** Wakes requests of peers that wait for changes. */
   readonly #waiters = new Set<() => void>();
   #callAbort = new AbortController();
+  /** Asks the relay again that has not responded. */
+  #askAgain = new AbortController();
   readonly #lag = new Lag();
+  /** Whether a response is arriving. */
+  #isArriving = false;
   /** The VM that a request is pending at. */
   #queriedRelay: Member | undefined;
   readonly #suspension = new SuspensionWatch();
@@ -238,6 +244,8 @@
   async run(): Promise<void> {
     while (!this.#closed.signal.aborted) {
       this.#callAbort = new AbortController();
+      this.#askAgain = new AbortController();
+      this.#isArriving = false;
       try {
         await this.#fetch();
       } catch (err) {
@@ -259,7 +267,7 @@
     this.#missedChangeTimer = setTimeout(() => {
       this.#missedChangeTimer = undefined;
       if (this.#isBehind(seen)) {
-        this.#callAbort.abort(new JsonCallError("peers know a newer version"));
+        this.#catchUp();
       } else if (this.#history.isReadDue) {
         this.#readNow();
       }
@@ -275,6 +283,25 @@
     }
   }
 
+  /** Doubts the pending call, which has not brought what peers know. */
+  #catchUp(): void {
+    const step = this.#lag.nextStep({
+      now: performance.now(),
+      isArriving: this.#isArriving,
+      relay: this.#queriedRelay?.vm,
+    });
+    switch (step) {
+      case "wait":
+        return;
+      case "ask-again":
+        this.#askAgain.abort(new JsonCallError("peers know a newer version"));
+        return;
+      case "start-over":
+        this.#callAbort.abort(new JsonCallError("peers know a newer version"));
+        return;
+    }
+  }
+
   /** Whether the copy lacks a row of its history. */
   #isBehind(seen: StoreVersion): boolean {
     const { newest, position = 0 } = this.#copy;
@@ -319,7 +346,7 @@
         continue;
       }
       const isSecondHand = this.#sources.isRelayed(now);
-      const staleAt = request.isPatient
+      const staleAt = request.isPatient || this.#isArriving
         ? Infinity
         : this.#staleResponseAt(receivedAt, now);
       const isDue = changes.isWhole || changes.rows.length > 0 ||
@@ -340,6 +367,7 @@
             : undefined,
           isSecondHand,
           isLost: this.#isLost,
+          isReading: this.#isArriving,
           numbering: this.#history.numbering,
         };
       }
@@ -381,6 +409,10 @@
       : Math.max(this.#staleAt, receivedAt + PENDING_READ_WAIT_MS);
   }
 
+  readonly #begun = (): void => {
+    this.#isArriving = true;
+  };
+
   readonly #storeCallEnded = (end: ExchangeEnd): void =>
     this.#options.listener.callEnded(end, undefined);
 
@@ -435,9 +467,14 @@
       isPatient: this.#isLost,
       mayReplace,
       signal: this.#callAbort.signal,
+      repeatSignal: this.#askAgain.signal,
+      begun: this.#begun,
       ended: (end) => this.#options.listener.callEnded(end, relay),
     });
     this.#queriedRelay = undefined;
+    if (response.isReading) {
+      this.#lag.progressed(performance.now());
+    }
     const respondedAt = this.#steadyNow;
     const { isWhole, rows } = response;
     const read = relayedRead(response, { requestedAt, respondedAt });
@@ -469,7 +506,9 @@
       this.#sources.replaceLost(relay, now + LOST_RELAY_MS);
       this.#options.listener.relaySkipped(relay, "it has lost the store");
     } else if (!isFresh) {
-      this.#backOff(relay, STALE_BACK_OFF_MS, "its rows are stale");
+      if (!this.#isReadInTime(response)) {
+        this.#backOff(relay, STALE_BACK_OFF_MS, "its rows are stale");
+      }
     } else if (!isConfirmation) {
       this.#backOff(
         relay,
@@ -484,6 +523,12 @@
     }
   }
 
+  /** Whether a relay is reading what its rows lack, and has not taken too long. */
+  #isReadInTime({ isReading, ageMs }: RelayResponse): boolean {
+    return isReading &&
+      ageMs < CHANGE_WAIT_MS[this.#subject] + READING_MARGIN_MS;
+  }
+
   /**
    * A relay that had lost the store passes on removals of entries that merely expired
    * during the outage. The receiver must know that they came right after an outage, or
@@ -515,6 +560,7 @@
         ? RECONNECT_WAIT_MS
         : this.#waitBeforeStale(),
       signal: this.#callAbort.signal,
+      begun: this.#begun,
       ended: this.#storeCallEnded,
     });
     if (page.era !== this.#copy.era) {
--- a/packages/daemon/src/json_client.ts
+++ b/packages/daemon/src/json_client.ts
@@ -21,7 +21,7 @@
   }
 }
 
-/** The call was aborted. */
+/** The call was aborted before its response had begun to arrive. */
 class AbortedCallError extends JsonCallError {}
 
 /** A call. Its request may be sent twice. */
@@ -32,7 +32,12 @@
    * server is noticed soon. The same request if left out.
    */
   readonly repeat?: JsonRequest;
+  /** Ends the call, unless its response has begun to arrive. */
   readonly signal?: AbortSignal;
+  /** Sends the request again on a new connection at once, unless its response has begun to arrive. */
+  readonly repeatSignal?: AbortSignal;
+  /** Called when the response begins to arrive. */
+  begun?(): void;
   /** Called when a request of the call has ended. */
   ended?(end: ExchangeEnd): void;
 }
@@ -75,7 +80,13 @@
         throw err;
       }
       this.#closeIdle();
-      if (!this.#isServerUp || call.signal?.aborted) {
+      if (call.signal?.aborted) {
+        throw err;
+      }
+      if (err instanceof AbortedCallError) {
+        return await this.#repeat(call);
+      }
+      if (!this.#isServerUp) {
         throw err;
       }
       return await this.#repeatAfterSilence(call);
@@ -98,7 +109,9 @@
     const response = await this.#repeat(call);
     this.#options.onSilentConnections();
     [...this.#pending]
-      .filter((earlier) => !earlier.isRepeat && earlier.sentAt < sentAt)
+      .filter((earlier) =>
+        !earlier.isRepeat && !earlier.isArriving && earlier.sentAt < sentAt
+      )
       .forEach((earlier) => earlier.giveUp(new DoubtedConnectionError()));
     return response;
   }
@@ -117,7 +130,7 @@
     request: JsonRequest,
     { call, isRepeat }: { readonly call: JsonCall; readonly isRepeat: boolean },
   ): Promise<JsonResponse> {
-    const { method, signal } = call;
+    const { method, signal, repeatSignal } = call;
     const { host, port } = this.#options;
     const exchange = new JsonExchange(request, {
       host,
@@ -125,6 +138,7 @@
       agent: this.#agent,
       method,
       isRepeat,
+      begun: () => call.begun?.(),
       ended: (end) => {
         this.#pending.delete(exchange);
         this.#isServerUp ||= end.kind === "read";
@@ -132,21 +146,27 @@
       },
     });
     this.#pending.add(exchange);
-    const abort = () => exchange.giveUp(new AbortedCallError(reasonOf(signal)));
-    signal?.addEventListener("abort", abort);
+    const signals = [signal, isRepeat ? undefined : repeatSignal]
+      .filter((one) => one !== undefined);
+    const abort = () => {
+      if (!exchange.isArriving) {
+        exchange.giveUp(new AbortedCallError(reasonOf(signals)));
+      }
+    };
+    signals.forEach((one) => one.addEventListener("abort", abort));
     try {
-      if (signal?.aborted) {
+      if (signals.some(({ aborted }) => aborted)) {
         abort();
       }
       return await exchange.response;
     } finally {
-      signal?.removeEventListener("abort", abort);
+      signals.forEach((one) => one.removeEventListener("abort", abort));
     }
   }
 }
 
-/** Why the signal was aborted. */
-function reasonOf(signal: AbortSignal | undefined): string {
-  const reason: unknown = signal?.reason;
+/** Why the first of the signals was aborted. */
+function reasonOf(signals: readonly AbortSignal[]): string {
+  const reason: unknown = signals.find(({ aborted }) => aborted)?.reason;
   return reason instanceof Error ? reason.message : "The call was aborted";
 }
--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -1,6 +1,9 @@
 /**
  * One request of a {@link JsonClient} and its response.
  *
+ * A response that has begun to arrive is given up only if it stops: on a narrow or busy
+ * link a large one takes many times as long as the server, and would begin anew.
+ *
  * @module
  */
 
@@ -18,18 +21,19 @@
 }
 
 /** Nothing arrives: the connection is silent, or the server. */
-export class NoResponseError extends JsonCallError {
-  constructor() {
-    super("Timed out waiting for the JSON response");
-  }
-}
+export class NoResponseError extends JsonCallError {}
+
+/** Longest pause between two parts of a response: a lossy link may have to send a part three times. */
+const STALL_TIMEOUT_MS = 1_000;
+/** Longest time for a response to arrive: enough for a megabyte on a tenth of a link of 10 Mbit/s. */
+const TRANSFER_TIMEOUT_MS = 10_000;
 
-/** What is sent, and how long the response may take. */
+/** What is sent, and how long the response may take to begin. */
 export interface JsonRequest {
   readonly path: string;
   /** The request body, as JSON text; none if left out. */
   readonly body?: string;
-  /** Longest wait for the complete response. */
+  /** Longest wait for the response to begin. */
   readonly timeoutMs: number;
 }
 
@@ -64,6 +68,8 @@
   readonly agent: Agent;
   readonly method: "GET" | "POST";
   readonly isRepeat: boolean;
+  /** The response has begun to arrive. */
+  begun(): void;
   ended(end: ExchangeEnd): void;
 }
 
@@ -73,10 +79,12 @@
   /** Rejects if there is no response, or if a status of 200 comes without JSON. */
   readonly response: Promise<JsonResponse>;
   readonly #options: JsonExchangeOptions;
+  readonly #timeoutMs: number;
   readonly #req: ReturnType<typeof request>;
   readonly #chunks: Buffer[] = [];
   #bytes = 0;
   #begunAt: number | undefined;
+  #latestPartAt = 0;
   #hasEnded = false;
   #timer: NodeJS.Timeout | undefined;
   #resolve!: (response: JsonResponse) => void;
@@ -88,6 +96,7 @@
   ) {
     const { host, port, agent, method } = options;
     this.#options = options;
+    this.#timeoutMs = timeoutMs;
     this.response = new Promise((resolve, reject) => {
       this.#resolve = resolve;
       this.#reject = reject;
@@ -105,11 +114,7 @@
     });
     this.#req.on("error", (err) => this.#fail(err));
     this.#req.on("response", (res) => this.#read(res));
-    // Checked one event-loop tick later: what arrived while this process stood still is read first.
-    this.#timer = setTimeout(
-      () => setImmediate(() => this.#giveUpIfPending()),
-      timeoutMs,
-    );
+    this.#checkAfter(timeoutMs);
     this.#req.end(body);
   }
 
@@ -117,6 +122,11 @@
     return this.#options.isRepeat;
   }
 
+  /** Whether the response has begun to arrive. */
+  get isArriving(): boolean {
+    return this.#begunAt !== undefined;
+  }
+
   /** Gives the request up for a reason that the caller of {@link response} gets. */
   giveUp(err: Error): void {
     this.#fail(err);
@@ -126,14 +136,25 @@
 
   #read(res: IncomingMessage): void {
     res.on("data", (chunk: Buffer) => {
-      this.#begunAt ??= performance.now();
+      this.#latestPartAt = performance.now();
       this.#chunks.push(chunk);
       this.#bytes += chunk.length;
+      if (this.#begunAt === undefined) {
+        this.#begin(this.#latestPartAt);
+      }
     });
     res.on("error", (err) => this.#fail(err));
     res.on("end", () => this.#complete(res));
   }
 
+  /** The header alone may come while the server still waits for changes. */
+  #begin(now: number): void {
+    this.#begunAt = now;
+    clearTimeout(this.#timer);
+    this.#checkAfter(STALL_TIMEOUT_MS);
+    this.#options.begun();
+  }
+
   #complete({ statusCode: status = 0, headers }: IncomingMessage): void {
     const now = performance.now();
     const transferMs = now - (this.#begunAt ?? now);
@@ -161,10 +182,38 @@
     this.#options.ended(end);
   }
 
-  #giveUpIfPending(): void {
-    if (!this.#hasEnded) {
-      this.giveUp(new NoResponseError());
+  /** Checks one event-loop tick after `ms`: what arrived while this process stood still is read first. */
+  #checkAfter(ms: number): void {
+    this.#timer = setTimeout(() => setImmediate(() => this.#check()), ms);
+  }
+
+  #check(): void {
+    if (this.#hasEnded) {
+      return;
     }
+    const leftMs = this.#dueAt - performance.now();
+    if (leftMs > 0) {
+      clearTimeout(this.#timer);
+      this.#checkAfter(leftMs);
+    } else {
+      this.giveUp(
+        new NoResponseError(
+          this.isArriving
+            ? "The JSON response has stopped arriving"
+            : "Timed out waiting for the JSON response",
+        ),
+      );
+    }
+  }
+
+  /** When the request is given up if nothing more arrives. */
+  get #dueAt(): number {
+    return this.#begunAt === undefined
+      ? this.sentAt + this.#timeoutMs
+      : Math.min(
+        this.#latestPartAt + STALL_TIMEOUT_MS,
+        this.#begunAt + TRANSFER_TIMEOUT_MS,
+      );
   }
 }
 
