A health check reads no more of a response than it needs

A target that answers a health check and never ends the body was read for as long as it sent: the check's timeout ended with the header, nobody waits for the rest, and no deadline applies. Each check of such a target added a connection.

The timeout covers the whole response now, and a body of more than 64 kB ends it; the answer, which is in the header, counts all the same.

--- a/packages/daemon/src/gateway/health_prober.ts
+++ b/packages/daemon/src/gateway/health_prober.ts
@@ -9,7 +9,7 @@
  */
 
 import type { Dispatcher } from "undici";
-import { ProbeTimeoutError } from "../errors.ts";
+import { InvalidResponseError, ProbeTimeoutError } from "../errors.ts";
 import type { Connection, ConnectionTarget } from "./connection.ts";
 import type { Connections } from "./connections.ts";
 import type { Dialect, HealthResponse } from "./ports.ts";
@@ -17,6 +17,9 @@
 /** Response timeout of a probe beyond two round trips. A probe waits for a slot of the target like any request. */
 const RESPONSE_TIMEOUT_MS = 900;
 
+/** Longest body of a response: what follows is not read. */
+const MAX_BODY_BYTES = 65_536;
+
 /** Options of the prober. */
 export interface HealthProberOptions {
   readonly connections: Connections;
@@ -50,28 +53,36 @@
   ): Promise<HealthResponse> {
     const { connections, dialect } = this.#options;
     return new Promise<HealthResponse>((resolve, reject) => {
+      let bodyBytes = 0;
+      const fail = (err: Error) => {
+        clearTimeout(timer);
+        connections.drop(connection);
+        reject(err);
+      };
       const timer = setTimeout(
-        () => reject(new ProbeTimeoutError("health probe timed out")),
+        () => fail(new ProbeTimeoutError("health probe timed out")),
         RESPONSE_TIMEOUT_MS + 2 * target.roundTripMs,
       );
       const handler: Dispatcher.DispatchHandler = {
         onConnect: () => undefined,
         onHeaders: (status, raw) => {
-          clearTimeout(timer);
           resolve(dialect.readHealthResponse(status, raw));
           return true;
         },
-        onData: () => true,
-        onComplete: () => connections.release(connection),
-        onError: (err) => {
+        onData: (chunk) => {
+          bodyBytes += chunk.length;
+          if (bodyBytes > MAX_BODY_BYTES) {
+            fail(new InvalidResponseError("the body is too long"));
+          }
+          return true;
+        },
+        onComplete: () => {
           clearTimeout(timer);
-          reject(err);
+          connections.release(connection);
         },
+        onError: fail,
       };
       connection.dispatch({ method: "GET", path }, handler);
-    }).catch((err) => {
-      connections.drop(connection);
-      throw err;
     });
   }
 }
