A response without a length that is reset at once is not taken as complete

What callers saw: a target begins a response that ends with its connection, and crashes or resets it right after a part.

Cause: libuv reports the end of the stream when a poll brings data and a hang-up at once, and never reads the error that waits behind. The gateway looked for the error only.

Change: when the other side has ended, the socket writes no bytes: that fails on a connection that was reset, and sends nothing on one that was closed. Half-open sockets, so that Node leaves the write side open until then; undici closes it.

target_responses_test.ts: 10 of 10 were 200 before, now 502. 502 tests of the gateway and its responses pass.

--- a/packages/daemon/src/gateway/connection.ts
+++ b/packages/daemon/src/gateway/connection.ts
@@ -106,7 +106,10 @@
         ...options,
         onSocket: (socket) => this.#follow(socket),
         onReset: () => this.#wasReset = true,
-        onEnd: () => this.#hasEnded = true,
+        onEnd: (socket) => {
+          this.#hasEnded = true;
+          this.#wasReset ||= socket.checkReset();
+        },
       }),
     });
     this.#client.on("disconnect", () => {
@@ -185,7 +188,7 @@
     /** Called when connecting starts. */
     onSocket: (socket: ResettableSocket) => void;
     onReset: () => void;
-    onEnd: () => void;
+    onEnd: (socket: ResettableSocket) => void;
   },
 ): NonNullable<ConstructorParameters<typeof Client>[1]>["connect"] {
   const limitMs = CONNECT_TIMEOUT_MS + 2 * target.roundTripMs;
@@ -216,7 +219,7 @@
       socket.off("error", onError);
       // Added before the callback adds undici's listeners, so that these run first.
       socket.on("error", options.onReset);
-      socket.on("end", options.onEnd);
+      socket.on("end", () => options.onEnd(socket));
       options.listener.connected(target.id, performance.now() - startedAt);
       callback(null, socket);
     });
--- a/packages/daemon/src/gateway/resettable_socket.ts
+++ b/packages/daemon/src/gateway/resettable_socket.ts
@@ -1,19 +1,36 @@
 /**
- * A TCP socket that can be reset with an error.
+ * A TCP socket that tells a reset connection from one that has ended, in both directions.
  *
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import { Socket } from "node:net";
 
-/**
- * See the module comment. Node's `resetAndDestroy` closes a socket without an error,
- * which its users take for the end of what the other side sent.
- */
+const NO_BYTES = Buffer.alloc(0);
+
+/** See the module comment. */
 export class ResettableSocket extends Socket {
   #resetError: Error | null = null;
 
-  /** Resets the connection; the socket's users get `err`. */
+  constructor() {
+    // Else Node replaces `write` before the listeners of `end` are called.
+    super({ allowHalfOpen: true });
+  }
+
+  /**
+   * Whether the other side has reset the connection; called in a listener of `end`. A
+   * reset that arrives together with data is reported as an end, but fails any write.
+   */
+  checkReset(): boolean {
+    this.write(NO_BYTES);
+    return this.errored !== null;
+  }
+
+  /**
+   * Resets the connection; the socket's users get `err`. Node's `resetAndDestroy` gives
+   * them none, which they take for the end of what the other side sent.
+   */
   reset(err: Error): void {
     this.#resetError = err;
     this.resetAndDestroy();
