A relay that reads all rows says so, and its VMs wait for them

Cause: after a history is gone (410), a relay reads all rows anew.

A relay at which nothing arrives is left as before.

--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -139,7 +139,7 @@
   list(
     subject: WatchedSubject,
     from: string | undefined,
-    options?: Pick<ChangesRequest, "ended">,
+    options?: Pick<ChangesRequest, "begun" | "ended">,
   ): Promise<RowsPage>;
   /** Waits for changes of a subject; rejects with {@link HistoryGoneError} if the history no longer holds them. */
   changes(
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -14,6 +14,7 @@
 import {
   createJSONRPCRequest,
   isJSONRPCResponse,
+  JSONRPCErrorException,
   JSONRPCServer,
 } from "json-rpc-2.0";
 import * as z from "zod";
@@ -81,6 +82,13 @@
   readonly numbering?: number;
 }
 
+/** The responding VM is reading all rows, which are arriving. */
+export class StillReadingError extends JsonCallError {
+  constructor() {
+    super("the relay is still reading the rows");
+  }
+}
+
 /** Ages are reported in whole milliseconds. */
 const AGE_ROUNDING_MS = 1;
 
@@ -95,7 +103,7 @@
   return { era, version, numbering, startedAt, endedAt };
 }
 
-/** Handles a peer's request; undefined if this VM has not read the subject yet. */
+/** Handles a peer's request; undefined if this VM has not read the subject yet. Rejects with {@link StillReadingError}. */
 export type RelayHandler = (
   subject: WatchedSubject,
   request: RelayRequest,
@@ -103,6 +111,8 @@
 
 /** The only method. */
 const METHOD = "changes";
+/** Code of the error that tells of a {@link StillReadingError}. */
+const STILL_READING = 1;
 /** Largest body of a request: its fields take about 200 bytes. */
 const MAX_REQUEST_BYTES = 4_096;
 /** How long an idle connection is kept: longer than a VM uses another relay in between. */
@@ -168,7 +178,8 @@
     this.#listen = options.listen;
     this.#rpc.addMethod(METHOD, async (params) => {
       const { subject, readsPacked, ...request } = paramsSchema.parse(params);
-      const response = await options.handler(subject, request);
+      const response = await options.handler(subject, request)
+        .catch(encodeError);
       if (response === undefined) {
         throw new Error("nothing read yet");
       }
@@ -250,7 +261,9 @@
       );
     }
     if (body.error !== undefined) {
-      throw new JsonCallError(body.error.message);
+      throw body.error.code === STILL_READING
+        ? new StillReadingError()
+        : new JsonCallError(body.error.message);
     }
     return decodeResponse(body.result);
   }
@@ -289,6 +302,12 @@
   return Buffer.concat(chunks).toString("utf8");
 }
 
+function encodeError(err: unknown): never {
+  throw err instanceof StillReadingError
+    ? new JSONRPCErrorException(err.message, STILL_READING)
+    : err;
+}
+
 function encodeResponse(
   response: RelayResponse,
   isPacked: boolean,
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -23,7 +23,12 @@
   type StoredRow,
   type WatchedSubject,
 } from "./ports.ts";
-import { relayedRead, type RelayRequest, type RelayResponse } from "./relay.ts";
+import {
+  relayedRead,
+  type RelayRequest,
+  type RelayResponse,
+  StillReadingError,
+} from "./relay.ts";
 import { RestoredRows } from "./restored_rows.ts";
 import { type RowChanges, RowCopy, type StoreVersion } from "./row_copy.ts";
 import {
@@ -188,6 +193,8 @@
   readonly #lag = new Lag();
   /** Whether a response is arriving. */
   #isArriving = false;
+  /** Since when the relay has been reading all rows; undefined if it has responded since. */
+  #stillReadingSince: number | undefined;
   /** The VM that a request is pending at. */
   #queriedRelay: Member | undefined;
   readonly #suspension = new SuspensionWatch();
@@ -245,7 +252,6 @@
     while (!this.#closed.signal.aborted) {
       this.#callAbort = new AbortController();
       this.#askAgain = new AbortController();
-      this.#isArriving = false;
       try {
         await this.#fetch();
       } catch (err) {
@@ -319,7 +325,8 @@
 
   /**
    * Response to a peer's request, as soon as there are changes or a confirmation, or the
-   * wait is over; undefined if the rows have not been read.
+   * wait is over; undefined if the rows have not been read. Rejects with a
+   * {@link StillReadingError} if they are arriving.
    */
   async changesAfter(
     request: RelayRequest,
@@ -336,13 +343,16 @@
       const changes = isOutdated ? undefined : this.#changesFor(request);
       const now = performance.now();
       if (changes === undefined) {
-        if (
-          now >= receivedAt + PENDING_READ_WAIT_MS ||
-          this.#closed.signal.aborted
-        ) {
+        if (this.#isArriving && now >= waitUntil) {
+          throw new StillReadingError();
+        }
+        const dueAt = this.#isArriving
+          ? waitUntil
+          : receivedAt + PENDING_READ_WAIT_MS;
+        if (now >= dueAt || this.#closed.signal.aborted) {
           return undefined;
         }
-        await this.#waitForWake(receivedAt + PENDING_READ_WAIT_MS - now);
+        await this.#waitForWake(dueAt - now);
         continue;
       }
       const isSecondHand = this.#sources.isRelayed(now);
@@ -414,7 +424,12 @@
   };
 
   readonly #storeCallEnded = (end: ExchangeEnd): void =>
-    this.#options.listener.callEnded(end, undefined);
+    this.#callEnded(end, undefined);
+
+  #callEnded(end: ExchangeEnd, relay: Member | undefined): void {
+    this.#isArriving = false;
+    this.#options.listener.callEnded(end, relay);
+  }
 
   async #fetch(): Promise<void> {
     const now = performance.now();
@@ -469,9 +484,10 @@
       signal: this.#callAbort.signal,
       repeatSignal: this.#askAgain.signal,
       begun: this.#begun,
-      ended: (end) => this.#options.listener.callEnded(end, relay),
+      ended: (end) => this.#callEnded(end, relay),
     });
     this.#queriedRelay = undefined;
+    this.#stillReadingSince = undefined;
     if (response.isReading) {
       this.#lag.progressed(performance.now());
     }
@@ -593,6 +609,7 @@
     let from: string | undefined;
     for (;;) {
       const page = await this.#options.store.list(this.#subject, from, {
+        begun: this.#begun,
         ended: this.#storeCallEnded,
       });
       // With the version of the first page, changes between pages are read again
@@ -764,6 +781,10 @@
       return;
     }
     if (relay !== undefined) {
+      if (err instanceof StillReadingError && this.#mayReadOn()) {
+        return;
+      }
+      this.#stillReadingSince = undefined;
       this.#backOff(relay, UNRESPONSIVE_BACK_OFF_MS, messageOf(err));
       if (!this.#callAbort.signal.aborted) {
         this.#options.listener.relayUnresponsive(relay);
@@ -793,6 +814,14 @@
     await pause(this.#capBeforeStale(jittered), this.#closed.signal);
   }
 
+  /** Whether the relay, which is reading all rows, may take longer. */
+  #mayReadOn(): boolean {
+    const now = performance.now();
+    this.#stillReadingSince ??= now;
+    this.#lag.progressed(now);
+    return now < this.#stillReadingSince + READING_MARGIN_MS;
+  }
+
   /** The pause, shortened if needed so that it ends before this VM's rows become stale. */
   #capBeforeStale(ms: number): number {
     const leftMs = this.#staleAt - RETRY_BEFORE_STALE_MS - performance.now();
