A relay that gets its rows from other VMs isn't asked again and again while it reads

It responds at once, since its VMs should query others; while rows were arriving there, these would have asked it again without a pause.

--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -51,7 +51,7 @@
 };
 /** Rows are stale when their last confirmation is older than a call's wait plus this: twice the slowest response of a slow store. */
 const STALE_MARGIN_MS = 500;
-/** The same while a response is arriving: a relay on a narrow link needs some time for a large change, and its VMs together would need more. */
+/** How much older rows may be while a relay reads newer ones, and how long it may read all: on a narrow link, its VMs would need longer together. */
 const READING_MARGIN_MS = 1_500;
 /** How long the first call waits after failed ones or after stale rows of a relay: short, to learn soon that the store responds. */
 const RECONNECT_WAIT_MS = 20;
@@ -540,8 +540,9 @@
   }
 
   /** Whether a relay is reading what its rows lack, and has not taken too long. */
-  #isReadInTime({ isReading, ageMs }: RelayResponse): boolean {
-    return isReading &&
+  #isReadInTime({ isReading, isSecondHand, ageMs }: RelayResponse): boolean {
+    // One that gets its rows from other VMs responds at once each time.
+    return isReading && !isSecondHand &&
       ageMs < CHANGE_WAIT_MS[this.#subject] + READING_MARGIN_MS;
   }
 
