--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -23,19 +23,13 @@
   knownSinceReport,
   type RequestTimes,
 } from "@poplarthread/coordination/freshness";
-import { messageOf } from "../errors.ts";
 import { JsonClient } from "../json_client.ts";
 import { type ExchangeEnd, JsonCallError } from "../json_exchange.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
-import {
-  type Member,
-  type StoredRow,
-  WATCHED_SUBJECTS,
-  type WatchedSubject,
-} from "./ports.ts";
+import { type Member, WATCHED_SUBJECTS, type WatchedSubject } from "./ports.ts";
 import type { RowChanges } from "./row_copy.ts";
-import { packRows, unpackRows } from "./packed_rows.ts";
+import { decodeResponse, encodeResponse } from "./relay_codec.ts";
 import type { HistoryRead } from "./store_history.ts";
 import type { ListenAddress } from "./settings.ts";
 
@@ -139,34 +133,6 @@
   readsPacked: z.boolean().default(false),
 });
 
-/** The times that they stand for only rise, so that one in the future would hold back all later ones. */
-const age = z.number().min(0);
-
-const responseSchema = z.object({
-  /** Left out by older versions of the program. */
-  era: z.number().default(0),
-  isWhole: z.boolean(),
-  /** Rows that were packed and encoded in base64; none are in `rows` then. */
-  packed: z.string().optional(),
-  rows: z.array(z.object({
-    key: z.string(),
-    /** Base64. */
-    value: z.string().optional(),
-    version: z.number(),
-  })),
-  position: z.number(),
-  ageMs: age,
-  readAgeMs: age,
-  heldMs: age,
-  regainedMs: age.optional(),
-  isSecondHand: z.boolean(),
-  /** Left out by older versions of the program. */
-  isLost: z.boolean().default(false),
-  /** Left out by older versions of the program. */
-  isReading: z.boolean().default(false),
-  numbering: z.number().optional(),
-});
-
 /** Serves peers' requests for changes. */
 export class RelayListener extends Task<never> {
   readonly #listen: ListenAddress;
@@ -307,75 +273,3 @@
     ? new JSONRPCErrorException(err.message, STILL_READING)
     : err;
 }
-
-function encodeResponse(
-  response: RelayResponse,
-  isPacked: boolean,
-): z.input<typeof responseSchema> {
-  const { regainedMs, rows, ...rest } = response;
-  const packed = isPacked ? packedOf(rows) : undefined;
-  return {
-    ...rest,
-    ...(regainedMs === undefined ? {} : { regainedMs }),
-    ...(packed === undefined
-      ? { rows: encodeRows(rows) }
-      : { rows: [], packed }),
-  };
-}
-
-/** Rows whose values have fewer bytes are sent as they are. */
-const MIN_PACKED_BYTES = 4_096;
-
-/** Packed rows in base64, undefined if they are small: dozens of VMs get the same ones. */
-const PACKED_ROWS = new WeakMap<readonly StoredRow[], string | undefined>();
-
-function packedOf(rows: readonly StoredRow[]): string | undefined {
-  if (!PACKED_ROWS.has(rows)) {
-    const bytes = rows.reduce(
-      (sum, { value }) => sum + (value?.length ?? 0),
-      0,
-    );
-    const packed = bytes < MIN_PACKED_BYTES
-      ? undefined
-      : packRows(rows).toString("base64");
-    PACKED_ROWS.set(rows, packed);
-  }
-  return PACKED_ROWS.get(rows);
-}
-
-type EncodedRows = z.input<typeof responseSchema>["rows"];
-
-/** Encoded rows: dozens of VMs get the same ones. */
-const ENCODED_ROWS = new WeakMap<readonly StoredRow[], EncodedRows>();
-
-function encodeRows(rows: readonly StoredRow[]): EncodedRows {
-  let encoded = ENCODED_ROWS.get(rows);
-  if (encoded === undefined) {
-    encoded = rows.map(({ key, value, version }) => ({
-      key,
-      version,
-      ...(value === undefined ? {} : { value: value.toString("base64") }),
-    }));
-    ENCODED_ROWS.set(rows, encoded);
-  }
-  return encoded;
-}
-
-function decodeResponse(result: unknown): RelayResponse {
-  const parsed = responseSchema.safeParse(result);
-  if (!parsed.success) {
-    throw new JsonCallError(messageOf(parsed.error));
-  }
-  const { rows, packed, regainedMs, ...rest } = parsed.data;
-  return {
-    ...rest,
-    regainedMs,
-    rows: packed === undefined
-      ? rows.map(({ key, value, version }) => ({
-        key,
-        version,
-        value: value === undefined ? undefined : Buffer.from(value, "base64"),
-      }))
-      : unpackRows(Buffer.from(packed, "base64")),
-  };
-}
