--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -47,12 +47,7 @@
 
 /** What became of a request, with the bytes of the response's body that have arrived. */
 export type ExchangeEnd =
-  /** `transferMs` is the time from the first part of the response to the last one. */
-  | {
-    readonly kind: "read";
-    readonly bytes: number;
-    readonly transferMs: number;
-  }
+  | { readonly kind: "read"; readonly bytes: number }
   | {
     readonly kind: "given-up";
     readonly bytes: number;
@@ -156,9 +151,7 @@
   }
 
   #complete({ statusCode: status = 0, headers }: IncomingMessage): void {
-    const now = performance.now();
-    const transferMs = now - (this.#begunAt ?? now);
-    this.#end({ kind: "read", bytes: this.#bytes, transferMs });
+    this.#end({ kind: "read", bytes: this.#bytes });
     try {
       const body = readBody(status, this.#chunks);
       this.#resolve({ status, headers, body });
