Log tells where a change that came late was waited for

So a relay whose link is busy (arrivingMs near callMs, many VMs, one peer) is told apart from a relay that reads late (short arrivingMs, the line at the relay).

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -48,6 +48,19 @@
     meaning: "what repeats of a request have in common, as a hash",
   },
   forMs: { type: "number", meaning: "how long, in milliseconds" },
+  unconfirmedMs: {
+    type: "number",
+    meaning:
+      "time for which the store had not confirmed that no change was missing, in milliseconds",
+  },
+  callMs: {
+    type: "number",
+    meaning: "time from a call to its end, in milliseconds",
+  },
+  arrivingMs: {
+    type: "number",
+    meaning: "the part of a call during which its response arrived",
+  },
   crashes: {
     type: "number",
     meaning: "crashes of targets under the request that this VM knows of",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -155,14 +155,15 @@
     level: "info",
     meaning:
       "A call to the platform's store, or to a relay, is given up before its response is complete; what had arrived of it is lost. Calls that ask for changes are made again.",
-    fields: ["subject", "forMs", "bytes", "reason"],
+    fields: ["subject", "forMs", "bytes", "arrivingMs", "reason"],
     optional: ["peer"],
   },
   "change read late": {
     level: "warn",
     meaning:
-      "Other VMs knew of a change for a second or more before this one had read it.",
-    fields: ["subject", "storeVersion", "forMs"],
+      "A change came late: other VMs knew of it for a second or more, which `forMs` tells, or the store had not confirmed this VM's rows for long. The other fields tell of the call that brought it, from the VM that `peer` names or from the store.",
+    fields: ["subject", "storeVersion", "forMs", "unconfirmedMs"],
+    optional: ["peer", "bytes", "callMs", "arrivingMs"],
   },
   "own row not written": {
     level: "warn",
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -181,11 +181,14 @@
         relayUnresponsive: (relay) =>
           this.#watches.forEach((watch) => watch.leaveRelay(relay)),
         callEnded: (end, relay) => this.#onCallEnded(subject, end, relay),
-        readLate: (behindMs) =>
+        readLate: ({ behindMs, unconfirmedMs, end, relay }) =>
           log.write("change read late", {
             subject,
             storeVersion: this.seenOf(subject).version,
-            forMs: behindMs,
+            forMs: Math.round(behindMs),
+            unconfirmedMs: Math.round(unconfirmedMs),
+            ...(relay === undefined ? {} : { peer: relay.vm }),
+            ...(end === undefined ? {} : progressFields(end)),
           }),
         relaySkipped: (relay, reason) =>
           log.write("relay left alone", { subject, peer: relay.vm, reason }),
@@ -208,6 +211,7 @@
         subject,
         forMs: Math.round(end.waitedMs),
         bytes: end.bytes,
+        arrivingMs: Math.round(end.arrivingMs),
         reason: end.reason,
         ...(relay === undefined ? {} : { peer: relay.vm }),
       });
@@ -280,3 +284,11 @@
     }
   }
 }
+
+function progressFields({ bytes, waitedMs, arrivingMs }: ExchangeEnd) {
+  return {
+    bytes,
+    callMs: Math.round(waitedMs),
+    arrivingMs: Math.round(arrivingMs),
+  };
+}
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -157,12 +157,24 @@
   relayUnresponsive(relay: Member): void;
   /** A call of the store, or of a relay, has ended. */
   callEnded(end: ExchangeEnd, relay: Member | undefined): void;
-  /** Rows have arrived of which peers knew for `behindMs`. */
-  readLate(behindMs: number): void;
+  /** Rows have arrived late. */
+  readLate(read: LateRead): void;
   /** A relay is not used for a while. */
   relaySkipped(relay: Member, reason: string): void;
 }
 
+/** Rows that have arrived late. */
+export interface LateRead {
+  /** For how long peers knew of them; 0 if they named none. */
+  readonly behindMs: number;
+  /** Time since the store had last confirmed that none were missing. */
+  readonly unconfirmedMs: number;
+  /** The call that brought them; undefined if it is not known. */
+  readonly end: ExchangeEnd | undefined;
+  /** The VM that was called; undefined for the store. */
+  readonly relay: Member | undefined;
+}
+
 /** Options of a {@link SubjectWatch}. */
 export interface SubjectWatchOptions extends ChangeSourcesOptions {
   readonly store: Pick<PlatformPort, "list" | "changes" | "isOlder">;
@@ -193,6 +205,11 @@
   readonly #lag = new Lag();
   /** Whether a response is arriving. */
   #isArriving = false;
+  /** The call that ended last. */
+  #lastCall: Pick<LateRead, "end" | "relay"> = {
+    end: undefined,
+    relay: undefined,
+  };
   /** Since when the relay has been reading all rows; undefined if it has responded since. */
   #stillReadingSince: number | undefined;
   /** The VM that a request is pending at. */
@@ -202,6 +219,8 @@
   #knownSince = performance.now() - NEVER_CONFIRMED_AGE_MS;
   /** When the store last confirmed that the copy is complete. */
   #confirmedAt = performance.now() - NEVER_CONFIRMED_AGE_MS;
+  /** How old the rows were when the store last confirmed them; 0 after it was lost. */
+  #unconfirmedMs = 0;
   /** When the store was last restored, for this VM or its relay. */
   #restoredAt = -Infinity;
   #isLost = false;
@@ -428,6 +447,7 @@
 
   #callEnded(end: ExchangeEnd, relay: Member | undefined): void {
     this.#isArriving = false;
+    this.#lastCall = { end, relay };
     this.#options.listener.callEnded(end, relay);
   }
 
@@ -682,19 +702,25 @@
     this.#restoredRows.rowsRead(read.rows, read.version);
     this.#wakeWaiters();
     if (isWhole || read.rows.length > 0) {
-      this.#reportLag();
+      this.#reportLag(this.#unconfirmedMs);
       this.#publishRows();
     }
   }
 
-  #reportLag(): void {
+  #reportLag(unconfirmedMs: number): void {
     const { newest, position = 0 } = this.#copy;
     const behindMs = this.#lag.arrived(
       Math.max(newest, position),
       performance.now(),
     );
-    if (behindMs > LATE_MS) {
-      this.#options.listener.readLate(Math.round(behindMs));
+    const isOverdue = unconfirmedMs < NEVER_CONFIRMED_AGE_MS &&
+      unconfirmedMs > CHANGE_WAIT_MS[this.#subject] + LATE_MS;
+    if (behindMs > LATE_MS || isOverdue) {
+      this.#options.listener.readLate({
+        behindMs,
+        unconfirmedMs,
+        ...this.#lastCall,
+      });
     }
   }
 
@@ -756,6 +782,7 @@
    * return first, because rows that are missing right after it may have merely expired.
    */
   #succeeded(confirmedAt: number): void {
+    this.#unconfirmedMs = this.#isLost ? 0 : this.ageMs;
     this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
     this.#regained();
   }
--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -45,16 +45,23 @@
   readonly body: unknown;
 }
 
-/** What became of a request, with the bytes of the response's body that have arrived. */
+/** What became of a request. */
 export type ExchangeEnd =
-  | { readonly kind: "read"; readonly bytes: number }
-  | {
-    readonly kind: "given-up";
-    readonly bytes: number;
-    /** Time since the request was sent. */
-    readonly waitedMs: number;
-    readonly reason: string;
-  };
+  & ExchangeProgress
+  & (
+    | { readonly kind: "read" }
+    | { readonly kind: "given-up"; readonly reason: string }
+  );
+
+/** How far a request came. */
+export interface ExchangeProgress {
+  /** Bytes of the response's body that have arrived. */
+  readonly bytes: number;
+  /** Time since the request was sent, in milliseconds. */
+  readonly waitedMs: number;
+  /** The part of it since the response began to arrive. */
+  readonly arrivingMs: number;
+}
 
 /** Options of a {@link JsonExchange}. */
 export interface JsonExchangeOptions {
@@ -151,7 +158,7 @@
   }
 
   #complete({ statusCode: status = 0, headers }: IncomingMessage): void {
-    this.#end({ kind: "read", bytes: this.#bytes });
+    this.#end({ kind: "read", ...this.#progress });
     try {
       const body = readBody(status, this.#chunks);
       this.#resolve({ status, headers, body });
@@ -162,13 +169,20 @@
 
   #fail(err: Error): void {
     if (!this.#hasEnded) {
-      const waitedMs = performance.now() - this.sentAt;
-      const reason = err.message;
-      this.#end({ kind: "given-up", bytes: this.#bytes, waitedMs, reason });
+      this.#end({ kind: "given-up", ...this.#progress, reason: err.message });
       this.#reject(err);
     }
   }
 
+  get #progress(): ExchangeProgress {
+    const now = performance.now();
+    return {
+      bytes: this.#bytes,
+      waitedMs: now - this.sentAt,
+      arrivingMs: now - (this.#begunAt ?? now),
+    };
+  }
+
   #end(end: ExchangeEnd): void {
     this.#hasEnded = true;
     clearTimeout(this.#timer);
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -40,6 +40,9 @@
   /** What repeats of a request have in common, as a hash. */
   readonly digest?: string;
   readonly forMs?: number;
+  readonly unconfirmedMs?: number;
+  readonly callMs?: number;
+  readonly arrivingMs?: number;
   readonly crashes?: number;
   readonly silentVms?: number;
   readonly suspects?: number;
