A VM in touch does not wait for a slow relay

Cause: a source of changes was waited for by clocks of its own, one after the other: a response that arrives was kept for 10 s whatever its rate, a relay that said it was reading for 1.5 s more, then the next relay, then the store. Nothing bounded the sum. Besides, rows counted as confirmed when a response ended, not when it began, so that a relay that reads for 2 s seemed fresh.

Change: the clock starts when a change may be missing (a peer has named a version, or the store has not confirmed the rows), not with a call. From then on a second source is asked beside the one in use: the next relay, then the store; beside the store, VMs of other regions, which send a tenth of its bytes. The first to bring the change is used and the others are left; a relay that lost is replaced for 5 s, longer each time. A relay tells its VMs once how its read arrives, so that they wait where no other source could be faster, and confirms at once rows that were old on arrival. Changes that come later from the slower source undo nothing.

--- a/packages/daemon/src/gateway/change_sources.ts
+++ b/packages/daemon/src/gateway/change_sources.ts
@@ -20,6 +20,17 @@
  */
 const MAX_LOST_RELAYS = 3;
 
+/** How long a slow relay is replaced by the next one; twice as long each time, up to the bound. */
+const MIN_SLOW_RELAY_MS = 5_000;
+const MAX_SLOW_RELAY_MS = 40_000;
+
+/** A relay that was slow. */
+interface SlowRelay {
+  readonly until: number;
+  /** How long it was replaced last. */
+  readonly replacedMs: number;
+}
+
 /** Supplies the VMs that can be queried. */
 export interface ChangeSourcesOptions {
   /** VMs to query in place of the store, best first, without those in `excluded`. */
@@ -37,6 +48,8 @@
   readonly #excludedUntil = new Map<VmId, number>();
   /** Relays that had lost the store, with the time until which the next ones take their place. */
   readonly #lostUntil = new Map<VmId, number>();
+  /** Relays that were slow, also those that are used again. */
+  readonly #slow = new Map<VmId, SlowRelay>();
   /** Until then other VMs are queried in place of the store, which refused this VM. */
   #usesFallbackUntil = -Infinity;
   /** The store has refused this VM since it last began to use fallbacks. */
@@ -82,6 +95,27 @@
     return this.#fallback;
   }
 
+  /**
+   * VMs that may be queried beside the source in use, best first. Those of other regions
+   * are left out unless that is the store: VMs of a region need not read it twice.
+   */
+  beside(
+    now: number,
+    { used, isLost }: {
+      /** The VM in use; undefined for the store. */
+      readonly used: Member | undefined;
+      readonly isLost: boolean;
+    },
+  ): readonly Member[] {
+    const relays = this.#options.relays(this.#excluded(now));
+    const fallbacks = used === undefined || isLost
+      ? this.#options.fallbacks()
+      : [];
+    return [...relays, ...fallbacks].filter((member) =>
+      member.vm !== used?.vm && this.#isAvailable(member, now)
+    );
+  }
+
   /** Whether a VM was selected as fallback. */
   isFallback({ vm }: Member): boolean {
     return vm === this.#fallback?.vm;
@@ -123,6 +157,18 @@
     this.backOff(member, until);
   }
 
+  /** Another source was faster than a relay: the next one takes its place for a while. */
+  slow(relay: Member, now: number): void {
+    const { until = -Infinity, replacedMs = 0 } = this.#slow.get(relay.vm) ??
+      {};
+    const isAgain = now < until + replacedMs;
+    const ms = isAgain
+      ? Math.min(MAX_SLOW_RELAY_MS, 2 * replacedMs)
+      : MIN_SLOW_RELAY_MS;
+    this.#slow.set(relay.vm, { until: now + ms, replacedMs: ms });
+    this.exclude(relay, now + ms);
+  }
+
   /** Whether a further relay may be replaced because it has lost the store. */
   mayReplaceLost(now: number): boolean {
     return current(this.#lostUntil, now).length < MAX_LOST_RELAYS;
@@ -141,7 +187,11 @@
   }
 
   #firstAvailable(vms: readonly Member[], now: number): Member | undefined {
-    return vms.find(({ vm }) => now >= (this.#backOffUntil.get(vm) ?? 0));
+    return vms.find((member) => this.#isAvailable(member, now));
+  }
+
+  #isAvailable({ vm }: Member, now: number): boolean {
+    return now >= (this.#backOffUntil.get(vm) ?? 0);
   }
 }
 
--- a/packages/daemon/src/gateway/lag.ts
+++ b/packages/daemon/src/gateway/lag.ts
@@ -41,6 +41,13 @@
   /** The relay that was last asked on a new connection, and when. */
   #asked: { readonly relay: VmId; readonly at: number } | undefined;
 
+  /** The oldest version that peers have named and this VM lacks, and since when. */
+  get missing():
+    | { readonly version: number; readonly since: number }
+    | undefined {
+    return this.#missing;
+  }
+
   /** A peer has named a version that this VM lacks. */
   missed(version: number, now: number): void {
     if (this.#missing === undefined) {
@@ -65,7 +72,7 @@
     return now - missing.since;
   }
 
-  /** The versions are those of another history from now on. */
+  /** Nothing is missing: peers' versions are those of another history, or none that the store has. */
   reset(): void {
     this.#missing = undefined;
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/lateness.ts
@@ -0,0 +1,166 @@
+/**
+ * How late a VM is: what peers know that it lacks, and for how long the store has not
+ * confirmed that it lacks nothing.
+ *
+ * @module
+ */
+
+import type { VmId } from "@poplarthread/ids";
+import { isWorthWaiting } from "./reading.ts";
+import type { LongArrival } from "./open_calls.ts";
+import { Lag, type LagStep } from "./lag.ts";
+import type { WatchedSubject } from "./ports.ts";
+import type { ReadingArrival } from "./relay.ts";
+import type { StoreVersion } from "./row_copy.ts";
+import type { RowsAge } from "./rows_age.ts";
+import type { EndedCall, SubjectListener } from "./subject_listener.ts";
+import type { SubjectRows } from "./subject_rows.ts";
+import {
+  CHANGE_WAIT_MS,
+  PEER_NEWS_PATIENCE_MS,
+  UNCONFIRMED_MARGIN_MS,
+} from "./subject_times.ts";
+
+/** Rows that were missing for longer are reported: changes must be in force within 2.5 s and more. */
+const LATE_MS = 1_000;
+
+/** How much later than foreseen the rows of such a read may come. */
+const READING_TOLERANCE_MS = 100;
+/** The next response may take this long after one of rows that were old already: a round trip and some more. */
+const NEXT_RESPONSE_MS = 500;
+/** A response that will arrive for longer is not waited for. */
+const MAX_ARRIVAL_MS = 1_000;
+
+/** Options of a {@link Lateness}. */
+export interface LatenessOptions {
+  readonly rows: SubjectRows;
+  readonly age: RowsAge;
+  readonly listener: Pick<SubjectListener, "readLate">;
+}
+
+/** See the module comment. */
+export class Lateness {
+  readonly #subject: WatchedSubject;
+  readonly #options: LatenessOptions;
+  readonly #lag = new Lag();
+  /** How old the rows were when the store last confirmed them; 0 after it was lost. */
+  #unconfirmedMs = 0;
+  /** When the source in use last responded. */
+  #respondedAt = -Infinity;
+  /** The read of the relay in use, as foreseen: when the change was there, and when it will have been read. */
+  #reading: { readonly changeAt: number; readonly readAt: number } | undefined;
+
+  constructor(subject: WatchedSubject, options: LatenessOptions) {
+    this.#subject = subject;
+    this.#options = options;
+  }
+
+  /** Whether the copy lacks a row of its history. */
+  isBehind(seen: StoreVersion): boolean {
+    return this.#options.rows.isBehind(seen, this.#options.age.steadyNow);
+  }
+
+  /** A peer has named a version that this VM lacks. */
+  missed({ version }: StoreVersion): void {
+    this.#lag.missed(version, performance.now());
+  }
+
+  /** The source in use has made progress with what this VM lacks. */
+  progressed(): void {
+    this.#lag.progressed(performance.now());
+  }
+
+  /** What to do about the source in use; `relay` is undefined for the store. */
+  nextStep(
+    { isArriving, relay }: {
+      readonly isArriving: boolean;
+      readonly relay: VmId | undefined;
+    },
+  ): LagStep {
+    return this.#lag.nextStep({ now: performance.now(), isArriving, relay });
+  }
+
+  /** Whether it is known when the relay in use will have read its rows. */
+  get isTold(): boolean {
+    return this.#reading !== undefined &&
+      performance.now() < this.#reading.readAt + READING_TOLERANCE_MS;
+  }
+
+  /** The relay in use has told how its read arrives. */
+  told({ forMs, leftMs }: ReadingArrival): void {
+    const now = performance.now();
+    this.#reading = { changeAt: now - forMs, readAt: now + leftMs };
+  }
+
+  /** When the source in use counts as slow; `arrival`: how a response of a relay arrives. */
+  slowAt({ isLost, arrival }: {
+    readonly isLost: boolean;
+    readonly arrival: LongArrival | undefined;
+  }): number {
+    if (arrival?.leftMs !== undefined && arrival.leftMs > MAX_ARRIVAL_MS) {
+      return -Infinity;
+    }
+    const dueAt = this.#dueAt(isLost);
+    const reading = this.#reading;
+    if (reading === undefined) {
+      return dueAt;
+    }
+    const changeAt = Math.min(reading.changeAt, this.#missingSince);
+    const isWaitedFor = isWorthWaiting({
+      forMs: dueAt - changeAt,
+      leftMs: reading.readAt - dueAt,
+    });
+    return isWaitedFor
+      ? Math.max(dueAt, reading.readAt + READING_TOLERANCE_MS)
+      : dueAt;
+  }
+
+  /** When the source in use must have responded, or have told how long it takes. */
+  #dueAt(isLost: boolean): number {
+    const { age } = this.#options;
+    const behindAt = this.#missingSince + PEER_NEWS_PATIENCE_MS[this.#subject];
+    const unconfirmedAt = Math.max(
+      age.confirmedAt + CHANGE_WAIT_MS[this.#subject] + UNCONFIRMED_MARGIN_MS,
+      this.#respondedAt + NEXT_RESPONSE_MS,
+    );
+    return isLost ? behindAt : Math.min(behindAt, unconfirmedAt);
+  }
+
+  /** The store has confirmed the rows; must be called before {@link RowsAge.confirmed}. */
+  confirmed({ wasLost }: { readonly wasLost: boolean }): void {
+    const { age } = this.#options;
+    this.#respondedAt = performance.now();
+    this.#unconfirmedMs = wasLost || !age.isConfirmed ? 0 : age.unconfirmedMs;
+  }
+
+  /** Rows of another history are used from now on. */
+  historyChanged(): void {
+    this.#lag.reset();
+  }
+
+  /** Rows have arrived; reports them if they are late. */
+  arrived(call: EndedCall | undefined): void {
+    const { rows, listener } = this.#options;
+    this.#reading = undefined;
+    const behindMs = this.#lag.arrived(rows.reached, performance.now());
+    const unconfirmedMs = this.#unconfirmedMs;
+    const isOverdue = unconfirmedMs > CHANGE_WAIT_MS[this.#subject] + LATE_MS;
+    if (behindMs > LATE_MS || isOverdue) {
+      listener.readLate({ behindMs, unconfirmedMs, call });
+    }
+  }
+
+  /** Since when a version is missing that peers have named and no read has refuted. */
+  get #missingSince(): number {
+    const { missing } = this.#lag;
+    if (missing === undefined) {
+      return Infinity;
+    }
+    const { era } = this.#options.rows.newest;
+    if (!this.isBehind({ era, version: missing.version })) {
+      this.#lag.reset();
+      return Infinity;
+    }
+    return missing.since;
+  }
+}
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -20,6 +20,7 @@
 } from "./ports.ts";
 import type { StoreVersion } from "./row_copy.ts";
 import { RelayClient, type RelayRequest, type RelayResponse } from "./relay.ts";
+import type { EndedCall } from "./subject_listener.ts";
 import { SubjectWatch } from "./subject_watch.ts";
 
 /** Pause before another attempt to write the VM's row. */
@@ -180,15 +181,14 @@
           log.write("store history refuted", { subject, claimed, era }),
         relayUnresponsive: (relay) =>
           this.#watches.forEach((watch) => watch.leaveRelay(relay)),
-        callEnded: (end, relay) => this.#onCallEnded(subject, end, relay),
-        readLate: ({ behindMs, unconfirmedMs, end, relay }) =>
+        callEnded: (call) => this.#onCallEnded(subject, call),
+        readLate: ({ behindMs, unconfirmedMs, call }) =>
           log.write("change read late", {
             subject,
             storeVersion: this.seenOf(subject).version,
             forMs: Math.round(behindMs),
             unconfirmedMs: Math.round(unconfirmedMs),
-            ...(relay === undefined ? {} : { peer: relay.vm }),
-            ...(end === undefined ? {} : progressFields(end)),
+            ...(call === undefined ? {} : callFields(call)),
           }),
         relaySkipped: (relay, reason) =>
           log.write("relay left alone", { subject, peer: relay.vm, reason }),
@@ -196,11 +196,7 @@
     });
   }
 
-  #onCallEnded(
-    subject: WatchedSubject,
-    end: ExchangeEnd,
-    relay: Member | undefined,
-  ): void {
+  #onCallEnded(subject: WatchedSubject, { end, relay }: EndedCall): void {
     const { log, callEnded } = this.#options;
     if (this.#closed.signal.aborted) {
       return;
@@ -285,10 +281,11 @@
   }
 }
 
-function progressFields({ bytes, waitedMs, arrivingMs }: ExchangeEnd) {
+function callFields({ end, relay }: EndedCall) {
   return {
-    bytes,
-    callMs: Math.round(waitedMs),
-    arrivingMs: Math.round(arrivingMs),
+    ...(relay === undefined ? {} : { peer: relay.vm }),
+    bytes: end.bytes,
+    callMs: Math.round(end.waitedMs),
+    arrivingMs: Math.round(end.arrivingMs),
   };
 }
--- a/packages/daemon/src/gateway/ports.ts
+++ b/packages/daemon/src/gateway/ports.ts
@@ -16,7 +16,7 @@
 } from "@poplarthread/ids";
 import type { HeldBackReport } from "@poplarthread/coordination/held_back";
 import type { LoadReport } from "@poplarthread/placement";
-import type { ExchangeEnd } from "../json_exchange.ts";
+import type { Arrival, ExchangeEnd } from "../json_exchange.ts";
 import type { Credential } from "./accounts/client_account.ts";
 import type { RoutingConfiguration } from "./configuration.ts";
 
@@ -127,8 +127,10 @@
   readonly waitMs: number;
   /** Ends the call, unless its response has begun to arrive. */
   readonly signal: AbortSignal;
+  /** Ends the call in any case. */
+  readonly cancelSignal?: AbortSignal;
   /** Called when the response begins to arrive. */
-  begun?(): void;
+  begun?(arrival: () => Arrival): void;
   /** Called when a call has ended. */
   ended?(end: ExchangeEnd): void;
 }
@@ -139,7 +141,7 @@
   list(
     subject: WatchedSubject,
     from: string | undefined,
-    options?: Pick<ChangesRequest, "begun" | "ended">,
+    options?: Pick<ChangesRequest, "cancelSignal" | "begun" | "ended">,
   ): Promise<RowsPage>;
   /** Waits for changes of a subject; rejects with {@link HistoryGoneError} if the history no longer holds them. */
   changes(
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -24,12 +24,20 @@
   type RequestTimes,
 } from "@poplarthread/coordination/freshness";
 import { JsonClient } from "../json_client.ts";
-import { type ExchangeEnd, JsonCallError } from "../json_exchange.ts";
+import {
+  type Arrival,
+  type ExchangeEnd,
+  JsonCallError,
+} from "../json_exchange.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import { type Member, WATCHED_SUBJECTS, type WatchedSubject } from "./ports.ts";
 import type { RowChanges } from "./row_copy.ts";
-import { decodeResponse, encodeResponse } from "./relay_codec.ts";
+import {
+  decodeArrival,
+  decodeResponse,
+  encodeResponse,
+} from "./relay_codec.ts";
 import type { HistoryRead } from "./store_history.ts";
 import type { ListenAddress } from "./settings.ts";
 
@@ -45,14 +53,20 @@
   readonly waitMs: number;
   /** The relay must not respond early because its rows become stale: the requesting VM has lost the store, too. */
   readonly isPatient: boolean;
+  /** Time since the store last confirmed the requesting VM's rows; left out by older versions of the program. */
+  readonly unconfirmedMs?: number;
+  /** The requesting VM knows how long the relay will be reading; left out by older versions of the program. */
+  readonly isTold?: boolean;
   /** The requesting VM queries others if the relay has lost the store, so that it must say so at once. */
   readonly mayReplace: boolean;
   /** Ends the call, unless its response has begun to arrive. */
   readonly signal?: AbortSignal;
+  /** Ends the call in any case. */
+  readonly cancelSignal?: AbortSignal;
   /** Sends the request again on a new connection, to be answered at once; see {@link JsonCall.repeatSignal}. */
   readonly repeatSignal?: AbortSignal;
   /** Called when the response begins to arrive. */
-  begun?(): void;
+  begun?(arrival: () => Arrival): void;
   /** Called when a request of the call has ended. */
   ended?(end: ExchangeEnd): void;
 }
@@ -72,14 +86,27 @@
   readonly isLost: boolean;
   /** A response is arriving at the responding VM, which will have more rows soon. */
   readonly isReading: boolean;
+  /** How that response arrives; left out if none does, or if its length is unknown. */
+  readonly arrival?: ReadingArrival;
   /** Which of several numberings within its history the position belongs to; left out by older versions of the program. */
   readonly numbering?: number;
 }
 
+/** How a response arrives at a relay, in milliseconds. */
+export interface ReadingArrival {
+  /** Since when. */
+  readonly forMs: number;
+  /** Until when, at the rate so far. */
+  readonly leftMs: number;
+}
+
 /** The responding VM is reading all rows, which are arriving. */
 export class StillReadingError extends JsonCallError {
-  constructor() {
+  readonly arrival: ReadingArrival | undefined;
+
+  constructor(arrival?: ReadingArrival) {
     super("the relay is still reading the rows");
+    this.arrival = arrival;
   }
 }
 
@@ -128,6 +155,9 @@
   waitMs: z.number().min(0).max(30_000),
   isPatient: z.boolean(),
   /** Left out by older versions of the program. */
+  isTold: z.boolean().optional(),
+  unconfirmedMs: z.number().min(0).optional(),
+  /** Left out by older versions of the program. */
   mayReplace: z.boolean().default(false),
   /** Whether large rows may be sent packed. Left out by older versions of the program. */
   readsPacked: z.boolean().default(false),
@@ -202,7 +232,8 @@
     subject: WatchedSubject,
     request: RelayRequest,
   ): Promise<RelayResponse> {
-    const { signal, repeatSignal, begun, ended, ...fields } = request;
+    const { signal, cancelSignal, repeatSignal, begun, ended, ...fields } =
+      request;
     const params = { subject, readsPacked: true, ...fields };
     const encode = (waitMs: number) =>
       JSON.stringify(createJSONRPCRequest(1, METHOD, { ...params, waitMs }));
@@ -217,6 +248,7 @@
         timeoutMs: REPEAT_TIMEOUT_MS,
       },
       ...(signal === undefined ? {} : { signal }),
+      ...(cancelSignal === undefined ? {} : { cancelSignal }),
       ...(repeatSignal === undefined ? {} : { repeatSignal }),
       ...(begun === undefined ? {} : { begun }),
       ...(ended === undefined ? {} : { ended }),
@@ -228,7 +260,7 @@
     }
     if (body.error !== undefined) {
       throw body.error.code === STILL_READING
-        ? new StillReadingError()
+        ? new StillReadingError(decodeArrival(body.error.data))
         : new JsonCallError(body.error.message);
     }
     return decodeResponse(body.result);
@@ -270,6 +302,6 @@
 
 function encodeError(err: unknown): never {
   throw err instanceof StillReadingError
-    ? new JSONRPCErrorException(err.message, STILL_READING)
+    ? new JSONRPCErrorException(err.message, STILL_READING, err.arrival)
     : err;
 }
--- a/packages/daemon/src/gateway/relay_codec.ts
+++ b/packages/daemon/src/gateway/relay_codec.ts
@@ -10,11 +10,13 @@
 import { JsonCallError } from "../json_exchange.ts";
 import { packRows, unpackRows } from "./packed_rows.ts";
 import type { StoredRow } from "./ports.ts";
-import type { RelayResponse } from "./relay.ts";
+import type { ReadingArrival, RelayResponse } from "./relay.ts";
 
 /** The times that they stand for only rise, so that one in the future would hold back all later ones. */
 const age = z.number().min(0);
 
+const arrivalSchema = z.object({ forMs: age, leftMs: age });
+
 const responseSchema = z.object({
   /** Left out by older versions of the program. */
   era: z.number().default(0),
@@ -37,6 +39,7 @@
   isLost: z.boolean().default(false),
   /** Left out by older versions of the program. */
   isReading: z.boolean().default(false),
+  arrival: arrivalSchema.optional(),
   numbering: z.number().optional(),
 });
 
@@ -102,9 +105,10 @@
   if (!parsed.success) {
     throw new JsonCallError(messageOf(parsed.error));
   }
-  const { rows, packed, regainedMs, ...rest } = parsed.data;
+  const { rows, packed, regainedMs, arrival, ...rest } = parsed.data;
   return {
     ...rest,
+    ...(arrival === undefined ? {} : { arrival }),
     regainedMs,
     rows: packed === undefined
       ? rows.map(({ key, value, version }) => ({
@@ -115,3 +119,8 @@
       : unpackRows(Buffer.from(packed, "base64")),
   };
 }
+
+/** How a response arrives at a relay; undefined if the relay doesn't tell. */
+export function decodeArrival(data: unknown): ReadingArrival | undefined {
+  return arrivalSchema.safeParse(data).data;
+}
--- a/packages/daemon/src/gateway/row_copy.ts
+++ b/packages/daemon/src/gateway/row_copy.ts
@@ -96,10 +96,11 @@
     rows.forEach((row) => this.#apply(row));
   }
 
-  /** Applies changes after the position, of the same history. */
+  /** Applies changes of the same history; those that another source has brought already are passed over. */
   advance({ rows, version }: Pick<RowsPage, "rows" | "version">): void {
     this.#changesCache.clear();
-    rows.forEach((row) => this.#apply(row));
+    rows.filter((row) => row.version >= this.#versionOf(row.key))
+      .forEach((row) => this.#apply(row));
     this.#position = Math.max(version, this.#position ?? 0);
   }
 
@@ -139,6 +140,10 @@
     return { era, isWhole, rows, position };
   }
 
+  #versionOf(key: string): number {
+    return (this.#rows.get(key) ?? this.#removed.get(key))?.version ?? 0;
+  }
+
   #apply(row: StoredRow): void {
     this.#newest = Math.max(this.#newest, row.version);
     this.#removed.delete(row.key);
--- a/packages/daemon/src/gateway/row_copy_test.ts
+++ b/packages/daemon/src/gateway/row_copy_test.ts
@@ -121,3 +121,22 @@
   source.replace({ rows: [], version: 1, era: 3 });
   expect(source.newest).toBe(0);
 });
+
+test("changes that a slower source brings later don't undo newer ones", () => {
+  // Two sources are asked at a time; the one that was asked first may come last.
+  const copy = new RowCopy();
+  const row = (key: string, version: number, text?: string): StoredRow => ({
+    key,
+    version,
+    value: text === undefined ? undefined : Buffer.from(text),
+  });
+  copy.replace({ rows: [row("a", 1, "old")], version: 1, era: 0 });
+  copy.advance({ rows: [row("a", 4, "new"), row("b", 5)], version: 5 });
+  copy.advance({
+    rows: [row("b", 2, "old"), row("a", 3, "older")],
+    version: 3,
+  });
+  expect([...copy.rows.values()].map(({ value }) => String(value)))
+    .toEqual(["new"]);
+  expect(copy.position).toBe(5);
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/store_reader.ts
@@ -0,0 +1,122 @@
+/**
+ * Reads one subject from the platform's store.
+ *
+ * @module
+ */
+
+import type { OpenCall } from "./open_calls.ts";
+import {
+  HistoryGoneError,
+  type PlatformPort,
+  type RowsPage,
+  type StoredRow,
+  type WatchedSubject,
+} from "./ports.ts";
+import type { RowsAge } from "./rows_age.ts";
+import type { RowsRead, SubjectRows, UsedRead } from "./subject_rows.ts";
+
+/** Rows that are to be applied. */
+export interface StoreRead extends UsedRead {
+  readonly read: RowsRead;
+}
+
+/** How the store is read. */
+export interface StoreReadOptions {
+  readonly call: OpenCall;
+  /** Ends the call, unless its response has begun to arrive. */
+  readonly signal: AbortSignal;
+  /** Ends the call in any case. */
+  readonly cancelSignal?: AbortSignal;
+}
+
+/** Options of a {@link StoreReader}. */
+export interface StoreReaderOptions {
+  readonly store: Pick<PlatformPort, "list" | "changes">;
+  readonly rows: SubjectRows;
+  readonly age: RowsAge;
+  /** A response is not used because it belongs to another history than expected. */
+  responseNotUsed(era: number): void;
+}
+
+/** See the module comment. */
+export class StoreReader {
+  readonly #subject: WatchedSubject;
+  readonly #options: StoreReaderOptions;
+  /** The history of the store's latest response if that was not used. */
+  #unusedEra: number | undefined;
+
+  constructor(subject: WatchedSubject, options: StoreReaderOptions) {
+    this.#subject = subject;
+    this.#options = options;
+  }
+
+  /** The changes after the rows' position; rejects with a {@link HistoryGoneError} if the store doesn't have that. */
+  async changes(
+    waitMs: number,
+    { call, ...signals }: StoreReadOptions,
+  ): Promise<StoreRead> {
+    const { store, rows, age } = this.#options;
+    const startedAt = age.steadyNow;
+    const page = await store.changes(this.#subject, {
+      version: rows.position!,
+      waitMs,
+      ...signals,
+      begun: call.begun,
+      ended: call.requestEnded,
+    });
+    if (page.era !== rows.era) {
+      // The changes follow a version of another history.
+      this.#reject(page.era);
+    }
+    this.#unusedEra = undefined;
+    const read = { ...page, startedAt, endedAt: age.steadyNow };
+    return { read, isWhole: false, verdict: "current" };
+  }
+
+  /** All rows, page by page. */
+  async all(
+    { call, cancelSignal }: Omit<StoreReadOptions, "signal">,
+  ): Promise<StoreRead> {
+    const { store, rows: { history }, age } = this.#options;
+    const startedAt = age.steadyNow;
+    const rows: StoredRow[] = [];
+    let first: RowsPage | undefined;
+    let from: string | undefined;
+    for (;;) {
+      const page = await store.list(this.#subject, from, {
+        ...(cancelSignal === undefined ? {} : { cancelSignal }),
+        begun: call.begun,
+        ended: call.requestEnded,
+      });
+      // With the version of the first page, changes between pages are read again
+      // by the next call for changes.
+      first ??= page;
+      if (page.era !== first.era) {
+        this.#reject(page.era);
+      }
+      rows.push(...page.rows);
+      if (!page.isTruncated || page.rows.length === 0) {
+        break;
+      }
+      from = `${page.rows.at(-1)!.key}\0`;
+    }
+    const { version, era } = first;
+    const read = { era, version, rows, startedAt, endedAt: age.steadyNow };
+    const isWhole = true;
+    const verdict = history.judge(read, { isOwn: true, isWhole });
+    if (verdict === "unused") {
+      this.#reject(era);
+    }
+    this.#unusedEra = undefined;
+    return { read, isWhole, verdict };
+  }
+
+  /** All rows are read again: those read are not of the history in use. */
+  #reject(era: number): never {
+    if (era !== this.#unusedEra) {
+      this.#unusedEra = era;
+      this.#options.responseNotUsed(era);
+    }
+    throw new HistoryGoneError("the store was restored", era);
+  }
+}
--- a/packages/daemon/src/json_client.ts
+++ b/packages/daemon/src/json_client.ts
@@ -6,6 +6,7 @@
 
 import { Agent } from "node:http";
 import {
+  type Arrival,
   type ExchangeEnd,
   JsonCallError,
   JsonExchange,
@@ -24,6 +25,13 @@
 /** The call was aborted before its response had begun to arrive. */
 class AbortedCallError extends JsonCallError {}
 
+/** The call is no longer needed. */
+class CancelledCallError extends JsonCallError {
+  constructor() {
+    super("Another source was faster");
+  }
+}
+
 /** A call. Its request may be sent twice. */
 export interface JsonCall extends JsonRequest {
   readonly method: "GET" | "POST";
@@ -34,10 +42,12 @@
   readonly repeat?: JsonRequest;
   /** Ends the call, unless its response has begun to arrive. */
   readonly signal?: AbortSignal;
+  /** Ends the call in any case. */
+  readonly cancelSignal?: AbortSignal;
   /** Sends the request again on a new connection at once, unless its response has begun to arrive. */
   readonly repeatSignal?: AbortSignal;
   /** Called when the response begins to arrive. */
-  begun?(): void;
+  begun?(arrival: () => Arrival): void;
   /** Called when a request of the call has ended. */
   ended?(end: ExchangeEnd): void;
 }
@@ -117,11 +127,11 @@
   }
 
   async #repeat(call: JsonCall): Promise<JsonResponse> {
-    const { repeat = call, signal } = call;
+    const { repeat = call, signal, cancelSignal } = call;
     try {
       return await this.#send(repeat, { call, isRepeat: true });
     } catch (err) {
-      this.#isServerUp &&= signal?.aborted ?? false;
+      this.#isServerUp &&= (signal?.aborted || cancelSignal?.aborted) ?? false;
       throw err;
     }
   }
@@ -130,7 +140,7 @@
     request: JsonRequest,
     { call, isRepeat }: { readonly call: JsonCall; readonly isRepeat: boolean },
   ): Promise<JsonResponse> {
-    const { method, signal, repeatSignal } = call;
+    const { method, signal, cancelSignal, repeatSignal } = call;
     const { host, port } = this.#options;
     const exchange = new JsonExchange(request, {
       host,
@@ -138,7 +148,7 @@
       agent: this.#agent,
       method,
       isRepeat,
-      begun: () => call.begun?.(),
+      begun: (arrival) => call.begun?.(arrival),
       ended: (end) => {
         this.#pending.delete(exchange);
         this.#isServerUp ||= end.kind === "read";
@@ -153,14 +163,20 @@
         exchange.giveUp(new AbortedCallError(reasonOf(signals)));
       }
     };
+    const cancel = () => exchange.giveUp(new CancelledCallError());
     signals.forEach((one) => one.addEventListener("abort", abort));
+    cancelSignal?.addEventListener("abort", cancel);
     try {
+      if (cancelSignal?.aborted) {
+        cancel();
+      }
       if (signals.some(({ aborted }) => aborted)) {
         abort();
       }
       return await exchange.response;
     } finally {
       signals.forEach((one) => one.removeEventListener("abort", abort));
+      cancelSignal?.removeEventListener("abort", cancel);
     }
   }
 }
--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -53,6 +53,16 @@
     | { readonly kind: "given-up"; readonly reason: string }
   );
 
+/** How a response arrives. */
+export interface Arrival {
+  /** Time since it began, in milliseconds. */
+  readonly forMs: number;
+  /** Bytes of the body that have arrived. */
+  readonly bytes: number;
+  /** Length of the body; undefined if the server hasn't named it. */
+  readonly totalBytes: number | undefined;
+}
+
 /** How far a request came. */
 export interface ExchangeProgress {
   /** Bytes of the response's body that have arrived. */
@@ -70,8 +80,8 @@
   readonly agent: Agent;
   readonly method: "GET" | "POST";
   readonly isRepeat: boolean;
-  /** The response has begun to arrive. */
-  begun(): void;
+  /** The response has begun to arrive; `arrival` tells how, until it has ended. */
+  begun(arrival: () => Arrival): void;
   ended(end: ExchangeEnd): void;
 }
 
@@ -85,6 +95,8 @@
   readonly #req: ReturnType<typeof request>;
   readonly #chunks: Buffer[] = [];
   #bytes = 0;
+  /** Length of the response's body; undefined if the header names none. */
+  #totalBytes: number | undefined;
   #begunAt: number | undefined;
   #latestPartAt = 0;
   #hasEnded = false;
@@ -137,6 +149,8 @@
   }
 
   #read(res: IncomingMessage): void {
+    const length = res.headers["content-length"];
+    this.#totalBytes = length === undefined ? undefined : Number(length);
     res.on("data", (chunk: Buffer) => {
       this.#latestPartAt = performance.now();
       this.#chunks.push(chunk);
@@ -154,7 +168,7 @@
     this.#begunAt = now;
     clearTimeout(this.#timer);
     this.#checkAfter(STALL_TIMEOUT_MS);
-    this.#options.begun();
+    this.#options.begun(() => this.#arrival);
   }
 
   #complete({ statusCode: status = 0, headers }: IncomingMessage): void {
@@ -174,6 +188,11 @@
     }
   }
 
+  get #arrival(): Arrival {
+    const forMs = performance.now() - (this.#begunAt ?? NaN);
+    return { forMs, bytes: this.#bytes, totalBytes: this.#totalBytes };
+  }
+
   get #progress(): ExchangeProgress {
     const now = performance.now();
     return {
