--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -53,6 +53,10 @@
     meaning:
       "time for which the store had not confirmed that no change was missing, in milliseconds",
   },
+  slowPeer: {
+    type: "text",
+    meaning: "the VM whose rows this VM waits for",
+  },
   callMs: {
     type: "number",
     meaning: "time from a call to its end, in milliseconds",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -165,6 +165,13 @@
     fields: ["subject", "storeVersion", "forMs", "unconfirmedMs"],
     optional: ["peer", "bytes", "callMs", "arrivingMs"],
   },
+  "second source asked": {
+    level: "info",
+    meaning:
+      "The source of changes in use is slow, the VM that `slowPeer` names or the store, and another one is asked beside it: `peer`, or the store.",
+    fields: ["subject", "unconfirmedMs"],
+    optional: ["peer", "slowPeer"],
+  },
   "own row not written": {
     level: "warn",
     meaning:
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -190,6 +190,13 @@
             unconfirmedMs: Math.round(unconfirmedMs),
             ...(call === undefined ? {} : callFields(call)),
           }),
+        sourceSlow: ({ used, asked }) =>
+          log.write("second source asked", {
+            subject,
+            unconfirmedMs: this.ageOf(subject),
+            ...(asked === undefined ? {} : { peer: asked.vm }),
+            ...(used === undefined ? {} : { slowPeer: used.vm }),
+          }),
         relaySkipped: (relay, reason) =>
           log.write("relay left alone", { subject, peer: relay.vm, reason }),
       },
--- a/packages/daemon/src/gateway/store_history_fleet_test.ts
+++ b/packages/daemon/src/gateway/store_history_fleet_test.ts
@@ -174,6 +174,7 @@
         relaySkipped: () => undefined,
         callEnded: () => undefined,
         readLate: () => undefined,
+        sourceSlow: () => undefined,
         responseNotUsed: (era) => this.unused.push(era),
         rowsNotApplied: () => undefined,
         claimRefuted: (claimed) => this.refuted.push(claimed),
--- a/packages/daemon/src/gateway/subject_listener.ts
+++ b/packages/daemon/src/gateway/subject_listener.ts
@@ -56,6 +56,11 @@
   callEnded(call: EndedCall): void;
   /** Rows have arrived late. */
   readLate(read: LateRead): void;
+  /** A source is asked beside the one in use, which is slow; both undefined for the store. */
+  sourceSlow(sources: {
+    readonly used: Member | undefined;
+    readonly asked: Member | undefined;
+  }): void;
   /** A relay is not used for a while. */
   relaySkipped(relay: Member, reason: string): void;
 }
--- a/packages/daemon/src/gateway/subject_times.ts
+++ b/packages/daemon/src/gateway/subject_times.ts
@@ -37,3 +37,5 @@
 };
 /** How much longer than a call's wait it waits for a confirmation before that: more than a slow store in another region takes. */
 export const UNCONFIRMED_MARGIN_MS = 400;
+/** Pause after a change, so that changes that come together cost one call: VMs that start together register within some hundred milliseconds. */
+export const CHANGE_BATCH_MS = 150;
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -5,54 +5,39 @@
  * @module
  */
 
-import { messageOf } from "../errors.ts";
-import { JsonCallError } from "../json_exchange.ts";
 import { pause } from "../pause.ts";
+import { BesideReader } from "./beside_reader.ts";
+import { CallFailures } from "./call_failures.ts";
 import { ChangeSources, type ChangeSourcesOptions } from "./change_sources.ts";
 import { Lateness } from "./lateness.ts";
 import { type LongArrival, type OpenCall, OpenCalls } from "./open_calls.ts";
 import {
-  HistoryGoneError,
   type Member,
   type PlatformPort,
   type WatchedSubject,
 } from "./ports.ts";
-import {
-  type RelayRequest,
-  type RelayResponse,
-  StillReadingError,
-} from "./relay.ts";
+import { type RelayRequest, type RelayResponse } from "./relay.ts";
 import { ReadSink } from "./read_sink.ts";
-import {
-  READING_MARGIN_MS,
-  RELAY_EXTRA_WAIT_MS,
-  RelayReader,
-} from "./relay_reader.ts";
+import { RelayReader } from "./relay_reader.ts";
 import { RelayResponder } from "./relay_responder.ts";
 import type { StoreVersion } from "./row_copy.ts";
 import { RowsAge } from "./rows_age.ts";
 import { SecondSource, type Source } from "./second_source.ts";
 import { StoreContact } from "./store_contact.ts";
-import { type StoreRead, StoreReader } from "./store_reader.ts";
+import { SourceInUse } from "./source_in_use.ts";
+import { StoreReader } from "./store_reader.ts";
 import type { SubjectListener } from "./subject_listener.ts";
 import { SubjectRows } from "./subject_rows.ts";
-import { CHANGE_WAIT_MS, PENDING_READ_WAIT_MS } from "./subject_times.ts";
+import {
+  CHANGE_BATCH_MS,
+  CHANGE_WAIT_MS,
+  PENDING_READ_WAIT_MS,
+} from "./subject_times.ts";
 
 /** How long the first call waits after failed ones or after stale rows of a relay: short, to learn soon that the store responds. */
 const RECONNECT_WAIT_MS = 20;
 /** A call that still waits this long after a peer has reported a newer version is doubted: many times the store's usual response time of 4 ms. */
 const MISSED_CHANGE_TIMEOUT_MS = 300;
-/** Pause after a change, so that changes that come together cost one call: VMs that start together register within some hundred milliseconds. */
-const CHANGE_BATCH_MS = 150;
-/**
- * A VM that has lost the store calls it again this long before its rows become stale.
- * Once they are stale, the VMs that use it as their relay call the store. If the store
- * were back by then, they would read that entries have expired without knowing of the
- * outage, and remove targets that are alive.
- */
-const RETRY_BEFORE_STALE_MS = 100;
-/** Back-off from a relay that does not respond: until its heartbeats are missed, too. */
-const UNRESPONSIVE_BACK_OFF_MS = 3_000;
 
 /** Options of a {@link SubjectWatch}. */
 export interface SubjectWatchOptions extends ChangeSourcesOptions {
@@ -61,16 +46,6 @@
   readonly listener: SubjectListener;
 }
 
-/** Ends the call of the source in use. */
-class CallAborts {
-  /** The call is made anew, unless its response has begun to arrive. */
-  readonly call = new AbortController();
-  /** Asks the relay again that has not responded. */
-  readonly repeat = new AbortController();
-  /** Another source was faster. */
-  readonly cancel = new AbortController();
-}
-
 /** See the module's comment. */
 export class SubjectWatch {
   readonly #subject: WatchedSubject;
@@ -87,11 +62,9 @@
   readonly #calls: OpenCalls;
   readonly #secondSource: SecondSource;
   readonly #closed = new AbortController();
-  #aborts = new CallAborts();
-  /** The call of the source in use; undefined between calls. */
-  #call: OpenCall | undefined;
-  /** Since when the relay has been reading all rows; undefined if it has responded since. */
-  #stillReadingSince: number | undefined;
+  readonly #besideReader: BesideReader;
+  readonly #use = new SourceInUse();
+  readonly #failures: CallFailures;
   #missedChangeTimer: NodeJS.Timeout | undefined;
 
   constructor(subject: WatchedSubject, options: SubjectWatchOptions) {
@@ -124,7 +97,7 @@
         isArriving: this.#calls.isArriving,
         arrival: this.#calls.longArrival,
         isSecondHand: this.#sources.isRelayed(now),
-        storeCalledAt: this.#call?.relay === undefined
+        storeCalledAt: this.#use.relay === undefined
           ? this.#contact.calledAt
           : undefined,
         restoredAt: this.#contact.restoredAt,
@@ -144,9 +117,27 @@
       },
       ended: (call) => listener.callEnded(call),
     });
+    this.#besideReader = new BesideReader({
+      sources: this.#sources,
+      contact: this.#contact,
+      calls: this.#calls,
+      storeReader: this.#storeReader,
+      relayReader: this.#relayReader,
+      sink: this.#sink,
+    });
+    this.#failures = new CallFailures(subject, {
+      rows: this.#rows,
+      sources: this.#sources,
+      contact: this.#contact,
+      lateness: this.#lateness,
+      responder: this.#responder,
+      use: this.#use,
+      listener,
+      closed: this.#closed.signal,
+    });
     this.#secondSource = new SecondSource({
       slowAt: () => this.#slowAt(),
-      sources: (now) => this.#besideSources(now),
+      sources: (now) => this.#besideReader.sources(now, this.#use.relay),
       read: (source, signal) => this.#readBeside(source, signal),
     });
   }
@@ -177,13 +168,12 @@
   /** Follows the subject until {@link close}. */
   async run(): Promise<void> {
     while (!this.#closed.signal.aborted) {
-      this.#aborts = new CallAborts();
       try {
         await this.#fetch();
       } catch (err) {
-        await this.#failed(err);
+        await this.#failures.handle(err);
       }
-      this.#call = undefined;
+      this.#use.ended();
     }
   }
 
@@ -201,26 +191,25 @@
     this.#missedChangeTimer = setTimeout(() => {
       this.#missedChangeTimer = undefined;
       if (this.#lateness.isBehind(seen)) {
-        this.#catchUp();
+        this.#use.doubt(this.#lateness.nextStep({
+          isArriving: this.#use.call?.isArriving ?? false,
+          relay: this.#use.relay?.vm,
+        }));
       } else if (this.#rows.history.isReadDue) {
-        this.#readNow();
+        this.#use.endStoreWait();
       }
     }, MISSED_CHANGE_TIMEOUT_MS);
   }
 
   /** Gives up a request that is pending at a VM, which has not responded to others. */
   leaveRelay({ vm }: Member): void {
-    if (this.#call?.relay?.vm === vm) {
-      this.#aborts.call.abort(
-        new JsonCallError("it has not responded to another call"),
-      );
-    }
+    this.#use.leave(vm);
   }
 
   /** See {@link RelayResponder.changesAfter}. */
   changesAfter(request: RelayRequest): Promise<RelayResponse | undefined> {
     if (this.#rows.history.claim(request.era, this.#age.steadyNow)) {
-      this.#readNow();
+      this.#use.endStoreWait();
     }
     return this.#responder.changesAfter(request);
   }
@@ -230,36 +219,10 @@
     this.#rows.close();
     this.#secondSource.close();
     this.#closed.abort();
-    this.#aborts.call.abort();
+    this.#use.abort();
     this.#responder.close();
   }
 
-  /** Doubts the pending call, which has not brought what peers know. */
-  #catchUp(): void {
-    const step = this.#lateness.nextStep({
-      isArriving: this.#call?.isArriving ?? false,
-      relay: this.#call?.relay?.vm,
-    });
-    const reason = new JsonCallError("peers know a newer version");
-    switch (step) {
-      case "wait":
-        return;
-      case "ask-again":
-        this.#aborts.repeat.abort(reason);
-        return;
-      case "start-over":
-        this.#aborts.call.abort(reason);
-        return;
-    }
-  }
-
-  /** Ends a call of the store that waits for changes. A relay has its own news of histories. */
-  #readNow(): void {
-    if (this.#call?.relay === undefined) {
-      this.#aborts.call.abort();
-    }
-  }
-
   async #fetch(): Promise<void> {
     const now = performance.now();
     const { hasRelays } = this.#sources;
@@ -285,18 +248,13 @@
   }
 
   async #queryRelay(relay: Member): Promise<void> {
-    const { call: { signal }, repeat, cancel } = this.#aborts;
-    const signals = {
-      signal,
-      repeatSignal: repeat.signal,
-      cancelSignal: cancel.signal,
-    };
+    const { signals } = this.#use;
     await this.#calls.make(relay, async (call) => {
       this.#begin(call);
       const { isTold } = this.#lateness;
       const response = await this.#relayReader
         .read(relay, { call, isTold, signals });
-      this.#stillReadingSince = undefined;
+      this.#failures.relayResponded();
       if (response !== undefined) {
         this.#sink.applyRelayed(response, call.ended);
       }
@@ -305,11 +263,11 @@
   }
 
   async #readStore(): Promise<void> {
-    const { call: { signal }, cancel } = this.#aborts;
+    const { signal, cancelSignal } = this.#use.signals;
     const isFirst = this.#rows.position === undefined;
     const { read } = await this.#calls.make(undefined, async (call) => {
       this.#begin(call);
-      const options = { call, signal, cancelSignal: cancel.signal };
+      const options = { call, signal, cancelSignal };
       const read = isFirst
         ? await this.#storeReader.all(options)
         : await this.#storeReader.changes(this.#storeWaitMs, options);
@@ -324,7 +282,7 @@
 
   /** The source in use is called. */
   #begin(call: OpenCall): void {
-    this.#call = call;
+    this.#use.begun(call);
     this.#secondSource.update();
   }
 
@@ -344,145 +302,24 @@
 
   /** When the source in use counts as slow; infinite while nothing could take its place. */
   #slowAt(): number {
-    const relayArrival = this.#call?.relay === undefined
-      ? undefined
-      : this.#call.longArrival;
     return this.#rows.position === undefined
       ? Infinity
-      : this.#lateSince(relayArrival);
+      : this.#slowSince(this.#use.relayArrival);
   }
 
-  #lateSince(arrival: LongArrival | undefined): number {
+  #slowSince(arrival: LongArrival | undefined): number {
     return this.#lateness.slowAt({ isLost: this.#contact.isLost, arrival });
   }
 
-  /** What may be asked beside the source in use, best first. */
-  #besideSources(now: number): readonly Source[] {
-    const used = this.#call?.relay;
-    const { isLost } = this.#contact;
-    const vms = this.#sources.beside(now, { used, isLost })
-      .map((relay) => ({ kind: "relay", relay }) as const);
-    // The store is down if it has been lost by so many that no further one is replaced.
-    return used === undefined || !this.#sources.mayReplaceLost(now)
-      ? vms
-      : [...vms, { kind: "store" }];
-  }
-
   /** Reads another source, and leaves the one in use if the other one was faster. */
   async #readBeside(source: Source, signal: AbortSignal): Promise<void> {
-    const relay = source.kind === "relay" ? source.relay : undefined;
-    const signals = { signal, cancelSignal: signal };
-    await this.#calls.make(relay, async (call) => {
-      if (relay === undefined) {
-        this.#sink.applyStored(
-          await this.#readStoreBeside(call, signal),
-          call.ended,
-        );
-      } else {
-        const response = await this.#relayReader
-          .read(relay, { call, isSecond: true, isTold: true, signals });
-        if (response !== undefined) {
-          this.#sink.applyRelayed(response, call.ended);
-        }
-      }
+    this.#listener.sourceSlow({
+      used: this.#use.relay,
+      asked: source.kind === "relay" ? source.relay : undefined,
     });
-    if (this.#lateSince(undefined) > performance.now()) {
-      this.#aborts.cancel.abort();
-    }
-  }
-
-  async #readStoreBeside(
-    call: OpenCall,
-    signal: AbortSignal,
-  ): Promise<StoreRead> {
-    const options = { call, signal, cancelSignal: signal };
-    try {
-      return await this.#storeReader.changes(RECONNECT_WAIT_MS, options);
-    } catch (err) {
-      if (err instanceof HistoryGoneError) {
-        return await this.#storeReader.all(options);
-      }
-      throw err;
-    }
-  }
-
-  async #failed(err: unknown): Promise<void> {
-    if (this.#closed.signal.aborted) {
-      return;
-    }
-    const relay = this.#call?.relay;
-    if (this.#aborts.cancel.signal.aborted) {
-      this.#replaceSlow(relay);
-    } else if (relay !== undefined) {
-      this.#relayFailed(relay, err);
-    } else {
-      await this.#storeFailed(err);
-    }
-  }
-
-  #replaceSlow(relay: Member | undefined): void {
-    if (relay === undefined) {
-      return;
-    }
-    const now = performance.now();
-    this.#sources.slow(relay, now);
-    this.#listener.relaySkipped(relay, "another source was faster");
-    const dueAt = this.#call!.startedAt + CHANGE_WAIT_MS[this.#subject] +
-      RELAY_EXTRA_WAIT_MS;
-    if (this.#call!.ended?.end.bytes === 0 && now > dueAt) {
-      this.#listener.relayUnresponsive(relay);
-    }
-  }
-
-  #relayFailed(relay: Member, err: unknown): void {
-    if (err instanceof StillReadingError && this.#mayReadOn()) {
-      if (err.arrival !== undefined) {
-        this.#lateness.told(err.arrival);
-      }
-      return;
-    }
-    this.#stillReadingSince = undefined;
-    this.#sources.backOff(relay, performance.now() + UNRESPONSIVE_BACK_OFF_MS);
-    this.#listener.relaySkipped(relay, messageOf(err));
-    if (!this.#aborts.call.signal.aborted) {
-      this.#listener.relayUnresponsive(relay);
-    }
-  }
-
-  async #storeFailed(err: unknown): Promise<void> {
-    if (err instanceof HistoryGoneError) {
-      this.#rows.requireFullRead();
-      // The store answers, though without rows: it is to be read, in place of other VMs.
-      this.#sources.storeAnswered();
-      this.#contact.regained();
-      // Without the pause, a store that keeps no history would be read in a busy loop.
-      await pause(CHANGE_BATCH_MS, this.#closed.signal);
-      return;
-    }
-    if (this.#aborts.call.signal.aborted) {
-      // Aborted because a peer reported a newer version: called again at once.
-      return;
-    }
-    this.#sources.storeFailed();
-    if (this.#contact.failed(messageOf(err))) {
-      this.#responder.wake();
+    await this.#besideReader.read(source, signal);
+    if (this.#slowSince(undefined) > performance.now()) {
+      this.#use.cancel();
     }
-    const pauseMs = this.#capBeforeStale(this.#contact.nextRetryMs());
-    await pause(pauseMs, this.#closed.signal);
-  }
-
-  /** Whether the relay, which is reading all rows, may take longer. */
-  #mayReadOn(): boolean {
-    const now = performance.now();
-    this.#stillReadingSince ??= now;
-    this.#lateness.progressed();
-    return now < this.#stillReadingSince + READING_MARGIN_MS;
-  }
-
-  /** The pause, shortened if needed so that it ends before this VM's rows become stale. */
-  #capBeforeStale(ms: number): number {
-    const leftMs = this.#responder.staleAt - RETRY_BEFORE_STALE_MS -
-      performance.now();
-    return leftMs > 0 ? Math.min(ms, leftMs) : ms;
   }
 }
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -159,6 +159,7 @@
         relaySkipped: () => undefined,
         callEnded: () => undefined,
         readLate: () => undefined,
+        sourceSlow: () => undefined,
         responseNotUsed: () => undefined,
         rowsNotApplied: () => undefined,
         claimRefuted: () => undefined,
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -42,6 +42,7 @@
   readonly forMs?: number;
   readonly unconfirmedMs?: number;
   readonly callMs?: number;
+  readonly slowPeer?: string;
   readonly arrivingMs?: number;
   readonly crashes?: number;
   readonly silentVms?: number;
