--- a/packages/daemon/src/gateway/lateness.ts
+++ b/packages/daemon/src/gateway/lateness.ts
@@ -7,7 +7,7 @@
 
 import type { VmId } from "@poplarthread/ids";
 import { isWorthWaiting } from "./reading.ts";
-import type { LongArrival } from "./open_calls.ts";
+import { LONG_ARRIVAL_MS, type OpenCall } from "./open_calls.ts";
 import { Lag, type LagStep } from "./lag.ts";
 import type { WatchedSubject } from "./ports.ts";
 import type { ReadingArrival } from "./relay.ts";
@@ -28,8 +28,12 @@
 const READING_TOLERANCE_MS = 100;
 /** The next response may take this long after one of rows that were old already: a round trip and some more. */
 const NEXT_RESPONSE_MS = 500;
-/** A response that will arrive for longer is not waited for. */
-const MAX_ARRIVAL_MS = 1_000;
+
+/** When a change was there, at the latest, and when it will have been read. */
+interface Reading {
+  readonly changeAt: number;
+  readonly readAt: number;
+}
 
 /** Options of a {@link Lateness}. */
 export interface LatenessOptions {
@@ -47,8 +51,8 @@
   #unconfirmedMs = 0;
   /** When the source in use last responded. */
   #respondedAt = -Infinity;
-  /** The read of the relay in use, as foreseen: when the change was there, and when it will have been read. */
-  #reading: { readonly changeAt: number; readonly readAt: number } | undefined;
+  /** The read of the relay in use, as it has told. */
+  #reading: Reading | undefined;
 
   constructor(subject: WatchedSubject, options: LatenessOptions) {
     this.#subject = subject;
@@ -92,27 +96,45 @@
     this.#reading = { changeAt: now - forMs, readAt: now + leftMs };
   }
 
-  /** When the source in use counts as slow; `arrival`: how a response of a relay arrives. */
-  slowAt({ isLost, arrival }: {
+  /** When the source in use counts as slow; `call` is its call, `isLost` whether the store is lost. */
+  slowAt({ isLost, call }: {
     readonly isLost: boolean;
-    readonly arrival: LongArrival | undefined;
+    readonly call: OpenCall | undefined;
   }): number {
-    if (arrival?.leftMs !== undefined && arrival.leftMs > MAX_ARRIVAL_MS) {
-      return -Infinity;
-    }
     const dueAt = this.#dueAt(isLost);
-    const reading = this.#reading;
+    return Math.max(
+      dueAt,
+      this.#foreseenAt(this.#reading, dueAt),
+      this.#foreseenAt(this.#arrivalOf(call), dueAt),
+    );
+  }
+
+  /** When rows will be there whose end is foreseen, if it is worth waiting for them. */
+  #foreseenAt(reading: Reading | undefined, dueAt: number): number {
     if (reading === undefined) {
-      return dueAt;
+      return -Infinity;
     }
     const changeAt = Math.min(reading.changeAt, this.#missingSince);
     const isWaitedFor = isWorthWaiting({
       forMs: dueAt - changeAt,
       leftMs: reading.readAt - dueAt,
     });
-    return isWaitedFor
-      ? Math.max(dueAt, reading.readAt + READING_TOLERANCE_MS)
-      : dueAt;
+    return isWaitedFor ? reading.readAt + READING_TOLERANCE_MS : -Infinity;
+  }
+
+  /** The response of a call that is arriving; it is waited for until its rate shows. */
+  #arrivalOf(call: OpenCall | undefined): Reading | undefined {
+    const begunAt = call?.arrivingSince;
+    if (begunAt === undefined) {
+      return undefined;
+    }
+    const { leftMs } = call?.longArrival ?? {};
+    return {
+      changeAt: begunAt,
+      readAt: leftMs === undefined
+        ? begunAt + LONG_ARRIVAL_MS
+        : performance.now() + leftMs,
+    };
   }
 
   /** When the source in use must have responded, or have told how long it takes. */
--- a/packages/daemon/src/gateway/open_calls.ts
+++ b/packages/daemon/src/gateway/open_calls.ts
@@ -9,7 +9,7 @@
 import type { EndedCall } from "./subject_listener.ts";
 
 /** A response that arrives for longer is long: its rate shows by then. */
-const LONG_ARRIVAL_MS = 200;
+export const LONG_ARRIVAL_MS = 200;
 /** The size of the store's last response with more bytes is what the next long one is taken to have. */
 const MIN_LARGE_BYTES = 65_536;
 
@@ -58,6 +58,12 @@
     return this.#arrival !== undefined;
   }
 
+  /** Since when its response has been arriving; undefined if it doesn't. */
+  get arrivingSince(): number | undefined {
+    const arrival = this.#arrival?.();
+    return arrival && performance.now() - arrival.forMs;
+  }
+
   /** How its response arrives; undefined if it has not been arriving for long. */
   get longArrival(): LongArrival | undefined {
     const arrival = this.#arrival?.();
--- a/packages/daemon/src/gateway/source_in_use.ts
+++ b/packages/daemon/src/gateway/source_in_use.ts
@@ -6,9 +6,12 @@
 
 import { JsonCallError } from "../json_exchange.ts";
 import type { LagStep } from "./lag.ts";
-import type { LongArrival, OpenCall } from "./open_calls.ts";
+import type { OpenCall } from "./open_calls.ts";
 import type { Member } from "./ports.ts";
 
+/** A response that will arrive for longer is not waited for. */
+const MAX_ARRIVAL_MS = 1_000;
+
 /** Signals that end one call. */
 export interface CallSignals {
   /** The call is made anew, unless its response has begun to arrive. */
@@ -36,9 +39,11 @@
     return this.#call;
   }
 
-  /** How a response of a relay arrives; undefined if none has been arriving for long. */
-  get relayArrival(): LongArrival | undefined {
-    return this.relay === undefined ? undefined : this.#call?.longArrival;
+  /** Whether another source must be asked at once: a relay's response will arrive for too long. */
+  get isHopeless(): boolean {
+    const { leftMs } = this.#call?.longArrival ?? {};
+    return this.relay !== undefined && leftMs !== undefined &&
+      leftMs > MAX_ARRIVAL_MS;
   }
 
   get signals(): CallSignals {
--- a/packages/daemon/src/gateway/subject_times.ts
+++ b/packages/daemon/src/gateway/subject_times.ts
@@ -31,8 +31,8 @@
  * find each other by heartbeats.
  */
 export const PEER_NEWS_PATIENCE_MS: Readonly<Record<WatchedSubject, number>> = {
-  operator: 500,
-  targets: 500,
+  operator: 700,
+  targets: 700,
   members: 2_000,
 };
 /** How much longer than a call's wait it waits for a confirmation before that: more than a slow store in another region takes. */
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -10,7 +10,7 @@
 import { CallFailures } from "./call_failures.ts";
 import { ChangeSources, type ChangeSourcesOptions } from "./change_sources.ts";
 import { Lateness } from "./lateness.ts";
-import { type LongArrival, type OpenCall, OpenCalls } from "./open_calls.ts";
+import { type OpenCall, OpenCalls } from "./open_calls.ts";
 import {
   type Member,
   type PlatformPort,
@@ -302,13 +302,14 @@
 
   /** When the source in use counts as slow; infinite while nothing could take its place. */
   #slowAt(): number {
-    return this.#rows.position === undefined
-      ? Infinity
-      : this.#slowSince(this.#use.relayArrival);
+    if (this.#rows.position === undefined) {
+      return Infinity;
+    }
+    return this.#use.isHopeless ? -Infinity : this.#slowSince(this.#use.call);
   }
 
-  #slowSince(arrival: LongArrival | undefined): number {
-    return this.#lateness.slowAt({ isLost: this.#contact.isLost, arrival });
+  #slowSince(call: OpenCall | undefined): number {
+    return this.#lateness.slowAt({ isLost: this.#contact.isLost, call });
   }
 
   /** Reads another source, and leaves the one in use if the other one was faster. */
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -708,3 +708,20 @@
     expect(new Set(texts.flat())).toEqual(new Set(["ready 9"]));
   });
 });
+
+test("a VM whose call of the store brings nothing gets what peers know from another region", async () => {
+  // Its way to the store is slow, and no relay stands above it.
+  const elsewhere = new FakeStore();
+  elsewhere.write("t-0", "ready");
+  const other = new Vm("vm-9", elsewhere);
+  const vm = new Vm("vm-1", store);
+  vm.fallbacks = [other];
+  await vi.advanceTimersByTimeAsync(500);
+  store.mode = "hangs";
+  await vi.advanceTimersByTimeAsync(1_000);
+  elsewhere.write("t-1", "ready");
+  await vi.advanceTimersByTimeAsync(100);
+  vm.watch.hint(other.watch.newest);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(vm.rows.get("t-1")).toBe("ready");
+});
