A call that began after a second source was asked is not taken for the slow one

A timer that is due is not set with a negative time. relayed_patches.ts is named after its class, row_patches.ts.

--- a/packages/daemon/src/gateway/second_source.ts
+++ b/packages/daemon/src/gateway/second_source.ts
@@ -89,7 +89,7 @@
       // What has arrived is read first.
       this.#timer = setTimeout(
         () => setImmediate(() => this.#check(at)),
-        at - performance.now(),
+        Math.max(0, at - performance.now()),
       );
     }
   }
--- a/packages/daemon/src/gateway/subject_rows.ts
+++ b/packages/daemon/src/gateway/subject_rows.ts
@@ -12,7 +12,7 @@
   StoredRow,
   WatchedSubject,
 } from "./ports.ts";
-import { RowPatches } from "./relayed_patches.ts";
+import { RowPatches } from "./row_patches.ts";
 import { RestoredRows } from "./restored_rows.ts";
 import { type RowChanges, RowCopy, type StoreVersion } from "./row_copy.ts";
 import {
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -314,12 +314,14 @@
 
   /** Reads another source, and leaves the one in use if the other one was faster. */
   async #readBeside(source: Source, signal: AbortSignal): Promise<void> {
+    const { call } = this.#use;
     this.#listener.sourceSlow({
-      used: this.#use.relay,
+      used: call?.relay,
       asked: source.kind === "relay" ? source.relay : undefined,
     });
     await this.#besideReader.read(source, signal);
-    if (this.#slowSince(undefined) > performance.now()) {
+    const isOvertaken = this.#slowSince(undefined) > performance.now();
+    if (isOvertaken && this.#use.call === call) {
       this.#use.cancel();
     }
   }
