A long arrival is found by whoever is told of it

Traced: the relay tells its VMs how its read arrives when a timer of 200 ms fires, but looked whether 200 ms had passed on another clock; a timer that fires a fraction early told nobody, and nothing told them later, so that they asked the store. The timer itself now decides. A test of the early timer failed before.

--- a/packages/daemon/src/gateway/open_calls.ts
+++ b/packages/daemon/src/gateway/open_calls.ts
@@ -39,6 +39,7 @@
   #arrival: (() => Arrival) | undefined;
   #ended: EndedCall | undefined;
   #longTimer: NodeJS.Timeout | undefined;
+  #isLong = false;
 
   /** `usualBytes`: length of a response that doesn't name it. */
   constructor(
@@ -67,7 +68,7 @@
   /** How its response arrives; undefined if it has not been arriving for long. */
   get longArrival(): LongArrival | undefined {
     const arrival = this.#arrival?.();
-    if (arrival === undefined || arrival.forMs < LONG_ARRIVAL_MS) {
+    if (arrival === undefined || !this.#isLong) {
       return undefined;
     }
     const { forMs, bytes, totalBytes = this.#usualBytes ?? 0 } = arrival;
@@ -85,15 +86,16 @@
   /** The response begins to arrive. */
   readonly begun = (arrival: () => Arrival): void => {
     this.#arrival = arrival;
-    this.#longTimer = setTimeout(
-      () => this.#listener.arrivingLong(),
-      LONG_ARRIVAL_MS,
-    );
+    this.#longTimer = setTimeout(() => {
+      this.#isLong = true;
+      this.#listener.arrivingLong();
+    }, LONG_ARRIVAL_MS);
   };
 
   /** A request has ended. */
   readonly requestEnded = (end: ExchangeEnd): void => {
     clearTimeout(this.#longTimer);
+    this.#isLong = false;
     this.#arrival = undefined;
     this.#ended = { end, relay: this.relay };
     this.#listener.ended(this.#ended);
--- a/packages/daemon/src/gateway/open_calls_test.ts
+++ b/packages/daemon/src/gateway/open_calls_test.ts
@@ -48,25 +48,40 @@
 test("the end of a long response is foreseen from its rate", () => {
   const call = open();
   call.begun(arrival({ totalBytes: 90_000 }));
-  expect(calls.longArrival).toEqual({ forMs: 300, leftMs: 600 });
   vi.advanceTimersByTime(200);
+  expect(calls.longArrival).toEqual({ forMs: 300, leftMs: 600 });
   expect(longArrivals).toBe(1);
 });
 
 test("a response without a length is taken to be as long as the last large one", () => {
   const earlier = open();
   earlier.begun(arrival({}));
+  vi.advanceTimersByTime(200);
   expect(calls.longArrival).toEqual({ forMs: 300, leftMs: undefined });
   earlier.requestEnded({ ...READ, bytes: 450_000 });
   open().begun(arrival({ bytes: 150_000 }));
+  vi.advanceTimersByTime(200);
   expect(calls.longArrival).toEqual({ forMs: 300, leftMs: 600 });
 });
 
 test("nothing is foreseen of a response that has just begun", () => {
   const call = open();
-  call.begun(arrival({ forMs: 20, totalBytes: 90_000 }));
+  call.begun(arrival({ totalBytes: 90_000 }));
+  vi.advanceTimersByTime(199);
   expect(calls.longArrival).toBeUndefined();
   call.requestEnded({ ...READ, bytes: 90_000 });
   vi.advanceTimersByTime(1_000);
   expect(longArrivals).toBe(0);
 });
+
+test("whoever is told of a long arrival finds it, though timers may fire early", () => {
+  // Nobody would be told a second time.
+  const seen: unknown[] = [];
+  calls = new OpenCalls({
+    arrivingLong: () => seen.push(calls.longArrival),
+    ended: () => undefined,
+  });
+  open().begun(arrival({ forMs: 199.8, bytes: 50_000, totalBytes: 100_000 }));
+  vi.advanceTimersByTime(200);
+  expect(seen).toEqual([{ forMs: 199.8, leftMs: 199.8 }]);
+});
