What a source gives is taken over in one way, whether store or relay

The sink had two methods that differed only in who worked out when the store had confirmed the rows, and how their age was noted, which is the same for both (knownSinceRead is the start of a read). Both readers now give one ReadResult with confirmedAt; for how long a response arrived is asked of its call, in one place. Two constants of one name and different sizes have names of their own.

No change of behaviour.

--- a/packages/daemon/src/gateway/beside_reader.ts
+++ b/packages/daemon/src/gateway/beside_reader.ts
@@ -7,11 +7,11 @@
 import type { ChangeSources } from "./change_sources.ts";
 import type { OpenCall, OpenCalls } from "./open_calls.ts";
 import { HistoryGoneError, type Member } from "./ports.ts";
-import type { ReadSink } from "./read_sink.ts";
+import type { ReadResult, ReadSink } from "./read_sink.ts";
 import type { RelayReader } from "./relay_reader.ts";
 import type { Source } from "./second_source.ts";
 import type { StoreContact } from "./store_contact.ts";
-import type { StoreRead, StoreReader } from "./store_reader.ts";
+import type { StoreReader } from "./store_reader.ts";
 
 /** How long the store may wait for changes: there are some, or a confirmation is due. */
 const STORE_WAIT_MS = 20;
@@ -50,23 +50,21 @@
     const { calls, relayReader, sink } = this.#options;
     const relay = source.kind === "relay" ? source.relay : undefined;
     await calls.make(relay, async (call) => {
-      if (relay === undefined) {
-        sink.applyStored(await this.#readStore(call, signal), call.ended);
-        return;
-      }
-      const response = await relayReader.read(relay, {
-        call,
-        isSecond: true,
-        isTold: true,
-        signals: { signal, cancelSignal: signal },
-      });
-      if (response !== undefined) {
-        sink.applyRelayed(response, call.ended);
+      const result = relay === undefined
+        ? await this.#readStore(call, signal)
+        : await relayReader.read(relay, {
+          call,
+          isSecond: true,
+          isTold: true,
+          signals: { signal, cancelSignal: signal },
+        });
+      if (result !== undefined) {
+        sink.apply(result, call.ended);
       }
     });
   }
 
-  async #readStore(call: OpenCall, signal: AbortSignal): Promise<StoreRead> {
+  async #readStore(call: OpenCall, signal: AbortSignal): Promise<ReadResult> {
     const { storeReader } = this.#options;
     const options = { call, signal, cancelSignal: signal };
     try {
--- a/packages/daemon/src/gateway/lateness.ts
+++ b/packages/daemon/src/gateway/lateness.ts
@@ -24,7 +24,7 @@
 /** Rows that were missing for longer are reported: changes must be in force within 2.5 s and more. */
 const LATE_MS = 1_000;
 
-/** How much later than foreseen the rows of such a read may come. */
+/** How much later than foreseen rows may come. */
 const READING_TOLERANCE_MS = 100;
 /** The next response may take this long after one of rows that were old already: a round trip and some more. */
 const NEXT_RESPONSE_MS = 500;
--- a/packages/daemon/src/gateway/open_calls.ts
+++ b/packages/daemon/src/gateway/open_calls.ts
@@ -11,7 +11,7 @@
 /** A response that arrives for longer is long: its rate shows by then. */
 export const LONG_ARRIVAL_MS = 200;
 /** The size of the store's last response with more bytes is what the next long one is taken to have. */
-const MIN_LARGE_BYTES = 65_536;
+const MIN_USUAL_BYTES = 65_536;
 
 /** How a response arrives that has been arriving for long. */
 export interface LongArrival {
@@ -83,6 +83,11 @@
     return this.#ended;
   }
 
+  /** For how long the response of its last request arrived; 0 if none did. */
+  get arrivedMs(): number {
+    return this.#ended?.end.arrivingMs ?? 0;
+  }
+
   /** The response begins to arrive. */
   readonly begun = (arrival: () => Arrival): void => {
     this.#arrival = arrival;
@@ -116,7 +121,7 @@
         const { kind, bytes } = call.end;
         if (
           call.relay === undefined && kind === "read" &&
-          bytes >= MIN_LARGE_BYTES
+          bytes >= MIN_USUAL_BYTES
         ) {
           this.#usualBytes = bytes;
         }
--- a/packages/daemon/src/gateway/read_sink.ts
+++ b/packages/daemon/src/gateway/read_sink.ts
@@ -5,13 +5,23 @@
  */
 
 import type { Lateness } from "./lateness.ts";
-import type { RelayedRows } from "./relay_reader.ts";
+import type { ReadingArrival } from "./relay.ts";
 import type { RelayResponder } from "./relay_responder.ts";
 import type { RowsAge } from "./rows_age.ts";
 import type { StoreContact } from "./store_contact.ts";
-import type { StoreRead } from "./store_reader.ts";
 import type { EndedCall } from "./subject_listener.ts";
-import type { SubjectRows } from "./subject_rows.ts";
+import type { RowsRead, SubjectRows, UsedRead } from "./subject_rows.ts";
+
+/** Rows that were read, and what the response said besides. */
+export interface ReadResult extends UsedRead {
+  readonly read: RowsRead;
+  /** When the store confirmed the rows, on the monotonic clock; undefined if that is too long ago. */
+  readonly confirmedAt: number | undefined;
+  /** The relay will have more soon. */
+  readonly isReading?: boolean;
+  /** How that arrives, as far as the relay knows. */
+  readonly arrival?: ReadingArrival | undefined;
+}
 
 /** Options of a {@link ReadSink}. */
 export interface ReadSinkOptions {
@@ -30,28 +40,21 @@
     this.#options = options;
   }
 
-  /** Takes over a read of the store. */
-  applyStored(read: StoreRead, call: EndedCall | undefined): void {
-    this.#confirm(performance.now() - arrivalMs(call));
-    this.#apply(read, call);
-    this.#options.age.read(read.read);
-  }
-
-  /** Takes over a response of a relay. */
-  applyRelayed(response: RelayedRows, call: EndedCall | undefined): void {
-    const { confirmedAt, isReading, arrival, read } = response;
-    const { lateness } = this.#options;
+  /** Takes over what a call has brought. */
+  apply(result: ReadResult, call: EndedCall | undefined): void {
+    const { read, confirmedAt, isReading, arrival } = result;
+    const { age, lateness } = this.#options;
     if (isReading) {
       lateness.progressed();
     }
     if (confirmedAt !== undefined) {
       this.#confirm(confirmedAt);
     }
-    this.#apply(response, call);
+    this.#use(result, call);
     if (arrival !== undefined) {
       lateness.told(arrival);
     }
-    this.#options.age.completeSince(read.startedAt);
+    age.read(read);
   }
 
   #confirm(at: number): void {
@@ -61,8 +64,8 @@
     contact.regained();
   }
 
-  #apply(
-    { read, isWhole, verdict }: StoreRead,
+  #use(
+    { read, isWhole, verdict }: ReadResult,
     call: EndedCall | undefined,
   ): void {
     const { rows, contact, lateness, responder } = this.#options;
@@ -78,8 +81,3 @@
     }
   }
 }
-
-/** A response is of the moment at which it began to arrive. */
-function arrivalMs(call: EndedCall | undefined): number {
-  return call?.end.arrivingMs ?? 0;
-}
--- a/packages/daemon/src/gateway/relay_reader.ts
+++ b/packages/daemon/src/gateway/relay_reader.ts
@@ -7,18 +7,13 @@
 import type { ChangeSources } from "./change_sources.ts";
 import type { OpenCall } from "./open_calls.ts";
 import type { Member, WatchedSubject } from "./ports.ts";
+import type { ReadResult } from "./read_sink.ts";
 import { isWorthWaiting } from "./reading.ts";
-import {
-  type ReadingArrival,
-  relayedRead,
-  type RelayRequest,
-  type RelayResponse,
-} from "./relay.ts";
+import { relayedRead, type RelayRequest, type RelayResponse } from "./relay.ts";
 import type { RowsAge } from "./rows_age.ts";
 import type { StoreContact } from "./store_contact.ts";
 import type { SubjectListener } from "./subject_listener.ts";
-import type { SubjectRows, UsedRead } from "./subject_rows.ts";
-import type { RowsRead } from "./subject_rows.ts";
+import type { SubjectRows } from "./subject_rows.ts";
 import { CHANGE_WAIT_MS, STALE_MARGIN_MS } from "./subject_times.ts";
 
 /** How much older rows may be while a relay reads newer ones, and how long it may read all: on a narrow link, its VMs would need longer together. */
@@ -50,16 +45,6 @@
   >;
 }
 
-/** A response that can be used. */
-export interface RelayedRows extends UsedRead {
-  readonly read: RowsRead;
-  /** When the store confirmed the rows, on the monotonic clock; undefined if that is too long ago. */
-  readonly confirmedAt: number | undefined;
-  /** The relay will have more soon. */
-  readonly isReading: boolean;
-  readonly arrival: ReadingArrival | undefined;
-}
-
 /** Options of a {@link RelayReader}. */
 export interface RelayReaderOptions {
   readonly rows: SubjectRows;
@@ -84,7 +69,7 @@
   async read(
     relay: Member,
     { call, isSecond = false, isTold, signals }: RelayReadOptions,
-  ): Promise<RelayedRows | undefined> {
+  ): Promise<ReadResult | undefined> {
     const { rows, age, sources, contact, queryRelay } = this.#options;
     const isFallback = sources.isFallback(relay);
     const requestedAt = age.steadyNow;
@@ -127,7 +112,7 @@
       // One that isn't a relay may have lost the store as well.
       isFallback: isFallback || (isSecond && contact.isLost),
       mayReplace,
-      arrivingMs: call.ended?.end.arrivingMs ?? 0,
+      arrivedMs: call.arrivedMs,
     });
     return { read, isWhole, verdict, isReading, arrival, confirmedAt };
   }
@@ -135,14 +120,14 @@
   /** Notes what a response says of the relay. Returns when the store confirmed the rows; undefined if that doesn't count. */
   #judge(relay: Member, response: RelayResponse, options: {
     /** For how long the response arrived. */
-    readonly arrivingMs: number;
+    readonly arrivedMs: number;
     readonly isFallback: boolean;
     readonly mayReplace: boolean;
   }): number | undefined {
-    const { arrivingMs, isFallback, mayReplace } = options;
+    const { arrivedMs, isFallback, mayReplace } = options;
     const { sources, contact, listener } = this.#options;
     const now = performance.now();
-    const confirmedAt = now - response.ageMs - arrivingMs;
+    const confirmedAt = now - response.ageMs - arrivedMs;
     const isFresh =
       response.ageMs < CHANGE_WAIT_MS[this.#subject] + STALE_MARGIN_MS;
     contact.relayRegained(response.regainedMs, now);
--- a/packages/daemon/src/gateway/rows_age.ts
+++ b/packages/daemon/src/gateway/rows_age.ts
@@ -56,13 +56,8 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, at);
   }
 
-  /** This VM has read the store; times on the clock of {@link steadyNow}. */
+  /** The store was read, by this VM or its relay; times on the clock of {@link steadyNow}. */
   read(read: TableRead): void {
-    this.completeSince(knownSinceRead(read));
-  }
-
-  /** The rows are complete up to a time on the clock of {@link steadyNow}. */
-  completeSince(since: number): void {
-    this.#knownSince = laterKnownSince(this.#knownSince, since);
+    this.#knownSince = laterKnownSince(this.#knownSince, knownSinceRead(read));
   }
 }
--- a/packages/daemon/src/gateway/store_reader.ts
+++ b/packages/daemon/src/gateway/store_reader.ts
@@ -12,13 +12,9 @@
   type StoredRow,
   type WatchedSubject,
 } from "./ports.ts";
+import type { ReadResult } from "./read_sink.ts";
 import type { RowsAge } from "./rows_age.ts";
-import type { RowsRead, SubjectRows, UsedRead } from "./subject_rows.ts";
-
-/** Rows that are to be applied. */
-export interface StoreRead extends UsedRead {
-  readonly read: RowsRead;
-}
+import type { SubjectRows } from "./subject_rows.ts";
 
 /** How the store is read. */
 export interface StoreReadOptions {
@@ -54,7 +50,7 @@
   async changes(
     waitMs: number,
     { call, ...signals }: StoreReadOptions,
-  ): Promise<StoreRead> {
+  ): Promise<ReadResult> {
     const { store, rows, age } = this.#options;
     const startedAt = age.steadyNow;
     const page = await store.changes(this.#subject, {
@@ -70,13 +66,14 @@
     }
     this.#unusedEra = undefined;
     const read = { ...page, startedAt, endedAt: age.steadyNow };
-    return { read, isWhole: false, verdict: "current" };
+    const confirmedAt = confirmedBy(call);
+    return { read, isWhole: false, verdict: "current", confirmedAt };
   }
 
   /** All rows, page by page. */
   async all(
     { call, cancelSignal }: Omit<StoreReadOptions, "signal">,
-  ): Promise<StoreRead> {
+  ): Promise<ReadResult> {
     const { store, rows: { history }, age } = this.#options;
     const startedAt = age.steadyNow;
     const rows: StoredRow[] = [];
@@ -108,7 +105,7 @@
       this.#reject(era);
     }
     this.#unusedEra = undefined;
-    return { read, isWhole, verdict };
+    return { read, isWhole, verdict, confirmedAt: confirmedBy(call) };
   }
 
   /** All rows are read again: those read are not of the history in use. */
@@ -120,3 +117,8 @@
     throw new HistoryGoneError("the store was restored", era);
   }
 }
+
+/** A response is of the moment at which it began to arrive. */
+function confirmedBy({ arrivedMs }: OpenCall): number {
+  return performance.now() - arrivedMs;
+}
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -256,7 +256,7 @@
         .read(relay, { call, isTold, signals });
       this.#failures.relayResponded();
       if (response !== undefined) {
-        this.#sink.applyRelayed(response, call.ended);
+        this.#sink.apply(response, call.ended);
       }
     });
     this.#secondSource.update();
@@ -271,7 +271,7 @@
       const read = isFirst
         ? await this.#storeReader.all(options)
         : await this.#storeReader.changes(this.#storeWaitMs, options);
-      this.#sink.applyStored(read, call.ended);
+      this.#sink.apply(read, call.ended);
       return read;
     });
     this.#secondSource.update();
