A slow store is given time to respond, also while peers name newer versions

What callers saw: a change that was confirmed never came into force behind a store, or a way to it, that takes longer than 300 ms to respond, as long as peers kept naming a newer version: the VM that reads the store itself, and all VMs behind it.

Cause: each 300 ms in which peers name a version that a VM lacks, its call of the store was given up and made anew, however young it was, unless its response had begun to arrive.

Change: only a call that is old enough to wait on a silent connection is given up, and each one given up in vain doubles the time for the next, until rows arrive.

--- a/packages/daemon/src/gateway/lag.ts
+++ b/packages/daemon/src/gateway/lag.ts
@@ -22,6 +22,13 @@
 const RELAY_ALIVE_MS = 500;
 /** Longest time for which a relay is kept that responds, but brings nothing. */
 const RELAY_PATIENCE_MS = 1_000;
+/**
+ * A call of the store that is older may wait on a silent connection: many times the usual
+ * response time. Twice as long after each call that was given up in vain, since a slow
+ * store would never get to respond.
+ */
+const MIN_STORE_PATIENCE_MS = 300;
+const MAX_STORE_PATIENCE_MS = 2_400;
 
 /** The situation of a VM that lacks a change. */
 export interface LagState {
@@ -30,6 +37,8 @@
   readonly isArriving: boolean;
   /** The relay that is being asked; undefined if it is the store. */
   readonly relay: VmId | undefined;
+  /** Since when. */
+  readonly calledAt: number;
 }
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
@@ -40,6 +49,7 @@
   #stuckSince = -Infinity;
   /** The relay that was last asked on a new connection, and when. */
   #asked: { readonly relay: VmId; readonly at: number } | undefined;
+  #storePatienceMs = MIN_STORE_PATIENCE_MS;
 
   /** The oldest version that peers have named and this VM lacks, and since when. */
   get missing():
@@ -64,6 +74,7 @@
   /** Rows up to `version` have arrived. Returns for how long one was missing, 0 if none was. */
   arrived(version: number, now: number): number {
     this.#stuckSince = now;
+    this.#storePatienceMs = MIN_STORE_PATIENCE_MS;
     const missing = this.#missing;
     if (missing === undefined || version < missing.version) {
       return 0;
@@ -77,11 +88,14 @@
     this.#missing = undefined;
   }
 
-  nextStep({ now, isArriving, relay }: LagState): LagStep {
+  nextStep({ now, isArriving, relay, calledAt }: LagState): LagStep {
     if (isArriving) {
       return "wait";
     }
-    if (relay === undefined || now - this.#stuckSince > RELAY_PATIENCE_MS) {
+    if (relay === undefined) {
+      return this.#nextStoreStep(now - calledAt);
+    }
+    if (now - this.#stuckSince > RELAY_PATIENCE_MS) {
       return "start-over";
     }
     const asked = this.#asked;
@@ -91,4 +105,15 @@
     this.#asked = { relay, at: now };
     return "ask-again";
   }
+
+  #nextStoreStep(calledMs: number): LagStep {
+    if (calledMs < this.#storePatienceMs) {
+      return "wait";
+    }
+    this.#storePatienceMs = Math.min(
+      MAX_STORE_PATIENCE_MS,
+      2 * this.#storePatienceMs,
+    );
+    return "start-over";
+  }
 }
--- a/packages/daemon/src/gateway/lag_test.ts
+++ b/packages/daemon/src/gateway/lag_test.ts
@@ -26,7 +26,15 @@
     readonly isArriving?: boolean;
   } = {},
 ) {
-  return times.map((now) => lag.nextStep({ now, relay, isArriving }));
+  return times.map((now) =>
+    lag.nextStep({ now, relay, isArriving, calledAt: 0 })
+  );
+}
+
+/** What becomes of a call of the store that was made at `calledAt`. */
+function storeStepAt(now: number, calledAt: number) {
+  const isArriving = false;
+  return lag.nextStep({ now, relay: undefined, isArriving, calledAt });
 }
 
 test("a response that is arriving is never given up", () => {
@@ -52,8 +60,27 @@
 });
 
 test("a call of the store begins anew", () => {
-  expect(lag.nextStep({ now: 300, relay: undefined, isArriving: false }))
-    .toBe("start-over");
+  expect(storeStepAt(300, 0)).toBe("start-over");
+});
+
+test("a slow store is given more time with each call, until rows arrive", () => {
+  const steps = () => [
+    storeStepAt(300, 0),
+    storeStepAt(899, 300),
+    storeStepAt(900, 300),
+    storeStepAt(2_099, 900),
+    storeStepAt(2_100, 900),
+  ];
+  expect(steps()).toEqual(
+    ["start-over", "wait", "start-over", "wait", "start-over"],
+  );
+  lag.arrived(7, 2_200);
+  lag.missed(8, 2_200);
+  expect(storeStepAt(2_500, 2_200)).toBe("start-over");
+});
+
+test("a call of the store that has just been made is waited for", () => {
+  expect(storeStepAt(300, 290)).toBe("wait");
 });
 
 test("a change counts as missing since peers first named it, until it has arrived", () => {
--- a/packages/daemon/src/gateway/lateness.ts
+++ b/packages/daemon/src/gateway/lateness.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import type { VmId } from "@poplarthread/ids";
 import { isWorthWaiting } from "./reading.ts";
 import { LONG_ARRIVAL_MS, type OpenCall } from "./open_calls.ts";
 import { Lag, type LagStep } from "./lag.ts";
@@ -74,14 +73,14 @@
     this.#lag.progressed(performance.now());
   }
 
-  /** What to do about the source in use; `relay` is undefined for the store. */
-  nextStep(
-    { isArriving, relay }: {
-      readonly isArriving: boolean;
-      readonly relay: VmId | undefined;
-    },
-  ): LagStep {
-    return this.#lag.nextStep({ now: performance.now(), isArriving, relay });
+  /** What to do about the call of the source in use. */
+  nextStep({ isArriving, relay, startedAt }: OpenCall): LagStep {
+    return this.#lag.nextStep({
+      now: performance.now(),
+      isArriving,
+      relay: relay?.vm,
+      calledAt: startedAt,
+    });
   }
 
   /** Whether it is known when the relay in use will have read its rows. */
--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -191,16 +191,21 @@
     this.#missedChangeTimer = setTimeout(() => {
       this.#missedChangeTimer = undefined;
       if (this.#lateness.isBehind(seen)) {
-        this.#use.doubt(this.#lateness.nextStep({
-          isArriving: this.#use.call?.isArriving ?? false,
-          relay: this.#use.relay?.vm,
-        }));
+        this.#doubtCall();
       } else if (this.#rows.history.isReadDue) {
         this.#use.endStoreWait();
       }
     }, MISSED_CHANGE_TIMEOUT_MS);
   }
 
+  /** Peers know a newer version than the call in use has brought. */
+  #doubtCall(): void {
+    const { call } = this.#use;
+    if (call !== undefined) {
+      this.#use.doubt(this.#lateness.nextStep(call));
+    }
+  }
+
   /** Gives up a request that is pending at a VM, which has not responded to others. */
   leaveRelay({ vm }: Member): void {
     this.#use.leave(vm);
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -25,6 +25,8 @@
   era = 1;
   calls = 0;
   pageSize = 1_000;
+  /** How long it takes to respond. */
+  latencyMs = 4;
   /** How the store treats calls. */
   mode: "answers" | "refuses" | "hangs" = "answers";
   isOlder: PlatformPort["isOlder"] = () => false;
@@ -96,7 +98,8 @@
       await pause(60_000, signal);
       throw new Error("no answer");
     }
-    await pause(4);
+    await pause(this.latencyMs, signal);
+    signal?.throwIfAborted();
   }
 
   #nextChange(ms: number, signal: AbortSignal): Promise<void> {
@@ -256,6 +259,24 @@
     expect(vm.rows.has("t-1")).toBe(true);
   });
 
+  test.each([350, 500, 800])(
+    "is read though it responds after %i ms and peers keep naming newer versions",
+    async (latencyMs) => {
+      // A call that is given up before the store can respond begins anew, each time.
+      const vm = new Vm("vm-1", store);
+      await vi.advanceTimersByTimeAsync(1_500);
+      store.latencyMs = latencyMs;
+      store.write("t-1", "ready");
+      await vi.advanceTimersByTimeAsync(20);
+      store.write("t-2", "ready");
+      for (let ms = 0; ms < 2_500; ms += 30) {
+        vm.watch.hint(store);
+        await vi.advanceTimersByTimeAsync(30);
+      }
+      expect(vm.rows.has("t-2")).toBe(true);
+    },
+  );
+
   test("is not taken for lost when a change cannot be applied, which is tried again", async () => {
     const vm = new Vm("vm-1", store);
     const follower = new Vm("vm-2", store);
