Versions that no store has leave no more time for a silent connection

The time that a call of the store is given doubled also where peers had named versions of another history, and stayed so after these were refuted, until rows arrived: a change behind a silent connection would then be noticed only by the call's own timeout. The unit test failed before.

--- a/packages/daemon/src/gateway/lag.ts
+++ b/packages/daemon/src/gateway/lag.ts
@@ -23,9 +23,9 @@
 /** Longest time for which a relay is kept that responds, but brings nothing. */
 const RELAY_PATIENCE_MS = 1_000;
 /**
- * A call of the store that is older may wait on a silent connection: many times the usual
- * response time. Twice as long after each call that was given up in vain, since a slow
- * store would never get to respond.
+ * A call of the store that is older than this may wait on a silent connection: it is many
+ * times the usual response time. It doubles with each call that is given up in vain, since
+ * a slow store would never get to respond.
  */
 const MIN_STORE_PATIENCE_MS = 300;
 const MAX_STORE_PATIENCE_MS = 2_400;
@@ -37,7 +37,7 @@
   readonly isArriving: boolean;
   /** The relay that is being asked; undefined if it is the store. */
   readonly relay: VmId | undefined;
-  /** Since when. */
+  /** When the pending call was made. */
   readonly calledAt: number;
 }
 
@@ -86,6 +86,7 @@
   /** Nothing is missing: peers' versions are those of another history, or none that the store has. */
   reset(): void {
     this.#missing = undefined;
+    this.#storePatienceMs = MIN_STORE_PATIENCE_MS;
   }
 
   nextStep({ now, isArriving, relay, calledAt }: LagState): LagStep {
--- a/packages/daemon/src/gateway/lag_test.ts
+++ b/packages/daemon/src/gateway/lag_test.ts
@@ -79,6 +79,13 @@
   expect(storeStepAt(2_500, 2_200)).toBe("start-over");
 });
 
+test("versions that no store has leave no more time for a silent connection", () => {
+  expect(storeStepAt(300, 0)).toBe("start-over");
+  lag.reset();
+  lag.missed(8, 600);
+  expect(storeStepAt(900, 600)).toBe("start-over");
+});
+
 test("a call of the store that has just been made is waited for", () => {
   expect(storeStepAt(300, 290)).toBe("wait");
 });
