--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -228,6 +228,10 @@
     type: "number",
     meaning: "callers' requests at this VM in the window of the retry budget",
   },
+  runningMs: {
+    type: "number",
+    meaning: "time since the process started, in milliseconds",
+  },
   objects: { type: "number", meaning: "number of objects that have homes" },
   homes: { type: "number", meaning: "number of homes of these objects" },
   secondHomes: {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -238,7 +238,7 @@
     level: "warn",
     meaning:
       "A request is not retried, because this VM has sent its part of the retries that all VMs together may send to the service. One line for each service and window.",
-    fields: ["service", "retries", "requests", "fleetVms"],
+    fields: ["service", "retries", "requests", "fleetVms", "runningMs"],
   },
   "peer leaving": {
     level: "info",
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -113,6 +113,8 @@
   #fingerprints: readonly Fingerprint[] = [];
   /** The run of the target that the current attempt was sent to. */
   #run: TargetRun | undefined;
+  /** Whether the next attempt is a retry that the budget of the service has allowed. */
+  #isRetry = false;
   #firstSentAt: number | undefined;
   #retryAfterMs: number | undefined;
   #lastAttempt: AttemptSummary | undefined;
@@ -647,6 +649,7 @@
         objectiveAt: this.objectiveAt,
       });
     if (isAllowed) {
+      this.#isRetry = true;
       this.#requeue(now);
     } else {
       this.#giveUp("refused-by-targets", MIN_RETRY_TIME_MS);
@@ -673,6 +676,10 @@
     this.#transition("send");
     this.#response.reserve();
     this.#firstSentAt ??= now;
+    if (this.#isRetry) {
+      this.#isRetry = false;
+      this.#services.steering.retrySent(this.service);
+    }
   }
 
   #send(target: TargetId, now: number): void {
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -246,6 +246,7 @@
       markUnreachable: noop,
       roundTripTo: () => 1,
       takeRetry: () => true,
+      retrySent: noop,
       mayTryAgain: () => this.mayTryAgain,
       losesRequests: () => false,
       checkRoom: () => this.roomRefusal,
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -35,6 +35,8 @@
   /** Retries and requests in the window of a retry budget. */
   readonly retries?: number;
   readonly requests?: number;
+  /** Time since the process started, in milliseconds. */
+  readonly runningMs?: number;
   /** Back-off that a target asked of this VM. */
   readonly restMs?: number;
   /** What repeats of a request have in common, as a hash. */
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -60,7 +60,7 @@
   type RelayCandidate,
   relaysFor,
 } from "./relays.ts";
-export type { RetryCounts, RetryDenial } from "./retries.ts";
+export type { RetryCounts, RetryDenial, RetryTotals } from "./retries.ts";
 export { RoomPlans } from "./room/room_plans.ts";
 export {
   type PriorityOffer,
--- a/packages/placement/src/retries.ts
+++ b/packages/placement/src/retries.ts
@@ -26,9 +26,22 @@
   >
 >;
 
+/** Both sides of the bound on a service's retries, since the process started. */
+export type RetryTotals = Readonly<
+  Record<
+    /** Callers' requests, which raise the bound. */
+    | "requests"
+    /** Retries that were sent to targets or to other VMs. */
+    | "sent",
+    number
+  >
+>;
+
 /** A retry that the budget of a service did not allow. */
 export interface RetryDenial extends RetryUse {
   readonly service: ServiceId;
+  /** Time since the process started. */
+  readonly runningMs: number;
   /** VMs that the fixed number is divided by; Infinity if their number is not known. */
   readonly vms: number;
 }
@@ -46,6 +59,7 @@
 class ServiceRetries {
   readonly budget: FleetRetryBudget;
   readonly counts = { taken: 0, denied: 0, hopeless: 0 };
+  readonly totals = { requests: 0, sent: 0 };
   /** When a denial was last reported. */
   reportedAt = -Infinity;
 
@@ -72,9 +86,23 @@
     );
   }
 
+  /** Both sides of the bound by service, for metrics. */
+  totals(): ReadonlyMap<ServiceId, RetryTotals> {
+    return new Map(
+      [...this.#services].map(([name, { totals }]) => [name, totals]),
+    );
+  }
+
   /** Records the arrival of a caller's request. */
-  arrived(service: ServiceId, now: number): void {
-    this.#service(service).budget.arrived(now);
+  arrived(name: ServiceId, now: number): void {
+    const service = this.#service(name);
+    service.budget.arrived(now);
+    service.totals.requests += 1;
+  }
+
+  /** Records that a retry that was taken is sent. */
+  sent(service: ServiceId): void {
+    this.#service(service).totals.sent += 1;
   }
 
   /** Takes one retry; false if the budget doesn't allow it or it can't succeed. */
@@ -99,7 +127,7 @@
   }
 
   #reportDenial(name: ServiceId, now: number): void {
-    const { bound: { windowMs }, onDenied } = this.#options;
+    const { bound: { windowMs }, startedAt, onDenied } = this.#options;
     const { rates } = this.#known;
     const service = this.#service(name);
     if (now - service.reportedAt >= windowMs) {
@@ -107,6 +135,7 @@
       onDenied?.({
         service: name,
         vms: rates.totalVms,
+        runningMs: Math.round(now - startedAt),
         ...service.budget.used(now),
       });
     }
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -25,7 +25,12 @@
 } from "./placement.ts";
 import { type RetryRequest, type RoomLookup, VmRoom } from "./room/vm_room.ts";
 import { RequestHomes } from "./request_homes.ts";
-import { Retries, type RetryCounts, type RetryDenial } from "./retries.ts";
+import {
+  Retries,
+  type RetryCounts,
+  type RetryDenial,
+  type RetryTotals,
+} from "./retries.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { Location, SteeredTarget } from "./target.ts";
@@ -311,6 +316,16 @@
     return this.#retries.take(service, now, retry);
   }
 
+  /** Records that a retry of the service is sent. */
+  retrySent(service: ServiceId): void {
+    this.#retries.sent(service);
+  }
+
+  /** Requests and retries of this VM, by service, for metrics. */
+  retryTotals(): ReadonlyMap<ServiceId, RetryTotals> {
+    return this.#retries.totals();
+  }
+
   /** How often requests asked for a retry, by service, for metrics. */
   retryCounts(): ReadonlyMap<ServiceId, RetryCounts> {
     return this.#retries.counts();
