Retries are paid for once, whichever processes end or take over callers

Cause: a process counted its share of the ratio over its own last 10 s and could spend all of it at once. Its successor, and the VMs that took over its callers, earned the whole share again, so that a window could have what 20 s of requests earn. A tenth of the fixed number came again with each start as well.

Change: a request that arrives earns retries at its process, and time earns those of the fixed number. A process saves up at most a share of its requests of the last window, and of the fixed number; it begins with nothing. In any window the processes send at most 0.65 of the ratio of the requests of the window and 0.3 of it of those of the window before: 0.95, whatever the load does, since the bound counts the better of these windows. Of the fixed number it is 0.8.

--- a/packages/placement/src/fleet_retry_budget.ts
+++ b/packages/placement/src/fleet_retry_budget.ts
@@ -1,11 +1,14 @@
 /**
- * This VM's share of the retries that all VMs together may send to a service.
+ * This process's part of the retries that all VMs together may send to a service.
  *
  * Prevents retry storms, like the token bucket of the decisions package, but for
  * deployments that bound retries in any window over all VMs by a share of the
- * requests plus a fixed number. Each VM may use the share of its own requests and
- * an equal part of the fixed number. The bound therefore holds without any
- * messages, even during a network partition.
+ * requests plus a fixed number. The requests that arrive at a process earn retries,
+ * and so does the time for which it runs. It saves up no more than a share of the
+ * requests of its last window, and of the fixed number. In any window a process thus
+ * sends at most what the requests and the time of that window earn, and its savings,
+ * for which the window before has paid. Sums of these hold without any messages,
+ * whichever processes end, start, or take over callers of others.
  *
  * @module
  */
@@ -27,31 +30,36 @@
   readonly retries: number;
 }
 
-/** Share of the fixed number that is used; see {@link START_SHARE}. */
-const FIXED_SHARE = 0.45;
+/** Share of the ratio that each request earns. */
+const EARNED_SHARE = 0.65;
 /**
- * Share of this part that a process may use at its start; the rest grows over one window.
- * It does not know what processes before it used in the same window: with these shares
- * the bound holds while each VM restarts three times in a window.
+ * Share of the ratio that is saved up, of the requests of the last window. Together
+ * with {@link EARNED_SHARE} less than 1: requests are counted when they are read, and
+ * retries arrive some time after they were sent.
  */
-const START_SHARE = 0.1;
-/**
- * Share of the ratio that is used: a VM's requests and their retries fall into
- * windows that differ by up to the service time.
- */
-const RATIO_SHARE = 0.8;
+const SAVED_SHARE = 0.3;
+/** Share of the fixed number that all VMs together earn in a window. */
+const FIXED_EARNED_SHARE = 0.3;
+/** Share of the fixed number that all VMs together save up. */
+const FIXED_SAVED_SHARE = 0.5;
+/** Windows in which all that can be saved up of the fixed number is earned. */
+const WINDOWS_TO_SAVE_ALL = FIXED_SAVED_SHARE / FIXED_EARNED_SHARE;
 
-/** The retry budget of one service on one VM. Times are milliseconds of the monotonic clock. */
+/** The retry budget of one service in one process. Times are milliseconds of the monotonic clock. */
 export class FleetRetryBudget {
   readonly #bound: RetryBound;
-  readonly #startedAt: number;
   readonly #requests: WindowCount;
   readonly #retries: WindowCount;
+  /** Retries saved up from requests. */
+  #saved = 0;
+  /** Retries of the fixed number that all processes as old as this one have saved up. */
+  #fixedSaved = 0;
+  #fixedSavedAt: number;
 
   /** `startedAt` is when the process started; long ago by default. */
   constructor(bound: RetryBound, { startedAt = -Infinity } = {}) {
     this.#bound = bound;
-    this.#startedAt = startedAt;
+    this.#fixedSavedAt = startedAt;
     this.#requests = new WindowCount(bound.windowMs);
     this.#retries = new WindowCount(bound.windowMs);
   }
@@ -59,9 +67,11 @@
   /** Records the arrival of a caller's request for the service. */
   arrived(now: number): void {
     this.#requests.add(now);
+    this.#saved += this.#bound.ratio * EARNED_SHARE;
+    this.#update(now);
   }
 
-  /** Requests and retries of this VM in the window that ends at `now`. */
+  /** Requests and retries of this process in the window that ends at `now`. */
   used(now: number): RetryUse {
     return {
       requests: this.#requests.sum(now),
@@ -70,25 +80,46 @@
   }
 
   /**
-   * Takes one retry from the budget of this VM, one of `vms` VMs; false if no more
-   * than `reservedShare` of the budget is left.
+   * Takes one retry from the budget of this process, one of `vms` VMs; false if
+   * less than `reservedShare` of what it can save up would be left.
    */
   trySpend(now: number, vms: number, { reservedShare = 0 } = {}): boolean {
-    const { ratio } = this.#bound;
-    const allowed = this.#requests.sum(now) * ratio * RATIO_SHARE +
-      this.#fixedAt(now) / Math.max(1, vms);
-    if (this.#retries.sum(now) + 1 > allowed * (1 - reservedShare)) {
+    this.#update(now);
+    const parts = Math.max(1, vms);
+    const available = this.#saved + this.#fixedSaved / parts;
+    const most = this.#mostSaved(now) + this.#mostFixedSaved / parts;
+    if (available - 1 < most * reservedShare) {
       return false;
     }
+    const ofRequests = Math.min(1, this.#saved);
+    this.#saved -= ofRequests;
+    if (ofRequests < 1) {
+      this.#fixedSaved -= (1 - ofRequests) * parts;
+    }
     this.#retries.add(now);
     return true;
   }
 
-  /** The part of the fixed number that all processes of this age together may use. */
-  #fixedAt(now: number): number {
+  /** Brings what is saved up to `now`. */
+  #update(now: number): void {
     const { fixed, windowMs } = this.#bound;
-    const grownShare = Math.min(1, (now - this.#startedAt) / windowMs);
-    return fixed * FIXED_SHARE *
-      (START_SHARE + (1 - START_SHARE) * grownShare);
+    this.#saved = Math.min(this.#saved, this.#mostSaved(now));
+    const windows = Math.min(
+      WINDOWS_TO_SAVE_ALL,
+      (now - this.#fixedSavedAt) / windowMs,
+    );
+    this.#fixedSaved = Math.min(
+      this.#fixedSaved + fixed * FIXED_EARNED_SHARE * windows,
+      this.#mostFixedSaved,
+    );
+    this.#fixedSavedAt = now;
+  }
+
+  #mostSaved(now: number): number {
+    return this.#requests.sum(now) * this.#bound.ratio * SAVED_SHARE;
+  }
+
+  get #mostFixedSaved(): number {
+    return this.#bound.fixed * FIXED_SAVED_SHARE;
   }
 }
--- /dev/null
+++ b/packages/placement/src/testing_retries.ts
@@ -0,0 +1,252 @@
+/**
+ * Simulated fleets of VMs whose requests fail, for tests of the retries that all of
+ * their processes send together.
+ *
+ * @module
+ */
+
+import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import { randomFrom } from "./testing_fleet.ts";
+
+/** The size of a fleet, its load, and the retries that it may send. */
+export interface RetryFleetSize {
+  readonly vms: number;
+  /** Callers' requests for the service, over all VMs. */
+  readonly perSecond: number;
+  readonly bound: RetryBound;
+}
+
+/** What happens to a fleet. Times are milliseconds of its clock. */
+export type Disturbance =
+  /** VMs restart, `batch` of them every `gapMs`. */
+  | {
+    readonly kind: "roll";
+    readonly atMs: number;
+    readonly batch: number;
+    readonly gapMs: number;
+  }
+  /** A share of the VMs ends at one moment and starts again. */
+  | {
+    readonly kind: "kill";
+    readonly atMs: number;
+    readonly share: number;
+    readonly downMs: number;
+  }
+  /** All callers are at one of `parts` parts of the VMs, and then at the next one. */
+  | {
+    readonly kind: "move";
+    readonly atMs: number;
+    readonly parts: number;
+    readonly everyMs: number;
+    readonly forMs: number;
+  }
+  /** A share of the VMs is cut off, so that callers use the others. */
+  | {
+    readonly kind: "cut";
+    readonly atMs: number;
+    readonly share: number;
+    readonly forMs: number;
+  }
+  /** Callers send `x` times as many requests. */
+  | {
+    readonly kind: "burst";
+    readonly atMs: number;
+    readonly x: number;
+    readonly forMs: number;
+  };
+
+/** One play of a fleet. */
+export interface RetryPlay extends RetryFleetSize {
+  readonly seed: number;
+  readonly lengthMs: number;
+  /** From when on requests fail and ask for a retry. */
+  readonly failFromMs: number;
+  /** Share of the requests that fail. */
+  readonly failShare: number;
+  readonly disturbances: readonly Disturbance[];
+}
+
+/** What a fleet sent. */
+export interface RetryResult {
+  readonly retries: number;
+  /** The most retries in half a second. */
+  readonly busiest: number;
+  /** The most retries of a window, as a multiple of those that it allows. */
+  readonly worst: number;
+}
+
+/** Step of the fleet's clock; failed requests ask for their retries at its end. */
+const STEP_MS = 20;
+
+interface SimulatedVm {
+  budget: FleetRetryBudget;
+  downUntilMs: number;
+  cutUntilMs: number;
+}
+
+/** Plays a fleet and counts what its processes send together. */
+export function playRetries(play: RetryPlay): RetryResult {
+  const fleet = new RetryFleet(play);
+  fleet.run();
+  return fleet.result();
+}
+
+class RetryFleet {
+  readonly #play: RetryPlay;
+  readonly #random: () => number;
+  readonly #vms: SimulatedVm[];
+  readonly #requests: number[] = [];
+  readonly #retries: number[] = [];
+  /** Requests that are due but not sent yet, less than one. */
+  #due = 0;
+
+  constructor(play: RetryPlay) {
+    this.#play = play;
+    this.#random = randomFrom(play.seed);
+    this.#vms = Array.from({ length: play.vms }, () => ({
+      budget: new FleetRetryBudget(play.bound),
+      downUntilMs: 0,
+      cutUntilMs: 0,
+    }));
+  }
+
+  run(): void {
+    for (let now = 0; now < this.#play.lengthMs; now += STEP_MS) {
+      for (const disturbance of this.#play.disturbances) {
+        this.#disturb(disturbance, now);
+      }
+      this.#sendRequests(now);
+    }
+  }
+
+  result(): RetryResult {
+    const { bound: { ratio, fixed, windowMs } } = this.#play;
+    let worst = 0;
+    let busiest = 0;
+    for (let from = 0; from < this.#play.lengthMs; from += STEP_MS) {
+      const requests = Math.max(
+        ...[0, windowMs / 2, windowMs].map((earlierMs) =>
+          countFrom(this.#requests, from - earlierMs, windowMs)
+        ),
+      );
+      const retries = countFrom(this.#retries, from, windowMs);
+      worst = Math.max(worst, retries / (requests * ratio + fixed));
+      busiest = Math.max(busiest, countFrom(this.#retries, from, 500));
+    }
+    return { retries: this.#retries.length, busiest, worst };
+  }
+
+  #disturb(disturbance: Disturbance, now: number): void {
+    const sinceMs = now - disturbance.atMs;
+    switch (disturbance.kind) {
+      case "roll": {
+        const first = sinceMs / disturbance.gapMs * disturbance.batch;
+        if (sinceMs >= 0 && Number.isInteger(first)) {
+          this.#vms.slice(first, first + disturbance.batch)
+            .forEach((vm) => this.#restart(vm, now));
+        }
+        return;
+      }
+      case "kill":
+        if (sinceMs === 0) {
+          this.#anyOf(disturbance.share).forEach((vm) => {
+            vm.downUntilMs = now + disturbance.downMs;
+            this.#restart(vm, vm.downUntilMs);
+          });
+        }
+        return;
+      case "cut":
+        if (sinceMs === 0) {
+          this.#anyOf(disturbance.share).forEach((vm) => {
+            vm.cutUntilMs = now + disturbance.forMs;
+          });
+        }
+        return;
+      case "move":
+      case "burst":
+        return;
+    }
+  }
+
+  #restart(vm: SimulatedVm, startedAt: number): void {
+    vm.budget = new FleetRetryBudget(this.#play.bound, { startedAt });
+  }
+
+  #anyOf(share: number): readonly SimulatedVm[] {
+    return this.#vms.filter(() => this.#random() < share);
+  }
+
+  #sendRequests(now: number): void {
+    const open = this.#openVms(now);
+    if (open.length === 0) {
+      return;
+    }
+    this.#due += this.#play.perSecond * this.#loadAt(now) * STEP_MS / 1_000;
+    for (; this.#due >= 1; this.#due--) {
+      const vm = open[Math.floor(this.#random() * open.length)]!;
+      this.#requests.push(now);
+      vm.budget.arrived(now);
+      const { failFromMs, failShare, vms } = this.#play;
+      const fails = now >= failFromMs && this.#random() < failShare;
+      if (fails && vm.budget.trySpend(now, vms)) {
+        this.#retries.push(now);
+      }
+    }
+  }
+
+  /** The VMs that callers use. */
+  #openVms(now: number): readonly SimulatedVm[] {
+    const used = this.#partInUse(now);
+    const open = used.filter(({ downUntilMs, cutUntilMs }) =>
+      now >= Math.max(downUntilMs, cutUntilMs)
+    );
+    return open.length > 0
+      ? open
+      : this.#vms.filter(({ downUntilMs }) => now >= downUntilMs);
+  }
+
+  #partInUse(now: number): readonly SimulatedVm[] {
+    const move = this.#play.disturbances.find((one) =>
+      one.kind === "move" && now >= one.atMs && now < one.atMs + one.forMs
+    );
+    if (move?.kind !== "move") {
+      return this.#vms;
+    }
+    const part = Math.floor((now - move.atMs) / move.everyMs) % move.parts;
+    return this.#vms.filter((_, at) => at % move.parts === part);
+  }
+
+  #loadAt(now: number): number {
+    return this.#play.disturbances.reduce(
+      (load, one) =>
+        one.kind === "burst" && now >= one.atMs && now < one.atMs + one.forMs
+          ? load * one.x
+          : load,
+      1,
+    );
+  }
+}
+
+/** Number of `times`, which are sorted, from `from` on, for `lengthMs`. */
+function countFrom(
+  times: readonly number[],
+  from: number,
+  lengthMs: number,
+): number {
+  return firstAt(times, from + lengthMs) - firstAt(times, from);
+}
+
+/** Position of the first of `times`, which are sorted, that is not before `at`. */
+function firstAt(times: readonly number[], at: number): number {
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (times[middle]! < at) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
