A retry is paid for when it is sent, not when it is decided

Cause: a retry was counted when the request asked for it, and then waited for a target, up to half of its deadline. What was decided over 1.5 s and sent in one moment came to a window for which other retries had been counted already.

Change: a retry is reserved when it is decided, which holds it against later requests, and taken from the budget right before it is sent. If what earned it lies too far back by then, the request ends with the response or refusal that it has ("lapsed" in poplarthread_gateway_retries_total). A request that ends without having sent its retry gives it back.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -113,8 +113,8 @@
   #fingerprints: readonly Fingerprint[] = [];
   /** The run of the target that the current attempt was sent to. */
   #run: TargetRun | undefined;
-  /** Whether the next attempt is a retry that the budget of the service has allowed. */
-  #isRetry = false;
+  /** Whether the next attempt is a retry that was taken from the service's retry budget. */
+  #isRetryTaken = false;
   #firstSentAt: number | undefined;
   #retryAfterMs: number | undefined;
   #lastAttempt: AttemptSummary | undefined;
@@ -417,7 +417,9 @@
       case "send":
         this.#warmth = decision.warmth;
         this.#placedVia = decision.via;
-        this.#send(decision.target, now);
+        if (this.#mayAttempt(now)) {
+          this.#send(decision.target, now);
+        }
         return false;
       case "wait":
         return true;
@@ -427,6 +429,19 @@
     }
   }
 
+  /** Whether the request may be sent now; gives up if it is a retry that is no longer allowed. */
+  #mayAttempt(now: number): boolean {
+    if (!this.#isRetryTaken) {
+      return true;
+    }
+    this.#isRetryTaken = false;
+    const isAllowed = this.#services.steering.sendRetry(this.service, now);
+    if (!isAllowed) {
+      this.#giveUp("refused-by-targets", MIN_RETRY_TIME_MS);
+    }
+    return isAllowed;
+  }
+
   /** Forwards the request if this VM reaches no target; returns false if it is not to be forwarded. */
   #forward(now: number): boolean {
     const { forwarding, steering } = this.#services;
@@ -447,6 +462,9 @@
     if (peer === undefined) {
       return false;
     }
+    if (!this.#mayAttempt(now)) {
+      return true;
+    }
     this.#beginAttempt(now);
     this.#forwards.start(peer, {
       body: this.#body?.content ?? null,
@@ -649,7 +667,7 @@
         objectiveAt: this.objectiveAt,
       });
     if (isAllowed) {
-      this.#isRetry = true;
+      this.#isRetryTaken = true;
       this.#requeue(now);
     } else {
       this.#giveUp("refused-by-targets", MIN_RETRY_TIME_MS);
@@ -676,10 +694,6 @@
     this.#transition("send");
     this.#response.reserve();
     this.#firstSentAt ??= now;
-    if (this.#isRetry) {
-      this.#isRetry = false;
-      this.#services.steering.retrySent(this.service);
-    }
   }
 
   #send(target: TargetId, now: number): void {
@@ -805,6 +819,10 @@
     if (this.#isCountedForQuota && !this.#attempts.mayHaveRun) {
       this.#options.caller.refundQuota();
     }
+    if (this.#isRetryTaken) {
+      this.#isRetryTaken = false;
+      this.#services.steering.releaseRetry(this.service);
+    }
     this.#services.wheel.delete(this);
     this.#services.queue.remove(this);
     this.#body?.destroy();
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -134,6 +134,10 @@
   roomRefusal: PlacementRefused | undefined;
   /** Whether a target that refused the request may get it again. */
   mayTryAgain = false;
+  /** Whether a retry that was taken is still allowed when it is sent. */
+  maySendRetry = true;
+  /** Retries that were taken and not sent. */
+  releasedRetries = 0;
   /** Targets that must not receive the request, as of its latest placement. */
   tried: ReadonlySet<TargetId> = new Set();
   /** Callback that ends the quota check; undefined until the check is requested. */
@@ -246,7 +250,8 @@
       markUnreachable: noop,
       roundTripTo: () => 1,
       takeRetry: () => true,
-      retrySent: noop,
+      sendRetry: () => this.maySendRetry,
+      releaseRetry: () => this.releasedRetries += 1,
       mayTryAgain: () => this.mayTryAgain,
       losesRequests: () => false,
       checkRoom: () => this.roomRefusal,
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -121,6 +121,45 @@
     expect(harness.statuses).toEqual([503]);
   });
 
+  // Retries that wait and are sent together would exceed the bound over all VMs.
+  test("is not retried once the retry budget no longer allows what waited", () => {
+    const harness = new ExchangeHarness({ repeat: "idempotent" });
+    harness.start();
+    harness.attempts[0]!.write();
+    harness.decision = "wait";
+    harness.attempts[0]!.respond({ status: 500 });
+    harness.decision = "send";
+    harness.maySendRetry = false;
+    harness.placeWaiting();
+    expect(harness.attempts.length).toBe(1);
+    expect(harness.statuses).toEqual([500]);
+    expect(harness.releasedRetries).toBe(0);
+  });
+
+  // A retry that is never sent would be missing to the other requests of the VM.
+  test("gives its retry back if it ends while it waits for one", () => {
+    const harness = new ExchangeHarness({ repeat: "idempotent" });
+    harness.start();
+    harness.attempts[0]!.write();
+    harness.decision = "wait";
+    harness.attempts[0]!.respond({ status: 500 });
+    harness.exchange.callerClosed();
+    expect(harness.attempts.length).toBe(1);
+    expect(harness.releasedRetries).toBe(1);
+  });
+
+  // Given back twice, it would be sent by two other requests.
+  test("gives no retry back that was sent", () => {
+    const harness = new ExchangeHarness({ repeat: "idempotent" });
+    harness.start();
+    harness.attempts[0]!.write();
+    harness.attempts[0]!.respond({ status: 500 });
+    harness.attempts[1]!.write();
+    harness.attempts[1]!.respond({ status: 200 });
+    expect(harness.statuses).toEqual([200]);
+    expect(harness.releasedRetries).toBe(0);
+  });
+
   // The same between two attempts.
   test("is not retried once its key is no longer valid", () => {
     const harness = new ExchangeHarness({ repeat: "idempotent" });
--- a/packages/daemon/src/gateway/fleet_retries_test.ts
+++ b/packages/daemon/src/gateway/fleet_retries_test.ts
@@ -82,7 +82,10 @@
     return this.#directories.reduce((sum, vms) => {
       const budget = new FleetRetryBudget(bound);
       let retries = 0;
-      while (budget.trySpend(this.#now, vms.fleetSize(this.#now))) {
+      const size = vms.fleetSize(this.#now);
+      while (
+        budget.tryReserve(this.#now, size) && budget.trySend(this.#now, size)
+      ) {
         retries += 1;
       }
       return sum + retries;
--- a/packages/daemon/src/gateway/retry_metrics.ts
+++ b/packages/daemon/src/gateway/retry_metrics.ts
@@ -18,7 +18,7 @@
     registerServiceCounter(registry, {
       name: "poplarthread_gateway_retries_total",
       help:
-        "Requests that asked for a retry: taken, denied by the budget, or hopeless",
+        "Requests that asked for a retry: taken, denied by the budget, or hopeless; lapsed: taken, and then not sent",
       label: "result",
       read: () => this.#steering?.retryCounts() ?? new Map(),
     });
--- a/packages/placement/src/fleet_retry_budget.ts
+++ b/packages/placement/src/fleet_retry_budget.ts
@@ -55,6 +55,8 @@
   /** Retries of the fixed number that all processes as old as this one have saved up. */
   #fixedSaved = 0;
   #fixedSavedAt: number;
+  /** Retries that wait to be sent. They are paid for when they are. */
+  #reserved = 0;
 
   /** `startedAt` is when the process started; long ago by default. */
   constructor(bound: RetryBound, { startedAt = -Infinity } = {}) {
@@ -80,15 +82,34 @@
   }
 
   /**
-   * Takes one retry from the budget of this process, one of `vms` VMs; false if
-   * less than `reservedShare` of what it can save up would be left.
+   * Reserves one retry of this process, one of `vms` VMs; false if less than
+   * `keptShare` of what it can save up would be left. The retry is to be sent with
+   * {@link trySend}, or given up with {@link release}.
    */
-  trySpend(now: number, vms: number, { reservedShare = 0 } = {}): boolean {
-    this.#update(now);
+  tryReserve(now: number, vms: number, { keptShare = 0 } = {}): boolean {
     const parts = Math.max(1, vms);
-    const available = this.#saved + this.#fixedSaved / parts;
+    const available = this.#available(now, parts) - this.#reserved;
     const most = this.#mostSaved(now) + this.#mostFixedSaved / parts;
-    if (available - 1 < most * reservedShare) {
+    if (available - 1 < most * keptShare) {
+      return false;
+    }
+    this.#reserved += 1;
+    return true;
+  }
+
+  /** Gives up a reserved retry. */
+  release(): void {
+    this.#reserved -= 1;
+  }
+
+  /**
+   * Takes a reserved retry from the budget, right before it is sent; false if it is
+   * no longer allowed, since what paid for it lies too far back.
+   */
+  trySend(now: number, vms: number): boolean {
+    this.release();
+    const parts = Math.max(1, vms);
+    if (this.#available(now, parts) < 1) {
       return false;
     }
     const ofRequests = Math.min(1, this.#saved);
@@ -100,6 +121,11 @@
     return true;
   }
 
+  #available(now: number, parts: number): number {
+    this.#update(now);
+    return this.#saved + this.#fixedSaved / parts;
+  }
+
   /** Brings what is saved up to `now`. */
   #update(now: number): void {
     const { fixed, windowMs } = this.#bound;
--- a/packages/placement/src/limits_test.ts
+++ b/packages/placement/src/limits_test.ts
@@ -117,7 +117,7 @@
             for (let now = 0; now < 20_000; now += gap) {
               budget.arrived(now);
               requests.push(now);
-              if (budget.trySpend(now, VMS)) {
+              if (budget.tryReserve(now, VMS) && budget.trySend(now, VMS)) {
                 retries.push(now);
               }
             }
@@ -175,7 +175,7 @@
             const bound = { ...BOUND, fixed };
             const budget = new FleetRetryBudget(bound, { startedAt: now });
             for (const end = now + runMs; now < end; now += 100) {
-              while (budget.trySpend(now, vms)) {
+              while (budget.tryReserve(now, vms) && budget.trySend(now, vms)) {
                 retriesOfOne.push(now);
               }
             }
@@ -199,7 +199,7 @@
     );
     const spent = budgets.map((budget) => {
       let count = 0;
-      while (budget.trySpend(0, VMS)) {
+      while (budget.tryReserve(0, VMS) && budget.trySend(0, VMS)) {
         count += 1;
       }
       return count;
--- a/packages/placement/src/retries.ts
+++ b/packages/placement/src/retries.ts
@@ -20,6 +20,8 @@
     | "taken"
     /** The budget was used up. */
     | "denied"
+    /** It was taken, and the budget was used up when it could be sent. */
+    | "lapsed"
     /** It could not have succeeded. */
     | "hopeless",
     number
@@ -58,7 +60,7 @@
 /** The retries of one service. */
 class ServiceRetries {
   readonly budget: FleetRetryBudget;
-  readonly counts = { taken: 0, denied: 0, hopeless: 0 };
+  readonly counts = { taken: 0, denied: 0, lapsed: 0, hopeless: 0 };
   readonly totals = { requests: 0, sent: 0 };
   /** When a denial was last reported. */
   reportedAt = -Infinity;
@@ -100,12 +102,10 @@
     service.totals.requests += 1;
   }
 
-  /** Records that a retry that was taken is sent. */
-  sent(service: ServiceId): void {
-    this.#service(service).totals.sent += 1;
-  }
-
-  /** Takes one retry; false if the budget doesn't allow it or it can't succeed. */
+  /**
+   * Takes one retry, which is to be sent or released; false if the budget doesn't
+   * allow it or it can't succeed.
+   */
   take(service: ServiceId, now: number, retry: RetryRequest): boolean {
     const { room, rates, serviceTimes } = this.#known;
     const { budget, counts } = this.#service(service);
@@ -115,7 +115,7 @@
       counts.hopeless += 1;
       return false;
     }
-    const isTaken = budget.trySpend(now, rates.totalVms, terms);
+    const isTaken = budget.tryReserve(now, rates.totalVms, terms);
     if (isTaken) {
       counts.taken += 1;
     } else {
@@ -126,6 +126,24 @@
     return isTaken;
   }
 
+  /** A retry that was taken is about to be sent; false if it is no longer allowed. */
+  send(name: ServiceId, now: number): boolean {
+    const { budget, counts, totals } = this.#service(name);
+    const isSent = budget.trySend(now, this.#known.rates.totalVms);
+    if (isSent) {
+      totals.sent += 1;
+    } else {
+      counts.lapsed += 1;
+      this.#reportDenial(name, now);
+    }
+    return isSent;
+  }
+
+  /** A retry that was taken is not sent. */
+  release(service: ServiceId): void {
+    this.#service(service).budget.release();
+  }
+
   #reportDenial(name: ServiceId, now: number): void {
     const { bound: { windowMs }, startedAt, onDenied } = this.#options;
     const { rates } = this.#known;
--- a/packages/placement/src/retry_restarts_test.ts
+++ b/packages/placement/src/retry_restarts_test.ts
@@ -27,6 +27,8 @@
 const STRIKE_MS = 15_000;
 const LENGTH_MS = 36_000;
 const SERIES_LENGTH = 6;
+/** The longest that a retry waits for a target before it is sent. */
+const MAX_WAIT_MS = 1_500;
 const SEEDS = Array.from({ length: 12 }, (_, at) => 6_300 + at);
 
 function boundOf(fixed: number): RetryPlay["bound"] {
@@ -60,7 +62,7 @@
   const random = randomFrom(seed);
   return Array.from({ length: SERIES_LENGTH }, () => {
     const atMs = Math.round((10 + random() * 20) * 50) * 20;
-    switch (Math.floor(random() * 5)) {
+    switch (Math.floor(random() * 6)) {
       case 0:
         return rollOf(vms, atMs, 2_000 + Math.round(random() * 6) * 1_000);
       case 1: {
@@ -72,7 +74,9 @@
         const parts = 2 + Math.floor(random() * 2);
         return { kind: "move", atMs, parts, everyMs, forMs: 12_000 };
       }
-      case 3: {
+      case 3:
+        return { kind: "stall", atMs, forMs: MAX_WAIT_MS };
+      case 4: {
         const forMs = 1_000 * (1 + Math.floor(random() * 8));
         return { kind: "cut", atMs, share: 0.1 + random() * 0.5, forMs };
       }
@@ -108,6 +112,13 @@
       { kind: "cut", atMs: STRIKE_MS, share: 0.4, forMs: 7_000 },
       { kind: "burst", atMs: STRIKE_MS, x: 1.7, forMs: 3_000 },
     ]],
+    ["retries wait and are sent together", [
+      { kind: "stall", atMs: FAIL_FROM_MS, forMs: MAX_WAIT_MS },
+    ]],
+    ["all VMs restart in turn while retries wait", [
+      { kind: "stall", atMs: FAIL_FROM_MS, forMs: MAX_WAIT_MS },
+      rollOf(size.vms, FAIL_FROM_MS + MAX_WAIT_MS, 3_000),
+    ]],
     ["there are more requests by turns", [
       { kind: "burst", atMs: 11_000, x: 2, forMs: 3_000 },
       { kind: "burst", atMs: 21_000, x: 2, forMs: 3_000 },
--- a/packages/placement/src/room/testing_room.ts
+++ b/packages/placement/src/room/testing_room.ts
@@ -66,6 +66,7 @@
   readonly account: AccountId | undefined;
   readonly played: Played;
   readonly isReturn: boolean;
+  readonly isRetry: boolean;
   /** Name of the object. */
   readonly name: string;
 }
@@ -154,6 +155,7 @@
       deadlineAt: played.at + DEADLINE_MS,
       played,
       isReturn,
+      isRetry: false,
       name: object,
     };
     const counts = this.#countsOf(kind.priority);
@@ -189,10 +191,17 @@
         continue;
       }
       vm.queue.remove(request);
-      if (decision.kind === "send") {
+      if (decision.kind === "refuse") {
+        if (request.isRetry) {
+          vm.steering.releaseRetry(SERVICE);
+        }
+        this.#refuse(request, decision.retryAfterMs);
+      } else if (
+        !request.isRetry || vm.steering.sendRetry(SERVICE, this.#now)
+      ) {
         this.#submit(vm, request, decision.target);
       } else {
-        this.#refuse(request, decision.retryAfterMs);
+        this.#refuse(request, MIN_RETURN_MS);
       }
     }
   }
@@ -212,7 +221,7 @@
     if (isRefused) {
       this.#answer(vm.steering, request, { id, sentAt, isRefusal: true });
       if (vm.steering.takeRetry(SERVICE, sentAt, request)) {
-        vm.queue.add(request);
+        vm.queue.add({ ...request, isRetry: true });
       } else {
         this.#refuse(request, MIN_RETURN_MS);
       }
--- a/packages/placement/src/room/vm_room.ts
+++ b/packages/placement/src/room/vm_room.ts
@@ -45,10 +45,10 @@
   readonly objectiveAt: number;
 }
 
-/** Whether a request may be retried, and what it must leave of the budget. */
+/** Whether a request may be retried, and the share of the budget that it must leave. */
 export type RetryTerms =
   | { readonly kind: "hopeless" }
-  | { readonly kind: "allowed"; readonly reservedShare: number };
+  | { readonly kind: "allowed"; readonly keptShare: number };
 
 /** What the owner of a service's homes last said of its room; none if it has room for all. */
 export type RoomLookup = (
@@ -72,7 +72,7 @@
 /** Share of the time that they have left that callers wait before they return. */
 const MAX_RETURN_SHARE = 1 / 3;
 
-const UNRESERVED: RetryTerms = { kind: "allowed", reservedShare: 0 };
+const UNRESERVED: RetryTerms = { kind: "allowed", keptShare: 0 };
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class VmRoom {
@@ -221,8 +221,8 @@
     }
     const moreUrgent = room.priorities
       .moreUrgent({ priority: routePriority }, now);
-    const reservedShare = room.retries.shareFor(priority, { moreUrgent, now });
-    return { kind: "allowed", reservedShare };
+    const keptShare = room.retries.shareFor(priority, { moreUrgent, now });
+    return { kind: "allowed", keptShare };
   }
 
   /** Records that the budget had no retry left for a request. */
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -310,15 +310,21 @@
 
   /**
    * Takes one retry from the service's retry budget; false if too little is left for
-   * a request of this priority, or it can't succeed.
+   * a request of this priority, or it can't succeed. Call {@link sendRetry} before it
+   * is sent, or {@link releaseRetry} if it is not.
    */
   takeRetry(service: ServiceId, now: number, retry: RetryRequest): boolean {
     return this.#retries.take(service, now, retry);
   }
 
-  /** Records that a retry of the service is sent. */
-  retrySent(service: ServiceId): void {
-    this.#retries.sent(service);
+  /** A retry that was taken is about to be sent; false if it is no longer allowed. */
+  sendRetry(service: ServiceId, now: number): boolean {
+    return this.#retries.send(service, now);
+  }
+
+  /** A retry that was taken is not sent. */
+  releaseRetry(service: ServiceId): void {
+    this.#retries.release(service);
   }
 
   /** Requests and retries of this VM, by service, for metrics. */
--- a/packages/placement/src/testing_retries.ts
+++ b/packages/placement/src/testing_retries.ts
@@ -53,7 +53,9 @@
     readonly atMs: number;
     readonly x: number;
     readonly forMs: number;
-  };
+  }
+  /** Targets have no room for retries, which are sent when it is over. */
+  | { readonly kind: "stall"; readonly atMs: number; readonly forMs: number };
 
 /** One play of a fleet. */
 export interface RetryPlay extends RetryFleetSize {
@@ -97,6 +99,8 @@
   readonly #vms: SimulatedVm[];
   readonly #requests: number[] = [];
   readonly #retries: number[] = [];
+  /** Budgets of the retries that wait to be sent. */
+  #waiting: FleetRetryBudget[] = [];
   /** Requests that are due but not sent yet, less than one. */
   #due = 0;
 
@@ -116,6 +120,7 @@
         this.#disturb(disturbance, now);
       }
       this.#sendRequests(now);
+      this.#sendRetries(now);
     }
   }
 
@@ -164,6 +169,7 @@
         return;
       case "move":
       case "burst":
+      case "stall":
         return;
     }
   }
@@ -188,10 +194,27 @@
       vm.budget.arrived(now);
       const { failFromMs, failShare, vms } = this.#play;
       const fails = now >= failFromMs && this.#random() < failShare;
-      if (fails && vm.budget.trySpend(now, vms)) {
+      if (fails && vm.budget.tryReserve(now, vms)) {
+        this.#waiting.push(vm.budget);
+      }
+    }
+  }
+
+  /** Sends the retries that wait, unless targets have no room or their process has ended. */
+  #sendRetries(now: number): void {
+    const isStalled = this.#play.disturbances.some((one) =>
+      one.kind === "stall" && now >= one.atMs && now < one.atMs + one.forMs
+    );
+    if (isStalled) {
+      return;
+    }
+    const running = new Set(this.#vms.map(({ budget }) => budget));
+    for (const budget of this.#waiting) {
+      if (running.has(budget) && budget.trySend(now, this.#play.vms)) {
         this.#retries.push(now);
       }
     }
+    this.#waiting = [];
   }
 
   /** The VMs that callers use. */
