A process that has just started uses no slice of a shared rate a second time

Cause: a VM sends to a cold or limited target once in each of its time slices of the shared rate. A process that had just started knew of no request of its VM, so it used the slice in which it began once more. Where all VMs restart at one moment and hear nobody yet, the slices that are open then were all used twice.

Change: what a process has not sent counts as sent when it started. It waits for its VM's next slice, or, as an owner, for one interval.

--- a/packages/placement/src/cold_targets.ts
+++ b/packages/placement/src/cold_targets.ts
@@ -34,6 +34,15 @@
 export class ColdTargets {
   readonly #coldUntil = new Map<TargetId, number>();
   readonly #lastSentAt = new Map<TargetId, number>();
+  readonly #startedAt: number;
+
+  /**
+   * `startedAt` is when the process started, long ago by default: what the one before
+   * it sent just before is not known.
+   */
+  constructor(startedAt = -Infinity) {
+    this.#startedAt = startedAt;
+  }
 
   /** Treats a target as cold until `until`, in milliseconds of the monotonic clock. */
   mark(target: TargetId, until: number): void {
@@ -59,7 +68,7 @@
 
   /** Whether the owner may send one more request now. */
   maySend(target: TargetId, now: number, share: ColdShare): boolean {
-    const sentAt = this.#lastSentAt.get(target) ?? -Infinity;
+    const sentAt = this.#lastSentAt.get(target) ?? this.#startedAt;
     const perSecond = share.perSecond * OWNER_SHARE * share.ownerShare;
     return share.ownerShare === 1
       ? now - sentAt >= 1_000 / perSecond
--- a/packages/placement/src/steering.ts
+++ b/packages/placement/src/steering.ts
@@ -53,7 +53,7 @@
   readonly vm: VmId;
   readonly location: Location;
   readonly retries: RetryBound;
-  /** When the process started, which then has not used any retries; long ago by default. */
+  /** When the process started, which then has saved up nothing; long ago by default. */
   readonly startedAt?: number;
   readonly weights?: PlacementWeights;
   /**
@@ -95,10 +95,11 @@
   #checkRounds = 0;
 
   constructor(options: SteeringOptions) {
+    const { startedAt = -Infinity } = options;
     this.roundTrips = new RoundTrips(options.location);
     this.#known = {
       entries: new TargetEntries(options.location),
-      rates: new TargetRates(options.vm),
+      rates: new TargetRates(options.vm, startedAt),
       warmObjects: new WarmObjects(),
       serviceTimes: new ServiceTimes(),
       kindTimes: new KindTimes(),
@@ -107,7 +108,7 @@
     };
     this.#retries = new Retries(this.#known, {
       bound: options.retries,
-      startedAt: options.startedAt ?? -Infinity,
+      startedAt,
       onDenied: (denial) => options.onRetryDenied?.(denial),
     });
     this.#homes = new RequestHomes(this.#known, options.homes);
--- a/packages/placement/src/target_limits.ts
+++ b/packages/placement/src/target_limits.ts
@@ -63,6 +63,15 @@
 /** Limits known to this VM. Times are milliseconds of the monotonic clock. */
 export class TargetLimits {
   readonly #limits = new Map<TargetId, LimitState>();
+  readonly #startedAt: number;
+
+  /**
+   * `startedAt` is when the process started, long ago by default: what the one before
+   * it sent just before is not known.
+   */
+  constructor(startedAt = -Infinity) {
+    this.#startedAt = startedAt;
+  }
 
   /** Number of targets with a limit. */
   get size(): number {
@@ -80,7 +89,7 @@
         this.#limits.set(target, {
           perSecond,
           reportedAt: at,
-          sentAt: -Infinity,
+          sentAt: this.#startedAt,
         });
       }
       return perSecond !== undefined;
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -25,12 +25,15 @@
   readonly #vm: VmId;
   readonly #hash: number;
   readonly #owners = new TargetOwners();
-  readonly #cold = new ColdTargets();
-  readonly #limits = new TargetLimits();
+  readonly #cold: ColdTargets;
+  readonly #limits: TargetLimits;
   #reachableVms = 1;
   #fleetSize = 1;
 
-  constructor(vm: VmId) {
+  /** `startedAt` is when the process started. */
+  constructor(vm: VmId, startedAt: number) {
+    this.#cold = new ColdTargets(startedAt);
+    this.#limits = new TargetLimits(startedAt);
     this.#vm = vm;
     this.#hash = hashText(vm);
   }
--- a/packages/placement/src/testing_fleet.ts
+++ b/packages/placement/src/testing_fleet.ts
@@ -69,7 +69,7 @@
         vm,
         region,
         hash: hashText(vm),
-        steering: this.#steering(vm, region),
+        steering: this.#steering(vm, region, -Infinity),
         limitSeenAt: new Map(),
         isUp: true,
       };
@@ -93,7 +93,7 @@
   start(vm: FleetVm): void {
     vm.isUp = true;
     vm.limitSeenAt = new Map();
-    vm.steering = this.#steering(vm.vm, vm.region);
+    vm.steering = this.#steering(vm.vm, vm.region, this.now);
     this.setReachable(() => this.vms);
   }
 
@@ -226,11 +226,12 @@
     }
   }
 
-  #steering(vm: VmId, region: RegionId): Steering {
+  #steering(vm: VmId, region: RegionId, startedAt: number): Steering {
     const steering = new Steering({
       vm,
       location: { region, zone: `${region}-1` as ZoneId },
       retries: { ratio: 0.2, fixed: 50, windowMs: 10_000 },
+      startedAt,
     });
     this.#targets.forEach((target) => steering.setTarget(target));
     return steering;
