--- a/packages/placement/src/retry_restarts_test.ts
+++ b/packages/placement/src/retry_restarts_test.ts
@@ -119,6 +119,11 @@
       { kind: "stall", atMs: FAIL_FROM_MS, forMs: MAX_WAIT_MS },
       rollOf(size.vms, FAIL_FROM_MS + MAX_WAIT_MS, 3_000),
     ]],
+    ["nearly all requests come by turns", [
+      { kind: "burst", atMs: 6_500, x: 0.02, forMs: 7_500 },
+      { kind: "burst", atMs: 16_500, x: 0.02, forMs: 7_500 },
+      { kind: "burst", atMs: 26_500, x: 0.02, forMs: 7_500 },
+    ]],
     ["there are more requests by turns", [
       { kind: "burst", atMs: 11_000, x: 2, forMs: 3_000 },
       { kind: "burst", atMs: 21_000, x: 2, forMs: 3_000 },
