A VM that has just started can retry its first requests

Callers saw: a read whose target resets the connection got an error in place of another target's response, if its VM had just started.

With a VM or a few, the first retry came a second later; it was there at once before.

Change: a process begins with 0.05 of its VM's part of the fixed number, and saves up 0.4 of it in place of 0.5.

--- a/packages/placement/src/fleet_retry_budget.ts
+++ b/packages/placement/src/fleet_retry_budget.ts
@@ -41,7 +41,13 @@
 /** Share of the fixed number that all VMs together earn in a window. */
 const FIXED_EARNED_SHARE = 0.3;
 /** Share of the fixed number that all VMs together save up. */
-const FIXED_SAVED_SHARE = 0.5;
+const FIXED_SAVED_SHARE = 0.4;
+/**
+ * Share of the fixed number with which all VMs together begin, so that the first
+ * requests of a process can be retried. Each restart of all VMs within a window adds it
+ * once more: with the shares above, the bound holds for six of them.
+ */
+const FIXED_START_SHARE = 0.05;
 /** Windows in which all that can be saved up of the fixed number is earned. */
 const WINDOWS_TO_SAVE_ALL = FIXED_SAVED_SHARE / FIXED_EARNED_SHARE;
 
@@ -53,7 +59,7 @@
   /** Retries saved up from requests. */
   #saved = 0;
   /** Retries of the fixed number that all processes as old as this one have saved up. */
-  #fixedSaved = 0;
+  #fixedSaved: number;
   #fixedSavedAt: number;
   /** Retries that wait to be sent. They are paid for when they are. */
   #reserved = 0;
@@ -61,6 +67,7 @@
   /** `startedAt` is when the process started; long ago by default. */
   constructor(bound: RetryBound, { startedAt = -Infinity } = {}) {
     this.#bound = bound;
+    this.#fixedSaved = bound.fixed * FIXED_START_SHARE;
     this.#fixedSavedAt = startedAt;
     this.#requests = new WindowCount(bound.windowMs);
     this.#retries = new WindowCount(bound.windowMs);
