The emulator judges the retries of all VMs against their bound

Change: it counts arrivals at targets beyond the first of each request, by service, against the requests that callers sent: the worst window is in the summary as a share of the bound, and in a test. VMs that an event starts know when they started; those of the beginning count as long-running, as before.

--- a/packages/bench/src/fleet/callers.ts
+++ b/packages/bench/src/fleet/callers.ts
@@ -188,6 +188,7 @@
           }),
       };
       this.#world.recordJob(request, callerRequest.kind);
+      this.#world.retryUse.requested(request.service, loop.now - delayMs);
       disconnect = vm.receive(request);
     });
   }
--- a/packages/bench/src/fleet/emulated_connections.ts
+++ b/packages/bench/src/fleet/emulated_connections.ts
@@ -34,8 +34,8 @@
   readonly newConnectionMs: number;
   /** Time after which an idle connection is closed. */
   readonly idleTimeoutMs: number;
-  /** Called for each attempt that was sent. */
-  attemptSent(target: EmulatedTarget): void;
+  /** Called for each attempt that was sent, with the request's id. */
+  attemptSent(target: EmulatedTarget, request: string): void;
 }
 
 /** Pool of connections to emulated targets; idle connections are reused. */
@@ -208,7 +208,7 @@
       handler.onError!(err as Error);
       return;
     }
-    this.#options.attemptSent(this.#target);
+    this.#options.attemptSent(this.#target, request.id);
     const { loop } = this.#options;
     const job: Job = {
       object: request.object,
--- a/packages/bench/src/fleet/fleet_test.ts
+++ b/packages/bench/src/fleet/fleet_test.ts
@@ -93,6 +93,51 @@
   expect(shared).toBeGreaterThan(notShared);
 });
 
+/** Fleets that restart, and get so many requests that nearly all of them fail. */
+const RESTARTED_FLEETS = [
+  { vms: 9, targets: 18, perSecond: 90, fixed: 58 },
+  { vms: 66, targets: 120, perSecond: 600, fixed: 172 },
+  { vms: 195, targets: 240, perSecond: 1_100, fixed: 430 },
+];
+
+function restartsWhileFailing(
+  { vms, targets, perSecond, fixed }: (typeof RESTARTED_FLEETS)[number],
+): Scenario {
+  const scenario = sharedObjects({ nearMs: 150, farMs: 600 });
+  const { services: [service], zones, traffic } = scenario;
+  const perZone = Math.ceil(targets / zones.length);
+  return {
+    ...scenario,
+    seconds: 22,
+    zones: zones.map((zone) => ({ ...zone, vms: vms / zones.length })),
+    retries: { ...scenario.retries, fixed },
+    services: [{
+      ...service!,
+      targets: { a: perZone, b: perZone, c: perZone },
+    }],
+    traffic: traffic.map((one) => ({
+      ...one,
+      perSecond: perSecond / zones.length,
+    })),
+    events: [
+      { kind: "grey", at: 10, forS: 12, share: 1, fails: 1 },
+      { kind: "restart-vms", at: 11.5, forS: 0.3, share: 1 },
+      { kind: "restart-vms", at: 15, forS: 0.3, share: 0.6 },
+    ],
+  };
+}
+
+test.each(RESTARTED_FLEETS)(
+  "retries of $vms VMs stay in their bound while VMs restart and targets fail",
+  (fleet) => {
+    // Guards against retries that each process earns anew.
+    const scenario = restartsWhileFailing(fleet);
+    const { retryUse } = runScenario({ scenario, seed: 63, policy: "gateway" });
+    expect(retryUse).toBeGreaterThan(0.5);
+    expect(retryUse).toBeLessThanOrEqual(1);
+  },
+);
+
 test("an invalid scenario is rejected with all of its findings", () => {
   const scenario = { ...sharedObjects({ nearMs: 1, farMs: 1 }) };
   const text = JSON.stringify({
--- a/packages/bench/src/fleet/summary.ts
+++ b/packages/bench/src/fleet/summary.ts
@@ -17,6 +17,8 @@
   readonly attemptsPerRequest: number;
   /** Number of times a cold target got more requests within one second than it can take. */
   readonly coldBreaches: number;
+  /** Retries of the worst window of any run, as a multiple of those that the bound allows. */
+  readonly retryUse: number;
   /** Share of the worth owed that was earned in each window, for each run. */
   readonly windows: readonly (readonly number[])[];
 }
@@ -36,6 +38,7 @@
     attemptsPerRequest: sum(({ attempts }) => attempts) /
       sum(({ requests }) => requests.length),
     coldBreaches: sum(({ coldBreaches }) => coldBreaches),
+    retryUse: Math.max(...runs.map(({ retryUse }) => retryUse)),
     windows: runs.map(({ requests }) =>
       windowShares(requests).map(({ share }) => share)
     ),
@@ -54,6 +57,7 @@
     `warm ${one.warmShare.toFixed(3)}, wait ` +
     `${one.targetWaitMs.toFixed(0)} ms, ` +
     `${one.attemptsPerRequest.toFixed(2)} attempts` +
+    `, retries ${one.retryUse.toFixed(2)} of the bound` +
     (one.coldBreaches > 0 ? `, ${one.coldBreaches} cold breaches` : "");
 }
 
--- a/packages/bench/src/fleet/world.ts
+++ b/packages/bench/src/fleet/world.ts
@@ -19,6 +19,7 @@
 import {
   type HashedPair,
   hashText,
+  type RetryBound,
   Steering,
   type SteeringOptions,
   WeightedSplit,
@@ -35,6 +36,7 @@
 import { applyEvent } from "./events.ts";
 import { ExpectedJobs, OracleSteering } from "./oracle.ts";
 import { Random } from "./random.ts";
+import { RetryUse } from "./retry_use.ts";
 import type { RequestKind, Scenario, ScenarioService } from "./scenario.ts";
 import type { RequestResult } from "./tally.ts";
 
@@ -59,6 +61,8 @@
   readonly warmShare: number;
   /** Mean wait for a slot at a target. */
   readonly targetWaitMs: number;
+  /** Retries of the worst window of any service, as a multiple of those that its bound allows. */
+  readonly retryUse: number;
 }
 
 /** Time before the traffic starts, in which the VMs learn of each other and of the targets. */
@@ -97,6 +101,7 @@
   };
   readonly evacuatedZones = new Set<ZoneId>();
   attempts = 0;
+  readonly retryUse = new RetryUse();
   readonly #policy: Policy;
   readonly #regions: ReadonlyMap<ZoneId, RegionId>;
   readonly #services: ReadonlyMap<ServiceId, Service>;
@@ -131,7 +136,8 @@
     this.#startTargets();
     this.scenario.zones.forEach(({ name, vms }) => {
       for (let index = 1; index <= vms; index++) {
-        this.startVm(`${name}-${index}` as VmId, name as ZoneId);
+        const vm = `${name}-${index}` as VmId;
+        this.startVm(vm, name as ZoneId, { startedAt: -Infinity });
       }
     });
     const endsAt = STARTUP_MS + this.scenario.seconds * 1_000;
@@ -152,6 +158,7 @@
       coldBreaches: sumOf((one) => one.coldBreaches),
       warmShare: sumOf((one) => one.handledWarm) / ran,
       targetWaitMs: sumOf((one) => one.totalWaitMs) / ran,
+      retryUse: this.retryUse.worst(this.#retryBound),
     };
   }
 
@@ -227,8 +234,12 @@
     });
   }
 
-  /** Starts a VM without state. */
-  startVm(name: VmId, zone: ZoneId): void {
+  /** Starts a VM without state, now by default. */
+  startVm(
+    name: VmId,
+    zone: ZoneId,
+    { startedAt = this.loop.now } = {},
+  ): void {
     const region = this.regionOf(zone);
     const homes = this.scenario.startTimes
       ? this.#createHomes(name, zone)
@@ -250,17 +261,21 @@
           roomOf: (service) => homes.roomOf(service),
         }),
         onWarmPair: (pair) => this.#publishWarmTarget(name, pair),
-        retries: {
-          ratio: this.scenario.retries.ratio,
-          fixed: this.scenario.retries.fixed,
-          windowMs: this.scenario.retries.windowS * 1_000,
-        },
+        retries: this.#retryBound,
+        startedAt,
       }),
       target: (id) => this.targets.get(id)!,
       delayMs: ({ placed }) => this.#delayMs(zone, placed.zone),
       newConnectionMs: this.scenario.delaysMs.newConnection,
       idleTimeoutMs: this.scenario.delaysMs.idleTimeout ?? Infinity,
-      attemptSent: () => this.attempts += 1,
+      attemptSent: ({ placed }, request) => {
+        this.attempts += 1;
+        this.retryUse.arrived(
+          placed.service,
+          request,
+          this.loop.now + this.#delayMs(zone, placed.zone),
+        );
+      },
     });
     this.vms.set(name, vm);
     vm.setTargets(this.#targetList());
@@ -289,6 +304,11 @@
       .filter(({ isUp, homes }) => isUp && (homes?.owned.size ?? 0) > 0);
   }
 
+  get #retryBound(): RetryBound {
+    const { ratio, fixed, windowS } = this.scenario.retries;
+    return { ratio, fixed, windowMs: windowS * 1_000 };
+  }
+
   #createHomes(vm: VmId, zone: ZoneId): EmulatedHomes {
     return new EmulatedHomes({
       self: { vm, region: this.regionOf(zone), hash: hashText(vm) },
