--- a/packages/bench/src/fleet/world.ts
+++ b/packages/bench/src/fleet/world.ts
@@ -24,6 +24,7 @@
   type SteeringOptions,
   WeightedSplit,
 } from "@poplarthread/placement";
+import { RetryUse } from "@poplarthread/placement/retry-use";
 import { EventLoop } from "../decisions/event_loop.ts";
 import { Callers } from "./callers.ts";
 import { EmulatedHomes } from "./emulated_homes.ts";
@@ -36,7 +37,6 @@
 import { applyEvent } from "./events.ts";
 import { ExpectedJobs, OracleSteering } from "./oracle.ts";
 import { Random } from "./random.ts";
-import { RetryUse } from "./retry_use.ts";
 import type { RequestKind, Scenario, ScenarioService } from "./scenario.ts";
 import type { RequestResult } from "./tally.ts";
 
--- a/packages/bench/src/fleet/retry_use.ts
+++ b/packages/placement/src/retry_use.ts
@@ -1,10 +1,11 @@
 /**
- * How much of the bound on retries all VMs together use.
+ * How much of the bound on retries all VMs together use, for simulations that see all
+ * of their requests.
  *
  * @module
  */
 
-import type { RetryBound } from "@poplarthread/placement";
+import type { RetryBound } from "./fleet_retry_budget.ts";
 
 /** Interval at which windows begin that are judged. */
 const STEP_MS = 50;
@@ -15,7 +16,7 @@
   readonly seen: Set<string>;
 }
 
-/** Counts callers' requests and retries by service. Times are milliseconds of virtual time. */
+/** Counts callers' requests and retries by service. Times are milliseconds of the simulation's clock. */
 export class RetryUse {
   readonly #services = new Map<string, ServiceUse>();
 
@@ -26,13 +27,18 @@
 
   /** A request arrives at a target, perhaps not for the first time. */
   arrived(service: string, request: string, at: number): void {
-    const { seen, retriedAt } = this.#service(service);
+    const { seen } = this.#service(service);
     if (seen.has(request)) {
-      retriedAt.push(at);
+      this.retried(service, at);
     }
     seen.add(request);
   }
 
+  /** A request arrives at a target that is known to be a retry. */
+  retried(service: string, at: number): void {
+    this.#service(service).retriedAt.push(at);
+  }
+
   /**
    * Retries of the worst window of any service, as a multiple of those allowed: the
    * requests are those of the window, of the one before it, or of the one half a
--- a/packages/placement/src/testing_retries.ts
+++ b/packages/placement/src/testing_retries.ts
@@ -6,6 +6,7 @@
  */
 
 import { FleetRetryBudget, type RetryBound } from "./fleet_retry_budget.ts";
+import { RetryUse } from "./retry_use.ts";
 import { randomFrom } from "./testing_fleet.ts";
 
 /** The size of a fleet, its load, and the retries that it may send. */
@@ -71,14 +72,13 @@
 /** What a fleet sent. */
 export interface RetryResult {
   readonly retries: number;
-  /** The most retries in half a second. */
-  readonly busiest: number;
   /** The most retries of a window, as a multiple of those that it allows. */
   readonly worst: number;
 }
 
 /** Step of the fleet's clock; failed requests ask for their retries at its end. */
 const STEP_MS = 20;
+const SERVICE = "portal";
 
 interface SimulatedVm {
   budget: FleetRetryBudget;
@@ -97,8 +97,8 @@
   readonly #play: RetryPlay;
   readonly #random: () => number;
   readonly #vms: SimulatedVm[];
-  readonly #requests: number[] = [];
-  readonly #retries: number[] = [];
+  readonly #use = new RetryUse();
+  #retries = 0;
   /** Budgets of the retries that wait to be sent. */
   #waiting: FleetRetryBudget[] = [];
   /** Requests that are due but not sent yet, less than one. */
@@ -125,20 +125,7 @@
   }
 
   result(): RetryResult {
-    const { bound: { ratio, fixed, windowMs } } = this.#play;
-    let worst = 0;
-    let busiest = 0;
-    for (let from = 0; from < this.#play.lengthMs; from += STEP_MS) {
-      const requests = Math.max(
-        ...[0, windowMs / 2, windowMs].map((earlierMs) =>
-          countFrom(this.#requests, from - earlierMs, windowMs)
-        ),
-      );
-      const retries = countFrom(this.#retries, from, windowMs);
-      worst = Math.max(worst, retries / (requests * ratio + fixed));
-      busiest = Math.max(busiest, countFrom(this.#retries, from, 500));
-    }
-    return { retries: this.#retries.length, busiest, worst };
+    return { retries: this.#retries, worst: this.#use.worst(this.#play.bound) };
   }
 
   #disturb(disturbance: Disturbance, now: number): void {
@@ -190,7 +177,7 @@
     this.#due += this.#play.perSecond * this.#loadAt(now) * STEP_MS / 1_000;
     for (; this.#due >= 1; this.#due--) {
       const vm = open[Math.floor(this.#random() * open.length)]!;
-      this.#requests.push(now);
+      this.#use.requested(SERVICE, now);
       vm.budget.arrived(now);
       const { failFromMs, failShare, vms } = this.#play;
       const fails = now >= failFromMs && this.#random() < failShare;
@@ -211,7 +198,8 @@
     const running = new Set(this.#vms.map(({ budget }) => budget));
     for (const budget of this.#waiting) {
       if (running.has(budget) && budget.trySend(now, this.#play.vms)) {
-        this.#retries.push(now);
+        this.#use.retried(SERVICE, now);
+        this.#retries += 1;
       }
     }
     this.#waiting = [];
@@ -249,27 +237,3 @@
     );
   }
 }
-
-/** Number of `times`, which are sorted, from `from` on, for `lengthMs`. */
-function countFrom(
-  times: readonly number[],
-  from: number,
-  lengthMs: number,
-): number {
-  return firstAt(times, from + lengthMs) - firstAt(times, from);
-}
-
-/** Position of the first of `times`, which are sorted, that is not before `at`. */
-function firstAt(times: readonly number[], at: number): number {
-  let low = 0;
-  let high = times.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if (times[middle]! < at) {
-      low = middle + 1;
-    } else {
-      high = middle;
-    }
-  }
-  return low;
-}
