Test: the bound on retries holds while VMs read requests late

A claim of the postmortem was without a run: all VMs are paused for a second, as long as callers wait, as requests begin to fail, and then read all at once. What arrives at once earns no more than may be saved up.

--- a/packages/placement/src/retry_restarts_test.ts
+++ b/packages/placement/src/retry_restarts_test.ts
@@ -29,6 +29,8 @@
 const SERIES_LENGTH = 6;
 /** The longest that a retry waits for a target before it is sent. */
 const MAX_WAIT_MS = 1_500;
+/** Callers give up a request that a VM has not read by then. */
+const UNREAD_MS = 1_000;
 const SEEDS = Array.from({ length: 12 }, (_, at) => 6_300 + at);
 
 function boundOf(fixed: number): RetryPlay["bound"] {
@@ -119,6 +121,12 @@
       { kind: "stall", atMs: FAIL_FROM_MS, forMs: MAX_WAIT_MS },
       rollOf(size.vms, FAIL_FROM_MS + MAX_WAIT_MS, 3_000),
     ]],
+    [
+      "all VMs are paused and read requests late, as long as callers wait for that",
+      [
+        { kind: "pause", atMs: FAIL_FROM_MS, forMs: UNREAD_MS },
+      ],
+    ],
     ["nearly all requests come by turns", [
       { kind: "burst", atMs: 6_500, x: 0.02, forMs: 7_500 },
       { kind: "burst", atMs: 16_500, x: 0.02, forMs: 7_500 },
--- a/packages/placement/src/testing_retries.ts
+++ b/packages/placement/src/testing_retries.ts
@@ -56,7 +56,9 @@
     readonly forMs: number;
   }
   /** Targets have no room for retries, which are sent when it is over. */
-  | { readonly kind: "stall"; readonly atMs: number; readonly forMs: number };
+  | { readonly kind: "stall"; readonly atMs: number; readonly forMs: number }
+  /** VMs are paused, and read all requests when it is over. */
+  | { readonly kind: "pause"; readonly atMs: number; readonly forMs: number };
 
 /** One play of a fleet. */
 export interface RetryPlay extends RetryFleetSize {
@@ -101,6 +103,8 @@
   #retries = 0;
   /** Budgets of the retries that wait to be sent. */
   #waiting: FleetRetryBudget[] = [];
+  /** VMs to which a request was sent that is not read yet. */
+  #unread: SimulatedVm[] = [];
   /** Requests that are due but not sent yet, less than one. */
   #due = 0;
 
@@ -157,6 +161,7 @@
       case "move":
       case "burst":
       case "stall":
+      case "pause":
         return;
     }
   }
@@ -178,21 +183,32 @@
     for (; this.#due >= 1; this.#due--) {
       const vm = open[Math.floor(this.#random() * open.length)]!;
       this.#use.requested(SERVICE, now);
-      vm.budget.arrived(now);
-      const { failFromMs, failShare, vms } = this.#play;
-      const fails = now >= failFromMs && this.#random() < failShare;
-      if (fails && vm.budget.tryReserve(now, vms)) {
-        this.#waiting.push(vm.budget);
-      }
+      this.#unread.push(vm);
+    }
+    if (!this.#isDuring("pause", now)) {
+      this.#unread.forEach((vm) => this.#readRequest(vm, now));
+      this.#unread = [];
+    }
+  }
+
+  #readRequest({ budget }: SimulatedVm, now: number): void {
+    budget.arrived(now);
+    const { failFromMs, failShare, vms } = this.#play;
+    const fails = now >= failFromMs && this.#random() < failShare;
+    if (fails && budget.tryReserve(now, vms)) {
+      this.#waiting.push(budget);
     }
   }
 
+  #isDuring(kind: "stall" | "pause", now: number): boolean {
+    return this.#play.disturbances.some((one) =>
+      one.kind === kind && now >= one.atMs && now < one.atMs + one.forMs
+    );
+  }
+
   /** Sends the retries that wait, unless targets have no room or their process has ended. */
   #sendRetries(now: number): void {
-    const isStalled = this.#play.disturbances.some((one) =>
-      one.kind === "stall" && now >= one.atMs && now < one.atMs + one.forMs
-    );
-    if (isStalled) {
+    if (this.#isDuring("stall", now)) {
       return;
     }
     const running = new Set(this.#vms.map(({ budget }) => budget));
