--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -15,7 +15,7 @@
 } from "../lib/stage.mjs";
 
 const VMS = 5;
-const ROUNDS = 6;
+const ROUNDS = 8;
 /** An upstream of the site's `clearing`. */
 const SLOTS = 3;
 const QUEUE = 9;
