--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -20,7 +20,7 @@
 const SLOTS = 3;
 const QUEUE = 9;
 const READ_MS = 20;
-const POST_MS = 300;
+const POST_MS = 150;
 /** Round trip between a VM and an upstream of another zone, and some processing. */
 const ROUND_TRIP_MS = 5;
 /** Largest share of responses with extra bytes in the site file. */
@@ -146,6 +146,7 @@
       {
         prefix: "/posting/",
         route_type: "unsafe",
+        max_attempts: 3,
         timeout_s: 3,
         target_latency_s: 1.5,
       },
@@ -168,7 +169,7 @@
       const headers = { Authorization: `Bearer ${KEY}` };
       const body = method === "POST" ? "1 EUR" : "";
       const answer = await connection
-        .ask({ method, path, id, headers, body, deadlineMs: 4_000 });
+        .ask({ method, path, id, headers, body, deadlineMs: 6_000 });
       if (method === "POST") {
         answers.set(id, answer?.status);
         record.write(`client: ${id} gets ${answer?.status ?? "no answer"}`);
--- a/review/lib/stage.mjs
+++ b/review/lib/stage.mjs
@@ -549,10 +549,13 @@
     const record = new Record(dir);
     record.write(`disruption: ${hasTrouble ? "yes" : "no"}`);
     const stage = new Stage(record);
-    const limit = setTimeout(() => {
-      record.write("not run: out of time");
+    const giveUp = (reason) => {
+      record.write(`not run: ${reason}`);
       stage.stop().finally(() => process.exit(NOT_RUN));
-    }, 110_000);
+    };
+    const limit = setTimeout(() => giveUp("out of time"), 110_000);
+    process.on("SIGINT", () => giveUp("interrupted"));
+    process.on("SIGTERM", () => giveUp("interrupted"));
     let code = NOT_RUN;
     try {
       await stage.store.start();
@@ -579,7 +582,7 @@
   #socket;
 
   constructor(host, port = PORTS.front) {
-    this.#socket = connect({ host, port });
+    this.#socket = connect({ host, port, allowHalfOpen: true });
     this.#socket.setNoDelay();
     this.opened = new Promise((resolve, reject) => {
       this.#socket.once("connect", resolve);
@@ -588,9 +591,15 @@
     this.opened.catch(() => undefined);
     this.ended = new Promise((resolve) => {
       this.#socket.on("end", () => {
-        if (this.state === "open") {
+        // Node reports a reset that arrives together with data as an end. It fails any
+        // write, which is how the two are told apart.
+        this.#socket.write(Buffer.alloc(0));
+        if (this.#socket.errored !== null) {
+          this.state = "reset";
+        } else if (this.state === "open") {
           this.state = "closed";
         }
+        this.#socket.end();
       });
       this.#socket.on("error", () => this.state = "reset");
       this.#socket.on("close", () => {
