A planned stop sends no request that it may cut, and ends connections with their last response

Cause, for the open connection: the ones that were idle when the listener closed were closed, once; a connection that was busy then, or had carried no request yet, or came from a VM that forwards, stayed open and its next request was passed on. Cause, for the late request: nothing compared how long a request may last with what was left of the stop, when it was read or after it had waited.

Change: from the close of the listener on, each connection is ended once its last response has been delivered. From the expiry of look-ups on (3 s), a request whose deadline lies behind the cut is refused at once as not run, on a connection that is then closed; a waiting one when it is to be sent. The limits of a stop stand in one class, PlannedStop.

No work is added while no stop is under way but one comparison a request.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -30,9 +30,15 @@
   isBehind,
   readForwarded,
 } from "./forwarding/forwarded_request.ts";
-import { type LocalReplyReason, sendLocalReply } from "./local_reply.ts";
+import {
+  LEAVING_RETRY_MS,
+  type LocalReplyReason,
+  sendLocalReply,
+} from "./local_reply.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import type { CallerRequest, Dialect } from "./ports.ts";
 import type { RequestPath } from "./request_path.ts";
+import { expiryOf } from "./request_terms.ts";
 import type { ListenAddress } from "./settings.ts";
 
 /** Interval at which a connection with malformed input is checked for pending responses before it is closed. */
@@ -51,9 +57,7 @@
     readonly kind: "configuration";
     readonly configuration: RoutingConfiguration;
   }
-  /** This VM is leaving: responses close their connections. */
-  | { readonly kind: "leave" }
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections, and closes each open one once it is idle. */
   | { readonly kind: "close-listener" };
 
 /** Options of the listener. */
@@ -65,6 +69,7 @@
   /** Seed of the starting points in weighted splits, so that VMs do not all start with the same service. */
   readonly seed: string;
   readonly path: RequestPath;
+  readonly plannedStop: PlannedStop;
   /** The VM at an IP address; undefined if it is not known. */
   vmAt(host: string): VmId | undefined;
   /** Whether the event loop is delayed, so that input is read long after it arrived. */
@@ -142,7 +147,7 @@
   readonly #connections = new Map<Socket, CallerConnection>();
   #splits = new Map<string, RouteSplit>();
   #compiled: CompiledConfiguration | undefined;
-  #isLeaving = false;
+  #closesIdle = false;
   #openRequests = 0;
 
   constructor(options: CallerListenerOptions) {
@@ -203,11 +208,8 @@
       case "configuration":
         this.#applyConfiguration(message.configuration);
         return;
-      case "leave":
-        this.#isLeaving = true;
-        return;
       case "close-listener":
-        this.#servers.stopAccepting();
+        this.#closeListener();
         return;
     }
   }
@@ -215,7 +217,20 @@
   /** Called when an exchange has ended. */
   exchangeEnded(exchange: GatewayExchange): void {
     this.#openRequests -= 1;
-    this.#connections.get(exchange.socket)?.exchanges.delete(exchange);
+    const { socket } = exchange;
+    const connection = this.#connections.get(socket);
+    connection?.exchanges.delete(exchange);
+    if (connection !== undefined && this.#closesIdle) {
+      closeIfIdle(socket, connection);
+    }
+  }
+
+  #closeListener(): void {
+    this.#servers.stopAccepting();
+    this.#closesIdle = true;
+    this.#connections.forEach((connection, socket) =>
+      closeIfIdle(socket, connection)
+    );
   }
 
   #applyConfiguration(configuration: RoutingConfiguration): void {
@@ -311,6 +326,12 @@
       refuse({ reason: "no-route" });
       return;
     }
+    const now = performance.now();
+    const expiresAt = expiryOf(request, route, now - (info?.elapsedMs ?? 0));
+    if (this.#options.plannedStop.refuses(expiresAt, now)) {
+      refuse({ reason: "leaving", retryAfterMs: LEAVING_RETRY_MS });
+      return;
+    }
     const admission = this.#admission.admit(request, route);
     if (admission.kind === "refused") {
       refuse(admission.refusal);
@@ -392,7 +413,7 @@
       },
       endsConnection: (mustEnd) => {
         const ends = connection.latestExchange === exchange &&
-          (mustEnd || this.#isLeaving);
+          (mustEnd || this.#options.plannedStop.hasBegun);
         connection.isEnding ||= ends;
         return ends;
       },
@@ -420,7 +441,7 @@
   ): void {
     // An unread body cannot be told apart from a following request.
     closesConnection ||= request === undefined || request.chunked ||
-      request.contentLength > 0;
+      request.contentLength > 0 || this.#options.plannedStop.hasBegun;
     connection.isEnding ||= closesConnection;
     connection.latestExchange = undefined;
     sendLocalReply(res, reason, { retryAfterMs, closesConnection, isForPeer });
@@ -458,6 +479,17 @@
   }
 }
 
+/**
+ * Closes a connection with no open request. Requests that arrive meanwhile are read and
+ * ignored: unread ones would make the kernel discard the last response.
+ */
+function closeIfIdle(socket: Socket, connection: CallerConnection): void {
+  if (connection.exchanges.size === 0 && !connection.isEnding) {
+    connection.isEnding = true;
+    socket.end();
+  }
+}
+
 /** Whether the first request of a connection may have waited longer than its caller does. */
 function isReadLate(
   { deadlineMs = Infinity }: CallerRequest,
--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -11,7 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { listen } from "../listen.ts";
 import { AcceptWatch } from "./accept_watch.ts";
 import type { CallerLimits } from "./configuration.ts";
@@ -103,11 +103,11 @@
     }
   }
 
-  /** Accepts no more connections and closes idle ones. */
+  /** Accepts no more connections; open ones stay open. */
   stopAccepting(): void {
     for (const server of this.#servers) {
-      server.close();
-      server.closeIdleConnections();
+      // The HTTP server's own method also closes connections with unsent responses.
+      NetServer.prototype.close.call(server);
     }
   }
 
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -48,7 +48,7 @@
   GatewayExchangeOptions,
   GatewayExchangeServices,
 } from "./exchange_types.ts";
-import type { LocalReplyReason } from "./local_reply.ts";
+import { LEAVING_RETRY_MS, type LocalReplyReason } from "./local_reply.ts";
 import type { CallerRequest, TargetResponse } from "./ports.ts";
 import type { Placeable } from "./request_queue.ts";
 import type { ForwardAttempt } from "./forwarding/forwarding.ts";
@@ -395,6 +395,10 @@
     if (this.#isHeldBack(now)) {
       return false;
     }
+    if (this.#services.isRefusedByStop(this.expiresAt, now)) {
+      this.#giveUp("leaving", LEAVING_RETRY_MS);
+      return false;
+    }
     const { budget, steering } = this.#services;
     if (this.#attempts.written === 0 && !budget.admits(this.route.name)) {
       this.#refuse("memory-used-up", MEMORY_RETRY_MS);
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -148,6 +148,8 @@
   uncounted = 0;
   /** If set, the steering throws this error instead of making a decision. */
   fault: Error | undefined;
+  /** Whether the VM stops too soon for the request. */
+  isRefusedByStop = false;
   /** Whether the caller's connection takes no more bytes for now. */
   isBlocked = false;
   readonly #drainListeners: (() => void)[] = [];
@@ -171,6 +173,7 @@
       } as unknown as TargetDirectory,
       suspects: new CrashSuspects({ publish: () => undefined }),
       checkRun: () => undefined,
+      isRefusedByStop: () => this.isRefusedByStop,
       budget: this.budget,
       log,
       ended: (_exchange, end) => this.ends.push(end),
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -57,6 +57,18 @@
     expect(harness.ends).toEqual(["broken"]);
   });
 
+  // Sent to a target, it would be cut when the process ends.
+  test("refuses a request that waits when the stop may cut it", () => {
+    const harness = new ExchangeHarness({ repeat: "at-most-once" });
+    harness.decision = "wait";
+    harness.start();
+    harness.isRefusedByStop = true;
+    harness.placeWaiting();
+    expect(harness.statuses).toEqual([503]);
+    expect(harness.attempts).toEqual([]);
+    expect(harness.ends).toEqual(["leaving"]);
+  });
+
   // Its account would pay for a request that no target ever sees.
   test("uncounts a request that is refused on arrival", () => {
     const harness = new ExchangeHarness({ repeat: "at-most-once" });
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -37,6 +37,8 @@
   readonly budget: ResponseBudget;
   /** Undefined where requests are not forwarded to other VMs. */
   readonly forwarding?: Forwarding | undefined;
+  /** Whether a request that ends at `expiresAt` at the latest is refused, as the planned stop may cut it. */
+  isRefusedByStop(expiresAt: number, now: number): boolean;
   /** Called once per exchange, when its caller has the final response or has disconnected. */
   ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
   /** Called once per attempt. */
--- a/packages/daemon/src/gateway/forwarding/request_forwards.ts
+++ b/packages/daemon/src/gateway/forwarding/request_forwards.ts
@@ -179,5 +179,6 @@
 
 /** Whether another VM may be able to serve a request that one VM replied to itself. */
 function isWorthForwardingAgain(reason: LocalReplyReason): boolean {
-  return reason === "not-ready" || reason === "no-target";
+  return reason === "not-ready" || reason === "no-target" ||
+    reason === "leaving";
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -30,6 +30,7 @@
 import { LoopDelay } from "./loop_delay.ts";
 import { MetricsListener } from "./metrics_listener.ts";
 import { Peers } from "./peers.ts";
+import { LOOKUP_TTL_MS, PlannedStop } from "./planned_stop.ts";
 import { PlatformEvents } from "./platform_events.ts";
 import { PlatformFeed } from "./platform_feed.ts";
 import type { Dialect, PlatformPort } from "./ports.ts";
@@ -59,16 +60,6 @@
   kill(): Promise<void>;
 }
 
-/**
- * Cache lifetime of a look-up response. Some callers keep a response for three times
- * as long, so all of them stop using a leaving VM within 3 s, well before it must
- * exit.
- */
-const LOOKUP_TTL_MS = 1_000;
-/** A leaving VM accepts connections until the look-up responses that callers cached have expired. */
-const LEAVE_DELAY_MS = 3 * LOOKUP_TTL_MS + 200;
-/** Part of the time until SIGKILL that is reserved for the exit of the process itself. */
-const STOP_MARGIN_MS = 500;
 /** Interval at which a leaving VM checks whether its requests have ended. */
 const STOP_CHECK_INTERVAL_MS = 20;
 
@@ -115,14 +106,15 @@
   readonly #platformEvents: PlatformEvents;
   readonly #supervisor: Supervisor;
   readonly #timer = new PacedTimer((now) => this.#tick(now));
+  readonly #plannedStop: PlannedStop;
   #idleTickDueAt = 0;
-  #leaving = false;
   /** The graceful shutdown in progress; repeated calls of `stop` share it. */
   #stopped: Promise<void> | undefined;
   #fail: (err: unknown) => void = () => undefined;
 
   constructor(settings: GatewaySettings, ports: GatewayPorts) {
     this.#settings = settings;
+    this.#plannedStop = new PlannedStop(settings.bounds.stopMs);
     this.#dialect = ports.dialect;
     this.#log = new EventLog(ports.log);
     this.#requestLog = new RequestLog(this.#log);
@@ -245,20 +237,17 @@
   }
 
   async #stop(): Promise<void> {
-    const startedAt = performance.now();
-    const stopTimeoutMs = this.#settings.bounds.stopMs - STOP_MARGIN_MS;
+    this.#plannedStop.begin(performance.now());
     this.#log.write("leaving", {});
-    this.#leaving = true;
-    this.#callerListener.send({ kind: "leave" });
     this.#peers.leave();
-    await pause(Math.min(LEAVE_DELAY_MS, stopTimeoutMs));
+    await pause(this.#plannedStop.acceptMs);
     // VMs of other zones learn of it a second later and query this VM until then.
     const now = performance.now();
     this.#homes.setVms(this.#peers.vms.up(now), now);
     this.#callerListener.send({ kind: "close-listener" });
     while (
       this.#callerListener.openRequests > 0 &&
-      performance.now() - startedAt < stopTimeoutMs
+      performance.now() < this.#plannedStop.cutsAt
     ) {
       await pause(STOP_CHECK_INTERVAL_MS);
     }
@@ -317,6 +306,8 @@
       checkRun: (target) => this.#probes.checkRun(target),
       silentVms: () => this.#peers.vms.silentVms(performance.now()),
       placeInTurns: () => this.#peers.vms.placeInTurns(performance.now()),
+      isRefusedByStop: (expiresAt, now) =>
+        this.#plannedStop.refuses(expiresAt, now),
       publishSuspects: () => this.#peers.beacon.send({ kind: "suspects" }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
@@ -349,6 +340,7 @@
       dialect: this.#dialect,
       seed: this.#settings.vm,
       path: this.#requestPath,
+      plannedStop: this.#plannedStop,
       isLoopDelayed: () => this.#loopDelay.isDelayed(performance.now()),
       operatorRowsEra: () => this.#feed.seenOf("operator").era,
       knowsRevocations: () => this.#accounts.knowsRevocations(),
@@ -412,7 +404,7 @@
   }
 
   get #isReady(): boolean {
-    return !this.#leaving && this.#callerListener.version > 0 &&
+    return !this.#plannedStop.hasBegun && this.#callerListener.version > 0 &&
       this.#platformEvents.hasTargets;
   }
 
--- a/packages/daemon/src/gateway/local_reply.ts
+++ b/packages/daemon/src/gateway/local_reply.ts
@@ -6,6 +6,9 @@
 
 import type { ServerResponse } from "node:http";
 
+/** Retry-After of a request that was refused since its VM stops: other VMs are ready. */
+export const LEAVING_RETRY_MS = 0;
+
 /** Why a request gets a local reply. */
 export type LocalReplyReason =
   /** This VM knows no configuration yet. */
@@ -24,6 +27,8 @@
   | "overload"
   /** The request had waited so long to be read that its caller may have given up. */
   | "read-late"
+  /** This VM stops, and may end before the request does. */
+  | "leaving"
   /** This VM has no memory for the response. */
   | "memory-used-up"
   /** The deadline passed before the request was sent to a target. */
@@ -54,6 +59,7 @@
   "no-target": 503,
   "overload": 503,
   "read-late": 503,
+  "leaving": 503,
   "memory-used-up": 503,
   "expired-unsent": 503,
   "refused-by-targets": 503,
--- /dev/null
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -0,0 +1,61 @@
+/**
+ * The planned stop of a VM, as its requests see it.
+ *
+ * @module
+ */
+
+/**
+ * Cache lifetime of a look-up response. Some callers keep a response for three times
+ * as long, so all of them stop using a leaving VM within 3 s, well before it must
+ * exit.
+ */
+export const LOOKUP_TTL_MS = 1_000;
+/** Time after which callers no longer use a look-up response. */
+const LOOKUP_EXPIRY_MS = 3 * LOOKUP_TTL_MS;
+/** Callers connect until their look-up responses expire, and their connections arrive later. */
+const CONNECT_MARGIN_MS = 200;
+/** Part of the time until SIGKILL that is reserved for the exit of the process itself. */
+const EXIT_MARGIN_MS = 500;
+
+/** See the module comment. Times are milliseconds of the monotonic clock. */
+export class PlannedStop {
+  readonly #stopMs: number;
+  #startedAt = Infinity;
+
+  /** `stopMs`: time from the order to stop until the process is killed. */
+  constructor(stopMs: number) {
+    this.#stopMs = stopMs;
+  }
+
+  begin(now: number): void {
+    this.#startedAt = now;
+  }
+
+  /** Whether the VM leaves: callers are to use other VMs. */
+  get hasBegun(): boolean {
+    return this.#startedAt < Infinity;
+  }
+
+  /** Time for which connections are accepted after the stop has begun. */
+  get acceptMs(): number {
+    return Math.min(LOOKUP_EXPIRY_MS + CONNECT_MARGIN_MS, this.#requestsMs);
+  }
+
+  /** When requests that are still open are cut; never before the stop has begun. */
+  get cutsAt(): number {
+    return this.#startedAt + this.#requestsMs;
+  }
+
+  /**
+   * Whether a request that is to be sent to a target now is refused instead: the stop may
+   * cut it, and its caller could have used another VM. `expiresAt`: when it ends at the latest.
+   */
+  refuses(expiresAt: number, now: number): boolean {
+    const expiryMs = Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
+    return now >= this.#startedAt + expiryMs && expiresAt > this.cutsAt;
+  }
+
+  get #requestsMs(): number {
+    return Math.max(0, this.#stopMs - EXIT_MARGIN_MS);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/planned_stop_test.ts
@@ -0,0 +1,45 @@
+/**
+ * Which requests a VM that stops still sends to targets.
+ *
+ * @module
+ */
+
+import { expect, test } from "vitest";
+import { PlannedStop } from "./planned_stop.ts";
+
+const STOP_MS = 6_000;
+const BEGUN_AT = 10_000;
+
+function begunStop(stopMs = STOP_MS): PlannedStop {
+  const stop = new PlannedStop(stopMs);
+  stop.begin(BEGUN_AT);
+  return stop;
+}
+
+test("a VM that does not stop refuses nothing", () => {
+  const stop = new PlannedStop(STOP_MS);
+  expect(stop.hasBegun).toBe(false);
+  expect(stop.refuses(Infinity, 1e9)).toBe(false);
+});
+
+test("requests are served while callers may have a look-up response that names the VM", () => {
+  const stop = begunStop();
+  expect(stop.hasBegun).toBe(true);
+  expect(stop.refuses(BEGUN_AT + 60_000, BEGUN_AT + 2_999)).toBe(false);
+  expect(stop.acceptMs).toBe(3_200);
+});
+
+test("afterwards a request is refused if it may end after the cut", () => {
+  const stop = begunStop();
+  const now = BEGUN_AT + 3_000;
+  expect(stop.cutsAt).toBe(BEGUN_AT + 5_500);
+  expect(stop.refuses(stop.cutsAt, now)).toBe(false);
+  expect(stop.refuses(stop.cutsAt + 1, now)).toBe(true);
+});
+
+test("a stop shorter than the life of look-up responses refuses requests at its end", () => {
+  const stop = begunStop(1_000);
+  expect(stop.acceptMs).toBe(500);
+  expect(stop.refuses(BEGUN_AT + 2_000, BEGUN_AT + 499)).toBe(false);
+  expect(stop.refuses(BEGUN_AT + 2_000, BEGUN_AT + 500)).toBe(true);
+});
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -80,6 +80,8 @@
   publishLimit(limit: LimitUpdate): void;
   /** Checks whether the present run of a target still exists, and reports that to the suspects; not at all by default. */
   checkRun?(target: TargetId): void;
+  /** Whether a request that ends at `expiresAt` at the latest is refused, as the planned stop may cut it; never by default. */
+  isRefusedByStop?(expiresAt: number, now: number): boolean;
   /** Sends peers soon what is known of requests that crash targets. */
   publishSuspects(): void;
   /** This VM's place when all VMs take turns; the only one by default. */
@@ -174,6 +176,8 @@
       targets: this.targets,
       suspects: this.suspects,
       checkRun: (target) => options.checkRun?.(target),
+      isRefusedByStop: (expiresAt, now) =>
+        options.isRefusedByStop?.(expiresAt, now) ?? false,
       log,
       ended: (exchange, end) => options.ended(exchange, end),
       attemptEnded: (end) => options.attemptEnded(end),
