A response without a length is sent in chunks, so that a cut is visible however its VM ends

Cause: a response that ends with its target's connection was passed on in the same way, and the kernel closes the connections of a killed process as if they had ended. The VM's own resets cover its targets' faults, not its own end; the end of a planned stop closed in the usual way, too. The users' page has it that the end of such a target's connection, if it is no reset, is the end of the response, so the VM knows it and may say so.

Change: a body of unknown length is sent in chunks, the last one after the target's close; one held until it is complete gets its length; callers of HTTP/1.0 get small ones with a length and 502 for larger ones; HEAD, 204 and 304 get neither. The caller's connection stays open, so a request behind such a response is served; before, the response was discarded (502 for an order that had run, another attempt for a read).

--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -38,12 +38,17 @@
   readonly hold: ResponseHold;
   readonly wheel: DeadlineWheel;
   readonly endsConnection: EndsConnection;
+  /** Method of the request. */
+  readonly method: string;
   /** Whether the response goes to another VM, which forwarded the request. */
   readonly isForPeer?: boolean;
   /** Called when the caller has stopped reading the response. */
   stalled(): void;
 }
 
+// Responses with these codes have no body, whatever their header says.
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
 /** Responses up to this size are written at once. */
 const SINGLE_WRITE_BYTES = 65_536;
 
@@ -55,7 +60,7 @@
   #mode: DeliverySummary["mode"];
   #answeredAt: number | undefined;
   #isCut = false;
-  /** Whether the end of the connection is the end of the response. */
+  /** Whether the end of the target's connection is the end of the response. */
   #isUnframed = false;
   #isDelivered = false;
   #onDelivered: (() => void) | undefined;
@@ -98,37 +103,32 @@
     this.#options.hold.resize(0);
   }
 
-  /** Writes the header of a target's response. Returns false if this connection cannot carry the response. */
+  /**
+   * Writes the header of a target's response whose body follows. A body of unknown length
+   * is sent in chunks, so that it does not look complete if the connection ends before
+   * the last one. Returns false if the caller knows no chunks.
+   */
   writeHead(response: TargetResponse): boolean {
-    // A response that ends with its connection may be truncated without notice. If
-    // the gateway added a length or a last chunk, it would look complete to the
-    // caller, so it is passed on without framing.
-    const isUnframed = !response.isChunked && response.contentLength < 0;
-    const ends = this.#options.endsConnection(isUnframed);
-    if (isUnframed && !ends) {
+    const hasLength = response.contentLength >= 0 || !this.#hasBody(response);
+    // Set by Node for a caller of HTTP/1.1.
+    if (!hasLength && !this.#res.useChunkedEncodingByDefault) {
       return false;
     }
-    const headers = ends
-      ? [...response.rawHeaders, "connection", "close"]
-      : response.rawHeaders;
-    this.#isUnframed = isUnframed;
-    this.#res.useChunkedEncodingByDefault = !isUnframed;
-    this.#res.writeHead(response.status, headers);
+    this.#isUnframed = !hasLength && !response.isChunked;
+    this.#writeHead(response.status, response.rawHeaders);
     return true;
   }
 
-  /** Sends a complete response. Returns false if this connection cannot carry it. */
-  sendComplete(response: TargetResponse, body: readonly Buffer[]): boolean {
+  /** Sends a complete response. */
+  sendComplete(response: TargetResponse, body: readonly Buffer[]): void {
     const bytes = body.reduce((sum, { length }) => sum + length, 0);
-    const framed = response.isChunked
-      ? {
-        ...response,
-        rawHeaders: [...response.rawHeaders, "content-length", String(bytes)],
-      }
-      : response;
-    if (!this.writeHead(framed)) {
-      return false;
-    }
+    const addsLength = response.contentLength < 0 && this.#hasBody(response);
+    this.#writeHead(
+      response.status,
+      addsLength
+        ? [...response.rawHeaders, "content-length", String(bytes)]
+        : response.rawHeaders,
+    );
     this.#mode = "buffered";
     this.#recordAnswer(bytes);
     if (bytes <= SINGLE_WRITE_BYTES) {
@@ -138,7 +138,6 @@
     } else {
       this.#delivery.end(body);
     }
-    return true;
   }
 
   /** Writes a chunk of a streamed response. If it returns false, wait for `resume` before writing more. */
@@ -188,13 +187,28 @@
   destroy(): void {
     this.#isCut = true;
     if (this.#isUnframed) {
-      // Closed in the usual way, the connection would seem to end the response. The reset
-      // alone would wait for the caller to take what was written; `destroy` does not.
+      // Passed on to callers, as some take the end of the connection for the end of the
+      // response. The reset alone would wait for the caller to take what was written;
+      // `destroy` does not.
       this.#res.socket?.resetAndDestroy();
     }
     this.#res.destroy();
   }
 
+  #hasBody({ status }: TargetResponse): boolean {
+    return this.#options.method !== "HEAD" && status !== STATUS_NO_CONTENT &&
+      status !== STATUS_NOT_MODIFIED;
+  }
+
+  #writeHead(status: number, rawHeaders: readonly string[]): void {
+    this.#res.writeHead(
+      status,
+      this.#options.endsConnection(false)
+        ? [...rawHeaders, "connection", "close"]
+        : [...rawHeaders],
+    );
+  }
+
   #recordAnswer(bytes: number): void {
     this.#answeredAt = performance.now();
     this.#options.hold.recordSize(bytes);
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -130,6 +130,7 @@
       hold: services.budget.open(route.name),
       wheel: services.wheel,
       endsConnection: options.endsConnection,
+      method: options.req.method!,
       isForPeer: options.forwarded !== undefined,
       stalled: () => this.#guarded(() => this.#cut("caller-stalled")),
     });
@@ -722,11 +723,7 @@
     if (this.#phase === "done" || this.#phase === "delivering") {
       return;
     }
-    if (!this.#response.sendComplete(response, body)) {
-      this.#failedResponse = undefined;
-      this.#handleUnframed();
-      return;
-    }
+    this.#response.sendComplete(response, body);
     this.#awaitDelivery();
   }
 
@@ -752,16 +749,6 @@
     }
   }
 
-  /** Handles a response without framing that would close a connection on which pipelined requests still wait. */
-  #handleUnframed(): void {
-    if (this.route.repeat === "idempotent") {
-      this.#attempts.failed();
-      this.#retry(performance.now());
-    } else {
-      this.#replyLocally("broken");
-    }
-  }
-
   /** Refuses the request, which promises that it did not run; replies `broken` if it may have run. */
   #refuse(reason: LocalReplyReason, retryAfterMs: number | undefined): void {
     if (this.#attempts.mayHaveRun) {
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -312,6 +312,7 @@
       }
     };
     return {
+      useChunkedEncodingByDefault: true,
       writeHead,
       write: () => !this.isBlocked,
       end: () => undefined,
