A request that is sent to a target again takes a connection that has not carried it

Cause: a full target refuses a request, and the second attempt takes the connection that was used last, which is the one of the first. A target may send a response once more, late, where the next one is expected; its id tells it from others, and the two attempts have the same id. So the copy of the refusal passed for the answer to the second attempt, and the request was sent a third time.

Change: a connection keeps the ids that it has carried and is passed over for a request that it has carried before; it stays in the pool for others, and is closed after 500 requests. So it holds for the second attempt in an exchange, a caller that repeats an id, and two forwards to one VM.

--- a/packages/daemon/src/gateway/connection.ts
+++ b/packages/daemon/src/gateway/connection.ts
@@ -39,6 +39,9 @@
 /** The same for each byte of the body: the framing of chunks of a byte takes five. */
 const MAX_OVERHEAD_PER_BODY_BYTE = 8;
 
+/** A connection is closed after this many requests, whose ids it keeps until then. */
+const MAX_REQUESTS = 500;
+
 /** The target to connect to. */
 export interface ConnectionTarget<Id extends string = TargetId> {
   readonly id: Id;
@@ -79,6 +82,7 @@
   takenAt = performance.now();
   #socket: ResettableSocket | undefined;
   #isOpen = true;
+  readonly #carriedIds = new Set<string>();
   /** Bytes that had arrived before the latest request, and those of its response's body. */
   #earlierBytes = 0;
   #bodyBytes = 0;
@@ -128,11 +132,25 @@
     return this.#wasReset || (isChunked && this.#hasEnded);
   }
 
-  /** Whether the connection can carry another request. */
   get isOpen(): boolean {
     return this.#isOpen;
   }
 
+  /** Whether the connection can carry another request. */
+  get isReusable(): boolean {
+    return this.#isOpen && this.#carriedIds.size < MAX_REQUESTS;
+  }
+
+  /** Whether a request with this id was sent on the connection. */
+  hasCarried(requestId: string): boolean {
+    return this.#carriedIds.has(requestId);
+  }
+
+  /** Records that a request with this id is sent on the connection. */
+  markCarried(requestId: string): void {
+    this.#carriedIds.add(requestId);
+  }
+
   dispatch(
     req: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -20,8 +20,8 @@
 const DOUBTFUL_AFTER_MS = 800;
 /** Provides connections for attempts. */
 export interface ConnectionSource<Id extends string = TargetId> {
-  /** Returns an idle connection or a new one. */
-  take(target: ConnectionTarget<Id>): TargetConnection<Id>;
+  /** Returns an idle connection that has not carried a request with this id, or a new one. */
+  take(target: ConnectionTarget<Id>, requestId: string): TargetConnection<Id>;
   /** Returns a connection to the pool after a complete response. */
   release(connection: TargetConnection<Id>): void;
   /** Discards a connection whose request got no complete response. */
@@ -49,14 +49,30 @@
     this.#listener = options.listener;
   }
 
-  /** Returns the most recently used idle connection, or a new one. */
-  take(target: ConnectionTarget<Id>): Connection<Id> {
-    const idle = this.#idle.get(target.id);
-    for (
-      let candidate = idle?.pop();
-      candidate !== undefined;
-      candidate = idle?.pop()
-    ) {
+  /**
+   * Returns the most recently used idle connection that has not carried a request with
+   * this id, or a new one. A request may be sent to a target again, and a late copy of the
+   * response to its first attempt has the same id as the response to its second.
+   */
+  take(target: ConnectionTarget<Id>, requestId?: string): Connection<Id> {
+    const connection = this.#takeIdle(target, requestId) ?? this.create(target);
+    if (requestId !== undefined) {
+      connection.markCarried(requestId);
+    }
+    return connection;
+  }
+
+  #takeIdle(
+    target: ConnectionTarget<Id>,
+    requestId: string | undefined,
+  ): Connection<Id> | undefined {
+    const idle = this.#idle.get(target.id) ?? [];
+    for (let index = idle.length - 1; index >= 0; index--) {
+      const candidate = idle[index]!;
+      if (requestId !== undefined && candidate.hasCarried(requestId)) {
+        continue;
+      }
+      idle.splice(index, 1);
       if (candidate.isOpen && candidate.address === target.address) {
         candidate.idleSince = undefined;
         candidate.takenAt = performance.now();
@@ -64,7 +80,7 @@
       }
       candidate.destroy();
     }
-    return this.create(target);
+    return undefined;
   }
 
   /** Creates a connection. */
@@ -91,7 +107,7 @@
    */
   release(connection: Connection<Id>): void {
     setImmediate(() => {
-      if (!connection.isOpen || !this.#isTracked(connection)) {
+      if (!connection.isReusable || !this.#isTracked(connection)) {
         connection.destroy();
         return;
       }
--- a/packages/daemon/src/gateway/forwarding/forwarding.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarding.ts
@@ -95,7 +95,7 @@
       id: peer.vm,
       address: `${peer.peerAddress.split(":")[0]}:${port}`,
       roundTripMs: roundTrips.to(peer),
-    });
+    }, request.requestId);
     const attempt = new TargetAttempt<VmId>(owner, {
       target: peer.vm,
       requestId: request.requestId,
--- a/packages/daemon/src/gateway/start_attempt.ts
+++ b/packages/daemon/src/gateway/start_attempt.ts
@@ -53,7 +53,7 @@
     id,
     address: targets.get(id)!.address,
     roundTripMs: steering.roundTripTo(id),
-  });
+  }, request.requestId);
   const attempt = new TargetAttempt(owner, {
     target: id,
     requestId: request.requestId,
