Responses that are ready reach a caller that reads slowly, though its connection is closed

Causes: Node's server takes a connection for idle whose responses have ended but were not written, and closes it when it stops listening.

Change: connections to callers and to VMs that forward are closed in two steps, this side once everything is written, the rest when the other side has closed its own, or after 2 s; what still arrives is read. The stop waits for that until its end.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -30,6 +30,7 @@
   isBehind,
   readForwarded,
 } from "./forwarding/forwarded_request.ts";
+import { closeLingering, lingerAfterLastResponse } from "./lingering_close.ts";
 import {
   LEAVING_RETRY_MS,
   type LocalReplyReason,
@@ -172,6 +173,11 @@
     return this.#openRequests;
   }
 
+  /** Number of connections that the other side has not closed. */
+  get openConnections(): number {
+    return this.#connections.size;
+  }
+
   /** The longest that a connection accepted now can have waited. */
   maxAcceptWaitMs(now: number): number {
     return this.#servers.maxWaitMs(now);
@@ -267,6 +273,7 @@
       isEnding: false,
     };
     this.#connections.set(socket, connection);
+    lingerAfterLastResponse(socket);
     const onCallerClosed = () => {
       this.#connections.delete(socket);
       for (const exchange of connection.exchanges) {
@@ -466,27 +473,25 @@
       "connection: close\r\ncontent-length: 0\r\n\r\n";
     this.#options.refused(undefined, "malformed");
     if (isIdle) {
-      socket.end(reply);
+      socket.write(reply);
+      closeLingering(socket);
       return;
     }
     // Earlier requests on the connection get their responses before it is closed.
     const timer = setInterval(() => {
       if (connection.exchanges.size === 0 || socket.destroyed) {
         clearInterval(timer);
-        socket.end();
+        closeLingering(socket);
       }
     }, PENDING_CHECK_INTERVAL_MS);
   }
 }
 
-/**
- * Closes a connection with no open request. Requests that arrive meanwhile are read and
- * ignored: unread ones would make the kernel discard the last response.
- */
+/** Closes a connection with no open request; requests that still arrive are ignored. */
 function closeIfIdle(socket: Socket, connection: CallerConnection): void {
   if (connection.exchanges.size === 0 && !connection.isEnding) {
     connection.isEnding = true;
-    socket.end();
+    closeLingering(socket);
   }
 }
 
--- a/packages/daemon/src/gateway/cut_heads_test.ts
+++ b/packages/daemon/src/gateway/cut_heads_test.ts
@@ -18,7 +18,7 @@
 import { TargetAttempt, type TargetAttemptEnd } from "./target_attempt.ts";
 
 const REQUEST_ID = "r-1";
-const LINES = `Request-Id: ${REQUEST_ID}\r\nResponse-Stamp: s\r\n`;
+const LINES = `Request-Id: ${REQUEST_ID}\r\nX-Proof: s\r\n`;
 const LENGTH = "Content-Length: 4\r\n";
 
 /** Headers by what ends their body, and by what comes first. */
@@ -53,7 +53,7 @@
 type Arrival = keyof typeof ARRIVALS;
 
 const COMPLETE = (id: string) =>
-  `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: s\r\n` +
+  `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nX-Proof: s\r\n` +
   `${LENGTH}\r\nfine`;
 
 let server: Server;
@@ -87,7 +87,7 @@
   return {
     status,
     requestId: valueOf("request-id"),
-    isStamped: texts.includes("response-stamp"),
+    isStamped: texts.includes("x-proof"),
     isChunked: texts.includes("transfer-encoding"),
     contentLength: Number(valueOf("content-length") ?? -1),
     isNotRun: false,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -246,7 +246,8 @@
     this.#homes.setVms(this.#peers.vms.up(now), now);
     this.#callerListener.send({ kind: "close-listener" });
     while (
-      this.#callerListener.openRequests > 0 &&
+      // Callers that read slowly have yet to take what was written.
+      this.#callerListener.openConnections > 0 &&
       performance.now() < this.#plannedStop.cutsAt
     ) {
       await pause(STOP_CHECK_INTERVAL_MS);
