A lingering close waits for the network before it counts its time

A connection that was to be closed was destroyed 2 s later even if what had been written to it was still waiting for its caller.

--- a/packages/daemon/src/gateway/connection.ts
+++ b/packages/daemon/src/gateway/connection.ts
@@ -132,6 +132,7 @@
     return this.#wasReset || (isChunked && this.#hasEnded);
   }
 
+  /** Whether neither side has closed the connection. */
   get isOpen(): boolean {
     return this.#isOpen;
   }
--- a/packages/daemon/src/gateway/lingering_close.ts
+++ b/packages/daemon/src/gateway/lingering_close.ts
@@ -6,7 +6,7 @@
 
 import type { Socket } from "node:net";
 
-/** Time that the other side has to read what was written and to close its side. */
+/** Time that the other side has to close its own, once the network has taken everything. */
 const LINGER_MS = 2_000;
 
 /**
@@ -18,9 +18,10 @@
   if (socket.writableEnded) {
     return;
   }
-  socket.end();
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-  socket.once("close", () => clearTimeout(timer));
+  socket.end(() => {
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+    socket.once("close", () => clearTimeout(timer));
+  });
 }
 
 /** Makes Node's HTTP server close the connection with {@link closeLingering} after its last response. */
--- a/packages/daemon/src/gateway/lingering_close_test.ts
+++ b/packages/daemon/src/gateway/lingering_close_test.ts
@@ -72,6 +72,17 @@
   expect(received).toBeGreaterThan(BODY_BYTES);
 });
 
+test("what waits for a caller that reads nothing is not discarded", async () => {
+  const caller = openCaller();
+  await pause(100);
+  closeLingering(accepted[0]!);
+  await pause(2_500);
+  let received = 0;
+  caller.on("data", (chunk) => received += chunk.length);
+  await new Promise((resolve) => caller.once("close", resolve));
+  expect(received).toBeGreaterThan(BODY_BYTES);
+});
+
 test("a connection that the other side does not close is closed after a while", async () => {
   const { port } = server.address() as AddressInfo;
   const caller = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
