A planned stop that has not begun costs a request one comparison

Each placement of a waiting request went through three closures, and each request read the clock for a stop that had not begun. Exchanges hold the stop itself now, its times are computed when it begins, and a header that is not changed is not copied.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -333,9 +333,7 @@
       refuse({ reason: "no-route" });
       return;
     }
-    const now = performance.now();
-    const expiresAt = expiryOf(request, route, now - (info?.elapsedMs ?? 0));
-    if (this.#options.plannedStop.refuses(expiresAt, now)) {
+    if (this.#isCutByStop(request, route, info)) {
       refuse({ reason: "leaving", retryAfterMs: LEAVING_RETRY_MS });
       return;
     }
@@ -359,6 +357,21 @@
     );
   }
 
+  /** Whether the planned stop may cut a request that was read now. */
+  #isCutByStop(
+    request: CallerRequest,
+    route: Route,
+    info: ForwardedRequest | undefined,
+  ): boolean {
+    const { plannedStop } = this.#options;
+    if (!plannedStop.hasBegun) {
+      return false;
+    }
+    const now = performance.now();
+    const startedAt = now - (info?.elapsedMs ?? 0);
+    return plannedStop.refuses(expiryOf(request, route, startedAt), now);
+  }
+
   /**
    * Handles a request that another VM forwards. That VM has counted it against its
    * account's quota; everything else is decided here.
--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -200,12 +200,12 @@
       status !== STATUS_NOT_MODIFIED;
   }
 
-  #writeHead(status: number, rawHeaders: readonly string[]): void {
+  #writeHead(status: number, rawHeaders: string[]): void {
     this.#res.writeHead(
       status,
       this.#options.endsConnection(false)
         ? [...rawHeaders, "connection", "close"]
-        : [...rawHeaders],
+        : rawHeaders,
     );
   }
 
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -396,7 +396,7 @@
     if (this.#isHeldBack(now)) {
       return false;
     }
-    if (this.#services.isRefusedByStop(this.expiresAt, now)) {
+    if (this.#services.plannedStop.refuses(this.expiresAt, now)) {
       this.#giveUp("leaving", LEAVING_RETRY_MS);
       return false;
     }
--- a/packages/daemon/src/gateway/exchange_harness.ts
+++ b/packages/daemon/src/gateway/exchange_harness.ts
@@ -31,6 +31,7 @@
 import { EventLog } from "./events.ts";
 import { GatewayExchange } from "./exchange.ts";
 import type { GatewayExchangeEnd } from "./exchange_types.ts";
+import { PlannedStop } from "./planned_stop.ts";
 import type { Dialect, TargetResponse } from "./ports.ts";
 import { RequestQueue } from "./request_queue.ts";
 import { ResponseBudget } from "./response_budget.ts";
@@ -148,8 +149,8 @@
   uncounted = 0;
   /** If set, the steering throws this error instead of making a decision. */
   fault: Error | undefined;
-  /** Whether the VM stops too soon for the request. */
-  isRefusedByStop = false;
+  /** The VM's planned stop, which ends before the request may. */
+  readonly plannedStop = new PlannedStop(0);
   /** Whether the caller's connection takes no more bytes for now. */
   isBlocked = false;
   readonly #drainListeners: (() => void)[] = [];
@@ -173,7 +174,7 @@
       } as unknown as TargetDirectory,
       suspects: new CrashSuspects({ publish: () => undefined }),
       checkRun: () => undefined,
-      isRefusedByStop: () => this.isRefusedByStop,
+      plannedStop: this.plannedStop,
       budget: this.budget,
       log,
       ended: (_exchange, end) => this.ends.push(end),
--- a/packages/daemon/src/gateway/exchange_test.ts
+++ b/packages/daemon/src/gateway/exchange_test.ts
@@ -62,7 +62,7 @@
     const harness = new ExchangeHarness({ repeat: "at-most-once" });
     harness.decision = "wait";
     harness.start();
-    harness.isRefusedByStop = true;
+    harness.plannedStop.begin(performance.now());
     harness.placeWaiting();
     expect(harness.statuses).toEqual([503]);
     expect(harness.attempts).toEqual([]);
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -15,6 +15,7 @@
 import type { GatewayExchange } from "./exchange.ts";
 import type { Forwarding } from "./forwarding/forwarding.ts";
 import type { LocalReplyReason } from "./local_reply.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import type { CallerRequest } from "./ports.ts";
 import type { RequestQueue } from "./request_queue.ts";
 import type { ResponseBudget } from "./response_budget.ts";
@@ -37,8 +38,7 @@
   readonly budget: ResponseBudget;
   /** Undefined where requests are not forwarded to other VMs. */
   readonly forwarding?: Forwarding | undefined;
-  /** Whether a request that ends at `expiresAt` at the latest is refused, as the planned stop may cut it. */
-  isRefusedByStop(expiresAt: number, now: number): boolean;
+  readonly plannedStop: PlannedStop;
   /** Called once per exchange, when its caller has the final response or has disconnected. */
   ended(exchange: GatewayExchange, end: GatewayExchangeEnd): void;
   /** Called once per attempt. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -307,8 +307,7 @@
       checkRun: (target) => this.#probes.checkRun(target),
       silentVms: () => this.#peers.vms.silentVms(performance.now()),
       placeInTurns: () => this.#peers.vms.placeInTurns(performance.now()),
-      isRefusedByStop: (expiresAt, now) =>
-        this.#plannedStop.refuses(expiresAt, now),
+      plannedStop: this.#plannedStop,
       publishSuspects: () => this.#peers.beacon.send({ kind: "suspects" }),
       ended: (exchange, end) => this.#onRequestEnd(exchange, end),
       attemptEnded: (end) => this.#metrics.attemptEnded(end),
--- a/packages/daemon/src/gateway/planned_stop.ts
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -19,16 +19,19 @@
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class PlannedStop {
-  readonly #stopMs: number;
+  /** Time for which requests may last after the stop has begun. */
+  readonly #requestsMs: number;
   #startedAt = Infinity;
+  #refusesFrom = Infinity;
 
   /** `stopMs`: time from the order to stop until the process is killed. */
   constructor(stopMs: number) {
-    this.#stopMs = stopMs;
+    this.#requestsMs = Math.max(0, stopMs - EXIT_MARGIN_MS);
   }
 
   begin(now: number): void {
     this.#startedAt = now;
+    this.#refusesFrom = now + Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
   }
 
   /** Whether the VM leaves: callers are to use other VMs. */
@@ -51,11 +54,6 @@
    * cut it, and its caller could have used another VM. `expiresAt`: when it ends at the latest.
    */
   refuses(expiresAt: number, now: number): boolean {
-    const expiryMs = Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
-    return now >= this.#startedAt + expiryMs && expiresAt > this.cutsAt;
-  }
-
-  get #requestsMs(): number {
-    return Math.max(0, this.#stopMs - EXIT_MARGIN_MS);
+    return now >= this.#refusesFrom && expiresAt > this.cutsAt;
   }
 }
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -24,6 +24,7 @@
 import { HomeTargetWatch } from "./homes/home_target_watch.ts";
 import type { HomeTargets } from "./homes/home_targets.ts";
 import type { LimitUpdate } from "./limit_updates.ts";
+import { PlannedStop } from "./planned_stop.ts";
 import type { Dialect, RegisteredTarget } from "./ports.ts";
 import type { Forwarding } from "./forwarding/forwarding.ts";
 import { RequestQueue } from "./request_queue.ts";
@@ -80,8 +81,8 @@
   publishLimit(limit: LimitUpdate): void;
   /** Checks whether the present run of a target still exists, and reports that to the suspects; not at all by default. */
   checkRun?(target: TargetId): void;
-  /** Whether a request that ends at `expiresAt` at the latest is refused, as the planned stop may cut it; never by default. */
-  isRefusedByStop?(expiresAt: number, now: number): boolean;
+  /** The VM's planned stop; none by default. */
+  readonly plannedStop?: PlannedStop;
   /** Sends peers soon what is known of requests that crash targets. */
   publishSuspects(): void;
   /** This VM's place when all VMs take turns; the only one by default. */
@@ -176,8 +177,7 @@
       targets: this.targets,
       suspects: this.suspects,
       checkRun: (target) => options.checkRun?.(target),
-      isRefusedByStop: (expiresAt, now) =>
-        options.isRefusedByStop?.(expiresAt, now) ?? false,
+      plannedStop: options.plannedStop ?? new PlannedStop(Infinity),
       log,
       ended: (exchange, end) => options.ended(exchange, end),
       attemptEnded: (end) => options.attemptEnded(end),
