One predicate for a response of unknown length; a closed connection is not closed again

A lingering close that begins on a destroyed connection, or whose connection is destroyed before the network has taken everything, started a timer for nothing; it waits for `finish` now. No behaviour is changed otherwise.

--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -109,12 +109,12 @@
    * the last one. Returns false if the caller knows no chunks.
    */
   writeHead(response: TargetResponse): boolean {
-    const hasLength = response.contentLength >= 0 || !this.#hasBody(response);
+    const lacksLength = this.#lacksLength(response);
     // Set by Node for a caller of HTTP/1.1.
-    if (!hasLength && !this.#res.useChunkedEncodingByDefault) {
+    if (lacksLength && !this.#res.useChunkedEncodingByDefault) {
       return false;
     }
-    this.#isUnframed = !hasLength && !response.isChunked;
+    this.#isUnframed = lacksLength && !response.isChunked;
     this.#writeHead(response.status, response.rawHeaders);
     return true;
   }
@@ -122,10 +122,9 @@
   /** Sends a complete response. */
   sendComplete(response: TargetResponse, body: readonly Buffer[]): void {
     const bytes = body.reduce((sum, { length }) => sum + length, 0);
-    const addsLength = response.contentLength < 0 && this.#hasBody(response);
     this.#writeHead(
       response.status,
-      addsLength
+      this.#lacksLength(response)
         ? [...response.rawHeaders, "content-length", String(bytes)]
         : response.rawHeaders,
     );
@@ -195,9 +194,10 @@
     this.#res.destroy();
   }
 
-  #hasBody({ status }: TargetResponse): boolean {
-    return this.#options.method !== "HEAD" && status !== STATUS_NO_CONTENT &&
-      status !== STATUS_NOT_MODIFIED;
+  /** Whether the response has a body whose length its header does not tell. */
+  #lacksLength({ status, contentLength }: TargetResponse): boolean {
+    return contentLength < 0 && this.#options.method !== "HEAD" &&
+      status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
   }
 
   #writeHead(status: number, rawHeaders: string[]): void {
--- a/packages/daemon/src/gateway/lingering_close.ts
+++ b/packages/daemon/src/gateway/lingering_close.ts
@@ -15,10 +15,11 @@
  * reset the connection and discard what the other side has yet to read.
  */
 export function closeLingering(socket: Socket): void {
-  if (socket.writableEnded) {
+  if (!socket.writable) {
     return;
   }
-  socket.end(() => {
+  socket.end();
+  socket.once("finish", () => {
     const timer = setTimeout(() => socket.destroy(), LINGER_MS);
     socket.once("close", () => clearTimeout(timer));
   });
--- a/packages/daemon/src/gateway/planned_stop.ts
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -29,6 +29,7 @@
     this.#requestsMs = Math.max(0, stopMs - EXIT_MARGIN_MS);
   }
 
+  /** Records that the VM was told to stop. */
   begin(now: number): void {
     this.#startedAt = now;
     this.#refusesFrom = now + Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
