--- a/packages/daemon/src/gateway/connections_test.ts
+++ b/packages/daemon/src/gateway/connections_test.ts
@@ -4,54 +4,30 @@
  * @module
  */
 
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import type { TargetId } from "@poplarthread/ids";
-import type { Connection, ConnectionTarget } from "./connection.ts";
-import { Connections } from "./connections.ts";
 import { pause } from "../pause.ts";
+import type { Connection } from "./connection.ts";
+import { SocketTarget } from "./socket_target.ts";
 
 const RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
-let server: Server;
-let sockets: Socket[];
-let connections: Connections;
-let target: ConnectionTarget;
+let target: SocketTarget;
 
 beforeEach(async () => {
-  sockets = [];
-  server = createServer((socket) => {
-    sockets.push(socket);
-    socket.on("error", () => undefined);
-    socket.on("data", () => socket.write(RESPONSE));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  target = {
-    id: "t-1" as TargetId,
-    address: `127.0.0.1:${port}`,
-    roundTripMs: 1,
-  };
-  connections = new Connections({
-    localAddress: "127.0.0.1",
-    listener: { connected: () => undefined },
-  });
+  target = new SocketTarget();
+  target.respond = (socket) => socket.write(RESPONSE);
+  await target.start();
 });
 
-afterEach(() => {
-  connections.close();
-  server.close();
-  sockets.forEach((socket) => socket.destroy());
-});
+afterEach(() => target.stop());
+
+function take(requestId: string): Connection {
+  return target.connections.take(target.target, requestId);
+}
 
 /** Sends a request and returns its connection to the pool. */
 async function exchange(requestId: string): Promise<Connection> {
-  const connection = connections.take(target, requestId);
+  const connection = take(requestId);
   await new Promise<void>((resolve, reject) => {
     connection.dispatch({ method: "GET", path: "/" }, {
       onConnect: () => undefined,
@@ -61,7 +37,7 @@
       onError: reject,
     });
   });
-  connections.release(connection);
+  target.connections.release(connection);
   await pause(1);
   return connection;
 }
@@ -85,9 +61,9 @@
   const first = await exchange("r-1");
   const second = await exchange("r-1");
   expect(await exchange("r-2")).toBe(second);
-  connections.take(target, "r-3");
-  expect(connections.take(target, "r-4")).toBe(first);
-  expect(sockets.length).toBe(2);
+  take("r-3");
+  expect(take("r-4")).toBe(first);
+  expect(target.sockets.length).toBe(2);
 });
 
 test("a connection is closed after as many requests as it keeps the ids of", async () => {
--- a/packages/daemon/src/gateway/cut_heads_test.ts
+++ b/packages/daemon/src/gateway/cut_heads_test.ts
@@ -4,17 +4,11 @@
  * @module
  */
 
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import type { Socket } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import type { TargetId } from "@poplarthread/ids";
 import { pause } from "../pause.ts";
-import { Connections } from "./connections.ts";
 import type { Dialect, TargetResponse } from "./ports.ts";
+import { SocketTarget } from "./socket_target.ts";
 import { TargetAttempt, type TargetAttemptEnd } from "./target_attempt.ts";
 
 const REQUEST_ID = "r-1";
@@ -56,26 +50,14 @@
   `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nX-Proof: s\r\n` +
   `${LENGTH}\r\nfine`;
 
-let server: Server;
-let connections: Connections;
-let respond: (socket: Socket) => void;
+let target: SocketTarget;
 
 beforeEach(async () => {
-  server = createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.on("data", () => respond(socket));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  connections = new Connections({
-    localAddress: "127.0.0.1",
-    listener: { connected: () => undefined },
-  });
+  target = new SocketTarget();
+  await target.start();
 });
 
-afterEach(() => {
-  connections.close();
-  server.close();
-});
+afterEach(() => target.stop());
 
 /** Reads what an attempt needs of a response. */
 function readResponse(status: number, raw: readonly Uint8Array[]) {
@@ -96,13 +78,8 @@
 
 /** Sends a request; resolves with how the attempt ended. */
 function attempt(requestId: string): Promise<TargetAttemptEnd["kind"]> {
-  const { port } = server.address() as AddressInfo;
-  const target = "t-1" as TargetId;
-  const connection = connections.take({
-    id: target,
-    address: `127.0.0.1:${port}`,
-    roundTripMs: 1,
-  }, requestId);
+  const { connections } = target;
+  const connection = connections.take(target.target, requestId);
   return new Promise((resolve) => {
     const sent = new TargetAttempt({
       attemptWriting: () => true,
@@ -118,7 +95,7 @@
         resolve(kind);
       },
     }, {
-      target,
+      target: connection.target,
       requestId,
       connection,
       dialect: { readResponse } as Partial<Dialect> as Dialect,
@@ -138,7 +115,7 @@
     const head = HEADS[form];
     const ends = new Set<string>();
     for (let bytes = 1; bytes < head.length; bytes++) {
-      respond = (socket) =>
+      target.respond = (socket) =>
         void ARRIVALS[arrival](socket, head.slice(0, bytes));
       ends.add(await attempt(REQUEST_ID));
     }
@@ -149,7 +126,7 @@
 test.each(["that ends with its connection", "of HTTP/1.0"] as const)(
   "a whole header %s is a response without a body",
   async (form) => {
-    respond = (socket) => socket.end(HEADS[form]);
+    target.respond = (socket) => socket.end(HEADS[form]);
     expect(await attempt(REQUEST_ID)).toBe("answered");
   },
 );
@@ -160,10 +137,10 @@
     const head = HEADS["with a length at the end"];
     const ends = new Set<string>();
     for (let bytes = 1; bytes < head.length; bytes++) {
-      respond = (socket) => socket.write(COMPLETE("r-0"));
+      target.respond = (socket) => socket.write(COMPLETE("r-0"));
       expect(await attempt("r-0")).toBe("answered");
       await pause(1);
-      respond = (socket) =>
+      target.respond = (socket) =>
         void ARRIVALS[arrival](socket, head.slice(0, bytes));
       ends.add(await attempt(REQUEST_ID));
     }
@@ -173,7 +150,7 @@
 
 test("a cut header that follows a whole response belongs to no request", async () => {
   for (let bytes = 1; bytes < 40; bytes++) {
-    respond = (socket) =>
+    target.respond = (socket) =>
       socket.end(COMPLETE(REQUEST_ID) + COMPLETE("r-2").slice(0, bytes));
     expect(await attempt(REQUEST_ID)).toBe("answered");
     await pause(1);
--- a/packages/daemon/src/gateway/health_prober_test.ts
+++ b/packages/daemon/src/gateway/health_prober_test.ts
@@ -4,52 +4,23 @@
  * @module
  */
 
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import type { TargetId } from "@poplarthread/ids";
-import { Connections } from "./connections.ts";
 import { HealthProber } from "./health_prober.ts";
 import type { Dialect } from "./ports.ts";
+import { SocketTarget } from "./socket_target.ts";
 
 const PART = "x".repeat(16_000);
 
-let server: Server;
-let accepted: Socket | undefined;
-let connections: Connections;
-let respond: (socket: Socket) => void;
+let target: SocketTarget;
 
 beforeEach(async () => {
-  accepted = undefined;
-  server = createServer((socket) => {
-    accepted = socket;
-    socket.on("error", () => undefined);
-    socket.on("data", () => respond(socket));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  connections = new Connections({
-    localAddress: "127.0.0.1",
-    listener: { connected: () => undefined },
-  });
+  target = new SocketTarget();
+  await target.start();
 });
 
-afterEach(() => {
-  connections.close();
-  server.close();
-  accepted?.destroy();
-});
+afterEach(() => target.stop());
 
 function probe() {
-  const { port } = server.address() as AddressInfo;
-  const target = {
-    id: "t-1" as TargetId,
-    address: `127.0.0.1:${port}`,
-    roundTripMs: 1,
-  };
   const dialect = {
     readHealthResponse: (status: number) => ({
       isHealthy: status === 200,
@@ -57,7 +28,9 @@
       coldMs: 0,
     }),
   } as unknown as Dialect;
-  return new HealthProber({ connections, dialect }).probe(target, "/healthz");
+  const { connections } = target;
+  return new HealthProber({ connections, dialect })
+    .probe(target.target, "/healthz");
 }
 
 test.each([
@@ -66,7 +39,7 @@
   ["bytes that come slowly", "Content-Length: 1000000\r\n\r\n", ""],
 ])("a health check does not read %s without end", async (_what, head, part) => {
   // Nobody waits for the rest of its response.
-  respond = (socket) => {
+  target.respond = (socket) => {
     socket.write(`HTTP/1.1 200 OK\r\n${head}`);
     const send = () => {
       while (part !== "" && !socket.destroyed && socket.write(part)) {
@@ -77,7 +50,7 @@
     send();
   };
   expect(await probe()).toMatchObject({ isHealthy: true });
-  const socket = accepted!;
+  const socket = target.sockets.at(-1)!;
   if (!socket.destroyed) {
     await new Promise((resolve) => socket.on("close", resolve));
   }
