A response that is ready is not lost with an earlier one that outlasts the stop

What callers saw: a caller that sends reads ahead gets no response to reads that ran to their end seconds before, when their VM is stopped.

Cause: responses leave a connection in order, and the stop cuts the first in line together with what is ready behind it. Requests sent ahead were passed on during the stop although the one before them might outlast it.

Change: from the order to stop on, a request isn't passed on while an earlier one on its connection may outlast the stop. When requests are cut, those that hold back a ready response are given up, and the process ends 0.3 s later.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -40,6 +40,7 @@
 import type { CallerRequest, Dialect } from "./ports.ts";
 import type { RequestPath } from "./request_path.ts";
 import { expiryOf } from "./request_terms.ts";
+import { isBehindUntil, releaseReady } from "./response_order.ts";
 import type { ListenAddress } from "./settings.ts";
 
 /** Interval at which a connection with malformed input is checked for pending responses before it is closed. */
@@ -59,7 +60,9 @@
     readonly configuration: RoutingConfiguration;
   }
   /** Stops accepting connections, and closes each open one once it is idle. */
-  | { readonly kind: "close-listener" };
+  | { readonly kind: "close-listener" }
+  /** Gives up requests that hold back later responses on their connections, which are ready. */
+  | { readonly kind: "release-ready" };
 
 /** Options of the listener. */
 export interface CallerListenerOptions {
@@ -217,6 +220,9 @@
       case "close-listener":
         this.#closeListener();
         return;
+      case "release-ready":
+        this.#connections.forEach(({ exchanges }) => releaseReady(exchanges));
+        return;
     }
   }
 
@@ -437,6 +443,8 @@
         connection.isEnding ||= ends;
         return ends;
       },
+      isBehindUntil: (time) =>
+        isBehindUntil(time, exchange, connection.exchanges),
     });
     this.#openRequests += 1;
     connection.exchanges.add(exchange);
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -50,7 +50,7 @@
 } from "./exchange_types.ts";
 import { LEAVING_RETRY_MS, type LocalReplyReason } from "./local_reply.ts";
 import type { CallerRequest, TargetResponse } from "./ports.ts";
-import type { Placeable } from "./request_queue.ts";
+import type { Placeable, WaitReason } from "./request_queue.ts";
 import type { ForwardAttempt } from "./forwarding/forwarding.ts";
 import {
   type ForwardingExchange,
@@ -58,6 +58,7 @@
 } from "./forwarding/request_forwards.ts";
 import { fingerprintsOf } from "./request_fingerprints.ts";
 import { expiryOf, objectOf } from "./request_terms.ts";
+import type { OrderedRequest } from "./response_order.ts";
 import { startAttempt } from "./start_attempt.ts";
 import type {
   TargetAttempt,
@@ -74,7 +75,12 @@
 
 /** The state of one request; see the module comment. */
 export class GatewayExchange
-  implements Expiring, TargetAttemptOwner, BodyListener, Placeable {
+  implements
+    Expiring,
+    TargetAttemptOwner,
+    BodyListener,
+    Placeable,
+    OrderedRequest {
   readonly request: CallerRequest;
   readonly route: Route;
   readonly service: ServiceId;
@@ -104,7 +110,7 @@
   /** Whether the target of the current attempt was expected to hold the object in its cache. */
   #warmth: Warmth = "unknown";
   #placedVia: PlacedVia | undefined;
-  #awaitsHomes = false;
+  #waitsFor: WaitReason = "capacity";
   /** The latest error response of a target; sent to the caller if no retry succeeds. */
   #failedResponse:
     | { response: TargetResponse; body: readonly Buffer[] }
@@ -158,8 +164,24 @@
     return this.#req.socket;
   }
 
-  get awaitsHomes(): boolean {
-    return this.#awaitsHomes;
+  get waitsFor(): WaitReason {
+    return this.#waitsFor;
+  }
+
+  get isReady(): boolean {
+    return this.#phase === "delivering";
+  }
+
+  get isStreaming(): boolean {
+    return this.#phase === "streaming";
+  }
+
+  mayLastUntil(time: number): boolean {
+    return !this.isReady && this.#phase !== "done" && this.expiresAt > time;
+  }
+
+  giveUpForStop(): void {
+    this.#guarded(() => this.#giveUp("leaving", LEAVING_RETRY_MS));
   }
 
   /** What the request has met so far. */
@@ -400,6 +422,10 @@
       this.#giveUp("leaving", LEAVING_RETRY_MS);
       return false;
     }
+    if (this.#mayBeCutBehind) {
+      this.#waitsFor = "earlier-response";
+      return true;
+    }
     const { budget, steering } = this.#services;
     if (this.#attempts.written === 0 && !budget.admits(this.route.name)) {
       this.#refuse("memory-used-up", MEMORY_RETRY_MS);
@@ -417,7 +443,9 @@
     }
     const decision = steering
       .place(this.#placementRequest(), { now, ahead });
-    this.#awaitsHomes = decision.kind === "wait" && decision.for === "homes";
+    this.#waitsFor = decision.kind === "wait" && decision.for === "homes"
+      ? "homes"
+      : "capacity";
     switch (decision.kind) {
       case "send":
         this.#warmth = decision.warmth;
@@ -434,6 +462,16 @@
     }
   }
 
+  /**
+   * Whether the planned stop may cut an earlier request on the connection: a response
+   * that is ready behind it would be lost.
+   */
+  get #mayBeCutBehind(): boolean {
+    const { plannedStop } = this.#services;
+    return plannedStop.hasBegun &&
+      (this.#options.isBehindUntil?.(plannedStop.cutsAt) ?? false);
+  }
+
   /** Whether the request may be sent now; gives up if it is a retry that is no longer allowed. */
   #mayAttempt(now: number): boolean {
     if (!this.#isRetryTaken) {
--- a/packages/daemon/src/gateway/exchange_types.ts
+++ b/packages/daemon/src/gateway/exchange_types.ts
@@ -60,6 +60,11 @@
   readonly era: number;
   readonly now: number;
   readonly endsConnection: EndsConnection;
+  /**
+   * Whether an earlier request on the connection, whose response comes first, may last
+   * beyond `time`; never by default.
+   */
+  isBehindUntil?(time: number): boolean;
   /** Undefined if the request comes from its caller. */
   readonly forwarded?: ForwardedExchange | undefined;
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -248,8 +248,11 @@
     while (
       // Callers that read slowly have yet to take what was written.
       this.#callerListener.openConnections > 0 &&
-      performance.now() < this.#plannedStop.cutsAt
+      performance.now() < this.#plannedStop.endsAt
     ) {
+      if (performance.now() >= this.#plannedStop.cutsAt) {
+        this.#callerListener.send({ kind: "release-ready" });
+      }
       await pause(STOP_CHECK_INTERVAL_MS);
     }
     this.#log.write("stopped", { open: this.#callerListener.openRequests });
--- a/packages/daemon/src/gateway/planned_stop.ts
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -14,11 +14,14 @@
 const LOOKUP_EXPIRY_MS = 3 * LOOKUP_TTL_MS;
 /** Callers connect until their look-up responses expire, and their connections arrive later. */
 const CONNECT_MARGIN_MS = 200;
+/** Part of the time until SIGKILL that is reserved for delivering what is ready, and for the exit. */
+const DELIVERY_MARGIN_MS = 500;
 /** Part of the time until SIGKILL that is reserved for the exit of the process itself. */
-const EXIT_MARGIN_MS = 500;
+const EXIT_MARGIN_MS = 200;
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class PlannedStop {
+  readonly #stopMs: number;
   /** Time for which requests may last after the stop has begun. */
   readonly #requestsMs: number;
   #startedAt = Infinity;
@@ -26,10 +29,11 @@
 
   /** `stopMs`: time from the order to stop until the process is killed. */
   constructor(stopMs: number) {
-    this.#requestsMs = Math.max(0, stopMs - EXIT_MARGIN_MS);
+    this.#stopMs = stopMs;
+    this.#requestsMs = Math.max(0, stopMs - DELIVERY_MARGIN_MS);
   }
 
-  /** Records that the VM was told to stop. */
+  /** Records that the VM was told to stop, at `now` at the latest. */
   begin(now: number): void {
     this.#startedAt = now;
     this.#refusesFrom = now + Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
@@ -45,11 +49,16 @@
     return Math.min(LOOKUP_EXPIRY_MS + CONNECT_MARGIN_MS, this.#requestsMs);
   }
 
-  /** When requests that are still open are cut; never before the stop has begun. */
+  /** From when on an open request may be cut; never before the stop has begun. */
   get cutsAt(): number {
     return this.#startedAt + this.#requestsMs;
   }
 
+  /** When the process ends, whatever is still open. */
+  get endsAt(): number {
+    return this.#startedAt + Math.max(0, this.#stopMs - EXIT_MARGIN_MS);
+  }
+
   /**
    * Whether a request that is to be sent to a target now is refused instead: the stop may
    * cut it, and its caller could have used another VM. `expiresAt`: when it ends at the latest.
--- a/packages/daemon/src/gateway/request_queue.ts
+++ b/packages/daemon/src/gateway/request_queue.ts
@@ -7,11 +7,18 @@
 import type { ServiceId } from "@poplarthread/ids";
 import { type QueuedRequest, WaitQueue } from "@poplarthread/placement";
 
+/** What a request waits for. */
+export type WaitReason =
+  | "capacity"
+  /** The homes of its object are not known yet. */
+  | "homes"
+  /** An earlier response on its connection, while the VM stops. */
+  | "earlier-response";
+
 /** A request that can be placed. */
 export interface Placeable extends QueuedRequest {
   readonly service: ServiceId;
-  /** Whether it waits because the homes of its object are not known yet. */
-  readonly awaitsHomes: boolean;
+  readonly waitsFor: WaitReason;
   /** Tries to place the request while `ahead` requests wait before it; returns true if it has to keep waiting. */
   tryPlace(now: number, ahead: number): boolean;
 }
@@ -19,10 +26,9 @@
 /** Requests of a kind that could not be placed after which the others of it are skipped. */
 const MAX_FAILED_PLACEMENTS = 6;
 
-/** Requests of one pass that could not be placed, by what they wait for. */
-interface FailedPlacements {
-  forHomes: number;
-  forCapacity: number;
+/** Whether a waiting request takes capacity before those behind it. */
+function usesCapacity({ waitsFor }: Placeable): boolean {
+  return waitsFor !== "earlier-response";
 }
 
 /** The wait queues of one VM; see the module comment. */
@@ -51,7 +57,8 @@
       queue = new WaitQueue();
       this.#queues.set(request.service, queue);
     }
-    if (request.tryPlace(now, queue.countAhead(request.priority))) {
+    const ahead = queue.countAhead(request.priority, usesCapacity);
+    if (request.tryPlace(now, ahead)) {
       queue.add(request);
       this.#onQueued();
     }
@@ -96,7 +103,7 @@
     }
     let ahead = 0;
     for (const request of queue.inOrder(now)) {
-      if (!request.awaitsHomes || request.tryPlace(now, ahead)) {
+      if (request.waitsFor !== "homes" || request.tryPlace(now, ahead)) {
         ahead += 1;
       } else {
         queue.remove(request);
@@ -105,27 +112,32 @@
   }
 
   /**
-   * Requests that wait for homes and those that wait for capacity are limited
-   * separately: neither kind says whether the other can be placed.
+   * Requests that wait for different things are limited separately: one kind does not say
+   * whether another can be placed.
    */
   #placeWaiting(service: ServiceId, now: number, maxFailed: number): void {
     const queue = this.#queues.get(service);
     if (queue === undefined || queue.size === 0) {
       return;
     }
-    const failed: FailedPlacements = { forHomes: 0, forCapacity: 0 };
+    const failed: Record<WaitReason, number> = {
+      "capacity": 0,
+      "homes": 0,
+      "earlier-response": 0,
+    };
     let ahead = 0;
     for (const request of queue.inOrder(now)) {
-      const reason = request.awaitsHomes ? "forHomes" : "forCapacity";
-      if (failed[reason] >= maxFailed) {
-        ahead += 1;
-      } else if (request.tryPlace(now, ahead)) {
-        ahead += 1;
-        failed[reason] += 1;
-      } else {
-        queue.remove(request);
+      const { waitsFor } = request;
+      if (failed[waitsFor] < maxFailed) {
+        if (request.tryPlace(now, ahead)) {
+          failed[waitsFor] += 1;
+        } else {
+          queue.remove(request);
+          continue;
+        }
       }
-      if (Math.min(failed.forHomes, failed.forCapacity) >= maxFailed) {
+      ahead += usesCapacity(request) ? 1 : 0;
+      if (Math.min(failed.homes, failed.capacity) >= maxFailed) {
         return;
       }
     }
--- a/packages/daemon/src/gateway/request_queue_test.ts
+++ b/packages/daemon/src/gateway/request_queue_test.ts
@@ -6,7 +6,11 @@
 
 import { describe, expect, test } from "vitest";
 import type { ServiceId } from "@poplarthread/ids";
-import { type Placeable, RequestQueue } from "./request_queue.ts";
+import {
+  type Placeable,
+  RequestQueue,
+  type WaitReason,
+} from "./request_queue.ts";
 
 /** A request that waits until `hasRoom`, and counts the attempts to place it. */
 class WaitingRequest implements Placeable {
@@ -16,15 +20,18 @@
   readonly priority: number;
   placementAttempts = 0;
   hasRoom = false;
-  readonly awaitsHomes: boolean;
+  /** The `ahead` of the latest attempt. */
+  ahead = 0;
+  readonly waitsFor: WaitReason;
 
-  constructor(priority = 0, awaitsHomes = false) {
+  constructor(priority = 0, waitsFor: WaitReason = "capacity") {
     this.priority = priority;
-    this.awaitsHomes = awaitsHomes;
+    this.waitsFor = waitsFor;
   }
 
-  tryPlace(): boolean {
+  tryPlace(_now: number, ahead: number): boolean {
     this.placementAttempts += 1;
+    this.ahead = ahead;
     return !this.hasRoom;
   }
 }
@@ -79,7 +86,10 @@
   // Behind six requests that wait for a slot, they would stay in the queue although
   // their own homes are idle.
   const others = Array.from({ length: 10 }, () => new WaitingRequest());
-  const awaiting = Array.from({ length: 3 }, () => new WaitingRequest(1, true));
+  const awaiting = Array.from(
+    { length: 3 },
+    () => new WaitingRequest(1, "homes"),
+  );
   const queue = queueOf([...others, ...awaiting]);
   awaiting.forEach((request) => request.hasRoom = true);
   queue.placeAwaitingHomes("portal" as ServiceId, 0);
@@ -88,20 +98,40 @@
     .toBe(true);
 });
 
-test("requests that wait for homes do not keep others from being placed, nor the reverse", () => {
-  // An owner that does not answer would hold up requests whose homes are known, and
-  // requests that are done waiting for it would stay behind those that wait for a slot.
-  for (const awaitsHomes of [true, false]) {
+test.each(
+  [
+    // An owner that does not answer would hold up requests whose homes are known, and
+    // requests that are done waiting for it would stay behind those that wait for a slot.
+    ["homes", "capacity"],
+    ["capacity", "homes"],
+    // A long request would hold up those of other connections.
+    ["earlier-response", "capacity"],
+    ["capacity", "earlier-response"],
+  ] as const,
+)(
+  "requests that wait for %s do not keep those that wait for %s from being placed",
+  (reason, otherReason) => {
     const stuck = Array.from(
       { length: 10 },
-      () => new WaitingRequest(0, awaitsHomes),
+      () => new WaitingRequest(0, reason),
     );
-    const ready = new WaitingRequest(1, !awaitsHomes);
+    const ready = new WaitingRequest(1, otherReason);
     const queue = queueOf([...stuck, ready]);
     ready.hasRoom = true;
     queue.placeWaiting("portal" as ServiceId, 10);
     expect(queue.size).toBe(stuck.length);
     const attempts = stuck.map(({ placementAttempts }) => placementAttempts);
     expect(attempts.reduce((sum, count) => sum + count)).toBeLessThan(10);
-  }
+  },
+);
+
+test("a request that waits for an earlier response takes no capacity before others", () => {
+  // Others would be refused for lack of room.
+  const held = new WaitingRequest(0, "earlier-response");
+  const queue = queueOf([held]);
+  const next = new WaitingRequest(1);
+  queue.add(next, 0);
+  expect(next.ahead).toBe(0);
+  queue.placeWaiting("portal" as ServiceId, 10);
+  expect(next.ahead).toBe(0);
 });
--- a/packages/placement/src/wait_queue.ts
+++ b/packages/placement/src/wait_queue.ts
@@ -46,11 +46,11 @@
     return this.#items.length;
   }
 
-  /** Number of queued requests that go before a new one of `priority`. */
-  countAhead(priority: number): number {
+  /** Number of queued requests that go before a new one of `priority`, of those that `counts` names. */
+  countAhead(priority: number, counts: (request: T) => boolean): number {
     let count = 0;
     for (const { request } of this.#items) {
-      count += request.priority <= priority ? 1 : 0;
+      count += request.priority <= priority && counts(request) ? 1 : 0;
     }
     return count;
   }
