A whole response is not taken for cut after an idle timeout

What callers saw: 502 for a request that its target had run and answered in full, at a VM whose event loop was late.

Cause: the idle timeout of a connection destroys its socket, and undici tells of that a turn later. A request that is read in the same turn takes the connection, undici connects again, and the response is judged by the reset of the socket before.

Change: a connection whose socket is destroyed isn't open, and what was seen of a socket is forgotten with it.

Test: connections_test.ts delays the event loop until timeout and request are due at once; failed before.

--- a/packages/daemon/src/gateway/connection.ts
+++ b/packages/daemon/src/gateway/connection.ts
@@ -134,12 +134,13 @@
 
   /** Whether neither side has closed the connection. */
   get isOpen(): boolean {
-    return this.#isOpen;
+    // The client tells of a close only in a later turn of the event loop.
+    return this.#isOpen && this.#socket?.destroyed !== true;
   }
 
   /** Whether the connection can carry another request. */
   get isReusable(): boolean {
-    return this.#isOpen && this.#carriedIds.size < MAX_REQUESTS;
+    return this.isOpen && this.#carriedIds.size < MAX_REQUESTS;
   }
 
   /** Whether a request with this id was sent on the connection. */
@@ -184,6 +185,9 @@
 
   #follow(socket: ResettableSocket): void {
     this.#socket = socket;
+    // What was seen of an earlier socket says nothing of this one's responses.
+    this.#wasReset = false;
+    this.#hasEnded = false;
     // Added before undici reads: it skips some bytes without notice, however many come.
     socket.on("readable", () => {
       const bytes = socket.bytesRead - this.#earlierBytes;
--- a/packages/daemon/src/gateway/connections_test.ts
+++ b/packages/daemon/src/gateway/connections_test.ts
@@ -11,6 +11,9 @@
 
 const RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
+/** Of a connection whose target names two seconds. */
+const IDLE_TIMEOUT_MS = 500;
+
 let target: SocketTarget;
 
 beforeEach(async () => {
@@ -26,8 +29,10 @@
 }
 
 /** Sends a request and returns its connection to the pool. */
-async function exchange(requestId: string): Promise<Connection> {
-  const connection = take(requestId);
+async function exchange(
+  requestId: string,
+  connection = take(requestId),
+): Promise<Connection> {
   await new Promise<void>((resolve, reject) => {
     connection.dispatch({ method: "GET", path: "/" }, {
       onConnect: () => undefined,
@@ -74,3 +79,23 @@
   expect(await exchange("r-500")).not.toBe(first);
   expect(first.isOpen).toBe(false);
 });
+
+test("a whole response is not taken for cut because its connection's idle timeout passed as it was taken", async () => {
+  // After a delay of the event loop the timeout and the next request are due at once.
+  const keepAlive = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\n" +
+    "Content-Length: 0\r\n\r\n";
+  target.respond = (socket) => socket.write(keepAlive);
+  const first = await exchange("r-1");
+  const taken = new Promise<Connection>((resolve) =>
+    setTimeout(() => resolve(take("r-2")), IDLE_TIMEOUT_MS + 10)
+  );
+  delayEventLoop(IDLE_TIMEOUT_MS + 50);
+  const second = await exchange("r-2", await taken);
+  expect(second).not.toBe(first);
+  expect(second.wasTruncated(false)).toBe(false);
+});
+
+function delayEventLoop(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
