A stop that is noticed late counts from when the order can have come

What callers saw: requests sent 3.0 to 3.4 s after a SIGTERM were passed on and cut, at a VM that had no processor time when the signal came.

Cause: the stop was counted from when the event loop handled the signal.

Change: the delay of the event loop bounds how long the signal may have waited. Refusals, and the release of ready responses, count from the earliest moment; leaving logs it as lateMs.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -28,6 +28,11 @@
     type: "number",
     meaning: "version of the configuration that was in force before",
   },
+  lateMs: {
+    type: "number",
+    meaning:
+      "time in milliseconds for which the order to stop may have waited to be noticed",
+  },
   storeVersion: {
     type: "number",
     meaning:
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -32,8 +32,8 @@
   "leaving": {
     level: "info",
     meaning:
-      "The process was asked to stop; look-ups no longer return this VM.",
-    fields: [],
+      "The process was asked to stop; look-ups no longer return this VM. Short of processor time, it may have noticed that late.",
+    fields: ["lateMs"],
   },
   "stopped": {
     level: "info",
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -92,7 +92,10 @@
   /** Connections to other VMs, for requests that are forwarded to them. */
   readonly #peerConnections: Connections<VmId>;
   readonly #requestPath: RequestPath;
-  readonly #loopDelay = new LoopDelay(performance.now() + BUSY_TICK_MS);
+  readonly #loopDelay = new LoopDelay(
+    performance.now() + BUSY_TICK_MS,
+    performance.now(),
+  );
   readonly #shortage = new ProcessorShortage(
     performance.now(),
     (isShort) => this.#onShortageChanged(isShort),
@@ -237,8 +240,10 @@
   }
 
   async #stop(): Promise<void> {
-    this.#plannedStop.begin(performance.now());
-    this.#log.write("leaving", {});
+    const startedAt = performance.now();
+    const toldAt = this.#loopDelay.earliestArrival(startedAt);
+    this.#plannedStop.begin(startedAt, toldAt);
+    this.#log.write("leaving", { lateMs: Math.round(startedAt - toldAt) });
     this.#peers.leave();
     await pause(this.#plannedStop.acceptMs);
     // VMs of other zones learn of it a second later and query this VM until then.
--- a/packages/daemon/src/gateway/loop_delay.ts
+++ b/packages/daemon/src/gateway/loop_delay.ts
@@ -16,19 +16,34 @@
 export class LoopDelay {
   #dueAt: number;
   #lateMs = 0;
+  /** The last tick, and the one before it. */
+  #tickAt: number;
+  #earlierTickAt: number;
 
-  /** `dueAt` is the due time of the first tick. */
-  constructor(dueAt: number) {
+  /** `dueAt` is the due time of the first tick, `now` when it is scheduled. */
+  constructor(dueAt: number, now = 0) {
     this.#dueAt = dueAt;
+    this.#tickAt = now;
+    this.#earlierTickAt = now;
   }
 
   /** Records a tick; the next one is due in `nextMs`. Returns by how much the tick was late. */
   recordTick(now: number, nextMs: number): number {
     this.#lateMs = now - this.#dueAt;
     this.#dueAt = now + nextMs;
+    this.#earlierTickAt = this.#tickAt;
+    this.#tickAt = now;
     return this.#lateMs;
   }
 
+  /** When a signal that is handled at `now` can have arrived at the earliest, as far as delays show. */
+  earliestArrival(now: number): number {
+    if (now - this.#dueAt > LATE_THRESHOLD_MS) {
+      return this.#tickAt;
+    }
+    return this.#lateMs > LATE_THRESHOLD_MS ? this.#earlierTickAt : now;
+  }
+
   /** Whether the last tick was late or the next one is overdue. */
   isDelayed(now: number): boolean {
     return Math.max(this.#lateMs, now - this.#dueAt) > LATE_THRESHOLD_MS;
--- a/packages/daemon/src/gateway/loop_delay_test.ts
+++ b/packages/daemon/src/gateway/loop_delay_test.ts
@@ -26,3 +26,20 @@
   expect(delay.isDelayed(PERIOD_MS + 190)).toBe(false);
   expect(delay.isDelayed(PERIOD_MS + 210)).toBe(true);
 });
+
+test("a signal that is handled on time has arrived just now", () => {
+  const delay = new LoopDelay(PERIOD_MS);
+  delay.recordTick(PERIOD_MS, PERIOD_MS);
+  expect(delay.earliestArrival(35)).toBe(35);
+});
+
+test("a signal that is handled after a delay may have arrived when the delay began", () => {
+  // A VM would count the time until it is killed from too late a moment.
+  const delay = new LoopDelay(PERIOD_MS);
+  delay.recordTick(PERIOD_MS, PERIOD_MS);
+  expect(delay.earliestArrival(400)).toBe(PERIOD_MS);
+  delay.recordTick(400, PERIOD_MS);
+  expect(delay.earliestArrival(401)).toBe(PERIOD_MS);
+  delay.recordTick(420, PERIOD_MS);
+  expect(delay.earliestArrival(421)).toBe(421);
+});
--- a/packages/daemon/src/gateway/planned_stop.ts
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -24,6 +24,7 @@
   readonly #stopMs: number;
   /** Time for which requests may last after the stop has begun. */
   readonly #requestsMs: number;
+  #toldAt = Infinity;
   #startedAt = Infinity;
   #refusesFrom = Infinity;
 
@@ -33,10 +34,14 @@
     this.#requestsMs = Math.max(0, stopMs - DELIVERY_MARGIN_MS);
   }
 
-  /** Records that the VM was told to stop, at `now` at the latest. */
-  begin(now: number): void {
+  /**
+   * Records that the VM was told to stop. A VM that is short of processor time learns of
+   * it late: `toldAt` is when the order can have come at the earliest.
+   */
+  begin(now: number, toldAt = now): void {
     this.#startedAt = now;
-    this.#refusesFrom = now + Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
+    this.#toldAt = toldAt;
+    this.#refusesFrom = toldAt + Math.min(LOOKUP_EXPIRY_MS, this.#requestsMs);
   }
 
   /** Whether the VM leaves: callers are to use other VMs. */
@@ -51,10 +56,10 @@
 
   /** From when on an open request may be cut; never before the stop has begun. */
   get cutsAt(): number {
-    return this.#startedAt + this.#requestsMs;
+    return this.#toldAt + this.#requestsMs;
   }
 
-  /** When the process ends, whatever is still open. */
+  /** When the process ends by itself, whatever is still open. */
   get endsAt(): number {
     return this.#startedAt + Math.max(0, this.#stopMs - EXIT_MARGIN_MS);
   }
--- a/packages/daemon/src/gateway/planned_stop_test.ts
+++ b/packages/daemon/src/gateway/planned_stop_test.ts
@@ -43,3 +43,13 @@
   expect(stop.refuses(BEGUN_AT + 2_000, BEGUN_AT + 499)).toBe(false);
   expect(stop.refuses(BEGUN_AT + 2_000, BEGUN_AT + 500)).toBe(true);
 });
+
+test("a stop that is noticed late counts from when the order can have come", () => {
+  // Else it refuses too late what it may cut, and is killed before it delivers what is ready.
+  const stop = new PlannedStop(STOP_MS);
+  stop.begin(BEGUN_AT, BEGUN_AT - 400);
+  expect(stop.refuses(Infinity, BEGUN_AT + 2_599)).toBe(false);
+  expect(stop.refuses(Infinity, BEGUN_AT + 2_600)).toBe(true);
+  expect(stop.cutsAt).toBe(BEGUN_AT + 5_100);
+  expect(stop.endsAt).toBe(BEGUN_AT + 5_800);
+});
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -67,6 +67,8 @@
   readonly offered?: number;
   /** Version of the configuration that was in force before. */
   readonly previous?: number;
+  /** Time for which an order may have waited to be noticed. */
+  readonly lateMs?: number;
   /** Time since the platform last confirmed what operators wrote. */
   readonly operatorMs?: number;
   /** History, newest row and table of the platform's store. */
