A request that has arrived when a stopping VM closes its listener is read first

What callers saw: no response to requests that had been sent 0.8 s before their connection ended, at a VM that had no processor time when its listener closed.

Cause: after a delay of the event loop, what is due by time runs before what has arrived is read. Idle connections were closed, and their requests then ignored; connections that nobody had accepted were reset.

Change: connections that wait are accepted and what has arrived is read before the listener and idle connections are closed.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -50,6 +50,8 @@
 /** Callers give up on a VM that has not read a request after this time, or this share of their own. */
 const MAX_READ_DELAY_MS = 1_000;
 const MAX_READ_DELAY_SHARE = 1 / 3;
+/** How long connections that wait when the listener is to close are still accepted. */
+const MAX_PENDING_ACCEPT_MS = 200;
 /** Retry-After of a request that was read late: its caller meets another VM. */
 const READ_LATE_RETRY_MS = 100;
 
@@ -237,12 +239,22 @@
     }
   }
 
-  #closeListener(): void {
-    this.#servers.stopAccepting();
-    this.#closesIdle = true;
-    this.#connections.forEach((connection, socket) =>
-      closeIfIdle(socket, connection)
-    );
+  /** What has arrived by now is accepted and read first: it would be lost with its connection. */
+  #closeListener(
+    acceptsUntil = performance.now() + MAX_PENDING_ACCEPT_MS,
+  ): void {
+    afterPendingReads(() => {
+      const now = performance.now();
+      if (now < acceptsUntil && this.#servers.maxWaitMs(now) > 0) {
+        this.#closeListener(acceptsUntil);
+        return;
+      }
+      this.#servers.stopAccepting();
+      this.#closesIdle = true;
+      this.#connections.forEach((connection, socket) =>
+        closeIfIdle(socket, connection)
+      );
+    });
   }
 
   #applyConfiguration(configuration: RoutingConfiguration): void {
@@ -451,7 +463,10 @@
     const isFirst = connection.latestExchange === undefined;
     connection.latestExchange = exchange;
     if (isFirst || this.#options.isLoopDelayed()) {
-      startAfterPendingReads(exchange);
+      // The input that follows may be the close of the caller's connection: a request
+      // sent before the close is read would occupy a target's slot for no caller. The
+      // first request of a connection may have waited for seconds to be accepted.
+      afterPendingReads(() => exchange.start());
     } else {
       exchange.start();
     }
@@ -526,15 +541,11 @@
 }
 
 /**
- * Starts an exchange after the input that follows its request has been read. If the event
- * loop is delayed, that input may be the close of the caller's connection: a request
- * sent before the close is read would occupy a target's slot for no caller. The same
- * holds for the first request of a connection, which may have waited for seconds to
- * be accepted, as one connection is accepted per event-loop tick. The first tick
- * finishes the read in progress, the second one reads the input that follows.
+ * Calls `run` once the input that has arrived by now was read. The first tick of the
+ * event loop finishes the read in progress, the second one reads the input that follows.
  */
-function startAfterPendingReads(exchange: GatewayExchange): void {
-  setImmediate(() => setImmediate(() => exchange.start()));
+function afterPendingReads(run: () => void): void {
+  setImmediate(() => setImmediate(run));
 }
 
 function statusLineOf(code: string | undefined): string {
