--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -51,7 +51,7 @@
 const MAX_READ_DELAY_MS = 1_000;
 const MAX_READ_DELAY_SHARE = 1 / 3;
 /** How long connections that wait when the listener is to close are still accepted. */
-const MAX_PENDING_ACCEPT_MS = 200;
+const MAX_PENDING_ACCEPT_MS = 500;
 /** Retry-After of a request that was read late: its caller meets another VM. */
 const READ_LATE_RETRY_MS = 100;
 
