A deeply nested entry of a target does not end the VMs after a restore of the store

What callers saw, as another operator reported: VMs end again and again, or send nothing to targets that join, once one odd entry is among those of the targets.

Cause: isOlderTargetEntry called Number() on the fields sequence and born. For a nested array that visits all levels and throws RangeError. It is reached when a row that is kept over a restore of the store is written again, from the follow loop and from the timer that publishes rows, where an error ends the process.

Evidence: odd_entries_test.ts on: 'Uncaught Exception RangeError: Maximum call stack size exceeded', and a target that joins later is not used.

--- a/packages/daemon/src/gateway/subject_rows.ts
+++ b/packages/daemon/src/gateway/subject_rows.ts
@@ -6,12 +6,7 @@
  */
 
 import { messageOf } from "../errors.ts";
-import type {
-  PlatformPort,
-  RowsPage,
-  StoredRow,
-  WatchedSubject,
-} from "./ports.ts";
+import type { PlatformPort, RowsPage, WatchedSubject } from "./ports.ts";
 import { RowPatches } from "./row_patches.ts";
 import { RestoredRows } from "./restored_rows.ts";
 import { type RowChanges, RowCopy, type StoreVersion } from "./row_copy.ts";
@@ -160,8 +155,7 @@
   /** Passes the rows on to the listener: now, when a row is no longer kept after a restore, and again if they were not applied. */
   publish(): void {
     const now = performance.now();
-    const rows = this.#restoredRows.merge(this.#copy.rows, now);
-    const isApplied = this.#passOn(rows);
+    const isApplied = this.#passOn(now);
     clearTimeout(this.#publishTimer);
     const dueAt = Math.min(
       this.#restoredRows.dueAt ?? Infinity,
@@ -194,8 +188,9 @@
   }
 
   /** An error of the listener is not one of the store: the rows are up to date, and other VMs may have them. */
-  #passOn(rows: ReadonlyMap<string, StoredRow>): boolean {
+  #passOn(now: number): boolean {
     try {
+      const rows = this.#restoredRows.merge(this.#copy.rows, now);
       this.#listener.rowsChanged(rows);
       this.#notApplied = undefined;
       return true;
