--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -47,3 +47,4 @@
   HOP_BY_HOP_HEADERS,
 } from "../http/hop_by_hop.ts";
 export { isSameRow } from "./stored_row.ts";
+export { isSocketAddress } from "./socket_address.ts";
