A VM's row with an address that is none does not end the other VMs

What callers saw: all VMs end again and again.

Cause: datagrams go to the addresses in the rows of VMs, and a socket throws for a port that is none. The task 'peers' fails, is started again and fails again until its supervisor gives up.

Evidence: a row with 127.0.0.1:70000 on: 'task failed' (peers, 'Port should be > 0 and < 65536') at each second; six in a minute end the process.

--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -13,6 +13,7 @@
 import type { VmId } from "@poplarthread/ids";
 import * as z from "zod";
 import type { Member, WatchedSubject } from "./ports.ts";
+import { isSocketAddress } from "./socket_address.ts";
 
 /** Fields of both heartbeats and zone reports. */
 export interface CommonFields {
@@ -122,12 +123,16 @@
   return typeof seen === "object" && Array.isArray(suspects);
 }
 
+function isMemberAddress(address: unknown): boolean {
+  return typeof address === "string" && isSocketAddress(address);
+}
+
 /** Whether `params` is a heartbeat. */
 export function isHeartbeat(params: CommonFields): params is Heartbeat {
   const { member } = params as Partial<Heartbeat>;
   return typeof member?.vm === "string" &&
-    typeof member.peerAddress === "string" &&
-    typeof member.callerAddress === "string" &&
+    isMemberAddress(member.peerAddress) &&
+    isMemberAddress(member.callerAddress) &&
     typeof member.cores === "number";
 }
 
