Both binaries handle signals alike

The plan-based daemon handled signals only once it had started, and a stop that fails was an unhandled rejection, like the platform's program before. StopSignals moves to the daemon's package, and both use it.

Tests: stop_signals_test.ts, moved with it.

--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -48,3 +48,4 @@
 } from "../http/hop_by_hop.ts";
 export { isSameRow } from "./stored_row.ts";
 export { isSocketAddress } from "./socket_address.ts";
+export { StopSignals } from "../stop_signals.ts";
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -17,6 +17,7 @@
 import { type Secrets, startDaemon } from "./daemon.ts";
 import { messageOf } from "./errors.ts";
 import { OperatorTokens, TokensError } from "./operator/mod.ts";
+import { StopSignals } from "./stop_signals.ts";
 
 const cli = meow(
   `
@@ -102,17 +103,14 @@
 }
 
 async function run(settings: Settings, secrets: Secrets): Promise<void> {
+  const signals = new StopSignals({
+    process,
+    stopped: () => process.exit(0),
+    failed: exitFailed,
+  });
   const daemon = await startDaemon(settings, secrets);
-  let stopping = false;
-  for (const signal of ["SIGTERM", "SIGINT"] as const) {
-    process.on(signal, () => {
-      if (!stopping) {
-        stopping = true;
-        daemon.stop().then(() => process.exit(0));
-      }
-    });
-  }
   daemon.failed.then(exitFailed);
+  signals.started(daemon);
   await daemon.ready;
   console.log("ready");
 }
--- a/platform/src/stop_signals.ts
+++ b/packages/daemon/src/stop_signals.ts
@@ -4,8 +4,6 @@
  * @module
  */
 
-import type { Gateway } from "@poplarthread/daemon/gateway";
-
 /** Platforms and process managers send the one or the other, some of them several times. */
 const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 
@@ -14,19 +12,25 @@
   on(signal: (typeof STOP_SIGNALS)[number], handle: () => void): unknown;
 }
 
+/** What runs in the process. */
+export interface Stoppable {
+  /** Graceful shutdown; resolves when it is complete. */
+  stop(): Promise<void>;
+}
+
 /** Options of {@link StopSignals}. */
 export interface StopSignalsOptions {
   readonly process: StoppableProcess;
-  /** Called once the gateway has stopped. */
+  /** Called once everything has stopped. */
   stopped(): void;
   /** Called if it could not stop in order. */
   failed(err: unknown): void;
 }
 
-/** Stops the gateway on the first signal, also on one that arrives while it starts. */
+/** Stops what runs on the first signal, also on one that arrives while it starts. */
 export class StopSignals {
   readonly #options: StopSignalsOptions;
-  #gateway: Pick<Gateway, "stop"> | undefined;
+  #running: Stoppable | undefined;
   #isReceived = false;
   #isStopping = false;
 
@@ -41,20 +45,20 @@
     }
   }
 
-  /** The gateway has started. */
-  setGateway(gateway: Pick<Gateway, "stop">): void {
-    this.#gateway = gateway;
+  /** It has started. */
+  started(running: Stoppable): void {
+    this.#running = running;
     this.#stop();
   }
 
   #stop(): void {
     if (
-      this.#gateway === undefined || !this.#isReceived || this.#isStopping
+      this.#running === undefined || !this.#isReceived || this.#isStopping
     ) {
       return;
     }
     this.#isStopping = true;
     const { stopped, failed } = this.#options;
-    this.#gateway.stop().then(stopped, failed);
+    this.#running.stop().then(stopped, failed);
   }
 }
--- a/platform/src/stop_signals_test.ts
+++ b/packages/daemon/src/stop_signals_test.ts
@@ -1,5 +1,5 @@
 /**
- * Which signals stop the gateway, and when.
+ * Which signals stop what runs, and when.
  *
  * @module
  */
@@ -38,12 +38,12 @@
 }
 
 test.each([["SIGTERM"], ["SIGINT"]])(
-  "%s stops the gateway in order, whatever signals follow",
+  "%s stops what runs in order, whatever signals follow",
   async (signal) => {
     // Without a handler, the signal would cut all open requests.
     const { process, signals, ends } = start();
     const gateway = gatewayWith(() => Promise.resolve());
-    signals.setGateway(gateway);
+    signals.started(gateway);
     expect(gateway.stops).toBe(0);
     process.emit(signal);
     process.emit("SIGINT");
@@ -54,12 +54,12 @@
   },
 );
 
-test("a signal that arrives while the gateway starts stops it once it has started", async () => {
+test("a signal that arrives during the start stops it once that is complete", async () => {
   // Its listeners may already have accepted requests.
   const { process, signals, ends } = start();
   process.emit("SIGTERM");
   const gateway = gatewayWith(() => Promise.resolve());
-  signals.setGateway(gateway);
+  signals.started(gateway);
   await Promise.resolve();
   expect(gateway.stops).toBe(1);
   expect(ends).toEqual(["stopped"]);
@@ -68,7 +68,7 @@
 test("a stop that fails is reported", async () => {
   // As a rejected promise that nobody handles it would end the process without a log line.
   const { process, signals, ends } = start();
-  signals.setGateway(gatewayWith(() => Promise.reject(new Error("no room"))));
+  signals.started(gatewayWith(() => Promise.reject(new Error("no room"))));
   process.emit("SIGTERM");
   await new Promise((resolve) => setImmediate(resolve));
   expect(ends).toEqual(["failed: Error: no room"]);
