A stop that was noticed late ends before the kill, and waits for targets at work

With a SIGSTOP of 0.4 s across the signal the process met SIGKILL at 6.0 s, as its end counted from when it noticed. It counts from the earliest moment now, but not before five sixths of the stop have passed since it was noticed: cut then, a target at work excuses it by any reckoning.

Test: planned_stop_test.ts.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -255,7 +255,7 @@
       this.#callerListener.openConnections > 0 &&
       performance.now() < this.#plannedStop.endsAt
     ) {
-      if (performance.now() >= this.#plannedStop.cutsAt) {
+      if (performance.now() >= this.#plannedStop.releasesAt) {
         this.#callerListener.send({ kind: "release-ready" });
       }
       await pause(STOP_CHECK_INTERVAL_MS);
--- a/packages/daemon/src/gateway/planned_stop.ts
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -18,6 +18,8 @@
 const DELIVERY_MARGIN_MS = 500;
 /** Part of the time until SIGKILL that is reserved for the exit of the process itself. */
 const EXIT_MARGIN_MS = 200;
+/** A target at work is waited for during this share of the stop at least, however late the stop was noticed. */
+const MIN_WAIT_SHARE = 5 / 6;
 
 /** See the module comment. Times are milliseconds of the monotonic clock. */
 export class PlannedStop {
@@ -54,14 +56,23 @@
     return Math.min(LOOKUP_EXPIRY_MS + CONNECT_MARGIN_MS, this.#requestsMs);
   }
 
-  /** From when on an open request may be cut; never before the stop has begun. */
+  /** From when on an open request may be cut, as the process may be killed soon; never before the stop has begun. */
   get cutsAt(): number {
     return this.#toldAt + this.#requestsMs;
   }
 
-  /** When the process ends by itself, whatever is still open. */
+  /** When requests are given up that hold back ready responses. */
+  get releasesAt(): number {
+    return Math.max(
+      this.cutsAt,
+      this.#startedAt + MIN_WAIT_SHARE * this.#stopMs,
+    );
+  }
+
+  /** When the process ends, whatever is still open. */
   get endsAt(): number {
-    return this.#startedAt + Math.max(0, this.#stopMs - EXIT_MARGIN_MS);
+    const deliveryMs = DELIVERY_MARGIN_MS - EXIT_MARGIN_MS;
+    return this.releasesAt + Math.min(deliveryMs, this.#stopMs);
   }
 
   /**
--- a/packages/daemon/src/gateway/planned_stop_test.ts
+++ b/packages/daemon/src/gateway/planned_stop_test.ts
@@ -51,5 +51,14 @@
   expect(stop.refuses(Infinity, BEGUN_AT + 2_599)).toBe(false);
   expect(stop.refuses(Infinity, BEGUN_AT + 2_600)).toBe(true);
   expect(stop.cutsAt).toBe(BEGUN_AT + 5_100);
-  expect(stop.endsAt).toBe(BEGUN_AT + 5_800);
+  expect(stop.releasesAt).toBe(BEGUN_AT + 5_100);
+  expect(stop.endsAt).toBe(BEGUN_AT + 5_400);
+});
+
+test("a stop that may have come long ago still waits for targets at work", () => {
+  // It may also have come just now: then there is all the time.
+  const stop = new PlannedStop(STOP_MS);
+  stop.begin(BEGUN_AT, BEGUN_AT - 3_000);
+  expect(stop.releasesAt).toBe(BEGUN_AT + 5_000);
+  expect(stop.endsAt).toBe(BEGUN_AT + 5_300);
 });
