An end of the process by an error leaves its reason in the log

What callers saw: a VM that was gone, with nothing in its log. What was left was a stack trace on standard error, where anybody kept it.

Cause: no handler of errors that nobody else handles.

Change: `ProcessEnd`, used by both binaries, writes `cannot go on` with the reason, how it was raised and the first 2,000 characters of the stack, and ends the process in the same call, so that no other handler runs. The last line goes to the descriptor itself: what waits in the stream's buffer for a slow reader would be lost with the process. When a task cannot be kept running, the process ends by a planned stop.

--- a/packages/daemon/src/bounded_output_test.ts
+++ b/packages/daemon/src/bounded_output_test.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+import { mkdtempSync, openSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { Writable } from "node:stream";
 import { expect, test } from "vitest";
 import { BoundedOutput } from "./bounded_output.ts";
@@ -42,3 +45,16 @@
   expect(lines).toEqual(["one\n", "two\n"]);
   expect(output.droppedLines).toBe(0);
 });
+
+test("the last line of a process is written though the reader has stalled", () => {
+  // Guards against an end without its reason: what waits for the reader is lost with the process.
+  const file = join(mkdtempSync(join(tmpdir(), "output-")), "log");
+  const stalled = Object.assign(new Writable({ write: () => undefined }), {
+    fd: openSync(file, "w"),
+  });
+  const output = new BoundedOutput(stalled);
+  output.write("waits\n");
+  output.beginEnd();
+  output.write("last\n");
+  expect(readFileSync(file, "utf8")).toBe("\nlast\n");
+});
--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -158,6 +158,12 @@
     type: "number",
     meaning: "the store's history, as another VM named it",
   },
+  origin: {
+    type: "text",
+    meaning:
+      "how an error ended the process: uncaughtException, unhandledRejection or reported (by a part that failed)",
+  },
+  stack: { type: "text", meaning: "beginning of the stack of an error" },
   table: { type: "text", meaning: "table of the platform's store" },
   running: {
     type: "number",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Log } from "../log.ts";
+import type { EndReport } from "../process_end.ts";
 import { FIELDS } from "./event_fields.ts";
 
 type Fields = typeof FIELDS;
@@ -54,7 +55,8 @@
   "cannot go on": {
     level: "error",
     meaning: "The process cannot continue and exits.",
-    fields: ["reason"],
+    fields: ["reason", "origin"],
+    optional: ["stack"],
   },
   "task failed": {
     level: "error",
@@ -535,6 +537,14 @@
     return this.#log.droppedLines;
   }
 
+  /** Writes why the process ends; the last line of the process is written when this returns. */
+  reportEnd(report: EndReport, { isLast }: { isLast: boolean }): void {
+    if (isLast) {
+      this.#log.beginEnd();
+    }
+    this.write("cannot go on", report);
+  }
+
   write<E extends EventName>(event: E, fields: EventFields<E>): void {
     this.#log[EVENTS[event].level](event, fields);
   }
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -48,4 +48,5 @@
 } from "../http/hop_by_hop.ts";
 export { isSameRow } from "./stored_row.ts";
 export { isSocketAddress } from "./socket_address.ts";
+export { ProcessEnd } from "../process_end.ts";
 export { StopSignals } from "../stop_signals.ts";
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -24,6 +24,9 @@
   readonly zone?: string;
   readonly subject?: string;
   readonly service?: string;
+  /** How an error reached the end of the process, and where it was raised. */
+  readonly origin?: string;
+  readonly stack?: string;
   /** The object that a request concerns, as its caller names it. */
   readonly object?: string;
   /** Number of lines that were not written. */
@@ -126,6 +129,8 @@
   readonly isDebugEnabled: boolean;
   /** Number of lines dropped because their reader did not keep up. */
   readonly droppedLines: number;
+  /** From now on each line is written before its writer goes on: the process is about to end. */
+  beginEnd(): void;
 }
 
 /** Creates the log of one daemon; each line names the VM and the instance. */
@@ -156,6 +161,7 @@
     warn: (event, fields) => void logger.warn(event, fields),
     info: (event, fields) => void logger.info(event, fields),
     debug: (event, fields) => void logger.debug(event, fields),
+    beginEnd: () => output.beginEnd(),
     isDebugEnabled: logger.isDebugEnabled(),
     get droppedLines() {
       return output.droppedLines;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { readFileSync } from "node:fs";
+import { readFileSync, writeSync } from "node:fs";
 import process from "node:process";
 import meow from "meow";
 import {
@@ -17,6 +17,7 @@
 import { type Secrets, startDaemon } from "./daemon.ts";
 import { messageOf } from "./errors.ts";
 import { OperatorTokens, TokensError } from "./operator/mod.ts";
+import { ProcessEnd } from "./process_end.ts";
 import { StopSignals } from "./stop_signals.ts";
 
 const cli = meow(
@@ -41,8 +42,12 @@
 const MIN_PEER_TOKEN_CHARS = 8;
 /** The settings, or a file that they name, are invalid or cannot be read. */
 const EXIT_BAD_INPUT = 2;
-/** The daemon cannot continue. */
-const EXIT_FAILED = 1;
+
+/** What the daemon is started with. */
+interface DaemonInput {
+  readonly settings: Settings;
+  readonly secrets: Secrets;
+}
 
 /** Reads the settings and runs the daemon until a signal stops it. */
 async function main(): Promise<void> {
@@ -54,17 +59,22 @@
   if (cli.flags.check) {
     return;
   }
+  const end = new ProcessEnd({
+    process,
+    report: (report) => {
+      const line = { level: "error", message: "cannot go on", ...report };
+      writeSync(process.stderr.fd, `${JSON.stringify(line)}\n`);
+    },
+  });
   try {
-    await run(input.settings, input.secrets);
+    await run(input, end);
   } catch (err) {
-    exitFailed(err);
+    end.failed(err);
   }
 }
 
 /** Reads settings and secrets; prints all findings and returns undefined on an error. */
-function readInput(
-  file: string,
-): { settings: Settings; secrets: Secrets } | undefined {
+function readInput(file: string): DaemonInput | undefined {
   try {
     const settings = readDocument(readFileSync(file, "utf8"), settingsFormat);
     return { settings, secrets: readSecrets(settings) };
@@ -80,15 +90,6 @@
   }
 }
 
-function exitFailed(err: unknown): void {
-  console.error(JSON.stringify({
-    level: "error",
-    message: "daemon cannot go on",
-    reason: messageOf(err),
-  }));
-  process.exit(EXIT_FAILED);
-}
-
 function readSecrets({ secrets }: Settings): Secrets {
   const operatorTokens = readFileSync(secrets.operatorTokensFile, "utf8");
   // Parsed here so that `--check` reports an invalid file too.
@@ -102,14 +103,17 @@
   return { operatorTokens, peerToken };
 }
 
-async function run(settings: Settings, secrets: Secrets): Promise<void> {
+async function run(
+  { settings, secrets }: DaemonInput,
+  end: ProcessEnd,
+): Promise<void> {
   const signals = new StopSignals({
     process,
     stopped: () => process.exit(0),
-    failed: exitFailed,
+    failed: (err) => end.failed(err),
   });
   const daemon = await startDaemon(settings, secrets);
-  daemon.failed.then(exitFailed);
+  daemon.failed.then((err) => end.failedInOrder(err, daemon));
   signals.started(daemon);
   await daemon.ready;
   console.log("ready");
--- a/packages/daemon/src/silent_log.ts
+++ b/packages/daemon/src/silent_log.ts
@@ -14,4 +14,5 @@
   debug: () => undefined,
   isDebugEnabled: false,
   droppedLines: 0,
+  beginEnd: () => undefined,
 };
