Ends of a VM's process are counted by the other VMs of its zone

What callers saw: a VM that ended by itself and came back was told from one that was stopped in order by nothing. The log and the metrics of a process go with it, and the other VMs wrote `peer up` for both.

Cause: the heartbeats name the process, but nobody compared it with the one before; and the notice of a leaving process, delayed on the way, was taken for one of the next process.

Evidence: on the code before, `peers_test.ts` fails in 2 of 2: the delayed notice of the first process marks the VM as leaving (5 changes for 4), and the processes that end by themselves leave no line.

Change: `VmRuns` keeps the process of each VM that was heard last and what it announced. `poplarthread_gateway_vm_ends_total` counts `stopped`, `failed` and `unannounced`; the latter two have a line `peer ended`. A process that cannot keep a task running says so by `hasFailed` in the heartbeats of its planned stop, beside `isLeaving`, which versions that don't know the field go by. After an error that nobody handled nothing is sent, since sending a datagram takes a turn of the event loop in which other handlers would run: that end counts as unannounced. A heartbeat of a process that was replaced says nothing of its VM.

--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -247,6 +247,12 @@
     meaning: "Other VMs were asked to stop; look-ups no longer return them.",
     fields: ["peer"],
   },
+  "peer ended": {
+    level: "warn",
+    meaning:
+      "The process of another VM of the zone ended by itself: it said so (`failed`), or its next process was heard and it had said nothing (`unannounced`). A planned stop has the line `peer leaving`.",
+    fields: ["peer", "reason"],
+  },
   "targets listed": {
     level: "info",
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -225,7 +225,10 @@
 
   async start(): Promise<void> {
     await this.#supervisor.start({
-      failed: (_task, err) => this.#fail(err),
+      failed: (_task, err) => {
+        this.#peers.setFailed();
+        this.#fail(err);
+      },
     });
     const now = performance.now();
     this.#setVms(this.#peers.vms.up(now), now);
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -11,6 +11,7 @@
 import { RetryMetrics } from "./retry_metrics.ts";
 import { RoomMetrics } from "./room_metrics.ts";
 import type { RequestPathGauges } from "./request_path.ts";
+import type { VmEnd } from "./vm_runs.ts";
 
 /** Bounds of the histogram's buckets: the latency objectives of the deployments are between 0.2 and 0.5 s. */
 const LATENCY_BUCKETS_S = [
@@ -79,6 +80,11 @@
     "Forwardings of requests to other VMs, while this one reaches no target, by how they ended",
     "end",
   );
+  readonly #vmEnds = this.#counter(
+    "poplarthread_gateway_vm_ends_total",
+    "Ends of processes of the zone's other VMs: stopped in order, failed by their own account, or unannounced",
+    "reason",
+  );
   readonly #stateChanges = this.#counter(
     "poplarthread_gateway_belief_changes_total",
     "Changes of what this VM believes of targets, peers and the platform",
@@ -220,6 +226,11 @@
     this.#forwards.inc({ end });
   }
 
+  /** Counts an end of another VM's process. */
+  vmEnded(reason: VmEnd): void {
+    this.#vmEnds.inc({ reason });
+  }
+
   /** Counts `count` state changes of one kind, of targets or peers. */
   stateChanged(change: string, count = 1): void {
     this.#stateChanges.inc({ change }, count);
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -80,6 +80,8 @@
   readonly isCutOff?: boolean;
   /** The VM lacks processor time for its callers. Older versions of the program don't send this field. */
   readonly isOverloaded?: boolean;
+  /** The process leaves because it cannot go on. Older versions of the program don't send this field. */
+  readonly hasFailed?: boolean;
 }
 
 /** A delegate's report on the VMs of its zone. */
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -22,6 +22,7 @@
 import type { GatewaySettings } from "./settings.ts";
 import { VmChanges } from "./vm_changes.ts";
 import { type RankedMember, VmDirectory } from "./vm_directory.ts";
+import { type AnnouncedEnd, VmRuns } from "./vm_runs.ts";
 
 /** Dependencies of {@link Peers}. */
 export interface PeersOptions {
@@ -42,8 +43,10 @@
   readonly beacon: PeerBeacon;
   readonly #options: PeersOptions;
   readonly #changes = new VmChanges();
+  readonly #runs = new VmRuns();
   #hasMembers = false;
   #isLeaving = false;
+  #hasFailed = false;
   #isCutOff = false;
   #isOverloaded = false;
   #fleetSize: number | undefined;
@@ -64,6 +67,11 @@
     this.beacon.send({ kind: "beat" });
   }
 
+  /** From now on the other VMs are told that this one leaves because it cannot go on. */
+  setFailed(): void {
+    this.#hasFailed = true;
+  }
+
   /** Tells the other VMs whether this one reaches no target. */
   setCutOff(isCutOff: boolean): void {
     if (isCutOff !== this.#isCutOff) {
@@ -139,6 +147,7 @@
       localState: () => ({
         member: self,
         isLeaving: this.#isLeaving,
+        ...(this.#hasFailed ? { hasFailed: true } : {}),
         ...(this.#isCutOff ? { isCutOff: true } : {}),
         ...(this.#isOverloaded ? { isOverloaded: true } : {}),
         ...feed().seen,
@@ -151,13 +160,37 @@
   #onHeartbeat(heartbeat: Heartbeat): void {
     const { member, ...state } = heartbeat;
     const now = performance.now();
-    if (this.vms.recordHeartbeat(member, { ...state, now })) {
+    if (
+      this.#isCurrent(heartbeat) &&
+      this.vms.recordHeartbeat(member, { ...state, now })
+    ) {
       this.beacon.send({ kind: "greet", member });
     }
     this.#publishChanges(now);
     this.#applyUpdates(heartbeat, now);
   }
 
+  /** Notices ends of processes; false if the sender's process was replaced. */
+  #isCurrent(heartbeat: Heartbeat): boolean {
+    const { self, log, metrics } = this.#options;
+    const { member } = heartbeat;
+    const { isReplaced, ends } = this.#runs.record(
+      member,
+      announcedEndOf(heartbeat),
+    );
+    // Of other zones, only some heartbeats come here.
+    const counted = member.vm !== self.vm && member.zone === self.zone
+      ? ends
+      : [];
+    for (const { instance, end } of counted) {
+      metrics.vmEnded(end);
+      if (end !== "stopped") {
+        log.write("peer ended", { peer: instance, reason: end });
+      }
+    }
+    return !isReplaced;
+  }
+
   #onZoneReport(report: ZoneReport): void {
     const { ages, leaving, cutOff = [], overloaded = [] } = report;
     const now = performance.now();
@@ -208,3 +241,12 @@
     }
   }
 }
+
+function announcedEndOf(
+  { isLeaving, hasFailed }: Heartbeat,
+): AnnouncedEnd | undefined {
+  if (hasFailed) {
+    return "failed";
+  }
+  return isLeaving ? "stopped" : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/peers_test.ts
@@ -0,0 +1,105 @@
+/**
+ * What a VM makes of the heartbeats of two processes of one other VM.
+ *
+ * @module
+ */
+
+import { createSocket, type Socket } from "node:dgram";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type { InstanceId } from "@poplarthread/ids";
+import { loopbackAddress } from "../loopback.ts";
+import { SILENT_LOG } from "../silent_log.ts";
+import { EventLog } from "./events.ts";
+import { encodeNotification } from "./peer_messages.ts";
+import { Peers } from "./peers.ts";
+import { memberNamed } from "./testing.ts";
+
+const HOST = loopbackAddress(80);
+const PORT = 17_720;
+
+let peers: Peers;
+let sender: Socket;
+let written: { event: string; reason?: string }[];
+let ends: string[];
+
+function record(event: string, fields: { reason?: string } = {}): void {
+  written.push({ event, ...fields });
+}
+
+beforeEach(async () => {
+  written = [];
+  ends = [];
+  const log = { ...SILENT_LOG, info: record, warn: record };
+  peers = new Peers(
+    {
+      settings: { listen: { peers: { host: HOST, port: PORT } }, seeds: [] },
+      self: memberNamed("n-1"),
+      log: new EventLog(log),
+      metrics: {
+        stateChanged: () => undefined,
+        vmEnded: (end: string) => ends.push(end),
+      },
+      path: () => ({ suspects: { reports: () => [] } }),
+      feed: () => ({ seen: { seen: {}, era: 0 }, hint: () => undefined }),
+      vmsChanged: () => undefined,
+    } as unknown as ConstructorParameters<typeof Peers>[0],
+  );
+  await peers.beacon.start({ failed: () => undefined });
+  sender = createSocket("udp4");
+});
+
+afterEach(async () => {
+  sender.close();
+  await peers.beacon.stop();
+});
+
+/** Sends heartbeats of VM `n-2`, one for each process, and waits for `lines` more lines of the log. */
+async function hear(
+  instance: string,
+  { lines, ...state }: {
+    lines: number;
+    isLeaving: boolean;
+    hasFailed?: boolean;
+  },
+): Promise<void> {
+  const member = memberNamed("n-2", {
+    instance: instance as InstanceId,
+    peerAddress: `${HOST}:1`,
+    callerAddress: `${HOST}:2`,
+  });
+  const params = { member, ...state, seen: {}, crashes: [] };
+  const expected = written.length + lines;
+  sender.send(encodeNotification("heartbeat", params), PORT, HOST);
+  await vi.waitFor(() => expect(written.length).toBe(expected));
+}
+
+function namesUp(): readonly string[] {
+  return peers.vms.up(performance.now()).map(({ vm }) => vm);
+}
+
+test("the notice of a process that leaves does not hold for the next one", async () => {
+  await hear("n-2.a", { isLeaving: false, lines: 1 });
+  await hear("n-2.a", { isLeaving: true, lines: 1 });
+  expect(namesUp()).toEqual(["n-1"]);
+  await hear("n-2.b", { isLeaving: false, lines: 1 });
+  expect(namesUp()).toEqual(["n-1", "n-2"]);
+  await hear("n-2.a", { isLeaving: true, lines: 0 });
+  // Datagrams of one socket arrive in order.
+  await hear("n-2.b", { isLeaving: true, lines: 1 });
+  expect(written.map(({ event }) => event)).toEqual([
+    "peer up",
+    "peer leaving",
+    "peer up",
+    "peer leaving",
+  ]);
+  expect(ends).toEqual(["stopped", "stopped"]);
+});
+
+test("a process that ends by itself does not go unnoticed", async () => {
+  await hear("n-2.a", { isLeaving: false, lines: 1 });
+  await hear("n-2.b", { isLeaving: false, lines: 2 });
+  await hear("n-2.b", { isLeaving: true, hasFailed: true, lines: 2 });
+  expect(ends).toEqual(["unannounced", "failed"]);
+  expect(written.filter(({ event }) => event === "peer ended"))
+    .toMatchObject([{ reason: "unannounced" }, { reason: "failed" }]);
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/vm_runs.ts
@@ -0,0 +1,64 @@
+/**
+ * Which process of each other VM runs, and how the ones before it ended, as far as
+ * their heartbeats tell.
+ *
+ * @module
+ */
+
+import type { InstanceId, VmId } from "@poplarthread/ids";
+import type { Member } from "./ports.ts";
+
+/** An end that a process announces in its last heartbeats. */
+export type AnnouncedEnd = "stopped" | "failed";
+
+/** How a process ended; `unannounced` if the next one was heard and it had said nothing. */
+export type VmEnd = AnnouncedEnd | "unannounced";
+
+/** What a heartbeat tells of the processes of its VM. */
+export interface HeardRun {
+  /** The process was replaced: its heartbeat was delayed, and says nothing of the VM. */
+  readonly isReplaced: boolean;
+  /** Ends that were not known before. */
+  readonly ends: readonly {
+    readonly instance: InstanceId;
+    readonly end: VmEnd;
+  }[];
+}
+
+interface Run {
+  readonly instance: InstanceId;
+  /** The process before it. */
+  readonly replaced: InstanceId | undefined;
+  readonly announced: AnnouncedEnd | undefined;
+}
+
+/** See the module comment. */
+export class VmRuns {
+  readonly #runs = new Map<VmId, Run>();
+
+  /** Records a heartbeat, with the end that it announces. */
+  record(
+    { vm, instance }: Pick<Member, "vm" | "instance">,
+    announced: AnnouncedEnd | undefined,
+  ): HeardRun {
+    const known = this.#runs.get(vm);
+    if (known !== undefined && instance === known.replaced) {
+      return { isReplaced: true, ends: [] };
+    }
+    const isNew = known?.instance !== instance;
+    const ends: { instance: InstanceId; end: VmEnd }[] = [];
+    if (isNew && known !== undefined && known.announced === undefined) {
+      ends.push({ instance: known.instance, end: "unannounced" });
+    }
+    const before = isNew ? undefined : known?.announced;
+    if (announced !== undefined && before === undefined) {
+      ends.push({ instance, end: announced });
+    }
+    this.#runs.set(vm, {
+      instance,
+      replaced: isNew ? known?.instance : known?.replaced,
+      announced: before ?? announced,
+    });
+    return { isReplaced: false, ends };
+  }
+}
