A VM starts and goes on while one of its ports is held

What callers saw: VMs that didn't start, or that ended again and again, while their former process was still stopping or a stranger held one of their ports.

Cause: the supervisor tried a task again that failed later, but not one whose first `open` failed: the whole start was rejected and the process ended. Later failures ended it too when they came five times in a minute, whatever they were: a port held for 3.1 s was enough, also the one of the metrics.

Change: `listen` and `bind` reject with a `ResourceError`. A task that lacks a resource is tried again after 100 ms, doubling up to 1 s, without end; the others start meanwhile. The line `task failed` names port and error, once and then each minute; `poplarthread_gateway_task_failures_total` and `…_task_restarts_total` count every try. After an error of its own a task is restarted five times a minute as before, then the process ends in order; the task of the metrics never ends it. A VM counts as serving while the listeners for callers, forwarded requests, heartbeats and credit are up: otherwise it sends no heartbeats, is in no look-up and isn't ready. One that never served ends at once when it is stopped, as nobody was told to use it. A task that is stopped while it opens releases what it has acquired since. The two ports for look-ups are bound one after the other, so that none is bound after a failure.

--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -9,6 +9,11 @@
   override readonly name = "RestartLimitError";
 }
 
+/** The system refused or took away a resource, such as a port that another process holds. */
+export class ResourceError extends Error {
+  override readonly name = "ResourceError";
+}
+
 /** A peer sent data that this version of the peer protocol does not allow. */
 export class PeerProtocolError extends Error {
   override readonly name = "PeerProtocolError";
--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -17,6 +17,7 @@
 import type { AccountId } from "@poplarthread/ids";
 import { creditOwners } from "@poplarthread/placement";
 import * as z from "zod";
+import { bind } from "../../listen.ts";
 import { Task } from "../../task.ts";
 import type { CreditLedger, CreditResponse } from "./credit_ledger.ts";
 import type { ListenAddress } from "../settings.ts";
@@ -171,20 +172,12 @@
     return used !== undefined;
   }
 
-  protected override open(): Promise<void> {
+  protected override async open(): Promise<void> {
     const socket = createSocket("udp4");
     this.#socket = socket;
     this.#isCheckScheduled = false;
     socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
-    const { host, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      socket.once("error", reject);
-      socket.bind(port, host, () => {
-        socket.off("error", reject);
-        socket.on("error", (err) => this.fail(err));
-        resolve();
-      });
-    });
+    await bind(socket, this.#options.listen, (err) => this.fail(err));
   }
 
   protected override close(): void {
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -27,7 +27,8 @@
 export const EVENTS = {
   "started": {
     level: "info",
-    meaning: "The process listens and begins to follow the platform's store.",
+    meaning:
+      "The process begins to follow the platform's store. It listens, except on ports that another process holds (`task failed`).",
     fields: [],
   },
   "leaving": {
@@ -60,7 +61,8 @@
   },
   "task failed": {
     level: "error",
-    meaning: "A task of the process failed.",
+    meaning:
+      "A task of the process failed, or cannot start. It is restarted; without a resource, such as its port, it is tried again until that is free. Further tries that fail for the same reason have a line each minute.",
     fields: ["task", "reason"],
   },
   "task restarted": {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,7 +15,6 @@
 import type { Log } from "../log.ts";
 import { PacedTimer } from "../paced_timer.ts";
 import { pause } from "../pause.ts";
-import { Supervisor } from "../supervisor.ts";
 import { CallerListener } from "./caller_listener.ts";
 import { Connections } from "./connections.ts";
 import { Accounts } from "./accounts/accounts.ts";
@@ -25,6 +24,7 @@
 import type { GatewayExchangeEnd } from "./exchange_types.ts";
 import { Forwarding } from "./forwarding/forwarding.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { GatewayTasks } from "./gateway_tasks.ts";
 import { Homes } from "./homes/homes.ts";
 import { LookupListener } from "./lookup_listener.ts";
 import { LoopDelay } from "./loop_delay.ts";
@@ -70,7 +70,7 @@
   "cut-off": "targets not reached",
 } as const satisfies Record<ReachState, EventName>;
 
-/** Starts a gateway; resolves when its listeners are up. */
+/** Starts a gateway; resolves when its listeners are up, except those whose ports are in use. */
 export async function startGateway(
   settings: GatewaySettings,
   ports: GatewayPorts,
@@ -107,7 +107,7 @@
   readonly #callerListener: CallerListener;
   readonly #accounts: Accounts;
   readonly #platformEvents: PlatformEvents;
-  readonly #supervisor: Supervisor;
+  readonly #tasks: GatewayTasks;
   readonly #timer = new PacedTimer((now) => this.#tick(now));
   readonly #plannedStop: PlannedStop;
   #idleTickDueAt = 0;
@@ -220,15 +220,13 @@
       listener: (event) => this.#platformEvents.handle(event),
       callEnded: (end, source) => this.#metrics.changes.callEnded(end, source),
     });
-    this.#supervisor = this.#createSupervisor();
+    this.#tasks = this.#createTasks();
   }
 
   async start(): Promise<void> {
-    await this.#supervisor.start({
-      failed: (_task, err) => {
-        this.#peers.setFailed();
-        this.#fail(err);
-      },
+    await this.#tasks.start((err) => {
+      this.#peers.setFailed();
+      this.#fail(err);
     });
     const now = performance.now();
     this.#setVms(this.#peers.vms.up(now), now);
@@ -243,6 +241,12 @@
   }
 
   async #stop(): Promise<void> {
+    if (!this.#tasks.hasServed) {
+      // Nobody was told to use this VM.
+      this.#log.write("stopped", { open: 0 });
+      await this.kill();
+      return;
+    }
     const startedAt = performance.now();
     const toldAt = this.#loopDelay.earliestArrival(startedAt);
     this.#plannedStop.begin(startedAt, toldAt);
@@ -270,7 +274,7 @@
   async kill(): Promise<void> {
     this.#timer.close();
     this.#feed.close();
-    await this.#supervisor.stop();
+    await this.#tasks.stop();
     this.#connections.close();
     this.#peerConnections.close();
   }
@@ -376,15 +380,8 @@
     });
   }
 
-  #createSupervisor(): Supervisor {
+  #createTasks(): GatewayTasks {
     const { listen, bounds } = this.#settings;
-    const supervisor = new Supervisor("gateway", {
-      listener: {
-        taskFailed: (task, err) =>
-          this.#log.write("task failed", { task, reason: messageOf(err) }),
-        taskRestarted: (task) => this.#log.write("task restarted", { task }),
-      },
-    });
     const lookups = new LookupListener({
       listen: [listen.lookups, listen.readiness],
       dialect: this.#dialect,
@@ -402,20 +399,23 @@
       listen: listen.peers,
       handler: (subject, query) => this.#feed.changesAfter(subject, query),
     });
-    [
-      this.#peers.beacon,
-      this.#accounts.creditExchange,
-      this.#homes.exchange,
-      this.#callerListener,
-      lookups,
-      metrics,
-      relay,
-    ].forEach((task) => supervisor.add(task));
-    return supervisor;
+    return new GatewayTasks({
+      log: this.#log,
+      metrics: this.#metrics,
+      required: [
+        this.#peers.beacon,
+        this.#accounts.creditExchange,
+        this.#callerListener,
+      ],
+      optional: [this.#homes.exchange, lookups, relay],
+      expendable: [metrics],
+      servingChanged: (isServing) => this.#peers.setServing(isServing),
+    });
   }
 
   get #isReady(): boolean {
-    return !this.#plannedStop.hasBegun && this.#callerListener.version > 0 &&
+    return this.#tasks.isServing && !this.#plannedStop.hasBegun &&
+      this.#callerListener.version > 0 &&
       this.#platformEvents.hasTargets;
   }
 
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -85,6 +85,16 @@
     "Ends of processes of the zone's other VMs: stopped in order, failed by their own account, or unannounced",
     "reason",
   );
+  readonly #taskFailures = this.#counter(
+    "poplarthread_gateway_task_failures_total",
+    "Failures of the tasks of this process, among them each try to bind a port that another process holds",
+    "task",
+  );
+  readonly #taskRestarts = this.#counter(
+    "poplarthread_gateway_task_restarts_total",
+    "Restarts of the tasks of this process that succeeded",
+    "task",
+  );
   readonly #stateChanges = this.#counter(
     "poplarthread_gateway_belief_changes_total",
     "Changes of what this VM believes of targets, peers and the platform",
@@ -226,6 +236,16 @@
     this.#forwards.inc({ end });
   }
 
+  /** Counts a failure of a task. */
+  taskFailed(task: string): void {
+    this.#taskFailures.inc({ task });
+  }
+
+  /** Counts a restart of a task that succeeded. */
+  taskRestarted(task: string): void {
+    this.#taskRestarts.inc({ task });
+  }
+
   /** Counts an end of another VM's process. */
   vmEnded(reason: VmEnd): void {
     this.#vmEnds.inc({ reason });
--- a/packages/daemon/src/gateway/homes/home_exchange.ts
+++ b/packages/daemon/src/gateway/homes/home_exchange.ts
@@ -18,6 +18,7 @@
   type HomeAgent,
   type HomeMessage,
 } from "@poplarthread/placement";
+import { bind } from "../../listen.ts";
 import { Task } from "../../task.ts";
 import type { ListenAddress } from "../settings.ts";
 import { decodeHomeMessage, encodeHomeMessage } from "./home_codec.ts";
@@ -126,17 +127,7 @@
     const socket = createSocket();
     this.#socket = socket;
     socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
-    const { host, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      // Without homes by load the socket may be closed before it is bound.
-      socket.once("close", resolve);
-      socket.once("error", reject);
-      socket.bind(port, host, () => {
-        socket.off("error", reject);
-        socket.on("error", (err) => this.fail(err));
-        resolve();
-      });
-    });
+    return bind(socket, this.#options.listen, (err) => this.fail(err));
   }
 
   /** Schedules the next tick, unless no service has homes by load. */
--- a/packages/daemon/src/gateway/lookup_listener.ts
+++ b/packages/daemon/src/gateway/lookup_listener.ts
@@ -39,11 +39,11 @@
   }
 
   protected override async open(): Promise<void> {
-    await Promise.all(this.#options.listen.map((address) => {
+    for (const address of this.#options.listen) {
       const server = createServer((req, res) => this.#handleRequest(req, res));
       this.#servers.push(server);
-      return listen(server, address, (err) => this.fail(err));
-    }));
+      await listen(server, address, (err) => this.fail(err));
+    }
   }
 
   protected override receive(): void {}
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -15,6 +15,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { HeldBackReport } from "@poplarthread/coordination/held_back";
 import type { HashedPair } from "@poplarthread/placement";
+import { bind } from "../listen.ts";
 import { Task } from "../task.ts";
 import {
   decodeLimits,
@@ -115,6 +116,8 @@
   readonly listen: ListenAddress;
   /** Addresses, `host:port`, to contact besides the known peers. Empty once peers are known, since all VMs have the same few. */
   seeds(): readonly string[];
+  /** Whether this VM sends no heartbeats and zone reports, so that it is not up for the others. */
+  isSilent(): boolean;
   /** Other VMs of the zone. */
   zonePeers(): readonly Member[];
   /** VMs of other zones to which this VM sends zone reports; none if it is not a delegate. */
@@ -158,21 +161,13 @@
     this.#options = options;
   }
 
-  protected override open(): Promise<void> {
+  protected override async open(): Promise<void> {
     const socket = createSocket({ type: "udp4", lookup: useAddress });
     this.#socket = socket;
     this.#scheduled.clear();
     socket.on("message", (datagram) => this.#receiveDatagram(datagram));
-    const { host, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      socket.once("error", reject);
-      socket.bind(port, host, () => {
-        socket.off("error", reject);
-        socket.on("error", (err) => this.fail(err));
-        this.sendEvery(HEARTBEAT_MS, { kind: "heartbeat" });
-        resolve();
-      });
-    });
+    await bind(socket, this.#options.listen, (err) => this.fail(err));
+    this.sendEvery(HEARTBEAT_MS, { kind: "heartbeat" });
   }
 
   protected override close(): void {
@@ -303,6 +298,9 @@
    * copies of the same pairs while callers return to it.
    */
   #greet({ peerAddress }: Member): void {
+    if (this.#options.isSilent()) {
+      return;
+    }
     this.#send(this.#heartbeat(), [peerAddress]);
     if (!this.#options.isZoneDelegate()) {
       return;
@@ -347,6 +345,9 @@
 
   /** Sends a heartbeat to the zone, and zone reports to `recipients` of other zones. */
   #beat(recipients: readonly Member[]): void {
+    if (this.#options.isSilent()) {
+      return;
+    }
     const zonePeers = addressesOf(this.#options.zonePeers());
     const otherZones = addressesOf(recipients);
     const state = this.#options.localState();
--- a/packages/daemon/src/gateway/peer_beacon_test.ts
+++ b/packages/daemon/src/gateway/peer_beacon_test.ts
@@ -93,6 +93,7 @@
   beacon = new PeerBeacon({
     listen: { host: HOST, port: PORTS.self },
     seeds: () => [],
+    isSilent: () => false,
     zonePeers: () => zonePeers,
     reportRecipients: () => isDelegate ? [farMember] : [],
     isZoneDelegate: () => isDelegate,
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -47,6 +47,7 @@
   #hasMembers = false;
   #isLeaving = false;
   #hasFailed = false;
+  #isServing = false;
   #isCutOff = false;
   #isOverloaded = false;
   #fleetSize: number | undefined;
@@ -57,9 +58,19 @@
       self: options.self,
       onChange: (member, change) => this.#changes.add(member, change),
     });
+    this.vms.setServing(false);
     this.beacon = this.#createBeacon();
   }
 
+  /** Sets whether this VM can serve callers: it sends no heartbeats otherwise, and is not up. */
+  setServing(isServing: boolean): void {
+    this.#isServing = isServing;
+    this.vms.setServing(isServing);
+    this.beacon.send({ kind: "beat" });
+    const now = performance.now();
+    this.#options.vmsChanged(this.vms.up(now), now);
+  }
+
   /** Tells the other VMs that this one is leaving. */
   leave(): void {
     this.#isLeaving = true;
@@ -133,6 +144,7 @@
     return new PeerBeacon({
       listen: settings.listen.peers,
       seeds: () => this.#hasMembers ? [] : settings.seeds,
+      isSilent: () => !this.#isServing,
       zonePeers: () => vms.zonePeers(),
       reportRecipients: () => vms.reportRecipients(performance.now()),
       isZoneDelegate: () => vms.isZoneDelegate(performance.now()),
--- a/packages/daemon/src/gateway/peers_test.ts
+++ b/packages/daemon/src/gateway/peers_test.ts
@@ -45,6 +45,7 @@
     } as unknown as ConstructorParameters<typeof Peers>[0],
   );
   await peers.beacon.start({ failed: () => undefined });
+  peers.setServing(true);
   sender = createSocket("udp4");
 });
 
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -87,6 +87,7 @@
   readonly #onChange: (member: Member, change: VmChange) => void;
   readonly #clock = new ListeningClock();
   #selfLeaving = false;
+  #selfServing = true;
   #selfCutOff = false;
   #selfOverloaded = false;
 
@@ -108,6 +109,11 @@
     this.#selfLeaving = true;
   }
 
+  /** Sets whether this VM can serve callers: it is not up otherwise. */
+  setServing(isServing: boolean): void {
+    this.#selfServing = isServing;
+  }
+
   /** Sets whether this VM reaches no target. */
   setCutOff(isCutOff: boolean): void {
     this.#selfCutOff = isCutOff;
@@ -380,9 +386,9 @@
     });
   }
 
-  /** VMs that are up, including this one unless it is leaving. */
+  /** VMs that are up, including this one unless it is leaving or cannot serve callers. */
   up(now: number): readonly RankedMember[] {
-    const up = this.#selfLeaving ? [] : [this.#self];
+    const up = this.#selfLeaving || !this.#selfServing ? [] : [this.#self];
     for (const entry of this.#entries.values()) {
       if (!entry.isLeaving && this.#isAlive(entry, now)) {
         up.push(entry.member);
--- a/packages/daemon/src/operator/mod.ts
+++ b/packages/daemon/src/operator/mod.ts
@@ -15,6 +15,7 @@
 import { FindingsError } from "@poplarthread/config";
 import { TableError } from "@poplarthread/coordination";
 import type { ErrorResponse } from "@poplarthread/operator-api";
+import { listen } from "../listen.ts";
 import type {
   OperatorBackend,
   ProbeHandlers,
@@ -38,6 +39,8 @@
   readonly tokens: OperatorTokens;
   /** Called for each request without a valid token, to count it. */
   readonly onUnauthenticated?: () => void;
+  /** Called if the listener cannot go on accepting connections. */
+  readonly onError?: (err: Error) => void;
 }
 
 /** A running listener. */
@@ -85,7 +88,8 @@
     sendJson(res, 200, value);
   }
 
-  await listen(server, options);
+  const { host, port, onError } = options;
+  await listen(server, { host, port }, (err) => onError?.(err));
   const address = server.address();
   return {
     port: typeof address === "object" && address !== null ? address.port : 0,
@@ -164,19 +168,6 @@
   return { status: 500, body: { message: "internal error" } };
 }
 
-function listen(
-  server: Server,
-  { host, port }: OperatorListenerOptions,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, () => {
-      server.off("error", reject);
-      resolve();
-    });
-  });
-}
-
 function close(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
--- a/packages/daemon/src/operator_task.ts
+++ b/packages/daemon/src/operator_task.ts
@@ -42,7 +42,10 @@
 
   protected override async open(): Promise<void> {
     const { backend, probes, listener } = this.#options;
-    this.#listener = await startOperatorListener(backend, probes, listener);
+    this.#listener = await startOperatorListener(backend, probes, {
+      ...listener,
+      onError: (err) => this.fail(err),
+    });
   }
 
   protected override receive(): void {}
--- a/packages/daemon/src/supervisor.ts
+++ b/packages/daemon/src/supervisor.ts
@@ -1,12 +1,13 @@
 /**
  * A supervisor starts its tasks in order, restarts a failed one with exponential
- * back-off, and fails itself when restarts don't help. A supervisor is itself a
- * task, so supervisors form a tree.
+ * back-off, and fails itself when restarts don't help. A task that lacks a resource, such
+ * as its port, is tried again for as long as that lasts, at the start as well as later.
+ * A supervisor is itself a task, so supervisors form a tree.
  *
  * @module
  */
 
-import { messageOf, RestartLimitError } from "./errors.ts";
+import { messageOf, ResourceError, RestartLimitError } from "./errors.ts";
 import type { TaskStatus } from "@poplarthread/operator-api";
 import {
   type Parent,
@@ -20,7 +21,7 @@
   /** Delay before the first restart; doubles with each further restart in the window. */
   readonly initialDelayMs: number;
   readonly maxDelayMs: number;
-  /** Most restarts of one task within `windowMs`; the next failure fails the supervisor. */
+  /** Most restarts of one task within `windowMs` after errors of its own; the next one fails the supervisor. */
   readonly maxRestarts: number;
   readonly windowMs: number;
 }
@@ -36,19 +37,44 @@
   windowMs: 60_000,
 };
 
+/** Longest delay before a resource is tried again. */
+const MAX_RESOURCE_DELAY_MS = 1_000;
+
 /** Notified of each failure and restart, for logs and metrics. */
 export interface SupervisionListener {
-  taskFailed(task: string, err: unknown): void;
+  /** `isRepeated`: a further try failed for the same reason, shortly after one that was reported. */
+  taskFailed(
+    task: string,
+    err: unknown,
+    options: { readonly isRepeated: boolean },
+  ): void;
   taskRestarted(task: string): void;
+  /** Tasks run that did not run before, or the other way round. */
+  statesChanged?(): void;
+}
+
+/** What a supervisor does when restarts of a task don't help. */
+export type WhenExhausted = "fail" | "keep-trying";
+
+/** What a failure is due to: a resource of the system, or an error in the program. */
+type FailureKind = "resource" | "program";
+
+interface Restart {
+  readonly kind: FailureKind;
+  /** In milliseconds of the monotonic clock. */
+  readonly at: number;
 }
 
 interface Child {
   readonly task: SupervisedTask;
+  readonly whenExhausted: WhenExhausted;
   state: TaskState;
   restarts: number;
   lastError: string | undefined;
-  /** Times of the restarts within the policy's window, in milliseconds of the monotonic clock. */
-  recentRestarts: number[];
+  /** When a failure was reported last as a new one; undefined if the task has run since. */
+  reportedAt: number | undefined;
+  /** The restarts within the policy's window. */
+  recentRestarts: Restart[];
 }
 
 /** A message that a supervisor sends to itself. */
@@ -73,16 +99,28 @@
   }
 
   /** Adds a task; it starts with the supervisor, after the tasks added before it. */
-  add(task: SupervisedTask): void {
+  add(
+    task: SupervisedTask,
+    { whenExhausted = "fail" }: { readonly whenExhausted?: WhenExhausted } = {},
+  ): void {
     this.#children.push({
       task,
+      whenExhausted,
       state: "stopped",
       restarts: 0,
       lastError: undefined,
+      reportedAt: undefined,
       recentRestarts: [],
     });
   }
 
+  /** Whether all of `tasks` run, which were added to this supervisor. */
+  areRunning(tasks: readonly SupervisedTask[]): boolean {
+    return this.#children.every(({ task, state }) =>
+      state === "running" || !tasks.includes(task)
+    );
+  }
+
   /** The states of all tasks below this one, with their paths in the tree. */
   statuses(prefix = this.name): readonly TaskStatus[] {
     return this.#children.flatMap((child): TaskStatus[] => {
@@ -105,15 +143,13 @@
     const child = this.#children.find((child) =>
       (child.task as unknown) === task
     )!;
-    this.#recordFailure(child, err);
-    this.spawn(this.#scheduleRestart(child));
+    this.spawn(this.#handleFailure(child, err));
   }
 
   protected override async open(): Promise<void> {
     for (const child of this.#children) {
       child.recentRestarts = [];
-      await child.task.start(this);
-      child.state = "running";
+      await this.#start(child);
     }
   }
 
@@ -135,41 +171,81 @@
     }
   }
 
-  #recordFailure(child: Child, err: unknown): void {
-    child.lastError = messageOf(err);
-    this.#listener.taskFailed(child.task.name, err);
+  /** Starts a task; one that cannot start is tried again later. */
+  async #start(child: Child): Promise<boolean> {
+    try {
+      await child.task.start(this);
+    } catch (err) {
+      await this.#handleFailure(child, err);
+      return false;
+    }
+    this.#setState(child, "running");
+    child.reportedAt = undefined;
+    return true;
   }
 
-  async #scheduleRestart(child: Child): Promise<void> {
-    child.state = "waiting";
+  async #handleFailure(child: Child, err: unknown): Promise<void> {
+    this.#report(child, err);
+    this.#setState(child, "waiting");
     await child.task.stop();
+    if (!this.running) {
+      return;
+    }
+    const kind = err instanceof ResourceError ? "resource" : "program";
+    this.sendAfter(this.#restartDelayMs(child, kind), {
+      kind: "restart",
+      child,
+    });
+  }
+
+  #report(child: Child, err: unknown): void {
+    const reason = messageOf(err);
     const now = performance.now();
-    child.recentRestarts = child.recentRestarts.filter((at) =>
-      at > now - this.#policy.windowMs
-    );
-    if (child.recentRestarts.length >= this.#policy.maxRestarts) {
-      child.state = "failed";
-      throw new RestartLimitError(
-        `Cannot keep ${child.task.name} running: ${child.lastError}`,
-      );
+    const { reportedAt = -Infinity, lastError } = child;
+    const isRepeated = reason === lastError &&
+      now - reportedAt < this.#policy.windowMs;
+    if (!isRepeated) {
+      child.reportedAt = now;
+      child.lastError = reason;
+    }
+    this.#listener.taskFailed(child.task.name, err, { isRepeated });
+  }
+
+  /** Counts a restart; throws if the policy allows no further one. */
+  #restartDelayMs(child: Child, kind: FailureKind): number {
+    const { initialDelayMs, maxDelayMs, maxRestarts, windowMs } = this.#policy;
+    const now = performance.now();
+    const recent = child.recentRestarts.filter(({ at }) => at > now - windowMs);
+    child.recentRestarts = [...recent, { kind, at: now }];
+    const delayMs = Math.min(initialDelayMs * 2 ** recent.length, maxDelayMs);
+    switch (kind) {
+      case "resource":
+        return Math.min(delayMs, MAX_RESOURCE_DELAY_MS);
+      case "program":
+        if (
+          recent.filter(({ kind }) => kind === "program").length < maxRestarts
+        ) {
+          return delayMs;
+        }
+        if (child.whenExhausted === "keep-trying") {
+          return maxDelayMs;
+        }
+        this.#setState(child, "failed");
+        throw new RestartLimitError(
+          `Cannot keep ${child.task.name} running: ${child.lastError}`,
+        );
     }
-    const delayMs = Math.min(
-      this.#policy.initialDelayMs * 2 ** child.recentRestarts.length,
-      this.#policy.maxDelayMs,
-    );
-    child.recentRestarts.push(now);
-    this.sendAfter(delayMs, { kind: "restart", child });
   }
 
   async #restart(child: Child): Promise<void> {
     child.restarts += 1;
-    this.#listener.taskRestarted(child.task.name);
-    try {
-      await child.task.start(this);
-      child.state = "running";
-    } catch (err) {
-      this.#recordFailure(child, err);
-      await this.#scheduleRestart(child);
+    if (await this.#start(child)) {
+      this.#listener.taskRestarted(child.task.name);
     }
   }
+
+  #setState(child: Child, state: TaskState): void {
+    child.state = state;
+    this.#listener.statesChanged?.();
+  }
 }
--- a/packages/daemon/src/supervisor_test.ts
+++ b/packages/daemon/src/supervisor_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { ResourceError } from "./errors.ts";
 import { type RestartPolicy, Supervisor } from "./supervisor.ts";
 import { type SupervisedTask, Task } from "./task.ts";
 
@@ -8,12 +9,16 @@
   starts = 0;
   handled = 0;
   openFails = false;
+  lacksPort = false;
 
   protected override open(): void {
     this.starts += 1;
     if (this.openFails) {
       throw new Error("port in use");
     }
+    if (this.lacksPort) {
+      throw new ResourceError("address in use");
+    }
   }
 
   protected override receive(message: WorkerMessage): void {
@@ -112,3 +117,62 @@
     "Cannot keep worker running: port in use",
   );
 });
+
+const HOUR_MS = 3_600_000;
+
+test("a task whose port is held does not keep the others from starting, nor ends the process", async () => {
+  const { supervisor, worker, other, failures, parent } = setUp();
+  worker.lacksPort = true;
+  await supervisor.start(parent);
+  expect(other.running).toBe(true);
+  expect(supervisor.areRunning([other])).toBe(true);
+  expect(supervisor.areRunning([worker, other])).toBe(false);
+  await vi.advanceTimersByTimeAsync(HOUR_MS);
+  expect(failures).toEqual([]);
+  worker.lacksPort = false;
+  await vi.advanceTimersByTimeAsync(300);
+  expect(supervisor.areRunning([worker, other])).toBe(true);
+});
+
+test("a port that is held for long is tried each second, and reported each minute", async () => {
+  const reported: boolean[] = [];
+  const supervisor = new Supervisor("root", {
+    listener: {
+      taskFailed: (_task, _err, { isRepeated }) => reported.push(!isRepeated),
+      taskRestarted: () => undefined,
+    },
+  });
+  const worker = new Worker("worker");
+  worker.lacksPort = true;
+  supervisor.add(worker);
+  await supervisor.start({ failed: () => undefined });
+  await vi.advanceTimersByTimeAsync(100 + 200 + 400 + 800);
+  expect(worker.starts).toBe(5);
+  await vi.advanceTimersByTimeAsync(10 * 60_000);
+  expect(worker.starts).toBe(605);
+  expect(reported.filter((isReported) => isReported)).toHaveLength(11);
+});
+
+test("a task that cannot start does not end the process if it is expendable", async () => {
+  // Guards against a VM that ends because its metrics cannot be served.
+  const { supervisor, failures, parent } = setUp();
+  const metrics = new Worker("metrics");
+  metrics.openFails = true;
+  supervisor.add(metrics, { whenExhausted: "keep-trying" });
+  await supervisor.start(parent);
+  await vi.advanceTimersByTimeAsync(HOUR_MS);
+  expect(failures).toEqual([]);
+  metrics.openFails = false;
+  await vi.advanceTimersByTimeAsync(300);
+  expect(metrics.running).toBe(true);
+});
+
+test("a supervisor that is stopped while a task waits for its port leaves nothing behind", async () => {
+  const { supervisor, worker, parent } = setUp();
+  worker.lacksPort = true;
+  await supervisor.start(parent);
+  await supervisor.stop();
+  await vi.advanceTimersByTimeAsync(HOUR_MS);
+  expect(worker.starts).toBe(1);
+  expect(vi.getTimerCount()).toBe(0);
+});
--- a/packages/daemon/src/task.ts
+++ b/packages/daemon/src/task.ts
@@ -64,6 +64,10 @@
       await this.stop();
       throw err;
     }
+    if (!this.#running) {
+      // Stopped meanwhile: what was acquired since is released, too.
+      await this.stop();
+    }
   }
 
   /** Stops the task and releases everything it owns. Only for supervisors. */
@@ -103,7 +107,7 @@
     }
   }
 
-  /** Acquires the resources of the task. */
+  /** Acquires the resources of the task, and renews the state that an error may have spoiled. */
   protected abstract open(): Promise<void> | void;
 
   /** Handles one message. */
