A restarted task has the state that it had, or none

What callers saw: after a restart of the task that exchanges credit, requests of accounts that waited for credit got no answer before their timeout, and so did each one that arrived while its port was held. After a restart of the listener for callers, the limits were the built-in ones, not those of the configuration.

Cause: the check for overdue responses was not scheduled again, and a request was sent on no socket. The limits were set on the servers of that time only.

The limits are kept and set on new servers; the watches of closed servers are dropped.

--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -178,6 +178,9 @@
     this.#isCheckScheduled = false;
     socket.on("message", (bytes, from) => this.#onDatagram(bytes, from));
     await bind(socket, this.#options.listen, (err) => this.fail(err));
+    if (this.#pending.size > 0) {
+      this.#scheduleCheck();
+    }
   }
 
   protected override close(): void {
@@ -232,6 +235,10 @@
       );
       return;
     }
+    if (!this.running) {
+      this.#tryNextOwner(request);
+      return;
+    }
     request.sentAt = now;
     const { account } = request;
     this.#pending.set(
--- a/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange_test.ts
@@ -181,6 +181,23 @@
     }
     expect(await region.request(vm)).toEqual({ kind: "unknown" });
   });
+
+  test("does not wait for an exchange that has no port", async () => {
+    const vm = region.nonOwner(ANNA);
+    await region.tasks.get(vm.vm)!.stop();
+    expect(await region.request(vm)).toEqual({ kind: "unknown" });
+  });
+
+  test("does not wait without end when the exchange is restarted", async () => {
+    const vm = region.nonOwner(ANNA);
+    for (const owner of region.owners(ANNA)) {
+      await region.tasks.get(owner.vm)!.stop();
+    }
+    const credit = region.request(vm);
+    await region.tasks.get(vm.vm)!.stop();
+    await region.tasks.get(vm.vm)!.start({ failed: () => undefined });
+    expect(await credit).toEqual({ kind: "unknown" });
+  });
 });
 
 test("all VMs together grant no more than the quota under concurrent requests", async () => {
--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -52,6 +52,7 @@
   readonly #listener: CallerServersListener;
   readonly #servers: Server[] = [];
   readonly #watches: AcceptWatch[] = [];
+  #limits: CallerLimits | undefined;
 
   constructor(listener: CallerServersListener) {
     this.#listener = listener;
@@ -76,6 +77,9 @@
       "clientError",
       (err, socket) => clientError(err, socket as Socket),
     );
+    if (this.#limits !== undefined) {
+      applyLimits(server, this.#limits);
+    }
     this.#servers.push(server);
     const { host, port } = address;
     return listen(
@@ -92,15 +96,10 @@
     return Math.max(0, ...this.#watches.map((watch) => watch.maxWaitMs(now)));
   }
 
-  /** Applies the limits of a configuration. */
+  /** Applies the limits of a configuration, also to servers that are started later. */
   setLimits(limits: CallerLimits): void {
-    for (const server of this.#servers) {
-      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_GRACE_MS;
-      server.headersTimeout = limits.headerTimeoutMs;
-      // Node reads this property for each new connection; its types declare it only as an option.
-      (server as Server & { maxHeaderSize?: number }).maxHeaderSize =
-        limits.headerBytes;
-    }
+    this.#limits = limits;
+    this.#servers.forEach((server) => applyLimits(server, limits));
   }
 
   /** Accepts no more connections; open ones stay open. */
@@ -113,9 +112,18 @@
 
   /** Closes all connections. */
   close(): void {
+    this.#watches.length = 0;
     for (const server of this.#servers.splice(0)) {
       server.close();
       server.closeAllConnections();
     }
   }
 }
+
+function applyLimits(server: Server, limits: CallerLimits): void {
+  server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_GRACE_MS;
+  server.headersTimeout = limits.headerTimeoutMs;
+  // Node reads this property for each new connection; its types declare it only as an option.
+  (server as Server & { maxHeaderSize?: number }).maxHeaderSize =
+    limits.headerBytes;
+}
