A VM serves as soon as its ports are free

What callers saw: the next process of a VM, started beside the one that stopped, was ready 1.48 and 1.51 s after the end of the former one.

Cause: a held port was tried each second, and a configuration that had been read before the listener for callers was up was applied again only with the next try a second later (0.53 s after the listener, twice).

Change: a held port is tried twice a second, and what could not be applied is delivered again when the VM begins to serve.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -409,7 +409,12 @@
       ],
       optional: [this.#homes.exchange, lookups, relay],
       expendable: [metrics],
-      servingChanged: (isServing) => this.#peers.setServing(isServing),
+      servingChanged: (isServing) => {
+        this.#peers.setServing(isServing);
+        if (isServing) {
+          this.#feed.deliverAgain();
+        }
+      },
     });
   }
 
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -143,6 +143,17 @@
     return this.#watches.get(subject)!.changesAfter(request);
   }
 
+  /** Delivers again what could not be handled, without waiting for the next try. */
+  deliverAgain(): void {
+    for (const subject of this.#unhandled.keys()) {
+      try {
+        this.#deliver(subject, []);
+      } catch {
+        // It was logged when it was delivered first, and is delivered again with the rows.
+      }
+    }
+  }
+
   close(): void {
     this.#closed.abort();
     this.#client.close();
--- a/packages/daemon/src/gateway/platform_feed_test.ts
+++ b/packages/daemon/src/gateway/platform_feed_test.ts
@@ -174,6 +174,27 @@
   expect(lines.length).toBe(1);
 });
 
+test("a configuration that could not be applied is in force as soon as it can be", async () => {
+  let isRunning = false;
+  let applied = 0;
+  startFeed(({ kind }) => {
+    if (kind === "configuration") {
+      if (!isRunning) {
+        throw new Error("not running");
+      }
+      applied += 1;
+    }
+  });
+  await vi.advanceTimersByTimeAsync(10);
+  feed!.deliverAgain();
+  expect(applied).toBe(0);
+  isRunning = true;
+  feed!.deliverAgain();
+  expect(applied).toBe(1);
+  await vi.advanceTimersByTimeAsync(2_100);
+  expect(applied).toBe(1);
+});
+
 /** The users' `contact_s`. */
 const CONTACT_MS = 4_000;
 
--- a/packages/daemon/src/supervisor.ts
+++ b/packages/daemon/src/supervisor.ts
@@ -38,7 +38,7 @@
 };
 
 /** Longest delay before a resource is tried again. */
-const MAX_RESOURCE_DELAY_MS = 1_000;
+const MAX_RESOURCE_DELAY_MS = 500;
 
 /** Notified of each failure and restart, for logs and metrics. */
 export interface SupervisionListener {
