--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Log } from "../log.ts";
+import type { EndReport } from "../process_end.ts";
 import { FIELDS } from "./event_fields.ts";
 
 type Fields = typeof FIELDS;
@@ -26,7 +27,8 @@
 export const EVENTS = {
   "started": {
     level: "info",
-    meaning: "The process listens and begins to follow the platform's store.",
+    meaning:
+      "The process begins to follow the platform's store. It listens, except on ports that another process holds (`task failed`).",
     fields: [],
   },
   "leaving": {
@@ -54,11 +56,13 @@
   "cannot go on": {
     level: "error",
     meaning: "The process cannot continue and exits.",
-    fields: ["reason"],
+    fields: ["reason", "origin"],
+    optional: ["stack"],
   },
   "task failed": {
     level: "error",
-    meaning: "A task of the process failed.",
+    meaning:
+      "A task of the process failed, or cannot start. It is restarted; without a resource, such as its port, it is tried again until that is free. Further tries that fail for the same reason have a line each minute.",
     fields: ["task", "reason"],
   },
   "task restarted": {
@@ -245,6 +249,12 @@
     meaning: "Other VMs were asked to stop; look-ups no longer return them.",
     fields: ["peer"],
   },
+  "peer ended": {
+    level: "warn",
+    meaning:
+      "The process of another VM of the zone ended by itself: it said so (`failed`), or its next process was heard and it had said nothing (`unannounced`). A planned stop has the line `peer leaving`.",
+    fields: ["peer", "reason"],
+  },
   "targets listed": {
     level: "info",
     meaning:
@@ -535,6 +545,14 @@
     return this.#log.droppedLines;
   }
 
+  /** Writes why the process ends; the last line of the process is written when this returns. */
+  reportEnd(report: EndReport, { isLast }: { isLast: boolean }): void {
+    if (isLast) {
+      this.#log.beginEnd();
+    }
+    this.write("cannot go on", report);
+  }
+
   write<E extends EventName>(event: E, fields: EventFields<E>): void {
     this.#log[EVENTS[event].level](event, fields);
   }
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -11,6 +11,7 @@
 import { RetryMetrics } from "./retry_metrics.ts";
 import { RoomMetrics } from "./room_metrics.ts";
 import type { RequestPathGauges } from "./request_path.ts";
+import type { VmEnd } from "./vm_runs.ts";
 
 /** Bounds of the histogram's buckets: the latency objectives of the deployments are between 0.2 and 0.5 s. */
 const LATENCY_BUCKETS_S = [
@@ -79,6 +80,21 @@
     "Forwardings of requests to other VMs, while this one reaches no target, by how they ended",
     "end",
   );
+  readonly #vmEnds = this.#counter(
+    "poplarthread_gateway_vm_ends_total",
+    "Ends of processes of the zone's other VMs: stopped in order, failed by their own account, or unannounced",
+    "reason",
+  );
+  readonly #taskFailures = this.#counter(
+    "poplarthread_gateway_task_failures_total",
+    "Failures of the tasks of this process, among them each try to bind a port that another process holds",
+    "task",
+  );
+  readonly #taskRestarts = this.#counter(
+    "poplarthread_gateway_task_restarts_total",
+    "Restarts of the tasks of this process that succeeded",
+    "task",
+  );
   readonly #stateChanges = this.#counter(
     "poplarthread_gateway_belief_changes_total",
     "Changes of what this VM believes of targets, peers and the platform",
@@ -220,6 +236,21 @@
     this.#forwards.inc({ end });
   }
 
+  /** Counts a failure of a task. */
+  taskFailed(task: string): void {
+    this.#taskFailures.inc({ task });
+  }
+
+  /** Counts a restart of a task that succeeded. */
+  taskRestarted(task: string): void {
+    this.#taskRestarts.inc({ task });
+  }
+
+  /** Counts an end of another VM's process. */
+  vmEnded(reason: VmEnd): void {
+    this.#vmEnds.inc({ reason });
+  }
+
   /** Counts `count` state changes of one kind, of targets or peers. */
   stateChanged(change: string, count = 1): void {
     this.#stateChanges.inc({ change }, count);
