A VM starts without optional settings that can't be used

What callers saw: a VM whose settings had bounds as the list of texts that DEPLOY.md shows, or null for bounds, a bound, the seeds or the limits, or memory_mb 0, cpu_share 0 or a seed by name, ended with exit 2 at each start.

Cause: one schema judged all fields alike, and knew bounds only as a table.

Change: bounds are taken from the list as well. What the schema rejects within seeds, bounds and limits is left out, as narrowly as it is found, so the default applies; one line "settings left out" names each place. The bounds that are used are checked as numbers: a text that is none was replaced by its default silently, a negative one was used. Node, addresses, zone and store are needed as before: findings and exit 2.

--- a/packages/config/src/mod.ts
+++ b/packages/config/src/mod.ts
@@ -15,7 +15,9 @@
 export {
   type DocumentFormat,
   type Issue,
+  type LenientDocument,
   readDocument,
+  readDocumentLeniently,
   validateValue,
 } from "./document.ts";
 export { type Settings, settingsFormat } from "./settings.ts";
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -51,6 +51,12 @@
       "The process was notified of changed settings, which are invalid and not used; the findings are on standard error.",
     fields: [],
   },
+  "settings left out": {
+    level: "warn",
+    meaning:
+      "Optional settings cannot be used; their defaults are in effect. The reason names each place.",
+    fields: ["reason"],
+  },
   "cannot go on": {
     level: "error",
     meaning: "The process cannot continue and exits.",
