A gauge states whether a process was started from compiled code

What operators saw: a VM that compiles its code at each start said so in one line on standard error only, which a record of metrics doesn't have.

Change: poplarthread_gateway_started_from_code_cache is 1 if it was started from its code cache, else 0.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -48,6 +48,8 @@
   readonly platform: PlatformPort;
   readonly dialect: Dialect;
   readonly log: Log;
+  /** Whether the process was started from compiled code; false by default. */
+  readonly startedFromCodeCache?: boolean;
 }
 
 /** A running gateway. */
@@ -134,6 +136,7 @@
       keptConnections: this.#homes.keptConnections,
       targetsReached: Number(!this.#requestPath.steering.isCutOff),
       processorShort: Number(this.#shortage.isShort),
+      startedFromCodeCache: Number(ports.startedFromCodeCache ?? false),
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
     this.#connections = new Connections({
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -39,6 +39,7 @@
   readonly targetRowsSeconds: number;
   readonly targetsReached: number;
   readonly processorShort: number;
+  readonly startedFromCodeCache: number;
   readonly vmsUp: number;
   /** VMs that share the fleet's limits; 0 while their number is not known. */
   readonly fleetVms: number;
@@ -172,6 +173,11 @@
       "processor_short",
       "1 while this VM lacks processor time for its callers, else 0",
     );
+    gauge(
+      "startedFromCodeCache",
+      "started_from_code_cache",
+      "1 if the process was started from compiled code, 0 if it had to compile its code first",
+    );
     gauge("vmsUp", "vms_up", "VMs that are up, this one among them");
     gauge(
       "fleetVms",
