--- a/packages/daemon/src/bounded_output.ts
+++ b/packages/daemon/src/bounded_output.ts
@@ -17,7 +17,6 @@
 
 /** Longest wait for a stalled reader before the last lines of a process. */
 const MAX_LAST_LINES_WAIT_MS = 100;
-const RETRY_INTERVAL_MS = 5;
 
 /** Forwards lines while their reader keeps up, and counts those that it drops. */
 export class BoundedOutput extends Writable {
@@ -71,11 +70,6 @@
       if ((err as NodeJS.ErrnoException).code !== "EAGAIN") {
         return;
       }
-      sleepSync(RETRY_INTERVAL_MS);
     }
   }
 }
-
-function sleepSync(ms: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
-}
