Responses of the store and of relays are bounded in bytes and parts

What callers saw: with a store whose responses have no end, all VMs ended at once, again after each start.

Cause: json_exchange.ts bounded the time of a response, not its size, and kept each part as a buffer of its own.

The pauses after failed calls and the other sources follow as after any failure.

--- a/packages/daemon/src/gateway/change_metrics.ts
+++ b/packages/daemon/src/gateway/change_metrics.ts
@@ -17,7 +17,7 @@
     this.#calls = new Counter({
       name: "poplarthread_gateway_change_calls_total",
       help:
-        "Calls for the platform's changes by source, store or relay, and by how they ended: read, or given up without a complete response",
+        "Calls for the platform's changes by source, store or relay, and by how they ended: read, given up without a complete response, or too-large, when the response has more bytes than a sound one",
       labelNames: ["source", "end"],
       registers: [registry],
     });
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -154,7 +154,7 @@
   "call given up": {
     level: "info",
     meaning:
-      "A call to the platform's store, or to a relay, is given up before its response is complete; what had arrived of it is lost. Calls that ask for changes are made again.",
+      "A call to the platform's store, or to a relay, is given up before its response is complete, also because that is too large; what had arrived of it is lost. Calls that ask for changes are made again.",
     fields: ["subject", "forMs", "bytes", "arrivingMs", "reason"],
     optional: ["peer"],
   },
--- a/packages/daemon/src/gateway/platform_feed.ts
+++ b/packages/daemon/src/gateway/platform_feed.ts
@@ -209,7 +209,7 @@
       return;
     }
     callEnded(end, relay === undefined ? "store" : "relay");
-    if (end.kind === "given-up") {
+    if (end.kind !== "read") {
       log.write("call given up", {
         subject,
         forMs: Math.round(end.waitedMs),
--- a/packages/daemon/src/gateway/store_reader.ts
+++ b/packages/daemon/src/gateway/store_reader.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { ResponseTooLargeError } from "../json_exchange.ts";
 import type { OpenCall } from "./open_calls.ts";
 import {
   HistoryGoneError,
@@ -46,8 +47,26 @@
     this.#options = options;
   }
 
-  /** The changes after the rows' position; rejects with a {@link HistoryGoneError} if the store doesn't have that. */
+  /**
+   * The changes after the rows' position, or all rows if those are too large for a
+   * response; rejects with a {@link HistoryGoneError} if the store doesn't have that.
+   */
   async changes(
+    waitMs: number,
+    options: StoreReadOptions,
+  ): Promise<ReadResult> {
+    try {
+      return await this.#changes(waitMs, options);
+    } catch (err) {
+      if (err instanceof ResponseTooLargeError) {
+        // Only pages are bounded in size.
+        return await this.all(options);
+      }
+      throw err;
+    }
+  }
+
+  async #changes(
     waitMs: number,
     { call, ...signals }: StoreReadOptions,
   ): Promise<ReadResult> {
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -5,6 +5,7 @@
  */
 
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import { ResponseTooLargeError } from "../json_exchange.ts";
 import { pause } from "../pause.ts";
 import {
   type ChangesRequest,
@@ -25,6 +26,8 @@
   era = 1;
   calls = 0;
   pageSize = 1_000;
+  /** More changes are too large for a response. */
+  maxChanges = Infinity;
   /** How long it takes to respond. */
   latencyMs = 4;
   /** How the store treats calls. */
@@ -68,6 +71,9 @@
     if (changed().length === 0) {
       await this.#nextChange(waitMs, signal);
     }
+    if (changed().length > this.maxChanges) {
+      throw new ResponseTooLargeError();
+    }
     return {
       rows: changed(),
       version: this.version,
@@ -244,6 +250,19 @@
     expect(vm.rows.size).toBe(1_101);
   });
 
+  test("is read page by page when the changes are too large for a response", async () => {
+    // After a long outage the same changes would be asked for again and again.
+    store.maxChanges = 50;
+    const vm = new Vm("vm-1", store);
+    await vi.advanceTimersByTimeAsync(50);
+    for (let at = 0; at < 100; at++) {
+      store.write(`row-${at}`, "x");
+    }
+    await vi.advanceTimersByTimeAsync(500);
+    expect(vm.rows.size).toBe(101);
+    expect(vm.connectivity).toEqual([]);
+  });
+
   test("is called again for a change that a peer has seen", async () => {
     // The connection on which this VM waits for changes is dead, without a reset. A
     // peer gets a change and reports its version. If this VM kept waiting, it would send
--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -2,7 +2,8 @@
  * One request of a {@link JsonClient} and its response.
  *
  * A response that has begun to arrive is given up only if it stops: on a narrow or busy
- * link a large one takes many times as long as the server, and would begin anew.
+ * link a large one takes many times as long as the server, and would begin anew. One that
+ * is larger than any sound one is given up as well.
  *
  * @module
  */
@@ -14,6 +15,7 @@
   type IncomingMessage,
   request,
 } from "node:http";
+import { MAX_BODY_BYTES, ResponseBody } from "./response_body.ts";
 
 /** The call timed out, or its response cannot be used. */
 export class JsonCallError extends Error {
@@ -23,6 +25,16 @@
 /** Nothing arrives: the connection is silent, or the server. */
 export class NoResponseError extends JsonCallError {}
 
+/** The response is larger than any sound one. */
+export class ResponseTooLargeError extends JsonCallError {
+  constructor() {
+    super("The JSON response is too large");
+  }
+}
+
+/** Most interim responses before the response. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** Longest pause between two parts of a response: a lossy link may have to send a part three times. */
 const STALL_TIMEOUT_MS = 1_000;
 /** Longest time for a response to arrive: enough for a megabyte on a tenth of a link of 10 Mbit/s. */
@@ -50,7 +62,7 @@
   & ExchangeProgress
   & (
     | { readonly kind: "read" }
-    | { readonly kind: "given-up"; readonly reason: string }
+    | { readonly kind: "given-up" | "too-large"; readonly reason: string }
   );
 
 /** How a response arrives. */
@@ -93,8 +105,8 @@
   readonly #options: JsonExchangeOptions;
   readonly #timeoutMs: number;
   readonly #req: ReturnType<typeof request>;
-  readonly #chunks: Buffer[] = [];
-  #bytes = 0;
+  readonly #body = new ResponseBody();
+  #interimResponses = 0;
   /** Length of the response's body; undefined if the header names none. */
   #totalBytes: number | undefined;
   #begunAt: number | undefined;
@@ -127,6 +139,7 @@
       },
     });
     this.#req.on("error", (err) => this.#fail(err));
+    this.#req.on("information", () => this.#readInterim());
     this.#req.on("response", (res) => this.#read(res));
     this.#checkAfter(timeoutMs);
     this.#req.end(body);
@@ -148,19 +161,34 @@
     this.#req.destroy();
   }
 
+  #readInterim(): void {
+    this.#interimResponses += 1;
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+      this.giveUp(new ResponseTooLargeError());
+    }
+  }
+
   #read(res: IncomingMessage): void {
     const length = res.headers["content-length"];
     this.#totalBytes = length === undefined ? undefined : Number(length);
-    res.on("data", (chunk: Buffer) => {
-      this.#latestPartAt = performance.now();
-      this.#chunks.push(chunk);
-      this.#bytes += chunk.length;
-      if (this.#begunAt === undefined) {
-        this.#begin(this.#latestPartAt);
-      }
-    });
+    res.on("data", (chunk: Buffer) => this.#readPart(chunk));
     res.on("error", (err) => this.#fail(err));
     res.on("end", () => this.#complete(res));
+    if ((this.#totalBytes ?? 0) > MAX_BODY_BYTES) {
+      this.giveUp(new ResponseTooLargeError());
+    }
+  }
+
+  #readPart(chunk: Buffer): void {
+    if (this.#hasEnded) {
+      return;
+    }
+    this.#latestPartAt = performance.now();
+    if (!this.#body.add(chunk)) {
+      this.giveUp(new ResponseTooLargeError());
+    } else if (this.#begunAt === undefined) {
+      this.#begin(this.#latestPartAt);
+    }
   }
 
   /** The header alone may come while the server still waits for changes. */
@@ -172,9 +200,12 @@
   }
 
   #complete({ statusCode: status = 0, headers }: IncomingMessage): void {
+    if (this.#hasEnded) {
+      return;
+    }
     this.#end({ kind: "read", ...this.#progress });
     try {
-      const body = readBody(status, this.#chunks);
+      const body = readBody(status, this.#body);
       this.#resolve({ status, headers, body });
     } catch {
       this.#reject(new JsonCallError("The response body is not JSON"));
@@ -183,20 +214,23 @@
 
   #fail(err: Error): void {
     if (!this.#hasEnded) {
-      this.#end({ kind: "given-up", ...this.#progress, reason: err.message });
+      const kind = err instanceof ResponseTooLargeError
+        ? "too-large"
+        : "given-up";
+      this.#end({ kind, ...this.#progress, reason: err.message });
       this.#reject(err);
     }
   }
 
   get #arrival(): Arrival {
     const forMs = performance.now() - (this.#begunAt ?? NaN);
-    return { forMs, bytes: this.#bytes, totalBytes: this.#totalBytes };
+    return { forMs, bytes: this.#body.length, totalBytes: this.#totalBytes };
   }
 
   get #progress(): ExchangeProgress {
     const now = performance.now();
     return {
-      bytes: this.#bytes,
+      bytes: this.#body.length,
       waitedMs: now - this.sentAt,
       arrivingMs: now - (this.#begunAt ?? now),
     };
@@ -244,8 +278,6 @@
 }
 
 /** The parsed JSON of a response with status 200. */
-function readBody(status: number, chunks: readonly Buffer[]): unknown {
-  return status === 200
-    ? JSON.parse(Buffer.concat(chunks).toString("utf8"))
-    : undefined;
+function readBody(status: number, body: ResponseBody): unknown {
+  return status === 200 ? JSON.parse(body.text()) : undefined;
 }
