An odd datagram ends no process

What callers saw: a VM that ends with exit code 1, and again whenever the same datagram comes. It takes one datagram of four bytes.

Cause: messages between VMs were taken apart before it was known that they are objects, outside of anything that catches an error: `null`, and null as a heartbeat's or report's `seen` or as a report's `ages`.

Evidence, on the code before, a datagram to a VM of its own each: `null` to the port of heartbeats and to that of credit, a heartbeat and a zone report with `seen` null, a zone report with `ages` null: the process ends in 5 of 5, with "Cannot destructure property 'method' of 'message' as it is null" for the first. `null` to the port for homes, and odd zone, region, instance and cores of a member: 5 of 5 run.

Change: notifications are decoded in one place, which says whether one is an object; versions and ages must be finite numbers, the texts of a member texts; the credit port passes over what isn't an object.

--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -283,6 +283,9 @@
       // Not JSON, so not from a VM of this deployment; ignored.
       return;
     }
+    if (typeof message !== "object" || message === null) {
+      return;
+    }
     if (isJSONRPCRequest(message)) {
       this.#onRequest(message, from);
     } else if (isJSONRPCResponse(message)) {
--- a/packages/daemon/src/gateway/peer_beacon.ts
+++ b/packages/daemon/src/gateway/peer_beacon.ts
@@ -23,6 +23,7 @@
   LimitUpdates,
 } from "./limit_updates.ts";
 import {
+  decodeNotification,
   encodeNotification,
   encodeSuspect,
   hasCommonFields,
@@ -408,13 +409,7 @@
   }
 
   #receiveDatagram(datagram: Buffer): void {
-    let message: { method?: unknown; params?: unknown };
-    try {
-      message = JSON.parse(datagram.toString("utf8"));
-    } catch {
-      return;
-    }
-    const { method, params } = message;
+    const { method, params } = decodeNotification(datagram) ?? {};
     if (method === "warm" || method === "zone-warm") {
       if (isWarmUpdate(params)) {
         this.#receiveWarm(method, params.pairs);
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -114,13 +114,43 @@
   return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
 
+/** A message as it was sent: whether it is one of a VM is not known yet. */
+export interface Notification {
+  readonly method?: unknown;
+  readonly params?: unknown;
+}
+
+/** Decodes one notification; undefined if the datagram is none. */
+export function decodeNotification(datagram: Buffer): Notification | undefined {
+  let message: unknown;
+  try {
+    message = JSON.parse(datagram.toString("utf8"));
+  } catch {
+    // Not JSON, so not from a VM of this deployment.
+    return undefined;
+  }
+  return isObject(message) ? message : undefined;
+}
+
+function isObject(value: unknown): value is object {
+  return typeof value === "object" && value !== null;
+}
+
+function areNumbers(value: unknown): boolean {
+  return isObject(value) && Object.values(value).every(Number.isFinite);
+}
+
 /** Whether `params` has the fields of both heartbeats and zone reports. */
 export function hasCommonFields(params: unknown): params is CommonFields {
-  if (typeof params !== "object" || params === null) {
+  if (!isObject(params)) {
     return false;
   }
-  const { seen, suspects = [] } = params as Partial<CommonFields>;
-  return typeof seen === "object" && Array.isArray(suspects);
+  const { seen, era = 0, suspects = [] } = params as Partial<CommonFields>;
+  return areNumbers(seen) && Number.isFinite(era) && Array.isArray(suspects);
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === "string";
 }
 
 function isMemberAddress(address: unknown): boolean {
@@ -130,10 +160,11 @@
 /** Whether `params` is a heartbeat. */
 export function isHeartbeat(params: CommonFields): params is Heartbeat {
   const { member } = params as Partial<Heartbeat>;
-  return typeof member?.vm === "string" &&
+  return isObject(member) &&
+    [member.vm, member.instance, member.zone, member.region].every(isText) &&
     isMemberAddress(member.peerAddress) &&
     isMemberAddress(member.callerAddress) &&
-    typeof member.cores === "number";
+    Number.isFinite(member.cores);
 }
 
 /** Whether `params` is a zone report. */
@@ -141,7 +172,6 @@
   const { ages, leaving, cutOff = [], overloaded = [] } = params as Partial<
     ZoneReport
   >;
-  return typeof ages === "object" && Array.isArray(leaving) &&
-    Array.isArray(cutOff) && Array.isArray(overloaded) &&
-    Object.values(ages).every((age) => typeof age === "number");
+  return areNumbers(ages) && Array.isArray(leaving) &&
+    Array.isArray(cutOff) && Array.isArray(overloaded);
 }
