JSON of the store and of other VMs is bounded in its values

What callers saw: nothing yet with the bound in bytes; without one, a process that ends.

Cause: 4 MB of JSON can stand for objects of many times that: 59 bytes a nested list, 68 an empty object, 132 an object with a key of its own, which also takes 3 microseconds (200,000 each, with the flags of deploy/system.toml). JSON.parse itself bears any depth: 100,000 and 1,500,000 levels were parsed; 1,500,000 objects with keys of their own ended the process with SIGABRT.

Change: a text beyond 250,000 bytes is scanned before it is parsed, and refused if it has more than 250,000 lists, objects, strings and commas, several times those of all rows of a subject; shorter texts cannot have as many and cost nothing. The same for values of rows and for the list in packed rows. A response refused so ends as too large.

--- a/packages/daemon/src/endless_json_test.ts
+++ b/packages/daemon/src/endless_json_test.ts
@@ -114,3 +114,13 @@
   expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
   expect(performance.now() - startedAt).toBeLessThan(SOON_MS);
 });
+
+test("a response of millions of values is too large, though it has few bytes", async () => {
+  // Its objects would fill the heap of a small VM, and end the process.
+  const body = `[${"{},".repeat(1_000_000)}1]`;
+  const head = `${HEAD}Connection: close\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n`;
+  const { err, end } = await callFlood(`${head}${body}`, "");
+  expect(err).toMatchObject({ message: "The JSON response is too large" });
+  expect(end).toMatchObject({ kind: "too-large" });
+});
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -41,6 +41,7 @@
 export { createLog, type Log } from "../log.ts";
 export { messageOf } from "../errors.ts";
 export { pause } from "../pause.ts";
+export { parseJson } from "../bounded_json.ts";
 export { type JsonCall, JsonClient } from "../json_client.ts";
 export {
   dropConnectionHeaders,
--- a/packages/daemon/src/gateway/packed_rows.ts
+++ b/packages/daemon/src/gateway/packed_rows.ts
@@ -8,6 +8,7 @@
 import { Buffer } from "node:buffer";
 import { constants, gunzipSync, gzipSync } from "node:zlib";
 import * as z from "zod";
+import { parseJson } from "../bounded_json.ts";
 import { JsonCallError } from "../json_exchange.ts";
 import type { StoredRow } from "./ports.ts";
 
@@ -48,7 +49,7 @@
 function parseRows(unpacked: Buffer): readonly StoredRow[] {
   const end = unpacked.indexOf(LINE_BREAK);
   const list = listSchema.parse(
-    JSON.parse(unpacked.subarray(0, end).toString("utf8")),
+    parseJson(unpacked.subarray(0, end)),
   );
   let at = end + LINE_BREAK.length;
   const rows = list.map(({ key, version, bytes }) => {
--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -15,6 +15,7 @@
   type IncomingMessage,
   request,
 } from "node:http";
+import { JsonTooComplexError, parseJson } from "./bounded_json.ts";
 import { MAX_BODY_BYTES, ResponseBody } from "./response_body.ts";
 
 /** The call timed out, or its response cannot be used. */
@@ -203,13 +204,21 @@
     if (this.#hasEnded) {
       return;
     }
-    this.#end({ kind: "read", ...this.#progress });
+    const progress = this.#progress;
+    let body: unknown;
     try {
-      const body = readBody(status, this.#body);
-      this.#resolve({ status, headers, body });
-    } catch {
+      body = status === 200 ? parseJson(this.#body.bytes) : undefined;
+    } catch (err) {
+      if (err instanceof JsonTooComplexError) {
+        this.giveUp(new ResponseTooLargeError());
+        return;
+      }
+      this.#end({ kind: "read", ...progress });
       this.#reject(new JsonCallError("The response body is not JSON"));
+      return;
     }
+    this.#end({ kind: "read", ...progress });
+    this.#resolve({ status, headers, body });
   }
 
   #fail(err: Error): void {
@@ -276,8 +285,3 @@
       );
   }
 }
-
-/** The parsed JSON of a response with status 200. */
-function readBody(status: number, body: ResponseBody): unknown {
-  return status === 200 ? JSON.parse(body.text()) : undefined;
-}
--- a/packages/daemon/src/response_body.ts
+++ b/packages/daemon/src/response_body.ts
@@ -41,9 +41,9 @@
     return true;
   }
 
-  /** The body as text. */
-  text(): string {
-    return this.#buffer.toString("utf8", 0, this.#length);
+  /** What has arrived. */
+  get bytes(): Buffer {
+    return this.#buffer.subarray(0, this.#length);
   }
 
   /** Twice the room each time, so that many small parts cost no buffer each. */
