Rows from relays cannot expand without bound

What callers saw: nothing yet; a VM over its memory is killed with the requests of all its callers.

Cause: packed rows could unpack to 67 MB, a patch of some kilobytes could copy the same part of a value any number of times, and each row that was unpacked kept the bytes of all others in memory for as long as it stayed in use.

Evidence, on the code before: rows of 40 MB of zeros in some 40 KB were taken, a patch of 1,000 parts built a value of 1 GB before its digest was checked (1.1 s), and a row of 8 bytes kept 1,000,084 bytes.

Unpacked values are copies of their own.

--- a/packages/daemon/src/gateway/packed_rows.ts
+++ b/packages/daemon/src/gateway/packed_rows.ts
@@ -11,11 +11,10 @@
 import { parseJson } from "../bounded_json.ts";
 import { JsonCallError } from "../json_exchange.ts";
 import type { StoredRow } from "./ports.ts";
+import { MAX_ROWS_BYTES } from "./row_bounds.ts";
 
 /** Rows are compressed on small VMs, too: the fastest level leaves a few percent more. */
 const LEVEL = constants.Z_BEST_SPEED;
-/** Largest size of unpacked rows: many times that of all rows of a subject. */
-const MAX_UNPACKED_BYTES = 67_108_864;
 
 const LINE_BREAK = "\n";
 
@@ -39,7 +38,7 @@
 export function unpackRows(packed: Buffer): readonly StoredRow[] {
   try {
     return parseRows(
-      gunzipSync(packed, { maxOutputLength: MAX_UNPACKED_BYTES }),
+      gunzipSync(packed, { maxOutputLength: MAX_ROWS_BYTES }),
     );
   } catch (err) {
     throw new JsonCallError("The rows cannot be unpacked", { cause: err });
@@ -53,9 +52,10 @@
   );
   let at = end + LINE_BREAK.length;
   const rows = list.map(({ key, version, bytes }) => {
+    // A copy: a row that stays in use must not keep all others in memory.
     const value = bytes === undefined
       ? undefined
-      : unpacked.subarray(at, at + bytes);
+      : Buffer.from(unpacked.subarray(at, at + bytes));
     at += bytes ?? 0;
     return { key, version, value };
   });
--- a/packages/daemon/src/gateway/value_patch.ts
+++ b/packages/daemon/src/gateway/value_patch.ts
@@ -13,6 +13,10 @@
 import { createHash } from "node:crypto";
 import * as z from "zod";
 import { JsonCallError } from "../json_exchange.ts";
+import { MAX_BODY_BYTES } from "../response_body.ts";
+
+/** Longest value: as long as the response of the store that brought it can be. */
+const MAX_VALUE_BYTES = MAX_BODY_BYTES;
 
 const PIECE_END = "}".charCodeAt(0);
 
@@ -72,15 +76,18 @@
   };
 }
 
-/** Applies a patch; throws a {@link JsonCallError} if it was made for another value. */
+/** Applies a patch; throws a {@link JsonCallError} if it was made for another value, or gives one that is too large. */
 export function patchValue(base: Buffer, patch: ValuePatch): Buffer {
-  const value = Buffer.concat(
-    patch.parts.map((part) =>
-      typeof part === "string"
-        ? Buffer.from(part, "base64")
-        : base.subarray(part[0], part[0] + part[1])
-    ),
+  const parts = patch.parts.map((part) =>
+    typeof part === "string"
+      ? Buffer.from(part, "base64")
+      : base.subarray(part[0], part[0] + part[1])
   );
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  if (length > MAX_VALUE_BYTES) {
+    throw new JsonCallError("A patched row is too large");
+  }
+  const value = Buffer.concat(parts, length);
   if (digestOf(value) !== patch.digest) {
     throw new JsonCallError("A patched row differs from the relay's");
   }
--- a/packages/daemon/src/gateway/value_patch_test.ts
+++ b/packages/daemon/src/gateway/value_patch_test.ts
@@ -51,3 +51,14 @@
   const patch = diffValues({ version: 1, value: base! }, value!);
   expect(JSON.stringify(patch).length).toBeLessThan(500);
 });
+
+test("a small patch for a value of a gigabyte is not applied", () => {
+  // The value would fill the memory of the VM that applies it.
+  const base = Buffer.alloc(1_000_000);
+  const parts = Array.from(
+    { length: 1_000 },
+    (): [number, number] => [0, base.length],
+  );
+  expect(() => patchValue(base, { base: 1, parts, digest: "" }))
+    .toThrow("too large");
+});
