Rows that never end are not read, and do not pile up

What callers saw: nothing yet; a VM that starts would read pages for ever, serve nobody and fill its memory, and one that runs would keep all rows it is sent.

Cause: pages were read for as long as the store said that there are more, and rows were taken over however many there were.

Change: a read of all rows ends after 100 pages, and the rows of a subject have at most 16,777,216 bytes with 200 for each row besides key and value, twice what 10,000 targets take. A read beyond that fails with its reason, and what follows a failed call follows. Changes that don't fit any more are replaced by all rows, so that what a store sent by mistake goes once it is sound. Earlier values of rows that were removed long ago are dropped.

After: both tests pass: the VM that starts has the rows within 2 s of the store's being sound, the other one keeps its rows, fewer than 2,000, and has the sound ones afterwards.

--- a/packages/daemon/src/gateway/relay_reader.ts
+++ b/packages/daemon/src/gateway/relay_reader.ts
@@ -99,6 +99,9 @@
       rows: rows.patches.resolve(response),
     };
     const { isWhole, isReading, arrival } = response;
+    if (!isWhole) {
+      rows.checkRoom(read.rows);
+    }
     const verdict = rows.history.judge(read, { isOwn: false, isWhole });
     if (rows.history.isWholeDue) {
       return undefined;
--- a/packages/daemon/src/gateway/row_copy.ts
+++ b/packages/daemon/src/gateway/row_copy.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RowsPage, StoredRow } from "./ports.ts";
+import { sizeOf } from "./row_bounds.ts";
 import type { VersionedValue } from "./value_patch.ts";
 
 /** Removed rows that are kept. A VM that missed more removals gets all rows again. */
@@ -63,6 +64,13 @@
     return this.#lastRows;
   }
 
+  /** Size of all rows, with what is kept of removed and earlier ones. */
+  get bytes(): number {
+    const earlier = [...this.#earlier.values()].flat();
+    return sizeOf(this.#rows.values()) + sizeOf(this.#lastRows.values()) +
+      earlier.reduce((sum, { value }) => sum + value.length, 0);
+  }
+
   /** Version up to which all changes are included; undefined if all rows must be read. */
   get position(): number | undefined {
     return this.#position;
@@ -202,6 +210,7 @@
       const [oldest] = this.#removed.values();
       this.#removed.delete(oldest!.key);
       this.#lastRows.delete(oldest!.key);
+      this.#earlier.delete(oldest!.key);
       this.#removalsSince = oldest!.version;
     }
   }
--- a/packages/daemon/src/gateway/store_reader.ts
+++ b/packages/daemon/src/gateway/store_reader.ts
@@ -14,9 +14,13 @@
   type WatchedSubject,
 } from "./ports.ts";
 import type { ReadResult } from "./read_sink.ts";
+import { MAX_ROWS_BYTES, RowsTooLargeError, sizeOf } from "./row_bounds.ts";
 import type { RowsAge } from "./rows_age.ts";
 import type { SubjectRows } from "./subject_rows.ts";
 
+/** Most pages of a table: several times those of 10,000 targets, with 500 rows or 1 MB each. */
+const MAX_PAGES = 100;
+
 /** How the store is read. */
 export interface StoreReadOptions {
   readonly call: OpenCall;
@@ -48,8 +52,8 @@
   }
 
   /**
-   * The changes after the rows' position, or all rows if those are too large for a
-   * response; rejects with a {@link HistoryGoneError} if the store doesn't have that.
+   * The changes after the rows' position, or all rows if those are too large; rejects
+   * with a {@link HistoryGoneError} if the store doesn't have that position.
    */
   async changes(
     waitMs: number,
@@ -58,8 +62,10 @@
     try {
       return await this.#changes(waitMs, options);
     } catch (err) {
-      if (err instanceof ResponseTooLargeError) {
-        // Only pages are bounded in size.
+      if (
+        err instanceof ResponseTooLargeError || err instanceof RowsTooLargeError
+      ) {
+        // Only pages are bounded in size, and all rows replace those that are too large.
         return await this.all(options);
       }
       throw err;
@@ -84,6 +90,7 @@
       this.#reject(page.era);
     }
     this.#unusedEra = undefined;
+    rows.checkRoom(page.rows);
     const read = { ...page, startedAt, endedAt: age.steadyNow };
     const confirmedAt = confirmedBy(call);
     return { read, isWhole: false, verdict: "current", confirmedAt };
@@ -96,9 +103,10 @@
     const { store, rows: { history }, age } = this.#options;
     const startedAt = age.steadyNow;
     const rows: StoredRow[] = [];
+    let bytes = 0;
     let first: RowsPage | undefined;
     let from: string | undefined;
-    for (;;) {
+    for (let pages = 1;; pages++) {
       const page = await store.list(this.#subject, from, {
         ...(cancelSignal === undefined ? {} : { cancelSignal }),
         begun: call.begun,
@@ -111,6 +119,10 @@
         this.#reject(page.era);
       }
       rows.push(...page.rows);
+      bytes += sizeOf(page.rows);
+      if (bytes > MAX_ROWS_BYTES || pages > MAX_PAGES) {
+        throw new RowsTooLargeError();
+      }
       if (!page.isTruncated || page.rows.length === 0) {
         break;
       }
--- a/packages/daemon/src/gateway/subject_rows.ts
+++ b/packages/daemon/src/gateway/subject_rows.ts
@@ -6,7 +6,13 @@
  */
 
 import { messageOf } from "../errors.ts";
-import type { PlatformPort, RowsPage, WatchedSubject } from "./ports.ts";
+import type {
+  PlatformPort,
+  RowsPage,
+  StoredRow,
+  WatchedSubject,
+} from "./ports.ts";
+import { MAX_ROWS_BYTES, RowsTooLargeError, sizeOf } from "./row_bounds.ts";
 import { RowPatches } from "./row_patches.ts";
 import { RestoredRows } from "./restored_rows.ts";
 import { type RowChanges, RowCopy, type StoreVersion } from "./row_copy.ts";
@@ -120,6 +126,15 @@
     return this.history.claimVersion(seen, now) && seen.version > this.reached;
   }
 
+  /** Throws a {@link RowsTooLargeError} if the rows would become too large with these. */
+  checkRoom(rows: readonly StoredRow[]): void {
+    if (
+      rows.length > 0 && this.#copy.bytes + sizeOf(rows) > MAX_ROWS_BYTES
+    ) {
+      throw new RowsTooLargeError();
+    }
+  }
+
   /** All rows must be read again; those known stay in use until then. */
   requireFullRead(): void {
     this.#copy.requireFullRead();
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -26,6 +26,9 @@
   era = 1;
   calls = 0;
   pageSize = 1_000;
+  /** Rows of 10,000 bytes without end, as pages or as changes. */
+  isEndless = false;
+  endlessVersion = 1_000;
   /** More changes are too large for a response. */
   maxChanges = Infinity;
   /** How long it takes to respond. */
@@ -46,6 +49,9 @@
 
   async list(_subject: string, from: string | undefined): Promise<RowsPage> {
     await this.#receiveCall(undefined);
+    if (this.isEndless) {
+      return this.#nextPage();
+    }
     const rows = [...this.rows.values()]
       .filter(({ key, value }) => value !== undefined && key >= (from ?? ""))
       .toSorted((a, b) => a.key < b.key ? -1 : 1);
@@ -62,6 +68,9 @@
     { version, waitMs, signal }: ChangesRequest,
   ): Promise<RowsPage> {
     await this.#receiveCall(signal);
+    if (this.isEndless) {
+      return this.#nextPage();
+    }
     if (version < this.historyFrom || version > this.version) {
       throw new HistoryGoneError("gone", this.era);
     }
@@ -82,6 +91,18 @@
     };
   }
 
+  /** A page after which another one follows. */
+  #nextPage(): RowsPage {
+    const value = Buffer.alloc(10_000);
+    const rows = Array.from({ length: 100 }, (_, at) => ({
+      key: `endless-${this.calls}-${at}`,
+      value,
+      version: ++this.endlessVersion,
+    }));
+    const { era, endlessVersion: version } = this;
+    return { rows, version, era, isTruncated: true };
+  }
+
   /** Rows and version, to be restored later. */
   copy() {
     return { rows: new Map(this.rows), version: this.version };
@@ -263,6 +284,34 @@
     expect(vm.connectivity).toEqual([]);
   });
 
+  test("is not read without end, and a VM that starts reads it once it is sound", async () => {
+    // The rows would fill the memory of the VM.
+    store.isEndless = true;
+    const vm = new Vm("vm-1", store);
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(vm.rows.size).toBe(0);
+    expect(vm.connectivity).toEqual(["lost"]);
+    store.isEndless = false;
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect([...vm.rows.keys()]).toEqual(["t-0"]);
+  });
+
+  test("adds no rows without end to those known, which stay in use", async () => {
+    // The rows would fill the memory of the VM.
+    const vm = new Vm("vm-1", store);
+    await vi.advanceTimersByTimeAsync(50);
+    store.isEndless = true;
+    await vi.advanceTimersByTimeAsync(10_000);
+    expect(vm.rows.size).toBeLessThan(2_000);
+    expect(vm.rows.get("t-0")).toBe("ready");
+    expect(vm.connectivity).toContain("lost");
+    store.isEndless = false;
+    store.version = store.endlessVersion;
+    store.write("t-1", "x".repeat(1_100_000));
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect([...vm.rows.keys()].toSorted()).toEqual(["t-0", "t-1"]);
+  });
+
   test("is called again for a change that a peer has seen", async () => {
     // The connection on which this VM waits for changes is dead, without a reset. A
     // peer gets a change and reports its version. If this VM kept waiting, it would send
