Bodies in chunks of a byte take memory by their bytes, not by their chunks

What callers saw: a VM that ended with all their requests, after a target sent a body in chunks of a byte without end, or callers sent request bodies so.

Cause: a chunk of a byte was kept as an object of some hundred bytes, in the buffer of an attempt, the queue of a delivery and the buffer of a request body, while the budget counted one byte of it. Each chunk was also written on its own, and the socket's queue holds 16 KB of bytes, not of objects.

Nothing in the log or a metric told of it: 1 MB was reported held.

Change: small chunks are copied into blocks that grow with the body (ChunkBuffer); a chunk that fills its memory is kept as it is. What is read at once is written at once.

--- a/packages/daemon/src/gateway/response_delivery.ts
+++ b/packages/daemon/src/gateway/response_delivery.ts
@@ -5,13 +5,16 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import { ChunkBuffer } from "../http/chunk_buffer.ts";
 import type { DeadlineWheel, Expiring } from "../http/deadline_wheel.ts";
 import type { ResponseHold } from "./response_budget.ts";
 
 /** Size of a single write: small enough that the memory of a delivered part is soon free. */
 const WRITE_BYTES = 65_536;
+/** Smaller chunks are joined to those that arrive with them. */
+const JOINED_BYTES = 4_096;
 /** A caller that takes nothing for this long has stopped reading. */
 const STALL_TIMEOUT_MS = 30_000;
 
@@ -30,8 +33,8 @@
   expiresAt = 0;
   readonly #res: ServerResponse;
   readonly #options: ResponseDeliveryOptions;
-  readonly #queue: Buffer[] = [];
-  #queuedBytes = 0;
+  readonly #queue = new ChunkBuffer();
+  #isFlushDue = false;
   /** Bytes written to the socket and not taken by the network. */
   #unsentBytes = 0;
   #resume: (() => void) | undefined;
@@ -61,7 +64,11 @@
   /** Delivers a chunk. If it returns false, wait for `resume` before adding another. */
   write(chunk: Buffer, resume: () => void): boolean {
     this.#add(chunk);
-    this.#flush();
+    if (this.#queue.byteLength < JOINED_BYTES) {
+      this.#flushSoon();
+    } else {
+      this.#flush();
+    }
     if (!this.#isBlocked || this.#options.hold.mayGrow(WRITE_BYTES)) {
       return true;
     }
@@ -94,7 +101,7 @@
   /** Stops delivering, at the end or because the caller has disconnected. */
   close(): void {
     this.#isClosed = true;
-    this.#queue.length = 0;
+    this.#queue.clear();
     this.#resume = undefined;
     this.#options.wheel.delete(this);
   }
@@ -116,20 +123,33 @@
   }
 
   #add(chunk: Buffer): void {
-    this.#queue.push(chunk);
-    this.#queuedBytes += chunk.length;
+    this.#queue.add(chunk);
     this.#totalBytes += chunk.length;
   }
 
+  /** Writes what has been read at once as one: each write takes memory of its own. */
+  #flushSoon(): void {
+    if (this.#isFlushDue) {
+      return;
+    }
+    this.#isFlushDue = true;
+    queueMicrotask(() => {
+      this.#isFlushDue = false;
+      if (!this.#isClosed) {
+        this.#flush();
+      }
+    });
+  }
+
   /** Writes until the network takes no more. */
   #flush(): void {
-    while (this.#queue.length > 0 && !this.#isBlocked) {
-      const chunk = this.#takeChunk();
+    while (this.#queue.byteLength > 0 && !this.#isBlocked) {
+      const chunk = this.#queue.take(WRITE_BYTES);
       if (!this.#res.write(chunk)) {
         this.#block(chunk.length, "drain");
       }
     }
-    this.#options.hold.resize(this.#queuedBytes + this.#unsentBytes);
+    this.#options.hold.resize(this.#queue.byteLength + this.#unsentBytes);
     if (this.#hasAllBytes && !this.#isBlocked && !this.#isClosed) {
       // An ended response counts as idle to Node's server, which closes idle connections
       // when it stops. So the end is written last.
@@ -138,21 +158,6 @@
     }
   }
 
-  #takeChunk(): Buffer {
-    let bytes = this.#queue[0]!.length;
-    let count = 1;
-    while (
-      count < this.#queue.length &&
-      bytes + this.#queue[count]!.length <= WRITE_BYTES
-    ) {
-      bytes += this.#queue[count]!.length;
-      count += 1;
-    }
-    const chunks = this.#queue.splice(0, count);
-    this.#queuedBytes -= bytes;
-    return count === 1 ? chunks[0]! : Buffer.concat(chunks, bytes);
-  }
-
   /** Waits until the network has taken what was written, as `event` tells. */
   #block(unsentBytes: number, event: "drain" | "finish"): void {
     const now = performance.now();
--- a/packages/daemon/src/gateway/response_delivery_test.ts
+++ b/packages/daemon/src/gateway/response_delivery_test.ts
@@ -10,10 +10,12 @@
 /** A response whose connection takes one write at a time. */
 class SlowResponse extends EventEmitter {
   written = 0;
+  writes = 0;
   isEnded = false;
 
   write(chunk: Buffer): boolean {
     this.written += chunk.length;
+    this.writes += 1;
     return false;
   }
 
@@ -53,6 +55,17 @@
 }
 
 describe("the delivery of a response", () => {
+  // Each write takes some hundred bytes: a connection's writes would take a megabyte.
+  test("writes small chunks that arrive together as one", async () => {
+    const delivery = deliveryWithin(200_000);
+    for (let index = 0; index < 3_000; index++) {
+      delivery.write(CHUNK.subarray(0, 1), resume);
+    }
+    await Promise.resolve();
+    expect(res.writes).toBe(1);
+    expect(res.written).toBe(3_000);
+  });
+
   // A caller reads slowly while there is memory. A target whose response stays unread
   // for some seconds cuts it off.
   test("reads on while there is room, and pauses the target beyond that", () => {
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -10,6 +10,7 @@
 import type { Dispatcher } from "undici";
 import type { TargetId } from "@poplarthread/ids";
 import { InvalidResponseError, NotSentError } from "../errors.ts";
+import { ChunkBuffer } from "../http/chunk_buffer.ts";
 import type { TargetConnection } from "./connection.ts";
 import type { Dialect, TargetResponse } from "./ports.ts";
 import { SMALL_RESPONSE_BYTES } from "./response_budget.ts";
@@ -83,8 +84,7 @@
   #abort: ((err?: Error) => void) | undefined;
   #resume: (() => void) | undefined;
   #response: TargetResponse | undefined;
-  #chunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #chunks = new ChunkBuffer();
   #isStreaming = false;
 
   constructor(
@@ -174,14 +174,12 @@
     if (this.#isStreaming) {
       return this.#owner.attemptChunk(this, chunk);
     }
-    this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
+    this.#chunks.add(chunk);
     if (this.#mayBuffer(this.#response!)) {
       return true;
     }
     this.#isStreaming = true;
-    const firstChunk = Buffer.concat(this.#chunks);
-    this.#chunks = [];
+    const firstChunk = Buffer.concat(this.#chunks.takeAll());
     return this.#owner.attemptStreaming(this, this.#response!, firstChunk);
   }
 
@@ -198,7 +196,7 @@
       this.#end({ kind: "not-run", response });
       return;
     }
-    this.#end({ kind: "answered", response, body: this.#chunks });
+    this.#end({ kind: "answered", response, body: this.#chunks.takeAll() });
   }
 
   onError(err: Error): void {
@@ -212,7 +210,7 @@
   }
 
   #mayBuffer({ isNotRun, status }: TargetResponse): boolean {
-    const bytes = this.#bufferedBytes;
+    const bytes = this.#chunks.byteLength;
     if (bytes > MAX_BUFFERED_RESPONSE_BYTES) {
       return false;
     }
--- a/packages/daemon/src/http/request_body.ts
+++ b/packages/daemon/src/http/request_body.ts
@@ -8,6 +8,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
+import { ChunkBuffer } from "./chunk_buffer.ts";
 
 /**
  * Largest body to buffer completely before the request is routed. That way a slow
@@ -36,7 +37,7 @@
   readonly #req: IncomingMessage;
   readonly #limitBytes: number;
   readonly #listener: BodyListener;
-  #chunks: Buffer[] = [];
+  readonly #chunks = new ChunkBuffer();
   #receivedBytes = 0;
   #readyNotified = false;
   #stream: Readable | undefined;
@@ -116,7 +117,7 @@
   destroy(): void {
     this.#destroyed = true;
     this.#stream?.destroy();
-    this.#chunks = [];
+    this.#chunks.clear();
   }
 
   #onChunk(chunk: Buffer): void {
@@ -139,7 +140,7 @@
       }
       return;
     }
-    this.#chunks.push(chunk);
+    this.#chunks.add(chunk);
     if (this.#receivedBytes > MAX_BUFFERED_BODY_BYTES) {
       this.#switchToStream();
     }
@@ -154,10 +155,8 @@
       this.#stream.push(null);
       return;
     }
-    this.#buffered = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
-    this.#chunks = [];
+    const chunks = this.#chunks.takeAll();
+    this.#buffered = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
     this.#notifyReady();
   }
 
@@ -172,10 +171,9 @@
     // a reset by the caller would be an uncaught exception without this handler.
     stream.on("error", () => undefined);
     this.#stream = stream;
-    for (const chunk of this.#chunks) {
+    for (const chunk of this.#chunks.takeAll()) {
       stream.push(chunk);
     }
-    this.#chunks = [];
     req.pause();
     this.#notifyReady();
   }
