Request bodies and kept error responses count against the budget of bodies

What callers saw: nothing refused, while many of them sent bodies slowly or targets answered with large errors, until the VM was close to its memory or over it, where it is killed with all requests.

Cause: the budget counted only responses on their way to callers. A request body took up to 64 KiB of its own, an error response up to 256 KiB, and one that is kept while the request is sent again was counted as discarded.

Change: a request body has a hold of its own in the budget. One that may not grow is refused as not run: memory-used-up, with Retry-After. The buffer is released with the final response, no longer with its delivery. Error responses, and those that are kept during a retry, are in the hold of the response; they are buffered as before.

--- a/packages/daemon/src/gateway/caller_response.ts
+++ b/packages/daemon/src/gateway/caller_response.ts
@@ -58,6 +58,8 @@
   readonly #options: CallerResponseOptions;
   readonly #delivery: ResponseDelivery;
   #mode: DeliverySummary["mode"];
+  /** Bytes of an earlier response that is kept while the request is sent again. */
+  #keptBytes = 0;
   #answeredAt: number | undefined;
   #isCut = false;
   /** Whether the end of the target's connection is the end of the response. */
@@ -94,13 +96,14 @@
   /** Whether a response of which `bytes` have arrived may be buffered further. */
   mayBuffer(bytes: number): boolean {
     const { hold } = this.#options;
-    hold.resize(bytes);
+    hold.resize(this.#keptBytes + bytes);
     return hold.mayGrow(SMALL_RESPONSE_BYTES);
   }
 
-  /** Discards what was buffered of a response that will not be sent. */
-  discard(): void {
-    this.#options.hold.resize(0);
+  /** Discards what was buffered of a response, but for `keptBytes` that may still be sent. */
+  discard(keptBytes: number): void {
+    this.#keptBytes = keptBytes;
+    this.#options.hold.resize(keptBytes);
   }
 
   /**
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -57,6 +57,7 @@
   RequestForwards,
 } from "./forwarding/request_forwards.ts";
 import { fingerprintsOf } from "./request_fingerprints.ts";
+import type { ResponseHold } from "./response_budget.ts";
 import { expiryOf, objectOf } from "./request_terms.ts";
 import type { OrderedRequest } from "./response_order.ts";
 import { startAttempt } from "./start_attempt.ts";
@@ -104,6 +105,7 @@
   /** Whether the request has been counted against its account's quota. */
   #isCountedForQuota = false;
   #body: RequestBody | undefined;
+  readonly #bodyHold: ResponseHold;
   #attempt: TargetAttempt | ForwardAttempt | undefined;
   /** Undefined unless the request is forwarded to other VMs. */
   #forwards: RequestForwards | undefined;
@@ -132,6 +134,7 @@
     const { request, route, now } = options;
     this.#services = services;
     this.#req = options.req;
+    this.#bodyHold = services.budget.open(route.name);
     this.#response = new CallerResponse(options.res, {
       hold: services.budget.open(route.name),
       wheel: services.wheel,
@@ -230,6 +233,17 @@
     this.#guarded(() => this.#replyLocally("body-too-large"));
   }
 
+  bodyGrows(bytes: number): boolean {
+    return this.#guarded(() => {
+      this.#bodyHold.resize(bytes);
+      if (this.#bodyHold.mayGrow(0)) {
+        return true;
+      }
+      this.#refuse("memory-used-up", MEMORY_RETRY_MS);
+      return false;
+    }) ?? false;
+  }
+
   /** The caller's input cannot be parsed, so the end of a body in progress is unknown. */
   bodyMalformed(): void {
     // A request without a body is complete, even if not started yet: the malformed
@@ -727,7 +741,7 @@
   }
 
   #requeue(now: number): void {
-    this.#response.discard();
+    this.#response.discard(sizeOf(this.#failedResponse?.body));
     if (this.#transition("queue")) {
       this.#services.queue.add(this, now);
     }
@@ -767,7 +781,7 @@
 
   /** Ends the exchange once the network has taken the response: what is ready is delivered, however late. */
   #awaitDelivery(): void {
-    this.#body?.destroy();
+    this.#dropBody();
     this.#services.wheel.delete(this);
     this.#transition("deliver");
     this.#response.whenDelivered(() =>
@@ -779,6 +793,11 @@
     );
   }
 
+  #dropBody(): void {
+    this.#body?.destroy();
+    this.#bodyHold.release();
+  }
+
   /** Cuts a response that has begun, so that it does not look complete. */
   #cut(end: GatewayExchangeEnd): void {
     if (this.#transition("end")) {
@@ -854,7 +873,7 @@
     }
     this.#services.wheel.delete(this);
     this.#services.queue.remove(this);
-    this.#body?.destroy();
+    this.#dropBody();
     this.#response.close();
     this.#services.ended(this, end);
   }
@@ -892,3 +911,7 @@
     this.#services.log.write("exchange failed", { request, reason });
   }
 }
+
+function sizeOf(body: readonly Buffer[] = []): number {
+  return body.reduce((sum, { length }) => sum + length, 0);
+}
--- a/packages/daemon/src/gateway/target_attempt.ts
+++ b/packages/daemon/src/gateway/target_attempt.ts
@@ -214,10 +214,13 @@
     if (bytes > MAX_BUFFERED_RESPONSE_BYTES) {
       return false;
     }
+    if (bytes <= SMALL_RESPONSE_BYTES) {
+      return true;
+    }
+    const hasMemory = this.#owner.attemptBuffering(this, bytes);
     // A request whose response is an error may go to another target, so no byte of
     // that response may reach the caller yet.
-    return bytes <= SMALL_RESPONSE_BYTES || isNotRun || status >= 500 ||
-      this.#owner.attemptBuffering(this, bytes);
+    return isNotRun || status >= 500 || hasMemory;
   }
 
   #reject(reason: string): void {
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -208,6 +208,10 @@
     this.#enterSteering();
   }
 
+  bodyGrows(): boolean {
+    return true;
+  }
+
   bodyTooLarge(): void {
     this.refuse("too-large", {
       message:
--- a/packages/daemon/src/http/request_body.ts
+++ b/packages/daemon/src/http/request_body.ts
@@ -12,8 +12,8 @@
 
 /**
  * Largest body to buffer completely before the request is routed. That way a slow
- * sender of a small body never occupies a slot, and the body can be replayed. With
- * 64 KiB, the default 2,000 connections buffer at most some 128 MB.
+ * sender of a small body never occupies a slot, and the body can be replayed. The
+ * listener bounds the memory of all bodies together.
  */
 export const MAX_BUFFERED_BODY_BYTES = 65_536;
 
@@ -30,6 +30,8 @@
   bodyReady(): void;
   /** The body is larger than `limitBytes`. */
   bodyTooLarge(): void;
+  /** Whether `bytes` of the body may be held. If it returns false, no more is read. */
+  bodyGrows(bytes: number): boolean;
 }
 
 /** Reads the body of one request. */
@@ -80,7 +82,10 @@
           new Error("Caller disconnected while sending the body"),
         ),
     );
-    if (head.contentLength > MAX_BUFFERED_BODY_BYTES) {
+    if (
+      head.contentLength > MAX_BUFFERED_BODY_BYTES &&
+      this.#listener.bodyGrows(MAX_BUFFERED_BODY_BYTES)
+    ) {
       this.#switchToStream();
     }
   }
@@ -118,6 +123,7 @@
     this.#destroyed = true;
     this.#stream?.destroy();
     this.#chunks.clear();
+    this.#buffered = null;
   }
 
   #onChunk(chunk: Buffer): void {
@@ -140,6 +146,9 @@
       }
       return;
     }
+    if (!this.#listener.bodyGrows(this.#receivedBytes)) {
+      return;
+    }
     this.#chunks.add(chunk);
     if (this.#receivedBytes > MAX_BUFFERED_BODY_BYTES) {
       this.#switchToStream();
