A guard collects garbage and refuses requests before the VM's memory is full

What callers saw: on small VMs, a process that grew over the VM's memory, or ended with its heap full (SIGABRT), while little or nothing was held by the budget; all requests of the VM were lost with it.

Cause: V8 collects garbage when limits of its own are near: 158 MB of heap and some 64 MB of buffers besides, on a VM of any size. A VM of 202 MB is over its memory before that. And what is in use but not a body (requests, responses that wait behind others, headers) is in no budget.

Change: MemoryGuard, checked whenever periodic work runs. From 55 percent of the VM's memory or of V8's heap it collects garbage once 8 MB are new; from 80 percent in use after that, new requests of every kind are refused as not run (memory-used-up) and no body grows. Events "memory short" and "memory enough"; gauges resident_bytes and memory_short.

--- a/packages/daemon/src/gateway/event_fields.ts
+++ b/packages/daemon/src/gateway/event_fields.ts
@@ -123,6 +123,10 @@
     meaning:
       "time for which a part of the response was ready and its caller did not take it, in milliseconds",
   },
+  residentBytes: {
+    type: "number",
+    meaning: "memory that the process takes, in bytes",
+  },
   heldBytes: {
     type: "number",
     meaning: "the most bytes of the response that were held for its caller",
--- a/packages/daemon/src/gateway/events.ts
+++ b/packages/daemon/src/gateway/events.ts
@@ -499,6 +499,17 @@
       "The system did not tell the size of the process; a usual size is assumed when memory for responses is set.",
     fields: ["reason"],
   },
+  "memory short": {
+    level: "warn",
+    meaning:
+      "The process is close to the VM's memory, beyond which it would be killed: new requests are refused as not run (`memory-used-up`).",
+    fields: ["residentBytes"],
+  },
+  "memory enough": {
+    level: "info",
+    meaning: "There is memory for new requests again.",
+    fields: ["residentBytes", "forMs"],
+  },
   "lines thinned": {
     level: "info",
     meaning:
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -144,12 +144,22 @@
     gauge(
       "heldResponseBytes",
       "held_response_bytes",
-      "Bytes of responses that are held until their callers take them",
+      "Bytes of request and response bodies that are held",
     );
     gauge(
       "responseBudgetBytes",
       "response_budget_bytes",
-      "Memory for responses that are held",
+      "Memory for request and response bodies that are held",
+    );
+    gauge(
+      "residentBytes",
+      "resident_bytes",
+      "Memory that the process takes",
+    );
+    gauge(
+      "memoryShort",
+      "memory_short",
+      "1 while requests are refused because the process is close to the VM's memory",
     );
     gauge("targets", "targets", "Targets that are known");
     gauge(
--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -27,6 +27,7 @@
 import { PlannedStop } from "./planned_stop.ts";
 import type { Dialect, RegisteredTarget } from "./ports.ts";
 import type { Forwarding } from "./forwarding/forwarding.ts";
+import { MemoryGuard } from "./memory_guard.ts";
 import { RequestQueue } from "./request_queue.ts";
 import { budgetBytesFor, ResponseBudget } from "./response_budget.ts";
 import {
@@ -106,10 +107,14 @@
   readonly limitedTargets: number;
   /** Requests that are held back because they crash targets. */
   readonly heldBackRequests: number;
-  /** Bytes of responses that their callers have not taken yet. */
+  /** Bytes of request bodies, and of responses that their callers have not taken yet. */
   readonly heldResponseBytes: number;
   /** The most bytes that may be held so. */
   readonly responseBudgetBytes: number;
+  /** Size of the process; 0 if its memory is not bounded. */
+  readonly residentBytes: number;
+  /** 1 while requests are refused for lack of memory. */
+  readonly memoryShort: number;
 }
 
 /** The request path of one VM; see the module comment. Times are milliseconds of the monotonic clock. */
@@ -125,13 +130,18 @@
   readonly #connectTimes = new ConnectTimes((kind) =>
     this.steering.warmMs(kind)
   );
-  readonly #budget = new ResponseBudget();
+  readonly #memoryGuard: MemoryGuard | undefined;
+  readonly #budget = new ResponseBudget(() =>
+    this.#memoryGuard?.isShort ?? false
+  );
   #budgetDueAt = 0;
   #evacuatedZones: ReadonlySet<ZoneId> = new Set();
 
   constructor(options: RequestPathOptions) {
-    const { steering, dialect, log, connections } = options;
+    const { steering, dialect, log, connections, memory } = options;
     this.#options = options;
+    this.#memoryGuard = memory &&
+      new MemoryGuard(memory.memoryBytes, { log });
     this.steering = steering;
     this.#queue = new RequestQueue(() => options.requestQueued?.());
     this.#homeTargets = new HomeTargetWatch({
@@ -198,6 +208,8 @@
       heldBackRequests: this.suspects.countHeldBack(performance.now()),
       heldResponseBytes: this.#budget.heldBytes,
       responseBudgetBytes: this.#budget.totalBytes,
+      residentBytes: this.#memoryGuard?.residentBytes ?? 0,
+      memoryShort: Number(this.#memoryGuard?.isShort ?? false),
     };
   }
 
@@ -209,6 +221,7 @@
   /** Expires deadlines and places waiting requests; returns the time until the next call is due. */
   tick(now: number): number {
     this.#wheel.advance(now);
+    this.#memoryGuard?.check(now);
     this.#homeTargets.update(now);
     if (this.#queue.size > 0) {
       this.#queue.placeAllWaiting(now);
--- a/packages/daemon/src/gateway/response_budget.ts
+++ b/packages/daemon/src/gateway/response_budget.ts
@@ -42,10 +42,16 @@
 export class ResponseBudget {
   readonly #sizes = new ResponseSizes();
   readonly #paused = new Set<ResponseHold>();
+  readonly #isMemoryShort: () => boolean;
   #totalBytes = Infinity;
   #chargedBytes = 0;
   #heldBytes = 0;
 
+  /** `isMemoryShort` tells whether the VM has no memory for any more requests. */
+  constructor(isMemoryShort: () => boolean = () => false) {
+    this.#isMemoryShort = isMemoryShort;
+  }
+
   /** The whole budget; infinite until {@link setTotal}. */
   get totalBytes(): number {
     return this.#totalBytes;
@@ -58,7 +64,8 @@
 
   /** Budget that is neither held nor reserved; negative if the budget has shrunk below that. */
   get freeBytes(): number {
-    return this.#totalBytes - this.#chargedBytes;
+    const bytes = this.#totalBytes - this.#chargedBytes;
+    return this.#isMemoryShort() ? Math.min(0, bytes) : bytes;
   }
 
   setTotal(bytes: number): void {
@@ -68,7 +75,8 @@
 
   /** Whether there is room for the response to a request of a kind, at least to stream it. */
   admits(kind: string): boolean {
-    return this.#reservationFor(kind) <= Math.max(0, this.freeBytes);
+    return !this.#isMemoryShort() &&
+      this.#reservationFor(kind) <= Math.max(0, this.freeBytes);
   }
 
   /** Opens the hold of one response, without any bytes. */
--- a/packages/daemon/src/gateway/response_budget_test.ts
+++ b/packages/daemon/src/gateway/response_budget_test.ts
@@ -68,6 +68,18 @@
     expect(budget.admits(QUERY)).toBe(true);
   });
 
+  // The process is close to the VM's memory, whatever the budget says.
+  test("refuses every request and holds no more while memory is short", () => {
+    let isShort = false;
+    const budget = new ResponseBudget(() => isShort);
+    const hold = budget.open(QUERY);
+    expect(budget.admits(QUERY)).toBe(true);
+    expect(hold.mayGrow(LARGEST_BYTES)).toBe(true);
+    isShort = true;
+    expect(budget.admits(QUERY)).toBe(false);
+    expect(hold.mayGrow(LARGEST_BYTES)).toBe(false);
+  });
+
   // Requests sent at the same moment must not all count on the same free memory.
   test("reserves room for responses that have not arrived", () => {
     const budget = new ResponseBudget();
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -92,6 +92,8 @@
   /** Time for which a caller did not take its response, and the most bytes held meanwhile. */
   readonly heldMs?: number;
   readonly heldBytes?: number;
+  /** Memory that the process takes. */
+  readonly residentBytes?: number;
   /** Bytes of a response that had arrived. */
   readonly bytes?: number;
   /** Requests that the target was running and had queued when it responded. */
