A response header, or its trailers, have 200 fields at most

What callers saw: the process of a VM that ended with its heap full (SIGABRT), and all requests with it, while targets sent headers of many small fields that didn't end; each of these requests would have got a 504 at its deadline.

Cause: undici limits the bytes of a header (65,536), not its fields, and keeps each name and value as an object. A header of 12,000 fields of four bytes takes some 6 MB on its connection until the deadline.

Change: the connection is reset at the 201st field of a header or of trailers with the usual error of a target that sent no response; the rest of a read is not parsed.

--- a/packages/daemon/src/gateway/connection.ts
+++ b/packages/daemon/src/gateway/connection.ts
@@ -12,7 +12,7 @@
   InvalidResponseError,
 } from "../errors.ts";
 import { ResettableSocket } from "./resettable_socket.ts";
-import { Client } from "./undici_client.ts";
+import { Client, limitHeaderFields } from "./undici_client.ts";
 
 /**
  * Connect timeout beyond two round trips. A target accepts within about 1 ms. A target
@@ -31,6 +31,8 @@
 const IDLE_MARGIN_MS = 1_500;
 /** Maximum size of a response header. */
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
+/** Most fields of a response header: twice what proxies commonly allow. */
+const MAX_RESPONSE_HEADER_FIELDS = 200;
 /**
  * Most bytes that may arrive besides a response's body: its header, what is read ahead of
  * the parser, and bytes that belong to no response.
@@ -81,6 +83,8 @@
   /** When it was taken for its latest request. */
   takenAt = performance.now();
   #socket: ResettableSocket | undefined;
+  /** The socket whose header fields are limited. */
+  #limitedSocket: ResettableSocket | undefined;
   #isOpen = true;
   readonly #carriedIds = new Set<string>();
   /** Bytes that had arrived before the latest request, and those of its response's body. */
@@ -160,7 +164,10 @@
     this.#earlierBytes = this.#socket?.bytesRead ?? 0;
     this.#bodyBytes = 0;
     this.#client.dispatch(req, {
-      onConnect: (abort) => handler.onConnect?.(abort),
+      onConnect: (abort) => {
+        this.#limitHeaderFields();
+        handler.onConnect?.(abort);
+      },
       onHeaders: (...args) => handler.onHeaders?.(...args) ?? true,
       onData: (chunk) => {
         this.#bodyBytes += chunk.length;
@@ -183,6 +190,19 @@
     this.#client.destroy().catch(() => undefined);
   }
 
+  #limitHeaderFields(): void {
+    const socket = this.#socket;
+    if (socket === undefined || socket === this.#limitedSocket) {
+      return;
+    }
+    this.#limitedSocket = socket;
+    limitHeaderFields(socket, {
+      maxFields: MAX_RESPONSE_HEADER_FIELDS,
+      onExceeded: () =>
+        socket.reset(new InvalidResponseError("sent too many header fields")),
+    });
+  }
+
   #follow(socket: ResettableSocket): void {
     this.#socket = socket;
     // What was seen of an earlier socket says nothing of this one's responses.
--- a/packages/daemon/src/gateway/undici_client_module.d.ts
+++ b/packages/daemon/src/gateway/undici_client_module.d.ts
@@ -4,3 +4,8 @@
   const client: typeof Client;
   export default client;
 }
+
+declare module "undici/lib/core/symbols.js" {
+  const symbols: { readonly kParser: unique symbol };
+  export default symbols;
+}
