--- a/packages/daemon/src/http/request_body.ts
+++ b/packages/daemon/src/http/request_body.ts
@@ -8,11 +8,12 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
+import { ChunkBuffer } from "./chunk_buffer.ts";
 
 /**
  * Largest body to buffer completely before the request is routed. That way a slow
- * sender of a small body never occupies a slot, and the body can be replayed. With
- * 64 KiB, the default 2,000 connections buffer at most some 128 MB.
+ * sender of a small body never occupies a slot, and the body can be replayed. The
+ * listener bounds the memory of all bodies together.
  */
 export const MAX_BUFFERED_BODY_BYTES = 65_536;
 
@@ -29,6 +30,8 @@
   bodyReady(): void;
   /** The body is larger than `limitBytes`. */
   bodyTooLarge(): void;
+  /** Whether `bytes` of the body may be held. If it returns false, no more is read. */
+  bodyGrows(bytes: number): boolean;
 }
 
 /** Reads the body of one request. */
@@ -36,7 +39,7 @@
   readonly #req: IncomingMessage;
   readonly #limitBytes: number;
   readonly #listener: BodyListener;
-  #chunks: Buffer[] = [];
+  readonly #chunks = new ChunkBuffer();
   #receivedBytes = 0;
   #readyNotified = false;
   #stream: Readable | undefined;
@@ -79,7 +82,10 @@
           new Error("Caller disconnected while sending the body"),
         ),
     );
-    if (head.contentLength > MAX_BUFFERED_BODY_BYTES) {
+    if (
+      head.contentLength > MAX_BUFFERED_BODY_BYTES &&
+      this.#listener.bodyGrows(MAX_BUFFERED_BODY_BYTES)
+    ) {
       this.#switchToStream();
     }
   }
@@ -116,7 +122,8 @@
   destroy(): void {
     this.#destroyed = true;
     this.#stream?.destroy();
-    this.#chunks = [];
+    this.#chunks.clear();
+    this.#buffered = null;
   }
 
   #onChunk(chunk: Buffer): void {
@@ -139,7 +146,10 @@
       }
       return;
     }
-    this.#chunks.push(chunk);
+    if (!this.#listener.bodyGrows(this.#receivedBytes)) {
+      return;
+    }
+    this.#chunks.add(chunk);
     if (this.#receivedBytes > MAX_BUFFERED_BODY_BYTES) {
       this.#switchToStream();
     }
@@ -154,10 +164,8 @@
       this.#stream.push(null);
       return;
     }
-    this.#buffered = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
-    this.#chunks = [];
+    const chunks = this.#chunks.takeAll();
+    this.#buffered = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
     this.#notifyReady();
   }
 
@@ -172,10 +180,9 @@
     // a reset by the caller would be an uncaught exception without this handler.
     stream.on("error", () => undefined);
     this.#stream = stream;
-    for (const chunk of this.#chunks) {
+    for (const chunk of this.#chunks.takeAll()) {
       stream.push(chunk);
     }
-    this.#chunks = [];
     req.pause();
     this.#notifyReady();
   }
