A stop that is noticed behind other input counts from before the delay

What callers saw: nothing lost in the drills; a VM with 240 callers that is suspended for 0.4 s when SIGTERM comes met SIGKILL at 6.0 s with all that was open, in 4 of 4 drills.

Cause: after a delay the event loop first runs the timers, with a late tick, and then reads the input that has arrived; signals come last. With the input of 240 callers that took more than 100 ms, so that the next tick was overdue as well, and the order was taken to have come after the late tick. The VM told 0.7 s ago logged `leaving` with 0.2 s (lateMs 208), and its own reckoning of the end lay beyond the kill.

Evidence: the new unit test fails without the change (expected 420 to be 20).

Change: after a late tick, a signal can have arrived before that tick, whether or not the next one is overdue.

--- a/packages/daemon/src/gateway/loop_delay.ts
+++ b/packages/daemon/src/gateway/loop_delay.ts
@@ -38,10 +38,11 @@
 
   /** When a signal that is handled at `now` can have arrived at the earliest, as far as delays show. */
   earliestArrival(now: number): number {
-    if (now - this.#dueAt > LATE_THRESHOLD_MS) {
-      return this.#tickAt;
+    // Signals that came before a late tick are handled after it, behind all other input.
+    if (this.#lateMs > LATE_THRESHOLD_MS) {
+      return this.#earlierTickAt;
     }
-    return this.#lateMs > LATE_THRESHOLD_MS ? this.#earlierTickAt : now;
+    return now - this.#dueAt > LATE_THRESHOLD_MS ? this.#tickAt : now;
   }
 
   /** Whether the last tick was late or the next one is overdue. */
--- a/packages/daemon/src/gateway/loop_delay_test.ts
+++ b/packages/daemon/src/gateway/loop_delay_test.ts
@@ -43,3 +43,11 @@
   delay.recordTick(420, PERIOD_MS);
   expect(delay.earliestArrival(421)).toBe(421);
 });
+
+test("a signal that waits behind the input of a delay may have arrived when the delay began", () => {
+  // A VM that had been suspended took the time of its first tick for that of the order to stop.
+  const delay = new LoopDelay(PERIOD_MS);
+  delay.recordTick(PERIOD_MS, PERIOD_MS);
+  delay.recordTick(420, PERIOD_MS);
+  expect(delay.earliestArrival(640)).toBe(PERIOD_MS);
+});
