Requests that a client sends ahead do not fill the memory of small servers

What callers saw: a VM of 350 MB that ended out of memory some 22 s after connections to its ports had begun to send requests without reading, in a trial of six shapes on six ports; the end came at the port for metrics.

Cause: one read of a socket is parsed into hundreds of short requests before Node pauses the socket, and each got a response that waits in memory; one of the metrics is large.

Callers' requests and those that VMs forward are not concerned: their memory is watched by the guard.

The trial itself was not repeated.

--- a/packages/daemon/src/gateway/lookup_listener.ts
+++ b/packages/daemon/src/gateway/lookup_listener.ts
@@ -11,6 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { boundedPipelining } from "../http/bounded_pipelining.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import type { Dialect, LookupRequest } from "./ports.ts";
@@ -40,7 +41,9 @@
 
   protected override async open(): Promise<void> {
     for (const address of this.#options.listen) {
-      const server = createServer((req, res) => this.#handleRequest(req, res));
+      const server = createServer(
+        boundedPipelining((req, res) => this.#handleRequest(req, res)),
+      );
       this.#servers.push(server);
       await listen(server, address, (err) => this.fail(err));
     }
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -29,6 +29,7 @@
   type ExchangeEnd,
   JsonCallError,
 } from "../json_exchange.ts";
+import { boundedPipelining } from "../http/bounded_pipelining.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import { type Member, WATCHED_SUBJECTS, type WatchedSubject } from "./ports.ts";
@@ -191,7 +192,9 @@
   }
 
   protected override open(): Promise<void> {
-    const server = createServer((req, res) => void this.#handle(req, res));
+    const server = createServer(
+      boundedPipelining((req, res) => void this.#handle(req, res)),
+    );
     server.keepAliveTimeout = KEEP_ALIVE_MS;
     this.#server = server;
     return listen(server, this.#listen, (err) => this.fail(err));
