The end of a stop doesn't wait for connections to targets to be closed

What callers saw: nothing lost; a VM with 240 callers met SIGKILL after it had logged `stopped`.

Cause: between `stopped` and the exit the VM closed each of its connections to targets and other VMs, one after the other, though the kernel does so when the process ends. From `stopped` to the exit's call took 34 to 150 ms in 9 drills (240 callers, load 14 to 29 on 8 cores), most of it there, out of 200 ms for the exit; then the end of the process itself needs 20 to 90 ms. In the slowest one SIGKILL came during the exit.

Change: a stop is complete when its tasks have stopped, and closes connections in the next turn of the event loop, which a process that exits doesn't reach.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -261,13 +261,23 @@
       await pause(STOP_CHECK_INTERVAL_MS);
     }
     this.#log.write("stopped", { open: this.#callerListener.openRequests });
-    await this.kill();
+    await this.#stopTasks();
+    // The process may end now: to close hundreds of connections could outlast the stop.
+    setImmediate(() => this.#closeConnections());
   }
 
   async kill(): Promise<void> {
+    await this.#stopTasks();
+    this.#closeConnections();
+  }
+
+  async #stopTasks(): Promise<void> {
     this.#timer.close();
     this.#feed.close();
     await this.#supervisor.stop();
+  }
+
+  #closeConnections(): void {
     this.#connections.close();
     this.#peerConnections.close();
   }
