A source that does not wait for changes is not read in a busy loop

What callers saw: nothing of their own; a store or a relay that answers calls for changes at once takes the processor time of all VMs that read it, and the store bills each call.

Cause: only calls that brought rows, and failed ones, were followed by a pause.

Evidence, on the code before, in 10 s: 2,501 calls of a store that answers in 4 ms without waiting, 9,997 requests to a relay that answers in 1 ms. Both new tests failed.

Change: a subject's source is asked 20 times at once and 10 times a second after that, whatever it answers.

After: fewer than 150 in 10 s each, and a change is in force within 200 and 300 ms all the same.

The process tests of narrow links pass (23 of 23). One of those of slow relays, "38 VMs don't wait for a relay that reads 1 Mbit/s from the store" with 20 heartbeats a second in most cases, is over its bound of 2.5 s while the machine is busy: in six of seven runs with this change at loads of 25 to 31 (2.5 to 3.7 s), in none of three at a load of 20 to 21; without it in one of three at 27 to 30 (2.9 and 4.7 s), and on in one of three at 21 to 24 (2.6 s). In one failed run the pauses of this change were counted: there were none.

--- a/packages/daemon/src/gateway/subject_watch.ts
+++ b/packages/daemon/src/gateway/subject_watch.ts
@@ -7,6 +7,7 @@
 
 import { pause } from "../pause.ts";
 import { BesideReader } from "./beside_reader.ts";
+import { CallPace } from "./call_pace.ts";
 import { CallFailures } from "./call_failures.ts";
 import { ChangeSources, type ChangeSourcesOptions } from "./change_sources.ts";
 import { Lateness } from "./lateness.ts";
@@ -64,6 +65,7 @@
   readonly #closed = new AbortController();
   readonly #besideReader: BesideReader;
   readonly #use = new SourceInUse();
+  readonly #pace = new CallPace();
   readonly #failures: CallFailures;
   #missedChangeTimer: NodeJS.Timeout | undefined;
 
@@ -168,6 +170,10 @@
   /** Follows the subject until {@link close}. */
   async run(): Promise<void> {
     while (!this.#closed.signal.aborted) {
+      const waitMs = this.#pace.next(performance.now());
+      if (waitMs > 0) {
+        await pause(waitMs, this.#closed.signal);
+      }
       try {
         await this.#fetch();
       } catch (err) {
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -33,6 +33,8 @@
   maxChanges = Infinity;
   /** How long it takes to respond. */
   latencyMs = 4;
+  /** Calls for changes are answered at once. */
+  isHasty = false;
   /** How the store treats calls. */
   mode: "answers" | "refuses" | "hangs" = "answers";
   isOlder: PlatformPort["isOlder"] = () => false;
@@ -77,7 +79,7 @@
     const changed = () =>
       [...this.rows.values()].filter((row) => row.version > version)
         .toSorted((a, b) => a.version - b.version);
-    if (changed().length === 0) {
+    if (changed().length === 0 && !this.isHasty) {
       await this.#nextChange(waitMs, signal);
     }
     if (changed().length > this.maxChanges) {
@@ -312,6 +314,17 @@
     expect([...vm.rows.keys()].toSorted()).toEqual(["t-0", "t-1"]);
   });
 
+  test("that does not wait for changes is not read in a busy loop", async () => {
+    // Each call is billed, and takes processor time from callers.
+    store.isHasty = true;
+    const vm = new Vm("vm-1", store);
+    await vi.advanceTimersByTimeAsync(10_000);
+    expect(store.calls).toBeLessThan(150);
+    store.write("t-1", "ready");
+    await vi.advanceTimersByTimeAsync(200);
+    expect(vm.rows.has("t-1")).toBe(true);
+  });
+
   test("is called again for a change that a peer has seen", async () => {
     // The connection on which this VM waits for changes is dead, without a reset. A
     // peer gets a change and reports its version. If this VM kept waiting, it would send
@@ -814,3 +827,23 @@
   await vi.advanceTimersByTimeAsync(1_000);
   expect(vm.rows.get("t-1")).toBe("ready");
 });
+
+test("a relay that does not wait for changes is not asked in a busy loop", async () => {
+  // Each request takes processor time from the callers of both VMs.
+  const relay = new Vm("vm-1", store);
+  const vm = new Vm("vm-2", store);
+  let requests = 0;
+  const { watch } = relay;
+  const changesAfter = watch.changesAfter.bind(watch);
+  watch.changesAfter = (request) => {
+    requests += 1;
+    return changesAfter({ ...request, waitMs: 0 });
+  };
+  vm.relays = [relay];
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(requests).toBeLessThan(150);
+  expect(requests).toBeGreaterThan(0);
+  store.write("t-1", "ready");
+  await vi.advanceTimersByTimeAsync(300);
+  expect(vm.rows.has("t-1")).toBe(true);
+});
