A delayed heartbeat of an earlier process does not hide a VM for good

What callers saw: a VM that had been started again twice could be left out of another VM's look-ups until it was started once more.

Cause: only one former process of a VM was remembered. A late datagram of the one before that passed for a new process, and the running one for replaced, so that all its heartbeats were ignored.

Evidence, in a review: heartbeats of processes a, b, c, a, then c each 500 ms for 4.5 s; the VM was gone for good.

Change: the last eight processes are remembered, and one that is still heard after the other fell silent for 3.2 s is the current one.

--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -182,14 +182,14 @@
     this.#applyUpdates(heartbeat, now);
   }
 
-  /** Notices ends of processes; false if the sender's process was replaced. */
+  /** Counts the ends of processes that a heartbeat tells of; false if the sender's process was replaced. */
   #isCurrent(heartbeat: Heartbeat): boolean {
     const { self, log, metrics } = this.#options;
     const { member } = heartbeat;
-    const { isReplaced, ends } = this.#runs.record(
-      member,
-      announcedEndOf(heartbeat),
-    );
+    const { isReplaced, ends } = this.#runs.record(member, {
+      announced: announcedEndOf(heartbeat),
+      now: performance.now(),
+    });
     // Of other zones, only some heartbeats come here.
     const counted = member.vm !== self.vm && member.zone === self.zone
       ? ends
--- a/packages/daemon/src/gateway/vm_runs.ts
+++ b/packages/daemon/src/gateway/vm_runs.ts
@@ -27,22 +27,33 @@
 
 interface Run {
   readonly instance: InstanceId;
-  /** The process before it. */
-  readonly replaced: InstanceId | undefined;
+  /** Processes before it, the latest one last. */
+  readonly replaced: readonly InstanceId[];
   readonly announced: AnnouncedEnd | undefined;
+  readonly heardAt: number;
 }
 
+/** Processes of a VM whose delayed heartbeats are recognised. */
+const MAX_REPLACED = 8;
+/** A process that is still heard after the one that replaced it fell silent for this long is the current one. */
+const SILENCE_MS = 3_200;
+
 /** See the module comment. */
 export class VmRuns {
   readonly #runs = new Map<VmId, Run>();
 
-  /** Records a heartbeat, with the end that it announces. */
+  /** Records a heartbeat that was heard at `now`, with the end that it announces. */
   record(
     { vm, instance }: Pick<Member, "vm" | "instance">,
-    announced: AnnouncedEnd | undefined,
+    { announced, now }: {
+      readonly announced?: AnnouncedEnd | undefined;
+      readonly now: number;
+    },
   ): HeardRun {
     const known = this.#runs.get(vm);
-    if (known !== undefined && instance === known.replaced) {
+    if (
+      known?.replaced.includes(instance) && now - known.heardAt < SILENCE_MS
+    ) {
       return { isReplaced: true, ends: [] };
     }
     const isNew = known?.instance !== instance;
@@ -56,9 +67,19 @@
     }
     this.#runs.set(vm, {
       instance,
-      replaced: isNew ? known?.instance : known?.replaced,
+      replaced: isNew ? replacedBy(instance, known) : known.replaced,
       announced: before ?? announced,
+      heardAt: now,
     });
     return { isReplaced: false, ends };
   }
 }
+
+function replacedBy(
+  instance: InstanceId,
+  before: Run | undefined,
+): readonly InstanceId[] {
+  return before === undefined ? [] : [...before.replaced, before.instance]
+    .filter((one) => one !== instance)
+    .slice(-MAX_REPLACED);
+}
