A VM that can no longer serve says so before its heartbeats are missing

What callers saw: look-ups of other VMs named a VM for 3.2 s (5 s and more in other zones) whose listener had failed for a moment, or that ended because of it; its end counted as unannounced.

Cause: a VM that could not serve sent no heartbeats at all, also after it had served, so that neither its notice of leaving nor of its failure was sent.

The new test of what the others hear failed before.

Change: a VM is silent only until it can serve for the first time. After that it leaves while it cannot (isPaused, an optional field; older versions see a VM that leaves and comes back), and a pause does not count as an end.

--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -80,6 +80,8 @@
   readonly isCutOff?: boolean;
   /** The VM lacks processor time for its callers. Older versions of the program don't send this field. */
   readonly isOverloaded?: boolean;
+  /** The process leaves until a listener that failed is back. Older versions of the program don't send this field. */
+  readonly isPaused?: boolean;
   /** The process leaves because it cannot go on. Older versions of the program don't send this field. */
   readonly hasFailed?: boolean;
 }
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -48,6 +48,7 @@
   #isLeaving = false;
   #hasFailed = false;
   #isServing = false;
+  #hasServed = false;
   #isCutOff = false;
   #isOverloaded = false;
   #fleetSize: number | undefined;
@@ -62,9 +63,13 @@
     this.beacon = this.#createBeacon();
   }
 
-  /** Sets whether this VM can serve callers: it sends no heartbeats otherwise, and is not up. */
+  /**
+   * Sets whether this VM can serve callers. It sends no heartbeats before it can, and
+   * leaves while it cannot any more.
+   */
   setServing(isServing: boolean): void {
     this.#isServing = isServing;
+    this.#hasServed ||= isServing;
     this.vms.setServing(isServing);
     this.beacon.send({ kind: "beat" });
     const now = performance.now();
@@ -144,7 +149,7 @@
     return new PeerBeacon({
       listen: settings.listen.peers,
       seeds: () => this.#hasMembers ? [] : settings.seeds,
-      isSilent: () => !this.#isServing,
+      isSilent: () => !this.#hasServed,
       zonePeers: () => vms.zonePeers(),
       reportRecipients: () => vms.reportRecipients(performance.now()),
       isZoneDelegate: () => vms.isZoneDelegate(performance.now()),
@@ -158,7 +163,8 @@
       zoneVmStatuses: () => vms.zoneVmStatuses(performance.now()),
       localState: () => ({
         member: self,
-        isLeaving: this.#isLeaving,
+        isLeaving: this.#isLeaving || !this.#isServing,
+        ...(this.#isLeaving || this.#isServing ? {} : { isPaused: true }),
         ...(this.#hasFailed ? { hasFailed: true } : {}),
         ...(this.#isCutOff ? { isCutOff: true } : {}),
         ...(this.#isOverloaded ? { isOverloaded: true } : {}),
@@ -255,10 +261,10 @@
 }
 
 function announcedEndOf(
-  { isLeaving, hasFailed }: Heartbeat,
+  { isLeaving, isPaused, hasFailed }: Heartbeat,
 ): AnnouncedEnd | undefined {
   if (hasFailed) {
     return "failed";
   }
-  return isLeaving ? "stopped" : undefined;
+  return isLeaving && !isPaused ? "stopped" : undefined;
 }
--- a/packages/daemon/src/gateway/peers_test.ts
+++ b/packages/daemon/src/gateway/peers_test.ts
@@ -39,7 +39,10 @@
         stateChanged: () => undefined,
         vmEnded: (end: string) => ends.push(end),
       },
-      path: () => ({ suspects: { reports: () => [] } }),
+      path: () => ({
+        suspects: { reports: () => [] },
+        steering: { setFleetSize: () => undefined },
+      }),
       feed: () => ({ seen: { seen: {}, era: 0 }, hint: () => undefined }),
       vmsChanged: () => undefined,
     } as unknown as ConstructorParameters<typeof Peers>[0],
@@ -60,6 +63,7 @@
   { lines, ...state }: {
     lines: number;
     isLeaving: boolean;
+    isPaused?: boolean;
     hasFailed?: boolean;
   },
 ): Promise<void> {
@@ -104,3 +108,42 @@
   expect(written.filter(({ event }) => event === "peer ended"))
     .toMatchObject([{ reason: "unannounced" }, { reason: "failed" }]);
 });
+
+test("a VM that pauses is left out until it goes on, and has not ended", async () => {
+  await hear("n-2.a", { isLeaving: false, lines: 1 });
+  await hear("n-2.a", { isLeaving: true, isPaused: true, lines: 1 });
+  expect(namesUp()).toEqual(["n-1"]);
+  await hear("n-2.a", { isLeaving: false, lines: 1 });
+  expect(namesUp()).toEqual(["n-1", "n-2"]);
+  expect(ends).toEqual([]);
+});
+
+test("a VM that can no longer serve says so to the others", async () => {
+  // Look-ups of the others would name it until its heartbeats are missing.
+  const other = createSocket("udp4");
+  const heartbeats: { isLeaving: boolean; isPaused?: boolean }[] = [];
+  other.on("message", (datagram) => {
+    const { method, params } = JSON.parse(datagram.toString());
+    if (method === "heartbeat") {
+      heartbeats.push(params);
+    }
+  });
+  await new Promise<void>((resolve) => other.bind(0, HOST, resolve));
+  const { port } = other.address();
+  peers.addRegistered([
+    memberNamed("n-2", { peerAddress: `${HOST}:${port}` }),
+  ], performance.now());
+  peers.setServing(false);
+  await vi.waitFor(() =>
+    expect(heartbeats.at(-1)).toMatchObject({ isLeaving: true, isPaused: true })
+  );
+  peers.setFailed();
+  peers.leave();
+  await vi.waitFor(() =>
+    expect(heartbeats.at(-1)).toMatchObject({
+      isLeaving: true,
+      hasFailed: true,
+    })
+  );
+  other.close();
+});
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -175,7 +175,7 @@
     });
     if (isLeaving && !(known?.isLeaving && wasUp)) {
       this.#onChange(member, "leaving");
-    } else if (!wasUp) {
+    } else if (!wasUp || (known.isLeaving && !isLeaving)) {
       this.#onChange(member, "up");
     }
     return !wasUp;
