A stop does not cut requests at a VM that waits for a port

What callers saw: a request that was under way at a VM which still waited for one of its ports was cut 6 ms after the SIGTERM. Callers may know the VM's address from its former process.

Cause: a VM that had never had all of its required listeners ended at once, as nobody had been told to use it; but its listener for callers was open.

Change: it ends at once only without open connections. The port for account credit is not required any more: a VM without it asks the next one. A gauge tells whether the required listeners run.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -136,6 +136,7 @@
       keptConnections: this.#homes.keptConnections,
       targetsReached: Number(!this.#requestPath.steering.isCutOff),
       processorShort: Number(this.#shortage.isShort),
+      serving: Number(this.#tasks.isServing),
       startedFromCodeCache: Number(ports.startedFromCodeCache ?? false),
     }));
     this.failed = new Promise((resolve) => this.#fail = resolve);
@@ -244,8 +245,10 @@
   }
 
   async #stop(): Promise<void> {
-    if (!this.#tasks.hasServed) {
-      // Nobody was told to use this VM.
+    if (
+      !this.#tasks.hasServed && this.#callerListener.openConnections === 0
+    ) {
+      // Nobody was told to use this VM, and nobody uses it.
       this.#log.write("stopped", { open: 0 });
       await this.kill();
       return;
@@ -417,10 +420,14 @@
       metrics: this.#metrics,
       required: [
         this.#peers.beacon,
-        this.#accounts.creditExchange,
         this.#callerListener,
       ],
-      optional: [this.#homes.exchange, lookups, relay],
+      optional: [
+        this.#accounts.creditExchange,
+        this.#homes.exchange,
+        lookups,
+        relay,
+      ],
       expendable: [metrics],
       servingChanged: (isServing) => {
         this.#peers.setServing(isServing);
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -40,6 +40,8 @@
   readonly targetRowsSeconds: number;
   readonly targetsReached: number;
   readonly processorShort: number;
+  /** 1 while callers can be served. */
+  readonly serving: number;
   readonly startedFromCodeCache: number;
   readonly vmsUp: number;
   /** VMs that share the fleet's limits; 0 while their number is not known. */
@@ -183,6 +185,11 @@
       "memory_collections",
       "Collections of garbage because the process was large, since its start",
     );
+    gauge(
+      "serving",
+      "serving",
+      "1 while the listeners run without which callers cannot be served",
+    );
     gauge("targets", "targets", "Targets that are known");
     gauge(
       "limitedTargets",
