--- a/packages/daemon/src/early_signals.ts
+++ b/packages/daemon/src/early_signals.ts
@@ -25,7 +25,7 @@
     }
   }
 
-  /** Whether the process is to stop and no handler has been told so. */
+  /** Whether a signal to stop has arrived that no handler was called for. */
   get isStopPending(): boolean {
     return this.#pending.has("SIGTERM") || this.#pending.has("SIGINT");
   }
--- a/packages/daemon/src/gateway/loop_delay_test.ts
+++ b/packages/daemon/src/gateway/loop_delay_test.ts
@@ -45,7 +45,7 @@
 });
 
 test("a signal that waits behind the input of a delay may have arrived when the delay began", () => {
-  // A VM that had been suspended took the time of its first tick for that of the order to stop.
+  // Guards against a stop that counts from the first tick after a suspension.
   const delay = new LoopDelay(PERIOD_MS);
   delay.recordTick(PERIOD_MS, PERIOD_MS);
   delay.recordTick(420, PERIOD_MS);
--- a/packages/daemon/src/gateway/planned_stop.ts
+++ b/packages/daemon/src/gateway/planned_stop.ts
@@ -80,7 +80,7 @@
     );
     const killedAt = this.#toldAt + this.#stopMs;
     if (killedAt <= releasesAt) {
-      // A VM that still runs then was told later than at the earliest moment.
+      // A VM that still runs by then must have been told later.
       return releasesAt + deliveryMs;
     }
     return Math.min(
--- a/packages/daemon/src/gateway/planned_stop_test.ts
+++ b/packages/daemon/src/gateway/planned_stop_test.ts
@@ -64,7 +64,7 @@
 });
 
 test("a stop that is noticed very late ends before the VM can be killed", () => {
-  // It waited for targets at work and then for deliveries, until the kill closed what was open.
+  // Guards against waiting for targets and deliveries beyond the kill.
   const stop = new PlannedStop(STOP_MS);
   stop.begin(BEGUN_AT, BEGUN_AT - 700);
   expect(stop.releasesAt).toBe(BEGUN_AT + 5_000);
@@ -72,6 +72,6 @@
 });
 
 test("a very short stop ends before the VM is killed", () => {
-  // Its time for deliveries reached beyond the kill.
+  // Guards against time for deliveries that reaches beyond the kill.
   expect(begunStop(1_000).endsAt).toBeLessThan(BEGUN_AT + 1_000);
 });
--- a/packages/daemon/src/supervisor.ts
+++ b/packages/daemon/src/supervisor.ts
@@ -49,7 +49,7 @@
     options: { readonly isRepeated: boolean },
   ): void;
   taskRestarted(task: string): void;
-  /** Tasks run that did not run before, or the other way round. */
+  /** Called when a task has started to run, or no longer runs. */
   statesChanged?(): void;
 }
 
