One timeout says when a VM's heartbeats are missing

Cause: the time after which a process that was taken for replaced counts again was a copy of the directory's timeout, and a heartbeat's time was read twice. Change: the directory's constant and the caller's time are used. Same behaviour.

--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -179,7 +179,7 @@
     const { member, ...state } = heartbeat;
     const now = performance.now();
     if (
-      this.#isCurrent(heartbeat) &&
+      this.#isCurrent(heartbeat, now) &&
       this.vms.recordHeartbeat(member, { ...state, now })
     ) {
       this.beacon.send({ kind: "greet", member });
@@ -189,12 +189,12 @@
   }
 
   /** Counts the ends of processes that a heartbeat tells of; false if the sender's process was replaced. */
-  #isCurrent(heartbeat: Heartbeat): boolean {
+  #isCurrent(heartbeat: Heartbeat, now: number): boolean {
     const { self, log, metrics } = this.#options;
     const { member } = heartbeat;
     const { isReplaced, ends } = this.#runs.record(member, {
       announced: announcedEndOf(heartbeat),
-      now: performance.now(),
+      now,
     });
     // Of other zones, only some heartbeats come here.
     const counted = member.vm !== self.vm && member.zone === self.zone
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -25,7 +25,7 @@
  * A VM without a heartbeat for this long counts as down: three heartbeats, so that two
  * lost datagrams in a row do not suffice.
  */
-const HEARTBEAT_TIMEOUT_MS = 3_200;
+export const HEARTBEAT_TIMEOUT_MS = 3_200;
 /**
  * The same for VMs of the region's other zones, known from zone reports. When a zone
  * loses its delegates, it takes up to 3.2 s to notice and one more second to report
--- a/packages/daemon/src/gateway/vm_runs.ts
+++ b/packages/daemon/src/gateway/vm_runs.ts
@@ -7,6 +7,7 @@
 
 import type { InstanceId, VmId } from "@poplarthread/ids";
 import type { Member } from "./ports.ts";
+import { HEARTBEAT_TIMEOUT_MS } from "./vm_directory.ts";
 
 /** An end that a process announces in its last heartbeats. */
 export type AnnouncedEnd = "stopped" | "failed";
@@ -35,8 +36,6 @@
 
 /** Processes of a VM whose delayed heartbeats are recognised. */
 const MAX_REPLACED = 8;
-/** A process that is still heard after the one that replaced it fell silent for this long is the current one. */
-const SILENCE_MS = 3_200;
 
 /** See the module comment. */
 export class VmRuns {
@@ -51,8 +50,10 @@
     },
   ): HeardRun {
     const known = this.#runs.get(vm);
+    // Once the one that replaced it is down, a process that is still heard is the current one.
     if (
-      known?.replaced.includes(instance) && now - known.heardAt < SILENCE_MS
+      known?.replaced.includes(instance) &&
+      now - known.heardAt < HEARTBEAT_TIMEOUT_MS
     ) {
       return { isReplaced: true, ends: [] };
     }
