A response's body is joined by the buffer that joins other bodies

Cause: the body of a JSON response doubled a buffer of its own to join small parts, beside ChunkBuffer, which does the same for targets and callers. Change: it keeps its bounds and uses that buffer.

--- a/packages/daemon/src/json_exchange.ts
+++ b/packages/daemon/src/json_exchange.ts
@@ -207,7 +207,7 @@
     const progress = this.#progress;
     let body: unknown;
     try {
-      body = status === 200 ? parseJson(this.#body.bytes) : undefined;
+      body = status === 200 ? parseJson(this.#body.take()) : undefined;
     } catch (err) {
       if (err instanceof JsonTooComplexError) {
         this.giveUp(new ResponseTooLargeError());
--- a/packages/daemon/src/response_body.ts
+++ b/packages/daemon/src/response_body.ts
@@ -5,6 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { ChunkBuffer } from "./http/chunk_buffer.ts";
 
 /** Longest body: several times a page of the store, of 1 MB with values in base64. */
 export const MAX_BODY_BYTES = 4_194_304;
@@ -13,8 +14,7 @@
 
 /** See the module comment. */
 export class ResponseBody {
-  /** What has arrived, and room for more. */
-  #buffer: Buffer = Buffer.alloc(0);
+  readonly #chunks = new ChunkBuffer();
   #length = 0;
   #parts = 0;
 
@@ -25,35 +25,18 @@
 
   /** Adds a part. Returns false, and keeps nothing, if the body is larger than a sound one. */
   add(part: Buffer): boolean {
-    const start = this.#length;
     this.#length += part.length;
     this.#parts += 1;
     if (this.#length > MAX_BODY_BYTES || this.#parts > MAX_PARTS) {
-      this.#buffer = Buffer.alloc(0);
+      this.#chunks.clear();
       return false;
     }
-    if (start === 0) {
-      this.#buffer = part;
-      return true;
-    }
-    this.#makeRoom(start);
-    part.copy(this.#buffer, start);
+    this.#chunks.add(part);
     return true;
   }
 
-  /** What has arrived. */
-  get bytes(): Buffer {
-    return this.#buffer.subarray(0, this.#length);
-  }
-
-  /** Twice the room each time, so that many small parts cost no buffer each. */
-  #makeRoom(used: number): void {
-    if (this.#length > this.#buffer.length) {
-      const larger = Buffer.allocUnsafeSlow(
-        Math.min(MAX_BODY_BYTES, 2 * this.#length),
-      );
-      this.#buffer.copy(larger, 0, 0, used);
-      this.#buffer = larger;
-    }
+  /** Removes what has arrived and returns it. */
+  take(): Buffer {
+    return Buffer.concat(this.#chunks.takeAll());
   }
 }
