A read whose pages go back to an earlier version is not used

The pause between reads is random (StoreContact.nextRetryMs), so that the store became sound in the middle of a read. The reader compared only the histories' numbers between pages, took the mixed rows for sound ones, and the whole read that followed then counted as a restored store's, whose predecessor's rows are kept for two seconds.

It is a fault of the product, not of the test: a store that is restored under the number of its history while a VM reads it in pages gives the same mixture.

Change: a page whose version is lower than that of the page before it belongs to another history, and all rows are read again, as when the number changes.

--- a/packages/daemon/src/gateway/store_reader.ts
+++ b/packages/daemon/src/gateway/store_reader.ts
@@ -105,6 +105,7 @@
     const rows: StoredRow[] = [];
     let bytes = 0;
     let first: RowsPage | undefined;
+    let previous: RowsPage | undefined;
     let from: string | undefined;
     for (let pages = 1;; pages++) {
       const page = await store.list(this.#subject, from, {
@@ -115,9 +116,10 @@
       // With the version of the first page, changes between pages are read again
       // by the next call for changes.
       first ??= page;
-      if (page.era !== first.era) {
+      if (previous !== undefined && !isOfOneHistory(previous, page)) {
         this.#reject(page.era);
       }
+      previous = page;
       rows.push(...page.rows);
       bytes += sizeOf(page.rows);
       if (bytes > MAX_ROWS_BYTES || pages > MAX_PAGES) {
@@ -149,6 +151,11 @@
   }
 }
 
+/** Whether a page can follow another one of the same read: versions go back only if the store was restored in between. */
+function isOfOneHistory(page: RowsPage, next: RowsPage): boolean {
+  return next.era === page.era && next.version >= page.version;
+}
+
 /** A response is of the moment at which it began to arrive. */
 function confirmedBy({ arrivedMs }: OpenCall): number {
   return performance.now() - arrivedMs;
--- a/packages/daemon/src/gateway/subject_watch_test.ts
+++ b/packages/daemon/src/gateway/subject_watch_test.ts
@@ -298,6 +298,21 @@
     expect([...vm.rows.keys()]).toEqual(["t-0"]);
   });
 
+  test.each([1, 2, 9, 16])(
+    "is read again if it becomes sound after page %i of a read",
+    async (pages) => {
+      // Rows of a store that is gone would stay in use.
+      store.isEndless = true;
+      const vm = new Vm("vm-1", store);
+      await vi.advanceTimersByTimeAsync(
+        store.latencyMs * pages + store.latencyMs / 2,
+      );
+      store.isEndless = false;
+      await vi.advanceTimersByTimeAsync(2_000);
+      expect([...vm.rows.keys()]).toEqual(["t-0"]);
+    },
+  );
+
   test("adds no rows without end to those known, which stay in use", async () => {
     // The rows would fill the memory of the VM.
     const vm = new Vm("vm-1", store);
