Datagrams are parsed by one function

Cause: heartbeats, credit requests and homes each parsed a datagram of their own, with the same handling of what is no JSON; only two of the three refused `null` by themselves.

Change: parseDatagram, which all three use. No other behaviour changes: what is no JSON object is ignored.

--- a/packages/daemon/src/gateway/accounts/credit_exchange.ts
+++ b/packages/daemon/src/gateway/accounts/credit_exchange.ts
@@ -19,6 +19,7 @@
 import * as z from "zod";
 import { bind } from "../../listen.ts";
 import { Task } from "../../task.ts";
+import { parseDatagram } from "../datagram.ts";
 import type { CreditLedger, CreditResponse } from "./credit_ledger.ts";
 import type { ListenAddress } from "../settings.ts";
 import type { RankedMember } from "../vm_directory.ts";
@@ -276,14 +277,8 @@
   }
 
   #onDatagram(bytes: Buffer, from: RemoteInfo): void {
-    let message: unknown;
-    try {
-      message = JSON.parse(bytes.toString("utf8"));
-    } catch {
-      // Not JSON, so not from a VM of this deployment; ignored.
-      return;
-    }
-    if (typeof message !== "object" || message === null) {
+    const message = parseDatagram(bytes);
+    if (message === undefined) {
       return;
     }
     if (isJSONRPCRequest(message)) {
--- a/packages/daemon/src/gateway/homes/home_codec.ts
+++ b/packages/daemon/src/gateway/homes/home_codec.ts
@@ -21,7 +21,7 @@
   TargetShare,
 } from "@poplarthread/placement";
 import * as z from "zod";
-import { encodeNotification } from "../peer_messages.ts";
+import { decodeNotification, encodeNotification } from "../peer_messages.ts";
 import { PackedReader, PackedWriter } from "./packed_numbers.ts";
 
 /** Longest datagram: one that fits into an Ethernet frame. */
@@ -81,16 +81,9 @@
 
 /** Decodes a datagram; undefined if it is malformed. */
 export function decodeHomeMessage(datagram: Buffer): HomeMessage | undefined {
-  let notification: unknown;
-  try {
-    notification = JSON.parse(datagram.toString("utf8"));
-  } catch {
-    // Not JSON, so not from a VM of this deployment.
-    return undefined;
-  }
+  const notification = decodeNotification(datagram);
   const head = headSchema.safeParse(notification).data;
-  const { params } = (notification ?? {}) as { params?: unknown };
-  const lists = packedSchema.safeParse(params).data;
+  const lists = packedSchema.safeParse(notification?.params).data;
   if (head === undefined || lists === undefined) {
     return undefined;
   }
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -12,6 +12,7 @@
 } from "@poplarthread/coordination/held_back";
 import type { VmId } from "@poplarthread/ids";
 import * as z from "zod";
+import { parseDatagram } from "./datagram.ts";
 import type { Member, WatchedSubject } from "./ports.ts";
 import { isSocketAddress } from "./socket_address.ts";
 
@@ -126,14 +127,7 @@
 
 /** Decodes one notification; undefined if the datagram is none. */
 export function decodeNotification(datagram: Buffer): Notification | undefined {
-  let message: unknown;
-  try {
-    message = JSON.parse(datagram.toString("utf8"));
-  } catch {
-    // Not JSON, so not from a VM of this deployment.
-    return undefined;
-  }
-  return isObject(message) ? message : undefined;
+  return parseDatagram(datagram);
 }
 
 function isObject(value: unknown): value is object {
