Requests sent ahead of a response that ends the connection are not kept

Cause: once a response ends a connection, later requests on it are ignored, but Node still parses them and keeps a response object for each until the responses before it are out; one read of 64 kB gives 2,340 of them. Requests without a host were answered 400 by Node itself, one after the other, past the listener and its counts. Whole requests are bounded: their refusals fill the connection's buffer, at which Node pauses it.

Change: at the first request behind the last one, the connection's parser is ended within the read, and further input is read and discarded, so that the close by the caller is noticed as before. Requests of HTTP/1.1 without a host are refused by the dialect (400, malformed, logged and counted).

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -23,6 +23,7 @@
   type RoutingConfiguration,
 } from "./configuration.ts";
 import type { CreditOutcome } from "./accounts/credit_exchange.ts";
+import { discardInput, isDiscarded } from "./discarded_input.ts";
 import type { GatewayExchange } from "./exchange.ts";
 import {
   type ConfigurationAge,
@@ -308,6 +309,7 @@
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
+      discardInput(req.socket);
       return;
     }
     const compiled = this.#compiled;
@@ -398,6 +400,7 @@
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
+      discardInput(req.socket);
       return;
     }
     const compiled = this.#compiled;
@@ -493,6 +496,9 @@
 
   /** Handles input that did not become a request: header too large, too slow, or not HTTP. */
   #handleClientError(err: Error & { code?: string }, socket: Socket): void {
+    if (isDiscarded(err)) {
+      return;
+    }
     const connection = this.#connections.get(socket);
     if (
       connection === undefined || !socket.writable || err.code === "ECONNRESET"
--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -68,6 +68,8 @@
       // The route's timeout limits the time for reading a body.
       requestTimeout: 0,
       noDelay: true,
+      // The dialect refuses requests without one, and counts them.
+      requireHostHeader: false,
     }, handle);
     const { connected, clientError, acceptFailed } = this.#listener;
     const watch = new AcceptWatch(address);
