A connection whose input is discarded is read on

A caller that sends requests ahead and closes its connection is not noticed to be gone, so that its earlier request runs on for nobody.

Cause: discardInput takes the socket from Node's parser in order to read it itself. (1) If the socket is paused at that moment, as Node does while responses fill the connection's buffer, nothing reads it again: Node resumes the reading through listeners that are removed with the parser. (2) The body of the request that is discarded is kept, and pauses the socket once it fills its buffer; so it did before. (3) The rest of a header is not parsed, and its first part then ends as 408 after the header's time-out, which counts a malformed request.

Change: the parser keeps the socket. Once ended, it fails each read with the same error, which is ignored as before; the discarded request's body is read away.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -309,7 +309,7 @@
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
-      discardInput(req.socket);
+      discardInput(req);
       return;
     }
     const compiled = this.#compiled;
@@ -400,7 +400,7 @@
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
-      discardInput(req.socket);
+      discardInput(req);
       return;
     }
     const compiled = this.#compiled;
--- a/packages/daemon/src/gateway/discarded_input.ts
+++ b/packages/daemon/src/gateway/discarded_input.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
 /** What is used of Node's parser of a connection. */
@@ -17,17 +18,19 @@
 const PARSING_ENDED = "HPE_CB_HEADERS_COMPLETE";
 
 /**
- * Parses no more requests of a connection of an HTTP server. Each one would be kept until
- * the responses before it are out, and one read gives thousands of short ones. The input
- * itself is read, so that the close by the other side is noticed.
+ * Parses no request of a connection after `request`, whose body is not kept either. Each
+ * one would be kept until the responses before it are out, and one read gives thousands
+ * of short ones. The server goes on reading, so that it notices the close by the other
+ * side; the parser, once ended, fails each read.
  */
-export function discardInput(socket: Socket): void {
-  const { parser } = socket as Socket & { readonly parser?: Parser | null };
+export function discardInput(request: IncomingMessage): void {
+  const { parser } = request.socket as Socket & {
+    readonly parser?: Parser | null;
+  };
   if (parser) {
     parser.onIncoming = () => PARSING_ENDS;
   }
-  socket.removeAllListeners("data");
-  socket.on("data", () => undefined);
+  request.resume();
 }
 
 /** Whether a server reports faulty input only because of {@link discardInput}. */
--- a/packages/daemon/src/gateway/discarded_input_test.ts
+++ b/packages/daemon/src/gateway/discarded_input_test.ts
@@ -7,11 +7,18 @@
 import { once } from "node:events";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { discardInput, isDiscarded } from "./discarded_input.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
+const LARGE = Buffer.alloc(8_000_000);
+/** More than Node reads of a body before it is used. */
+const BODY_BYTES = 100_000;
+const HEADERS_TIMEOUT_MS = 100;
 
 let server: Server;
 let caller: Socket;
@@ -23,10 +30,13 @@
   responses = [];
   faults = [];
   hasCallerEnded = false;
-  server = createServer((req, res) => {
+  server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    connectionsCheckingInterval: HEADERS_TIMEOUT_MS / 4,
+  }, (req, res) => {
     responses.push(res);
     if (responses.length === 2) {
-      discardInput(req.socket);
+      discardInput(req);
     }
   });
   server.on("clientError", (err) => faults.push(err));
@@ -71,3 +81,32 @@
   await until(() => received.split("done").length === 3);
   expect(received.match(/HTTP\/1.1 200/g)).toHaveLength(2);
 });
+
+test("the close by the caller is noticed behind a response that it read late", async () => {
+  // Its requests would run on for nobody, and unread input resets its connection.
+  caller.pause().write(REQUEST);
+  await until(() => responses.length === 1);
+  responses[0]!.write(LARGE);
+  caller.write(REQUEST.repeat(10));
+  await until(() => responses.length === 2);
+  caller.resume().end(REQUEST.repeat(10_000));
+  await until(() => hasCallerEnded);
+});
+
+test("the close by the caller is noticed behind a body that is not used", async () => {
+  caller.write(REQUEST);
+  caller.end(
+    `POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${BODY_BYTES}\r\n\r\n` +
+      "x".repeat(BODY_BYTES),
+  );
+  await until(() => hasCallerEnded);
+  expect(faults).toEqual([]);
+});
+
+test("a request of which a part is discarded is not taken for one that is late", async () => {
+  caller.write(REQUEST.repeat(3).slice(0, -10));
+  await until(() => responses.length === 2);
+  caller.write(REQUEST.slice(-10));
+  await sleep(3 * HEADERS_TIMEOUT_MS);
+  expect(faults.every(isDiscarded)).toBe(true);
+});
