Requests with an unknown expectation are refused by the dialect

Cause: the same as for requests without a host. Node answers a request of HTTP/1.1 whose header Expect it doesn't know with 417 by itself, past the listener: nothing is counted, and the connection stays open, so that each of the requests sent ahead is kept until the responses before it are out.

Change: the listener gets these requests, and the dialect refuses them like those without a host: 400 in place of 417, counted, and the last on their connection. HTTP/1.0 has no expectations, and its requests run as before.

--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -71,6 +71,8 @@
       // The dialect refuses requests without one, and counts them.
       requireHostHeader: false,
     }, handle);
+    // Without a listener, Node refuses these itself, and they are counted nowhere.
+    server.on("checkExpectation", handle);
     const { connected, clientError, acceptFailed } = this.#listener;
     const watch = new AcceptWatch(address);
     this.#watches.push(watch);
