The body of a refused request is read behind an earlier response

What callers saw: a caller sends a request, and an upload behind it that is refused (400, 404), and closes its connection. Its first request runs on at the target, for nobody.

Cause: nothing reads the refused request's body before its response is out, which waits for the earlier one. Its buffer fills, the socket is paused, and the close is not read.

Change: the body of a request that is refused as the last one of its connection is read and dropped at once, as it is after its response.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -490,6 +490,10 @@
       request.contentLength > 0 || this.#options.plannedStop.hasBegun;
     connection.isEnding ||= closesConnection;
     connection.latestExchange = undefined;
+    if (closesConnection) {
+      // Behind an earlier response, an unread body would hide the close by the caller.
+      res.req.resume();
+    }
     sendLocalReply(res, reason, { retryAfterMs, closesConnection, isForPeer });
     this.#options.refused(request, reason);
   }
