Faulty input of a connection is handled once

What callers saw: nothing; a VM's processor time and its counts of malformed requests.

Cause: behind an open request, a connection whose input is faulty is kept until that request has its response. Node reports the fault again with each read, and each report started another timer of its own, and was counted and logged as another malformed request.

Change: the connection remembers that its input was faulty.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -113,6 +113,8 @@
    * read and resends them, so they must not reach a target.
    */
   isEnding: boolean;
+  /** Whether its input was faulty: each read that follows is reported as well. */
+  isFaulty: boolean;
 }
 
 /** A configuration with the indexes built from it. */
@@ -290,6 +292,7 @@
       latestExchange: undefined,
       hasRequests: false,
       isEnding: false,
+      isFaulty: false,
     };
     this.#connections.set(socket, connection);
     lingerAfterLastResponse(socket);
@@ -510,6 +513,10 @@
       socket.destroy();
       return;
     }
+    if (connection.isFaulty) {
+      return;
+    }
+    connection.isFaulty = true;
     connection.isEnding = true;
     const isIdle = connection.exchanges.size === 0;
     for (const exchange of connection.exchanges) {
