Requests that Node answers itself count in the bound of small servers

Node answers requests without a host and those with an unknown expectation by itself, past boundedPipelining. Behind a request that waits, as those to a relay do, one read leaves thousands of responses.

Change: the servers of look-ups, relays and metrics are made by one function, which hands every request to the bound. Requests of HTTP/1.1 without a host are refused there, as before; an unknown expectation is disregarded, as RFC 9110 allows, where Node sent 417.

--- a/packages/daemon/src/gateway/lookup_listener.ts
+++ b/packages/daemon/src/gateway/lookup_listener.ts
@@ -5,13 +5,8 @@
  * @module
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import { boundedPipelining } from "../http/bounded_pipelining.ts";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createBoundedServer } from "../http/bounded_pipelining.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import type { Dialect, LookupRequest } from "./ports.ts";
@@ -41,8 +36,8 @@
 
   protected override async open(): Promise<void> {
     for (const address of this.#options.listen) {
-      const server = createServer(
-        boundedPipelining((req, res) => this.#handleRequest(req, res)),
+      const server = createBoundedServer((req, res) =>
+        this.#handleRequest(req, res)
       );
       this.#servers.push(server);
       await listen(server, address, (err) => this.fail(err));
--- a/packages/daemon/src/gateway/metrics_listener.ts
+++ b/packages/daemon/src/gateway/metrics_listener.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { messageOf } from "../errors.ts";
-import { boundedPipelining } from "../http/bounded_pipelining.ts";
+import { createBoundedServer } from "../http/bounded_pipelining.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import type { ListenAddress } from "./settings.ts";
@@ -27,7 +27,7 @@
   }
 
   protected override open(): Promise<void> {
-    const server = createServer(boundedPipelining((req, res) => {
+    const server = createBoundedServer((req, res) => {
       if (req.url !== METRICS_PATH) {
         res.writeHead(404).end();
         return;
@@ -37,7 +37,7 @@
           res.writeHead(200, { "content-type": "text/plain" }).end(text),
         (err) => res.writeHead(500).end(messageOf(err)),
       );
-    }));
+    });
     this.#server = server;
     return listen(server, this.#listen, (err) => this.fail(err));
   }
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -5,12 +5,7 @@
  * @module
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
   createJSONRPCRequest,
   isJSONRPCResponse,
@@ -29,7 +24,7 @@
   type ExchangeEnd,
   JsonCallError,
 } from "../json_exchange.ts";
-import { boundedPipelining } from "../http/bounded_pipelining.ts";
+import { createBoundedServer } from "../http/bounded_pipelining.ts";
 import { listen } from "../listen.ts";
 import { Task } from "../task.ts";
 import { type Member, WATCHED_SUBJECTS, type WatchedSubject } from "./ports.ts";
@@ -192,8 +187,8 @@
   }
 
   protected override open(): Promise<void> {
-    const server = createServer(
-      boundedPipelining((req, res) => void this.#handle(req, res)),
+    const server = createBoundedServer((req, res) =>
+      void this.#handle(req, res)
     );
     server.keepAliveTimeout = KEEP_ALIVE_MS;
     this.#server = server;
--- a/packages/daemon/src/http/bounded_pipelining.ts
+++ b/packages/daemon/src/http/bounded_pipelining.ts
@@ -7,18 +7,28 @@
  * @module
  */
 
-import type {
-  IncomingMessage,
-  RequestListener,
-  ServerResponse,
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
 
 /** Most open requests of a connection; clients of small internal servers send one after the other. */
 const MAX_OPEN_REQUESTS = 16;
 
-/** A handler that closes connections with too many open requests, and passes the others to `handle`. */
-export function boundedPipelining(handle: RequestListener): RequestListener {
+/** A server that closes connections with too many open requests. */
+export function createBoundedServer(handle: RequestListener): Server {
+  const bounded = boundedPipelining(handle);
+  // Node would answer requests without a host or with an unknown expectation by itself,
+  // past the bound.
+  return createServer({ requireHostHeader: false }, bounded)
+    .on("checkExpectation", bounded);
+}
+
+function boundedPipelining(handle: RequestListener): RequestListener {
   const open = new WeakMap<Socket, number>();
   return (req: IncomingMessage, res: ServerResponse) => {
     const { socket } = req;
@@ -29,6 +39,10 @@
     }
     open.set(socket, count);
     res.once("close", () => open.set(socket, open.get(socket)! - 1));
+    if (req.httpVersion === "1.1" && req.headers.host === undefined) {
+      res.writeHead(400, { connection: "close" }).end();
+      return;
+    }
     handle(req, res);
   };
 }
