--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -113,6 +113,8 @@
    * read and resends them, so they must not reach a target.
    */
   isEnding: boolean;
+  /** Whether its input was faulty: each read that follows is reported as well. */
+  isFaulty: boolean;
 }
 
 /** A configuration with the indexes built from it. */
@@ -290,6 +292,7 @@
       latestExchange: undefined,
       hasRequests: false,
       isEnding: false,
+      isFaulty: false,
     };
     this.#connections.set(socket, connection);
     lingerAfterLastResponse(socket);
@@ -309,7 +312,7 @@
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
-      discardInput(req.socket);
+      discardInput(req);
       return;
     }
     const compiled = this.#compiled;
@@ -400,7 +403,7 @@
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
-      discardInput(req.socket);
+      discardInput(req);
       return;
     }
     const compiled = this.#compiled;
@@ -490,6 +493,10 @@
       request.contentLength > 0 || this.#options.plannedStop.hasBegun;
     connection.isEnding ||= closesConnection;
     connection.latestExchange = undefined;
+    if (closesConnection) {
+      // Behind an earlier response, an unread body would hide the close by the caller.
+      res.req.resume();
+    }
     sendLocalReply(res, reason, { retryAfterMs, closesConnection, isForPeer });
     this.#options.refused(request, reason);
   }
@@ -506,6 +513,10 @@
       socket.destroy();
       return;
     }
+    if (connection.isFaulty) {
+      return;
+    }
+    connection.isFaulty = true;
     connection.isEnding = true;
     const isIdle = connection.exchanges.size === 0;
     for (const exchange of connection.exchanges) {
