--- a/packages/daemon/src/gateway/forwarding/request_forwards.ts
+++ b/packages/daemon/src/gateway/forwarding/request_forwards.ts
@@ -177,7 +177,11 @@
   }
 }
 
-/** Whether another VM may be able to serve a request that one VM replied to itself. */
+/**
+ * Whether another VM may be able to serve a request that one VM replied to itself. Room is
+ * short at all VMs of a region alike: a second offer would rarely succeed, and then take
+ * the room of a caller that makes only one.
+ */
 function isWorthForwardingAgain(reason: LocalReplyReason): boolean {
   return reason === "not-ready" || reason === "no-target" ||
     reason === "leaving";
