Connections of a VM to itself are known by the address they come from

Cause: while connections wait to be accepted, the VM connects to itself to tell how long (accept_watch.ts). It knew such a connection by its port and by the address that the server listens on. The kernel chooses the source address, which is another one if a VM listens on all addresses or on a second address of an interface: from 127.0.0.5 to itself, connections come from 127.0.0.1. Then none was ever recognised, the bound on the wait was the time since the queue was last empty (which docs/incidents/short-of-processor-time.md has under "Tried and replaced"), and each such connection counted as a caller's for 5 s.

Change: the key is the local address and port of the connection itself.

--- a/packages/daemon/src/gateway/accept_watch.ts
+++ b/packages/daemon/src/gateway/accept_watch.ts
@@ -16,8 +16,8 @@
 export class AcceptWatch {
   readonly #address: ListenAddress;
   readonly #queue = new AcceptQueue();
-  /** When connections to itself were opened, by their port. */
-  readonly #openedAt = new Map<number, number>();
+  /** When connections to itself were opened, by the address and port that they come from. */
+  readonly #openedAt = new Map<string, number>();
 
   constructor(address: ListenAddress) {
     this.#address = address;
@@ -62,27 +62,31 @@
   #probe(): void {
     const openedAt = performance.now();
     const socket = connect({ ...this.#address, noDelay: true });
-    let port: number | undefined;
-    // The port is known once connecting has begun, in the next tick.
+    let source: string | undefined;
+    // The source is known once connecting has begun, in the next tick.
     setImmediate(() => {
       const address = socket.address();
       if ("port" in address) {
-        port = address.port;
-        this.#openedAt.set(port, openedAt);
+        // The kernel chooses the address, which need not be the one that it connects to.
+        source = sourceOf(address.address, address.port);
+        this.#openedAt.set(source, openedAt);
       }
     });
     // Without the probe the wait is bounded less closely; nothing else depends on it.
     socket.on("error", () => undefined);
-    socket.on("close", () => port !== undefined && this.#openedAt.delete(port));
+    socket.on(
+      "close",
+      () => source !== undefined && this.#openedAt.delete(source),
+    );
     socket.setTimeout(PROBE_TIMEOUT_MS, () => socket.destroy());
     socket.resume();
   }
 
   /** Whether the server has accepted a connection of its own process, which is closed. */
   #isOwn(socket: Socket): boolean {
-    const port = socket.remotePort ?? -1;
-    const openedAt = this.#openedAt.get(port);
-    if (openedAt === undefined || socket.remoteAddress !== this.#address.host) {
+    const { remoteAddress = "", remotePort = 0 } = socket;
+    const openedAt = this.#openedAt.get(sourceOf(remoteAddress, remotePort));
+    if (openedAt === undefined) {
       return false;
     }
     this.#queue.probeAccepted(openedAt);
@@ -90,3 +94,7 @@
     return true;
   }
 }
+
+function sourceOf(address: string, port: number): string {
+  return `${address} ${port}`;
+}
