A connection of a VM to itself is known before the next turn accepts it

Cause: the connection that tells how long others wait to be accepted was noted one turn after it was opened (setImmediate). The server may accept it in the turn between. It was then taken for a caller's: the bound on the wait did not come down, and it stayed open for 5 s. While turns take more than 100 ms, each opens such a connection, so that the queue counts as standing without end although nobody waits.

Change: it is noted in the next tick, when connecting has begun.

--- a/packages/daemon/src/gateway/accept_watch.ts
+++ b/packages/daemon/src/gateway/accept_watch.ts
@@ -6,6 +6,7 @@
 
 import type { Server } from "node:http";
 import { connect, type Socket } from "node:net";
+import process from "node:process";
 import type { ListenAddress } from "./settings.ts";
 import { AcceptQueue } from "./accept_queue.ts";
 
@@ -63,8 +64,9 @@
     const openedAt = performance.now();
     const socket = connect({ ...this.#address, noDelay: true });
     let source: string | undefined;
-    // The source is known once connecting has begun, in the next tick.
-    setImmediate(() => {
+    // The source is known once connecting has begun, in the next tick. The server may
+    // accept the connection in the turn that follows.
+    process.nextTick(() => {
       const address = socket.address();
       if ("port" in address) {
         // The kernel chooses the address, which need not be the one that it connects to.
--- a/packages/daemon/src/gateway/accept_watch_test.ts
+++ b/packages/daemon/src/gateway/accept_watch_test.ts
@@ -18,6 +18,8 @@
 const TURNS = 60;
 /** Connections that wait at any time. */
 const WAITING = 3;
+/** A turn after which a server wants to know how long connections wait. */
+const LONG_TURN_MS = 150;
 
 let server: Server;
 let opened: Socket[];
@@ -33,8 +35,8 @@
   server.close();
 });
 
-function keepBusy(): void {
-  const endAt = performance.now() + TURN_MS;
+function keepBusy(ms = TURN_MS): void {
+  const endAt = performance.now() + ms;
   while (performance.now() < endAt);
 }
 
@@ -61,3 +63,26 @@
   expect(elapsedMs).toBeGreaterThan(TURNS * TURN_MS - TURN_MS);
   expect(lastMs).toBeLessThan(elapsedMs / 2);
 });
+
+test("a connection to itself that is accepted in the next turn is not a caller's", async () => {
+  // Guards against a watch that goes on for as long as turns are long.
+  const address = { host: HOST, port: nextPort() };
+  let callers = 0;
+  let accepted = 0;
+  new AcceptWatch(address).follow(server, () => {
+    callers += 1;
+    keepBusy(LONG_TURN_MS);
+  });
+  const ownClosed = new Promise<void>((resolve) =>
+    server.on("connection", (socket) => {
+      accepted += 1;
+      if (accepted === 2) {
+        socket.once("close", () => resolve());
+      }
+    })
+  );
+  await listen(server, address, () => undefined);
+  opened.push(connect(address));
+  await ownClosed;
+  expect(callers).toBe(1);
+});
