A target that accepted in time is not unreachable after a delay of the event loop

What callers saw: after the VM was delayed for longer than connecting may take (200 ms and two round trips), a target to which it was just connecting counted as unreachable, though it had accepted within a millisecond. Requests were sent elsewhere or ended with no-target, and the target rested until a probe.

Cause: after a delay the event loop runs its timers before it looks at sockets. The limit for connecting passed in the same turn in which the notice of the connection was waiting, and the timer came first.

Change: when the limit passes, the attempt ends only after the sockets were looked at once more, if it is then still connecting.

--- a/packages/daemon/src/gateway/connection.ts
+++ b/packages/daemon/src/gateway/connection.ts
@@ -245,11 +245,9 @@
       localAddress: options.localAddress,
     });
     options.onSocket(socket);
+    // After a delay of the event loop the socket may be connected without a notice yet.
     const timer = setTimeout(
-      () =>
-        socket.destroy(
-          new ConnectTimeoutError("connecting to the target timed out"),
-        ),
+      () => setImmediate(() => giveUpConnecting(socket)),
       limitMs,
     );
     const onError = (err: Error) => {
@@ -268,3 +266,11 @@
     });
   };
 }
+
+function giveUpConnecting(socket: ResettableSocket): void {
+  if (socket.connecting) {
+    socket.destroy(
+      new ConnectTimeoutError("connecting to the target timed out"),
+    );
+  }
+}
--- a/packages/daemon/src/gateway/connections_test.ts
+++ b/packages/daemon/src/gateway/connections_test.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import { afterEach, beforeEach, expect, test } from "vitest";
+import { once } from "node:events";
+import { connect } from "node:net";
+import process from "node:process";
+import { Worker } from "node:worker_threads";
+import { afterEach, beforeEach, expect, onTestFinished, test } from "vitest";
 import { pause } from "../pause.ts";
 import type { Connection } from "./connection.ts";
 import { SocketTarget } from "./socket_target.ts";
@@ -13,6 +17,18 @@
 
 /** Of a connection whose target names two seconds. */
 const IDLE_TIMEOUT_MS = 500;
+/** Longer than connecting may take. */
+const CONNECTING_MS = 300;
+
+/** A server whose thread stops before it accepts any connection. */
+const STOPPED_SERVER = `
+  const { parentPort } = require("node:worker_threads");
+  const server = require("node:net").createServer();
+  server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
+    parentPort.postMessage(server.address().port);
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+  });
+`;
 
 let target: SocketTarget;
 
@@ -95,6 +111,36 @@
   expect(second.wasTruncated(false)).toBe(false);
 });
 
+test("a target that accepted in time is not unreachable after a delay of the event loop", async () => {
+  // Timers run next, before the event loop looks at sockets again.
+  await new Promise(setImmediate);
+  const connection = take("r-1");
+  const exchanged = exchange("r-1", connection);
+  process.nextTick(delayEventLoop, CONNECTING_MS);
+  expect(await exchanged).toBe(connection);
+});
+
+test("connecting to a target that does not accept times out", async () => {
+  const address = `127.0.0.1:${await startFullServer()}`;
+  const connection = target.connections.create({ ...target.target, address });
+  await expect(exchange("r-1", connection)).rejects.toThrow(
+    "connecting to the target timed out",
+  );
+});
+
+/** Starts a server that has as many connections to accept as it may have; returns its port. */
+async function startFullServer(): Promise<number> {
+  const server = new Worker(STOPPED_SERVER, { eval: true });
+  onTestFinished(() => void server.terminate());
+  const [port] = await once(server, "message") as [number];
+  for (let waiting = 0; waiting < 2; waiting++) {
+    const socket = connect(port, "127.0.0.1");
+    onTestFinished(() => void socket.destroy());
+    await once(socket, "connect");
+  }
+  return port;
+}
+
 function delayEventLoop(ms: number): void {
   const until = performance.now() + ms;
   while (performance.now() < until);
