A connection without a byte is idle, not a slow header

What callers saw: a caller that opens a connection and sends its first request more than header_timeout_s later gets 408, or meets a closed connection. platform/src/stop_connections_test.ts met it now and then beside load (408 in place of 200 or 503): it leaves a connection unused for 3.06 to 3.3 s, with a limit of 3 s that Node checks each second.

Cause: Node counts a new connection as the beginning of a header. The protocol has two limits: header_timeout_s for what a client takes, and idle_timeout_s for how long it stays idle; a connection on which not one byte has arrived is idle, and RFC 9110 (15.5.9) has 408 for a request that was begun and is late. A header that waits unread in the kernel, because the VM itself is late, met the same 408.

Change: where Node reports a late header and nothing was read, the connection is kept for the idle limit. Node times a header that begins later from its first byte. A connection on which no request arrives is closed without a response, after what has arrived by then was read.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -164,6 +164,7 @@
       connected: (socket, maxWaitMs) =>
         this.#handleConnection(socket, maxWaitMs),
       clientError: (err, socket) => this.#handleClientError(err, socket),
+      unused: (socket) => afterPendingReads(() => this.#handleUnused(socket)),
       acceptFailed: (err) => options.acceptFailed(err),
     });
     this.#admission = new AdmissionControl({
@@ -494,6 +495,15 @@
     this.#options.refused(request, reason);
   }
 
+  #handleUnused(socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      socket.destroy();
+      return;
+    }
+    closeIfIdle(socket, connection);
+  }
+
   /** Handles input that did not become a request: header too large, too slow, or not HTTP. */
   #handleClientError(err: Error & { code?: string }, socket: Socket): void {
     if (isDiscarded(err)) {
--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -16,6 +16,7 @@
 import { AcceptWatch } from "./accept_watch.ts";
 import type { CallerLimits } from "./configuration.ts";
 import type { ListenAddress } from "./settings.ts";
+import { UnusedConnections } from "./unused_connections.ts";
 
 // Defaults until a configuration is known.
 const DEFAULT_HEADER_BYTES = 16_384;
@@ -43,6 +44,8 @@
   connected(socket: Socket, maxWaitMs: number): void;
   /** Input did not become a request. */
   clientError(err: Error & { code?: string }, socket: Socket): void;
+  /** No request has arrived on a connection within its limits. */
+  unused(socket: Socket): void;
   /** A connection could not be accepted. */
   acceptFailed(err: Error): void;
 }
@@ -52,10 +55,14 @@
   readonly #listener: CallerServersListener;
   readonly #servers: Server[] = [];
   readonly #watches: AcceptWatch[] = [];
+  readonly #unused: UnusedConnections;
   #limits: CallerLimits | undefined;
 
   constructor(listener: CallerServersListener) {
     this.#listener = listener;
+    this.#unused = new UnusedConnections({
+      expired: (socket) => listener.unused(socket),
+    });
   }
 
   /** Starts a server; resolves when it listens. */
@@ -70,14 +77,18 @@
       noDelay: true,
       // The dialect refuses requests without one, and counts them.
       requireHostHeader: false,
-    }, handle);
-    const { connected, clientError, acceptFailed } = this.#listener;
+    }, (req, res) => {
+      this.#unused.used(req.socket);
+      handle(req, res);
+    });
+    const { connected, acceptFailed } = this.#listener;
     const watch = new AcceptWatch(address);
     this.#watches.push(watch);
     watch.follow(server, connected);
     server.on(
       "clientError",
-      (err, socket) => clientError(err, socket as Socket),
+      (err, socket) =>
+        this.#handleClientError(err, { socket: socket as Socket, server }),
     );
     if (this.#limits !== undefined) {
       applyLimits(server, this.#limits);
@@ -93,6 +104,18 @@
     );
   }
 
+  /** Until its first byte a connection is idle: the limit for a header begins with the header. */
+  #handleClientError(
+    err: Error & { code?: string },
+    { socket, server }: { socket: Socket; server: Server },
+  ): void {
+    if (err.code === "ERR_HTTP_REQUEST_TIMEOUT" && socket.bytesRead === 0) {
+      this.#unused.keep(socket, server.keepAliveTimeout);
+      return;
+    }
+    this.#listener.clientError(err, socket);
+  }
+
   /** The longest that a connection accepted now can have waited. */
   maxWaitMs(now: number): number {
     return Math.max(0, ...this.#watches.map((watch) => watch.maxWaitMs(now)));
--- a/packages/daemon/src/gateway/caller_servers_test.ts
+++ b/packages/daemon/src/gateway/caller_servers_test.ts
@@ -1,23 +1,66 @@
 /**
- * The servers for callers after their task was restarted.
+ * The servers for callers: their limits, and connections that are not used.
  *
  * @module
  */
 
+import { once } from "node:events";
 import { request } from "node:http";
-import { afterEach, expect, test } from "vitest";
+import { connect, type Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { afterEach, beforeEach, expect, test } from "vitest";
 import { loopbackAddress, nextPort } from "../loopback.ts";
 import { CallerServers } from "./caller_servers.ts";
 
 const HOST = loopbackAddress(81);
 
+const HEADER_TIMEOUT_MS = 100;
+/** Node has checked all connections for header timeouts by then. */
+const CHECKED_MS = HEADER_TIMEOUT_MS + 2_000;
+const REQUEST = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
+
 const servers = new CallerServers({
   connected: () => undefined,
-  clientError: (_err, socket) => void socket.destroy(),
+  clientError: (err, socket) => {
+    clientErrors.push(err.code);
+    socket.destroy();
+  },
+  unused: (socket) => {
+    unused += 1;
+    socket.end();
+  },
   acceptFailed: () => undefined,
 });
+let clientErrors: (string | undefined)[];
+let unused: number;
+let callers: Socket[];
+
+beforeEach(() => {
+  clientErrors = [];
+  unused = 0;
+  callers = [];
+});
 
-afterEach(() => servers.close());
+afterEach(() => {
+  callers.forEach((caller) => caller.destroy());
+  servers.close();
+});
+
+/** A connection to a server that ends idle connections after `idleTimeoutMs`. */
+async function openCaller(idleTimeoutMs: number): Promise<Socket> {
+  const address = { host: HOST, port: nextPort() };
+  servers.setLimits({
+    headerBytes: 1_000,
+    bodyBytes: 1,
+    headerTimeoutMs: HEADER_TIMEOUT_MS,
+    idleTimeoutMs,
+  });
+  await servers.add(address, (_req, res) => void res.end());
+  const caller = connect(address);
+  callers.push(caller);
+  await once(caller, "connect");
+  return caller;
+}
 
 function statusWithHeader(port: number, bytes: number): Promise<number> {
   return new Promise((resolve) => {
@@ -47,3 +90,34 @@
   expect(await statusWithHeader(port, 100)).toBe(200);
   expect(await statusWithHeader(port, 2_000)).toBe(0);
 });
+
+test("a caller may use its connection later than a header may last", async () => {
+  const caller = await openCaller(60_000);
+  await pause(CHECKED_MS);
+  caller.write(REQUEST);
+  const [response] = await once(caller, "data") as [Buffer];
+  expect(response.toString()).toMatch(/^HTTP\/1\.1 200 /);
+  expect(clientErrors).toEqual([]);
+});
+
+test("the first header on a connection that was not used has its limit", async () => {
+  const caller = await openCaller(60_000);
+  await pause(CHECKED_MS);
+  caller.write(REQUEST.slice(0, 20));
+  await once(caller, "close");
+  expect(clientErrors).toEqual(["ERR_HTTP_REQUEST_TIMEOUT"]);
+  expect(unused).toBe(0);
+});
+
+test.each([
+  ["nothing arrives", ""],
+  ["no header begins", "\r\n"],
+])("a connection on which %s is ended after its limits", async (_, input) => {
+  const caller = await openCaller(1_000);
+  await pause(CHECKED_MS);
+  caller.write(input);
+  caller.resume();
+  await once(caller, "end");
+  expect(unused).toBe(1);
+  expect(clientErrors).toEqual([]);
+});
