Callers are served while the port for forwarded requests is held

What was seen: a VM whose port for forwarded requests is held by another process (its own former one, or a stranger) served no callers either, was not ready and sent no heartbeats.

Cause: both servers belonged to one task, which fails as a whole.

Change: the server for forwarded requests is a task of its own (forwarding_listener.ts) that starts first and is tried again by itself. Until it runs, heartbeats and zone reports say isCutOff, whose meaning to other VMs is that nothing can be forwarded there. So they don't send requests, with callers' credentials, to whoever holds the port; and look-ups name the VM only where few others of its region are up, as for VMs that reach no target. An error of the callers' task no longer closes the connections of other VMs.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -31,6 +31,7 @@
   isBehind,
   readForwarded,
 } from "./forwarding/forwarded_request.ts";
+import { ForwardingListener } from "./forwarding/forwarding_listener.ts";
 import { closeLingering, lingerAfterLastResponse } from "./lingering_close.ts";
 import {
   LEAVING_RETRY_MS,
@@ -148,9 +149,12 @@
 
 /** The task that runs the callers' HTTP server. */
 export class CallerListener extends Task<CallerListenerMessage> {
+  /** The task that accepts requests from other VMs, which are handled like those of callers. */
+  readonly forwarding: ForwardingListener;
   readonly #options: CallerListenerOptions;
   readonly #admission: AdmissionControl;
-  readonly #servers: CallerServers;
+  readonly #callerServers: CallerServers;
+  readonly #peerServers: CallerServers;
   readonly #connections = new Map<Socket, CallerConnection>();
   #splits = new Map<string, RouteSplit>();
   #compiled: CompiledConfiguration | undefined;
@@ -160,12 +164,12 @@
   constructor(options: CallerListenerOptions) {
     super("callers");
     this.#options = options;
-    this.#servers = new CallerServers({
-      connected: (socket, maxWaitMs) =>
-        this.#handleConnection(socket, maxWaitMs),
-      clientError: (err, socket) => this.#handleClientError(err, socket),
-      unused: (socket) => afterPendingReads(() => this.#handleUnused(socket)),
-      acceptFailed: (err) => options.acceptFailed(err),
+    this.#callerServers = this.#createServers();
+    this.#peerServers = this.#createServers();
+    this.forwarding = new ForwardingListener({
+      listen: options.forwarding,
+      servers: this.#peerServers,
+      handle: (req, res) => this.#handleForwarded(req, res),
     });
     this.#admission = new AdmissionControl({
       accounts: () => this.#compiled?.accounts,
@@ -187,7 +191,9 @@
 
   /** The longest that a connection accepted now can have waited. */
   maxAcceptWaitMs(now: number): number {
-    return this.#servers.maxWaitMs(now);
+    return Math.max(
+      ...this.#servers.map((servers) => servers.maxWaitMs(now)),
+    );
   }
 
   /** Version of the configuration in force; 0 if there is none. */
@@ -200,20 +206,29 @@
     return this.#compiled?.accounts;
   }
 
-  protected override async open(): Promise<void> {
-    const { listen, forwarding } = this.#options;
-    await this.#servers.add(
-      forwarding,
-      (req, res) => this.#handleForwarded(req, res),
-    );
-    await this.#servers.add(
-      listen,
+  get #servers(): readonly CallerServers[] {
+    return [this.#callerServers, this.#peerServers];
+  }
+
+  #createServers(): CallerServers {
+    return new CallerServers({
+      connected: (socket, maxWaitMs) =>
+        this.#handleConnection(socket, maxWaitMs),
+      clientError: (err, socket) => this.#handleClientError(err, socket),
+      unused: (socket) => afterPendingReads(() => this.#handleUnused(socket)),
+      acceptFailed: (err) => this.#options.acceptFailed(err),
+    });
+  }
+
+  protected override open(): Promise<void> {
+    return this.#callerServers.add(
+      this.#options.listen,
       (req, res) => this.#handleRequest(req, res),
     );
   }
 
   protected override close(): void {
-    this.#servers.close();
+    this.#callerServers.close();
   }
 
   protected override receive(message: CallerListenerMessage): void {
@@ -247,11 +262,11 @@
   ): void {
     afterPendingReads(() => {
       const now = performance.now();
-      if (now < acceptsUntil && this.#servers.maxWaitMs(now) > 0) {
+      if (now < acceptsUntil && this.maxAcceptWaitMs(now) > 0) {
         this.#closeListener(acceptsUntil);
         return;
       }
-      this.#servers.stopAccepting();
+      this.#servers.forEach((servers) => servers.stopAccepting());
       this.#closesIdle = true;
       this.#connections.forEach((connection, socket) =>
         closeIfIdle(socket, connection)
@@ -271,7 +286,7 @@
       splits.set(route.name, this.#splitOf(route));
     }
     this.#splits = splits;
-    this.#servers.setLimits(limits);
+    this.#servers.forEach((servers) => servers.setLimits(limits));
   }
 
   #splitOf(route: Route): RouteSplit {
--- /dev/null
+++ b/packages/daemon/src/gateway/forwarding/forwarding_listener.ts
@@ -0,0 +1,38 @@
+/**
+ * Accepts the requests that other VMs forward. A task of its own, so that callers are
+ * served while its port is in use.
+ *
+ * @module
+ */
+
+import { Task } from "../../task.ts";
+import type { CallerServers, RequestHandler } from "../caller_servers.ts";
+import type { ListenAddress } from "../settings.ts";
+
+/** Options of {@link ForwardingListener}. */
+export interface ForwardingListenerOptions {
+  readonly listen: ListenAddress;
+  readonly servers: CallerServers;
+  readonly handle: RequestHandler;
+}
+
+/** See the module comment. */
+export class ForwardingListener extends Task<never> {
+  readonly #options: ForwardingListenerOptions;
+
+  constructor(options: ForwardingListenerOptions) {
+    super("forwarding");
+    this.#options = options;
+  }
+
+  protected override open(): Promise<void> {
+    const { listen, servers, handle } = this.#options;
+    return servers.add(listen, handle);
+  }
+
+  protected override receive(): void {}
+
+  protected override close(): void {
+    this.#options.servers.close();
+  }
+}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -418,6 +418,7 @@
     return new GatewayTasks({
       log: this.#log,
       metrics: this.#metrics,
+      forwarding: this.#callerListener.forwarding,
       required: [
         this.#peers.beacon,
         this.#callerListener,
@@ -429,6 +430,8 @@
         relay,
       ],
       expendable: [metrics],
+      forwardingChanged: (isRunning) =>
+        this.#peers.setAcceptsForwarded(isRunning),
       servingChanged: (isServing) => {
         this.#peers.setServing(isServing);
         if (isServing) {
--- a/packages/daemon/src/gateway/gateway_tasks.ts
+++ b/packages/daemon/src/gateway/gateway_tasks.ts
@@ -15,11 +15,15 @@
 export interface GatewayTasksOptions {
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Accepts requests from other VMs. It starts first: the first heartbeat tells of it. */
+  readonly forwarding: SupervisedTask;
   /** Tasks without which callers cannot be served. */
   readonly required: readonly SupervisedTask[];
   readonly optional: readonly SupervisedTask[];
   /** Tasks that never end the process. */
   readonly expendable: readonly SupervisedTask[];
+  /** Called when it has changed whether other VMs can forward requests to this one. */
+  forwardingChanged(isRunning: boolean): void;
   /** Called when it has changed whether callers can be served. */
   servingChanged(isServing: boolean): void;
 }
@@ -28,14 +32,17 @@
 export class GatewayTasks {
   readonly #options: GatewayTasksOptions;
   readonly #supervisor: Supervisor;
+  #acceptsForwarded = false;
   #isServing = false;
   #hasServed = false;
 
   constructor(options: GatewayTasksOptions) {
     this.#options = options;
-    const { required, optional, expendable } = options;
+    const { forwarding, required, optional, expendable } = options;
     this.#supervisor = this.#createSupervisor();
-    [...required, ...optional].forEach((task) => this.#supervisor.add(task));
+    [forwarding, ...required, ...optional].forEach((task) =>
+      this.#supervisor.add(task)
+    );
     expendable.forEach((task) =>
       this.#supervisor.add(task, { whenExhausted: "keep-trying" })
     );
@@ -74,11 +81,23 @@
           metrics.taskRestarted(task);
           log.write("task restarted", { task });
         },
-        statesChanged: () => this.#updateServing(),
+        statesChanged: () => {
+          this.#updateForwarding();
+          this.#updateServing();
+        },
       },
     });
   }
 
+  #updateForwarding(): void {
+    const { forwarding, forwardingChanged } = this.#options;
+    const isRunning = this.#supervisor.areRunning([forwarding]);
+    if (isRunning !== this.#acceptsForwarded) {
+      this.#acceptsForwarded = isRunning;
+      forwardingChanged(isRunning);
+    }
+  }
+
   #updateServing(): void {
     const { required, servingChanged } = this.#options;
     const isServing = this.#supervisor.areRunning(required);
--- a/packages/daemon/src/gateway/gateway_tasks_test.ts
+++ b/packages/daemon/src/gateway/gateway_tasks_test.ts
@@ -34,6 +34,7 @@
   protected override close(): void {}
 }
 
+let forwarding: FakeTask;
 let callers: FakeTask;
 let lookups: FakeTask;
 let metricsListener: FakeTask;
@@ -41,6 +42,8 @@
 let counts: Record<string, number>;
 let lines: string[];
 let serving: boolean[];
+/** Whether callers are served and whether other VMs can forward requests, after each change. */
+let forwardingStates: { isServing: boolean; isForwarding: boolean }[];
 let failures: string[];
 
 function count(name: string): void {
@@ -49,12 +52,14 @@
 
 beforeEach(() => {
   vi.useFakeTimers();
+  forwarding = new FakeTask("forwarding");
   callers = new FakeTask("callers");
   lookups = new FakeTask("lookups");
   metricsListener = new FakeTask("metrics");
   counts = {};
   lines = [];
   serving = [];
+  forwardingStates = [];
   failures = [];
   const write = (event: string, { reason = "" }: { reason?: string } = {}) =>
     void lines.push(`${event} ${reason}`.trim());
@@ -64,9 +69,12 @@
       taskFailed: (task: string) => count(`${task} failed`),
       taskRestarted: (task: string) => count(`${task} restarted`),
     } as GatewayMetrics,
+    forwarding,
     required: [callers],
     optional: [lookups],
     expendable: [metricsListener],
+    forwardingChanged: (isForwarding) =>
+      forwardingStates.push({ isServing: tasks.isServing, isForwarding }),
     servingChanged: (isServing) => serving.push(isServing),
   });
 });
@@ -97,6 +105,30 @@
   expect(counts["callers restarted"]).toBe(1);
 });
 
+test("a VM serves callers while its port for forwarded requests is in use", async () => {
+  forwarding.error = HELD;
+  await start();
+  await vi.advanceTimersByTimeAsync(HOUR_MS);
+  expect(serving).toEqual([true]);
+  expect(forwardingStates).toEqual([]);
+  expect(failures).toEqual([]);
+  forwarding.error = undefined;
+  await vi.advanceTimersByTimeAsync(500);
+  expect(forwardingStates).toEqual([{ isServing: true, isForwarding: true }]);
+  forwarding.failWith(HELD);
+  expect(forwardingStates.at(-1)).toEqual({
+    isServing: true,
+    isForwarding: false,
+  });
+  expect(serving).toEqual([true]);
+});
+
+test("a VM accepts forwarded requests before it serves callers", async () => {
+  // Its first heartbeat would tell the other VMs not to count on it.
+  await start();
+  expect(forwardingStates).toEqual([{ isServing: false, isForwarding: true }]);
+});
+
 test("a VM serves without the ports of its look-ups and metrics", async () => {
   lookups.error = HELD;
   metricsListener.error = HELD;
--- a/packages/daemon/src/gateway/peer_messages.ts
+++ b/packages/daemon/src/gateway/peer_messages.ts
@@ -77,7 +77,7 @@
 export interface Heartbeat extends CommonFields {
   readonly member: Member;
   readonly isLeaving: boolean;
-  /** The VM reaches no target. Older versions of the program don't send this field. */
+  /** The VM reaches no target, or other VMs can't forward requests to it. Older versions of the program don't send this field. */
   readonly isCutOff?: boolean;
   /** The VM lacks processor time for its callers. Older versions of the program don't send this field. */
   readonly isOverloaded?: boolean;
@@ -93,7 +93,7 @@
   readonly ages: Readonly<Record<VmId, number>>;
   /** Those of them that are leaving. */
   readonly leaving: readonly VmId[];
-  /** Those of them that reach no target. Older versions of the program don't send this field. */
+  /** Those of them that reach no target, or to which no requests can be forwarded. Older versions of the program don't send this field. */
   readonly cutOff?: readonly VmId[];
   /**
    * Those of them that lack processor time for their callers, by their index in `ages`:
--- a/packages/daemon/src/gateway/peers.ts
+++ b/packages/daemon/src/gateway/peers.ts
@@ -50,6 +50,7 @@
   #isServing = false;
   #hasServed = false;
   #isCutOff = false;
+  #acceptsForwarded = false;
   #isOverloaded = false;
   #fleetSize: number | undefined;
 
@@ -60,6 +61,7 @@
       onChange: (member, change) => this.#changes.add(member, change),
     });
     this.vms.setServing(false);
+    this.vms.setCutOff(!this.#servesOthers);
     this.beacon = this.#createBeacon();
   }
 
@@ -92,11 +94,26 @@
   setCutOff(isCutOff: boolean): void {
     if (isCutOff !== this.#isCutOff) {
       this.#isCutOff = isCutOff;
-      this.vms.setCutOff(isCutOff);
-      this.beacon.send({ kind: "beat" });
+      this.#publishServesOthers();
     }
   }
 
+  /** Tells the other VMs whether they can forward requests to this one. */
+  setAcceptsForwarded(acceptsForwarded: boolean): void {
+    this.#acceptsForwarded = acceptsForwarded;
+    this.#publishServesOthers();
+  }
+
+  /** Whether requests that other VMs forward can be served here. */
+  get #servesOthers(): boolean {
+    return this.#acceptsForwarded && !this.#isCutOff;
+  }
+
+  #publishServesOthers(): void {
+    this.vms.setCutOff(!this.#servesOthers);
+    this.beacon.send({ kind: "beat" });
+  }
+
   /** Tells the other VMs whether this one lacks processor time for its callers. */
   setOverloaded(isOverloaded: boolean): void {
     this.#isOverloaded = isOverloaded;
@@ -166,7 +183,7 @@
         isLeaving: this.#isLeaving || !this.#isServing,
         ...(this.#isLeaving || this.#isServing ? {} : { isPaused: true }),
         ...(this.#hasFailed ? { hasFailed: true } : {}),
-        ...(this.#isCutOff ? { isCutOff: true } : {}),
+        ...(this.#servesOthers ? {} : { isCutOff: true }),
         ...(this.#isOverloaded ? { isOverloaded: true } : {}),
         ...feed().seen,
       }),
--- a/packages/daemon/src/gateway/vm_directory.ts
+++ b/packages/daemon/src/gateway/vm_directory.ts
@@ -57,7 +57,7 @@
   knownAt: number;
   upSince: number | undefined;
   isLeaving: boolean;
-  /** It reaches no target. */
+  /** It reaches no target, or no requests can be forwarded to it. */
   isCutOff: boolean;
   /** It lacks processor time for its callers. */
   isOverloaded: boolean;
@@ -69,7 +69,7 @@
   /** Time since its last heartbeat. */
   readonly ageMs: number;
   readonly isLeaving: boolean;
-  /** It reaches no target; false by default. */
+  /** It reaches no target, or no requests can be forwarded to it; false by default. */
   readonly isCutOff?: boolean;
   /** It lacks processor time for its callers; false by default. */
   readonly isOverloaded?: boolean;
@@ -114,7 +114,7 @@
     this.#selfServing = isServing;
   }
 
-  /** Sets whether this VM reaches no target. */
+  /** Sets whether this VM reaches no target, or accepts no forwarded requests. */
   setCutOff(isCutOff: boolean): void {
     this.#selfCutOff = isCutOff;
   }
@@ -411,7 +411,7 @@
     return fallbacksFor(this.#self, this.up(now));
   }
 
-  /** Other VMs that are up and reach targets. */
+  /** Other VMs that are up, reach targets and accept forwarded requests. */
   peersWithTargets(now: number): readonly Member[] {
     return this.up(now).filter(({ vm }) =>
       vm !== this.#self.vm && !this.#isCutOff(vm)
