--- a/packages/daemon/src/gateway/connections_test.ts
+++ b/packages/daemon/src/gateway/connections_test.ts
@@ -20,13 +20,13 @@
 /** Longer than connecting may take. */
 const CONNECTING_MS = 300;
 
-/** A server whose thread stops before it accepts any connection. */
-const STOPPED_SERVER = `
+/** A server whose thread is busy before it accepts any connection. */
+const BUSY_SERVER = `
   const { parentPort } = require("node:worker_threads");
   const server = require("node:net").createServer();
   server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
     parentPort.postMessage(server.address().port);
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+    for (;;);
   });
 `;
 
@@ -130,7 +130,7 @@
 
 /** Starts a server that has as many connections to accept as it may have; returns its port. */
 async function startFullServer(): Promise<number> {
-  const server = new Worker(STOPPED_SERVER, { eval: true });
+  const server = new Worker(BUSY_SERVER, { eval: true });
   onTestFinished(() => void server.terminate());
   const [port] = await once(server, "message") as [number];
   for (let waiting = 0; waiting < 2; waiting++) {
