The memory for responses is bounded before a VM's first tick

What callers saw: nothing known.

Cause: the budget of responses was infinite until the VM's first tick, up to 20 ms after it starts to serve. A large response of these moments is held whole, however little memory there is.

Change: the budget is set when the request path is created.

--- a/packages/daemon/src/gateway/request_path.ts
+++ b/packages/daemon/src/gateway/request_path.ts
@@ -144,6 +144,8 @@
     this.#options = options;
     this.#memoryGuard = memory &&
       new MemoryGuard(memory.memoryBytes, { log });
+    // Requests may come before the first tick.
+    this.#setBudget();
     this.steering = steering;
     this.#queue = new RequestQueue(() => options.requestQueued?.());
     this.#homeTargets = new HomeTargetWatch({
@@ -363,14 +365,19 @@
   }
 
   #updateBudget(now: number): void {
+    if (now >= this.#budgetDueAt) {
+      this.#budgetDueAt = now + BUDGET_INTERVAL_MS;
+      this.#setBudget();
+    }
+  }
+
+  #setBudget(): void {
     const { memory } = this.#options;
-    if (memory === undefined || now < this.#budgetDueAt) {
-      return;
+    if (memory !== undefined) {
+      const { memoryBytes } = memory;
+      const residentBytes = memory.residentBytes();
+      this.#budget.setTotal(budgetBytesFor({ memoryBytes, residentBytes }));
     }
-    this.#budgetDueAt = now + BUDGET_INTERVAL_MS;
-    const { memoryBytes } = memory;
-    const residentBytes = memory.residentBytes();
-    this.#budget.setTotal(budgetBytesFor({ memoryBytes, residentBytes }));
   }
 
   /** Applies a target's limit; returns true if it changed. */
