One function says whether an arriving request is behind the last one

Change: #receive, which both call. No behaviour changes.

After: the tests of requests, forwarding and disconnecting callers pass.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -324,11 +324,23 @@
     socket.once("close", onCallerClosed);
   }
 
-  #handleRequest(req: IncomingMessage, res: ServerResponse): void {
+  /** A request has arrived. Returns its connection; undefined if a response before it ends that. */
+  #receive(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): CallerConnection | undefined {
     res.sendDate = false;
     const connection = this.#connections.get(req.socket);
     if (connection === undefined || connection.isEnding) {
       discardInput(req);
+      return undefined;
+    }
+    return connection;
+  }
+
+  #handleRequest(req: IncomingMessage, res: ServerResponse): void {
+    const connection = this.#receive(req, res);
+    if (connection === undefined) {
       return;
     }
     const compiled = this.#compiled;
@@ -416,10 +428,8 @@
    * account's quota; everything else is decided here.
    */
   #handleForwarded(req: IncomingMessage, res: ServerResponse): void {
-    res.sendDate = false;
-    const connection = this.#connections.get(req.socket);
-    if (connection === undefined || connection.isEnding) {
-      discardInput(req);
+    const connection = this.#receive(req, res);
+    if (connection === undefined) {
       return;
     }
     const compiled = this.#compiled;
