An unknown expectation is refused where Node reports it

Cause: let the dialect find such requests once more, with a copy of Node's own pattern that ran on each request. Node raises an event for exactly these.

Change: the servers for callers and for other VMs pass that event to a handler of its own, which refuses as before (400, malformed, counted, the connection ends). No behaviour changes, and the tests keep their assertions; caller_servers_test.ts names its two handlers.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -171,7 +171,11 @@
     this.forwarding = new ForwardingListener({
       listen: options.forwarding,
       servers: this.#peerServers,
-      handle: (req, res) => this.#handleForwarded(req, res),
+      handlers: {
+        handle: (req, res) => this.#handleForwarded(req, res),
+        refuse: (req, res) =>
+          this.#refuseMalformed(req, res, { isForPeer: true }),
+      },
     });
     this.#admission = new AdmissionControl({
       accounts: () => this.#compiled?.accounts,
@@ -223,10 +227,10 @@
   }
 
   protected override open(): Promise<void> {
-    return this.#callerServers.add(
-      this.#options.listen,
-      (req, res) => this.#handleRequest(req, res),
-    );
+    return this.#callerServers.add(this.#options.listen, {
+      handle: (req, res) => this.#handleRequest(req, res),
+      refuse: (req, res) => this.#refuseMalformed(req, res),
+    });
   }
 
   protected override close(): void {
@@ -338,6 +342,17 @@
     return connection;
   }
 
+  #refuseMalformed(
+    req: IncomingMessage,
+    res: ServerResponse,
+    options: { isForPeer?: boolean } = {},
+  ): void {
+    const connection = this.#receive(req, res);
+    if (connection !== undefined) {
+      this.#refuse(res, { reason: "malformed" }, { connection, ...options });
+    }
+  }
+
   #handleRequest(req: IncomingMessage, res: ServerResponse): void {
     const connection = this.#receive(req, res);
     if (connection === undefined) {
--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_servers.ts
@@ -32,11 +32,12 @@
 /** Listen backlog: after a fault, all clients of a zone may reconnect at once. */
 const MAX_PENDING_CONNECTIONS = 1_024;
 
-/** Handles one request. */
-export type RequestHandler = (
-  req: IncomingMessage,
-  res: ServerResponse,
-) => void;
+/** Handles the requests of a server. */
+export interface RequestHandlers {
+  handle(req: IncomingMessage, res: ServerResponse): void;
+  /** Refuses a request with an expectation other than `100-continue`. */
+  refuse(req: IncomingMessage, res: ServerResponse): void;
+}
 
 /** Receives the events of all servers. */
 export interface CallerServersListener {
@@ -66,11 +67,10 @@
   }
 
   /** Starts a server; resolves when it listens. */
-  add(address: ListenAddress, handle: RequestHandler): Promise<void> {
-    const receive: RequestHandler = (req, res) => {
-      this.#unused.used(req.socket);
-      handle(req, res);
-    };
+  add(
+    address: ListenAddress,
+    { handle, refuse }: RequestHandlers,
+  ): Promise<void> {
     const server = createServer({
       maxHeaderSize: DEFAULT_HEADER_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -81,9 +81,15 @@
       noDelay: true,
       // The dialect refuses requests without one, and counts them.
       requireHostHeader: false,
-    }, receive);
+    }, (req, res) => {
+      this.#unused.used(req.socket);
+      handle(req, res);
+    });
     // Without a listener, Node refuses these itself, and they are counted nowhere.
-    server.on("checkExpectation", receive);
+    server.on("checkExpectation", (req, res) => {
+      this.#unused.used(req.socket);
+      refuse(req, res);
+    });
     const { connected, acceptFailed } = this.#listener;
     const watch = new AcceptWatch(address);
     this.#watches.push(watch);
--- a/packages/daemon/src/gateway/caller_servers_test.ts
+++ b/packages/daemon/src/gateway/caller_servers_test.ts
@@ -10,7 +10,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { loopbackAddress, nextPort } from "../loopback.ts";
-import { CallerServers } from "./caller_servers.ts";
+import { CallerServers, type RequestHandlers } from "./caller_servers.ts";
 
 const HOST = loopbackAddress(81);
 
@@ -19,6 +19,11 @@
 const CHECKED_MS = HEADER_TIMEOUT_MS + 2_000;
 const REQUEST = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
 
+const HANDLERS: RequestHandlers = {
+  handle: (_req, res) => void res.end(),
+  refuse: (_req, res) => void res.end(),
+};
+
 const servers = new CallerServers({
   connected: () => undefined,
   clientError: (err, socket) => {
@@ -55,7 +60,7 @@
     headerTimeoutMs: HEADER_TIMEOUT_MS,
     idleTimeoutMs,
   });
-  await servers.add(address, (_req, res) => void res.end());
+  await servers.add(address, HANDLERS);
   const caller = connect(address);
   callers.push(caller);
   await once(caller, "connect");
@@ -76,8 +81,7 @@
 
 test("the limits of the configuration hold after a restart", async () => {
   const port = nextPort();
-  const start = () =>
-    servers.add({ host: HOST, port }, (_req, res) => void res.end());
+  const start = () => servers.add({ host: HOST, port }, HANDLERS);
   await start();
   servers.setLimits({
     headerBytes: 1_000,
--- a/packages/daemon/src/gateway/forwarding/forwarding_listener.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarding_listener.ts
@@ -6,14 +6,14 @@
  */
 
 import { Task } from "../../task.ts";
-import type { CallerServers, RequestHandler } from "../caller_servers.ts";
+import type { CallerServers, RequestHandlers } from "../caller_servers.ts";
 import type { ListenAddress } from "../settings.ts";
 
 /** Options of {@link ForwardingListener}. */
 export interface ForwardingListenerOptions {
   readonly listen: ListenAddress;
   readonly servers: CallerServers;
-  readonly handle: RequestHandler;
+  readonly handlers: RequestHandlers;
 }
 
 /** See the module comment. */
@@ -26,8 +26,8 @@
   }
 
   protected override open(): Promise<void> {
-    const { listen, servers, handle } = this.#options;
-    return servers.add(listen, handle);
+    const { listen, servers, handlers } = this.#options;
+    return servers.add(listen, handlers);
   }
 
   protected override receive(): void {}
