Each listener has one server

Cause: since callers and other VMs have a listener each, and the class that kept the lists of their servers and watches held one of either.

Change: CallerServer keeps a server and its watch in place of CallerServers with its lists; file, class and the method that opens it are named so. No behaviour changes, and the tests keep their assertions.

--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -16,7 +16,7 @@
   withoutQuota,
 } from "./accounts/admission.ts";
 import { AccountIndex } from "./accounts/client_account.ts";
-import { CallerServers } from "./caller_servers.ts";
+import { CallerServer } from "./caller_server.ts";
 import {
   type Route,
   RouteIndex,
@@ -155,8 +155,8 @@
   readonly forwarding: ForwardingListener;
   readonly #options: CallerListenerOptions;
   readonly #admission: AdmissionControl;
-  readonly #callerServers: CallerServers;
-  readonly #peerServers: CallerServers;
+  readonly #callerServer: CallerServer;
+  readonly #peerServer: CallerServer;
   readonly #connections = new Map<Socket, CallerConnection>();
   #splits = new Map<string, RouteSplit>();
   #compiled: CompiledConfiguration | undefined;
@@ -166,11 +166,11 @@
   constructor(options: CallerListenerOptions) {
     super("callers");
     this.#options = options;
-    this.#callerServers = this.#createServers();
-    this.#peerServers = this.#createServers();
+    this.#callerServer = this.#createServer();
+    this.#peerServer = this.#createServer();
     this.forwarding = new ForwardingListener({
       listen: options.forwarding,
-      servers: this.#peerServers,
+      server: this.#peerServer,
       handlers: {
         handle: (req, res) => this.#handleForwarded(req, res),
         refuse: (req, res) =>
@@ -198,7 +198,7 @@
   /** The longest that a connection accepted now can have waited. */
   maxAcceptWaitMs(now: number): number {
     return Math.max(
-      ...this.#servers.map((servers) => servers.maxWaitMs(now)),
+      ...this.#servers.map((server) => server.maxWaitMs(now)),
     );
   }
 
@@ -212,12 +212,12 @@
     return this.#compiled?.accounts;
   }
 
-  get #servers(): readonly CallerServers[] {
-    return [this.#callerServers, this.#peerServers];
+  get #servers(): readonly CallerServer[] {
+    return [this.#callerServer, this.#peerServer];
   }
 
-  #createServers(): CallerServers {
-    return new CallerServers({
+  #createServer(): CallerServer {
+    return new CallerServer({
       connected: (socket, maxWaitMs) =>
         this.#handleConnection(socket, maxWaitMs),
       clientError: (err, socket) => this.#handleClientError(err, socket),
@@ -227,14 +227,14 @@
   }
 
   protected override open(): Promise<void> {
-    return this.#callerServers.add(this.#options.listen, {
+    return this.#callerServer.open(this.#options.listen, {
       handle: (req, res) => this.#handleRequest(req, res),
       refuse: (req, res) => this.#refuseMalformed(req, res),
     });
   }
 
   protected override close(): void {
-    this.#callerServers.close();
+    this.#callerServer.close();
   }
 
   protected override receive(message: CallerListenerMessage): void {
@@ -272,7 +272,7 @@
         this.#closeListener(acceptsUntil);
         return;
       }
-      this.#servers.forEach((servers) => servers.stopAccepting());
+      this.#servers.forEach((server) => server.stopAccepting());
       this.#closesIdle = true;
       this.#connections.forEach((connection, socket) =>
         closeIfIdle(socket, connection)
@@ -292,7 +292,7 @@
       splits.set(route.name, this.#splitOf(route));
     }
     this.#splits = splits;
-    this.#servers.forEach((servers) => servers.setLimits(limits));
+    this.#servers.forEach((server) => server.setLimits(limits));
   }
 
   #splitOf(route: Route): RouteSplit {
--- a/packages/daemon/src/gateway/caller_servers.ts
+++ b/packages/daemon/src/gateway/caller_server.ts
@@ -1,6 +1,5 @@
 /**
- * The HTTP servers that accept requests: one for callers, one for the VMs that forward
- * theirs.
+ * An HTTP server that accepts requests, of callers or of the VMs that forward theirs.
  *
  * @module
  */
@@ -39,8 +38,8 @@
   refuse(req: IncomingMessage, res: ServerResponse): void;
 }
 
-/** Receives the events of all servers. */
-export interface CallerServersListener {
+/** Receives the events of a server. */
+export interface CallerServerListener {
   /** A connection was accepted that has waited for `maxWaitMs` at most. */
   connected(socket: Socket, maxWaitMs: number): void;
   /** Input did not become a request. */
@@ -52,22 +51,22 @@
 }
 
 /** See the module comment. */
-export class CallerServers {
-  readonly #listener: CallerServersListener;
-  readonly #servers: Server[] = [];
-  readonly #watches: AcceptWatch[] = [];
+export class CallerServer {
+  readonly #listener: CallerServerListener;
   readonly #unused: UnusedConnections;
+  #server: Server | undefined;
+  #watch: AcceptWatch | undefined;
   #limits: CallerLimits | undefined;
 
-  constructor(listener: CallerServersListener) {
+  constructor(listener: CallerServerListener) {
     this.#listener = listener;
     this.#unused = new UnusedConnections({
       expired: (socket) => listener.unused(socket),
     });
   }
 
-  /** Starts a server; resolves when it listens. */
-  add(
+  /** Starts the server; resolves when it listens. */
+  open(
     address: ListenAddress,
     { handle, refuse }: RequestHandlers,
   ): Promise<void> {
@@ -91,9 +90,8 @@
       refuse(req, res);
     });
     const { connected, acceptFailed } = this.#listener;
-    const watch = new AcceptWatch(address);
-    this.#watches.push(watch);
-    watch.follow(server, connected);
+    this.#watch = new AcceptWatch(address);
+    this.#watch.follow(server, connected);
     server.on(
       "clientError",
       (err, socket) =>
@@ -102,7 +100,7 @@
     if (this.#limits !== undefined) {
       applyLimits(server, this.#limits);
     }
-    this.#servers.push(server);
+    this.#server = server;
     const { host, port } = address;
     return listen(
       server,
@@ -127,30 +125,31 @@
 
   /** The longest that a connection accepted now can have waited. */
   maxWaitMs(now: number): number {
-    return Math.max(0, ...this.#watches.map((watch) => watch.maxWaitMs(now)));
+    return this.#watch?.maxWaitMs(now) ?? 0;
   }
 
-  /** Applies the limits of a configuration, also to servers that are started later. */
+  /** Applies the limits of a configuration, also when the server is opened again. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
-    this.#servers.forEach((server) => applyLimits(server, limits));
+    if (this.#server !== undefined) {
+      applyLimits(this.#server, limits);
+    }
   }
 
   /** Accepts no more connections; open ones stay open. */
   stopAccepting(): void {
-    for (const server of this.#servers) {
+    if (this.#server !== undefined) {
       // The HTTP server's own method also closes connections with unsent responses.
-      NetServer.prototype.close.call(server);
+      NetServer.prototype.close.call(this.#server);
     }
   }
 
   /** Closes all connections. */
   close(): void {
-    this.#watches.length = 0;
-    for (const server of this.#servers.splice(0)) {
-      server.close();
-      server.closeAllConnections();
-    }
+    this.#watch = undefined;
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#server = undefined;
   }
 }
 
--- a/packages/daemon/src/gateway/caller_servers_test.ts
+++ b/packages/daemon/src/gateway/caller_server_test.ts
@@ -1,5 +1,5 @@
 /**
- * The servers for callers: their limits, and connections that are not used.
+ * A server for callers: its limits, and connections that are not used.
  *
  * @module
  */
@@ -10,7 +10,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { loopbackAddress, nextPort } from "../loopback.ts";
-import { CallerServers, type RequestHandlers } from "./caller_servers.ts";
+import { CallerServer, type RequestHandlers } from "./caller_server.ts";
 
 const HOST = loopbackAddress(81);
 
@@ -24,7 +24,7 @@
   refuse: (_req, res) => void res.end(),
 };
 
-const servers = new CallerServers({
+const server = new CallerServer({
   connected: () => undefined,
   clientError: (err, socket) => {
     clientErrors.push(err.code);
@@ -48,19 +48,19 @@
 
 afterEach(() => {
   callers.forEach((caller) => caller.destroy());
-  servers.close();
+  server.close();
 });
 
 /** A connection to a server that ends idle connections after `idleTimeoutMs`. */
 async function openCaller(idleTimeoutMs: number): Promise<Socket> {
   const address = { host: HOST, port: nextPort() };
-  servers.setLimits({
+  server.setLimits({
     headerBytes: 1_000,
     bodyBytes: 1,
     headerTimeoutMs: HEADER_TIMEOUT_MS,
     idleTimeoutMs,
   });
-  await servers.add(address, HANDLERS);
+  await server.open(address, HANDLERS);
   const caller = connect(address);
   callers.push(caller);
   await once(caller, "connect");
@@ -81,15 +81,15 @@
 
 test("the limits of the configuration hold after a restart", async () => {
   const port = nextPort();
-  const start = () => servers.add({ host: HOST, port }, HANDLERS);
+  const start = () => server.open({ host: HOST, port }, HANDLERS);
   await start();
-  servers.setLimits({
+  server.setLimits({
     headerBytes: 1_000,
     bodyBytes: 1,
     headerTimeoutMs: 1_000,
     idleTimeoutMs: 1_000,
   });
-  servers.close();
+  server.close();
   await start();
   expect(await statusWithHeader(port, 100)).toBe(200);
   expect(await statusWithHeader(port, 2_000)).toBe(0);
--- a/packages/daemon/src/gateway/forwarding/forwarding_listener.ts
+++ b/packages/daemon/src/gateway/forwarding/forwarding_listener.ts
@@ -6,13 +6,13 @@
  */
 
 import { Task } from "../../task.ts";
-import type { CallerServers, RequestHandlers } from "../caller_servers.ts";
+import type { CallerServer, RequestHandlers } from "../caller_server.ts";
 import type { ListenAddress } from "../settings.ts";
 
 /** Options of {@link ForwardingListener}. */
 export interface ForwardingListenerOptions {
   readonly listen: ListenAddress;
-  readonly servers: CallerServers;
+  readonly server: CallerServer;
   readonly handlers: RequestHandlers;
 }
 
@@ -26,13 +26,13 @@
   }
 
   protected override open(): Promise<void> {
-    const { listen, servers, handlers } = this.#options;
-    return servers.add(listen, handlers);
+    const { listen, server, handlers } = this.#options;
+    return server.open(listen, handlers);
   }
 
   protected override receive(): void {}
 
   protected override close(): void {
-    this.#options.servers.close();
+    this.#options.server.close();
   }
 }
