--- a/review/lib2/harness.mjs
+++ b/review/lib2/harness.mjs
@@ -20,6 +20,8 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const STORE_MS = 4;
 const HEARTBEAT_MS = 1_500;
+/** How long a health check takes a slot. */
+const HEALTH_MS = 1;
 
 /** Whether the case runs with its disruption. */
 export const hasTrouble = process.env.TROUBLE !== "0";
@@ -222,15 +224,37 @@
   runs = [];
   /** Requests for this server, at the time at which their heads arrived. */
   arrivals = [];
+  healthChecks = 0;
+  /** Answers that were sent a second time. */
+  extrasSent = 0;
   state = "ready";
   #sequence = 0;
   #sockets = new Set();
   #running = 0;
+  #waiting = [];
 
   constructor(
-    { id, store, record, service = "portal", zone, slots = 3, workMs = 20 },
+    {
+      id,
+      store,
+      record,
+      service = "portal",
+      zone,
+      slots = 3,
+      workMs = 20,
+      born = undefined,
+    },
   ) {
-    Object.assign(this, { id, store, record, service, zone, slots, workMs });
+    Object.assign(this, {
+      id,
+      store,
+      record,
+      service,
+      zone,
+      slots,
+      workMs,
+      born,
+    });
     this.net = createServer((socket) => this.#serve(socket));
   }
 
@@ -244,9 +268,10 @@
 
   beat() {
     this.#sequence += 1;
-    const { service, zone, slots, state } = this;
+    const { service, zone, slots, state, born } = this;
     this.store.put("servers", this.id, {
       address: this.address,
+      ...(born === undefined ? {} : { born }),
       info: { service, config_version: "v1", zone, slots },
       status: { state, sequence: this.#sequence, cold_remaining_s: 0 },
     });
@@ -277,6 +302,8 @@
     let bytes = Buffer.alloc(0);
     let isBusy = false;
     let early;
+    /** An answer that comes once more, late, before the next one. */
+    let extra;
     let hasArrived = false;
     const next = () => {
       const head = isBusy ? undefined : parseHead(bytes);
@@ -311,9 +338,16 @@
         next();
         return;
       }
+      if (extra !== undefined) {
+        this.record.write(`${this.id} sends the answer to ${extra.id} again`);
+        socket.write(extra.bytes);
+        this.extrasSent += 1;
+        extra = undefined;
+      }
       isBusy = true;
-      const done = () => {
+      const done = (late) => {
         isBusy = false;
+        extra = late;
         next();
       };
       this.#handle({ ...head, body }, socket, done);
@@ -350,17 +384,19 @@
 
   #handle(request, socket, done) {
     const { headers, path } = request;
-    const load = `Server-Load: ${this.#running},0,${this.slots}\r\n`;
+    const id = headers["request-id"];
     if (path === "/healthz") {
-      const status = this.state === "ready" ? "200 OK" : "503 Draining";
-      socket.write(
-        `HTTP/1.1 ${status}\r\nInstance-Id: ${this.id}\r\n${load}` +
-          "Content-Length: 0\r\n\r\n",
-      );
-      done();
+      this.healthChecks += 1;
+      this.record.write(`${this.id} gets a health check`);
+      this.#start(() => this.#answerHealth(socket, done), () => {
+        socket.write(
+          `HTTP/1.1 503 Service Unavailable\r\nInstance-Id: ${this.id}\r\n` +
+            `Not-Executed: 1\r\n${this.#load}Content-Length: 0\r\n\r\n`,
+        );
+        done();
+      });
       return;
     }
-    const id = headers["request-id"];
     const expected = headers["target-instance"];
     if (expected !== undefined && expected !== this.id) {
       socket.write(
@@ -370,23 +406,93 @@
       done();
       return;
     }
-    this.runs.push({ id, headers, path, body: request.body });
-    this.record.write(`${this.id} runs ${id} ${request.method} ${path}`);
-    if (this.answer !== undefined) {
-      this.answer({ ...request, id }, socket, done);
-      return;
+    this.#start(() => this.#run({ ...request, id }, socket, done), () => {
+      this.record.write(`${this.id} rejects ${id}`);
+      socket.write(this.refusal(id));
+      done();
+    });
+  }
+
+  /** The answer to a request that was run. */
+  success(id) {
+    const text = `answer to ${id}`;
+    return `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n` +
+      `Response-Stamp: ${this.id}.${id}\r\n${this.#load}` +
+      "Keep-Alive: timeout=10\r\n" +
+      `Content-Length: ${text.length}\r\n\r\n${text}`;
+  }
+
+  /** Starts a job once there is a slot for it, or rejects it if too many wait. */
+  #start(job, reject) {
+    if (this.#running < this.slots) {
+      this.#running += 1;
+      job();
+    } else if (this.#waiting.length < 3 * this.slots) {
+      this.#waiting.push(job);
+    } else {
+      reject();
     }
-    this.#running += 1;
+  }
+
+  #ended() {
+    this.#running -= 1;
+    const job = this.#waiting.shift();
+    if (job !== undefined) {
+      this.#running += 1;
+      job();
+    }
+  }
+
+  get #load() {
+    return `Server-Load: ${this.#running},${this.#waiting.length},${this.slots}\r\n`;
+  }
+
+  #answerHealth(socket, done) {
     setTimeout(() => {
-      this.#running -= 1;
-      const text = `answer to ${id}`;
+      const isHealthy = this.isHealthFalse
+        ? this.state !== "ready"
+        : this.state === "ready";
+      const status = isHealthy ? "200 OK" : "503 Service Unavailable";
       socket.write(
-        `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n` +
-          `Response-Stamp: ${this.id}.${id}\r\n${load}` +
-          `Content-Length: ${text.length}\r\n\r\n${text}`,
+        `HTTP/1.1 ${status}\r\nInstance-Id: ${this.id}\r\n${this.#load}` +
+          "Content-Length: 0\r\n\r\n",
       );
+      this.#ended();
       done();
-    }, this.workMs);
+    }, HEALTH_MS);
+  }
+
+  #run({ id, headers, method, path, body }, socket, done) {
+    this.runs.push({ id, headers, path, body });
+    this.record.write(`${this.id} runs ${id} ${method} ${path}`);
+    if (this.answer !== undefined) {
+      let hasEnded = false;
+      const release = (isOpen) => {
+        if (hasEnded) {
+          return;
+        }
+        hasEnded = true;
+        socket.off("close", onClose);
+        this.#ended();
+        if (isOpen) {
+          done();
+        }
+      };
+      const onClose = () => release(false);
+      socket.once("close", onClose);
+      this.answer(
+        { id, headers, method, path, body },
+        socket,
+        () => release(true),
+      );
+      return;
+    }
+    setTimeout(() => {
+      this.#ended();
+      const bytes = this.success(id);
+      socket.write(bytes);
+      done(this.sendsExtra?.(id) ? { id, bytes } : undefined);
+    }, this.workMsOf?.(path) ?? this.workMs);
   }
 }
 
