--- a/review/lib2/harness.mjs
+++ b/review/lib2/harness.mjs
@@ -793,6 +793,21 @@
   const record = new CaseRecord();
   const cleanups = [];
   let code = 2;
+  const cleanUp = async () => {
+    for (const run of cleanups.splice(0).reverse()) {
+      try {
+        await run();
+      } catch (err) {
+        record.write(`clean-up: ${err}`);
+      }
+    }
+    record.save(join(dir, "record.txt"));
+  };
+  process.once("SIGTERM", async () => {
+    record.write("could not run: too slow");
+    await cleanUp();
+    process.exit(2);
+  });
   try {
     const broken = await play({ record, defer: (run) => cleanups.push(run) });
     broken.forEach((text) => record.write(`BROKEN: ${text}`));
@@ -801,13 +816,6 @@
   } catch (err) {
     record.write(`could not run: ${err.stack ?? err}`);
   }
-  for (const run of cleanups.reverse()) {
-    try {
-      await run();
-    } catch (err) {
-      record.write(`clean-up: ${err}`);
-    }
-  }
-  record.save(join(dir, "record.txt"));
+  await cleanUp();
   process.exit(code);
 }
