--- a/review/lib2/harness.mjs
+++ b/review/lib2/harness.mjs
@@ -10,7 +10,7 @@
 import { once } from "node:events";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer as createHttpServer } from "node:http";
-import { connect, createServer } from "node:net";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import process from "node:process";
@@ -217,8 +217,8 @@
 }
 
 /**
- * A server of a service. Runs each request for `workMs` and answers as the pages say;
- * `onRequest` may answer in its place.
+ * A server of a service. Runs each request for `workMs` and answers as the pages say,
+ * unless `answer` is set, which then answers in its place.
  */
 export class Server {
   runs = [];
@@ -283,25 +283,13 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
-  /** Ends all connections, as a crash does. */
-  dropAll() {
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
-  }
-
   #serve(socket) {
-    const link = () => this.links?.get(socket.remoteAddress);
     socket.on("error", () => undefined);
-    if (link() === "reset") {
-      socket.resetAndDestroy();
-      return;
-    }
     this.#sockets.add(socket);
     socket.setNoDelay();
-    let isSilent = false;
     socket.on("close", () => this.#sockets.delete(socket));
     let bytes = Buffer.alloc(0);
     let isBusy = false;
-    let early;
     /** An answer that comes once more, late, before the next one. */
     let extra;
     let hasArrived = false;
@@ -316,14 +304,6 @@
       }
       const isChunked = "transfer-encoding" in head.headers;
       const length = Number(head.headers["content-length"] ?? 0);
-      if (early === undefined && this.answersEarly?.(head, length)) {
-        early = head;
-        this.record.write(
-          `${this.id} answers early ${head.headers["request-id"]}, ` +
-            `${bytes.length - head.bodyAt} of ${length} bytes read`,
-        );
-        socket.write(this.refusal(head.headers["request-id"]));
-      }
       const whole = isChunked
         ? parseChunks(bytes, head.bodyAt)
         : parseLength(bytes, head.bodyAt, length);
@@ -333,11 +313,6 @@
       const { body } = whole;
       bytes = bytes.subarray(whole.endsAt);
       hasArrived = false;
-      if (early !== undefined) {
-        early = undefined;
-        next();
-        return;
-      }
       if (extra !== undefined) {
         this.record.write(`${this.id} sends the answer to ${extra.id} again`);
         socket.write(extra.bytes);
@@ -353,14 +328,6 @@
       this.#handle({ ...head, body }, socket, done);
     };
     socket.on("data", (chunk) => {
-      isSilent ||= link() === "silent";
-      if (isSilent) {
-        return;
-      }
-      if (link() === "reset") {
-        socket.resetAndDestroy();
-        return;
-      }
       bytes = Buffer.concat([bytes, chunk]);
       next();
     });
@@ -496,73 +463,6 @@
   }
 }
 
-/**
- * A link to an address, one for each VM that uses it. `mode` is `pass`; `silent`, in
- * which nothing passes and what was held is lost with its connection; or `reset`.
- */
-export class Link {
-  mode = "pass";
-  #pairs = new Set();
-
-  constructor(address) {
-    this.to = address;
-    this.net = createServer((socket) => this.#open(socket));
-  }
-
-  async start() {
-    this.net.listen(0, "127.0.0.1");
-    await once(this.net, "listening");
-    this.address = `127.0.0.1:${this.net.address().port}`;
-  }
-
-  set(mode) {
-    this.mode = mode;
-    if (mode === "reset") {
-      this.#pairs.forEach(({ near, far }) => {
-        near.resetAndDestroy();
-        far.destroy();
-      });
-    }
-  }
-
-  stop() {
-    this.net.close();
-    this.#pairs.forEach(({ near, far }) => {
-      near.destroy();
-      far.destroy();
-    });
-  }
-
-  #open(near) {
-    near.on("error", () => undefined);
-    if (this.mode === "reset") {
-      near.resetAndDestroy();
-      return;
-    }
-    const [host, port] = this.to.split(":");
-    const far = connect({ host, port: Number(port), noDelay: true });
-    far.on("error", () => undefined);
-    near.setNoDelay();
-    const pair = { near, far, isSilent: false };
-    this.#pairs.add(pair);
-    const pass = (to) => (chunk) => {
-      pair.isSilent ||= this.mode === "silent";
-      if (!pair.isSilent) {
-        to.write(chunk);
-      }
-    };
-    near.on("data", pass(far));
-    far.on("data", pass(near));
-    const close = () => {
-      this.#pairs.delete(pair);
-      near.destroy();
-      far.destroy();
-    };
-    near.on("close", close);
-    far.on("close", () => !pair.isSilent && close());
-  }
-}
-
 /** The command of the deploy file. */
 function runCommand() {
   const text = readFileSync(join(ROOT, "deploy", "system.toml"), "utf8");
@@ -629,7 +529,7 @@
     return `127.${this.net}.0.${index + 1}`;
   }
 
-  startVm(name, index, zone, { storeAddress = this.store.address } = {}) {
+  startVm(name, index, zone) {
     const ip = this.hostOf(index);
     const { front, ready, directory, control, first } = this.ports;
     const file = join(this.#dir, `${name}.json`);
@@ -676,7 +576,7 @@
         ],
         bounds: this.bounds,
         provider: {
-          address: storeAddress,
+          address: this.store.address,
           form: "table",
           writes_per_s: 400,
           reads_per_s: 2000,
@@ -709,7 +609,6 @@
       vm.exit = { code, signal };
       this.record.write(`${name} exits: ${code ?? signal}`);
     });
-    vm.startedAt = performance.now();
     this.vms.set(name, vm);
     this.record.write(`${name} started at ${ip}`);
     return vm;
@@ -727,16 +626,6 @@
     }
   }
 
-  /** Hosts that a VM's directory names. */
-  async resolve({ ip }, { region, zone }) {
-    const response = await fetch(
-      `http://${ip}:${this.ports.directory}/-/resolve?name=site.example` +
-        `&region=${region}&zone=${zone}`,
-    );
-    const { addresses } = await response.json();
-    return addresses.map((one) => one.split(":")[0]);
-  }
-
   async stop() {
     for (const { child, exit } of this.vms.values()) {
       if (exit === undefined) {
